Split the caller API from the path of a request

Cause: the path from a request to its whole answer was inside the HTTP handler, so that no harness could drive it in process, and an attempt lost before its end ended the request.

Change: router::serving holds CallerRequest, Dispatcher::open and OpenedAnswer (next for delivery as it comes, whole for a collected answer). core::sequence decides on each frame: deliver, alive, foreign, gap.

--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
+//! * [`sequence`]: the order of an attempt's frames.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
 //! # Units of time
@@ -18,4 +19,5 @@
 
 pub mod inventory;
 pub mod rendezvous;
+pub mod sequence;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystage-core/src/sequence/frame_sequence.rs
@@ -0,0 +1,44 @@
+use std::cmp::Ordering;
+
+use chicorystage_api::work::Frame;
+
+use crate::sequence::Sequenced;
+
+/// How far the answer of one attempt has been delivered.
+#[derive(Clone, Debug)]
+pub struct FrameSequence {
+    attempt: u32,
+    next_offset: u64,
+}
+
+impl FrameSequence {
+    /// Starts before the first frame of an attempt.
+    #[must_use]
+    pub fn new(attempt: u32) -> Self {
+        Self {
+            attempt,
+            next_offset: 0,
+        }
+    }
+
+    /// Returns the offset of the next content frame.
+    #[must_use]
+    pub fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
+    /// Decides on a frame and counts it where it is delivered.
+    pub fn accept(&mut self, frame: &Frame) -> Sequenced {
+        if frame.attempt != self.attempt {
+            return Sequenced::Foreign;
+        }
+        match frame.offset.cmp(&self.next_offset) {
+            Ordering::Greater => Sequenced::Gap,
+            Ordering::Equal if frame.payload.is_content() => {
+                self.next_offset += 1;
+                Sequenced::Deliver
+            }
+            Ordering::Equal | Ordering::Less => Sequenced::Alive,
+        }
+    }
+}
--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -1,15 +1,13 @@
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chicorystage_api::name::RequestId;
-use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::Payload;
 use chicorystage_platform::http::{ResponseBody, channel_body, full_body};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::{Value, json};
 
-use crate::router::caller_api::conversation::OpenedAnswer;
+use crate::router::serving::OpenedAnswer;
 use crate::web;
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -18,22 +16,13 @@
 
 /// Collects a completion and answers it whole.
 pub(crate) async fn whole_completion(
-    mut opened: OpenedAnswer,
-    request_id: &RequestId,
-    model: &str,
+    opened: OpenedAnswer,
     chat: bool,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mut text = String::new();
-    let result = loop {
-        match opened.next().await.payload {
-            Payload::Token(token) => text.push_str(&token),
-            Payload::End(summary) => break Ok(summary),
-            Payload::Refused(refusal) => break Err(refusal),
-            Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => {}
-        }
-    };
-    opened.close().await;
-    let summary = result?;
+    let request_id = opened.request_id().clone();
+    let model = opened.model_name();
+    let whole = opened.whole().await?;
+    let text = String::from_utf8_lossy(&whole.body);
     let choice = if chat {
         json!({ "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": "stop" })
     } else {
@@ -44,29 +33,22 @@
         "object": object_name(chat, false),
         "model": model,
         "choices": [choice],
-        "usage": { "completion_tokens": summary.tokens },
-        "cold_start_ms": summary.cold_start_ms,
+        "usage": { "completion_tokens": whole.summary.tokens },
+        "cold_start_ms": whole.summary.cold_start_ms,
     });
-    let mut response = web::json(StatusCode::OK, &answer);
-    set_request_id(&mut response, request_id);
-    Ok(response)
+    Ok(web::json(StatusCode::OK, &answer))
 }
 
 /// Answers a completion as server-sent events.
-pub(crate) fn stream_completion(
-    mut opened: OpenedAnswer,
-    request_id: &RequestId,
-    model: &str,
-    chat: bool,
-) -> Response<ResponseBody> {
+pub(crate) fn stream_completion(mut opened: OpenedAnswer, chat: bool) -> Response<ResponseBody> {
     let (mut sender, body) = channel_body(EVENTS_BUFFERED);
     let mut response = Response::new(body);
     web::set_content_type(&mut response, "text/event-stream");
-    set_request_id(&mut response, request_id);
-    let (request_id, model) = (request_id.clone(), model.to_owned());
+    let request_id = opened.request_id().clone();
+    let model = opened.model_name();
     tokio::spawn(async move {
         loop {
-            let (event, last) = match opened.next().await.payload {
+            let (event, last) = match opened.next().await {
                 Payload::Token(token) => (token_event(&request_id, &model, chat, &token), false),
                 Payload::End(summary) => (
                     end_events(&request_id, &model, chat, summary.cold_start_ms),
@@ -79,48 +61,18 @@
                 break;
             }
         }
-        opened.close().await;
     });
     response
 }
 
 /// Collects a service's answer and passes it on.
-pub(crate) async fn service_reply(
-    mut opened: OpenedAnswer,
-    request_id: &RequestId,
-) -> Result<Response<ResponseBody>, Refusal> {
-    let mut body = Vec::new();
-    let mut response = Response::new(());
-    let result = loop {
-        match opened.next().await.payload {
-            Payload::Head {
-                status,
-                content_type,
-            } => {
-                *response.status_mut() =
-                    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-                if let Ok(value) = HeaderValue::from_str(&content_type) {
-                    response.headers_mut().insert(CONTENT_TYPE, value);
-                }
-            }
-            Payload::Body(text) => match STANDARD.decode(text.as_bytes()) {
-                Ok(bytes) => body.extend(bytes),
-                Err(error) => {
-                    break Err(Refusal::may_have_run(
-                        RefusalCode::ResultUnknown,
-                        format!("answer: {error}"),
-                    ));
-                }
-            },
-            Payload::End(_) => break Ok(()),
-            Payload::Refused(refusal) => break Err(refusal),
-            Payload::Heartbeat | Payload::Token(_) => {}
-        }
-    };
-    opened.close().await;
-    result?;
-    let mut response = response.map(|()| full_body(body));
-    set_request_id(&mut response, request_id);
+pub(crate) async fn service_reply(opened: OpenedAnswer) -> Result<Response<ResponseBody>, Refusal> {
+    let whole = opened.whole().await?;
+    let mut response = Response::new(full_body(whole.body));
+    *response.status_mut() = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(value) = HeaderValue::from_str(&whole.content_type) {
+        response.headers_mut().insert(CONTENT_TYPE, value);
+    }
     Ok(response)
 }
 
@@ -171,7 +123,8 @@
     Bytes::from(format!("data: {value}\n\n"))
 }
 
-fn set_request_id(response: &mut Response<ResponseBody>, request_id: &RequestId) {
+/// Names the request on its answer.
+pub(crate) fn set_request_id(response: &mut Response<ResponseBody>, request_id: &RequestId) {
     if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
--- a/crates/chicorystaged/src/router/caller_api/request_head.rs
+++ b/crates/chicorystaged/src/router/caller_api/request_head.rs
@@ -1,45 +1,33 @@
 use chicorystage_api::inventory::Class;
-use chicorystage_api::name::{Digest, IdempotencyKey};
+use chicorystage_api::name::IdempotencyKey;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_core::token;
 use http::header::AUTHORIZATION;
 use http::{HeaderMap, Request};
 
+use crate::router::serving::CallerHead;
+
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 const CLASS_HEADER: &str = "x-request-class";
 const KEY_HEADER: &str = "idempotency-key";
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 255;
 
-/// What a caller's headers say.
-#[derive(Clone, Debug)]
-pub(crate) struct RequestHead {
-    /// Digest of the bearer token.
-    pub(crate) token_sha256: Digest,
-    /// Time that the caller gives the request, in milliseconds.
-    pub(crate) timeout_ms: Option<u64>,
-    /// Class that the caller asks for.
-    pub(crate) class: Option<Class>,
-    /// Idempotency key.
-    pub(crate) key: Option<IdempotencyKey>,
-}
-
-impl RequestHead {
-    pub(crate) fn parse<B>(request: &Request<B>) -> Result<Self, Refusal> {
-        let headers = request.headers();
-        let token =
-            text(headers, AUTHORIZATION.as_str())?.and_then(|value| value.strip_prefix("Bearer "));
-        let Some(token) = token else {
-            let detail = "allowed: Authorization: Bearer TOKEN";
-            return Err(Refusal::not_run(RefusalCode::Unauthenticated, detail));
-        };
-        Ok(Self {
-            token_sha256: token::sha256(token.trim().as_bytes()),
-            timeout_ms: parse_timeout(text(headers, TIMEOUT_HEADER)?)?,
-            class: parse_class(text(headers, CLASS_HEADER)?)?,
-            key: parse_key(text(headers, KEY_HEADER)?)?,
-        })
-    }
+/// Parses what a caller's headers say.
+pub(crate) fn parse<B>(request: &Request<B>) -> Result<CallerHead, Refusal> {
+    let headers = request.headers();
+    let token =
+        text(headers, AUTHORIZATION.as_str())?.and_then(|value| value.strip_prefix("Bearer "));
+    let Some(token) = token else {
+        let detail = "allowed: Authorization: Bearer TOKEN";
+        return Err(Refusal::not_run(RefusalCode::Unauthenticated, detail));
+    };
+    Ok(CallerHead {
+        token_sha256: token::sha256(token.trim().as_bytes()),
+        timeout_ms: parse_timeout(text(headers, TIMEOUT_HEADER)?)?,
+        class: parse_class(text(headers, CLASS_HEADER)?)?,
+        key: parse_key(text(headers, KEY_HEADER)?)?,
+    })
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -66,6 +66,29 @@
         self.sender.send(event).await.is_ok()
     }
 
+    /// Tells the loop something from where nothing can wait, as on a drop.
+    pub(crate) fn tell_later(&self, event: RouterEvent) {
+        let Err(mpsc::error::TrySendError::Full(event)) = self.sender.try_send(event) else {
+            return;
+        };
+        let sender = self.sender.clone();
+        self.spawn_later(async move {
+            // The loop may have ended; then nobody needs the event.
+            let _sent = sender.send(event).await;
+        });
+    }
+
+    /// Runs a task unless the runtime is ending.
+    #[expect(
+        clippy::unused_self,
+        reason = "only holders of a handle start tasks of the router"
+    )]
+    pub(crate) fn spawn_later(&self, task: impl Future<Output = ()> + Send + 'static) {
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(task);
+        }
+    }
+
     async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.sender.send(event(reply)).await.ok()?;
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -1,8 +1,8 @@
 //! The router: from a caller's request to an endpoint's whole answer.
 //!
-//! [`main_loop`] owns the state and decides. A [`caller_api`] task follows one
-//! request through its life, asks the loop for each decision and moves the
-//! bytes between the caller and an agent. Refresh tasks read the platform and
+//! [`main_loop`] owns the state and decides. The [`caller_api`] parses and
+//! formats HTTP. A [`serving`] task follows one request through its life, asks
+//! the loop for each decision and moves the frames of its attempts. Refresh tasks read the platform and
 //! tell the loop what they found.
 
 pub mod admin_api;
@@ -13,6 +13,7 @@
 pub mod main_loop;
 pub mod placing;
 pub mod refresh;
+pub mod serving;
 
 mod health_api;
 mod internal_api;
@@ -29,6 +30,7 @@
 use crate::router::health_api::HealthApi;
 use crate::router::internal_api::InternalApi;
 use crate::router::main_loop::RouterLoop;
+use crate::router::serving::Dispatcher;
 use crate::settings::{RouterSettings, Settings};
 use crate::timer::Clock;
 
@@ -64,8 +66,8 @@
     );
     let running = tokio::spawn(main_loop.run(events));
 
-    let caller_api = CallerApi::new(handle.clone(), borders.clone(), clock);
-    let callers = caller_server.start(Arc::new(caller_api));
+    let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
+    let callers = caller_server.start(Arc::new(CallerApi::new(dispatcher)));
     let admins = admin_server.start(Arc::new(AdminApi::new(handle.clone(), borders, role)));
     let internal = internal_server.start(Arc::new(InternalApi::new(handle.clone())));
     let health = health_server.start(Arc::new(HealthApi::new(handle.clone())));
