--- a/crates/chicorystage-api/src/peer/mod.rs
+++ b/crates/chicorystage-api/src/peer/mod.rs
@@ -17,9 +17,11 @@
 mod placement_push;
 mod placement_row;
 mod quarantine_entry;
+mod request_trace;
 mod revision_hint;
 mod router_rpc;
 mod router_status;
+mod trace_step;
 
 pub use agent_rpc::{AgentRpcClient, AgentRpcServer};
 pub use agent_status::{AgentStatus, ReplicaState, ReplicaStatus};
@@ -34,9 +36,11 @@
 pub use placement_push::PlacementPush;
 pub use placement_row::{PlacementRow, Slot, SlotState};
 pub use quarantine_entry::QuarantineEntry;
+pub use request_trace::{RequestTrace, TraceEnd};
 pub use revision_hint::{RevisionAck, RevisionHint};
 pub use router_rpc::{RouterRpcClient, RouterRpcServer};
 pub use router_status::RouterStatus;
+pub use trace_step::{TraceEvent, TraceStep};
 
 /// Path of JSON-RPC on each daemon's internal address.
 pub const RPC_PATH: &str = "/rpc";
--- /dev/null
+++ b/crates/chicorystage-core/src/choice/endpoint_book.rs
@@ -0,0 +1,93 @@
+use std::collections::HashMap;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::work::EndpointLoad;
+
+use crate::choice::endpoint_record::EndpointRecord;
+use crate::choice::{Candidate, Preference};
+
+/// Round trip to another availability zone, in milliseconds.
+const OTHER_ZONE_COST_MS: u64 = 3;
+/// Work saved where the prompt's prefix is cached, in milliseconds.
+const PREFIX_WORTH_MS: u64 = 40;
+/// Cost of one more attempt in the same batch, in milliseconds.
+const BATCH_COST_MS: u64 = 2;
+/// Time after which an unused endpoint's record is dropped, in milliseconds.
+const RECORD_KEPT_MS: u64 = 600_000;
+/// Records above which unused ones are dropped.
+const RECORDS_SWEPT_ABOVE: usize = 1_024;
+
+/// What a router knows of the endpoints that it used lately.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointBook {
+    records: HashMap<VmId, EndpointRecord>,
+}
+
+impl EndpointBook {
+    /// Chooses the candidate with the least estimated cost; none without candidates.
+    ///
+    /// Candidates come in order of preference, which decides between equals.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now_ms: u64,
+        candidates: &[Candidate],
+        prefix_at: Option<&VmId>,
+    ) -> Option<Preference> {
+        let cost = |candidate: &&Candidate| {
+            let record = self.record(&candidate.vm);
+            let mut cost_ms = record.estimated_wait_ms(now_ms) + PREFIX_WORTH_MS;
+            cost_ms += record.occupancy(now_ms) * BATCH_COST_MS;
+            if !candidate.same_zone {
+                cost_ms += OTHER_ZONE_COST_MS;
+            }
+            if prefix_at == Some(&candidate.vm) {
+                cost_ms -= PREFIX_WORTH_MS;
+            }
+            cost_ms
+        };
+        let chosen = candidates.iter().min_by_key(cost)?;
+        Some(Preference {
+            vm: chosen.vm.clone(),
+            estimated_wait_ms: self.record(&chosen.vm).estimated_wait_ms(now_ms),
+        })
+    }
+
+    /// Notes that an attempt was sent to an endpoint.
+    pub fn started(&mut self, now_ms: u64, vm: &VmId) {
+        self.sweep(now_ms);
+        self.records.entry(vm.clone()).or_default().started(now_ms);
+    }
+
+    /// Notes that an attempt ended, with the endpoint's last load report.
+    pub fn ended(&mut self, now_ms: u64, vm: &VmId, load: Option<EndpointLoad>) {
+        if let Some(record) = self.records.get_mut(vm) {
+            record.ended(now_ms, load);
+        }
+    }
+
+    /// Returns the attempts that this router has at an endpoint.
+    #[must_use]
+    pub fn in_flight(&self, vm: &VmId) -> u32 {
+        self.record(vm).in_flight()
+    }
+
+    /// Returns the attempts that this router has anywhere.
+    #[must_use]
+    pub fn in_flight_total(&self) -> u32 {
+        self.records.values().map(EndpointRecord::in_flight).sum()
+    }
+
+    fn record(&self, vm: &VmId) -> EndpointRecord {
+        self.records.get(vm).copied().unwrap_or_default()
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        if self.records.len() <= RECORDS_SWEPT_ABOVE {
+            return;
+        }
+        self.records.retain(|_, record| {
+            record.in_flight() > 0 || now_ms.saturating_sub(record.used_ms()) < RECORD_KEPT_MS
+        });
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/limits/mod.rs
@@ -0,0 +1,14 @@
+//! Limits per caller: request rate and requests in progress.
+//!
+//! The rate is a token bucket: it holds up to `burst` tokens, gains
+//! `rate_per_s` a second, and each request takes one. A request refused by
+//! either limit takes nothing. Memory is one small record for each caller
+//! seen lately; a record that says nothing any more is dropped.
+
+mod caller_limits;
+mod caller_meters;
+mod limit_exceeded;
+
+pub use caller_limits::CallerLimits;
+pub use caller_meters::CallerMeters;
+pub use limit_exceeded::LimitExceeded;
--- a/crates/chicorystaged/src/lib.rs
+++ b/crates/chicorystaged/src/lib.rs
@@ -17,11 +17,13 @@
 //! * [`settings`]: the INI file, checked as a whole.
 //! * [`router`]: the router's loop and its APIs.
 //! * [`agent`]: the agent's loop and its APIs.
+//! * [`metrics`]: counters and histograms.
 //! * [`timer`]: ticks that parts subscribe to.
 //! * [`cli`]: the command line and the start of the process.
 
 pub mod agent;
 pub mod cli;
+pub mod metrics;
 pub mod router;
 pub mod settings;
 pub mod timer;
--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use bytes::Bytes;
 use chicorystage_api::name::RequestId;
 use chicorystage_api::refusal::Refusal;
@@ -7,7 +9,8 @@
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::{Value, json};
 
-use crate::router::serving::OpenedAnswer;
+use crate::metrics::Metrics;
+use crate::router::serving::{OpenedAnswer, WholeAnswer};
 use crate::web;
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -40,7 +43,11 @@
 }
 
 /// Answers a completion as server-sent events.
-pub(crate) fn stream_completion(mut opened: OpenedAnswer, chat: bool) -> Response<ResponseBody> {
+pub(crate) fn stream_completion(
+    mut opened: OpenedAnswer,
+    chat: bool,
+    metrics: Arc<Metrics>,
+) -> Response<ResponseBody> {
     let (mut sender, body) = channel_body(EVENTS_BUFFERED);
     let mut response = Response::new(body);
     web::set_content_type(&mut response, "text/event-stream");
@@ -54,7 +61,10 @@
                     end_events(&request_id, &model, chat, summary.cold_start_ms),
                     true,
                 ),
-                Payload::Refused(refusal) => (error_event(&refusal), true),
+                Payload::Refused(refusal) => {
+                    metrics.refused(&refusal);
+                    (error_event(&refusal), true)
+                }
                 Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => continue,
             };
             if sender.send_data(event).await.is_err() || last {
@@ -65,15 +75,14 @@
     response
 }
 
-/// Collects a service's answer and passes it on.
-pub(crate) async fn service_reply(opened: OpenedAnswer) -> Result<Response<ResponseBody>, Refusal> {
-    let whole = opened.whole().await?;
+/// Passes a service's answer on.
+pub(crate) fn service_reply(whole: WholeAnswer) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(whole.body));
     *response.status_mut() = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
     if let Ok(value) = HeaderValue::from_str(&whole.content_type) {
         response.headers_mut().insert(CONTENT_TYPE, value);
     }
-    Ok(response)
+    response
 }
 
 fn object_name(chat: bool, streamed: bool) -> &'static str {
--- a/crates/chicorystaged/src/router/caller_api/mod.rs
+++ b/crates/chicorystaged/src/router/caller_api/mod.rs
@@ -2,10 +2,12 @@
 
 mod answer;
 mod completion_body;
+mod request_body;
 mod request_head;
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::name::RequestId;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
@@ -13,18 +15,15 @@
 use chicorystage_platform::http::{Handler, ResponseBody};
 use http::header::CONTENT_TYPE;
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use crate::router::caller_api::completion_body::CompletionBody;
-use crate::router::serving::{CallerHead, CallerRequest, CallerWork, Dispatcher};
+use crate::router::serving::{CallerHead, CallerRequest, CallerWork, Dispatcher, Entry};
 use crate::web;
 
 const COMPLETIONS_PATH: &str = "/v1/completions";
 const CHAT_COMPLETIONS_PATH: &str = "/v1/chat/completions";
 const SERVICES_PREFIX: &str = "/v1/services/";
-/// Largest body that is read before the caller's own limit is known, in bytes.
-const BODY_BYTES_MAX: usize = 8 << 20;
 
 /// Answers callers.
 #[derive(Debug)]
@@ -44,17 +43,19 @@
         request_id: RequestId,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let head = request_head::parse(&request)?;
         let path = request.uri().path();
         let chat = path == CHAT_COMPLETIONS_PATH;
         if chat || path == COMPLETIONS_PATH {
             if request.method() != Method::POST {
                 return Err(Refusal::not_run(RefusalCode::BadMethod, "allowed: POST"));
             }
-            return self.complete(request_id, head, request, chat).await;
+            return self.complete(request_id, request, chat).await;
         }
-        if path.starts_with(SERVICES_PREFIX) {
-            return self.call_service(request_id, head, request).await;
+        if let Some(below) = path.strip_prefix(SERVICES_PREFIX)
+            && !below.is_empty()
+            && !below.starts_with('/')
+        {
+            return self.call_service(request_id, request).await;
         }
         Err(Refusal::not_run(
             RefusalCode::UnknownPath,
@@ -65,11 +66,10 @@
     async fn complete(
         &self,
         request_id: RequestId,
-        head: CallerHead,
         request: Request<Incoming>,
         chat: bool,
     ) -> Result<Response<ResponseBody>, Refusal> {
-        let bytes = read_body(request).await?;
+        let (head, entry, bytes) = self.receive(request).await?;
         let body = CompletionBody::parse(&bytes, chat)?;
         let model = ModelRef::parse(&body.model)
             .map_err(|error| Refusal::not_run(RefusalCode::UnknownModel, error.to_string()))?;
@@ -84,9 +84,10 @@
             body_bytes: bytes.len() as u64,
             work,
         };
-        let opened = self.dispatcher.open(request).await?;
+        let opened = self.dispatcher.open_entered(entry, request).await?;
         if body.stream {
-            return Ok(answer::stream_completion(opened, chat));
+            let metrics = Arc::clone(&self.dispatcher.metrics);
+            return Ok(answer::stream_completion(opened, chat, metrics));
         }
         answer::whole_completion(opened, chat).await
     }
@@ -94,7 +95,6 @@
     async fn call_service(
         &self,
         request_id: RequestId,
-        head: CallerHead,
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, Refusal> {
         let path_and_query = request
@@ -114,23 +114,33 @@
             .get(CONTENT_TYPE)
             .and_then(|value| value.to_str().ok());
         let content_type = Arc::from(content_type.unwrap_or_default());
-        let body = read_body(request).await?;
-        let body_bytes = body.len() as u64;
-        let work = CallerWork::Call {
-            application: application.into(),
-            method,
-            path: path.into(),
-            content_type,
-            body,
-        };
+        let (head, entry, body) = self.receive(request).await?;
         let request = CallerRequest {
             request_id,
             head,
-            body_bytes,
-            work,
+            body_bytes: body.len() as u64,
+            work: CallerWork::Call {
+                application: application.into(),
+                method,
+                path: path.into(),
+                content_type,
+                body,
+            },
         };
-        let opened = self.dispatcher.open(request).await?;
-        answer::service_reply(opened).await
+        let whole = self.dispatcher.whole_entered(entry, request).await?;
+        Ok(answer::service_reply(whole))
+    }
+
+    /// Parses a request's head, counts it in and reads its body.
+    async fn receive(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<(CallerHead, Entry, Bytes), Refusal> {
+        let head = request_head::parse(&request)?;
+        let declared_bytes = request.body().size_hint().exact();
+        let entry = self.dispatcher.enter(&head, declared_bytes).await?;
+        let bytes = request_body::read(request.into_body(), entry.caller()).await?;
+        Ok((head, entry, bytes))
     }
 }
 
@@ -141,23 +151,12 @@
             let mut response = self
                 .answer(request_id.clone(), request)
                 .await
-                .unwrap_or_else(|refusal| web::refusal(&refusal));
+                .unwrap_or_else(|refusal| {
+                    self.dispatcher.metrics.refused(&refusal);
+                    web::refusal(&refusal)
+                });
             answer::set_request_id(&mut response, &request_id);
             response
         })
     }
 }
-
-async fn read_body(request: Request<Incoming>) -> Result<bytes::Bytes, Refusal> {
-    let body = Limited::new(request.into_body(), BODY_BYTES_MAX)
-        .collect()
-        .await;
-    let body = body.map_err(|error| {
-        if error.is::<http_body_util::LengthLimitError>() {
-            let detail = format!("the body is larger than {BODY_BYTES_MAX} bytes");
-            return Refusal::not_run(RefusalCode::BodyTooLarge, detail);
-        }
-        Refusal::not_run(RefusalCode::BadRequest, format!("body: {error}"))
-    })?;
-    Ok(body.to_bytes())
-}
--- a/crates/chicorystaged/src/router/caller_api/request_head.rs
+++ b/crates/chicorystaged/src/router/caller_api/request_head.rs
@@ -10,12 +10,15 @@
 const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
 const CLASS_HEADER: &str = "x-request-class";
 const KEY_HEADER: &str = "idempotency-key";
+/// Largest request line and headers together, in bytes.
+const HEAD_BYTES_MAX: usize = 16 << 10;
 /// Longest idempotency key, in bytes.
 const KEY_BYTES_MAX: usize = 255;
 
 /// Parses what a caller's headers say.
 pub(crate) fn parse<B>(request: &Request<B>) -> Result<CallerHead, Refusal> {
     let headers = request.headers();
+    check_size(request)?;
     let token =
         text(headers, AUTHORIZATION.as_str())?.and_then(|value| value.strip_prefix("Bearer "));
     let Some(token) = token else {
@@ -30,6 +33,19 @@
     })
 }
 
+/// The server itself cuts off heads that are far larger than this.
+fn check_size<B>(request: &Request<B>) -> Result<(), Refusal> {
+    let fields = request.headers().iter();
+    let fields_bytes = fields.map(|(name, value)| name.as_str().len() + value.len());
+    let path = request.uri().path_and_query();
+    let head_bytes = fields_bytes.sum::<usize>() + path.map_or(0, |path| path.as_str().len());
+    if head_bytes <= HEAD_BYTES_MAX {
+        return Ok(());
+    }
+    let detail = format!("the head has {head_bytes} bytes, allowed: up to {HEAD_BYTES_MAX}");
+    Err(Refusal::not_run(RefusalCode::HeaderTooLarge, detail))
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -9,6 +9,8 @@
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
+use crate::router::serving::{ChooseRequest, Flight, ServingEvent};
+
 /// One event of the router's main loop.
 #[derive(Debug)]
 pub enum RouterEvent {
@@ -23,12 +25,8 @@
     },
     /// An admitted request asks where to run.
     Choose {
-        /// Group of endpoints that can run it.
-        group: GroupName,
-        /// Model that it needs; none for a plain service.
-        model: Option<ModelName>,
-        /// VMs already tried in vain.
-        avoid: Vec<VmId>,
+        /// What it needs.
+        request: ChooseRequest,
         /// Receives the decision.
         reply: oneshot::Sender<Result<Choice, Refusal>>,
     },
@@ -39,6 +37,8 @@
         /// Load that the endpoint last reported with it.
         load: Option<EndpointLoad>,
     },
+    /// The serving path has news or a question.
+    Serving(ServingEvent),
     /// A newer inventory was read.
     InventoryRead(Snapshot),
     /// The list of VMs was read.
@@ -112,10 +112,14 @@
 }
 
 /// Decision where to run a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Choice {
     /// VM whose agent is tried next.
     pub vm: VmEntry,
     /// Evidence of the VM's slot, for a model request.
     pub grant: Option<SlotGrant>,
+    /// Estimated wait there, in milliseconds.
+    pub estimated_wait_ms: u64,
+    /// Counts the attempt as sent there until it is dropped.
+    pub flight: Flight,
 }
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -1,11 +1,13 @@
 //! Typed access to the router's main loop.
 
-use chicorystage_api::name::{Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::RouterStatus;
+use chicorystage_api::inventory::Class;
+use chicorystage_api::name::{CallerName, Digest, RequestId};
+use chicorystage_api::peer::{QuarantineEntry, RequestTrace, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::event::{Admission, Choice, RouterEvent, Target};
+use crate::router::serving::{ChooseRequest, Entry, ServingEvent, WaitGuard};
 
 /// Sends events to the router's main loop.
 #[derive(Clone, Debug)]
@@ -40,22 +42,99 @@
     /// # Errors
     ///
     /// Returns the refusal, or an internal one where the loop has ended.
-    pub async fn choose(
+    pub async fn choose(&self, request: ChooseRequest) -> Result<Choice, Refusal> {
+        self.ask(|reply| RouterEvent::Choose { request, reply })
+            .await
+            .unwrap_or_else(|| Err(stopped()))
+    }
+
+    /// Counts a request in under the limits of its caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, or an internal one where the loop has ended.
+    pub async fn enter(
         &self,
-        group: GroupName,
-        model: Option<ModelName>,
-        avoid: Vec<VmId>,
-    ) -> Result<Choice, Refusal> {
-        self.ask(|reply| RouterEvent::Choose {
-            group,
-            model,
-            avoid,
+        token_sha256: Digest,
+        body_bytes: Option<u64>,
+    ) -> Result<Entry, Refusal> {
+        self.ask_serving(|reply| ServingEvent::Enter {
+            token_sha256,
+            body_bytes,
             reply,
         })
         .await
         .unwrap_or_else(|| Err(stopped()))
     }
 
+    /// Asks for a place in the waiting room.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, or an internal one where the loop has ended.
+    pub async fn wait(
+        &self,
+        caller: CallerName,
+        weight: u32,
+        class: Class,
+        digest: Digest,
+    ) -> Result<WaitGuard, Refusal> {
+        self.ask_serving(|reply| ServingEvent::Wait {
+            caller,
+            weight,
+            class,
+            digest,
+            reply,
+        })
+        .await
+        .unwrap_or_else(|| Err(stopped()))
+    }
+
+    /// Returns what happened to a request, where that is still known.
+    pub async fn explain(&self, request_id: RequestId) -> Option<RequestTrace> {
+        self.ask_serving(|reply| ServingEvent::Explain { request_id, reply })
+            .await?
+    }
+
+    /// Returns the quarantined digests.
+    pub async fn quarantine_list(&self) -> Vec<QuarantineEntry> {
+        self.ask_serving(|reply| ServingEvent::QuarantineList { reply })
+            .await
+            .unwrap_or_default()
+    }
+
+    /// Lifts the quarantine of a digest here, at the other processes and in the table.
+    pub async fn quarantine_lift(&self, digest: Digest) -> Option<QuarantineEntry> {
+        self.ask_serving(|reply| ServingEvent::QuarantineLift { digest, reply })
+            .await
+    }
+
+    /// Takes over what another process decided on digests.
+    pub async fn learn_quarantine(&self, entries: Vec<QuarantineEntry>) {
+        self.tell(RouterEvent::Serving(ServingEvent::QuarantineLearnt(
+            entries,
+        )))
+        .await;
+    }
+
+    /// Makes the router fail its readiness; it serves on.
+    pub async fn leave(&self) {
+        self.tell(RouterEvent::Serving(ServingEvent::Leave)).await;
+    }
+
+    /// Ends the loop.
+    pub async fn stop(&self) {
+        self.tell(RouterEvent::Serving(ServingEvent::Stop)).await;
+    }
+
+    /// Asks the serving part of the loop something; none where it has ended.
+    pub(crate) async fn ask_serving<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> ServingEvent,
+    ) -> Option<T> {
+        self.ask(|reply| RouterEvent::Serving(event(reply))).await
+    }
+
     /// Reads the router's state; none where the loop has ended.
     pub async fn status(&self) -> Option<RouterStatus> {
         self.ask(|reply| RouterEvent::Status { reply }).await
--- a/crates/chicorystaged/src/router/health_api.rs
+++ b/crates/chicorystaged/src/router/health_api.rs
@@ -1,20 +1,24 @@
+use std::sync::Arc;
+
 use chicorystage_platform::BoxFuture;
 use chicorystage_platform::http::{Handler, ResponseBody};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
+use crate::metrics::Metrics;
 use crate::router::handle::RouterHandle;
 use crate::web;
 
-/// Answers health checks.
+/// Answers health checks and reads of the metrics.
 #[derive(Debug)]
 pub(crate) struct HealthApi {
     handle: RouterHandle,
+    metrics: Arc<Metrics>,
 }
 
 impl HealthApi {
-    pub(crate) fn new(handle: RouterHandle) -> Self {
-        Self { handle }
+    pub(crate) fn new(handle: RouterHandle, metrics: Arc<Metrics>) -> Self {
+        Self { handle, metrics }
     }
 }
 
@@ -27,6 +31,7 @@
                     Some(status) if status.ready => web::text(StatusCode::OK, "ready\n"),
                     _ => web::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
                 },
+                "/metrics" => web::metrics(&self.metrics),
                 _ => web::text(StatusCode::NOT_FOUND, "not found\n"),
             }
         })
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -1,22 +1,26 @@
 //! The router's main loop: owns all state and decides.
 
+mod choosing;
+mod serving;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
 use chicorystage_api::inventory::{CallerItem, ModelRef};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus, SlotState};
+use chicorystage_api::peer::{PlacementPush, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_api::work::SlotGrant;
 use chicorystage_core::inventory::InventoryState;
 use chicorystage_core::rendezvous;
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::metrics::Metrics;
 use crate::router::borders::RouterBorders;
 use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
 use crate::router::handle::RouterHandle;
 use crate::router::placing;
+use crate::router::serving::{ChooseRequest, ServingState, quarantine};
 use crate::settings::{DaemonSettings, RouterSettings};
 use crate::timer::Clock;
 
@@ -28,7 +32,7 @@
 /// A request that waits for a model's slot to be decided.
 #[derive(Debug)]
 struct Waiting {
-    avoid: Vec<VmId>,
+    request: ChooseRequest,
     reply: oneshot::Sender<Result<Choice, Refusal>>,
 }
 
@@ -36,7 +40,6 @@
 #[derive(Debug)]
 pub struct RouterLoop {
     daemon: DaemonSettings,
-    _settings: RouterSettings,
     borders: RouterBorders,
     handle: RouterHandle,
     clock: Clock,
@@ -45,12 +48,16 @@
     vms: HashMap<VmId, VmEntry>,
     placements: HashMap<ModelName, PlacementPush>,
     waiting: HashMap<ModelName, Vec<Waiting>>,
-    in_flight: HashMap<VmId, u32>,
+    serving: ServingState,
 }
 
 impl RouterLoop {
     /// Creates a loop without state.
     #[must_use]
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "the loop is the owner of its settings"
+    )]
     pub fn new(
         daemon: DaemonSettings,
         settings: RouterSettings,
@@ -60,7 +67,6 @@
     ) -> Self {
         Self {
             daemon,
-            _settings: settings,
             borders,
             handle,
             clock,
@@ -69,14 +75,29 @@
             vms: HashMap::new(),
             placements: HashMap::new(),
             waiting: HashMap::new(),
-            in_flight: HashMap::new(),
+            serving: ServingState::new(&settings, Arc::default()),
         }
     }
 
-    /// Runs until every handle is gone.
+    /// Sets where the loop counts.
+    #[must_use]
+    pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
+        self.serving.set_metrics(metrics);
+        self
+    }
+
+    /// Runs until it is told to stop.
     pub async fn run(mut self, mut events: mpsc::Receiver<RouterEvent>) {
+        tokio::spawn(quarantine::read_rows(
+            Arc::clone(&self.borders.table),
+            self.handle.clone(),
+            self.clock,
+        ));
         while let Some(event) = events.recv().await {
             self.on_event(event);
+            if self.serving.stopped {
+                return;
+            }
         }
     }
 
@@ -90,13 +111,12 @@
                 // The caller may have gone meanwhile; then nobody needs the answer.
                 let _sent = reply.send(self.admit(&token_sha256, target));
             }
-            RouterEvent::Choose {
-                group,
-                model,
-                avoid,
-                reply,
-            } => self.choose(&group, model, avoid, reply),
-            RouterEvent::AttemptEnded { vm, .. } => self.attempt_ended(&vm),
+            RouterEvent::Choose { request, reply } => self.choose(request, reply),
+            RouterEvent::AttemptEnded { vm, load } => {
+                let now_ms = self.clock.now_ms();
+                self.serving.endpoints.ended(now_ms, &vm, load);
+            }
+            RouterEvent::Serving(event) => self.on_serving(event),
             RouterEvent::InventoryRead(snapshot) => {
                 self.confirmed_ms = Some(self.clock.now_ms());
                 if self.inventory.replace(snapshot) {
@@ -105,6 +125,7 @@
             }
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+                self.serving.vms_listed(|vm| self.vms.contains_key(vm));
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
@@ -120,10 +141,7 @@
 
     fn admit(&self, token_sha256: &Digest, target: Target) -> Result<Admission, Refusal> {
         let Some(caller) = self.inventory.caller_by_token(token_sha256) else {
-            return Err(Refusal::not_run(
-                RefusalCode::Unauthenticated,
-                "unknown bearer token",
-            ));
+            return Err(unauthenticated());
         };
         match target {
             Target::Model(model) => self.admit_model(caller, model),
@@ -207,65 +225,25 @@
         }
     }
 
-    fn choose(
-        &mut self,
-        group: &GroupName,
-        model: Option<ModelName>,
-        avoid: Vec<VmId>,
-        reply: oneshot::Sender<Result<Choice, Refusal>>,
-    ) {
-        let Some(model) = model else {
-            let choice = self.choose_any(group, &avoid);
+    fn choose(&mut self, request: ChooseRequest, reply: oneshot::Sender<Result<Choice, Refusal>>) {
+        let Some(model) = request.model.clone() else {
+            let choice = self.choose_any(&request);
             let _sent = reply.send(choice);
             return;
         };
         if self.placements.contains_key(&model) {
-            let choice = self.choose_slot(&model, &avoid);
+            let choice = self.choose_slot(&model, &request);
             let _sent = reply.send(choice);
             return;
         }
+        let group = request.group.clone();
         let waiting = self.waiting.entry(model.clone()).or_default();
-        waiting.push(Waiting { avoid, reply });
+        waiting.push(Waiting { request, reply });
         if waiting.len() == 1 {
-            self.start_placing(group, model);
+            self.start_placing(&group, model);
         }
     }
 
-    fn choose_any(&mut self, group: &GroupName, avoid: &[VmId]) -> Result<Choice, Refusal> {
-        let candidates = self
-            .vms
-            .values()
-            .filter(|vm| vm.group == *group && vm.state == VmState::Live);
-        let candidates = candidates.filter(|vm| !avoid.contains(&vm.id));
-        let vm = candidates.min_by_key(|vm| self.in_flight.get(&vm.id).copied().unwrap_or(0));
-        let vm = vm.cloned().ok_or_else(no_endpoint)?;
-        Ok(self.chosen(vm, None))
-    }
-
-    fn choose_slot(&mut self, model: &ModelName, avoid: &[VmId]) -> Result<Choice, Refusal> {
-        let push = self.placements.get(model).ok_or_else(no_endpoint)?;
-        let held = push
-            .row
-            .slots
-            .iter()
-            .filter(|slot| slot.state == SlotState::Held);
-        let vms = held
-            .filter_map(|slot| self.vms.get(&slot.vm))
-            .filter(|vm| !avoid.contains(&vm.id));
-        let vm = vms.min_by_key(|vm| self.in_flight.get(&vm.id).copied().unwrap_or(0));
-        let vm = vm.cloned().ok_or_else(no_endpoint)?;
-        let grant = SlotGrant {
-            model: model.clone(),
-            row_version: push.row_version,
-        };
-        Ok(self.chosen(vm, Some(grant)))
-    }
-
-    fn chosen(&mut self, vm: VmEntry, grant: Option<SlotGrant>) -> Choice {
-        *self.in_flight.entry(vm.id.clone()).or_default() += 1;
-        Choice { vm, grant }
-    }
-
     fn start_placing(&self, group: &GroupName, model: ModelName) {
         let live = self
             .vms
@@ -307,17 +285,11 @@
             self.placements.insert(model.clone(), push);
         }
         for waiting in self.waiting.remove(&model).unwrap_or_default() {
-            let choice = self.choose_slot(&model, &waiting.avoid);
+            let choice = self.choose_slot(&model, &waiting.request);
             let _sent = waiting.reply.send(choice);
         }
     }
 
-    fn attempt_ended(&mut self, vm: &VmId) {
-        if let Some(count) = self.in_flight.get_mut(vm) {
-            *count = count.saturating_sub(1);
-        }
-    }
-
     fn status(&self) -> RouterStatus {
         let now_ms = self.clock.now_ms();
         RouterStatus {
@@ -327,11 +299,11 @@
             confirmed_age_ms: self
                 .confirmed_ms
                 .map_or(now_ms, |confirmed_ms| now_ms - confirmed_ms),
-            ready: self.inventory.revision() > 0 && !self.vms.is_empty(),
-            leaving: false,
+            ready: !self.serving.leaving && self.inventory.revision() > 0 && !self.vms.is_empty(),
+            leaving: self.serving.leaving,
             table_up: true,
-            in_progress: self.in_flight.values().sum(),
-            quarantined: 0,
+            in_progress: self.serving.in_progress(),
+            quarantined: self.serving.quarantined_len(),
         }
     }
 }
@@ -340,3 +312,7 @@
     let detail = Arc::<str>::from("no endpoint can take the request now");
     Refusal::not_run(RefusalCode::NoEndpoint, detail).retry_after_ms(RETRY_AFTER_MS)
 }
+
+fn unauthenticated() -> Refusal {
+    Refusal::not_run(RefusalCode::Unauthenticated, "unknown bearer token")
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -0,0 +1,89 @@
+//! Events of the serving path that need the loop's other state.
+
+use chicorystage_api::name::{Digest, GroupName, ModelName};
+use chicorystage_api::peer::QuarantineEntry;
+use chicorystage_api::refusal::Refusal;
+
+use crate::router::main_loop::{RouterLoop, unauthenticated};
+use crate::router::serving::quarantine::{self, Audience};
+use crate::router::serving::{Entry, ServingEvent};
+use crate::timer::unix_ms;
+
+impl RouterLoop {
+    pub(super) fn on_serving(&mut self, event: ServingEvent) {
+        match event {
+            ServingEvent::Enter {
+                token_sha256,
+                body_bytes,
+                reply,
+            } => {
+                let _sent = reply.send(self.enter(&token_sha256, body_bytes));
+            }
+            ServingEvent::NotPlaced { model, row_version } => {
+                self.not_placed(&model, row_version);
+            }
+            ServingEvent::Crashed {
+                digest,
+                alone,
+                group,
+            } => {
+                let entry = self.serving.crashed(unix_ms(), &digest, alone);
+                self.announce(Some(&group), &entry);
+            }
+            ServingEvent::Completed { digest, prefix_at } => {
+                if let Some((key, vm)) = prefix_at {
+                    self.serving.prefixes.put(key, vm);
+                }
+                if let Some(entry) = self.serving.suspects.completed(unix_ms(), &digest) {
+                    self.announce(None, &entry);
+                }
+            }
+            ServingEvent::QuarantineLift { digest, reply } => {
+                let entry = self.serving.suspects.lift(unix_ms(), &digest);
+                let _sent = reply.send(entry.clone());
+                self.announce(None, &entry);
+            }
+            event => self.serving.on_event(&self.handle, event),
+        }
+    }
+
+    fn enter(&mut self, token_sha256: &Digest, body_bytes: Option<u64>) -> Result<Entry, Refusal> {
+        let caller = self.inventory.caller_by_token(token_sha256);
+        let caller = caller.cloned().ok_or_else(unauthenticated)?;
+        let now_ms = self.clock.now_ms();
+        let reserved_bytes = self.serving.enter(now_ms, &caller, body_bytes)?;
+        let percent = self.inventory.policy().retry_budget_percent;
+        self.serving.retries.first_try(percent);
+        Ok(Entry::new(
+            self.handle.clone(),
+            caller,
+            reserved_bytes,
+            now_ms,
+        ))
+    }
+
+    /// Forgets a placement that an agent does not confirm, so that it is read again.
+    fn not_placed(&mut self, model: &ModelName, row_version: u64) {
+        let known = self.placements.get(model);
+        if known.is_some_and(|known| known.row_version <= row_version) {
+            self.placements.remove(model);
+        }
+    }
+
+    /// Tells the other routers, and a group's agents, of a digest.
+    fn announce(&self, group: Option<&GroupName>, entry: &QuarantineEntry) {
+        let routers = self.vms.values().filter(|vm| {
+            let same_group = Some(&vm.group) == Some(&self.daemon.group);
+            same_group && vm.id != self.daemon.vm
+        });
+        let agents = self.vms.values().filter(|vm| {
+            let told = entry.active || entry.crashes == 0;
+            told && vm.group != self.daemon.group && group.is_none_or(|group| vm.group == *group)
+        });
+        let audience = Audience {
+            routers: routers.map(|vm| vm.address).collect(),
+            agents: agents.map(|vm| vm.address).collect(),
+        };
+        quarantine::announce(&self.borders, audience, entry);
+    }
+}
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -15,14 +15,17 @@
 pub mod refresh;
 pub mod serving;
 
+mod drain;
 mod health_api;
 mod internal_api;
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use chicorystage_platform::http::HttpServer;
+use chicorystage_platform::http::{HttpServer, RunningServer};
 use tokio::sync::mpsc;
 
+use crate::metrics::Metrics;
 use crate::router::admin_api::AdminApi;
 use crate::router::borders::RouterBorders;
 use crate::router::caller_api::CallerApi;
@@ -54,6 +57,7 @@
         "router started"
     );
 
+    let metrics = Arc::new(Metrics::new());
     let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
     let handle = RouterHandle::new(sender);
     refresh::spawn(&borders, &handle, clock);
@@ -64,22 +68,39 @@
         handle.clone(),
         clock,
     );
-    let running = tokio::spawn(main_loop.run(events));
+    let running = tokio::spawn(main_loop.with_metrics(Arc::clone(&metrics)).run(events));
 
     let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
+    let dispatcher = dispatcher.with_metrics(Arc::clone(&metrics));
     let callers = caller_server.start(Arc::new(CallerApi::new(dispatcher)));
-    let admins = admin_server.start(Arc::new(AdminApi::new(handle.clone(), borders, role)));
+    let admin_api = AdminApi::new(handle.clone(), borders, role.clone());
+    let admins = admin_server.start(Arc::new(admin_api));
     let internal = internal_server.start(Arc::new(InternalApi::new(handle.clone())));
-    let health = health_server.start(Arc::new(HealthApi::new(handle.clone())));
+    let health = health_server.start(Arc::new(HealthApi::new(handle.clone(), metrics)));
 
     crate::stop::signalled().await;
     log::info!(event = "router_stopping"; "router is leaving");
-    callers.stop_gracefully().await;
+    leave(&handle, callers, &role).await;
     admins.stop_gracefully().await;
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    drop(handle);
-    running.abort();
+    handle.stop().await;
+    // The loop ends by the event above; a panic in it has ended the process's work anyway.
+    let _ended = running.await;
     log::info!(event = "router_stopped"; "router stopped");
     Ok(())
 }
+
+/// Fails readiness, serves on while the balancer lags, and finishes what is in progress.
+async fn leave(handle: &RouterHandle, callers: RunningServer, role: &RouterSettings) {
+    handle.leave().await;
+    tokio::time::sleep(Duration::from_millis(role.drain_lag_ms)).await;
+    let finishing = async {
+        callers.stop_gracefully().await;
+        drain::finished(handle).await;
+    };
+    let limit = Duration::from_millis(role.drain_max_ms);
+    if tokio::time::timeout(limit, finishing).await.is_err() {
+        log::warn!(event = "drain_cut", limit_ms = role.drain_max_ms; "requests in progress were cut off");
+    }
+}
--- a/crates/chicorystaged/src/router/serving/attempt_failure.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_failure.rs
@@ -1,25 +1,54 @@
-use chicorystage_api::refusal::{Outcome, Refusal};
+use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 
 /// An attempt that gave no whole answer.
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptFailure {
     /// What the caller is told where the request ends with it.
     pub(crate) refusal: Refusal,
+    /// Whether the agent saw its endpoint die while it ran the attempt.
+    pub(crate) crashed: bool,
 }
 
 impl AttemptFailure {
     /// Creates the failure of an attempt that the router itself gave up.
     pub(crate) fn lost(refusal: Refusal) -> Self {
-        Self { refusal }
+        Self {
+            refusal,
+            crashed: false,
+        }
     }
 
     /// Creates the failure of an attempt that its agent refused.
     pub(crate) fn refused(refusal: Refusal) -> Self {
-        Self { refusal }
+        let crashed = refusal.code == RefusalCode::EndpointLost;
+        Self { refusal, crashed }
     }
 
     /// Returns whether the attempt certainly had no effect.
     pub(crate) fn not_run(&self) -> bool {
         self.refusal.outcome == Outcome::NotRun
     }
+
+    /// Returns whether another endpoint may do better.
+    pub(crate) fn is_transient(&self) -> bool {
+        matches!(
+            self.refusal.code,
+            RefusalCode::NoEndpoint
+                | RefusalCode::Leaving
+                | RefusalCode::NotPlaced
+                | RefusalCode::MemoryFull
+                | RefusalCode::LoadFailed
+                | RefusalCode::Overloaded
+                | RefusalCode::EndpointLost
+                | RefusalCode::ResultUnknown
+        )
+    }
+
+    /// Returns whether the attempt was only sent to the wrong place, at no cost.
+    pub(crate) fn is_detour(&self) -> bool {
+        matches!(
+            self.refusal.code,
+            RefusalCode::Leaving | RefusalCode::NotPlaced
+        )
+    }
 }
--- a/crates/chicorystaged/src/router/serving/attempt_stream.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_stream.rs
@@ -1,7 +1,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chicorystage_api::name::VmId;
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{EndpointLoad, HEARTBEAT_INTERVAL_MS, HEARTBEATS_MISSED_MAX, Payload};
@@ -10,10 +9,8 @@
 use chicorystage_platform::link::FrameStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::router::borders::RouterBorders;
-use crate::router::event::RouterEvent;
-use crate::router::handle::RouterHandle;
 use crate::router::serving::attempt_failure::AttemptFailure;
+use crate::router::serving::{Dispatcher, Flight};
 
 /// Longest silence of a live connection, in milliseconds.
 const SILENCE_MAX_MS: u64 = HEARTBEAT_INTERVAL_MS * HEARTBEATS_MISSED_MAX;
@@ -27,52 +24,54 @@
 /// Dropping it before the final frame gives the attempt up at its agent.
 #[derive(Debug)]
 pub(crate) struct AttemptStream {
-    handle: RouterHandle,
-    borders: RouterBorders,
-    vm: VmId,
+    dispatcher: Dispatcher,
+    flight: Option<Flight>,
     address: SocketAddr,
     attempt: AttemptRef,
     frames: FrameStream,
     sequence: FrameSequence,
     deadline: Instant,
-    load: Option<EndpointLoad>,
     resumes: u32,
     finished: bool,
     cancel_on_drop: bool,
 }
 
 impl AttemptStream {
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "a private constructor that names each part once"
-    )]
+    /// Follows an attempt; `frames` may have ended, then it is resumed.
     pub(crate) fn new(
-        handle: RouterHandle,
-        borders: RouterBorders,
-        vm: VmId,
+        dispatcher: Dispatcher,
         address: SocketAddr,
         attempt: AttemptRef,
         frames: FrameStream,
         deadline: Instant,
-        cancel_on_drop: bool,
     ) -> Self {
         let sequence = FrameSequence::new(attempt.attempt);
         Self {
-            handle,
-            borders,
-            vm,
+            dispatcher,
+            flight: None,
             address,
             attempt,
             frames,
             sequence,
             deadline,
-            load: None,
             resumes: 0,
             finished: false,
-            cancel_on_drop,
+            cancel_on_drop: false,
         }
     }
 
+    /// Counts the attempt as sent to its endpoint until the stream is dropped.
+    pub(crate) fn with_flight(mut self, flight: Flight) -> Self {
+        self.flight = Some(flight);
+        self
+    }
+
+    /// Makes the agent give the attempt up where the stream is dropped unfinished.
+    pub(crate) fn cancelled_on_drop(mut self) -> Self {
+        self.cancel_on_drop = true;
+        self
+    }
+
     /// Returns the next content; `End` is the last.
     pub(crate) async fn next(&mut self) -> Result<Payload, AttemptFailure> {
         let mut silent_at = silent_from_now();
@@ -94,11 +93,11 @@
             match self.sequence.accept(&frame) {
                 Sequenced::Deliver => {
                     self.resumes = 0;
-                    self.load = frame.load.or(self.load);
+                    self.report(frame.load);
                     return self.deliver(frame.payload);
                 }
                 Sequenced::Alive => {
-                    self.load = frame.load.or(self.load);
+                    self.report(frame.load);
                     silent_at = silent_from_now();
                 }
                 Sequenced::Foreign => {}
@@ -110,6 +109,12 @@
         }
     }
 
+    fn report(&mut self, load: Option<EndpointLoad>) {
+        if let Some(flight) = &mut self.flight {
+            flight.report(load);
+        }
+    }
+
     fn deliver(&mut self, payload: Payload) -> Result<Payload, AttemptFailure> {
         self.finished = payload.is_final();
         match payload {
@@ -122,15 +127,15 @@
     async fn resume(&mut self) -> Result<(), AttemptFailure> {
         loop {
             if self.resumes >= RESUMES_MAX {
-                return Err(lost("the endpoint's agent does not answer"));
+                let offset = self.sequence.next_offset();
+                return Err(lost(offset, "the endpoint's agent does not answer"));
             }
             self.pause().await?;
             self.resumes += 1;
             let offset = self.sequence.next_offset();
-            let resumed = self
-                .borders
-                .agents
-                .resume(self.address, self.attempt.clone(), offset);
+            self.dispatcher.metrics.resume();
+            let agents = &self.dispatcher.borders.agents;
+            let resumed = agents.resume(self.address, self.attempt.clone(), offset);
             match timeout_at(self.deadline, resumed).await {
                 Ok(Ok(frames)) => {
                     self.frames = frames;
@@ -138,7 +143,7 @@
                 }
                 Ok(Err(error)) if error.kind() == BorderErrorKind::Rejected => {
                     self.finished = true;
-                    return Err(lost(&error.to_string()));
+                    return Err(lost(offset, &error.to_string()));
                 }
                 Ok(Err(_no_connection)) => {}
                 Err(_elapsed) => return Err(deadline_passed()),
@@ -159,17 +164,12 @@
 
 impl Drop for AttemptStream {
     fn drop(&mut self) {
-        let ended = RouterEvent::AttemptEnded {
-            vm: self.vm.clone(),
-            load: self.load,
-        };
-        self.handle.tell_later(ended);
         if self.finished || !self.cancel_on_drop {
             return;
         }
-        let (borders, address) = (self.borders.clone(), self.address);
+        let (borders, address) = (self.dispatcher.borders.clone(), self.address);
         let attempt = self.attempt.clone();
-        self.handle.spawn_later(async move {
+        self.dispatcher.handle.spawn_later(async move {
             // An agent that cannot be reached gives the attempt up at its deadline.
             let _cancelled = borders.agents.cancel(address, attempt).await;
         });
@@ -185,6 +185,12 @@
     AttemptFailure::lost(Refusal::may_have_run(RefusalCode::DeadlineExceeded, detail))
 }
 
-fn lost(detail: &str) -> AttemptFailure {
-    AttemptFailure::lost(Refusal::may_have_run(RefusalCode::EndpointLost, detail))
+/// An attempt that gave nothing may not even have arrived.
+fn lost(next_offset: u64, detail: &str) -> AttemptFailure {
+    let code = if next_offset == 0 {
+        RefusalCode::ResultUnknown
+    } else {
+        RefusalCode::EndpointLost
+    };
+    AttemptFailure::lost(Refusal::may_have_run(code, detail))
 }
--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -1,75 +1,83 @@
 use std::time::Duration;
 
-use chicorystage_api::inventory::Class;
-use chicorystage_api::name::{Digest, IdempotencyKey, ModelName, RequestId, VmId};
-use chicorystage_api::peer::AttemptRef;
+use chicorystage_api::name::{RequestId, VmId};
+use chicorystage_api::peer::TraceEvent;
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::{AttemptRequest, ClaimTicket, Payload, WorkSpec};
-use chicorystage_core::token;
-use tokio::time::{Instant, timeout_at};
+use chicorystage_api::work::{ClaimTicket, Payload, SlotGrant, WorkSpec};
+use chicorystage_core::retry::backoff_ms;
+use chicorystage_core::suspects::Standing;
+use tokio::time::{sleep, timeout_at};
 
-use crate::router::event::{Admission, Choice, Resolved, RouterEvent};
+use crate::router::event::{Admission, Resolved, RouterEvent};
 use crate::router::serving::attempt_failure::AttemptFailure;
-use crate::router::serving::attempt_stream::AttemptStream;
-use crate::router::serving::claim_gate::{ClaimDecision, ClaimRequest};
+use crate::router::serving::claim_gate::ClaimRequest;
+use crate::router::serving::event::ServingEvent;
 use crate::router::serving::opened_answer::Source;
-use crate::router::serving::{CallerRequest, Dispatcher, OpenedAnswer};
+use crate::router::serving::request_record::RequestRecord;
+use crate::router::serving::state::quarantined;
+use crate::router::serving::taken_on::TakenOn;
+use crate::router::serving::terms::Terms;
+use crate::router::serving::{Dispatcher, Entry, OpenedAnswer, WaitGuard, WholeAnswer};
 
 /// Attempts of one request.
 const ATTEMPTS_MAX: u32 = 4;
-/// Time by which an agent's deadline comes before the caller's, in milliseconds.
-const AGENT_DEADLINE_MARGIN_MS: u64 = 20;
+/// Delay after which coming back may find an endpoint, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// An attempt that has begun to answer.
+pub(super) type Begun = (Source, Option<Payload>);
 
 /// One request on its way to a whole answer.
 #[derive(Debug)]
 pub(crate) struct Conversation {
-    dispatcher: Dispatcher,
-    request_id: RequestId,
-    key: Option<IdempotencyKey>,
-    deadline: Instant,
-    deadline_ms: u64,
-    class: Class,
-    digest: Digest,
-    admission: Admission,
-    work: WorkSpec,
-    attempts: u32,
-    avoid: Vec<VmId>,
-    may_have_run: bool,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) terms: Terms,
+    pub(super) admission: Admission,
+    pub(super) work: WorkSpec,
+    pub(super) record: RequestRecord,
+    pub(super) standing: Standing,
+    pub(super) attempts: u32,
+    pub(super) avoid: Vec<VmId>,
+    pub(super) current: Option<CurrentAttempt>,
+    pub(super) claimed: Option<(ClaimRequest, ClaimTicket)>,
+    pub(super) may_have_run: bool,
+    waiting: Option<WaitGuard>,
+    _entry: Entry,
+}
+
+/// Where the last attempt was sent.
+#[derive(Clone, Debug)]
+pub(super) struct CurrentAttempt {
+    pub(super) vm: VmId,
+    pub(super) grant: Option<SlotGrant>,
+    pub(super) alone: bool,
 }
 
 impl Conversation {
-    pub(crate) fn new(
-        dispatcher: &Dispatcher,
-        request: &CallerRequest,
-        admission: Admission,
-        work: WorkSpec,
-    ) -> Result<Self, Refusal> {
-        let head = &request.head;
-        let timeout_ms = check_timeout(&admission, head.timeout_ms)?;
-        let class = check_class(&admission, head.class)?;
-        if !is_idempotent(&work) && head.key.is_none() {
-            let detail = "the call is not idempotent; allowed: Idempotency-Key: KEY";
-            return Err(Refusal::not_run(RefusalCode::KeyRequired, detail));
-        }
-        let spec = serde_json::to_vec(&work).expect("message types serialise to JSON");
-        Ok(Self {
+    pub(crate) fn new(dispatcher: &Dispatcher, taken_on: TakenOn, record: RequestRecord) -> Self {
+        Self {
             dispatcher: dispatcher.clone(),
-            request_id: request.request_id.clone(),
-            key: head.key.clone(),
-            deadline: Instant::now() + Duration::from_millis(timeout_ms),
-            deadline_ms: dispatcher.clock.now_ms() + timeout_ms,
-            class,
-            digest: token::sha256(&spec),
-            admission,
-            work,
+            terms: taken_on.terms,
+            admission: taken_on.admission,
+            work: taken_on.work,
+            record,
+            standing: taken_on.waiting.standing(),
             attempts: 0,
             avoid: Vec::new(),
+            current: None,
+            claimed: None,
             may_have_run: false,
-        })
+            waiting: Some(taken_on.waiting),
+            _entry: taken_on.entry,
+        }
     }
 
     pub(crate) fn request_id(&self) -> &RequestId {
-        &self.request_id
+        &self.terms.request_id
+    }
+
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.terms.idempotent
     }
 
     pub(crate) fn model_name(&self) -> String {
@@ -86,258 +94,163 @@
     }
 
     /// Replaces an attempt that was lost before anything was delivered.
-    pub(crate) async fn reopen(
-        &mut self,
-        failure: AttemptFailure,
-    ) -> Result<(Source, Option<Payload>), Refusal> {
-        self.retry_after(failure)?;
+    pub(crate) async fn reopen(&mut self, failure: AttemptFailure) -> Result<Begun, Refusal> {
+        self.retry_after(failure).await?;
         self.try_endpoints().await
     }
 
-    /// Ends the request with a failed attempt and returns what the caller is told.
-    pub(crate) fn end(&mut self, failure: AttemptFailure) -> Refusal {
-        self.may_have_run |= !failure.not_run();
-        self.honest(failure.refusal)
-    }
-
-    async fn try_endpoints(&mut self) -> Result<(Source, Option<Payload>), Refusal> {
-        loop {
-            let choice = self.choose().await?;
-            self.attempts += 1;
-            self.avoid.push(choice.vm.id.clone());
-            match self.try_at(choice).await? {
-                Ok(begun) => return Ok(begun),
-                Err(failure) => self.retry_after(failure)?,
+    /// Notes content that is delivered or collected.
+    pub(crate) fn delivered(&mut self, payload: &Payload) {
+        match payload {
+            Payload::Token(_) => self.record.token(),
+            Payload::End(summary) => {
+                self.record.answered(*summary);
+                let vm = self.current.as_ref().map(|current| current.vm.clone());
+                self.tell(ServingEvent::Completed {
+                    digest: self.terms.digest.clone(),
+                    prefix_at: self.terms.prefix_key.zip(vm),
+                });
             }
+            _ => {}
         }
     }
 
-    async fn choose(&mut self) -> Result<Choice, Refusal> {
-        let choosing = self.dispatcher.handle.choose(
-            self.admission.group.clone(),
-            self.model(),
-            self.avoid.clone(),
-        );
-        match timeout_at(self.deadline, choosing).await {
-            Ok(chosen) => chosen.map_err(|refusal| self.honest(refusal)),
-            Err(_elapsed) => Err(self.deadline_passed()),
-        }
+    /// Ends the request with a failed attempt and returns what the caller is told.
+    pub(crate) async fn end(&mut self, failure: AttemptFailure) -> Refusal {
+        self.note_failure(&failure).await;
+        self.refuse(failure.refusal)
     }
 
-    /// Returns where another attempt is due, else refuses for good.
-    fn retry_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        self.may_have_run |= !failure.not_run();
-        let repeatable = failure.not_run() || is_idempotent(&self.work);
-        if repeatable && self.attempts < ATTEMPTS_MAX && is_transient(failure.refusal.code) {
-            return Ok(());
+    /// Records the end of a claimed call.
+    pub(crate) async fn settle(&mut self, end: Result<WholeAnswer, Refusal>) {
+        if let Some((request, ticket)) = self.claimed.take() {
+            self.dispatcher.claims.settle(request, ticket, end).await;
         }
-        Err(self.honest(failure.refusal))
     }
 
-    /// Runs one attempt up to its first content.
-    ///
-    /// The outer error is final; the inner one is the attempt's.
-    async fn try_at(
-        &mut self,
-        choice: Choice,
-    ) -> Result<Result<(Source, Option<Payload>), AttemptFailure>, Refusal> {
-        let attempt = AttemptRef {
-            request_id: self.request_id.clone(),
-            attempt: self.attempts,
-        };
-        let ticket = match self.claim(&choice, &attempt).await {
-            Ok(None) => None,
-            Ok(Some(ClaimDecision::Run(ticket))) => Some(ticket),
-            Ok(Some(ClaimDecision::Recorded(answer))) => {
-                self.not_dispatched(choice.vm.id);
-                return Ok(Ok((Source::Recorded(answer), None)));
-            }
-            Ok(Some(ClaimDecision::Attach {
-                address,
-                vm,
-                attempt,
-            })) => {
-                self.not_dispatched(choice.vm.id.clone());
-                let opened = self
-                    .dispatcher
-                    .borders
-                    .agents
-                    .resume(address, attempt.clone(), 0)
-                    .await;
-                let frames = opened.map_err(|error| {
-                    Refusal::may_have_run(RefusalCode::ResultUnknown, error.to_string())
-                })?;
-                let stream = self.stream(vm, address, attempt, frames);
-                return Ok(first_of(stream).await);
-            }
-            Err(refusal) => {
-                self.not_dispatched(choice.vm.id);
-                return Err(self.honest(refusal));
-            }
-        };
-        let request = self.attempt_request(&choice, ticket);
-        let starting = self
-            .dispatcher
-            .borders
-            .agents
-            .start(choice.vm.address, request);
-        let Ok(started) = timeout_at(self.deadline, starting).await else {
-            self.not_dispatched(choice.vm.id);
-            self.may_have_run = true;
-            return Err(self.deadline_passed());
-        };
-        match started {
-            Ok(frames) => {
-                let stream = self.stream(choice.vm.id, choice.vm.address, attempt, frames);
-                Ok(first_of(stream).await)
-            }
-            Err(error) if error.had_no_effect() => {
-                self.not_dispatched(choice.vm.id);
-                let refusal = Refusal::not_run(RefusalCode::NoEndpoint, error.to_string());
-                Ok(Err(AttemptFailure::lost(refusal)))
-            }
-            Err(error) => {
-                self.not_dispatched(choice.vm.id);
-                let refusal = Refusal::may_have_run(RefusalCode::ResultUnknown, error.to_string());
-                Ok(Err(AttemptFailure::lost(refusal)))
+    async fn try_endpoints(&mut self) -> Result<Begun, Refusal> {
+        loop {
+            let choice = match self.choose().await {
+                Ok(choice) => choice,
+                Err(refusal) => return Err(self.refuse(refusal)),
+            };
+            match self.attempt(choice).await {
+                Ok(begun) => {
+                    self.waiting = None;
+                    let attempt = self.attempts;
+                    self.record.step(TraceEvent::Begun { attempt });
+                    return Ok(begun);
+                }
+                Err(failure) => self.retry_after(failure).await?,
             }
         }
     }
 
-    async fn claim(
-        &self,
-        choice: &Choice,
-        attempt: &AttemptRef,
-    ) -> Result<Option<ClaimDecision>, Refusal> {
-        let (WorkSpec::Service(call), Some(key)) = (&self.work, &self.key) else {
-            return Ok(None);
-        };
-        if call.idempotent {
-            return Ok(None);
+    /// Returns once another attempt is due, else refuses for good.
+    async fn retry_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
+        self.note_failure(&failure).await;
+        let repeatable = failure.not_run() || self.terms.idempotent;
+        if !repeatable || !failure.is_transient() {
+            return Err(self.refuse(failure.refusal));
         }
-        let request = ClaimRequest {
-            caller: self.admission.caller.name.clone(),
-            key: key.clone(),
-            body_sha256: self.digest.clone(),
-            attempt: attempt.clone(),
-            vm: choice.vm.id.clone(),
-            address: choice.vm.address,
-            time_left_ms: self.time_left_ms(),
+        if self.attempts >= ATTEMPTS_MAX {
+            self.record.step(TraceEvent::NotRetried {
+                budget_spent: false,
+            });
+            return Err(self.refuse(failure.refusal));
+        }
+        let Some(standing) = self.take_retry(&failure).await else {
+            self.record
+                .step(TraceEvent::NotRetried { budget_spent: true });
+            return Err(self.refuse(failure.refusal));
         };
-        self.dispatcher.claims.take(request).await.map(Some)
-    }
-
-    fn stream(
-        &self,
-        vm: VmId,
-        address: std::net::SocketAddr,
-        attempt: AttemptRef,
-        frames: chicorystage_platform::link::FrameStream,
-    ) -> AttemptStream {
-        AttemptStream::new(
-            self.dispatcher.handle.clone(),
-            self.dispatcher.borders.clone(),
-            vm,
-            address,
-            attempt,
-            frames,
-            self.deadline,
-            is_idempotent(&self.work),
-        )
-    }
-
-    fn model(&self) -> Option<ModelName> {
-        match &self.work {
-            WorkSpec::Completion(completion) => Some(completion.model.clone()),
-            WorkSpec::Service(_) => None,
+        if standing == Standing::Quarantined {
+            return Err(self.refuse(quarantined()));
         }
+        self.standing = standing;
+        self.pause(&failure).await
     }
 
-    fn not_dispatched(&self, vm: VmId) {
-        let ended = RouterEvent::AttemptEnded { vm, load: None };
-        self.dispatcher.handle.tell_later(ended);
+    async fn take_retry(&self, failure: &AttemptFailure) -> Option<Standing> {
+        let digest = self.terms.digest.clone();
+        let paid = !failure.is_detour();
+        let taken = self
+            .dispatcher
+            .handle
+            .ask_serving(|reply| ServingEvent::TakeRetry {
+                digest,
+                paid,
+                reply,
+            });
+        taken.await.flatten()
     }
 
-    fn time_left_ms(&self) -> u64 {
-        self.deadline_ms
-            .saturating_sub(self.dispatcher.clock.now_ms())
+    /// Waits a random while, so that requests which failed together spread out.
+    async fn pause(&mut self, failure: &AttemptFailure) -> Result<(), Refusal> {
+        let first_detour = failure.is_detour() && self.attempts == 1;
+        let pause_ms = if first_detour {
+            0
+        } else {
+            backoff_ms(self.attempts, rand::random())
+        };
+        self.record.step(TraceEvent::Retried { pause_ms });
+        let pause = sleep(Duration::from_millis(pause_ms));
+        match timeout_at(self.terms.deadline, pause).await {
+            Ok(()) => Ok(()),
+            Err(_elapsed) => Err(self.refuse(deadline_passed())),
+        }
     }
 
-    fn deadline_passed(&self) -> Refusal {
-        let detail = "the deadline passed before an endpoint answered";
-        self.honest(Refusal::not_run(RefusalCode::DeadlineExceeded, detail))
+    /// Tells the loop and the claim what a failed attempt means.
+    async fn note_failure(&mut self, failure: &AttemptFailure) {
+        self.may_have_run |= !failure.not_run();
+        self.record.step(TraceEvent::Failed {
+            attempt: self.attempts,
+            refusal: failure.refusal.clone(),
+        });
+        self.settle(Err(failure.refusal.clone())).await;
+        let Some(current) = self.current.take() else {
+            return;
+        };
+        if failure.crashed {
+            self.tell(ServingEvent::Crashed {
+                digest: self.terms.digest.clone(),
+                alone: current.alone,
+                group: self.admission.group.clone(),
+            });
+        }
+        match (failure.refusal.code, current.grant) {
+            (RefusalCode::Leaving, _) => self.tell(ServingEvent::VmLeaving(current.vm)),
+            (RefusalCode::NotPlaced, Some(grant)) => self.tell(ServingEvent::NotPlaced {
+                model: grant.model,
+                row_version: grant.row_version,
+            }),
+            _ => {}
+        }
     }
 
-    /// Returns a refusal whose outcome counts every attempt of the request.
-    fn honest(&self, mut refusal: Refusal) -> Refusal {
+    /// Returns the final refusal, whose outcome counts every attempt of the request.
+    fn refuse(&mut self, mut refusal: Refusal) -> Refusal {
         if self.may_have_run {
             refusal.outcome = Outcome::MayHaveRun;
         }
-        refusal
-    }
-
-    fn attempt_request(&self, choice: &Choice, claim: Option<ClaimTicket>) -> AttemptRequest {
-        let time_left_ms = self.time_left_ms().saturating_sub(AGENT_DEADLINE_MARGIN_MS);
-        AttemptRequest {
-            request_id: self.request_id.clone(),
-            attempt: self.attempts,
-            caller: self.admission.caller.name.clone(),
-            weight: self.admission.caller.weight,
-            class: self.class,
-            time_left_ms: time_left_ms.max(1),
-            revision: self.admission.revision,
-            digest: self.digest.clone(),
-            suspect: false,
-            grant: choice.grant.clone(),
-            claim,
-            work: self.work.clone(),
+        let transient = AttemptFailure::refused(refusal.clone()).is_transient();
+        if transient && refusal.outcome == Outcome::NotRun && refusal.retry_after_ms.is_none() {
+            refusal.retry_after_ms = Some(RETRY_AFTER_MS);
         }
+        self.record.refused(&refusal);
+        refusal
     }
-}
-
-async fn first_of(mut stream: AttemptStream) -> Result<(Source, Option<Payload>), AttemptFailure> {
-    let first = stream.next().await?;
-    Ok((Source::Attempt(stream), Some(first)))
-}
-
-fn is_idempotent(work: &WorkSpec) -> bool {
-    match work {
-        WorkSpec::Completion(_) => true,
-        WorkSpec::Service(call) => call.idempotent,
-    }
-}
 
-/// Returns whether another endpoint may do better.
-fn is_transient(code: RefusalCode) -> bool {
-    matches!(
-        code,
-        RefusalCode::NoEndpoint
-            | RefusalCode::Leaving
-            | RefusalCode::NotPlaced
-            | RefusalCode::MemoryFull
-            | RefusalCode::LoadFailed
-            | RefusalCode::Overloaded
-            | RefusalCode::EndpointLost
-            | RefusalCode::ResultUnknown
-    )
-}
-
-fn check_timeout(admission: &Admission, given_ms: Option<u64>) -> Result<u64, Refusal> {
-    let timeout_ms = given_ms.unwrap_or(admission.timeout_default_ms);
-    let allowed_ms = admission.timeout_max_ms;
-    if timeout_ms <= allowed_ms {
-        return Ok(timeout_ms);
+    pub(super) fn tell(&self, event: ServingEvent) {
+        self.dispatcher
+            .handle
+            .tell_later(RouterEvent::Serving(event));
     }
-    let detail = format!("given {timeout_ms} ms, allowed: up to {allowed_ms} ms");
-    Err(Refusal::not_run(RefusalCode::BadTimeout, detail))
 }
 
-fn check_class(admission: &Admission, given: Option<Class>) -> Result<Class, Refusal> {
-    let highest = admission.caller.class;
-    let class = given.unwrap_or(highest);
-    if class >= highest {
-        return Ok(class);
-    }
-    let detail = format!("given {class}, allowed: {highest} or lower");
-    Err(Refusal::not_run(RefusalCode::BadClass, detail))
+/// Refuses a request that no attempt was made for in time.
+pub(super) fn deadline_passed() -> Refusal {
+    let detail = "the deadline passed before an endpoint answered";
+    Refusal::not_run(RefusalCode::DeadlineExceeded, detail)
 }
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/entry.rs
@@ -0,0 +1,52 @@
+use chicorystage_api::inventory::CallerItem;
+
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::serving::event::ServingEvent;
+
+/// A caller's request inside the limits of its caller; counted out on drop.
+#[derive(Debug)]
+pub struct Entry {
+    handle: RouterHandle,
+    caller: CallerItem,
+    body_bytes: u64,
+    received_ms: u64,
+}
+
+impl Entry {
+    pub(crate) fn new(
+        handle: RouterHandle,
+        caller: CallerItem,
+        body_bytes: u64,
+        received_ms: u64,
+    ) -> Self {
+        Self {
+            handle,
+            caller,
+            body_bytes,
+            received_ms,
+        }
+    }
+
+    /// Returns the caller with its limits.
+    #[must_use]
+    pub fn caller(&self) -> &CallerItem {
+        &self.caller
+    }
+
+    /// Returns the router's clock when the request came, in milliseconds.
+    #[must_use]
+    pub fn received_ms(&self) -> u64 {
+        self.received_ms
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let left = ServingEvent::Left {
+            caller: self.caller.name.clone(),
+            body_bytes: self.body_bytes,
+        };
+        self.handle.tell_later(RouterEvent::Serving(left));
+    }
+}
--- a/crates/chicorystaged/src/router/serving/opened_answer.rs
+++ b/crates/chicorystaged/src/router/serving/opened_answer.rs
@@ -24,7 +24,7 @@
 #[derive(Debug)]
 pub(crate) enum Source {
     /// A running attempt.
-    Attempt(AttemptStream),
+    Attempt(Box<AttemptStream>),
     /// The record of an earlier request with the same key.
     Recorded(WholeAnswer),
 }
@@ -55,16 +55,19 @@
     /// `End` and `Refused` are the last. From the first call on the answer is
     /// bound to its attempt: one that is lost ends as refused, never spliced.
     pub async fn next(&mut self) -> Payload {
-        if let Some(first) = self.first.take() {
-            return first;
-        }
-        let Source::Attempt(stream) = &mut self.source else {
-            let detail = "a recorded answer is not streamed";
-            return Payload::Refused(Refusal::may_have_run(RefusalCode::Internal, detail));
+        let payload = match self.first.take() {
+            Some(first) => Ok(first),
+            None => match &mut self.source {
+                Source::Attempt(stream) => stream.next().await,
+                Source::Recorded(_) => Err(not_streamed()),
+            },
         };
-        match stream.next().await {
-            Ok(payload) => payload,
-            Err(failure) => Payload::Refused(self.conversation.end(failure)),
+        match payload {
+            Ok(payload) => {
+                self.conversation.delivered(&payload);
+                payload
+            }
+            Err(failure) => Payload::Refused(self.conversation.end(failure).await),
         }
     }
 
@@ -77,64 +80,71 @@
     ///
     /// Returns the final refusal where no attempt gave a whole answer.
     pub async fn whole(mut self) -> Result<WholeAnswer, Refusal> {
-        let mut answer = WholeAnswer::empty();
-        let mut body = Vec::new();
         loop {
-            let stream = match &mut self.source {
-                Source::Attempt(stream) => stream,
-                Source::Recorded(recorded) => return Ok(recorded.clone()),
-            };
-            let payload = match self.first.take() {
-                Some(first) => Ok(first),
-                None => stream.next().await,
+            let first = self.first.take();
+            let collected = match &mut self.source {
+                Source::Attempt(stream) => collect(&mut self.conversation, stream, first).await,
+                Source::Recorded(recorded) => {
+                    self.conversation.delivered(&Payload::End(recorded.summary));
+                    return Ok(recorded.clone());
+                }
             };
-            let collected = payload.and_then(|payload| collect(&mut answer, &mut body, payload));
             match collected {
-                Ok(false) => {}
-                Ok(true) => {
-                    answer.body = Bytes::from(body);
+                Ok(answer) => {
+                    self.conversation.settle(Ok(answer.clone())).await;
                     return Ok(answer);
                 }
                 Err(failure) => {
-                    answer = WholeAnswer::empty();
-                    body.clear();
-                    let (source, first) = self.conversation.reopen(failure).await?;
-                    self.source = source;
-                    self.first = first;
+                    (self.source, self.first) = self.conversation.reopen(failure).await?;
                 }
             }
         }
     }
 }
 
-/// Adds a payload to an answer and returns whether it is whole.
-fn collect(
-    answer: &mut WholeAnswer,
-    body: &mut Vec<u8>,
-    payload: Payload,
-) -> Result<bool, AttemptFailure> {
-    match payload {
-        Payload::Token(token) => body.extend_from_slice(token.as_bytes()),
-        Payload::Head {
-            status,
-            content_type,
-        } => {
-            answer.status = status;
-            answer.content_type = content_type;
-        }
-        Payload::Body(text) => {
-            let bytes = STANDARD.decode(text.as_bytes()).map_err(|error| {
-                let detail = format!("answer: {error}");
-                AttemptFailure::lost(Refusal::may_have_run(RefusalCode::ResultUnknown, detail))
-            })?;
-            body.extend(bytes);
-        }
-        Payload::End(summary) => {
-            answer.summary = summary;
-            return Ok(true);
+/// Collects one attempt's answer from its first payload on.
+async fn collect(
+    conversation: &mut Conversation,
+    stream: &mut AttemptStream,
+    mut first: Option<Payload>,
+) -> Result<WholeAnswer, AttemptFailure> {
+    let mut answer = WholeAnswer::empty();
+    let mut body = Vec::new();
+    loop {
+        let payload = match first.take() {
+            Some(first) => first,
+            None => stream.next().await?,
+        };
+        conversation.delivered(&payload);
+        match payload {
+            Payload::Token(token) => body.extend_from_slice(token.as_bytes()),
+            Payload::Head {
+                status,
+                content_type,
+            } => {
+                answer.status = status;
+                answer.content_type = content_type;
+            }
+            Payload::Body(text) => body.extend(decode(&text)?),
+            Payload::End(summary) => {
+                answer.summary = summary;
+                answer.body = Bytes::from(body);
+                return Ok(answer);
+            }
+            Payload::Refused(refusal) => return Err(AttemptFailure::refused(refusal)),
+            Payload::Heartbeat => {}
         }
-        Payload::Refused(refusal) => return Err(AttemptFailure::refused(refusal)),
-        Payload::Heartbeat => {}
     }
-    Ok(false)
+}
+
+fn decode(text: &str) -> Result<Vec<u8>, AttemptFailure> {
+    STANDARD.decode(text.as_bytes()).map_err(|error| {
+        let detail = format!("answer: {error}");
+        AttemptFailure::lost(Refusal::may_have_run(RefusalCode::ResultUnknown, detail))
+    })
+}
+
+fn not_streamed() -> AttemptFailure {
+    let detail = "a recorded answer is not streamed";
+    AttemptFailure::lost(Refusal::may_have_run(RefusalCode::Internal, detail))
 }
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -0,0 +1,295 @@
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use chicorystage_api::inventory::{CallerItem, Class};
+use chicorystage_api::name::{CallerName, Digest, VmId};
+use chicorystage_api::peer::QuarantineEntry;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::admission::{Reach, Shed, WaitingRoom, reach};
+use chicorystage_core::choice::{Candidate, EndpointBook, Preference, PrefixHints};
+use chicorystage_core::limits::{CallerMeters, LimitExceeded};
+use chicorystage_core::retry::RetryBudget;
+use chicorystage_core::suspects::{Standing, SuspectList};
+
+use crate::metrics::Metrics;
+use crate::router::handle::RouterHandle;
+use crate::router::serving::trace_log::TraceLog;
+use crate::router::serving::{ChooseRequest, ServingEvent, WaitGuard};
+use crate::settings::RouterSettings;
+
+/// Delay after which a request refused for lack of room should come back, in milliseconds.
+const SHED_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What the main loop keeps for the serving path.
+#[derive(Debug)]
+pub(crate) struct ServingState {
+    meters: CallerMeters,
+    room: WaitingRoom,
+    metrics: Arc<Metrics>,
+    leaving_vms: HashSet<VmId>,
+    pub(crate) endpoints: EndpointBook,
+    pub(crate) prefixes: PrefixHints,
+    pub(crate) retries: RetryBudget,
+    pub(crate) suspects: SuspectList,
+    pub(crate) traces: TraceLog,
+    pub(crate) leaving: bool,
+    pub(crate) stopped: bool,
+}
+
+impl ServingState {
+    pub(crate) fn new(settings: &RouterSettings, metrics: Arc<Metrics>) -> Self {
+        Self {
+            meters: CallerMeters::default(),
+            room: WaitingRoom::new(settings.waiting_max, settings.body_bytes_held_max),
+            metrics,
+            leaving_vms: HashSet::new(),
+            endpoints: EndpointBook::default(),
+            prefixes: PrefixHints::default(),
+            retries: RetryBudget::default(),
+            suspects: SuspectList::default(),
+            traces: TraceLog::default(),
+            leaving: false,
+            stopped: false,
+        }
+    }
+
+    pub(crate) fn set_metrics(&mut self, metrics: Arc<Metrics>) {
+        self.metrics = metrics;
+    }
+
+    /// Handles the events that need no other state of the loop.
+    pub(crate) fn on_event(&mut self, handle: &RouterHandle, event: ServingEvent) {
+        match event {
+            ServingEvent::Left { caller, body_bytes } => self.left(&caller, body_bytes),
+            ServingEvent::Wait {
+                caller,
+                weight,
+                class,
+                digest,
+                reply,
+            } => {
+                let standing = self.wait(&caller, weight, class, &digest);
+                let place =
+                    standing.map(|standing| WaitGuard::new(handle.clone(), caller, standing));
+                // Where the request has ended meanwhile, dropping the place gives it back.
+                let _sent = reply.send(place);
+            }
+            ServingEvent::WaitEnded { caller } => self.wait_ended(&caller),
+            ServingEvent::TakeRetry {
+                digest,
+                paid,
+                reply,
+            } => {
+                let _sent = reply.send(self.take_retry(&digest, paid));
+            }
+            ServingEvent::VmLeaving(vm) => {
+                self.leaving_vms.insert(vm);
+            }
+            ServingEvent::QuarantineLearnt(entries) => self.learn(entries),
+            ServingEvent::QuarantineList { reply } => {
+                let _sent = reply.send(self.suspects.quarantined().cloned().collect());
+            }
+            ServingEvent::Traced(trace) => self.traces.put(*trace),
+            ServingEvent::Explain { request_id, reply } => {
+                let _sent = reply.send(self.traces.get(&request_id).cloned());
+            }
+            ServingEvent::Leave => self.leaving = true,
+            ServingEvent::Stop => self.stopped = true,
+            ServingEvent::Enter { .. }
+            | ServingEvent::NotPlaced { .. }
+            | ServingEvent::Crashed { .. }
+            | ServingEvent::Completed { .. }
+            | ServingEvent::QuarantineLift { .. } => {
+                unreachable!("the main loop handles what needs its other state")
+            }
+        }
+    }
+
+    /// Takes a caller's request in and reserves the bytes of its body.
+    pub(crate) fn enter(
+        &mut self,
+        now_ms: u64,
+        caller: &CallerItem,
+        body_bytes: Option<u64>,
+    ) -> Result<u64, Refusal> {
+        let limit_bytes = caller.body_bytes_max;
+        let reserved_bytes = body_bytes.unwrap_or(limit_bytes);
+        if reserved_bytes > limit_bytes {
+            return Err(body_too_large(caller));
+        }
+        self.room
+            .hold_bytes(reserved_bytes)
+            .map_err(|shed| overloaded(shed, &caller.name))?;
+        let entered = self.meters.enter(now_ms, &caller.name, caller.into());
+        if let Err(exceeded) = entered {
+            self.room.release_bytes(reserved_bytes);
+            return Err(limited(exceeded, caller));
+        }
+        self.report_held();
+        Ok(reserved_bytes)
+    }
+
+    fn left(&mut self, caller: &CallerName, body_bytes: u64) {
+        self.meters.leave(caller);
+        self.room.release_bytes(body_bytes);
+        self.report_held();
+    }
+
+    /// Lets a request wait and tells what is held against its digest.
+    fn wait(
+        &mut self,
+        caller: &CallerName,
+        weight: u32,
+        class: Class,
+        digest: &Digest,
+    ) -> Result<Standing, Refusal> {
+        let standing = self.suspects.standing(digest);
+        if standing == Standing::Quarantined {
+            return Err(quarantined());
+        }
+        self.room
+            .enter(class, caller, weight)
+            .map_err(|shed| overloaded(shed, caller))?;
+        self.report_held();
+        Ok(standing)
+    }
+
+    fn wait_ended(&mut self, caller: &CallerName) {
+        self.room.leave(caller);
+        self.report_held();
+    }
+
+    fn take_retry(&mut self, digest: &Digest, paid: bool) -> Option<Standing> {
+        if paid && !self.retries.take() {
+            return None;
+        }
+        Some(self.suspects.standing(digest))
+    }
+
+    /// Chooses among candidates and checks that the deadline can be met.
+    ///
+    /// Those to avoid are used again only where there is no other.
+    pub(crate) fn choose(
+        &mut self,
+        now_ms: u64,
+        request: &ChooseRequest,
+        mut candidates: Vec<Candidate>,
+    ) -> Result<Option<Preference>, Refusal> {
+        candidates.retain(|candidate| !self.leaving_vms.contains(&candidate.vm));
+        let mut fresh = candidates.clone();
+        fresh.retain(|candidate| !request.avoid.contains(&candidate.vm));
+        if !fresh.is_empty() {
+            candidates = fresh;
+        }
+        let prefix_at = request.prefix_key.and_then(|key| self.prefixes.get(key));
+        let Some(chosen) = self.endpoints.choose(now_ms, &candidates, prefix_at) else {
+            return Ok(None);
+        };
+        let time_left_ms = request.deadline_ms.saturating_sub(now_ms);
+        if let Reach::TooLate { retry_after_ms } = reach(chosen.estimated_wait_ms, time_left_ms) {
+            let detail = format!(
+                "the estimated wait is {} ms and the request has {time_left_ms} ms left",
+                chosen.estimated_wait_ms
+            );
+            return Err(Refusal::not_run(RefusalCode::DeadlineUnreachable, detail)
+                .retry_after_ms(retry_after_ms));
+        }
+        self.endpoints.started(now_ms, &chosen.vm);
+        Ok(Some(chosen))
+    }
+
+    fn learn(&mut self, entries: Vec<QuarantineEntry>) {
+        for entry in entries {
+            let (digest, active) = (entry.digest.clone(), entry.active);
+            if self.suspects.learn(entry) && active {
+                log::info!(event = "quarantine_learnt", digest = digest.as_str(); "digest quarantined elsewhere");
+            }
+        }
+    }
+
+    /// Forgets what is known of VMs that are not listed any more; ids are not reused.
+    pub(crate) fn vms_listed(&mut self, is_listed: impl Fn(&VmId) -> bool) {
+        self.leaving_vms.retain(is_listed);
+    }
+
+    pub(crate) fn crashed(
+        &mut self,
+        now_unix_ms: u64,
+        digest: &Digest,
+        alone: bool,
+    ) -> QuarantineEntry {
+        self.metrics.endpoint_crash();
+        let entry = self.suspects.crashed(now_unix_ms, digest, alone);
+        if entry.active {
+            self.metrics.quarantine();
+            log::warn!(event = "digest_quarantined", digest = digest.as_str(), crashes = entry.crashes; "digest quarantined");
+        }
+        entry
+    }
+
+    pub(crate) fn quarantined_len(&self) -> u32 {
+        u32::try_from(self.suspects.quarantined().count()).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn in_progress(&self) -> u32 {
+        self.meters.in_progress_total()
+    }
+
+    fn report_held(&self) {
+        self.metrics.set_held(
+            self.room.waiting(),
+            self.meters.in_progress_total(),
+            self.room.bytes(),
+        );
+    }
+}
+
+/// Refuses a body above the caller's limit.
+pub(crate) fn body_too_large(caller: &CallerItem) -> Refusal {
+    let detail = format!(
+        "caller {} may send bodies of up to {} bytes",
+        caller.name, caller.body_bytes_max
+    );
+    Refusal::not_run(RefusalCode::BodyTooLarge, detail)
+}
+
+/// Refuses work that crashed endpoints; coming back does not help.
+pub(crate) fn quarantined() -> Refusal {
+    let detail = "this request crashed the endpoint that ran it alone and is quarantined";
+    Refusal::not_run(RefusalCode::Quarantined, detail)
+}
+
+fn overloaded(shed: Shed, tenant: &CallerName) -> Refusal {
+    let detail = match shed {
+        Shed::ClassFull => "too many requests of this class wait".to_owned(),
+        Shed::TenantOverShare => {
+            format!("caller {tenant} has its share of the requests that may wait")
+        }
+        Shed::BytesFull => "too many bytes of request bodies are held".to_owned(),
+    };
+    Refusal::not_run(RefusalCode::Overloaded, detail).retry_after_ms(SHED_RETRY_AFTER_MS)
+}
+
+fn limited(exceeded: LimitExceeded, caller: &CallerItem) -> Refusal {
+    match exceeded {
+        LimitExceeded::Rate { retry_after_ms } => {
+            let detail = format!(
+                "caller {} may send {} requests a second, {} at once",
+                caller.name, caller.rate_per_s, caller.burst
+            );
+            let refusal = Refusal::not_run(RefusalCode::RateLimited, detail);
+            match retry_after_ms {
+                Some(delay_ms) => refusal.retry_after_ms(delay_ms),
+                None => refusal,
+            }
+        }
+        LimitExceeded::Concurrency => {
+            let detail = format!(
+                "caller {} may have {} requests in progress",
+                caller.name, caller.concurrent_max
+            );
+            Refusal::not_run(RefusalCode::ConcurrencyLimited, detail)
+                .retry_after_ms(SHED_RETRY_AFTER_MS)
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/trace_log.rs
@@ -0,0 +1,35 @@
+use std::collections::{HashMap, VecDeque};
+
+use chicorystage_api::name::RequestId;
+use chicorystage_api::peer::RequestTrace;
+
+/// Traces kept at once.
+const TRACES_MAX: usize = 2_048;
+
+/// Traces of the requests that came last.
+#[derive(Debug, Default)]
+pub(crate) struct TraceLog {
+    traces: HashMap<RequestId, RequestTrace>,
+    order: VecDeque<RequestId>,
+}
+
+impl TraceLog {
+    /// Keeps a trace or replaces the earlier one of the same request.
+    pub(crate) fn put(&mut self, trace: RequestTrace) {
+        let request_id = trace.request_id.clone();
+        if self.traces.insert(request_id.clone(), trace).is_some() {
+            return;
+        }
+        self.order.push_back(request_id);
+        if self.order.len() <= TRACES_MAX {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.traces.remove(&oldest);
+        }
+    }
+
+    pub(crate) fn get(&self, request_id: &RequestId) -> Option<&RequestTrace> {
+        self.traces.get(request_id)
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/wait_guard.rs
@@ -0,0 +1,38 @@
+use chicorystage_api::name::CallerName;
+use chicorystage_core::suspects::Standing;
+
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::serving::event::ServingEvent;
+
+/// A request's place in the waiting room; given back on drop.
+#[derive(Debug)]
+pub struct WaitGuard {
+    handle: RouterHandle,
+    caller: CallerName,
+    standing: Standing,
+}
+
+impl WaitGuard {
+    pub(crate) fn new(handle: RouterHandle, caller: CallerName, standing: Standing) -> Self {
+        Self {
+            handle,
+            caller,
+            standing,
+        }
+    }
+
+    /// Returns what is held against the digest of the work.
+    pub(crate) fn standing(&self) -> Standing {
+        self.standing
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        let ended = ServingEvent::WaitEnded {
+            caller: self.caller.clone(),
+        };
+        self.handle.tell_later(RouterEvent::Serving(ended));
+    }
+}
--- a/crates/chicorystaged/src/web.rs
+++ b/crates/chicorystaged/src/web.rs
@@ -7,6 +7,8 @@
 use serde::Serialize;
 use serde_json::json;
 
+use crate::metrics::Metrics;
+
 const MS_PER_S: u64 = 1_000;
 
 /// Returns a response of plain text.
@@ -17,6 +19,14 @@
     response
 }
 
+/// Returns every metric of a daemon.
+pub(crate) fn metrics(metrics: &Metrics) -> Response<ResponseBody> {
+    let mut response = text(StatusCode::OK, metrics.encode());
+    let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    set_content_type(&mut response, content_type);
+    response
+}
+
 /// Returns a JSON response.
 pub(crate) fn json<T: Serialize>(status: StatusCode, content: &T) -> Response<ResponseBody> {
     let body = serde_json::to_vec(content).expect("message types serialise to JSON");
