Claims: calls that are not idempotent run at most once

Cause: a payout must not run twice, and a refusal that says not_run must be true, through paused routers, restarted agents and a table whose answers get lost. Ruled out: leases (a paused holder does not know), deduplication in the agent alone, blind retry of an unknown commit (docs/decisions/0001). Change: core::claim (claim book of an agent, steps of a router), router::claims (flow, shared transactions, outcome write-back). Not yet wired to the caller API.

--- a/crates/chicorystage-api/src/peer/claim_query.rs
+++ b/crates/chicorystage-api/src/peer/claim_query.rs
@@ -13,4 +13,6 @@
     pub epoch: u32,
     /// Incarnation named by the claim.
     pub incarnation: u64,
+    /// Table version of the claim row.
+    pub row_version: u64,
 }
--- a/crates/chicorystage-api/src/work/claim_ticket.rs
+++ b/crates/chicorystage-api/src/work/claim_ticket.rs
@@ -13,4 +13,6 @@
     pub epoch: u32,
     /// Agent incarnation that alone may run this epoch.
     pub incarnation: u64,
+    /// Table version of the claim row; rises with every claim that is committed.
+    pub row_version: u64,
 }
--- /dev/null
+++ b/crates/chicorystage-core/src/claim/book.rs
@@ -0,0 +1,238 @@
+use std::collections::{HashMap, VecDeque};
+
+use chicorystage_api::name::{CallerName, IdempotencyKey};
+use chicorystage_api::peer::{AttemptRef, ClaimQuery, ClaimState};
+use chicorystage_api::work::ClaimTicket;
+use displaydoc::Display;
+
+/// Ended claims that a book remembers by default.
+const ENDED_MAX_DEFAULT: usize = 65_536;
+
+/// Sizes of a [`ClaimBook`].
+#[derive(Clone, Debug)]
+pub struct ClaimBookConfig {
+    ended_max: usize,
+}
+
+impl Default for ClaimBookConfig {
+    fn default() -> Self {
+        Self {
+            ended_max: ENDED_MAX_DEFAULT,
+        }
+    }
+}
+
+impl ClaimBookConfig {
+    /// Creates the default configuration.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets how many ended claims are remembered; 65 536 by default.
+    #[must_use]
+    pub fn ended_max(mut self, count: usize) -> Self {
+        self.ended_max = count;
+        self
+    }
+
+    /// Creates an empty book of one agent incarnation.
+    #[must_use]
+    pub fn build(self, incarnation: u64) -> ClaimBook {
+        ClaimBook {
+            incarnation,
+            config: self,
+            entries: HashMap::new(),
+            ended: VecDeque::new(),
+            floor_row_version: 0,
+        }
+    }
+}
+
+/// What one agent incarnation knows of the claims it was given.
+///
+/// Beginning, ending and asking cost one map access each.
+#[derive(Debug)]
+pub struct ClaimBook {
+    incarnation: u64,
+    config: ClaimBookConfig,
+    entries: HashMap<ClaimId, Entry>,
+    /// Ended claims in the order in which they ended, oldest first.
+    ended: VecDeque<(ClaimId, u64)>,
+    floor_row_version: u64,
+}
+
+/// Why a dispatched claim is not run.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum ClaimRejection {
+    /// the claim names another agent incarnation
+    OtherIncarnation,
+    /// this or a higher epoch of the claim was run, tombstoned or forgotten
+    Stale,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct ClaimId {
+    caller: CallerName,
+    key: IdempotencyKey,
+}
+
+#[derive(Debug)]
+struct Entry {
+    epoch: u32,
+    row_version: u64,
+    phase: Phase,
+}
+
+#[derive(Debug)]
+enum Phase {
+    Running(AttemptRef),
+    Finished(AttemptRef),
+    Tombstoned,
+}
+
+impl ClaimBook {
+    /// Returns the incarnation that the book belongs to.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Enters a dispatched claim; only then may its call run.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the call must not run.
+    pub fn begin(
+        &mut self,
+        caller: &CallerName,
+        ticket: &ClaimTicket,
+        attempt: AttemptRef,
+    ) -> Result<(), ClaimRejection> {
+        if ticket.incarnation != self.incarnation {
+            return Err(ClaimRejection::OtherIncarnation);
+        }
+        let id = ClaimId::new(caller, &ticket.key);
+        match self.entries.get(&id) {
+            None if ticket.row_version <= self.floor_row_version => {
+                return Err(ClaimRejection::Stale);
+            }
+            Some(entry) if !entry.allows(ticket.epoch) => return Err(ClaimRejection::Stale),
+            None | Some(_) => {}
+        }
+        let entry = Entry {
+            epoch: ticket.epoch,
+            row_version: ticket.row_version,
+            phase: Phase::Running(attempt),
+        };
+        self.entries.insert(id, entry);
+        Ok(())
+    }
+
+    /// Records that a running call gave its answer or may have had its effect.
+    pub fn finish(&mut self, caller: &CallerName, key: &IdempotencyKey) {
+        self.end(caller, key, |attempt| Phase::Finished(attempt.clone()));
+    }
+
+    /// Records that a claim that was begun was given up before its call ran.
+    pub fn give_up(&mut self, caller: &CallerName, key: &IdempotencyKey) {
+        self.end(caller, key, |_attempt| Phase::Tombstoned);
+    }
+
+    /// Tells what became of a claim; one that never arrived is tombstoned.
+    pub fn query(&mut self, query: &ClaimQuery) -> ClaimState {
+        if query.incarnation != self.incarnation {
+            return ClaimState::OtherIncarnation {
+                incarnation: self.incarnation,
+            };
+        }
+        let id = ClaimId::new(&query.caller, &query.key);
+        match self.entries.get(&id) {
+            Some(entry) if entry.epoch >= query.epoch => entry.state(query.epoch),
+            Some(entry) if !entry.allows(query.epoch) => ClaimState::Unknown,
+            None if query.row_version <= self.floor_row_version => ClaimState::Unknown,
+            None | Some(_) => {
+                let entry = Entry {
+                    epoch: query.epoch,
+                    row_version: query.row_version,
+                    phase: Phase::Tombstoned,
+                };
+                self.entries.insert(id.clone(), entry);
+                self.remember_ended(id, query.row_version);
+                ClaimState::Tombstoned
+            }
+        }
+    }
+
+    fn end(
+        &mut self,
+        caller: &CallerName,
+        key: &IdempotencyKey,
+        phase: impl FnOnce(&AttemptRef) -> Phase,
+    ) {
+        let id = ClaimId::new(caller, key);
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return;
+        };
+        let Phase::Running(attempt) = &entry.phase else {
+            return;
+        };
+        entry.phase = phase(attempt);
+        let row_version = entry.row_version;
+        self.remember_ended(id, row_version);
+    }
+
+    /// Forgets the oldest ended claims above the bound and raises the floor.
+    ///
+    /// A claim that runs is never forgotten. One that began anew under a
+    /// higher epoch has a higher row version than its old place in the list.
+    fn remember_ended(&mut self, id: ClaimId, row_version: u64) {
+        self.ended.push_back((id, row_version));
+        while self.ended.len() > self.config.ended_max {
+            let Some((oldest, row_version)) = self.ended.pop_front() else {
+                return;
+            };
+            let superseded = self
+                .entries
+                .get(&oldest)
+                .is_none_or(|entry| entry.row_version != row_version);
+            if !superseded {
+                self.entries.remove(&oldest);
+            }
+            self.floor_row_version = self.floor_row_version.max(row_version);
+        }
+    }
+}
+
+impl ClaimId {
+    fn new(caller: &CallerName, key: &IdempotencyKey) -> Self {
+        Self {
+            caller: caller.clone(),
+            key: key.clone(),
+        }
+    }
+}
+
+impl Entry {
+    /// Returns whether an epoch may begin: a higher one after a tombstone.
+    fn allows(&self, epoch: u32) -> bool {
+        epoch > self.epoch && matches!(self.phase, Phase::Tombstoned)
+    }
+
+    /// Returns what a router learns that asks for `epoch`, at most this one.
+    fn state(&self, epoch: u32) -> ClaimState {
+        if epoch < self.epoch {
+            // A higher epoch exists only because the lower one did not run.
+            return ClaimState::Tombstoned;
+        }
+        match &self.phase {
+            Phase::Running(attempt) => ClaimState::Running {
+                attempt: attempt.clone(),
+            },
+            Phase::Finished(attempt) => ClaimState::Finished {
+                attempt: attempt.clone(),
+            },
+            Phase::Tombstoned => ClaimState::Tombstoned,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/claim/step.rs
@@ -0,0 +1,89 @@
+use chicorystage_api::name::{Digest, VmId};
+use chicorystage_api::peer::{AttemptRef, ClaimOutcome, ClaimRow, ClaimState};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+
+/// What a router does next for a call that carries an idempotency key.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClaimStep {
+    /// Claim this epoch in place of the row's version, then dispatch it.
+    Claim {
+        /// Epoch to claim.
+        epoch: u32,
+    },
+    /// Ask the agent that the open claim names.
+    Ask {
+        /// VM of the agent.
+        vm: VmId,
+        /// Incarnation of the agent.
+        incarnation: u64,
+        /// Epoch to ask for.
+        epoch: u32,
+    },
+    /// Follow the attempt that runs or ran the call.
+    Attach {
+        /// The attempt, from its first frame.
+        attempt: AttemptRef,
+    },
+    /// Answer with the recorded outcome.
+    Replay(ClaimOutcome),
+    /// Answer with a refusal and record an outcome where one is given.
+    Refuse {
+        /// The final answer.
+        refusal: Refusal,
+        /// Outcome to record in place of the open claim.
+        record: Option<ClaimOutcome>,
+    },
+}
+
+/// Decides by the claim row as read, or by its absence.
+#[must_use]
+pub fn step_for_row(row: Option<&ClaimRow>, body_sha256: &Digest) -> ClaimStep {
+    let Some(row) = row else {
+        return ClaimStep::Claim { epoch: 1 };
+    };
+    if row.body_sha256 != *body_sha256 {
+        let detail = "the idempotency key was used with another method, path or body";
+        return ClaimStep::Refuse {
+            refusal: Refusal::not_run(RefusalCode::KeyReused, detail),
+            record: None,
+        };
+    }
+    match &row.outcome {
+        ClaimOutcome::Open => ClaimStep::Ask {
+            vm: row.vm.clone(),
+            incarnation: row.incarnation,
+            epoch: row.epoch,
+        },
+        ClaimOutcome::Answered { .. } => ClaimStep::Replay(row.outcome.clone()),
+        ClaimOutcome::NotRun => ClaimStep::Claim {
+            epoch: row.epoch + 1,
+        },
+        ClaimOutcome::MayHaveRun => ClaimStep::Refuse {
+            refusal: unknown_result(),
+            record: None,
+        },
+    }
+}
+
+/// Decides by what the agent of an open claim answered.
+#[must_use]
+pub fn step_after_answer(row: &ClaimRow, state: ClaimState) -> ClaimStep {
+    match state {
+        ClaimState::Running { attempt } | ClaimState::Finished { attempt } => {
+            ClaimStep::Attach { attempt }
+        }
+        ClaimState::Tombstoned => ClaimStep::Claim {
+            epoch: row.epoch + 1,
+        },
+        ClaimState::Unknown | ClaimState::OtherIncarnation { .. } => ClaimStep::Refuse {
+            refusal: unknown_result(),
+            record: Some(ClaimOutcome::MayHaveRun),
+        },
+    }
+}
+
+fn unknown_result() -> Refusal {
+    let detail =
+        "an earlier call with this key may have run and its answer is lost; it will not run again";
+    Refusal::may_have_run(RefusalCode::ResultUnknown, detail)
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/claims/write_batch.rs
@@ -0,0 +1,139 @@
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use chicorystage_api::peer::ClaimRow;
+use chicorystage_platform::table::{Check, CommitOutcome, Table, Transaction, Write};
+use tokio::sync::oneshot;
+
+use crate::router::claims::{ClaimWrite, WriteResult};
+
+/// Writes that share one transaction.
+pub(super) struct WriteBatch {
+    entries: Vec<Entry>,
+}
+
+struct Entry {
+    write: ClaimWrite,
+    reply: Option<oneshot::Sender<WriteResult>>,
+}
+
+impl WriteBatch {
+    pub(super) fn new() -> Self {
+        Self {
+            entries: Vec::new(),
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Adds a write unless the batch already writes that row.
+    pub(super) fn add(
+        &mut self,
+        write: ClaimWrite,
+        reply: Option<oneshot::Sender<WriteResult>>,
+    ) -> Option<(ClaimWrite, Option<oneshot::Sender<WriteResult>>)> {
+        if self
+            .entries
+            .iter()
+            .any(|entry| entry.write.row_key == write.row_key)
+        {
+            return Some((write, reply));
+        }
+        self.entries.push(Entry { write, reply });
+        None
+    }
+
+    /// Commits all writes and answers each.
+    ///
+    /// Writes whose check fails are answered and the others tried again, so
+    /// one lost race does not hold up the rest of the batch.
+    pub(super) async fn commit(mut self, table: &dyn Table) {
+        while !self.entries.is_empty() {
+            match table.commit(self.transaction()).await {
+                Ok(CommitOutcome::Applied { version }) => {
+                    return self.answer_all(&WriteResult::Written {
+                        row_version: version,
+                    });
+                }
+                Ok(CommitOutcome::Conflict { keys }) => self.answer_conflicts(&keys),
+                Err(error) if error.had_no_effect() => {
+                    return self.answer_all(&WriteResult::NotWritten);
+                }
+                Err(_unknown) => return self.settle(table).await,
+            }
+        }
+    }
+
+    fn transaction(&self) -> Transaction {
+        let checks = self.entries.iter().map(|entry| Check {
+            key: Arc::clone(&entry.write.row_key),
+            version: entry.write.expected_version,
+        });
+        let writes = self.entries.iter().map(|entry| Write {
+            key: Arc::clone(&entry.write.row_key),
+            value: Some(encode(&entry.write.row)),
+        });
+        Transaction {
+            id: format!("claims-{:032x}", rand::random::<u128>()).into(),
+            checks: checks.collect(),
+            writes: writes.collect(),
+        }
+    }
+
+    fn answer_all(self, result: &WriteResult) {
+        for entry in self.entries {
+            entry.answer(result.clone());
+        }
+    }
+
+    fn answer_conflicts(&mut self, keys: &[Arc<str>]) {
+        let keys: HashSet<&Arc<str>> = keys.iter().collect();
+        let (lost, kept) = self
+            .entries
+            .drain(..)
+            .partition(|entry| keys.contains(&entry.write.row_key) || keys.is_empty());
+        self.entries = kept;
+        for entry in lost {
+            let entry: Entry = entry;
+            entry.answer(WriteResult::Conflict);
+        }
+    }
+
+    /// Reads the rows back after a commit whose answer was lost.
+    ///
+    /// A row that is not seen proves nothing: the commit may still be under way.
+    async fn settle(self, table: &dyn Table) {
+        for entry in self.entries {
+            let read = table.get(&entry.write.row_key).await;
+            let wanted = encode(&entry.write.row);
+            let result = match read {
+                Ok(Some(row)) if row.value == wanted => WriteResult::Written {
+                    row_version: row.version,
+                },
+                Ok(Some(row)) if Some(row.version) != entry.write.expected_version => {
+                    WriteResult::Conflict
+                }
+                Ok(_) | Err(_) => WriteResult::Unknown,
+            };
+            entry.answer(result);
+        }
+    }
+}
+
+impl Entry {
+    fn answer(self, result: WriteResult) {
+        let Some(reply) = self.reply else {
+            return;
+        };
+        // The call may have been given up; then nobody needs the answer.
+        let _sent = reply.send(result);
+    }
+}
+
+fn encode(row: &ClaimRow) -> Arc<str> {
+    serde_json::to_string(row)
+        .expect("message types serialise to JSON")
+        .into()
+}
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -8,6 +8,7 @@
 pub mod admin_api;
 pub mod borders;
 pub mod caller_api;
+pub mod claims;
 pub mod event;
 pub mod handle;
 pub mod main_loop;
