--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
+//! * [`sequence`]: the order of an attempt's frames.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
 //! # Units of time
@@ -20,4 +21,5 @@
 pub mod claim;
 pub mod inventory;
 pub mod rendezvous;
+pub mod sequence;
 pub mod token;
