Fakes with faults: engine, service, table, weight store

Ruled out: sleeping generators bound to their reader, since a cut stream must run on to be resumed; adding a real clock to the weight store.

Change: the fake engine keeps streams for resume, gives batch slots by class, dies (now, mid-load, mid-answer, on a digest or prompt), loses or delays orders, and counts overcommits and replicas over time. The service counts runs and dies before or after them. The table loses commits before or after their effect. The weight store starts four loads a second, four and thirty at full speed. The same faults over the stand-ins' control paths.

Before: no faults but the table's.

Conclusion: parts can be tested against these faults in virtual time.

--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -9,12 +9,14 @@
 
 use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
-use crate::standin::{EngineApi, PlatformApi, ServiceApi};
+use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
 /// Exit status where a command failed.
 const EXIT_FAILED: u8 = 1;
+/// Binary logarithm of the bytes in a GiB.
+const GIB_SHIFT: u32 = 30;
 
 /// Runs chicorystage on one machine, with stand-ins for everything outside.
 #[derive(Debug, Options)]
@@ -47,6 +49,15 @@
     /// Address to listen on.
     #[options(no_short)]
     listen: Option<SocketAddr>,
+    /// Platform whose weight store an engine loads from.
+    #[options(no_short)]
+    platform: Option<SocketAddr>,
+    /// Let an engine ignore fencing numbers.
+    #[options(no_short)]
+    ignore_fencing: bool,
+    /// Accelerator memory of an engine, in GiB.
+    #[options(no_short, default = "80")]
+    memory_gib: u64,
 }
 
 /// Options of the daemon.
@@ -102,9 +113,7 @@
 async fn run_standin(options: StandinOptions) -> anyhow::Result<()> {
     let handler: Arc<dyn Handler> = match options.kind.as_str() {
         "platform" => Arc::new(PlatformApi::new()),
-        "engine" => Arc::new(EngineApi::new(Arc::new(FakeEngine::new(
-            FakeEngineConfig::default(),
-        )))),
+        "engine" => Arc::new(EngineApi::new(Arc::new(engine(&options)))),
         "service" => Arc::new(ServiceApi::new(Arc::new(FakeService::new(5)))),
         kind => anyhow::bail!("unknown stand-in {kind:?}; allowed: platform, engine or service"),
     };
@@ -116,3 +125,18 @@
     let _running = server.start(handler);
     std::future::pending().await
 }
+
+fn engine(options: &StandinOptions) -> FakeEngine {
+    let config = FakeEngineConfig {
+        fence_enforced: !options.ignore_fencing,
+        memory_total_bytes: options.memory_gib << GIB_SHIFT,
+        ..FakeEngineConfig::default()
+    };
+    match options.platform {
+        Some(platform) => {
+            let weights = Arc::new(HttpWeightStore::new(platform));
+            FakeEngine::with_shared(config, weights, Arc::default())
+        }
+        None => FakeEngine::new(config),
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/engine/batch.rs
@@ -0,0 +1,58 @@
+use std::collections::BTreeMap;
+
+use chicorystage_api::inventory::Class;
+use tokio::sync::oneshot;
+
+/// Slots of an engine's batch, given by class and then by arrival.
+#[derive(Debug)]
+pub(super) struct Batch {
+    slots: u32,
+    running: u32,
+    arrivals: u64,
+    waiting: BTreeMap<(Class, u64), oneshot::Sender<()>>,
+}
+
+impl Batch {
+    pub(super) fn new(slots: u32) -> Self {
+        Self {
+            slots,
+            running: 0,
+            arrivals: 0,
+            waiting: BTreeMap::new(),
+        }
+    }
+
+    /// Queues for a slot; the receiver hears when it is given.
+    pub(super) fn join(&mut self, class: Class) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.arrivals += 1;
+        self.waiting.insert((class, self.arrivals), sender);
+        self.fill();
+        receiver
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.running = self.running.saturating_sub(1);
+        self.fill();
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(super) fn waiting(&self) -> u32 {
+        let open = self.waiting.values().filter(|sender| !sender.is_closed());
+        u32::try_from(open.count()).unwrap_or(u32::MAX)
+    }
+
+    fn fill(&mut self) {
+        while self.running < self.slots {
+            let Some((_, sender)) = self.waiting.pop_first() else {
+                return;
+            };
+            if sender.send(()).is_ok() {
+                self.running += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
@@ -0,0 +1,267 @@
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use chicorystage_platform::engine::{
+    CacheEvent, CacheTier, CachedWeights, CompletionStart, Engine, EngineStatus, EngineStream,
+    LoadReport, Order, OrderKind,
+};
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use tokio::time::sleep;
+
+use crate::fakes::engine::state::{EngineState, rejected};
+use crate::fakes::engine::stream::StreamEntry;
+use crate::fakes::weight_store::{FakeWeightStore, FetchKind, WeightStore};
+use crate::fakes::{EngineFault, EngineReport, FakeEngineConfig, ReplicaLedger};
+
+/// A model engine in memory.
+///
+/// Orders and completions run on where their client goes away; clones share
+/// one engine.
+#[derive(Clone)]
+pub struct FakeEngine {
+    pub(super) config: Arc<FakeEngineConfig>,
+    weights: Arc<dyn WeightStore>,
+    ledger: Arc<ReplicaLedger>,
+    state: Arc<Mutex<EngineState>>,
+}
+
+impl fmt::Debug for FakeEngine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("FakeEngine")
+            .field("config", &self.config)
+            .finish_non_exhaustive()
+    }
+}
+
+impl FakeEngine {
+    /// Creates an engine with nothing loaded and a weight store of its own.
+    #[must_use]
+    pub fn new(config: FakeEngineConfig) -> Self {
+        Self::with_shared(config, Arc::new(FakeWeightStore::new()), Arc::default())
+    }
+
+    /// Creates an engine that shares a weight store and a ledger with others.
+    #[must_use]
+    pub fn with_shared(
+        config: FakeEngineConfig,
+        weights: Arc<dyn WeightStore>,
+        ledger: Arc<ReplicaLedger>,
+    ) -> Self {
+        let state = EngineState::new(&config);
+        Self {
+            config: Arc::new(config),
+            weights,
+            ledger,
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    /// Makes a fault happen, now or at the next occasion.
+    pub fn inject(&self, fault: EngineFault) {
+        let mut state = self.lock();
+        match fault {
+            EngineFault::Crash => state.crash(&self.config, &self.ledger),
+            EngineFault::CutStreams => state.streams.values().for_each(StreamEntry::cut_readers),
+            EngineFault::ForgetStreams => state.streams.clear(),
+            EngineFault::Clear => state.faults.clear(),
+            fault => state.faults.push(fault),
+        }
+    }
+
+    /// Sets where a model's weights are cached.
+    pub fn set_cached(&self, model: &str, version: &str, tier: CacheTier) {
+        let weights = (model.into(), version.into());
+        self.lock().cached.insert(weights, tier);
+    }
+
+    /// Returns what the engine saw.
+    #[must_use]
+    pub fn report(&self) -> EngineReport {
+        let state = self.lock();
+        EngineReport {
+            engine_run: state.engine_run,
+            memory_total_bytes: self.config.memory_total_bytes,
+            memory_highest_bytes: state.memory_highest_bytes,
+            overcommits: state.overcommits,
+            double_loads: state.double_loads,
+            fenced_orders: state.fenced_orders,
+            completions: state.completions,
+            loads: state.loads.clone(),
+            replicas: self.ledger.events(),
+        }
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, EngineState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    async fn carry_out(self, order: Order) -> Result<(), BorderError> {
+        let begun = self.begin(&order);
+        let (engine_run, crash) = begun?;
+        let duration_ms = self.tier_ms(&order.kind);
+        if crash {
+            sleep(Duration::from_millis(self.config.load_remote_ms / 2)).await;
+            self.inject(EngineFault::Crash);
+            return Err(lost("engine died while loading"));
+        }
+        match (&order.kind, duration_ms) {
+            (OrderKind::Load { .. }, None) => {
+                let remote_ms = self.config.load_remote_ms;
+                self.weights.fetch(FetchKind::Model, remote_ms).await;
+            }
+            (OrderKind::LoadAdapter { .. }, None) => {
+                let adapter_ms = self.config.load_adapter_ms;
+                self.weights.fetch(FetchKind::Adapter, adapter_ms).await;
+            }
+            (_, duration_ms) => {
+                sleep(Duration::from_millis(duration_ms.unwrap_or(0))).await;
+            }
+        }
+        let mut state = self.lock();
+        if state.engine_run != engine_run {
+            return Err(lost("engine died"));
+        }
+        state.finish(&self.ledger, order.kind)
+    }
+
+    fn begin(&self, order: &Order) -> Result<(u64, bool), BorderError> {
+        let mut state = self.lock();
+        state.begin(&self.config, &self.ledger, order)?;
+        let loads = matches!(order.kind, OrderKind::Load { .. });
+        let crash = loads
+            && state
+                .take_fault(|fault| (*fault == EngineFault::CrashMidLoad).then_some(()))
+                .is_some();
+        Ok((state.engine_run, crash))
+    }
+
+    /// Returns how long an order takes; none where the weight store decides.
+    fn tier_ms(&self, kind: &OrderKind) -> Option<u64> {
+        match kind {
+            OrderKind::Load { model, version, .. } => {
+                let weights = (model.clone(), version.clone());
+                match self.lock().cached.get(&weights) {
+                    Some(CacheTier::Memory) => Some(self.config.load_memory_ms),
+                    Some(CacheTier::Disk) => Some(self.config.load_disk_ms),
+                    Some(CacheTier::Remote) | None => None,
+                }
+            }
+            OrderKind::LoadAdapter { .. } => None,
+            OrderKind::Unload { .. } => Some(self.config.unload_ms),
+            OrderKind::UnloadAdapter { .. } => Some(0),
+        }
+    }
+
+    fn read_status(&self) -> Result<EngineStatus, BorderError> {
+        let state = self.lock();
+        state.check_up()?;
+        let cached = state
+            .cached
+            .iter()
+            .map(|((model, version), tier)| CachedWeights {
+                model: model.clone(),
+                version: version.clone(),
+                tier: *tier,
+            });
+        let fence_enforced = self.config.fence_enforced;
+        Ok(EngineStatus {
+            engine_run: state.engine_run,
+            fence_highest: if fence_enforced {
+                state.fence_highest
+            } else {
+                0
+            },
+            fence_enforced,
+            memory_total_bytes: self.config.memory_total_bytes,
+            memory_used_bytes: state.used_bytes(),
+            order_in_flight_max_ms: self.config.order_in_flight_max_ms,
+            batch_slots: self.config.batch_slots,
+            replicas: state.replicas.clone(),
+            cached: cached.collect(),
+        })
+    }
+}
+
+impl Engine for FakeEngine {
+    fn status(&self) -> BoxFuture<'_, Result<EngineStatus, BorderError>> {
+        Box::pin(async move { self.read_status() })
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, Result<(), BorderError>> {
+        let late_ms = self.lock().take_fault(|fault| match fault {
+            EngineFault::LateOrder { delay_ms } => Some(*delay_ms),
+            _ => None,
+        });
+        let answer_lost = self.lock().lose_order_answer();
+        let engine = self.clone();
+        let carried_out = tokio::spawn(async move {
+            if let Some(late_ms) = late_ms {
+                sleep(Duration::from_millis(late_ms)).await;
+            }
+            engine.carry_out(order).await
+        });
+        Box::pin(async move {
+            if late_ms.is_some() {
+                return Err(lost("no answer to the order"));
+            }
+            let result = carried_out
+                .await
+                .unwrap_or_else(|_| Err(lost("order ended")));
+            if answer_lost {
+                return Err(lost("no answer to the order"));
+            }
+            result
+        })
+    }
+
+    fn start(&self, start: CompletionStart) -> BoxFuture<'_, Result<EngineStream, BorderError>> {
+        Box::pin(async move { self.begin_stream(start) })
+    }
+
+    fn resume<'a>(
+        &'a self,
+        stream_id: &'a str,
+        offset_tokens: u64,
+    ) -> BoxFuture<'a, Result<EngineStream, BorderError>> {
+        Box::pin(async move {
+            let state = self.lock();
+            state.check_up()?;
+            let entry = state
+                .streams
+                .get(stream_id)
+                .ok_or_else(|| rejected("unknown stream"))?;
+            Ok(entry.read(offset_tokens))
+        })
+    }
+
+    fn cancel<'a>(&'a self, stream_id: &'a str) -> BoxFuture<'a, Result<(), BorderError>> {
+        Box::pin(async move {
+            self.lock().streams.remove(stream_id);
+            Ok(())
+        })
+    }
+
+    fn load_report(&self) -> BoxFuture<'_, Result<LoadReport, BorderError>> {
+        Box::pin(async move {
+            let state = self.lock();
+            state.check_up()?;
+            Ok(state.lagging_load(self.config.report_lag_ms))
+        })
+    }
+
+    fn cache_events(
+        &self,
+        after_sequence: u64,
+    ) -> BoxFuture<'_, Result<Vec<CacheEvent>, BorderError>> {
+        Box::pin(async move {
+            let state = self.lock();
+            state.check_up()?;
+            Ok(state.lagging_events(after_sequence, self.config.report_lag_ms))
+        })
+    }
+}
+
+fn lost(detail: &str) -> BorderError {
+    BorderError::new(BorderErrorKind::Unknown, detail)
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/engine/state.rs
@@ -0,0 +1,314 @@
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::name::{ModelName, VersionName};
+use chicorystage_core::token;
+use chicorystage_platform::engine::{
+    CacheEvent, CacheTier, CompletionStart, EngineReplica, EngineReplicaState, LoadReport, Order,
+    OrderKind,
+};
+use chicorystage_platform::{BorderError, BorderErrorKind};
+use tokio::time::Instant;
+
+use crate::fakes::engine::batch::Batch;
+use crate::fakes::engine::stream::StreamEntry;
+use crate::fakes::{EngineFault, FakeEngineConfig, ReplicaLedger};
+
+/// Finished streams that are kept for resuming.
+const STREAMS_KEPT: usize = 1_024;
+/// Cache events that are kept.
+const EVENTS_KEPT: usize = 1_024;
+/// Load reports that are kept.
+const REPORTS_KEPT: usize = 256;
+/// Length of the prompt prefix that a cache event names, in bytes.
+const PREFIX_BYTES: usize = 64;
+
+/// State of a fake engine.
+#[derive(Debug)]
+pub(super) struct EngineState {
+    pub(super) engine_run: u64,
+    pub(super) fence_highest: u64,
+    pub(super) replicas: Vec<EngineReplica>,
+    pub(super) cached: HashMap<(ModelName, VersionName), CacheTier>,
+    pub(super) loads: BTreeMap<ModelName, u32>,
+    pub(super) batch: Batch,
+    pub(super) streams: HashMap<Arc<str>, StreamEntry>,
+    pub(super) faults: Vec<EngineFault>,
+    pub(super) memory_highest_bytes: u64,
+    pub(super) overcommits: u32,
+    pub(super) double_loads: u32,
+    pub(super) fenced_orders: u32,
+    pub(super) completions: u64,
+    stream_order: VecDeque<Arc<str>>,
+    up_at: Instant,
+    events: VecDeque<(Instant, CacheEvent)>,
+    event_sequence: u64,
+    reports: VecDeque<(Instant, LoadReport)>,
+}
+
+impl EngineState {
+    pub(super) fn new(config: &FakeEngineConfig) -> Self {
+        Self {
+            engine_run: 1,
+            fence_highest: 0,
+            replicas: Vec::new(),
+            cached: HashMap::new(),
+            loads: BTreeMap::new(),
+            batch: Batch::new(config.batch_slots),
+            streams: HashMap::new(),
+            faults: Vec::new(),
+            memory_highest_bytes: 0,
+            overcommits: 0,
+            double_loads: 0,
+            fenced_orders: 0,
+            completions: 0,
+            stream_order: VecDeque::new(),
+            up_at: Instant::now(),
+            events: VecDeque::new(),
+            event_sequence: 0,
+            reports: VecDeque::new(),
+        }
+    }
+
+    /// Fails while the engine restarts.
+    pub(super) fn check_up(&self) -> Result<(), BorderError> {
+        if Instant::now() < self.up_at {
+            return Err(BorderError::new(
+                BorderErrorKind::NotDelivered,
+                "engine is down",
+            ));
+        }
+        Ok(())
+    }
+
+    /// Ends the engine's run: memory, streams and fencing numbers are gone.
+    pub(super) fn crash(&mut self, config: &FakeEngineConfig, ledger: &ReplicaLedger) {
+        for replica in self.replicas.drain(..) {
+            ledger.left(&replica.model);
+        }
+        self.engine_run += 1;
+        self.fence_highest = 0;
+        self.streams.clear();
+        self.stream_order.clear();
+        self.batch = Batch::new(config.batch_slots);
+        self.up_at = Instant::now() + Duration::from_millis(config.restart_ms);
+    }
+
+    pub(super) fn take_fault<T>(
+        &mut self,
+        wanted: impl Fn(&EngineFault) -> Option<T>,
+    ) -> Option<T> {
+        let (i, found) = self
+            .faults
+            .iter()
+            .enumerate()
+            .find_map(|(i, fault)| Some((i, wanted(fault)?)))?;
+        self.faults.remove(i);
+        Some(found)
+    }
+
+    /// Returns whether the next order's answer is to be lost.
+    pub(super) fn lose_order_answer(&mut self) -> bool {
+        let left = self.take_fault(|fault| match fault {
+            EngineFault::LostOrderAnswers { orders } => Some(*orders),
+            _ => None,
+        });
+        let Some(orders) = left.filter(|orders| *orders > 0) else {
+            return false;
+        };
+        self.faults
+            .push(EngineFault::LostOrderAnswers { orders: orders - 1 });
+        true
+    }
+
+    pub(super) fn replica(&mut self, model: &ModelName) -> Option<&mut EngineReplica> {
+        self.replicas
+            .iter_mut()
+            .find(|replica| replica.model == *model)
+    }
+
+    pub(super) fn used_bytes(&self) -> u64 {
+        let adapters = self.replicas.iter().flat_map(|replica| &replica.adapters);
+        let adapter_bytes: u64 = adapters.map(|(_, bytes)| bytes).sum();
+        let replica_bytes: u64 = self
+            .replicas
+            .iter()
+            .map(|replica| replica.memory_bytes)
+            .sum();
+        replica_bytes + adapter_bytes
+    }
+
+    pub(super) fn keep_stream(&mut self, id: Arc<str>, entry: StreamEntry) {
+        self.streams.insert(Arc::clone(&id), entry);
+        self.stream_order.push_back(id);
+        if self.stream_order.len() > STREAMS_KEPT
+            && let Some(oldest) = self.stream_order.pop_front()
+        {
+            self.streams.remove(&oldest);
+        }
+    }
+
+    /// Takes what an order needs before it has its effect.
+    pub(super) fn begin(
+        &mut self,
+        config: &FakeEngineConfig,
+        ledger: &ReplicaLedger,
+        order: &Order,
+    ) -> Result<(), BorderError> {
+        self.check_up()?;
+        if config.fence_enforced && order.fence < self.fence_highest {
+            self.fenced_orders += 1;
+            return Err(rejected("fencing number is too old"));
+        }
+        self.fence_highest = self.fence_highest.max(order.fence);
+        match &order.kind {
+            OrderKind::Load {
+                model,
+                version,
+                memory_bytes,
+            } => {
+                if self.replica(model).is_some() {
+                    self.double_loads += 1;
+                    return Err(rejected("model is loaded or loading"));
+                }
+                self.reserve(config, *memory_bytes)?;
+                self.replicas.push(EngineReplica {
+                    model: model.clone(),
+                    version: version.clone(),
+                    state: EngineReplicaState::Loading,
+                    memory_bytes: *memory_bytes,
+                    adapters: Vec::new(),
+                });
+                *self.loads.entry(model.clone()).or_default() += 1;
+                ledger.came(model);
+            }
+            OrderKind::LoadAdapter {
+                model,
+                adapter,
+                memory_bytes,
+            } => {
+                let Some(replica) = self.replica(model) else {
+                    return Err(rejected("model is not loaded"));
+                };
+                if replica.adapters.iter().any(|(name, _)| name == adapter) {
+                    return Ok(());
+                }
+                self.reserve(config, *memory_bytes)?;
+                if let Some(replica) = self.replica(model) {
+                    replica.adapters.push((adapter.clone(), *memory_bytes));
+                }
+            }
+            OrderKind::Unload { model, .. } => {
+                if let Some(replica) = self.replica(model) {
+                    replica.state = EngineReplicaState::Unloading;
+                }
+            }
+            OrderKind::UnloadAdapter { .. } => {}
+        }
+        self.memory_highest_bytes = self.memory_highest_bytes.max(self.used_bytes());
+        Ok(())
+    }
+
+    /// Gives an order its effect.
+    pub(super) fn finish(
+        &mut self,
+        ledger: &ReplicaLedger,
+        kind: OrderKind,
+    ) -> Result<(), BorderError> {
+        match kind {
+            OrderKind::Load { model, version, .. } => {
+                let replica = self
+                    .replica(&model)
+                    .ok_or_else(|| rejected("load was given up"))?;
+                replica.state = EngineReplicaState::Loaded;
+                self.cached.insert((model, version), CacheTier::Memory);
+            }
+            OrderKind::Unload { model, .. } => {
+                let before = self.replicas.len();
+                self.replicas.retain(|replica| replica.model != model);
+                if self.replicas.len() < before {
+                    ledger.left(&model);
+                }
+            }
+            OrderKind::LoadAdapter { .. } => {}
+            OrderKind::UnloadAdapter { model, adapter } => {
+                if let Some(replica) = self.replica(&model) {
+                    replica.adapters.retain(|(name, _)| *name != adapter);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn reserve(&mut self, config: &FakeEngineConfig, memory_bytes: u64) -> Result<(), BorderError> {
+        if self.used_bytes() + memory_bytes > config.memory_total_bytes {
+            self.overcommits += 1;
+            return Err(rejected("not enough memory"));
+        }
+        Ok(())
+    }
+
+    /// Records the load as it is now.
+    pub(super) fn note_load(&mut self) {
+        let report = LoadReport {
+            running: self.batch.running(),
+            waiting: self.batch.waiting(),
+            age_ms: 0,
+        };
+        self.reports.push_back((Instant::now(), report));
+        if self.reports.len() > REPORTS_KEPT {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Returns the load as it was `lag_ms` ago.
+    pub(super) fn lagging_load(&self, lag_ms: u64) -> LoadReport {
+        let now = Instant::now();
+        let lag = Duration::from_millis(lag_ms);
+        let old = self.reports.iter().rev();
+        let mut old = old.filter(|(at, _)| now.duration_since(*at) >= lag);
+        let report = old.next().map(|(_, report)| *report).unwrap_or_default();
+        LoadReport {
+            age_ms: lag_ms,
+            ..report
+        }
+    }
+
+    /// Publishes that a prompt's prefix is cached; some events are lost.
+    pub(super) fn publish(&mut self, config: &FakeEngineConfig, start: &CompletionStart) {
+        self.event_sequence += 1;
+        let lost_every = config.events_lost_every;
+        if lost_every > 0 && self.event_sequence.is_multiple_of(lost_every) {
+            return;
+        }
+        let prompt = start.prompt.as_bytes();
+        let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
+        let event = CacheEvent {
+            sequence: self.event_sequence,
+            model: start.model.clone(),
+            prefix_digest: token::sha256(prefix).as_str().into(),
+            cached: true,
+        };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    pub(super) fn lagging_events(&self, after_sequence: u64, lag_ms: u64) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        let lag = Duration::from_millis(lag_ms);
+        let old = self
+            .events
+            .iter()
+            .filter(|(at, _)| now.duration_since(*at) >= lag);
+        old.map(|(_, event)| event.clone())
+            .filter(|event| event.sequence > after_sequence)
+            .collect()
+    }
+}
+
+pub(super) fn rejected(detail: &str) -> BorderError {
+    BorderError::new(BorderErrorKind::Rejected, detail)
+}
--- a/crates/chicorystage-testbed/src/fakes/mod.rs
+++ b/crates/chicorystage-testbed/src/fakes/mod.rs
@@ -1,13 +1,19 @@
 //! The outside world in memory.
 
+mod answer;
 mod engine;
 mod object_store;
+mod replica_ledger;
 mod service;
 mod table;
 mod vm_list;
+mod weight_store;
 
-pub use engine::{FakeEngine, FakeEngineConfig};
+pub use answer::answer_words;
+pub use engine::{EngineFault, EngineReport, FakeEngine, FakeEngineConfig};
 pub use object_store::FakeObjectStore;
-pub use service::FakeService;
-pub use table::{FakeTable, TableFault};
+pub use replica_ledger::{ReplicaEvent, ReplicaLedger};
+pub use service::{FakeService, ServiceFault};
+pub use table::{FakeTable, TableCalls, TableFault};
 pub use vm_list::FakeVmList;
+pub use weight_store::{FakeWeightStore, FetchKind, WeightStore};
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/replica_ledger.rs
@@ -0,0 +1,93 @@
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use chicorystage_api::name::ModelName;
+use serde::{Deserialize, Serialize};
+
+/// One replica came into or left an engine's memory.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaEvent {
+    /// Wall-clock time, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// Model of the replica.
+    pub model: ModelName,
+    /// Whether the replica came.
+    pub came: bool,
+}
+
+/// Replicas of each model over time, over all engines that share it.
+///
+/// A replica counts from the order that begins its load until its memory is free.
+#[derive(Debug, Default)]
+pub struct ReplicaLedger {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    events: Vec<ReplicaEvent>,
+    now: BTreeMap<ModelName, u32>,
+    highest: BTreeMap<ModelName, u32>,
+}
+
+impl ReplicaLedger {
+    /// Creates an empty ledger.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns every event in order.
+    #[must_use]
+    pub fn events(&self) -> Vec<ReplicaEvent> {
+        self.lock().events.clone()
+    }
+
+    /// Returns the highest number of replicas that a model ever had at once.
+    #[must_use]
+    pub fn highest(&self, model: &ModelName) -> u32 {
+        self.lock().highest.get(model).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of replicas that a model has.
+    #[must_use]
+    pub fn now(&self, model: &ModelName) -> u32 {
+        self.lock().now.get(model).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn came(&self, model: &ModelName) {
+        let mut state = self.lock();
+        let now = state.now.entry(model.clone()).or_default();
+        *now += 1;
+        let now = *now;
+        let highest = state.highest.entry(model.clone()).or_default();
+        *highest = now.max(*highest);
+        state.record(model, true);
+    }
+
+    pub(crate) fn left(&self, model: &ModelName) {
+        let mut state = self.lock();
+        if let Some(now) = state.now.get_mut(model) {
+            *now = now.saturating_sub(1);
+        }
+        state.record(model, false);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl State {
+    fn record(&mut self, model: &ModelName, came: bool) {
+        let elapsed = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        self.events.push(ReplicaEvent {
+            at_unix_ms: u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX),
+            model: model.clone(),
+            came,
+        });
+    }
+}
--- a/crates/chicorystage-testbed/src/fakes/table.rs
+++ b/crates/chicorystage-testbed/src/fakes/table.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Fault of a [`FakeTable`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum TableFault {
     /// Every call is answered.
@@ -23,6 +23,42 @@
     },
     /// Commits take effect and are never answered.
     Unanswered,
+    /// The next commits take effect and are never answered.
+    UnansweredNext {
+        /// Number of commits.
+        commits: u32,
+    },
+    /// Commits that write below a prefix take effect and are never answered.
+    UnansweredPrefix {
+        /// Prefix of the key.
+        prefix: Arc<str>,
+    },
+    /// The next commits are lost on their way, which their client cannot tell.
+    LostNext {
+        /// Number of commits.
+        commits: u32,
+    },
+}
+
+/// Calls that were delivered to a [`FakeTable`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableCalls {
+    /// Reads of a row or a page.
+    pub reads: u64,
+    /// Commits.
+    pub commits: u64,
+    /// Rows that commits wrote or deleted.
+    pub rows_written: u64,
+    /// Bytes of keys and values that reads gave and commits wrote.
+    pub moved_bytes: u64,
+}
+
+/// What becomes of one commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Answered,
+    Unanswered,
+    Lost,
 }
 
 /// The platform's table in memory.
@@ -36,8 +72,7 @@
     version: u64,
     rows: BTreeMap<Arc<str>, Row>,
     fault: TableFault,
-    reads: u64,
-    commits: u64,
+    calls: TableCalls,
 }
 
 impl FakeTable {
@@ -52,19 +87,18 @@
         self.lock().fault = fault;
     }
 
-    /// Returns how many reads and commits were delivered.
+    /// Returns which calls were delivered.
     #[must_use]
-    pub fn calls(&self) -> (u64, u64) {
-        let state = self.lock();
-        (state.reads, state.commits)
+    pub fn calls(&self) -> TableCalls {
+        self.lock().calls
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
 
-    async fn delivered(&self) -> Result<TableFault, BorderError> {
-        let fault = self.lock().fault;
+    async fn delivered(&self) -> Result<(), BorderError> {
+        let fault = self.lock().fault.clone();
         match fault {
             TableFault::Down => Err(BorderError::new(
                 BorderErrorKind::NotDelivered,
@@ -72,9 +106,9 @@
             )),
             TableFault::Slow { delay_ms } => {
                 tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-                Ok(fault)
+                Ok(())
             }
-            TableFault::None | TableFault::Unanswered => Ok(fault),
+            _ => Ok(()),
         }
     }
 }
@@ -84,8 +118,10 @@
         Box::pin(async move {
             self.delivered().await?;
             let mut state = self.lock();
-            state.reads += 1;
-            Ok(state.rows.get(key).cloned())
+            let row = state.rows.get(key).cloned();
+            state.calls.reads += 1;
+            state.calls.moved_bytes += row.as_ref().map_or(0, moved_bytes);
+            Ok(row)
         })
     }
 
@@ -98,7 +134,7 @@
         Box::pin(async move {
             self.delivered().await?;
             let mut state = self.lock();
-            state.reads += 1;
+            state.calls.reads += 1;
             let start = match after {
                 Some(after) => Bound::Excluded(after),
                 None => Bound::Included(prefix),
@@ -110,6 +146,7 @@
             let rows: Vec<Row> = matching.by_ref().take(limit).collect();
             let more = matching.next().is_some();
             let next_after = rows.last().filter(|_| more).map(|row| Arc::clone(&row.key));
+            state.calls.moved_bytes += rows.iter().map(moved_bytes).sum::<u64>();
             Ok(ScanPage {
                 table_version: state.version,
                 rows,
@@ -123,9 +160,14 @@
         transaction: Transaction,
     ) -> BoxFuture<'_, Result<CommitOutcome, BorderError>> {
         Box::pin(async move {
-            let fault = self.delivered().await?;
-            let outcome = self.lock().apply(transaction);
-            if fault == TableFault::Unanswered {
+            self.delivered().await?;
+            let mut state = self.lock();
+            let fate = state.fate(&transaction);
+            if fate == Fate::Lost {
+                return Err(BorderError::new(BorderErrorKind::Unknown, "no answer"));
+            }
+            let outcome = state.apply(transaction);
+            if fate == Fate::Unanswered {
                 return Err(BorderError::new(BorderErrorKind::Unknown, "no answer"));
             }
             Ok(outcome)
@@ -134,8 +176,30 @@
 }
 
 impl State {
+    fn fate(&mut self, transaction: &Transaction) -> Fate {
+        match &mut self.fault {
+            TableFault::Unanswered => Fate::Unanswered,
+            TableFault::UnansweredNext { commits } if *commits > 0 => {
+                *commits -= 1;
+                Fate::Unanswered
+            }
+            TableFault::LostNext { commits } if *commits > 0 => {
+                *commits -= 1;
+                Fate::Lost
+            }
+            TableFault::UnansweredPrefix { prefix } => {
+                let mut keys = transaction.writes.iter().map(|write| &write.key);
+                if keys.any(|key| key.starts_with(&**prefix)) {
+                    return Fate::Unanswered;
+                }
+                Fate::Answered
+            }
+            _ => Fate::Answered,
+        }
+    }
+
     fn apply(&mut self, transaction: Transaction) -> CommitOutcome {
-        self.commits += 1;
+        self.calls.commits += 1;
         let failed = transaction.checks.iter().filter(|check| {
             let version = self.rows.get(&check.key).map(|row| row.version);
             version != check.version
@@ -146,6 +210,9 @@
         }
         self.version += 1;
         for write in transaction.writes {
+            self.calls.rows_written += 1;
+            let value_bytes = write.value.as_ref().map_or(0, |value| value.len());
+            self.calls.moved_bytes += (write.key.len() + value_bytes) as u64;
             let Some(value) = write.value else {
                 self.rows.remove(&write.key);
                 continue;
@@ -162,3 +229,7 @@
         }
     }
 }
+
+fn moved_bytes(row: &Row) -> u64 {
+    (row.key.len() + row.value.len()) as u64
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/weight_store.rs
@@ -0,0 +1,157 @@
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use chicorystage_platform::BoxFuture;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Loads that the store starts in a second.
+const LOADS_PER_S: u32 = 4;
+/// Loads that run at full speed at once.
+const LOADS_FULL_SPEED: u64 = 4;
+/// Adapter fetches that run at full speed at once.
+const ADAPTERS_FULL_SPEED: u64 = 30;
+/// Time after which the speed of a fetch is computed anew, in milliseconds.
+const STEP_MS: u64 = 10;
+const US_PER_MS: u64 = 1_000;
+const PERCENT: u64 = 100;
+
+/// What is fetched from the weight store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FetchKind {
+    /// Weights of a model.
+    Model,
+    /// Weights of an adapter.
+    Adapter,
+}
+
+/// The platform's weight store, shared by all engines.
+pub trait WeightStore: Send + Sync {
+    /// Fetches weights that take `duration_ms` at full speed.
+    fn fetch(&self, kind: FetchKind, duration_ms: u64) -> BoxFuture<'_, ()>;
+}
+
+/// The weight store in memory, with the platform's limits.
+#[derive(Debug, Default)]
+pub struct FakeWeightStore {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    models_in_flight: u64,
+    adapters_in_flight: u64,
+    models_highest: u64,
+    adapters_highest: u64,
+    next_start: Option<Instant>,
+    slowdown_percent: u64,
+}
+
+impl FakeWeightStore {
+    /// Creates a store at full speed.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Makes every fetch take this share more time, in percent; 0 is full speed.
+    pub fn set_slowdown_percent(&self, slowdown_percent: u64) {
+        self.lock().slowdown_percent = slowdown_percent;
+    }
+
+    /// Returns the highest number of models and adapters that were in flight at once.
+    #[must_use]
+    pub fn in_flight_highest(&self) -> (u64, u64) {
+        let state = self.lock();
+        (state.models_highest, state.adapters_highest)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    async fn run(&self, kind: FetchKind, duration_ms: u64) {
+        if kind == FetchKind::Model {
+            let start = self.lock().next_start();
+            sleep_until(start).await;
+        }
+        let _in_flight = InFlight::enter(self, kind);
+        // Fetches that begin together share the speed from the start.
+        tokio::task::yield_now().await;
+        let mut left_us = duration_ms * US_PER_MS;
+        while left_us > 0 {
+            let (full, actual) = self.lock().speed(kind);
+            let needed_us = left_us * actual / full;
+            let step_us = needed_us.clamp(1, STEP_MS * US_PER_MS);
+            sleep(Duration::from_micros(step_us)).await;
+            left_us = left_us.saturating_sub((step_us * full).div_ceil(actual));
+        }
+    }
+}
+
+impl State {
+    /// Spaces starts evenly, after a burst of as many as run at full speed.
+    fn next_start(&mut self) -> Instant {
+        let spacing = Duration::from_secs(1) / LOADS_PER_S;
+        let now = Instant::now();
+        let burst = spacing * (LOADS_PER_S - 1);
+        let earliest = self
+            .next_start
+            .map_or(now, |next| next.max(now.checked_sub(burst).unwrap_or(now)));
+        let first = now.checked_sub(burst).unwrap_or(now);
+        self.next_start = Some(if self.next_start.is_none() {
+            first + spacing
+        } else {
+            earliest + spacing
+        });
+        earliest.max(now)
+    }
+
+    /// Returns the speed of a fetch as a share of full speed.
+    fn speed(&self, kind: FetchKind) -> (u64, u64) {
+        let (full, in_flight) = match kind {
+            FetchKind::Model => (LOADS_FULL_SPEED, self.models_in_flight),
+            FetchKind::Adapter => (ADAPTERS_FULL_SPEED, self.adapters_in_flight),
+        };
+        (
+            full * PERCENT,
+            in_flight.max(full) * (PERCENT + self.slowdown_percent),
+        )
+    }
+
+    fn count(&mut self, kind: FetchKind) -> (&mut u64, &mut u64) {
+        match kind {
+            FetchKind::Model => (&mut self.models_in_flight, &mut self.models_highest),
+            FetchKind::Adapter => (&mut self.adapters_in_flight, &mut self.adapters_highest),
+        }
+    }
+}
+
+impl WeightStore for FakeWeightStore {
+    fn fetch(&self, kind: FetchKind, duration_ms: u64) -> BoxFuture<'_, ()> {
+        Box::pin(self.run(kind, duration_ms))
+    }
+}
+
+/// Counts a fetch while it runs, also where it is given up.
+struct InFlight<'a> {
+    store: &'a FakeWeightStore,
+    kind: FetchKind,
+}
+
+impl<'a> InFlight<'a> {
+    fn enter(store: &'a FakeWeightStore, kind: FetchKind) -> Self {
+        let mut state = store.lock();
+        let (in_flight, highest) = state.count(kind);
+        *in_flight += 1;
+        *highest = (*highest).max(*in_flight);
+        Self { store, kind }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        *self.store.lock().count(self.kind).0 -= 1;
+    }
+}
--- a/crates/chicorystage-testbed/src/standin/engine_api.rs
+++ b/crates/chicorystage-testbed/src/standin/engine_api.rs
@@ -36,9 +36,16 @@
                 let after = wire::query(&request, "after").and_then(|after| after.parse().ok());
                 wire::result(self.engine.cache_events(after.unwrap_or(0)).await)
             }
-            (&Method::GET, "/control/loads") => wire::json(&self.engine.loads()),
+            (&Method::GET, "/control/report") => wire::json(&self.engine.report()),
+            (&Method::POST, "/control/faults") => match wire::parsed(request).await {
+                Ok(fault) => {
+                    self.engine.inject(fault);
+                    wire::json(&())
+                }
+                Err(response) => response,
+            },
             (&Method::POST, "/engine/v1/orders") => match wire::parsed::<Order>(request).await {
-                Ok(order) => self.order(order).await,
+                Ok(order) => wire::result(self.engine.order(order).await),
                 Err(response) => response,
             },
             (&Method::POST, STREAMS_PATH) => match wire::parsed::<CompletionStart>(request).await {
@@ -66,16 +73,6 @@
             },
         }
     }
-
-    /// Carries an order out even where the agent that gave it goes away.
-    async fn order(&self, order: Order) -> Response<ResponseBody> {
-        let engine = Arc::clone(&self.engine);
-        let carried_out = tokio::spawn(async move { engine.order(order).await });
-        match carried_out.await {
-            Ok(result) => wire::result(result),
-            Err(error) => wire::status(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        }
-    }
 }
 
 impl Handler for EngineApi {
--- a/crates/chicorystage-testbed/src/standin/platform_api.rs
+++ b/crates/chicorystage-testbed/src/standin/platform_api.rs
@@ -4,11 +4,14 @@
 use chicorystage_platform::http::{Handler, ResponseBody};
 use chicorystage_platform::object_store::ObjectStore;
 use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::{VmEntry, VmList};
+use chicorystage_platform::vm_list::{VmEntry, VmList, VmState};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
-use crate::fakes::{FakeObjectStore, FakeTable, FakeVmList, TableFault};
+use crate::fakes::{
+    FakeObjectStore, FakeTable, FakeVmList, FakeWeightStore, TableFault, WeightStore,
+};
+use crate::standin::http_weight_store::{FETCH_PATH, Fetch};
 use crate::standin::wire;
 
 /// Rows a scan page where the client names none.
@@ -20,6 +23,7 @@
     table: Arc<FakeTable>,
     objects: Arc<FakeObjectStore>,
     vms: Arc<FakeVmList>,
+    weights: Arc<FakeWeightStore>,
 }
 
 impl PlatformApi {
@@ -39,29 +43,57 @@
                 Err(response) => response,
             },
             (&Method::GET, "/vms/v1/list") => wire::result(self.vms.read().await),
-            (&Method::POST, "/control/vms") => match wire::parsed::<VmEntry>(request).await {
-                Ok(vm) => {
-                    self.vms.put(vm);
+            (&Method::POST, FETCH_PATH) => match wire::parsed::<Fetch>(request).await {
+                Ok(fetch) => {
+                    self.weights.fetch(fetch.kind, fetch.duration_ms).await;
                     wire::json(&())
                 }
                 Err(response) => response,
             },
-            (&Method::POST, "/control/table_fault") => {
-                match wire::parsed::<TableFault>(request).await {
-                    Ok(fault) => {
-                        self.table.set_fault(fault);
-                        wire::json(&())
-                    }
-                    Err(response) => response,
-                }
-            }
             (_, path) => match path.strip_prefix("/objects/v1/") {
                 Some(key) => self.object(wire::decode(key), request).await,
+                None if path.starts_with("/control/") => self
+                    .control(request)
+                    .await
+                    .unwrap_or_else(|response| response),
                 None => wire::status(StatusCode::NOT_FOUND, "not found"),
             },
         }
     }
 
+    /// Sets faults and reads counters.
+    async fn control(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, Response<ResponseBody>> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            "/control/vms" => self.vms.put(wire::parsed::<VmEntry>(request).await?),
+            "/control/vms/remove" => self.vms.remove(&wire::parsed(request).await?),
+            "/control/vms/leaving" => {
+                let vm = wire::parsed(request).await?;
+                self.vms.set_state(&vm, VmState::Leaving);
+            }
+            "/control/vms/stale" => self.vms.set_stale(wire::parsed(request).await?),
+            "/control/vms/down" => self.vms.set_down(wire::parsed(request).await?),
+            "/control/objects/down" => self.objects.set_down(wire::parsed(request).await?),
+            "/control/table/fault" => {
+                self.table
+                    .set_fault(wire::parsed::<TableFault>(request).await?);
+            }
+            "/control/table/calls" => return Ok(wire::json(&self.table.calls())),
+            "/control/weights/slowdown" => {
+                self.weights
+                    .set_slowdown_percent(wire::parsed(request).await?);
+            }
+            "/control/weights/highest" => {
+                return Ok(wire::json(&self.weights.in_flight_highest()));
+            }
+            _ => return Err(wire::status(StatusCode::NOT_FOUND, "not found")),
+        }
+        Ok(wire::json(&()))
+    }
+
     async fn row(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
         let key = wire::query(request, "key").unwrap_or_default();
         match self.table.get(&key).await {
--- a/crates/chicorystage-testbed/src/standin/service_api.rs
+++ b/crates/chicorystage-testbed/src/standin/service_api.rs
@@ -34,6 +34,15 @@
         match path.as_str() {
             "/healthz" => return wire::json(&()),
             "/control/runs" => return wire::json(&self.service.runs()),
+            "/control/faults" => {
+                return match wire::parsed(request).await {
+                    Ok(fault) => {
+                        self.service.inject(fault);
+                        wire::json(&())
+                    }
+                    Err(response) => response,
+                };
+            }
             _ => {}
         }
         let call = ServiceCall {
@@ -53,7 +62,8 @@
                 }
                 response
             }
-            Err(error) => wire::result::<()>(Err(error)),
+            // A dead service answers nothing; its client sees silence.
+            Err(_died) => std::future::pending().await,
         }
     }
 }
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/fakes.rs
@@ -0,0 +1,230 @@
+//! The fakes keep what the platform promises, and fail as they are told to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::inventory::Class;
+use chicorystage_api::name::Digest;
+use chicorystage_api::work::ServiceCall;
+use chicorystage_platform::BorderErrorKind;
+use chicorystage_platform::engine::{
+    CompletionStart, Engine, EngineEvent, EngineStream, Order, OrderKind,
+};
+use chicorystage_platform::service::Service;
+use chicorystage_platform::table::{Table, Transaction, Write};
+use chicorystage_testbed::fakes::{
+    EngineFault, FakeEngine, FakeEngineConfig, FakeService, FakeTable, FakeWeightStore, FetchKind,
+    ServiceFault, TableFault, WeightStore,
+};
+use googletest::prelude::*;
+use tokio::time::{Instant, sleep};
+
+fn load(fence: u64, model: &str) -> Order {
+    Order {
+        fence,
+        kind: OrderKind::Load {
+            model: model.into(),
+            version: "v1".into(),
+            memory_bytes: 8 << 30,
+        },
+    }
+}
+
+fn completion(stream_id: &str, class: Class) -> CompletionStart {
+    CompletionStart {
+        stream_id: stream_id.into(),
+        model: "moisture".into(),
+        version: "v1".into(),
+        adapter: None,
+        prompt: "is lot 12 dry".into(),
+        max_tokens: 8,
+        class,
+        digest: Digest::from("d"),
+    }
+}
+
+async fn offsets(mut stream: EngineStream) -> (Vec<u64>, bool) {
+    let mut offsets = Vec::new();
+    while let Some(event) = stream.recv().await {
+        match event {
+            EngineEvent::Token { offset_tokens, .. } => offsets.push(offset_tokens),
+            EngineEvent::Done { .. } => return (offsets, true),
+            EngineEvent::Failed { .. } => break,
+        }
+    }
+    (offsets, false)
+}
+
+async fn loaded() -> FakeEngine {
+    let engine = FakeEngine::new(FakeEngineConfig::default());
+    engine.order(load(5, "moisture")).await.expect("loads");
+    engine
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn engine_refuses_old_fencing_number_unless_told_to_ignore_it() {
+    let engine = loaded().await;
+    expect_that!(engine.order(load(4, "other")).await, err(anything()));
+    let config = FakeEngineConfig {
+        fence_enforced: false,
+        ..FakeEngineConfig::default()
+    };
+    let careless = FakeEngine::new(config);
+    careless.order(load(5, "moisture")).await.expect("loads");
+    expect_that!(careless.order(load(4, "other")).await, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn engine_that_dies_restarts_with_empty_memory_as_another_run() {
+    let engine = loaded().await;
+    engine.inject(EngineFault::CrashMidAnswer { tokens: 3 });
+    let stream = engine.start(completion("a", Class::Standard)).await;
+    expect_that!(
+        offsets(stream.expect("starts")).await,
+        eq(&(vec![0, 1, 2], false))
+    );
+    expect_that!(engine.status().await, err(anything()));
+    sleep(Duration::from_secs(1)).await;
+    let status = engine.status().await.expect("is up again");
+    expect_that!(status.engine_run, eq(2));
+    expect_that!(status.replicas, is_empty());
+    expect_that!(engine.resume("a", 3).await, err(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn lost_and_late_orders_take_effect_after_their_client_gave_up() {
+    let engine = FakeEngine::new(FakeEngineConfig::default());
+    engine.inject(EngineFault::LostOrderAnswers { orders: 1 });
+    let lost = engine
+        .order(load(1, "moisture"))
+        .await
+        .expect_err("is lost");
+    expect_that!(lost.kind(), eq(BorderErrorKind::Unknown));
+    expect_that!(engine.report().loads.len(), eq(1));
+
+    engine.inject(EngineFault::LateOrder { delay_ms: 300 });
+    let late = engine.order(load(1, "other")).await.expect_err("is late");
+    expect_that!(late.kind(), eq(BorderErrorKind::Unknown));
+    expect_that!(engine.report().loads.len(), eq(1));
+    sleep(Duration::from_secs(2)).await;
+    expect_that!(engine.report().loads.len(), eq(2));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn cut_stream_resumes_at_its_offset() {
+    let engine = loaded().await;
+    let mut stream = engine
+        .start(completion("a", Class::Standard))
+        .await
+        .expect("starts");
+    expect_that!(stream.recv().await, some(anything()));
+    engine.inject(EngineFault::CutStreams);
+    let (rest, whole) = offsets(stream).await;
+    expect_that!(whole, is_false());
+    let next = 1 + rest.len() as u64;
+    let resumed = engine.resume("a", next).await.expect("is known");
+    expect_that!(offsets(resumed).await, eq(&((next..8).collect(), true)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn batch_gives_its_slots_by_class() {
+    let config = FakeEngineConfig {
+        batch_slots: 1,
+        ..FakeEngineConfig::default()
+    };
+    let engine = FakeEngine::new(config);
+    engine.order(load(1, "moisture")).await.expect("loads");
+    let first = engine
+        .start(completion("a", Class::Batch))
+        .await
+        .expect("starts");
+    let batch = engine
+        .start(completion("b", Class::Batch))
+        .await
+        .expect("queues");
+    let urgent = engine
+        .start(completion("c", Class::Interactive))
+        .await
+        .expect("queues");
+    offsets(first).await;
+    let start = Instant::now();
+    offsets(urgent).await;
+    let urgent_ms = start.elapsed().as_millis();
+    offsets(batch).await;
+    expect_that!(start.elapsed().as_millis(), gt(urgent_ms));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn service_counts_runs_also_of_calls_whose_answer_is_lost() {
+    let service = FakeService::new(5);
+    let call = || ServiceCall {
+        application: "libro-socios".into(),
+        method: "POST".into(),
+        path: "/payouts".into(),
+        content_type: "".into(),
+        body_base64: "eA==".into(),
+        idempotent: false,
+    };
+    service.inject(ServiceFault::DiesBefore);
+    expect_that!(service.call(call()).await, err(anything()));
+    expect_that!(service.runs(), is_empty());
+    service.inject(ServiceFault::LostAnswer);
+    expect_that!(service.call(call()).await, err(anything()));
+    expect_that!(service.runs().values().sum::<u32>(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn table_applies_unanswered_commits_and_drops_lost_ones() {
+    let table = FakeTable::new();
+    let write = |key: &str| Transaction {
+        id: key.into(),
+        checks: Vec::new(),
+        writes: vec![Write {
+            key: key.into(),
+            value: Some("x".into()),
+        }],
+    };
+    table.set_fault(TableFault::UnansweredPrefix {
+        prefix: "claim/".into(),
+    });
+    expect_that!(table.commit(write("claim/a")).await, err(anything()));
+    expect_that!(table.commit(write("other/a")).await, ok(anything()));
+    expect_that!(table.get("claim/a").await, ok(some(anything())));
+    table.set_fault(TableFault::LostNext { commits: 1 });
+    expect_that!(table.commit(write("claim/b")).await, err(anything()));
+    expect_that!(table.get("claim/b").await, ok(none()));
+    expect_that!(table.commit(write("claim/b")).await, ok(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn weight_store_slows_down_beyond_its_limits() {
+    let store = Arc::new(FakeWeightStore::new());
+    let start = Instant::now();
+    let fetches = (0..60).map(|_| {
+        let store = Arc::clone(&store);
+        tokio::spawn(async move { store.fetch(FetchKind::Adapter, 10).await })
+    });
+    for fetch in fetches.collect::<Vec<_>>() {
+        fetch.await.expect("no panic");
+    }
+    expect_that!(start.elapsed().as_millis(), ge(20));
+
+    let start = Instant::now();
+    let loads = (0..8).map(|_| {
+        let store = Arc::clone(&store);
+        tokio::spawn(async move { store.fetch(FetchKind::Model, 100).await })
+    });
+    for load in loads.collect::<Vec<_>>() {
+        load.await.expect("no panic");
+    }
+    // Four start at once, the others a quarter of a second apart.
+    expect_that!(start.elapsed().as_millis(), ge(1_100));
+}
