Routers and agents start without sockets

Cause: the in-memory harness needs real loops and real handlers within one process and virtual time.

Ruled out: copying the wiring of serve() into the test bed, which would stand twice.

Change: RouterParts::start and AgentParts::start wire a loop, its tasks and its handlers; serve() adds sockets and signals. No type or trait changed.

Conclusion: whoever adds a handler adds it to the parts.

--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -8,28 +8,20 @@
 pub mod event;
 pub mod handle;
 pub mod main_loop;
+pub mod parts;
 pub mod work_api;
 
 mod control_api;
 mod endpoint_task;
 mod health_api;
 
-use std::sync::Arc;
-
 use chicorystage_platform::http::HttpServer;
-use tokio::sync::mpsc;
 
 use crate::agent::borders::AgentBorders;
-use crate::agent::handle::AgentHandle;
-use crate::agent::health_api::HealthApi;
-use crate::agent::main_loop::AgentLoop;
-use crate::agent::work_api::WorkApi;
+use crate::agent::parts::AgentParts;
 use crate::settings::{AgentSettings, Settings};
 use crate::timer::Clock;
 
-/// Events that wait for the loop at once.
-const EVENTS_BUFFERED: usize = 4_096;
-
 /// Runs an agent until it is told to stop.
 ///
 /// # Errors
@@ -45,19 +37,15 @@
         "agent started"
     );
 
-    let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
-    let handle = AgentHandle::new(sender);
-    let main_loop = AgentLoop::new(settings.daemon, role, borders, handle.clone(), clock);
-    let running = tokio::spawn(main_loop.run(events));
-
-    let internal = internal_server.start(Arc::new(WorkApi::new(handle.clone())));
-    let health = health_server.start(Arc::new(HealthApi::new(handle.clone())));
+    let parts = AgentParts::start(settings.daemon, role, borders, clock);
+    let internal = internal_server.start(parts.internal_api);
+    let health = health_server.start(parts.health_api);
 
     crate::stop::signalled().await;
     log::info!(event = "agent_stopping"; "agent is leaving");
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    running.abort();
+    parts.running.abort();
     log::info!(event = "agent_stopped"; "agent stopped");
     Ok(())
 }
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -11,30 +11,20 @@
 pub mod event;
 pub mod handle;
 pub mod main_loop;
+pub mod parts;
 pub mod placing;
 pub mod refresh;
 
 mod health_api;
 mod internal_api;
 
-use std::sync::Arc;
-
 use chicorystage_platform::http::HttpServer;
-use tokio::sync::mpsc;
 
-use crate::router::admin_api::AdminApi;
 use crate::router::borders::RouterBorders;
-use crate::router::caller_api::CallerApi;
-use crate::router::handle::RouterHandle;
-use crate::router::health_api::HealthApi;
-use crate::router::internal_api::InternalApi;
-use crate::router::main_loop::RouterLoop;
+use crate::router::parts::RouterParts;
 use crate::settings::{RouterSettings, Settings};
 use crate::timer::Clock;
 
-/// Events that wait for the loop at once.
-const EVENTS_BUFFERED: usize = 4_096;
-
 /// Runs a router until it is told to stop.
 ///
 /// # Errors
@@ -52,23 +42,11 @@
         "router started"
     );
 
-    let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
-    let handle = RouterHandle::new(sender);
-    refresh::spawn(&borders, &handle, clock);
-    let main_loop = RouterLoop::new(
-        settings.daemon,
-        role.clone(),
-        borders.clone(),
-        handle.clone(),
-        clock,
-    );
-    let running = tokio::spawn(main_loop.run(events));
-
-    let caller_api = CallerApi::new(handle.clone(), borders.clone(), clock);
-    let callers = caller_server.start(Arc::new(caller_api));
-    let admins = admin_server.start(Arc::new(AdminApi::new(handle.clone(), borders, role)));
-    let internal = internal_server.start(Arc::new(InternalApi::new(handle.clone())));
-    let health = health_server.start(Arc::new(HealthApi::new(handle.clone())));
+    let parts = RouterParts::start(settings.daemon, role, borders, clock);
+    let callers = caller_server.start(parts.caller_api);
+    let admins = admin_server.start(parts.admin_api);
+    let internal = internal_server.start(parts.internal_api);
+    let health = health_server.start(parts.health_api);
 
     crate::stop::signalled().await;
     log::info!(event = "router_stopping"; "router is leaving");
@@ -76,8 +54,8 @@
     admins.stop_gracefully().await;
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    drop(handle);
-    running.abort();
+    drop(parts.handle);
+    parts.running.abort();
     log::info!(event = "router_stopped"; "router stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -0,0 +1,77 @@
+//! A router without its sockets.
+
+use std::fmt;
+use std::sync::Arc;
+
+use chicorystage_platform::http::Handler;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::router::admin_api::AdminApi;
+use crate::router::borders::RouterBorders;
+use crate::router::caller_api::CallerApi;
+use crate::router::handle::RouterHandle;
+use crate::router::health_api::HealthApi;
+use crate::router::internal_api::InternalApi;
+use crate::router::main_loop::RouterLoop;
+use crate::router::refresh;
+use crate::settings::{DaemonSettings, RouterSettings};
+use crate::timer::Clock;
+
+/// Events that wait for the loop at once.
+const EVENTS_BUFFERED: usize = 4_096;
+
+/// A running router and the handlers of its four addresses.
+pub struct RouterParts {
+    /// Access to the main loop.
+    pub handle: RouterHandle,
+    /// Answers callers.
+    pub caller_api: Arc<dyn Handler>,
+    /// Answers operators.
+    pub admin_api: Arc<dyn Handler>,
+    /// Answers the system's own processes.
+    pub internal_api: Arc<dyn Handler>,
+    /// Answers health checks.
+    pub health_api: Arc<dyn Handler>,
+    /// The main loop.
+    pub running: JoinHandle<()>,
+}
+
+impl RouterParts {
+    /// Starts a router's loop and tasks within the current runtime.
+    #[must_use]
+    pub fn start(
+        daemon: DaemonSettings,
+        settings: RouterSettings,
+        borders: RouterBorders,
+        clock: Clock,
+    ) -> Self {
+        let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
+        let handle = RouterHandle::new(sender);
+        refresh::spawn(&borders, &handle, clock);
+        let main_loop = RouterLoop::new(
+            daemon,
+            settings.clone(),
+            borders.clone(),
+            handle.clone(),
+            clock,
+        );
+        let running = tokio::spawn(main_loop.run(events));
+        let caller_api = CallerApi::new(handle.clone(), borders.clone(), clock);
+        let admin_api = AdminApi::new(handle.clone(), borders, settings);
+        Self {
+            caller_api: Arc::new(caller_api),
+            admin_api: Arc::new(admin_api),
+            internal_api: Arc::new(InternalApi::new(handle.clone())),
+            health_api: Arc::new(HealthApi::new(handle.clone())),
+            handle,
+            running,
+        }
+    }
+}
+
+impl fmt::Debug for RouterParts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RouterParts").finish_non_exhaustive()
+    }
+}
