Harness of real loops in one process

Cause: failures between processes must be caused at will, in virtual time and from a seed, at the level of the real loops and handlers.

Ruled out: links on the loops' channels, which would skip the codecs, the heartbeats and the control API; one runtime a process, whose paused clocks would run apart.

Change: HTTP over in-memory pipes to the handlers of RouterParts and AgentParts; MemoryAgentLink and MemoryRouterLink with refused connections, lost responses, cut, silent and delayed streams; a gate a process for pause, death and the loss of the table; callers' requests and answers as types.

Before and after: crates/chicorystage-testbed/tests/harness.rs, 4 passed; streams_survive_cut_and_silent_connections is red when the router's resume in caller_api/conversation.rs is replaced by a refusal.

Conclusion: new handlers and control methods need no change here.

--- /dev/null
+++ b/crates/chicorystage-testbed/src/calls/mod.rs
@@ -0,0 +1,9 @@
+//! What callers and operators send, and what they get.
+
+mod caller_answer;
+mod caller_request;
+mod send;
+
+pub use caller_answer::CallerAnswer;
+pub use caller_request::CallerRequest;
+pub use send::{SendError, send};
--- /dev/null
+++ b/crates/chicorystage-testbed/src/harness/exchange.rs
@@ -0,0 +1,57 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chicorystage_platform::http::Handler;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
+use hyper::server::conn::http1 as server;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::io::DuplexStream;
+
+use crate::harness::gate::VmGate;
+
+/// Bytes that wait in a pipe.
+const PIPE_BYTES: usize = 64 << 10;
+
+/// Opens a connection to a handler; it is cut when the handler's process dies.
+pub(super) fn connect(handler: Arc<dyn Handler>, gate: VmGate) -> DuplexStream {
+    let (near, far) = tokio::io::duplex(PIPE_BYTES);
+    let entry = gate.clone();
+    let answer = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        let gate = entry.clone();
+        async move {
+            gate.pass().await;
+            let response = handler.handle(request).await;
+            gate.pass().await;
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = server::Builder::new().serve_connection(TokioIo::new(far), answer);
+    tokio::spawn(async move {
+        tokio::select! {
+            _closed = connection => {}
+            () = gate.died() => {}
+        }
+    });
+    near
+}
+
+/// Sends one request on a connection of its own.
+pub(super) async fn exchange(
+    handler: Arc<dyn Handler>,
+    gate: VmGate,
+    request: Request<Full<Bytes>>,
+) -> hyper::Result<Response<Incoming>> {
+    let connection = connect(handler, gate);
+    let (mut sender, connection) = client::handshake(TokioIo::new(connection)).await?;
+    tokio::spawn(async move {
+        // A failed connection shows at the response.
+        let _closed = connection.await;
+    });
+    sender.send_request(request).await
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/harness/gated_engine.rs
@@ -0,0 +1,64 @@
+use chicorystage_platform::engine::{
+    CacheEvent, CompletionStart, Engine, EngineStatus, EngineStream, LoadReport, Order,
+};
+use chicorystage_platform::{BorderError, BoxFuture};
+
+use crate::fakes::FakeEngine;
+use crate::harness::gate::VmGate;
+
+/// An engine as its agent reaches it.
+#[derive(Clone, Debug)]
+pub(super) struct GatedEngine {
+    pub(super) gate: VmGate,
+    pub(super) engine: FakeEngine,
+}
+
+impl GatedEngine {
+    async fn pass<T>(&self, call: impl Future<Output = T>) -> T {
+        self.gate.pass().await;
+        let result = call.await;
+        self.gate.pass().await;
+        result
+    }
+}
+
+impl Engine for GatedEngine {
+    fn status(&self) -> BoxFuture<'_, Result<EngineStatus, BorderError>> {
+        Box::pin(self.pass(self.engine.status()))
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, Result<(), BorderError>> {
+        // The fake sends an order when it is called, so the gate comes first.
+        Box::pin(async move {
+            self.gate.pass().await;
+            self.pass(self.engine.order(order)).await
+        })
+    }
+
+    fn start(&self, start: CompletionStart) -> BoxFuture<'_, Result<EngineStream, BorderError>> {
+        Box::pin(self.pass(self.engine.start(start)))
+    }
+
+    fn resume<'a>(
+        &'a self,
+        stream_id: &'a str,
+        offset_tokens: u64,
+    ) -> BoxFuture<'a, Result<EngineStream, BorderError>> {
+        Box::pin(self.pass(self.engine.resume(stream_id, offset_tokens)))
+    }
+
+    fn cancel<'a>(&'a self, stream_id: &'a str) -> BoxFuture<'a, Result<(), BorderError>> {
+        Box::pin(self.pass(self.engine.cancel(stream_id)))
+    }
+
+    fn load_report(&self) -> BoxFuture<'_, Result<LoadReport, BorderError>> {
+        Box::pin(self.pass(self.engine.load_report()))
+    }
+
+    fn cache_events(
+        &self,
+        after_sequence: u64,
+    ) -> BoxFuture<'_, Result<Vec<CacheEvent>, BorderError>> {
+        Box::pin(self.pass(self.engine.cache_events(after_sequence)))
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/harness/gated_service.rs
@@ -0,0 +1,31 @@
+use chicorystage_api::work::ServiceCall;
+use chicorystage_platform::service::{Service, ServiceReply};
+use chicorystage_platform::{BorderError, BoxFuture};
+
+use crate::fakes::FakeService;
+use crate::harness::gate::VmGate;
+
+/// A plain service as its agent reaches it.
+#[derive(Clone, Debug)]
+pub(super) struct GatedService {
+    pub(super) gate: VmGate,
+    pub(super) service: FakeService,
+}
+
+impl Service for GatedService {
+    fn call(&self, call: ServiceCall) -> BoxFuture<'_, Result<ServiceReply, BorderError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            let reply = self.service.call(call).await;
+            self.gate.pass().await;
+            reply
+        })
+    }
+
+    fn probe(&self) -> BoxFuture<'_, Result<(), BorderError>> {
+        Box::pin(async move {
+            self.gate.pass().await;
+            self.service.probe().await
+        })
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/harness/network.rs
@@ -0,0 +1,267 @@
+use std::collections::HashMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use bytes::Bytes;
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::RPC_PATH;
+use chicorystage_platform::http::{Handler, JsonLines};
+use chicorystage_platform::link::FrameStream;
+use chicorystage_platform::{BorderError, BorderErrorKind};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+use crate::harness::exchange::exchange;
+use crate::harness::gate::VmGate;
+use crate::harness::link_faults::LinkFaults;
+
+const PERCENT: u32 = 100;
+/// Frames after which a stream that is to break breaks, at most.
+const FRAMES_BEFORE_BREAK_MAX: u32 = 8;
+/// Frames buffered ahead of their reader.
+const FRAMES_BUFFERED: usize = 64;
+
+/// The links between all processes of a harness.
+pub struct Network {
+    state: Mutex<State>,
+}
+
+struct State {
+    rng: StdRng,
+    processes: HashMap<SocketAddr, Peer>,
+    faults: HashMap<(VmId, SocketAddr), LinkFaults>,
+    faults_default: LinkFaults,
+}
+
+#[derive(Clone)]
+struct Peer {
+    handler: Arc<dyn Handler>,
+    gate: VmGate,
+}
+
+/// One process's way to another.
+#[derive(Clone, Debug)]
+pub(super) struct Route {
+    pub(super) from: VmId,
+    pub(super) gate: VmGate,
+    pub(super) to: SocketAddr,
+}
+
+/// How a stream ends before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Break {
+    Never,
+    Cut { after_frames: u32 },
+    Silent { after_frames: u32 },
+}
+
+impl Network {
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                rng: StdRng::seed_from_u64(seed),
+                processes: HashMap::new(),
+                faults: HashMap::new(),
+                faults_default: LinkFaults::default(),
+            }),
+        }
+    }
+
+    /// Sets what goes wrong on every way that has no faults of its own.
+    pub fn set_faults_default(&self, faults: LinkFaults) {
+        self.lock().faults_default = faults;
+    }
+
+    /// Sets what goes wrong on the way from one VM to an address.
+    pub fn set_faults(&self, from: &VmId, to: SocketAddr, faults: LinkFaults) {
+        self.lock().faults.insert((from.clone(), to), faults);
+    }
+
+    pub(super) fn put(&self, address: SocketAddr, handler: Arc<dyn Handler>, gate: VmGate) {
+        self.lock()
+            .processes
+            .insert(address, Peer { handler, gate });
+    }
+
+    pub(super) fn remove(&self, address: SocketAddr) {
+        self.lock().processes.remove(&address);
+    }
+
+    /// Sends one request and returns once the response head came.
+    pub(super) async fn request(
+        &self,
+        route: &Route,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<Response<Incoming>, BorderError> {
+        route.gate.pass().await;
+        let faults = self.faults(route);
+        let Some(peer) = self.lock().processes.get(&route.to).cloned() else {
+            return Err(not_delivered(route.to, "nothing listens"));
+        };
+        if faults.cut_off || self.happens(faults.refused_percent) {
+            return Err(not_delivered(route.to, "connection refused"));
+        }
+        self.delay(faults).await;
+        // What was sent is delivered even where the sender gives up.
+        let delivery = tokio::spawn(exchange(peer.handler, peer.gate, request));
+        let limit = Duration::from_millis(timeout_ms);
+        if self.happens(faults.answer_lost_percent) {
+            sleep(limit).await;
+            return Err(unknown(route.to, "no response in time"));
+        }
+        let response = match timeout(limit, delivery).await {
+            Ok(Ok(Ok(response))) => response,
+            Ok(Ok(Err(error))) => return Err(unknown(route.to, &error.to_string())),
+            Ok(Err(error)) => return Err(unknown(route.to, &error.to_string())),
+            Err(_elapsed) => return Err(unknown(route.to, "no response in time")),
+        };
+        self.delay(faults).await;
+        route.gate.pass().await;
+        Ok(response)
+    }
+
+    /// Calls a control method.
+    pub(super) async fn call<T: DeserializeOwned>(
+        &self,
+        route: &Route,
+        method: &str,
+        params: Value,
+        timeout_ms: u64,
+    ) -> Result<T, BorderError> {
+        let body = json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": params });
+        let request = http_request(Method::POST, RPC_PATH, &body);
+        let response = self.request(route, request, timeout_ms).await?;
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| unknown(route.to, &error.to_string()))?;
+        let mut answer: Value = serde_json::from_slice(&body.to_bytes())
+            .map_err(|error| unknown(route.to, &error.to_string()))?;
+        if let Some(error) = answer.get("error") {
+            let detail = format!("{}: {error}", route.to);
+            return Err(BorderError::new(BorderErrorKind::Rejected, detail));
+        }
+        serde_json::from_value(answer["result"].take())
+            .map_err(|error| unknown(route.to, &error.to_string()))
+    }
+
+    /// Opens a stream of frames.
+    pub(super) async fn open(
+        self: &Arc<Self>,
+        route: Route,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<FrameStream, BorderError> {
+        let response = self.request(&route, request, timeout_ms).await?;
+        if response.status() != StatusCode::OK {
+            let detail = format!("{}: status {}", route.to, response.status());
+            return Err(BorderError::new(BorderErrorKind::Rejected, detail));
+        }
+        let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
+        let lines = JsonLines::new(response.into_body());
+        let network = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = network.forward(&route, lines, &sender) => {}
+                () = sender.closed() => {}
+            }
+        });
+        Ok(receiver)
+    }
+
+    async fn forward(
+        &self,
+        route: &Route,
+        mut lines: JsonLines,
+        sender: &mpsc::Sender<chicorystage_api::work::Frame>,
+    ) {
+        let faults = self.faults(route);
+        let breaks = self.draw_break(faults);
+        let mut frames = 0;
+        while let Ok(Some(frame)) = lines.next().await {
+            match breaks {
+                Break::Cut { after_frames } if frames >= after_frames => return,
+                Break::Silent { after_frames } if frames >= after_frames => {
+                    std::future::pending::<()>().await;
+                }
+                _ => {}
+            }
+            self.delay(faults).await;
+            route.gate.pass().await;
+            if sender.send(frame).await.is_err() {
+                return;
+            }
+            frames += 1;
+        }
+    }
+
+    fn draw_break(&self, faults: LinkFaults) -> Break {
+        let after_frames = self.lock().rng.random_range(0..FRAMES_BEFORE_BREAK_MAX);
+        if self.happens(faults.stream_cut_percent) {
+            return Break::Cut { after_frames };
+        }
+        if self.happens(faults.stream_silent_percent) {
+            return Break::Silent { after_frames };
+        }
+        Break::Never
+    }
+
+    fn faults(&self, route: &Route) -> LinkFaults {
+        let state = self.lock();
+        let own = state.faults.get(&(route.from.clone(), route.to));
+        own.copied().unwrap_or(state.faults_default)
+    }
+
+    fn happens(&self, percent: u32) -> bool {
+        percent > 0 && self.lock().rng.random_range(0..PERCENT) < percent
+    }
+
+    async fn delay(&self, faults: LinkFaults) {
+        if faults.delay_max_ms > 0 {
+            let delay_ms = self.lock().rng.random_range(0..=faults.delay_max_ms);
+            sleep(Duration::from_millis(delay_ms)).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl fmt::Debug for Network {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Network").finish_non_exhaustive()
+    }
+}
+
+pub(super) fn http_request<B: Serialize>(
+    method: Method,
+    path: &str,
+    body: &B,
+) -> Request<Full<Bytes>> {
+    let body = serde_json::to_vec(body).expect("message types serialise to JSON");
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, "localhost")
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .expect("an encoded path is a URI")
+}
+
+fn not_delivered(to: SocketAddr, detail: &str) -> BorderError {
+    BorderError::new(BorderErrorKind::NotDelivered, format!("{to}: {detail}"))
+}
+
+fn unknown(to: SocketAddr, detail: &str) -> BorderError {
+    BorderError::new(BorderErrorKind::Unknown, format!("{to}: {detail}"))
+}
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -5,6 +5,9 @@
 //! * [`fakes`]: the outside world in memory, behind the traits of
 //!   `chicorystage-platform`, with faults.
 //! * [`standin`]: the fakes behind HTTP, as processes.
+//! * [`harness`]: real routers and agents in one process, for tests.
+//! * [`calls`]: what callers and operators send, and what they get.
+//! * [`settings_text`]: settings files of the daemons that are started.
 //! * [`demo`]: the whole system on one machine.
 //!
 //! # Limits
@@ -12,7 +15,10 @@
 //! The fakes model what the brief promises of the outside world and no more.
 //! They are no cluster simulator: time is tokio's, and tests pause it.
 
+pub mod calls;
 pub mod cli;
 pub mod demo;
 pub mod fakes;
+pub mod harness;
+pub mod settings_text;
 pub mod standin;
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/harness.rs
@@ -0,0 +1,156 @@
+//! Real loops joined in memory serve callers, also over links that fail.
+
+use chicorystage_api::inventory::{
+    ApplicationItem, CallerItem, Change, Class, Item, ItemChange, ModelItem, ModelVersion,
+    Operation,
+};
+use chicorystage_core::token;
+use chicorystage_testbed::calls::CallerRequest;
+use chicorystage_testbed::fakes::answer_words;
+use chicorystage_testbed::harness::{Harness, HarnessConfig, LinkFaults, VmCondition};
+use googletest::prelude::*;
+use tokio::time::{Duration, Instant, sleep};
+
+const TOKEN: &str = "caller-token";
+const PROMPT: &str = "is lot 12 dry enough";
+
+fn inventory() -> Change {
+    let model = ModelItem {
+        name: "moisture".into(),
+        owner: "field".into(),
+        group: "colmena-llm".into(),
+        default_version: "v1".into(),
+        versions: vec![ModelVersion {
+            version: "v1".into(),
+            memory_bytes: 8 << 30,
+        }],
+    };
+    let application = ApplicationItem {
+        name: "libro".into(),
+        owner: "ledger".into(),
+        group: "libro-socios".into(),
+        operations: vec![Operation {
+            method: "GET".into(),
+            path_prefix: "/balances".into(),
+            idempotent: true,
+        }],
+    };
+    let caller = CallerItem {
+        name: "field-agents".into(),
+        owner: "field".into(),
+        token_sha256: token::sha256(TOKEN.as_bytes()),
+        class: Class::Interactive,
+        models: vec!["*".into()],
+        applications: vec!["*".into()],
+        rate_per_s: 1_000,
+        burst: 1_000,
+        concurrent_max: 1_000,
+        body_bytes_max: 1 << 20,
+        weight: 1,
+    };
+    let items = [
+        Item::Model(model),
+        Item::Application(application),
+        Item::Caller(caller),
+    ];
+    let items = items.map(|item| ItemChange {
+        key: item.key(),
+        expected_revision: None,
+        item: Some(item),
+    });
+    Change {
+        change_id: "harness".into(),
+        items: items.into(),
+        reason: String::new(),
+    }
+}
+
+async fn started(config: HarnessConfig) -> Harness {
+    let harness = Harness::start(config, "colmena-llm", "libro-socios");
+    sleep(Duration::from_secs(1)).await;
+    harness.apply(&inventory()).await;
+    harness
+}
+
+fn answer(tokens: u32) -> String {
+    answer_words(PROMPT, tokens).concat()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn burst_at_all_routers_loads_once_and_answers_everyone() {
+    let harness = started(HarnessConfig::default()).await;
+    let request = CallerRequest::completion(TOKEN, "moisture", PROMPT, 5);
+    let sends = (0..12).map(|i| harness.send(i % 3, &request));
+    for sent in futures_util::future::join_all(sends).await {
+        expect_that!(sent.expect("answers").text(), eq(&answer(5)));
+    }
+    expect_that!(harness.ledger.highest(&"moisture".into()), eq(1));
+    let balance = CallerRequest::new(
+        http::Method::GET,
+        "/v1/services/libro/balances/7",
+        TOKEN,
+        "",
+    );
+    let balance = harness.send(2, &balance).await.expect("answers");
+    expect_that!(balance.is_served(), is_true());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn streams_survive_cut_and_silent_connections() {
+    for seed in 0..10 {
+        let config = HarnessConfig {
+            seed,
+            ..HarnessConfig::default()
+        };
+        let harness = started(config).await;
+        harness.network.set_faults_default(LinkFaults {
+            stream_cut_percent: 30,
+            stream_silent_percent: 30,
+            delay_max_ms: 20,
+            ..LinkFaults::default()
+        });
+        let request = CallerRequest::streamed(TOKEN, "moisture", PROMPT, 40);
+        let sends = (0..6).map(|i| harness.send(i % 3, &request));
+        for sent in futures_util::future::join_all(sends).await {
+            let sent = sent.expect("answers");
+            expect_that!(sent.is_served(), is_true(), "seed {seed}: {}", sent.body);
+            expect_that!(sent.text(), eq(&answer(40)));
+        }
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn paused_router_answers_once_it_goes_on() {
+    let harness = started(HarnessConfig::default()).await;
+    harness.gate(0).set(VmCondition::Paused);
+    let request = CallerRequest::completion(TOKEN, "moisture", PROMPT, 5);
+    let start = Instant::now();
+    let resume = async {
+        sleep(Duration::from_secs(20)).await;
+        harness.gate(0).set(VmCondition::Running);
+    };
+    let (sent, ()) = tokio::join!(harness.send(0, &request), resume);
+    expect_that!(sent.expect("answers").is_served(), is_true());
+    expect_that!(start.elapsed(), ge(Duration::from_secs(20)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn killed_router_cuts_its_callers_and_serves_after_a_restart() {
+    let mut harness = started(HarnessConfig::default()).await;
+    let request = CallerRequest::streamed(TOKEN, "moisture", PROMPT, 2_000);
+    let kill = async {
+        sleep(Duration::from_secs(2)).await;
+        harness.kill(0);
+    };
+    let (sent, ()) = tokio::join!(harness.send(0, &request), kill);
+    expect_that!(sent.is_ok_and(|answer| answer.is_served()), is_false());
+    harness.restart(0);
+    sleep(Duration::from_secs(5)).await;
+    let request = CallerRequest::completion(TOKEN, "moisture", PROMPT, 5);
+    let sent = harness.send(0, &request).await.expect("answers");
+    expect_that!(sent.text(), eq(&answer(5)));
+}
