Agent decisions: ledger, replicas, fence, slots, queue, attempts, drain

Ruled out: settling a lost load by the next status, since the order may still be on its way; raising the fencing number with each order, since concurrent orders cross and would refuse each other. Change: state machines without clock or I/O in chicorystage-core, not yet used by the daemon. An unanswered order keeps its memory until a status asked for after its longest flight settles it. The gate opens only after an engine shows the new fencing number, or after no earlier order can be in flight. Conclusion: the daemon's loop is wired to them next.

--- /dev/null
+++ b/crates/chicorystage-core/src/fence/gate.rs
@@ -0,0 +1,79 @@
+use crate::fence::{FenceStep, FenceView};
+
+/// Decides when an agent may give orders.
+#[derive(Clone, Debug)]
+pub struct Fence {
+    start_ms: u64,
+    engine_run: Option<u64>,
+    number: u64,
+    open: bool,
+    superseded: bool,
+}
+
+impl Fence {
+    /// Creates the gate of an agent that started at `start_ms`.
+    #[must_use]
+    pub fn new(start_ms: u64) -> Self {
+        Self {
+            start_ms,
+            engine_run: None,
+            number: 0,
+            open: false,
+            superseded: false,
+        }
+    }
+
+    /// Returns the fencing number under which orders may be given now.
+    #[must_use]
+    pub fn number(&self) -> Option<u64> {
+        self.open.then_some(self.number)
+    }
+
+    /// Returns whether a later agent of this VM gives the orders.
+    #[must_use]
+    pub fn is_superseded(&self) -> bool {
+        self.superseded
+    }
+
+    /// Takes in a status of the engine.
+    pub fn on_status(&mut self, view: &FenceView) -> FenceStep {
+        if self.superseded {
+            return FenceStep::Superseded;
+        }
+        if self.engine_run != Some(view.engine_run) {
+            self.restart(view);
+        }
+        if view.fence_enforced && view.fence_highest > self.number {
+            self.open = false;
+            self.superseded = true;
+            return FenceStep::Superseded;
+        }
+        if self.open {
+            return FenceStep::Open(self.number);
+        }
+        // The number is above every earlier one, so only this agent can have raised it.
+        let shown = view.fence_enforced && view.fence_highest == self.number;
+        if shown || self.none_in_flight(view) {
+            self.open = true;
+            return FenceStep::Open(self.number);
+        }
+        if view.fence_enforced {
+            return FenceStep::Raise(self.number);
+        }
+        FenceStep::Wait
+    }
+
+    fn restart(&mut self, view: &FenceView) {
+        self.engine_run = Some(view.engine_run);
+        self.number = view
+            .unix_ms
+            .max(view.fence_highest + 1)
+            .max(self.number + 1);
+        self.open = false;
+    }
+
+    /// Whether the status was asked for when no earlier agent's order could be in flight.
+    fn none_in_flight(&self, view: &FenceView) -> bool {
+        view.begun_ms > self.start_ms.saturating_add(view.order_in_flight_max_ms)
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/ledger/reservations.rs
@@ -0,0 +1,71 @@
+use std::collections::BTreeMap;
+
+use crate::ledger::{Holding, LedgerFull};
+
+/// Reservations of one endpoint's accelerator memory.
+///
+/// A new reservation never exceeds the total. What an engine already holds is
+/// recorded as it is, since refusing to count it would not free it.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    total_bytes: u64,
+    reserved_bytes: u64,
+    holdings: BTreeMap<Holding, u64>,
+}
+
+impl Ledger {
+    /// Sets the endpoint's memory.
+    pub fn set_total(&mut self, total_bytes: u64) {
+        self.total_bytes = total_bytes;
+    }
+
+    /// Returns the endpoint's memory, in bytes.
+    #[must_use]
+    pub fn total_bytes(&self) -> u64 {
+        self.total_bytes
+    }
+
+    /// Returns the memory that is reserved, in bytes.
+    #[must_use]
+    pub fn reserved_bytes(&self) -> u64 {
+        self.reserved_bytes
+    }
+
+    /// Returns the memory that nothing is reserved for, in bytes.
+    #[must_use]
+    pub fn free_bytes(&self) -> u64 {
+        self.total_bytes.saturating_sub(self.reserved_bytes)
+    }
+
+    /// Reserves memory for an order that is about to be given.
+    ///
+    /// # Errors
+    ///
+    /// Reserves nothing where less than that is free.
+    pub fn reserve(&mut self, holding: Holding, wanted_bytes: u64) -> Result<(), LedgerFull> {
+        let free_bytes = self.free_bytes();
+        if wanted_bytes > free_bytes {
+            return Err(LedgerFull {
+                wanted_bytes,
+                free_bytes,
+            });
+        }
+        self.record(holding, wanted_bytes);
+        Ok(())
+    }
+
+    /// Records memory that the engine holds already, even above the total.
+    pub fn record(&mut self, holding: Holding, held_bytes: u64) {
+        let before = self.holdings.insert(holding, held_bytes).unwrap_or(0);
+        self.reserved_bytes = self
+            .reserved_bytes
+            .saturating_sub(before)
+            .saturating_add(held_bytes);
+    }
+
+    /// Gives a reservation up because the engine holds the memory no longer.
+    pub fn release(&mut self, holding: &Holding) {
+        let released = self.holdings.remove(holding).unwrap_or(0);
+        self.reserved_bytes = self.reserved_bytes.saturating_sub(released);
+    }
+}
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,8 +7,15 @@
 //!
 //! # Parts
 //!
+//! * [`attempts`]: recorded frames of attempts, for resuming them.
+//! * [`drain`]: when a leaving agent may exit.
+//! * [`fence`]: when an agent may give orders, and under which number.
 //! * [`inventory`]: the inventory in force and what it allows.
+//! * [`ledger`]: reservations of accelerator memory.
+//! * [`queue`]: attempts that wait, by class, fairness and deadline.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
+//! * [`replicas`]: loads and unloads of one endpoint.
+//! * [`slots`]: the slots that a VM holds.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
 //! # Units of time
@@ -16,6 +23,13 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod attempts;
+pub mod drain;
+pub mod fence;
 pub mod inventory;
+pub mod ledger;
+pub mod queue;
 pub mod rendezvous;
+pub mod replicas;
+pub mod slots;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystage-core/src/replicas/idle.rs
@@ -0,0 +1,61 @@
+//! What runs nothing, for unloading and for the count of idle time.
+
+use std::collections::BTreeMap;
+
+use chicorystage_api::name::{AdapterName, ModelName};
+use chicorystage_api::peer::ReplicaState;
+
+use crate::replicas::{IdleReplica, ReplicaKey, Replicas};
+
+impl Replicas {
+    /// Returns the loaded replicas that run nothing, by key.
+    #[must_use]
+    pub fn idle(&self, now_ms: u64) -> Vec<IdleReplica> {
+        let idle = self.by_key.iter().filter(|(_, replica)| {
+            replica.state() == ReplicaState::Loaded
+                && replica.in_use == 0
+                && !replica.has_adapter_order()
+        });
+        idle.map(|(key, replica)| IdleReplica {
+            key: key.clone(),
+            memory_bytes: replica.memory_bytes,
+            idle_ms: replica.idle_ms(now_ms),
+        })
+        .collect()
+    }
+
+    /// Returns the loaded adapters that run nothing, longest idle first.
+    #[must_use]
+    pub fn idle_adapters(&self) -> Vec<(ReplicaKey, AdapterName)> {
+        let mut idle: Vec<_> = self
+            .by_key
+            .iter()
+            .filter(|(_, replica)| replica.state() == ReplicaState::Loaded)
+            .flat_map(|(key, replica)| {
+                replica
+                    .adapters
+                    .iter()
+                    .map(move |(name, adapter)| (key, name, adapter))
+            })
+            .filter(|(_, _, adapter)| adapter.state() == ReplicaState::Loaded)
+            .filter(|(_, _, adapter)| adapter.in_use == 0)
+            .collect();
+        idle.sort_by_key(|(_, _, adapter)| adapter.idle_since_ms);
+        idle.into_iter()
+            .map(|(key, name, _)| (key.clone(), name.clone()))
+            .collect()
+    }
+
+    /// Returns how long replicas of each model were loaded without work, in milliseconds.
+    #[must_use]
+    pub fn idle_total_ms(&self, now_ms: u64) -> BTreeMap<ModelName, u64> {
+        let mut totals = self.idle_total_ms.clone();
+        for (key, replica) in &self.by_key {
+            let idle_ms = replica.idle_ms(now_ms);
+            if idle_ms > 0 {
+                *totals.entry(key.model.clone()).or_default() += idle_ms;
+            }
+        }
+        totals
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/replicas/part.rs
@@ -0,0 +1,115 @@
+use chicorystage_api::peer::ReplicaState;
+
+use crate::replicas::{ObservedState, OrderEnd};
+
+/// State of one thing in an engine's memory: a replica or an adapter.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Part {
+    state: ReplicaState,
+    order: Option<u64>,
+    last_was_load: bool,
+    changed_ms: u64,
+}
+
+/// What a status or an answer made of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PartNews {
+    Unchanged,
+    Loaded,
+    Gone,
+}
+
+impl Part {
+    /// A part whose load order is about to be given.
+    pub(crate) fn loading(order: u64, now_ms: u64) -> Self {
+        Self {
+            state: ReplicaState::Loading,
+            order: Some(order),
+            last_was_load: true,
+            changed_ms: now_ms,
+        }
+    }
+
+    /// A part that a status shows and nobody here ordered.
+    pub(crate) fn adopted(seen: ObservedState, now_ms: u64) -> Self {
+        let state = match seen {
+            ObservedState::Loaded => ReplicaState::Loaded,
+            ObservedState::Loading | ObservedState::Unloading => ReplicaState::Unsettled,
+        };
+        Self {
+            state,
+            order: None,
+            last_was_load: seen != ObservedState::Unloading,
+            changed_ms: now_ms,
+        }
+    }
+
+    pub(crate) fn state(&self) -> ReplicaState {
+        self.state
+    }
+
+    pub(crate) fn order(&self) -> Option<u64> {
+        self.order
+    }
+
+    pub(crate) fn is_load(&self) -> bool {
+        self.last_was_load
+    }
+
+    pub(crate) fn begin_unload(&mut self, order: u64, now_ms: u64) {
+        self.state = ReplicaState::Unloading;
+        self.order = Some(order);
+        self.last_was_load = false;
+        self.changed_ms = now_ms;
+    }
+
+    /// Takes in the answer of the order in flight.
+    pub(crate) fn end(&mut self, end: OrderEnd, now_ms: u64) -> PartNews {
+        self.order = None;
+        self.changed_ms = now_ms;
+        match (end, self.last_was_load) {
+            (OrderEnd::Done, true) | (OrderEnd::NoEffect, false) => self.set_loaded(),
+            (OrderEnd::Done, false) | (OrderEnd::NoEffect, true) => PartNews::Gone,
+            (OrderEnd::Unknown, _) => {
+                self.state = ReplicaState::Unsettled;
+                PartNews::Unchanged
+            }
+        }
+    }
+
+    /// Takes in a status that was asked for at `begun_ms`.
+    pub(crate) fn observe(
+        &mut self,
+        seen: Option<ObservedState>,
+        begun_ms: u64,
+        order_in_flight_max_ms: u64,
+    ) -> PartNews {
+        if begun_ms <= self.changed_ms {
+            return PartNews::Unchanged;
+        }
+        let none_in_flight = begun_ms > self.changed_ms.saturating_add(order_in_flight_max_ms);
+        match (self.state, seen) {
+            (ReplicaState::Loading, Some(ObservedState::Loaded)) => self.set_loaded(),
+            (ReplicaState::Unloading | ReplicaState::Loaded, None) => PartNews::Gone,
+            (ReplicaState::Loaded, Some(ObservedState::Loading | ObservedState::Unloading)) => {
+                *self = Self::adopted(ObservedState::Unloading, begun_ms);
+                PartNews::Unchanged
+            }
+            (ReplicaState::Unsettled, Some(ObservedState::Loaded))
+                if self.last_was_load || none_in_flight =>
+            {
+                self.set_loaded()
+            }
+            (ReplicaState::Unsettled, None) if !self.last_was_load || none_in_flight => {
+                PartNews::Gone
+            }
+            _ => PartNews::Unchanged,
+        }
+    }
+
+    fn set_loaded(&mut self) -> PartNews {
+        self.state = ReplicaState::Loaded;
+        self.order = None;
+        PartNews::Loaded
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/replicas/reconcile.rs
@@ -0,0 +1,98 @@
+//! Comparison of what was ordered with what the engine says it holds.
+
+use chicorystage_api::name::AdapterName;
+use chicorystage_api::peer::ReplicaState;
+
+use crate::ledger::Holding;
+use crate::replicas::part::{Part, PartNews};
+use crate::replicas::{
+    Adapter, ObservedAdapter, ObservedReplica, ObservedState, Replica, ReplicaKey, Replicas,
+};
+
+impl Replicas {
+    /// Compares with a status that was asked for at `begun_ms`.
+    ///
+    /// Replicas that nobody here ordered are reserved as they are.
+    pub fn reconcile(
+        &mut self,
+        total_bytes: u64,
+        seen: &[ObservedReplica],
+        begun_ms: u64,
+        order_in_flight_max_ms: u64,
+    ) {
+        self.ledger.set_total(total_bytes);
+        let keys: Vec<ReplicaKey> = self.by_key.keys().cloned().collect();
+        for key in keys {
+            let found = seen.iter().find(|replica| replica.key == key);
+            self.observe(&key, found, begun_ms, order_in_flight_max_ms);
+        }
+        for found in seen {
+            self.adopt(found, begun_ms);
+        }
+        self.gone_ms.retain(|_, gone_ms| *gone_ms >= begun_ms);
+    }
+
+    fn observe(
+        &mut self,
+        key: &ReplicaKey,
+        found: Option<&ObservedReplica>,
+        begun_ms: u64,
+        order_in_flight_max_ms: u64,
+    ) {
+        let adapters: Vec<AdapterName> = match self.by_key.get(key) {
+            Some(replica) => replica.adapters.keys().cloned().collect(),
+            None => return,
+        };
+        for name in adapters {
+            let seen = found
+                .is_some_and(|found| found.adapters.iter().any(|seen| seen.name == name))
+                .then_some(ObservedState::Loaded);
+            let news = self.part_mut(key, Some(&name)).map(|part| {
+                // The engine shows an adapter while it is being loaded, too.
+                let seen = seen.filter(|_| part.state() != ReplicaState::Loading);
+                part.observe(seen, begun_ms, order_in_flight_max_ms)
+            });
+            let news = news.unwrap_or(PartNews::Unchanged);
+            self.take_news(key, Some(&name), news, begun_ms);
+        }
+        let seen = found.map(|found| found.state);
+        let news = self
+            .part_mut(key, None)
+            .map(|part| part.observe(seen, begun_ms, order_in_flight_max_ms));
+        self.take_news(key, None, news.unwrap_or(PartNews::Unchanged), begun_ms);
+    }
+
+    fn adopt(&mut self, found: &ObservedReplica, begun_ms: u64) {
+        let gone_later = self
+            .gone_ms
+            .get(&found.key)
+            .is_some_and(|gone_ms| *gone_ms >= begun_ms);
+        if gone_later {
+            return;
+        }
+        if !self.by_key.contains_key(&found.key) {
+            let part = Part::adopted(found.state, begun_ms);
+            let serial = self.next_order();
+            let replica = Replica::new(part, found.memory_bytes, serial, begun_ms);
+            self.by_key.insert(found.key.clone(), replica);
+            self.ledger
+                .record(Holding::replica(&found.key), found.memory_bytes);
+        }
+        for adapter in &found.adapters {
+            self.adopt_adapter(&found.key, adapter, begun_ms);
+        }
+    }
+
+    fn adopt_adapter(&mut self, key: &ReplicaKey, found: &ObservedAdapter, begun_ms: u64) {
+        let Some(replica) = self.by_key.get_mut(key) else {
+            return;
+        };
+        if begun_ms <= replica.adapter_gone_ms || replica.adapters.contains_key(&found.name) {
+            return;
+        }
+        let adopted = Adapter::new(Part::adopted(ObservedState::Loaded, begun_ms), begun_ms);
+        replica.adapters.insert(found.name.clone(), adopted);
+        self.ledger
+            .record(Holding::adapter(key, &found.name), found.memory_bytes);
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/tests/world/agent.rs
@@ -0,0 +1,128 @@
+use chicorystage_api::name::{AdapterName, ModelName, VmId};
+use chicorystage_api::peer::{PlacementAck, PlacementRow};
+use chicorystage_core::fence::{Fence, FenceStep};
+use chicorystage_core::replicas::{OrderEnd, ReplicaKey, Replicas};
+use chicorystage_core::slots::{Slots, Standing};
+
+use crate::world::engine::{Engine, IN_FLIGHT_MAX_MS, Kind, Sent};
+use crate::world::status::Status;
+
+/// The state machines of one agent, wired as the daemon wires them.
+#[derive(Debug)]
+pub struct Agent {
+    pub incarnation: u64,
+    pub fence: Fence,
+    pub slots: Slots,
+    pub replicas: Replicas,
+}
+
+impl Agent {
+    pub fn start(vm: VmId, incarnation: u64, now_ms: u64) -> Self {
+        Self {
+            slots: Slots::new(vm),
+            incarnation,
+            fence: Fence::new(now_ms),
+            replicas: Replicas::default(),
+        }
+    }
+
+    /// Takes in a status that may be out of date by now.
+    pub fn take_status(&mut self, engine: &mut Engine, status: &Status, arrives_ms: u64) {
+        let step = self.fence.on_status(&status.view);
+        self.replicas.reconcile(
+            engine.total_bytes,
+            &status.observed,
+            status.view.begun_ms,
+            IN_FLIGHT_MAX_MS,
+        );
+        if let FenceStep::Raise(number) = step {
+            self.send(engine, 0, number, arrives_ms, Kind::Fence);
+        }
+    }
+
+    pub fn want(&mut self, engine: &mut Engine, key: &ReplicaKey, now_ms: u64, delay_ms: u64) {
+        let Some(number) = self.fence.number() else {
+            return;
+        };
+        if self.slots.standing(&key.model) != Standing::Held {
+            return;
+        }
+        let bytes = memory_bytes(key);
+        if let Ok(order) = self.replicas.begin_load(key, bytes, now_ms) {
+            let kind = Kind::Load(key.clone(), bytes);
+            self.send(engine, order, number, now_ms + delay_ms, kind);
+        }
+    }
+
+    pub fn want_adapter(
+        &mut self,
+        engine: &mut Engine,
+        key: &ReplicaKey,
+        now_ms: u64,
+        delay_ms: u64,
+    ) {
+        let Some(number) = self.fence.number() else {
+            return;
+        };
+        let begun = self
+            .replicas
+            .begin_adapter_load(key, &adapter(), ADAPTER_BYTES, now_ms);
+        if let Ok(order) = begun {
+            let kind = Kind::LoadAdapter(key.clone(), ADAPTER_BYTES);
+            self.send(engine, order, number, now_ms + delay_ms, kind);
+        }
+    }
+
+    pub fn unload(&mut self, engine: &mut Engine, key: &ReplicaKey, now_ms: u64, delay_ms: u64) {
+        let Some(number) = self.fence.number() else {
+            return;
+        };
+        if let Ok(order) = self.replicas.begin_unload(key, now_ms) {
+            let kind = Kind::Unload(key.clone());
+            self.send(engine, order, number, now_ms + delay_ms, kind);
+        }
+    }
+
+    pub fn push(&mut self, row_version: u64, row: &PlacementRow) -> PlacementAck {
+        self.slots.push(row_version, row);
+        self.ack(&row.model)
+    }
+
+    pub fn ack(&self, model: &ModelName) -> PlacementAck {
+        let is_rebuilt = self.fence.number().is_some();
+        let is_unloaded = is_rebuilt && self.replicas.of_model(model).next().is_none();
+        self.slots.ack(model, is_unloaded)
+    }
+
+    pub fn answered(&mut self, sent: &Sent, end: OrderEnd, now_ms: u64) {
+        if sent.incarnation == self.incarnation {
+            self.replicas.end_order(sent.order, end, now_ms);
+        }
+    }
+
+    fn send(&self, engine: &mut Engine, order: u64, fence: u64, arrives_ms: u64, kind: Kind) {
+        engine.on_the_way.push(Sent {
+            order,
+            incarnation: self.incarnation,
+            fence,
+            arrives_ms,
+            kind,
+        });
+    }
+}
+
+/// Memory of the adapter, in bytes.
+const ADAPTER_BYTES: u64 = 15;
+
+fn adapter() -> AdapterName {
+    "tone".into()
+}
+
+/// Memory of a replica, in bytes: any two fill an engine of 100.
+fn memory_bytes(key: &ReplicaKey) -> u64 {
+    match key.model.as_str() {
+        "m0" => 55,
+        "m1" => 45,
+        _ => 40,
+    }
+}
