Placement, planner and permit decisions as pure machines

Cause: the thin path decides only a model's first slot and paces no loads.

Ruled out: leases on slots (a paused holder does not know that its lease lapsed); a cap taken from the planner's memory (two planners with different inventories could each add); trusting one absence from the lagging list of VMs (a list too old to name a new VM looks the same).

Change: core::placement proposes the next row (choice of VM, cap, moves with an acknowledged release), core::planner carries one decision through read and conditional write and settles lost answers by reading, core::permit orders and paces fetches. The write is conditional on the rows of the cap too.

Red when, each seen with the guard removed: placement/release.rs: row version condition -> placement_schedules; placement/next_row.rs: slots below the cap -> placement_schedules. The wait for VMs that were never listed is held by a_vm_that_was_never_listed_is_not_soon_gone only; the schedules do not reach it.

--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -8,6 +8,9 @@
 //! # Parts
 //!
 //! * [`inventory`]: the inventory in force and what it allows.
+//! * [`permit`]: pacing of fetches from the weight store.
+//! * [`placement`]: which VMs may load a model, and how slots move.
+//! * [`planner`]: one decision about slots, carried through the table.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
@@ -17,5 +20,8 @@
 //! differences of it mean anything.
 
 pub mod inventory;
+pub mod permit;
+pub mod placement;
+pub mod planner;
 pub mod rendezvous;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystage-core/src/permit/permit_desk.rs
@@ -0,0 +1,206 @@
+use std::collections::HashMap;
+
+use chicorystage_api::inventory::Class;
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{PermitKind, PermitRequest};
+
+use crate::permit::PermitLimits;
+use crate::permit::start_pace::StartPace;
+
+/// Time after which a permit lapses, in milliseconds.
+const MODEL_PERMIT_MS: u64 = 120_000;
+/// Time after which an adapter's permit lapses, in milliseconds.
+const ADAPTER_PERMIT_MS: u64 = 5_000;
+/// Delay between two polls of one that waits for a model load, in milliseconds.
+const MODEL_RETRY_MS: u64 = 100;
+/// Delay between two polls of one that waits for an adapter, in milliseconds.
+const ADAPTER_RETRY_MS: u64 = 5;
+/// Polls that a waiting request may miss before it is forgotten.
+const MISSED_POLLS_MAX: u64 = 4;
+
+/// Who asks: a VM and the number that it chose.
+type Asker = (VmId, u64);
+
+/// Hands out permits to fetch weights.
+///
+/// A poll costs one pass over those that wait for the same kind.
+#[derive(Clone, Debug, Default)]
+pub struct PermitDesk {
+    granted: HashMap<u64, Granted>,
+    waiting: HashMap<Asker, Waiting>,
+    pace: StartPace,
+    last_id: u64,
+}
+
+/// Decision about one poll.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitDecision {
+    /// The fetch may start.
+    Granted {
+        /// Identity for the release.
+        permit_id: u64,
+        /// Time after which the permit lapses, in milliseconds.
+        expires_in_ms: u64,
+    },
+    /// The asker should poll again.
+    Wait {
+        /// Delay before the next poll, in milliseconds.
+        retry_in_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Granted {
+    asker: Asker,
+    kind: PermitKind,
+    expires_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    kind: PermitKind,
+    class: Class,
+    deadline_ms: u64,
+    since_ms: u64,
+    polled_ms: u64,
+}
+
+impl PermitDesk {
+    /// Creates a desk whose permit identities follow `first_id`.
+    ///
+    /// A random start keeps a release meant for an earlier holder from
+    /// matching a permit of this one.
+    #[must_use]
+    pub fn new(first_id: u64) -> Self {
+        Self {
+            last_id: first_id,
+            ..Self::default()
+        }
+    }
+
+    /// Takes one poll.
+    pub fn acquire(
+        &mut self,
+        request: &PermitRequest,
+        limits: PermitLimits,
+        now_ms: u64,
+    ) -> PermitDecision {
+        self.expire(now_ms);
+        let asker = (request.vm.clone(), request.ticket);
+        if let Some(known) = self.permit_of(&asker, now_ms) {
+            return known;
+        }
+        self.note_waiting(&asker, request, now_ms);
+        let free = self.free(request.kind, limits, now_ms);
+        if self.ahead_of(&asker) >= free {
+            return PermitDecision::Wait {
+                retry_in_ms: retry_ms(request.kind),
+            };
+        }
+        if request.kind == PermitKind::Model {
+            self.pace.note(now_ms);
+        }
+        self.waiting.remove(&asker);
+        self.grant(asker, request.kind, now_ms)
+    }
+
+    /// Takes a permit back; an unknown one is ignored.
+    pub fn release(&mut self, permit_id: u64) {
+        self.granted.remove(&permit_id);
+    }
+
+    /// Returns how many permits of a kind are out.
+    #[must_use]
+    pub fn outstanding(&self, kind: PermitKind) -> usize {
+        self.granted
+            .values()
+            .filter(|granted| granted.kind == kind)
+            .count()
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.granted
+            .retain(|_, granted| granted.expires_ms > now_ms);
+        self.waiting.retain(|_, waiting| {
+            waiting.polled_ms + MISSED_POLLS_MAX * retry_ms(waiting.kind) > now_ms
+        });
+    }
+
+    fn permit_of(&self, asker: &Asker, now_ms: u64) -> Option<PermitDecision> {
+        let (id, granted) = self
+            .granted
+            .iter()
+            .find(|(_, granted)| granted.asker == *asker)?;
+        Some(PermitDecision::Granted {
+            permit_id: *id,
+            expires_in_ms: granted.expires_ms - now_ms,
+        })
+    }
+
+    fn note_waiting(&mut self, asker: &Asker, request: &PermitRequest, now_ms: u64) {
+        let entry = self.waiting.entry(asker.clone()).or_insert(Waiting {
+            kind: request.kind,
+            class: request.class,
+            deadline_ms: 0,
+            since_ms: now_ms,
+            polled_ms: now_ms,
+        });
+        entry.class = request.class;
+        entry.deadline_ms = now_ms.saturating_add(request.time_left_ms);
+        entry.polled_ms = now_ms;
+    }
+
+    fn free(&mut self, kind: PermitKind, limits: PermitLimits, now_ms: u64) -> usize {
+        let free = limits
+            .concurrent_max(kind)
+            .saturating_sub(self.outstanding(kind));
+        match kind {
+            PermitKind::Model => free.min(self.pace.left(limits.loads_per_s_max, now_ms)),
+            PermitKind::Adapter => free,
+        }
+    }
+
+    fn ahead_of(&self, asker: &Asker) -> usize {
+        let Some(own) = self.waiting.get(asker) else {
+            return 0;
+        };
+        let rank = |asker: &Asker, entry: &Waiting| {
+            (
+                entry.class,
+                entry.deadline_ms,
+                entry.since_ms,
+                asker.clone(),
+            )
+        };
+        let own_rank = rank(asker, own);
+        self.waiting
+            .iter()
+            .filter(|(other, entry)| entry.kind == own.kind && rank(other, entry) < own_rank)
+            .count()
+    }
+
+    fn grant(&mut self, asker: Asker, kind: PermitKind, now_ms: u64) -> PermitDecision {
+        self.last_id = self.last_id.wrapping_add(1);
+        let expires_in_ms = match kind {
+            PermitKind::Model => MODEL_PERMIT_MS,
+            PermitKind::Adapter => ADAPTER_PERMIT_MS,
+        };
+        let granted = Granted {
+            asker,
+            kind,
+            expires_ms: now_ms.saturating_add(expires_in_ms),
+        };
+        self.granted.insert(self.last_id, granted);
+        PermitDecision::Granted {
+            permit_id: self.last_id,
+            expires_in_ms,
+        }
+    }
+}
+
+fn retry_ms(kind: PermitKind) -> u64 {
+    match kind {
+        PermitKind::Model => MODEL_RETRY_MS,
+        PermitKind::Adapter => ADAPTER_RETRY_MS,
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/permit/start_pace.rs
@@ -0,0 +1,29 @@
+use std::collections::VecDeque;
+
+/// Length of the window over which starts are counted, in milliseconds.
+const WINDOW_MS: u64 = 1_000;
+
+/// Counts starts in a sliding window of one second.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StartPace {
+    starts_ms: VecDeque<u64>,
+}
+
+impl StartPace {
+    /// Returns how many more starts are within `per_s_max` now.
+    pub(crate) fn left(&mut self, per_s_max: u32, now_ms: u64) -> usize {
+        while self
+            .starts_ms
+            .front()
+            .is_some_and(|start_ms| start_ms + WINDOW_MS <= now_ms)
+        {
+            self.starts_ms.pop_front();
+        }
+        let limit = usize::try_from(per_s_max).unwrap_or(usize::MAX);
+        limit.saturating_sub(self.starts_ms.len())
+    }
+
+    pub(crate) fn note(&mut self, now_ms: u64) {
+        self.starts_ms.push_back(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/placement/candidate.rs
@@ -0,0 +1,16 @@
+use chicorystage_api::name::{VmId, ZoneName};
+
+use crate::placement::CacheTier;
+
+/// A VM that could hold a slot, with what is known of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Identity of the VM.
+    pub vm: VmId,
+    /// Availability zone of the VM.
+    pub zone: ZoneName,
+    /// Nearest cache tier of the model on the VM.
+    pub cache_tier: CacheTier,
+    /// Accelerator memory not reserved by loaded replicas, where it is known.
+    pub memory_free_bytes: Option<u64>,
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/placement/next_row.rs
@@ -0,0 +1,103 @@
+use std::cmp::Reverse;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{PlacementPush, PlacementRow, Slot, SlotState};
+
+use crate::placement::{Goal, Wanted, select_vm};
+use crate::rendezvous;
+
+/// Returns the row that should replace `current`, or none where it may stay.
+///
+/// `cap` is the largest number of replicas; the write must be conditional on
+/// the rows that it was read from as well as on `current`.
+#[must_use]
+pub fn next_row(current: Option<&PlacementPush>, goal: &Goal, cap: u32) -> Option<PlacementRow> {
+    let before = current.map_or(&[][..], |push| &push.row.slots);
+    let row_version = current.map_or(0, |push| push.row_version);
+    let cap = usize::try_from(cap).unwrap_or(usize::MAX);
+    let mut row = PlacementRow {
+        model: goal.model.clone(),
+        slots: before.to_vec(),
+    };
+    remove_released(&mut row, goal, row_version);
+    revoke_leaving(&mut row, goal);
+    revoke_surplus(&mut row, goal, cap);
+    add_wanted(&mut row, goal, row_version, cap);
+    (row.slots != before).then_some(row)
+}
+
+fn remove_released(row: &mut PlacementRow, goal: &Goal, row_version: u64) {
+    row.slots.retain(|slot| {
+        let released = slot.state == SlotState::Revoking
+            && goal
+                .releases
+                .iter()
+                .any(|release| release.covers(&slot.vm, row_version));
+        !released && !goal.gone.contains(&slot.vm)
+    });
+}
+
+fn revoke_leaving(row: &mut PlacementRow, goal: &Goal) {
+    for slot in &mut row.slots {
+        if goal.leaving.contains(&slot.vm) {
+            slot.state = SlotState::Revoking;
+        }
+    }
+}
+
+fn revoke_surplus(row: &mut PlacementRow, goal: &Goal, cap: usize) {
+    let held = row.slots.iter().filter(|slot| is_held(slot)).count();
+    let surplus = held.saturating_sub(cap);
+    let mut order: Vec<usize> = (0..row.slots.len()).collect();
+    order.sort_by_cached_key(|&i| {
+        let vm = &row.slots[i].vm;
+        let weight = rendezvous::weight(goal.model.as_str(), vm.as_str());
+        (Reverse(goal.avoid.contains(vm)), weight)
+    });
+    let held_first = order.into_iter().filter(|&i| is_held(&row.slots[i]));
+    for i in held_first.take(surplus).collect::<Vec<_>>() {
+        row.slots[i].state = SlotState::Revoking;
+    }
+}
+
+fn add_wanted(row: &mut PlacementRow, goal: &Goal, row_version: u64, cap: usize) {
+    let usable = row
+        .slots
+        .iter()
+        .any(|slot| is_held(slot) && !goal.avoid.contains(&slot.vm));
+    let wanted = match goal.wanted {
+        Wanted::Upkeep => false,
+        Wanted::First => !usable,
+        // A newer row already answers those who asked under an older one.
+        Wanted::Additional { seen_row_version } => !usable || seen_row_version >= row_version,
+    };
+    if !wanted {
+        return;
+    }
+    let Some(vm) = select_vm(Some(row), goal) else {
+        return;
+    };
+    if row.slots.len() < cap {
+        row.slots.push(Slot {
+            vm,
+            state: SlotState::Held,
+        });
+    } else if !usable {
+        revoke_one_avoided(row, &goal.avoid);
+    }
+}
+
+/// Begins to move a slot off a VM that the asker cannot use.
+fn revoke_one_avoided(row: &mut PlacementRow, avoid: &[VmId]) {
+    let mut avoided = row
+        .slots
+        .iter_mut()
+        .filter(|slot| is_held(slot) && avoid.contains(&slot.vm));
+    if let Some(slot) = avoided.next() {
+        slot.state = SlotState::Revoking;
+    }
+}
+
+fn is_held(slot: &Slot) -> bool {
+    slot.state == SlotState::Held
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/placement/select.rs
@@ -0,0 +1,53 @@
+use std::cmp::Reverse;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::PlacementRow;
+
+use crate::placement::{Candidate, Goal};
+use crate::rendezvous;
+
+/// Selects the VM that should hold the next slot of a model.
+///
+/// VMs with room for a replica go before those without, then those in an
+/// availability zone that holds no slot yet, then the nearest cache tier, then
+/// the rendezvous order, which is the same at every router. Costs one hash a
+/// candidate.
+#[must_use]
+pub fn select_vm(row: Option<&PlacementRow>, goal: &Goal) -> Option<VmId> {
+    let taken = |vm: &VmId| row.is_some_and(|row| row.slots.iter().any(|slot| slot.vm == *vm));
+    let open = goal.candidates.iter().filter(|candidate| {
+        !taken(&candidate.vm)
+            && !goal.avoid.contains(&candidate.vm)
+            && !goal.leaving.contains(&candidate.vm)
+            && !goal.gone.contains(&candidate.vm)
+    });
+    open.min_by_key(|candidate| {
+        (
+            !has_room(candidate, goal.memory_bytes),
+            zone_slots(row, candidate, goal),
+            candidate.cache_tier,
+            Reverse(rendezvous::weight(
+                goal.model.as_str(),
+                candidate.vm.as_str(),
+            )),
+        )
+    })
+    .map(|candidate| candidate.vm.clone())
+}
+
+fn has_room(candidate: &Candidate, memory_bytes: u64) -> bool {
+    candidate
+        .memory_free_bytes
+        .is_none_or(|free_bytes| free_bytes >= memory_bytes)
+}
+
+fn zone_slots(row: Option<&PlacementRow>, candidate: &Candidate, goal: &Goal) -> usize {
+    let Some(row) = row else { return 0 };
+    let in_zone = goal
+        .candidates
+        .iter()
+        .filter(|other| other.zone == candidate.zone);
+    in_zone
+        .filter(|other| row.slots.iter().any(|slot| slot.vm == other.vm))
+        .count()
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/placement/vm_history.rs
@@ -0,0 +1,83 @@
+use std::collections::HashMap;
+
+use chicorystage_api::name::VmId;
+
+/// Time for which a VM that was listed must stay absent to be gone, in milliseconds.
+const ABSENT_AFTER_SEEN_MS: u64 = 5_000;
+/// Time for which a VM that was never listed must stay absent to be gone, in milliseconds.
+const ABSENT_NEVER_SEEN_MS: u64 = 60_000;
+
+/// What one process has seen of the platform's lagging list of VMs.
+///
+/// A VM that this process never saw may be too new for its list rather than
+/// gone, so absence counts sooner for a VM that was listed before. Reads that
+/// fail are not observations.
+#[derive(Clone, Debug, Default)]
+pub struct VmHistory {
+    listed: HashMap<VmId, Sighting>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sighting {
+    seen: bool,
+    absent_since_ms: Option<u64>,
+}
+
+impl VmHistory {
+    /// Notes one successful read of the list.
+    ///
+    /// `named` are the VMs of interest besides those listed: holders of slots.
+    pub fn observe<'a>(
+        &mut self,
+        listed: impl Iterator<Item = &'a VmId>,
+        named: impl Iterator<Item = &'a VmId>,
+        now_ms: u64,
+    ) {
+        for sighting in self.listed.values_mut() {
+            sighting.absent_since_ms.get_or_insert(now_ms);
+        }
+        for vm in named {
+            self.listed.entry(vm.clone()).or_insert(Sighting {
+                seen: false,
+                absent_since_ms: Some(now_ms),
+            });
+        }
+        for vm in listed {
+            let present = Sighting {
+                seen: true,
+                absent_since_ms: None,
+            };
+            self.listed.insert(vm.clone(), present);
+        }
+    }
+
+    /// Returns whether a VM has left the list for good.
+    #[must_use]
+    pub fn is_gone(&self, vm: &VmId, now_ms: u64) -> bool {
+        let Some(sighting) = self.listed.get(vm) else {
+            return false;
+        };
+        let Some(since_ms) = sighting.absent_since_ms else {
+            return false;
+        };
+        let needed_ms = if sighting.seen {
+            ABSENT_AFTER_SEEN_MS
+        } else {
+            ABSENT_NEVER_SEEN_MS
+        };
+        now_ms.saturating_sub(since_ms) >= needed_ms
+    }
+
+    /// Forgets VMs that are gone and hold no slot.
+    pub fn forget(&mut self, now_ms: u64, holds_slot: impl Fn(&VmId) -> bool) {
+        let gone: Vec<VmId> = self
+            .listed
+            .keys()
+            .filter(|vm| self.is_gone(vm, now_ms) && !holds_slot(vm))
+            .cloned()
+            .collect();
+        for vm in gone {
+            self.listed.remove(&vm);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/planner/plan_run.rs
@@ -0,0 +1,84 @@
+use chicorystage_api::peer::PlacementPush;
+
+use crate::placement::{Goal, next_row};
+use crate::planner::{CapRows, PlanEffect, PlanFailure};
+
+/// Reads of the row in one run.
+const READS_MAX: u32 = 8;
+
+/// One decision about a model's slots.
+#[derive(Clone, Debug)]
+pub struct PlanRun {
+    goal: Goal,
+    cap_rows: CapRows,
+    proposed: Option<PlacementPush>,
+    reads: u32,
+}
+
+impl PlanRun {
+    /// Creates a run; its first effect is a read.
+    #[must_use]
+    pub fn new(goal: Goal) -> Self {
+        Self {
+            goal,
+            cap_rows: CapRows::default(),
+            proposed: None,
+            reads: 0,
+        }
+    }
+
+    /// Takes the rows that were read, or nothing where the table is down.
+    pub fn on_read(&mut self, read: Option<(Option<PlacementPush>, CapRows)>) -> PlanEffect {
+        self.reads += 1;
+        let Some((current, cap_rows)) = read else {
+            return PlanEffect::Failed(PlanFailure::Unreadable);
+        };
+        self.cap_rows = cap_rows;
+        self.propose(current)
+    }
+
+    /// Takes the commit number of the write that applied.
+    ///
+    /// # Panics
+    ///
+    /// Panics where no write was asked for, which is a bug.
+    #[must_use]
+    pub fn on_applied(&mut self, row_version: u64) -> PlanEffect {
+        let mut push = self.proposed.take().expect("a commit was asked for");
+        push.row_version = row_version;
+        PlanEffect::Done { push: Some(push) }
+    }
+
+    /// Takes a conflict, or a commit whose effect is unknown: the row tells.
+    #[must_use]
+    pub fn on_unsettled(&mut self) -> PlanEffect {
+        self.proposed = None;
+        if self.reads >= READS_MAX {
+            return PlanEffect::Failed(PlanFailure::Contended);
+        }
+        PlanEffect::Read
+    }
+
+    /// Takes a commit that certainly had no effect.
+    #[must_use]
+    pub fn on_not_delivered(&mut self) -> PlanEffect {
+        self.proposed = None;
+        PlanEffect::Failed(PlanFailure::Unwritable)
+    }
+
+    fn propose(&mut self, current: Option<PlacementPush>) -> PlanEffect {
+        let Some(row) = next_row(current.as_ref(), &self.goal, self.cap_rows.cap) else {
+            return PlanEffect::Done { push: current };
+        };
+        let row_version = current.map(|push| push.row_version);
+        self.proposed = Some(PlacementPush {
+            row_version: 0,
+            row: row.clone(),
+        });
+        PlanEffect::Commit {
+            row_version,
+            cap_rows: self.cap_rows.clone(),
+            row,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/tests/permit_desk.rs
@@ -0,0 +1,116 @@
+//! Permits keep the limits, the order of those who wait, and repeats harmless.
+
+use chicorystage_api::inventory::Class;
+use chicorystage_api::peer::{PermitKind, PermitRequest};
+use chicorystage_core::permit::{PermitDecision, PermitDesk, PermitLimits};
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const LIMITS: PermitLimits = PermitLimits {
+    loads_concurrent_max: 4,
+    loads_per_s_max: 4,
+    adapter_fetches_max: 30,
+};
+
+fn ask(ticket: u64, class: Class, time_left_ms: u64) -> PermitRequest {
+    PermitRequest {
+        vm: "vm-1".into(),
+        ticket,
+        kind: PermitKind::Model,
+        class,
+        time_left_ms,
+    }
+}
+
+fn id(decision: PermitDecision) -> Option<u64> {
+    match decision {
+        PermitDecision::Granted { permit_id, .. } => Some(permit_id),
+        PermitDecision::Wait { .. } => None,
+    }
+}
+
+#[gtest]
+fn a_repeat_gets_the_same_permit_and_takes_no_second_place() {
+    let mut desk = PermitDesk::new(9);
+    let first = id(desk.acquire(&ask(1, Class::Standard, 1_000), LIMITS, 0));
+    expect_that!(first, some(anything()));
+    expect_that!(
+        id(desk.acquire(&ask(1, Class::Standard, 900), LIMITS, 100)),
+        eq(first)
+    );
+    expect_that!(desk.outstanding(PermitKind::Model), eq(1));
+}
+
+#[gtest]
+fn those_who_wait_are_served_by_class_then_deadline() {
+    let mut desk = PermitDesk::new(0);
+    let held: Vec<_> = (0..4)
+        .map(|i| id(desk.acquire(&ask(i, Class::Batch, 10), LIMITS, 0)))
+        .collect();
+    let waiting = [
+        (10, Class::Batch, 1),
+        (11, Class::Standard, 500),
+        (12, Class::Standard, 400),
+    ];
+    for (ticket, class, left_ms) in waiting {
+        expect_that!(
+            id(desk.acquire(&ask(ticket, class, left_ms), LIMITS, 700)),
+            none()
+        );
+    }
+    desk.release(held[0].expect("granted"));
+    let mut poll =
+        |ticket, class, left_ms| id(desk.acquire(&ask(ticket, class, left_ms), LIMITS, 1_000));
+    expect_that!(poll(10, Class::Batch, 1), none());
+    expect_that!(poll(11, Class::Standard, 500), none());
+    expect_that!(poll(12, Class::Standard, 400), some(anything()));
+}
+
+#[gtest]
+fn a_permit_that_is_never_returned_lapses() {
+    let mut desk = PermitDesk::new(0);
+    for i in 0..4 {
+        desk.acquire(&ask(i, Class::Batch, 10), LIMITS, 0);
+    }
+    expect_that!(
+        id(desk.acquire(&ask(9, Class::Interactive, 10), LIMITS, 119_999)),
+        none()
+    );
+    expect_that!(
+        id(desk.acquire(&ask(9, Class::Interactive, 10), LIMITS, 120_000)),
+        some(anything())
+    );
+}
+
+#[gtest]
+fn random_polls_never_exceed_the_limits() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut desk = PermitDesk::new(0);
+    let (mut now_ms, mut starts, mut seen) = (0, Vec::new(), Vec::new());
+    for _ in 0..20_000 {
+        now_ms += rng.random_range(0..20);
+        let ticket = rng.random_range(0..10);
+        if let Some(permit) = id(desk.acquire(
+            &ask(ticket, Class::Standard, 1_000_000 - now_ms),
+            LIMITS,
+            now_ms,
+        )) && !seen.contains(&permit)
+        {
+            seen.push(permit);
+            starts.push(now_ms);
+        }
+        if rng.random_bool(0.3) && !seen.is_empty() {
+            desk.release(seen[rng.random_range(seen.len().saturating_sub(6)..seen.len())]);
+        }
+        assert_that!(desk.outstanding(PermitKind::Model), le(4));
+        assert_that!(
+            starts
+                .iter()
+                .filter(|start| **start + 1_000 > now_ms)
+                .count(),
+            le(4)
+        );
+    }
+    expect_that!(starts.len(), gt(500));
+}
--- /dev/null
+++ b/crates/chicorystage-core/tests/support/placement_world.rs
@@ -0,0 +1,411 @@
+//! A table, planners and agents whose messages are lost, late and repeated.
+
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+use chicorystage_api::name::{VmId, ZoneName};
+use chicorystage_api::peer::{PlacementPush, PlacementRow, SlotState};
+use chicorystage_core::placement::{CacheTier, Candidate, Goal, Release, VmHistory, Wanted};
+use chicorystage_core::planner::{CapRows, PlanEffect, PlanRun};
+
+/// Longest time for which the list shows an older state, in milliseconds.
+const LIST_LAG_MS: u64 = 30_000;
+
+#[derive(Clone, Debug)]
+pub enum Action {
+    Start {
+        planner: usize,
+        wanted: u8,
+        avoid: usize,
+    },
+    Read {
+        planner: usize,
+    },
+    Commit {
+        at: usize,
+        answered: bool,
+    },
+    Push {
+        planner: usize,
+        vm: usize,
+    },
+    DeliverPush {
+        at: usize,
+        keep: bool,
+    },
+    DeliverRelease {
+        planner: usize,
+        at: usize,
+    },
+    Load {
+        vm: usize,
+    },
+    Unload {
+        vm: usize,
+    },
+    Restart {
+        vm: usize,
+    },
+    BeginRead {
+        vm: usize,
+    },
+    EndRead {
+        vm: usize,
+    },
+    Replace {
+        vm: usize,
+    },
+    RefreshList {
+        planner: usize,
+        stale: bool,
+    },
+    Advance {
+        ms: u64,
+    },
+    SetCap {
+        cap: u32,
+    },
+}
+
+#[derive(Default)]
+struct Agent {
+    known: u64,
+    follows_table: bool,
+    held: bool,
+    loaded: bool,
+    reading: Option<(u64, bool)>,
+}
+
+#[derive(Default)]
+struct Planner {
+    list: Vec<VmId>,
+    list_read_ms: u64,
+    history: VmHistory,
+    releases: Vec<Release>,
+    seen: Option<PlacementPush>,
+    run: Option<(PlanRun, PlanEffect, u64)>,
+}
+
+type Commit = (usize, u64, Option<u64>, CapRows, PlacementRow);
+
+#[derive(Default)]
+pub struct World {
+    row: Option<PlacementPush>,
+    version: u64,
+    cap: u32,
+    cap_version: u64,
+    now_ms: u64,
+    runs: u64,
+    born: usize,
+    names: Vec<VmId>,
+    names_before: Vec<VmId>,
+    replaced_ms: u64,
+    agents: BTreeMap<VmId, Agent>,
+    planners: [Planner; 2],
+    commits: Vec<Commit>,
+    pushes: Vec<(VmId, PlacementPush)>,
+    releases: Vec<Release>,
+}
+
+impl World {
+    pub fn new(vms: usize, cap: u32) -> Self {
+        let mut world = Self {
+            cap,
+            ..Self::default()
+        };
+        for _ in 0..vms {
+            let vm = world.birth();
+            world.names.push(vm);
+        }
+        (0..2).for_each(|planner| world.refresh(planner, false));
+        world
+    }
+
+    /// Checks the promise: who may load holds a slot.
+    pub fn check(&self) {
+        let decided: BTreeSet<&VmId> = self
+            .row
+            .iter()
+            .flat_map(|push| &push.row.slots)
+            .map(|slot| &slot.vm)
+            .collect();
+        let may_load = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| agent.loaded || (agent.held && agent.follows_table));
+        for (vm, _) in may_load {
+            assert!(
+                decided.contains(vm),
+                "{vm} may load without a slot: {:?}",
+                self.row
+            );
+        }
+    }
+
+    pub fn act(&mut self, action: &Action) {
+        match *action {
+            Action::Start {
+                planner,
+                wanted,
+                avoid,
+            } => self.start(planner, wanted, avoid),
+            Action::Read { planner } => self.read(planner),
+            Action::Commit { at, answered } => self.commit(at, answered),
+            Action::Push { planner, vm } => {
+                if let Some(push) = self.planners[planner].seen.clone() {
+                    self.pushes.push((self.name(vm), push));
+                }
+            }
+            Action::DeliverPush { at, keep } => self.deliver_push(at, keep),
+            Action::DeliverRelease { planner, at } => {
+                if let Some(release) = pick(&self.releases, at) {
+                    let release = release.clone();
+                    self.planners[planner].releases.push(release);
+                }
+            }
+            Action::Load { vm } => {
+                let agent = self.agent(vm);
+                agent.loaded |= agent.held && agent.follows_table;
+            }
+            Action::Unload { vm } => self.agent(vm).loaded = false,
+            Action::Restart { vm } => {
+                let agent = self.agent(vm);
+                *agent = Agent {
+                    loaded: agent.loaded,
+                    ..Agent::default()
+                };
+            }
+            Action::BeginRead { vm } => {
+                let name = self.name(vm);
+                let read = self
+                    .row
+                    .as_ref()
+                    .map_or((0, false), |push| (push.row_version, holds(push, &name)));
+                self.agent(vm).reading = Some(read);
+            }
+            Action::EndRead { vm } => {
+                let agent = self.agent(vm);
+                let Some((version, held)) = agent.reading.take() else {
+                    return;
+                };
+                if version >= agent.known {
+                    (agent.known, agent.held, agent.follows_table) = (version, held, true);
+                    agent.loaded &= held;
+                }
+            }
+            Action::Replace { vm } => {
+                let at = vm % self.names.len();
+                self.names_before.clone_from(&self.names);
+                self.replaced_ms = self.now_ms;
+                let born = self.birth();
+                let dead = std::mem::replace(&mut self.names[at], born);
+                self.agents.remove(&dead);
+            }
+            Action::RefreshList { planner, stale } => self.refresh(planner, stale),
+            Action::Advance { ms } => self.now_ms += ms,
+            Action::SetCap { cap } => {
+                self.version += 1;
+                (self.cap, self.cap_version) = (cap, self.version);
+            }
+        }
+    }
+
+    fn birth(&mut self) -> VmId {
+        self.born += 1;
+        let vm = VmId::from(format!("vm-{}", self.born));
+        self.agents.insert(vm.clone(), Agent::default());
+        vm
+    }
+
+    fn name(&self, vm: usize) -> VmId {
+        self.names[vm % self.names.len()].clone()
+    }
+
+    fn agent(&mut self, vm: usize) -> &mut Agent {
+        let name = self.name(vm);
+        self.agents.get_mut(&name).expect("a listed VM is up")
+    }
+
+    /// Reads the list, perhaps as it was before the last change within its lag.
+    fn refresh(&mut self, planner: usize, stale: bool) {
+        let lagging = stale
+            && self.now_ms < self.replaced_ms + LIST_LAG_MS
+            && self.planners[planner].list_read_ms <= self.replaced_ms;
+        let shown = if lagging {
+            &self.names_before
+        } else {
+            &self.names
+        };
+        let holders: Vec<VmId> = self
+            .row
+            .iter()
+            .flat_map(|push| &push.row.slots)
+            .map(|slot| slot.vm.clone())
+            .collect();
+        let planner = &mut self.planners[planner];
+        planner.list.clone_from(shown);
+        planner.list_read_ms = if lagging {
+            planner.list_read_ms
+        } else {
+            self.now_ms + 1
+        };
+        planner
+            .history
+            .observe(shown.iter(), holders.iter(), self.now_ms);
+    }
+
+    fn start(&mut self, planner: usize, wanted: u8, avoid: usize) {
+        let avoid = vec![self.name(avoid)];
+        let (now_ms, planner) = (self.now_ms, &mut self.planners[planner]);
+        let seen_row_version = planner.seen.as_ref().map_or(0, |push| push.row_version);
+        let candidates = planner.list.iter().map(|vm| Candidate {
+            vm: vm.clone(),
+            zone: ZoneName::from("a"),
+            cache_tier: CacheTier::Remote,
+            memory_free_bytes: None,
+        });
+        let holders = planner
+            .seen
+            .iter()
+            .flat_map(|push| &push.row.slots)
+            .map(|slot| &slot.vm);
+        let gone: HashSet<VmId> = holders
+            .filter(|vm| planner.history.is_gone(vm, now_ms))
+            .cloned()
+            .collect();
+        let goal = Goal {
+            model: "m".into(),
+            memory_bytes: 1,
+            wanted: match wanted % 3 {
+                0 => Wanted::Upkeep,
+                1 => Wanted::First,
+                _ => Wanted::Additional { seen_row_version },
+            },
+            avoid: if wanted > 5 {
+                avoid.clone()
+            } else {
+                Vec::new()
+            },
+            candidates: candidates.collect(),
+            leaving: if wanted == 3 {
+                avoid.into_iter().collect()
+            } else {
+                HashSet::new()
+            },
+            gone,
+            releases: planner.releases.clone(),
+        };
+        self.runs += 1;
+        planner.run = Some((PlanRun::new(goal), PlanEffect::Read, self.runs));
+    }
+
+    fn read(&mut self, planner: usize) {
+        let cap_rows = CapRows {
+            cap: self.cap,
+            versions: vec![("rule".to_owned(), Some(self.cap_version))],
+        };
+        let row = self.row.clone();
+        let state = &mut self.planners[planner];
+        let Some((run, effect @ PlanEffect::Read, id)) = &mut state.run else {
+            return;
+        };
+        *effect = run.on_read(Some((row, cap_rows)));
+        if let PlanEffect::Commit {
+            row_version,
+            cap_rows,
+            row,
+        } = effect.clone()
+        {
+            self.commits
+                .push((planner, *id, row_version, cap_rows, row));
+        }
+        self.finish(planner);
+    }
+
+    /// Delivers a commit, however late, and perhaps its answer.
+    fn commit(&mut self, at: usize, answered: bool) {
+        if self.commits.is_empty() {
+            return;
+        }
+        let at = at % self.commits.len();
+        let (planner, id, row_version, cap_rows, row) = self.commits.remove(at);
+        let current = self.row.as_ref().map(|push| push.row_version);
+        let cap_holds = cap_rows
+            .versions
+            .iter()
+            .all(|(_, version)| *version == Some(self.cap_version));
+        let applies = current == row_version && cap_holds;
+        if applies {
+            let before = self.row.as_ref().map_or(0, |push| push.row.slots.len());
+            let cap = usize::try_from(self.cap).expect("small");
+            assert!(
+                row.slots.len() <= before.max(cap),
+                "{row:?} grows beyond {cap}"
+            );
+            self.version += 1;
+            self.row = Some(PlacementPush {
+                row_version: self.version,
+                row,
+            });
+        }
+        let version = self.version;
+        let state = &mut self.planners[planner];
+        let Some((run, effect, running)) = &mut state.run else {
+            return;
+        };
+        if *running == id {
+            *effect = if applies && answered {
+                run.on_applied(version)
+            } else {
+                run.on_unsettled()
+            };
+            self.finish(planner);
+        }
+    }
+
+    fn finish(&mut self, planner: usize) {
+        let state = &mut self.planners[planner];
+        match &state.run {
+            Some((_, PlanEffect::Done { push }, _)) => {
+                state.seen.clone_from(push);
+                state.run = None;
+            }
+            Some((_, PlanEffect::Failed(_), _)) => state.run = None,
+            _ => {}
+        }
+    }
+
+    fn deliver_push(&mut self, at: usize, keep: bool) {
+        let Some((vm, push)) = pick(&self.pushes, at).cloned() else {
+            return;
+        };
+        if !keep {
+            let at = at % self.pushes.len();
+            self.pushes.remove(at);
+        }
+        let Some(agent) = self.agents.get_mut(&vm) else {
+            return;
+        };
+        if push.row_version > agent.known {
+            agent.known = push.row_version;
+            agent.held = holds(&push, &vm);
+            agent.loaded &= agent.held;
+        }
+        if !agent.held && !agent.loaded {
+            self.releases.push(Release {
+                vm,
+                row_version: agent.known,
+            });
+        }
+    }
+}
+
+fn holds(push: &PlacementPush, vm: &VmId) -> bool {
+    push.row
+        .slots
+        .iter()
+        .any(|slot| slot.vm == *vm && slot.state == SlotState::Held)
+}
+
+fn pick<T>(from: &[T], at: usize) -> Option<&T> {
+    from.get(at.checked_rem(from.len())?)
+}
