--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! # Parts
 //!
+//! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`permit`]: pacing of fetches from the weight store.
 //! * [`placement`]: which VMs may load a model, and how slots move.
@@ -19,6 +20,7 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod claim;
 pub mod inventory;
 pub mod permit;
 pub mod placement;
