--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -1,9 +1,10 @@
 //! Typed access to the router's main loop.
 
 use chicorystage_api::inventory::Class;
-use chicorystage_api::name::{CallerName, Digest, RequestId};
+use chicorystage_api::name::{CallerName, Digest, RequestId, VmId};
 use chicorystage_api::peer::{QuarantineEntry, RequestTrace, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::event::{Admission, Choice, RouterEvent, Target};
@@ -90,6 +91,17 @@
         .unwrap_or_else(|| Err(stopped()))
     }
 
+    /// Returns a VM's entry, or none where the platform's list has no such VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal where the loop has ended or has read no list yet.
+    pub async fn find_vm(&self, vm: VmId) -> Result<Option<VmEntry>, Refusal> {
+        self.ask_serving(|reply| ServingEvent::FindVm { vm, reply })
+            .await
+            .unwrap_or_else(|| Err(stopped()))
+    }
+
     /// Returns what happened to a request, where that is still known.
     pub async fn explain(&self, request_id: RequestId) -> Option<RequestTrace> {
         self.ask_serving(|reply| ServingEvent::Explain { request_id, reply })
--- a/crates/chicorystaged/src/router/main_loop/serving.rs
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -1,10 +1,11 @@
 //! Events of the serving path that need the loop's other state.
 
-use chicorystage_api::name::{Digest, GroupName, ModelName};
+use chicorystage_api::name::{Digest, GroupName, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::Refusal;
+use chicorystage_platform::vm_list::VmEntry;
 
-use crate::router::main_loop::{RouterLoop, unauthenticated};
+use crate::router::main_loop::{RouterLoop, no_endpoint, unauthenticated};
 use crate::router::serving::quarantine::{self, Audience};
 use crate::router::serving::{Entry, ServingEvent};
 use crate::timer::unix_ms;
@@ -19,6 +20,9 @@
             } => {
                 let _sent = reply.send(self.enter(&token_sha256, body_bytes));
             }
+            ServingEvent::FindVm { vm, reply } => {
+                let _sent = reply.send(self.find_vm(&vm));
+            }
             ServingEvent::NotPlaced { model, row_version } => {
                 self.not_placed(&model, row_version);
             }
@@ -62,6 +66,14 @@
         ))
     }
 
+    /// Looks a VM up; a list that was never read says nothing of a VM.
+    fn find_vm(&self, vm: &VmId) -> Result<Option<VmEntry>, Refusal> {
+        if self.vms.is_empty() {
+            return Err(no_endpoint());
+        }
+        Ok(self.vms.get(vm).cloned())
+    }
+
     /// Forgets a placement that an agent does not confirm, so that it is read again.
     fn not_placed(&mut self, model: &ModelName, row_version: u64) {
         let known = self.placements.get(model);
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -8,9 +8,11 @@
 pub mod admin_api;
 pub mod borders;
 pub mod caller_api;
+pub mod claims;
 pub mod event;
 pub mod handle;
 pub mod main_loop;
+pub mod parts;
 pub mod placing;
 pub mod refresh;
 pub mod serving;
@@ -19,27 +21,16 @@
 mod health_api;
 mod internal_api;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use chicorystage_platform::http::{HttpServer, RunningServer};
-use tokio::sync::mpsc;
 
-use crate::metrics::Metrics;
-use crate::router::admin_api::AdminApi;
 use crate::router::borders::RouterBorders;
-use crate::router::caller_api::CallerApi;
 use crate::router::handle::RouterHandle;
-use crate::router::health_api::HealthApi;
-use crate::router::internal_api::InternalApi;
-use crate::router::main_loop::RouterLoop;
-use crate::router::serving::Dispatcher;
+use crate::router::parts::RouterParts;
 use crate::settings::{RouterSettings, Settings};
 use crate::timer::Clock;
 
-/// Events that wait for the loop at once.
-const EVENTS_BUFFERED: usize = 4_096;
-
 /// Runs a router until it is told to stop.
 ///
 /// # Errors
@@ -57,36 +48,21 @@
         "router started"
     );
 
-    let metrics = Arc::new(Metrics::new());
-    let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
-    let handle = RouterHandle::new(sender);
-    refresh::spawn(&borders, &handle, clock);
-    let main_loop = RouterLoop::new(
-        settings.daemon,
-        role.clone(),
-        borders.clone(),
-        handle.clone(),
-        clock,
-    );
-    let running = tokio::spawn(main_loop.with_metrics(Arc::clone(&metrics)).run(events));
-
-    let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
-    let dispatcher = dispatcher.with_metrics(Arc::clone(&metrics));
-    let callers = caller_server.start(Arc::new(CallerApi::new(dispatcher)));
-    let admin_api = AdminApi::new(handle.clone(), borders, role.clone());
-    let admins = admin_server.start(Arc::new(admin_api));
-    let internal = internal_server.start(Arc::new(InternalApi::new(handle.clone())));
-    let health = health_server.start(Arc::new(HealthApi::new(handle.clone(), metrics)));
+    let parts = RouterParts::start(settings.daemon, role.clone(), borders, clock);
+    let callers = caller_server.start(parts.caller_api);
+    let admins = admin_server.start(parts.admin_api);
+    let internal = internal_server.start(parts.internal_api);
+    let health = health_server.start(parts.health_api);
 
     crate::stop::signalled().await;
     log::info!(event = "router_stopping"; "router is leaving");
-    leave(&handle, callers, &role).await;
+    leave(&parts.handle, callers, &role).await;
     admins.stop_gracefully().await;
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    handle.stop().await;
+    parts.handle.stop().await;
     // The loop ends by the event above; a panic in it has ended the process's work anyway.
-    let _ended = running.await;
+    let _ended = parts.running.await;
     log::info!(event = "router_stopped"; "router stopped");
     Ok(())
 }
--- a/crates/chicorystaged/src/router/serving/attempt_failure.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_failure.rs
@@ -7,6 +7,8 @@
     pub(crate) refusal: Refusal,
     /// Whether the agent saw its endpoint die while it ran the attempt.
     pub(crate) crashed: bool,
+    /// Whether the agent gave the attempt up, and not its connection.
+    pub(crate) by_agent: bool,
 }
 
 impl AttemptFailure {
@@ -15,13 +17,18 @@
         Self {
             refusal,
             crashed: false,
+            by_agent: false,
         }
     }
 
     /// Creates the failure of an attempt that its agent refused.
     pub(crate) fn refused(refusal: Refusal) -> Self {
         let crashed = refusal.code == RefusalCode::EndpointLost;
-        Self { refusal, crashed }
+        Self {
+            refusal,
+            crashed,
+            by_agent: true,
+        }
     }
 
     /// Returns whether the attempt certainly had no effect.
--- a/crates/chicorystaged/src/router/serving/choose_request.rs
+++ b/crates/chicorystaged/src/router/serving/choose_request.rs
@@ -7,8 +7,10 @@
     pub group: GroupName,
     /// Model that it needs; none for a plain service.
     pub model: Option<ModelName>,
-    /// VMs already tried in vain, used again only where there is no other.
+    /// VMs already tried in vain.
     pub avoid: Vec<VmId>,
+    /// Whether a VM to avoid may be used where there is no other.
+    pub again: bool,
     /// Key of the prompt's prefix, where it is long enough.
     pub prefix_key: Option<u64>,
     /// Reading of the router's clock at the caller's deadline, in milliseconds.
--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -3,21 +3,19 @@
 use chicorystage_api::name::{RequestId, VmId};
 use chicorystage_api::peer::TraceEvent;
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::{ClaimTicket, Payload, SlotGrant, WorkSpec};
+use chicorystage_api::work::{Payload, SlotGrant};
 use chicorystage_core::retry::backoff_ms;
 use chicorystage_core::suspects::Standing;
 use tokio::time::{sleep, timeout_at};
 
-use crate::router::event::{Admission, Resolved, RouterEvent};
+use crate::router::event::{Resolved, RouterEvent};
 use crate::router::serving::attempt_failure::AttemptFailure;
-use crate::router::serving::claim_gate::ClaimRequest;
+use crate::router::serving::attempt_stream::AttemptStream;
 use crate::router::serving::event::ServingEvent;
-use crate::router::serving::opened_answer::Source;
+use crate::router::serving::job::{Job, deadline_passed};
 use crate::router::serving::request_record::RequestRecord;
 use crate::router::serving::state::quarantined;
-use crate::router::serving::taken_on::TakenOn;
-use crate::router::serving::terms::Terms;
-use crate::router::serving::{Dispatcher, Entry, OpenedAnswer, WaitGuard, WholeAnswer};
+use crate::router::serving::{Entry, OpenedAnswer, WaitGuard};
 
 /// Attempts of one request.
 const ATTEMPTS_MAX: u32 = 4;
@@ -25,22 +23,18 @@
 const RETRY_AFTER_MS: u64 = 1_000;
 
 /// An attempt that has begun to answer.
-pub(super) type Begun = (Source, Option<Payload>);
+pub(super) type Begun = (AttemptStream, Payload);
 
-/// One request on its way to a whole answer.
+/// One request of idempotent work on its way to a whole answer.
 #[derive(Debug)]
 pub(crate) struct Conversation {
-    pub(super) dispatcher: Dispatcher,
-    pub(super) terms: Terms,
-    pub(super) admission: Admission,
-    pub(super) work: WorkSpec,
+    pub(super) job: Job,
     pub(super) record: RequestRecord,
     pub(super) standing: Standing,
     pub(super) attempts: u32,
     pub(super) avoid: Vec<VmId>,
     pub(super) current: Option<CurrentAttempt>,
-    pub(super) claimed: Option<(ClaimRequest, ClaimTicket)>,
-    pub(super) may_have_run: bool,
+    may_have_run: bool,
     waiting: Option<WaitGuard>,
     _entry: Entry,
 }
@@ -54,34 +48,38 @@
 }
 
 impl Conversation {
-    pub(crate) fn new(dispatcher: &Dispatcher, taken_on: TakenOn, record: RequestRecord) -> Self {
-        Self {
-            dispatcher: dispatcher.clone(),
-            terms: taken_on.terms,
-            admission: taken_on.admission,
-            work: taken_on.work,
+    /// Takes a place among the requests that wait.
+    pub(crate) async fn begin(
+        entry: Entry,
+        job: Job,
+        mut record: RequestRecord,
+    ) -> Result<Self, Refusal> {
+        let waiting = match job.wait().await {
+            Ok(waiting) => waiting,
+            Err(refusal) => {
+                record.refused(&refusal);
+                return Err(refusal);
+            }
+        };
+        Ok(Self {
+            job,
             record,
-            standing: taken_on.waiting.standing(),
+            standing: waiting.standing(),
             attempts: 0,
             avoid: Vec::new(),
             current: None,
-            claimed: None,
             may_have_run: false,
-            waiting: Some(taken_on.waiting),
-            _entry: taken_on.entry,
-        }
+            waiting: Some(waiting),
+            _entry: entry,
+        })
     }
 
     pub(crate) fn request_id(&self) -> &RequestId {
-        &self.terms.request_id
-    }
-
-    pub(crate) fn is_idempotent(&self) -> bool {
-        self.terms.idempotent
+        &self.job.terms.request_id
     }
 
     pub(crate) fn model_name(&self) -> String {
-        match &self.admission.resolved {
+        match &self.job.admission.resolved {
             Resolved::Model { model, .. } => model.to_string(),
             Resolved::Application { .. } => String::new(),
         }
@@ -89,8 +87,8 @@
 
     /// Tries endpoints until one begins to answer.
     pub(crate) async fn open(mut self) -> Result<OpenedAnswer, Refusal> {
-        let (source, first) = self.try_endpoints().await?;
-        Ok(OpenedAnswer::new(self, source, first))
+        let (stream, first) = self.try_endpoints().await?;
+        Ok(OpenedAnswer::new(self, stream, first))
     }
 
     /// Replaces an attempt that was lost before anything was delivered.
@@ -107,8 +105,8 @@
                 self.record.answered(*summary);
                 let vm = self.current.as_ref().map(|current| current.vm.clone());
                 self.tell(ServingEvent::Completed {
-                    digest: self.terms.digest.clone(),
-                    prefix_at: self.terms.prefix_key.zip(vm),
+                    digest: self.job.terms.digest.clone(),
+                    prefix_at: self.job.terms.prefix_key.zip(vm),
                 });
             }
             _ => {}
@@ -116,21 +114,14 @@
     }
 
     /// Ends the request with a failed attempt and returns what the caller is told.
-    pub(crate) async fn end(&mut self, failure: AttemptFailure) -> Refusal {
-        self.note_failure(&failure).await;
-        self.refuse(failure.refusal)
-    }
-
-    /// Records the end of a claimed call.
-    pub(crate) async fn settle(&mut self, end: Result<WholeAnswer, Refusal>) {
-        if let Some((request, ticket)) = self.claimed.take() {
-            self.dispatcher.claims.settle(request, ticket, end).await;
-        }
+    pub(crate) fn end(&mut self, failure: &AttemptFailure) -> Refusal {
+        self.note_failure(failure);
+        self.refuse(failure.refusal.clone())
     }
 
     async fn try_endpoints(&mut self) -> Result<Begun, Refusal> {
         loop {
-            let choice = match self.choose().await {
+            let choice = match self.job.choose(&self.avoid, true).await {
                 Ok(choice) => choice,
                 Err(refusal) => return Err(self.refuse(refusal)),
             };
@@ -148,9 +139,8 @@
 
     /// Returns once another attempt is due, else refuses for good.
     async fn retry_after(&mut self, failure: AttemptFailure) -> Result<(), Refusal> {
-        self.note_failure(&failure).await;
-        let repeatable = failure.not_run() || self.terms.idempotent;
-        if !repeatable || !failure.is_transient() {
+        self.note_failure(&failure);
+        if !failure.is_transient() {
             return Err(self.refuse(failure.refusal));
         }
         if self.attempts >= ATTEMPTS_MAX {
@@ -172,9 +162,10 @@
     }
 
     async fn take_retry(&self, failure: &AttemptFailure) -> Option<Standing> {
-        let digest = self.terms.digest.clone();
+        let digest = self.job.terms.digest.clone();
         let paid = !failure.is_detour();
         let taken = self
+            .job
             .dispatcher
             .handle
             .ask_serving(|reply| ServingEvent::TakeRetry {
@@ -195,28 +186,27 @@
         };
         self.record.step(TraceEvent::Retried { pause_ms });
         let pause = sleep(Duration::from_millis(pause_ms));
-        match timeout_at(self.terms.deadline, pause).await {
+        match timeout_at(self.job.terms.deadline, pause).await {
             Ok(()) => Ok(()),
             Err(_elapsed) => Err(self.refuse(deadline_passed())),
         }
     }
 
-    /// Tells the loop and the claim what a failed attempt means.
-    async fn note_failure(&mut self, failure: &AttemptFailure) {
+    /// Tells the loop what a failed attempt means.
+    fn note_failure(&mut self, failure: &AttemptFailure) {
         self.may_have_run |= !failure.not_run();
         self.record.step(TraceEvent::Failed {
             attempt: self.attempts,
             refusal: failure.refusal.clone(),
         });
-        self.settle(Err(failure.refusal.clone())).await;
         let Some(current) = self.current.take() else {
             return;
         };
         if failure.crashed {
             self.tell(ServingEvent::Crashed {
-                digest: self.terms.digest.clone(),
+                digest: self.job.terms.digest.clone(),
                 alone: current.alone,
-                group: self.admission.group.clone(),
+                group: self.job.admission.group.clone(),
             });
         }
         match (failure.refusal.code, current.grant) {
@@ -242,15 +232,10 @@
         refusal
     }
 
-    pub(super) fn tell(&self, event: ServingEvent) {
-        self.dispatcher
+    fn tell(&self, event: ServingEvent) {
+        self.job
+            .dispatcher
             .handle
             .tell_later(RouterEvent::Serving(event));
     }
 }
-
-/// Refuses a request that no attempt was made for in time.
-pub(super) fn deadline_passed() -> Refusal {
-    let detail = "the deadline passed before an endpoint answered";
-    Refusal::not_run(RefusalCode::DeadlineExceeded, detail)
-}
--- a/crates/chicorystaged/src/router/serving/dispatcher.rs
+++ b/crates/chicorystaged/src/router/serving/dispatcher.rs
@@ -3,21 +3,22 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use chicorystage_api::peer::TraceEvent;
-use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 use chicorystage_api::work::{Completion, ServiceCall, WorkSpec};
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
 use crate::router::borders::RouterBorders;
+use crate::router::claims::ClaimWriter;
 use crate::router::event::{Admission, Resolved, Target};
 use crate::router::handle::RouterHandle;
+use crate::router::serving::call::Call;
 use crate::router::serving::conversation::Conversation;
+use crate::router::serving::job::Job;
 use crate::router::serving::request_record::RequestRecord;
-use crate::router::serving::taken_on::TakenOn;
 use crate::router::serving::terms::Terms;
 use crate::router::serving::{
-    CallerHead, CallerRequest, CallerWork, ClaimGate, Entry, NoClaims, OpenedAnswer, WholeAnswer,
-    body_too_large,
+    CallerHead, CallerRequest, CallerWork, Entry, OpenedAnswer, WholeAnswer, body_too_large,
 };
 use crate::timer::Clock;
 
@@ -27,30 +28,24 @@
     pub(crate) handle: RouterHandle,
     pub(crate) borders: RouterBorders,
     pub(crate) clock: Clock,
-    pub(crate) claims: Arc<dyn ClaimGate>,
+    pub(crate) claims: ClaimWriter,
     pub(crate) metrics: Arc<Metrics>,
 }
 
 impl Dispatcher {
-    /// Creates an entry point on a router's loop.
+    /// Creates an entry point on a router's loop and starts its writer of claims.
     #[must_use]
     pub fn new(handle: RouterHandle, borders: RouterBorders, clock: Clock) -> Self {
+        let claims = ClaimWriter::start(Arc::clone(&borders.table));
         Self {
             handle,
             borders,
             clock,
-            claims: Arc::new(NoClaims),
+            claims,
             metrics: Arc::default(),
         }
     }
 
-    /// Sets who takes and settles the claims of calls that are not idempotent.
-    #[must_use]
-    pub fn with_claims(mut self, claims: Arc<dyn ClaimGate>) -> Self {
-        self.claims = claims;
-        self
-    }
-
     /// Sets where requests are counted.
     #[must_use]
     pub fn with_metrics(mut self, metrics: Arc<Metrics>) -> Self {
@@ -64,18 +59,25 @@
     ///
     /// # Errors
     ///
-    /// Returns the final refusal of the request.
+    /// Returns the final refusal of the request. One that carries a key may be
+    /// the repeat of a call that has run: it is not told that nothing ran.
     pub async fn enter(
         &self,
         head: &CallerHead,
         body_bytes: Option<u64>,
     ) -> Result<Entry, Refusal> {
-        self.handle
-            .enter(head.token_sha256.clone(), body_bytes)
-            .await
+        let token = head.token_sha256.clone();
+        let entered = self.handle.enter(token, body_bytes).await;
+        entered.map_err(|refusal| match head.key {
+            Some(_) if is_limit(refusal.code) => Refusal {
+                outcome: Outcome::MayHaveRun,
+                ..refusal
+            },
+            _ => refusal,
+        })
     }
 
-    /// Runs a request until its answer begins.
+    /// Runs a completion or an idempotent call until its answer begins.
     ///
     /// Dropping the future or the answer gives the request up.
     ///
@@ -97,7 +99,14 @@
         entry: Entry,
         request: CallerRequest,
     ) -> Result<OpenedAnswer, Refusal> {
-        self.converse(entry, request).await?.open().await
+        let (job, mut record) = self.take_on(&entry, request).await?;
+        if job.terms.idempotent {
+            return Conversation::begin(entry, job, record).await?.open().await;
+        }
+        let detail = "a call that is not idempotent is answered whole";
+        let refusal = Refusal::not_run(RefusalCode::Internal, detail);
+        record.refused(&refusal);
+        Err(refusal)
     }
 
     /// Runs a request to its whole answer.
@@ -123,16 +132,14 @@
         entry: Entry,
         request: CallerRequest,
     ) -> Result<WholeAnswer, Refusal> {
-        let conversation = self.converse(entry, request).await?;
-        if conversation.is_idempotent() {
+        let (job, record) = self.take_on(&entry, request).await?;
+        if job.terms.idempotent {
+            let conversation = Conversation::begin(entry, job, record).await?;
             return conversation.open().await?.whole().await;
         }
         let (sender, receiver) = oneshot::channel();
         tokio::spawn(async move {
-            let end = match conversation.open().await {
-                Ok(opened) => opened.whole().await,
-                Err(refusal) => Err(refusal),
-            };
+            let end = Call::new(entry, job, record).run().await;
             // The caller may have gone; the end is recorded all the same.
             let _sent = sender.send(end);
         });
@@ -142,19 +149,19 @@
         })
     }
 
-    async fn converse(
+    async fn take_on(
         &self,
-        entry: Entry,
+        entry: &Entry,
         request: CallerRequest,
-    ) -> Result<Conversation, Refusal> {
+    ) -> Result<(Job, RequestRecord), Refusal> {
         let mut record = RequestRecord::new(
             self.clone(),
             entry.received_ms(),
             request.request_id.clone(),
             describe(&request.work),
         );
-        match self.take_on(entry, &request, &mut record).await {
-            Ok(taken_on) => Ok(Conversation::new(self, taken_on, record)),
+        match self.admit(entry, &request, &mut record).await {
+            Ok(job) => Ok((job, record)),
             Err(refusal) => {
                 record.refused(&refusal);
                 Err(refusal)
@@ -162,13 +169,13 @@
         }
     }
 
-    /// Admits a request by the inventory and waits for a place among those that wait.
-    async fn take_on(
+    /// Admits a request by the inventory.
+    async fn admit(
         &self,
-        entry: Entry,
+        entry: &Entry,
         request: &CallerRequest,
         record: &mut RequestRecord,
-    ) -> Result<TakenOn, Refusal> {
+    ) -> Result<Job, Refusal> {
         if request.body_bytes > entry.caller().body_bytes_max {
             return Err(body_too_large(entry.caller()));
         }
@@ -177,23 +184,16 @@
         let work = work_spec(&admission, &request.work)?;
         let received_ms = entry.received_ms();
         let terms = Terms::agree(self.clock, received_ms, request, &admission, &work)?;
-        let (caller, weight) = (admission.caller.name.clone(), admission.caller.weight);
-        record.taken_on(&caller, terms.class, terms.timeout_ms);
+        record.taken_on(&admission.caller.name, terms.class, terms.timeout_ms);
         record.step(TraceEvent::Admitted {
             revision: admission.revision,
             digest: terms.digest.clone(),
         });
-        let digest = terms.digest.clone();
-        let waiting = self
-            .handle
-            .wait(caller, weight, terms.class, digest)
-            .await?;
-        Ok(TakenOn {
-            entry,
-            admission,
+        Ok(Job {
+            dispatcher: self.clone(),
             terms,
+            admission,
             work,
-            waiting,
         })
     }
 }
@@ -214,6 +214,14 @@
     }
 }
 
+/// Returns whether a refusal concerns a limit, which a repeat may meet.
+fn is_limit(code: RefusalCode) -> bool {
+    matches!(
+        code,
+        RefusalCode::RateLimited | RefusalCode::ConcurrencyLimited | RefusalCode::Overloaded
+    )
+}
+
 /// Names the work in a trace, without the query, which may hold personal data.
 fn describe(work: &CallerWork) -> Arc<str> {
     match work {
--- a/crates/chicorystaged/src/router/serving/event.rs
+++ b/crates/chicorystaged/src/router/serving/event.rs
@@ -5,6 +5,7 @@
 use chicorystage_api::peer::{QuarantineEntry, RequestTrace};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_core::suspects::Standing;
+use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::serving::{Entry, WaitGuard};
@@ -55,6 +56,13 @@
         /// Receives what is held against the digest by now; none where the budget is spent.
         reply: oneshot::Sender<Option<Standing>>,
     },
+    /// A call asks for the VM that its claim names.
+    FindVm {
+        /// The VM.
+        vm: VmId,
+        /// Receives its entry, or none where the list has no such VM.
+        reply: oneshot::Sender<Result<Option<VmEntry>, Refusal>>,
+    },
     /// An agent refused an attempt because its VM is leaving.
     VmLeaving(VmId),
     /// An agent refused an attempt because it holds no slot.
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -96,6 +96,7 @@
             ServingEvent::Leave => self.leaving = true,
             ServingEvent::Stop => self.stopped = true,
             ServingEvent::Enter { .. }
+            | ServingEvent::FindVm { .. }
             | ServingEvent::NotPlaced { .. }
             | ServingEvent::Crashed { .. }
             | ServingEvent::Completed { .. }
@@ -168,7 +169,7 @@
 
     /// Chooses among candidates and checks that the deadline can be met.
     ///
-    /// Those to avoid are used again only where there is no other.
+    /// Those to avoid are used only where there is no other and the request allows it.
     pub(crate) fn choose(
         &mut self,
         now_ms: u64,
@@ -178,7 +179,7 @@
         candidates.retain(|candidate| !self.leaving_vms.contains(&candidate.vm));
         let mut fresh = candidates.clone();
         fresh.retain(|candidate| !request.avoid.contains(&candidate.vm));
-        if !fresh.is_empty() {
+        if !fresh.is_empty() || !request.again {
             candidates = fresh;
         }
         let prefix_at = request.prefix_key.and_then(|key| self.prefixes.get(key));
