--- /dev/null
+++ b/crates/chicorystage-testbed/tests/serving_answers.rs
@@ -0,0 +1,240 @@
+//! A router delivers an answer whole, or says honestly that it does not.
+
+mod serving_world;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
+use chicorystage_api::work::AttemptRequest;
+use chicorystage_platform::vm_list::VmState;
+use chicorystage_testbed::fakes::TableFault;
+use googletest::prelude::*;
+use serving_world::{Act, Breaks, delivered, world};
+use tokio::time::{Duration, Instant, sleep};
+
+const PROMPT: &str = "is lot 12 dry enough";
+const TIMEOUT_MS: u64 = 30_000;
+const WORDS: [&str; 4] = ["yes ", "it ", "is ", "dry"];
+const TEXT: &str = "yes it is dry";
+
+fn crash() -> Refusal {
+    Refusal::may_have_run(RefusalCode::EndpointLost, "the engine died")
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn broken_connections_are_resumed_at_the_offset() {
+    for (breaks, offset) in [
+        (Breaks::Silent(2), 2),
+        (Breaks::Cut(2), 2),
+        (Breaks::Gap(2), 2),
+        (Breaks::Silent(0), 0),
+        (Breaks::Cut(4), 4),
+    ] {
+        let world = world(1, move |_: &AttemptRequest, _: &VmId| {
+            Act::broken(&WORDS, &[breaks])
+        });
+        let world = world.await;
+        let opened = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+        let (text, refusal) = delivered(opened).await;
+        expect_that!((text.as_str(), refusal), eq(&(TEXT, None)), "{breaks:?}");
+        expect_that!(world.agents.resumed(), eq(&vec![(1, offset)]), "{breaks:?}");
+        expect_that!(world.agents.started().len(), eq(1));
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn repeated_frames_and_frames_of_another_attempt_are_dropped() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| {
+        Act::broken(&WORDS, &[Breaks::Echo])
+    });
+    let world = world.await;
+    let opened = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(delivered(opened).await.0, eq(TEXT));
+    expect_that!(world.agents.resumed(), is_empty());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn connections_that_break_without_progress_end_the_attempt() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::broken(&WORDS, &[Breaks::Silent(0); 20]);
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let answer = world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(&*answer.body, eq(TEXT.as_bytes()));
+    expect_that!(world.agents.cancelled().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn engine_that_dies_before_delivery_is_replaced() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::refused(&[], crash());
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let opened = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(delivered(opened).await, eq(&(TEXT.to_owned(), None)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn engine_that_dies_after_delivery_ends_the_stream_with_an_error() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::refused(&["yes "], crash());
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let opened = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+    let (text, refusal) = delivered(opened).await;
+    expect_that!(text, eq("yes "));
+    let refusal = refusal.unwrap();
+    expect_that!(refusal.code, eq(RefusalCode::EndpointLost));
+    expect_that!(refusal.outcome, eq(Outcome::MayHaveRun));
+    expect_that!(world.agents.started().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn collected_answer_of_a_second_attempt_holds_nothing_of_the_first() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::refused(&["no "], crash());
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let answer = world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(&*answer.body, eq(TEXT.as_bytes()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn start_of_unknown_effect_is_tried_elsewhere() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::Unknown;
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let answer = world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(&*answer.body, eq(TEXT.as_bytes()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn deadline_ends_a_started_request_in_time_as_one_that_may_have_run() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| {
+        Act::broken(&WORDS, &[Breaks::Stalls(0)])
+    });
+    let world = world.await;
+    let start = Instant::now();
+    let refusal = world.whole(PROMPT, 700).await.unwrap_err();
+    expect_that!(start.elapsed(), le(Duration::from_millis(701)));
+    expect_that!(refusal.code, eq(RefusalCode::DeadlineExceeded));
+    expect_that!(refusal.outcome, eq(Outcome::MayHaveRun));
+    sleep(Duration::from_millis(1)).await;
+    expect_that!(world.agents.cancelled().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn deadline_ends_a_request_that_was_never_sent_as_not_run() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&WORDS));
+    let world = world.await;
+    world.table.set_fault(TableFault::Slow { delay_ms: 60_000 });
+    let start = Instant::now();
+    let refusal = world.whole(PROMPT, 700).await.unwrap_err();
+    expect_that!(start.elapsed(), le(Duration::from_millis(701)));
+    expect_that!(refusal.code, eq(RefusalCode::DeadlineExceeded));
+    expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    expect_that!(world.agents.started(), is_empty());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn refusal_counts_an_earlier_attempt_that_may_have_run() {
+    let world = world(2, |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::refused(&[], crash());
+        }
+        Act::NotDelivered
+    });
+    let world = world.await;
+    let refusal = world.whole(PROMPT, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::NoEndpoint));
+    expect_that!(refusal.outcome, eq(Outcome::MayHaveRun));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn caller_who_goes_away_cancels_the_attempt() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| {
+        Act::broken(&WORDS, &[Breaks::Stalls(1)])
+    });
+    let world = world.await;
+    let opened = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+    drop(opened);
+    sleep(Duration::from_millis(1)).await;
+    expect_that!(world.agents.cancelled().len(), eq(1));
+    let status = world.parts.handle.status().await.unwrap();
+    expect_that!(status.in_progress, eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn leaving_endpoint_is_avoided_unseen_by_the_caller_and_from_then_on() {
+    let world = world(2, |_: &AttemptRequest, vm: &VmId| {
+        if vm.as_str() == "worker-1" {
+            let leaving = Refusal::not_run(RefusalCode::Leaving, "leaving");
+            return Act::refused(&[], leaving);
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    let slots = chicorystage_api::peer::PlacementRow {
+        model: "moisture".into(),
+        slots: ["worker-1", "worker-2"]
+            .map(|vm| chicorystage_api::peer::Slot {
+                vm: vm.into(),
+                state: chicorystage_api::peer::SlotState::Held,
+            })
+            .into(),
+    };
+    let push = chicorystage_api::peer::PlacementPush {
+        row_version: 1,
+        row: slots,
+    };
+    let read = chicorystaged::router::event::RouterEvent::PlacementRead(push);
+    world.parts.handle.tell(read).await;
+    for _ in 0..20 {
+        let answer = world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+        expect_that!(&*answer.body, eq(TEXT.as_bytes()));
+    }
+    let started = world.agents.started();
+    let to_leaving = started.iter().filter(|(vm, _)| vm.as_str() == "worker-1");
+    expect_that!(to_leaving.count(), le(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn vm_listed_as_leaving_gets_no_new_work() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&WORDS));
+    let world = world.await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    world.vms.set_state(&"worker-1".into(), VmState::Leaving);
+    sleep(Duration::from_secs(2)).await;
+    let refusal = world.whole(PROMPT, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    expect_that!(refusal.retry_after_ms, some(gt(0)));
+    expect_that!(world.agents.started().len(), eq(1));
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/serving_faults.rs
@@ -0,0 +1,301 @@
+//! Requests that crash endpoints, retries, and the record of a request.
+
+mod serving_world;
+
+use chicorystage_api::inventory::CallerItem;
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{
+    PLACEMENT_ROW_PREFIX, QUARANTINE_ROW_PREFIX, QuarantineEntry, TraceEnd, TraceEvent,
+};
+use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
+use chicorystage_api::work::AttemptRequest;
+use chicorystage_platform::table::{Table, Transaction, Write};
+use chicorystage_testbed::fakes::TableFault;
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use serving_world::{Act, Breaks, World, caller, request, world, world_with};
+use tokio::time::{Duration, sleep};
+
+const POISON: &str = "crash please";
+const PROMPT: &str = "is lot 12 dry enough";
+const TIMEOUT_MS: u64 = 30_000;
+
+fn crash() -> Refusal {
+    Refusal::may_have_run(RefusalCode::EndpointLost, "the engine died")
+}
+
+fn prompt_of(request: &AttemptRequest) -> String {
+    serde_json::to_value(&request.work).unwrap()["prompt"]
+        .as_str()
+        .unwrap()
+        .to_owned()
+}
+
+fn crashing(request: &AttemptRequest, _vm: &VmId) -> Act {
+    if prompt_of(request) == POISON {
+        return Act::refused(&[], crash());
+    }
+    Act::whole(&["fine"])
+}
+
+async fn quarantine_rows(world: &World) -> Vec<QuarantineEntry> {
+    let page = world.table.scan(QUARANTINE_ROW_PREFIX, None, 100).await;
+    let rows = page.unwrap().rows;
+    rows.iter()
+        .map(|row| serde_json::from_str(&row.value).unwrap())
+        .collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn request_that_crashes_endpoints_is_quarantined_at_its_second_crash() {
+    let world = world(3, crashing).await;
+    let refusal = world.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::Quarantined));
+    expect_that!(refusal.outcome, eq(Outcome::MayHaveRun));
+    let started = world.agents.started();
+    let suspects: Vec<bool> = started.iter().map(|(_, attempt)| attempt.suspect).collect();
+    expect_that!(suspects, elements_are![eq(&false), eq(&true)]);
+
+    let copy = world.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(copy.code, eq(RefusalCode::Quarantined));
+    expect_that!(copy.outcome, eq(Outcome::NotRun));
+    expect_that!(copy.retry_after_ms, none());
+    expect_that!(world.agents.started().len(), eq(2));
+
+    sleep(Duration::from_millis(100)).await;
+    let told = world.agents.quarantined();
+    expect_that!(told.iter().filter(|entry| entry.active).count(), eq(3));
+    let rows = quarantine_rows(&world).await;
+    expect_that!(rows.len(), eq(1));
+    expect_that!(rows[0].active, is_true());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn bystander_of_a_crash_is_cleared_by_completing() {
+    let script = |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::refused(&[], crash());
+        }
+        Act::whole(&["fine"])
+    };
+    let world = world(3, script).await;
+    for _ in 0..3 {
+        world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    }
+    let started = world.agents.started();
+    let suspects: Vec<bool> = started.iter().map(|(_, attempt)| attempt.suspect).collect();
+    expect_that!(
+        suspects,
+        container_eq([false, true, false, true, false, true])
+    );
+    expect_that!(world.parts.handle.quarantine_list().await, is_empty());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn quarantine_of_another_router_is_obeyed_whether_pushed_or_read() {
+    let source = world(1, crashing).await;
+    source.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    let entries = source.parts.handle.quarantine_list().await;
+    expect_that!(entries.len(), eq(1));
+
+    let pushed = world(1, crashing).await;
+    pushed.parts.handle.learn_quarantine(entries.clone()).await;
+    let refusal = pushed.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::Quarantined));
+    expect_that!(pushed.agents.started(), is_empty());
+
+    let reading = world(1, crashing).await;
+    copy_rows(&source, &reading).await;
+    sleep(Duration::from_secs(6)).await;
+    let refusal = reading.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::Quarantined));
+    expect_that!(reading.agents.started(), is_empty());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn quarantine_is_kept_once_the_table_is_back_and_lifted_for_good() {
+    let world = world(1, crashing).await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    world.table.set_fault(TableFault::Down);
+    world.whole(POISON, TIMEOUT_MS).await.unwrap_err();
+    sleep(Duration::from_secs(1)).await;
+    world.table.set_fault(TableFault::None);
+    sleep(Duration::from_secs(10)).await;
+    let rows = quarantine_rows(&world).await;
+    expect_that!(rows.len(), eq(1));
+
+    let digest = rows[0].digest.clone();
+    world.parts.handle.quarantine_lift(digest).await.unwrap();
+    sleep(Duration::from_secs(10)).await;
+    expect_that!(quarantine_rows(&world).await[0].active, is_false());
+    expect_that!(world.parts.handle.quarantine_list().await, is_empty());
+}
+
+async fn copy_rows(from: &World, to: &World) {
+    sleep(Duration::from_millis(100)).await;
+    for entry in quarantine_rows(from).await {
+        let key = format!("{QUARANTINE_ROW_PREFIX}{}", entry.digest);
+        put_row(to, &key, json!(entry)).await;
+    }
+}
+
+async fn put_row(world: &World, key: &str, value: Value) {
+    let transaction = Transaction {
+        id: key.into(),
+        checks: Vec::new(),
+        writes: vec![Write {
+            key: key.into(),
+            value: Some(value.to_string().into()),
+        }],
+    };
+    world.table.commit(transaction).await.unwrap();
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn fleet_in_trouble_is_spared_by_the_retry_budget() {
+    let script = |_: &AttemptRequest, _: &VmId| {
+        Act::refused(&[], Refusal::not_run(RefusalCode::LoadFailed, "no weights"))
+    };
+    let world = world(3, script).await;
+    let first_tries = 500;
+    for i in 0..first_tries {
+        let refusal = world
+            .whole(&format!("{PROMPT} {i}"), TIMEOUT_MS)
+            .await
+            .unwrap_err();
+        expect_that!(refusal.outcome, eq(Outcome::NotRun));
+        expect_that!(refusal.retry_after_ms, some(gt(0)));
+    }
+    // 20 retries saved and one for each five first tries.
+    expect_that!(
+        world.agents.started().len(),
+        le(first_tries + 20 + first_tries / 5)
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn work_that_may_not_be_repaired_elsewhere_is_refused_at_once() {
+    for code in [
+        RefusalCode::Forbidden,
+        RefusalCode::DeadlineExceeded,
+        RefusalCode::Quarantined,
+    ] {
+        let world = world(3, move |_: &AttemptRequest, _: &VmId| {
+            Act::refused(&[], Refusal::not_run(code, "no"))
+        });
+        let world = world.await;
+        let refusal = world.whole(PROMPT, TIMEOUT_MS).await.unwrap_err();
+        expect_that!(refusal.code, eq(code));
+        expect_that!(world.agents.started().len(), eq(1));
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn placement_that_an_agent_does_not_confirm_is_read_again() {
+    let script = |request: &AttemptRequest, vm: &VmId| {
+        let slot_moved = request.grant.as_ref().unwrap().row_version > 1;
+        if !slot_moved || vm.as_str() != "worker-9" {
+            return Act::refused(&[], Refusal::not_run(RefusalCode::NotPlaced, "no slot"));
+        }
+        Act::whole(&["fine"])
+    };
+    let world = world(9, script).await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap_err();
+    let row = json!({ "model": "moisture", "slots": [{ "vm": "worker-9", "state": "held" }] });
+    put_row(&world, &format!("{PLACEMENT_ROW_PREFIX}moisture"), row).await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn limits_of_a_caller_are_given_back_when_its_requests_end() {
+    let limited = CallerItem {
+        concurrent_max: 2,
+        ..caller()
+    };
+    let stalling = |_: &AttemptRequest, _: &VmId| Act::broken(&["fine"], &[Breaks::Stalls(1); 100]);
+    let world = world_with(1, limited, stalling).await;
+    for _ in 0..3 {
+        let first = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+        let second = world.open(PROMPT, TIMEOUT_MS).await.unwrap();
+        let third = world.open(PROMPT, TIMEOUT_MS).await.unwrap_err();
+        expect_that!(third.code, eq(RefusalCode::ConcurrencyLimited));
+        expect_that!(third.outcome, eq(Outcome::NotRun));
+        drop((first, second));
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn trace_tells_attempts_and_end_of_a_request() {
+    let script = |request: &AttemptRequest, _: &VmId| {
+        if request.attempt == 1 {
+            return Act::NotDelivered;
+        }
+        Act::whole(&["fine"])
+    };
+    let world = world(2, script).await;
+    let request = request(PROMPT, TIMEOUT_MS);
+    let request_id = request.request_id.clone();
+    world.dispatcher().whole(request).await.unwrap();
+    let trace = world.parts.handle.explain(request_id).await.unwrap();
+    expect_that!(trace.end, matches_pattern!(TraceEnd::Answered { .. }));
+    let events: Vec<TraceEvent> = trace.steps.into_iter().map(|step| step.event).collect();
+    expect_that!(
+        events,
+        elements_are![
+            matches_pattern!(TraceEvent::Admitted { .. }),
+            matches_pattern!(TraceEvent::Chosen {
+                attempt: eq(&1),
+                ..
+            }),
+            matches_pattern!(TraceEvent::Failed {
+                attempt: eq(&1),
+                ..
+            }),
+            matches_pattern!(TraceEvent::Retried { .. }),
+            matches_pattern!(TraceEvent::Chosen {
+                attempt: eq(&2),
+                ..
+            }),
+            matches_pattern!(TraceEvent::Begun { attempt: eq(&2) }),
+        ]
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn leaving_router_fails_readiness_and_serves_on() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&["fine"])).await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    expect_that!(world.parts.handle.status().await.unwrap().ready, is_true());
+    world.parts.handle.leave().await;
+    expect_that!(world.parts.handle.status().await.unwrap().ready, is_false());
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn figures_are_kept_by_class_and_tenant() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&["a", "b"])).await;
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    let text = world.parts.metrics.encode();
+    for line in [
+        "chicorystage_requests_total{class=\"interactive\",tenant=\"field-agents\"} 1",
+        "chicorystage_first_token_seconds_count{class=\"interactive\",tenant=\"field-agents\"} 1",
+        "chicorystage_between_tokens_seconds_count{class=\"interactive\",tenant=\"field-agents\"} 1",
+        "chicorystage_answer_seconds_count{class=\"interactive\",tenant=\"field-agents\"} 1",
+        "chicorystage_wait_seconds_count{class=\"interactive\",tenant=\"field-agents\"} 1",
+        "chicorystage_attempts_total 1",
+    ] {
+        expect_that!(text, contains_substring(line));
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -0,0 +1,197 @@
+//! One real router loop before agents that answer by script.
+
+#![expect(dead_code, reason = "each test binary uses a part of the world")]
+
+mod script;
+mod scripted_agents;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chicorystage_api::inventory::{
+    CallerItem, Class, Item, ItemRow, ModelItem, ModelVersion, PolicyItem, Snapshot,
+};
+use chicorystage_api::name::VmId;
+use chicorystage_api::refusal::Refusal;
+use chicorystage_api::work::Payload;
+use chicorystage_core::token;
+use chicorystage_platform::http::RpcRouterLink;
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
+use chicorystaged::router::borders::RouterBorders;
+use chicorystaged::router::event::RouterEvent;
+use chicorystaged::router::parts::RouterParts;
+use chicorystaged::router::serving::{
+    CallerHead, CallerRequest, CallerWork, Dispatcher, OpenedAnswer, WholeAnswer,
+};
+use chicorystaged::settings::{DaemonSettings, RouterSettings};
+use chicorystaged::timer::Clock;
+
+pub use script::{Act, Breaks, Script};
+pub use scripted_agents::ScriptedAgents;
+
+pub const TOKEN: &str = "caller-token";
+const MODEL: &str = "moisture";
+
+/// A router with its surroundings.
+pub struct World {
+    pub parts: RouterParts,
+    pub agents: Arc<ScriptedAgents>,
+    pub table: Arc<FakeTable>,
+    pub vms: Arc<FakeVmList>,
+}
+
+/// Starts a router with so many agents; `script` decides each attempt.
+pub async fn world(agents: u16, script: impl Script) -> World {
+    world_with(agents, caller(), script).await
+}
+
+pub async fn world_with(agents: u16, caller: CallerItem, script: impl Script) -> World {
+    let names = (1..=agents).map(|i| (address(i), VmId::from(format!("worker-{i}"))));
+    let names: BTreeMap<SocketAddr, VmId> = names.collect();
+    let scripted = Arc::new(ScriptedAgents::new(names.clone(), script));
+    let (table, vms) = (Arc::new(FakeTable::new()), Arc::new(FakeVmList::new()));
+    for (address, id) in names {
+        vms.put(VmEntry {
+            id,
+            address,
+            zone: "huehue-a".into(),
+            group: "colmena-llm".into(),
+            state: VmState::Live,
+        });
+    }
+    let borders = RouterBorders {
+        table: Arc::clone(&table) as _,
+        object_store: Arc::new(FakeObjectStore::new()),
+        vm_list: Arc::clone(&vms) as _,
+        agents: Arc::clone(&scripted) as _,
+        routers: Arc::new(RpcRouterLink::new(1, 1)),
+    };
+    let parts = RouterParts::start(daemon(), settings(), borders, Clock::start());
+    let snapshot = RouterEvent::InventoryRead(inventory(caller));
+    parts.handle.tell(snapshot).await;
+    let listed = RouterEvent::VmsRead(
+        chicorystage_platform::vm_list::VmList::read(&*vms)
+            .await
+            .unwrap(),
+    );
+    parts.handle.tell(listed).await;
+    World {
+        parts,
+        agents: scripted,
+        table,
+        vms,
+    }
+}
+
+impl World {
+    pub fn dispatcher(&self) -> &Dispatcher {
+        &self.parts.dispatcher
+    }
+
+    pub async fn open(&self, prompt: &str, timeout_ms: u64) -> Result<OpenedAnswer, Refusal> {
+        self.dispatcher().open(request(prompt, timeout_ms)).await
+    }
+
+    pub async fn whole(&self, prompt: &str, timeout_ms: u64) -> Result<WholeAnswer, Refusal> {
+        self.dispatcher().whole(request(prompt, timeout_ms)).await
+    }
+}
+
+/// Reads a delivered answer to its end: the text, and the refusal that ended it.
+pub async fn delivered(mut opened: OpenedAnswer) -> (String, Option<Refusal>) {
+    let mut text = String::new();
+    loop {
+        match opened.next().await {
+            Payload::Token(token) => text.push_str(&token),
+            Payload::End(_) => return (text, None),
+            Payload::Refused(refusal) => return (text, Some(refusal)),
+            _ => {}
+        }
+    }
+}
+
+pub fn request(prompt: &str, timeout_ms: u64) -> CallerRequest {
+    let head = CallerHead {
+        token_sha256: token::sha256(TOKEN.as_bytes()),
+        timeout_ms: Some(timeout_ms),
+        class: None,
+        key: None,
+    };
+    let work = CallerWork::Completion {
+        model: chicorystage_api::inventory::ModelRef::parse(MODEL).unwrap(),
+        prompt: prompt.into(),
+        max_tokens: 8,
+    };
+    CallerRequest::new(head, prompt.len() as u64, work)
+}
+
+pub fn caller() -> CallerItem {
+    CallerItem {
+        name: "field-agents".into(),
+        owner: "field".into(),
+        token_sha256: token::sha256(TOKEN.as_bytes()),
+        class: Class::Interactive,
+        models: vec!["*".into()],
+        applications: vec!["*".into()],
+        rate_per_s: 10_000,
+        burst: 10_000,
+        concurrent_max: 10_000,
+        body_bytes_max: 1 << 20,
+        weight: 1,
+    }
+}
+
+fn inventory(caller: CallerItem) -> Snapshot {
+    let model = ModelItem {
+        name: MODEL.into(),
+        owner: "field".into(),
+        group: "colmena-llm".into(),
+        default_version: "v1".into(),
+        versions: vec![ModelVersion {
+            version: "v1".into(),
+            memory_bytes: 1,
+        }],
+    };
+    let items = [
+        Item::Model(model),
+        Item::Caller(caller),
+        Item::Policy(PolicyItem::default()),
+    ];
+    let rows = items.map(|item| ItemRow {
+        item,
+        revision: 1,
+        change_id: "test".into(),
+        operator: "root".into(),
+    });
+    Snapshot {
+        revision: 1,
+        rows: rows.into(),
+    }
+}
+
+fn daemon() -> DaemonSettings {
+    DaemonSettings {
+        vm: "entry-1".into(),
+        zone: "huehue-a".into(),
+        group: "entry".into(),
+    }
+}
+
+fn settings() -> RouterSettings {
+    RouterSettings {
+        caller_api: address(0),
+        admin_api: address(0),
+        root_token_sha256: token::sha256(b"root"),
+        freshness_max_ms: 60_000,
+        drain_lag_ms: 0,
+        drain_max_ms: 0,
+        waiting_max: 4_096,
+        body_bytes_held_max: 1 << 30,
+    }
+}
+
+fn address(i: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + i))
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -0,0 +1,208 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{
+    AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
+};
+use chicorystage_api::work::{AttemptRequest, Frame, HEARTBEAT_INTERVAL_MS, Payload};
+use chicorystage_platform::link::{AgentLink, FrameStream};
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use tokio::sync::mpsc;
+
+use super::script::{Act, Breaks, Script};
+
+/// Pause between two frames, in milliseconds.
+const FRAME_MS: u64 = 10;
+
+/// Agents that answer by script and note what they were asked.
+pub struct ScriptedAgents {
+    names: BTreeMap<SocketAddr, VmId>,
+    script: Box<dyn Script>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    attempts: HashMap<AttemptRef, (Vec<Payload>, Vec<Breaks>)>,
+    started: Vec<(VmId, AttemptRequest)>,
+    resumed: Vec<(u32, u64)>,
+    cancelled: Vec<AttemptRef>,
+    quarantined: Vec<QuarantineEntry>,
+}
+
+impl ScriptedAgents {
+    pub fn new(names: BTreeMap<SocketAddr, VmId>, script: impl Script) -> Self {
+        Self {
+            names,
+            script: Box::new(script),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Returns the attempts that agents were sent.
+    pub fn started(&self) -> Vec<(VmId, AttemptRequest)> {
+        self.lock().started.clone()
+    }
+
+    /// Returns attempt and offset of each resumption.
+    pub fn resumed(&self) -> Vec<(u32, u64)> {
+        self.lock().resumed.clone()
+    }
+
+    pub fn cancelled(&self) -> Vec<AttemptRef> {
+        self.lock().cancelled.clone()
+    }
+
+    pub fn quarantined(&self) -> Vec<QuarantineEntry> {
+        self.lock().quarantined.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    fn connect(&self, attempt: &AttemptRef, offset: u64) -> Option<FrameStream> {
+        let mut state = self.lock();
+        let (payloads, breaks) = state.attempts.get_mut(attempt)?;
+        let breaks = if breaks.is_empty() {
+            Breaks::Never
+        } else {
+            breaks.remove(0)
+        };
+        let frames = payloads.iter().zip(0..).map(|(payload, offset)| Frame {
+            attempt: attempt.attempt,
+            offset,
+            load: None,
+            payload: payload.clone(),
+        });
+        let frames = frames.skip(usize::try_from(offset).unwrap()).collect();
+        let (sender, receiver) = mpsc::channel(64);
+        tokio::spawn(play(frames, breaks, sender));
+        Some(receiver)
+    }
+}
+
+/// Sends frames as a connection would; errors mean that the router has gone.
+async fn play(frames: Vec<Frame>, breaks: Breaks, sender: mpsc::Sender<Frame>) {
+    for (i, frame) in frames.into_iter().enumerate() {
+        tokio::time::sleep(Duration::from_millis(FRAME_MS)).await;
+        match breaks {
+            Breaks::Cut(after) if i == after => return,
+            Breaks::Silent(after) if i == after => return sender.closed().await,
+            Breaks::Stalls(after) if i == after => return beat(frame, &sender).await,
+            Breaks::Gap(after) if i == after => continue,
+            Breaks::Echo => {
+                let stale = Frame {
+                    attempt: frame.attempt + 7,
+                    payload: Payload::Token("stale".into()),
+                    ..frame.clone()
+                };
+                let _sent = sender.send(stale).await;
+                let _sent = sender.send(frame.clone()).await;
+            }
+            _ => {}
+        }
+        if sender.send(frame).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn beat(frame: Frame, sender: &mpsc::Sender<Frame>) {
+    let heartbeat = Frame {
+        payload: Payload::Heartbeat,
+        ..frame
+    };
+    while sender.send(heartbeat.clone()).await.is_ok() {
+        tokio::time::sleep(Duration::from_millis(HEARTBEAT_INTERVAL_MS)).await;
+    }
+}
+
+fn error(kind: BorderErrorKind) -> BorderError {
+    BorderError::new(kind, "scripted")
+}
+
+impl AgentLink for ScriptedAgents {
+    fn start(
+        &self,
+        agent: SocketAddr,
+        request: AttemptRequest,
+    ) -> BoxFuture<'_, Result<FrameStream, BorderError>> {
+        Box::pin(async move {
+            let vm = self.names[&agent].clone();
+            let attempt = AttemptRef {
+                request_id: request.request_id.clone(),
+                attempt: request.attempt,
+            };
+            let act = (self.script)(&request, &vm);
+            self.lock().started.push((vm, request));
+            match act {
+                Act::NotDelivered => Err(error(BorderErrorKind::NotDelivered)),
+                Act::Unknown => Err(error(BorderErrorKind::Unknown)),
+                Act::Answer(payloads, breaks) => {
+                    let record = (payloads, breaks);
+                    self.lock().attempts.insert(attempt.clone(), record);
+                    Ok(self.connect(&attempt, 0).unwrap())
+                }
+            }
+        })
+    }
+
+    fn resume(
+        &self,
+        _agent: SocketAddr,
+        attempt: AttemptRef,
+        offset: u64,
+    ) -> BoxFuture<'_, Result<FrameStream, BorderError>> {
+        Box::pin(async move {
+            self.lock().resumed.push((attempt.attempt, offset));
+            let stream = self.connect(&attempt, offset);
+            stream.ok_or_else(|| error(BorderErrorKind::Rejected))
+        })
+    }
+
+    fn cancel(
+        &self,
+        _agent: SocketAddr,
+        attempt: AttemptRef,
+    ) -> BoxFuture<'_, Result<(), BorderError>> {
+        self.lock().cancelled.push(attempt);
+        Box::pin(async { Ok(()) })
+    }
+
+    fn query_claim(
+        &self,
+        _agent: SocketAddr,
+        _query: ClaimQuery,
+    ) -> BoxFuture<'_, Result<ClaimState, BorderError>> {
+        Box::pin(async { Ok(ClaimState::Unknown) })
+    }
+
+    fn push_placements(
+        &self,
+        _agent: SocketAddr,
+        _pushes: Vec<PlacementPush>,
+    ) -> BoxFuture<'_, Result<Vec<PlacementAck>, BorderError>> {
+        Box::pin(async { Ok(Vec::new()) })
+    }
+
+    fn push_quarantine(
+        &self,
+        _agent: SocketAddr,
+        entries: Vec<QuarantineEntry>,
+    ) -> BoxFuture<'_, Result<(), BorderError>> {
+        self.lock().quarantined.extend(entries);
+        Box::pin(async { Ok(()) })
+    }
+
+    fn status(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<AgentStatus, BorderError>> {
+        Box::pin(async { Err(error(BorderErrorKind::NotDelivered)) })
+    }
+
+    fn drain(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
+        Box::pin(async { Ok(()) })
+    }
+}
