--- a/crates/chicorystage-api/src/lib.rs
+++ b/crates/chicorystage-api/src/lib.rs
@@ -8,6 +8,7 @@
 //! # Parts
 //!
 //! * [`name`]: shared immutable names ([`ModelName`](name::ModelName) and its kin).
+//! * [`admin`]: answers of the administration API.
 //! * [`inventory`]: what operators declare: models, adapters, applications,
 //!   callers, operators and rules, and the changes made to them.
 //! * [`work`]: one attempt of one request, sent by a router to an agent, and
@@ -22,6 +23,7 @@
 //! the codec is on the hot path; its visitor is written by hand and the other
 //! types derive theirs.
 
+pub mod admin;
 pub mod finding;
 pub mod inventory;
 pub mod name;
--- /dev/null
+++ b/crates/chicorystage-core/src/freshness/state.rs
@@ -0,0 +1,169 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use chicorystage_api::name::VmId;
+
+use crate::freshness::{PeerContact, Probe};
+
+/// Share of the bound after which a few peers are asked.
+const FEW_AFTER: (u64, u64) = (2, 5);
+/// Share of the bound after which all peers are asked.
+const EVERYBODY_AFTER: (u64, u64) = (3, 5);
+
+/// What one router knows about the age of its rules.
+///
+/// The clock must read 0 or more at the start of the process and never go back.
+#[derive(Clone, Debug)]
+pub struct Freshness {
+    own: VmId,
+    bound_ms: u64,
+    in_force: u64,
+    confirmed_ms: Option<u64>,
+    pending: Option<Confirmation>,
+    listed: BTreeSet<VmId>,
+    contacts: BTreeMap<VmId, PeerContact>,
+    anchored: bool,
+}
+
+/// Evidence that a revision was the newest at a time.
+#[derive(Clone, Copy, Debug)]
+struct Confirmation {
+    revision: u64,
+    at_ms: u64,
+}
+
+impl Freshness {
+    /// Creates the knowledge of a process that has just started.
+    #[must_use]
+    pub fn new(own: VmId, bound_ms: u64) -> Self {
+        Self {
+            own,
+            bound_ms,
+            in_force: 0,
+            confirmed_ms: None,
+            pending: None,
+            listed: BTreeSet::new(),
+            contacts: BTreeMap::new(),
+            anchored: false,
+        }
+    }
+
+    /// Notes the listed routers, this one included.
+    pub fn set_listed(&mut self, listed: BTreeSet<VmId>) {
+        self.contacts.retain(|vm, _| listed.contains(vm));
+        self.listed = listed;
+        self.anchor();
+    }
+
+    /// Returns the listed routers.
+    #[must_use]
+    pub fn listed(&self) -> &BTreeSet<VmId> {
+        &self.listed
+    }
+
+    /// Notes the revision that is in force.
+    pub fn set_in_force(&mut self, revision: u64) {
+        self.in_force = self.in_force.max(revision);
+        if let Some(pending) = self.pending
+            && pending.revision <= self.in_force
+        {
+            self.pending = None;
+            self.confirm(pending.at_ms);
+        }
+        self.anchor();
+    }
+
+    /// Notes that the head, asked for at `asked_ms`, was at `revision`.
+    pub fn head_seen(&mut self, revision: u64, asked_ms: u64) {
+        if revision <= self.in_force {
+            self.confirm(asked_ms);
+            return;
+        }
+        // Evidence for a newer revision counts once that revision is in force.
+        self.pending = Some(Confirmation {
+            revision,
+            at_ms: asked_ms,
+        });
+    }
+
+    /// Notes a peer's answer.
+    pub fn peer_answered(&mut self, contact: PeerContact) {
+        // A time before this process started proves nothing about what its
+        // predecessor acknowledged; the clock's zero is that start.
+        if let Some(at_ms) = contact.asked_ms.checked_sub(contact.confirmed_age_ms) {
+            self.head_seen(contact.revision, at_ms);
+        }
+        let newer = self
+            .contacts
+            .get(&contact.vm)
+            .is_none_or(|known| known.asked_ms <= contact.asked_ms);
+        if newer && contact.vm != self.own {
+            self.contacts.insert(contact.vm.clone(), contact);
+        }
+        self.anchor();
+    }
+
+    /// Returns the age of the last confirmation of the head; `u64::MAX` for none.
+    #[must_use]
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> u64 {
+        self.confirmed_ms
+            .map_or(u64::MAX, |at_ms| now_ms.saturating_sub(at_ms))
+    }
+
+    /// Returns whether requests may be admitted by the rules in force.
+    #[must_use]
+    pub fn admits(&self, now_ms: u64) -> bool {
+        if self.in_force == 0 {
+            return false;
+        }
+        self.confirmed_age_ms(now_ms) <= self.bound_ms || self.reaches_majority(now_ms)
+    }
+
+    /// Returns which peers are to be asked now.
+    #[must_use]
+    pub fn probe(&self, now_ms: u64) -> Probe {
+        let age_ms = self.confirmed_age_ms(now_ms);
+        if age_ms > share(self.bound_ms, EVERYBODY_AFTER) {
+            return Probe::Everybody;
+        }
+        if age_ms > share(self.bound_ms, FEW_AFTER) {
+            return Probe::Few;
+        }
+        Probe::Nobody
+    }
+
+    fn confirm(&mut self, at_ms: u64) {
+        self.confirmed_ms = self.confirmed_ms.max(Some(at_ms));
+        self.anchored = true;
+    }
+
+    /// A majority that does not count this process knows all that its
+    /// predecessor acknowledged.
+    fn anchor(&mut self) {
+        if !self.anchored && self.in_force > 0 {
+            let peers = self.contacts.values().filter(|peer| self.vouches(peer));
+            self.anchored = is_majority(peers.count(), self.listed.len());
+        }
+    }
+
+    fn reaches_majority(&self, now_ms: u64) -> bool {
+        let recent = |peer: &&PeerContact| {
+            self.vouches(peer) && now_ms.saturating_sub(peer.asked_ms) <= self.bound_ms
+        };
+        let peers = self.contacts.values().filter(recent).count();
+        let own = usize::from(self.anchored && self.listed.contains(&self.own));
+        is_majority(peers + own, self.listed.len())
+    }
+
+    /// Whether a peer's answer tells that nothing newer is in force there.
+    fn vouches(&self, peer: &PeerContact) -> bool {
+        peer.revision <= self.in_force && peer.confirmed_age_ms != u64::MAX
+    }
+}
+
+fn is_majority(count: usize, of: usize) -> bool {
+    of > 0 && count * 2 > of
+}
+
+fn share(whole_ms: u64, (numerator, denominator): (u64, u64)) -> u64 {
+    whole_ms * numerator / denominator
+}
--- a/crates/chicorystage-core/src/inventory/state.rs
+++ b/crates/chicorystage-core/src/inventory/state.rs
@@ -1,11 +1,13 @@
 use std::collections::{BTreeMap, HashMap};
 
 use chicorystage_api::inventory::{
-    AdapterItem, ApplicationItem, CallerItem, Item, ItemKey, ItemKind, ItemRow, ModelItem,
-    PolicyItem, RuleItem, Snapshot,
+    AdapterItem, ApplicationItem, CallerItem, ChangeRecord, Item, ItemKey, ItemKind, ItemRow,
+    ModelItem, OperatorItem, PolicyItem, RuleItem, Snapshot,
 };
 use chicorystage_api::name::{AdapterName, ApplicationName, Digest, ModelName};
 
+use crate::inventory::Applied;
+
 /// The inventory in force in one process.
 ///
 /// A look-up costs one map access. Revisions never go backwards: a snapshot
@@ -14,7 +16,7 @@
 pub struct InventoryState {
     revision: u64,
     rows: BTreeMap<ItemKey, ItemRow>,
-    callers_by_token: HashMap<Digest, ItemKey>,
+    holders_by_token: HashMap<Digest, ItemKey>,
     policy: PolicyItem,
 }
 
@@ -36,10 +38,41 @@
             .into_iter()
             .map(|row| (row.item.key(), row))
             .collect();
-        self.index();
+        self.index_all();
         true
     }
 
+    /// Puts the next record of the change log in force.
+    ///
+    /// A record that the state already holds changes nothing, and neither does
+    /// one that leaves a gap.
+    pub fn apply(&mut self, record: &ChangeRecord) -> Applied {
+        if record.revision <= self.revision {
+            return Applied::Known;
+        }
+        if record.revision != self.revision + 1 {
+            return Applied::Gap;
+        }
+        for entry in &record.items {
+            if let Some(old) = self.rows.remove(&entry.key) {
+                self.unindex(&entry.key, &old.item);
+            }
+            let Some(item) = entry.item.clone() else {
+                continue;
+            };
+            self.index(&entry.key, &item);
+            let row = ItemRow {
+                item,
+                revision: record.revision,
+                change_id: record.change_id.clone(),
+                operator: record.operator.clone(),
+            };
+            self.rows.insert(entry.key.clone(), row);
+        }
+        self.revision = record.revision;
+        Applied::Advanced
+    }
+
     /// Returns the inventory as a snapshot.
     #[must_use]
     pub fn snapshot(&self) -> Snapshot {
@@ -69,13 +102,23 @@
     /// Returns the caller who holds a token.
     #[must_use]
     pub fn caller_by_token(&self, token_sha256: &Digest) -> Option<&CallerItem> {
-        let key = self.callers_by_token.get(token_sha256)?;
+        let key = self.holders_by_token.get(token_sha256)?;
         match &self.rows.get(key)?.item {
             Item::Caller(caller) => Some(caller),
             _ => None,
         }
     }
 
+    /// Returns the operator who holds a token.
+    #[must_use]
+    pub fn operator_by_token(&self, token_sha256: &Digest) -> Option<&OperatorItem> {
+        let key = self.holders_by_token.get(token_sha256)?;
+        match &self.rows.get(key)?.item {
+            Item::Operator(operator) => Some(operator),
+            _ => None,
+        }
+    }
+
     /// Returns a model.
     #[must_use]
     pub fn model(&self, name: &ModelName) -> Option<&ModelItem> {
@@ -128,18 +171,43 @@
             .map(|row| &row.item)
     }
 
-    fn index(&mut self) {
-        self.callers_by_token.clear();
+    fn index_all(&mut self) {
+        self.holders_by_token.clear();
         self.policy = PolicyItem::default();
-        for (key, row) in &self.rows {
-            match &row.item {
-                Item::Caller(caller) => {
-                    self.callers_by_token
-                        .insert(caller.token_sha256.clone(), key.clone());
-                }
-                Item::Policy(policy) => self.policy = policy.clone(),
-                _ => {}
-            }
+        let rows = std::mem::take(&mut self.rows);
+        for (key, row) in &rows {
+            self.index(key, &row.item);
+        }
+        self.rows = rows;
+    }
+
+    fn index(&mut self, key: &ItemKey, item: &Item) {
+        if let Item::Policy(policy) = item {
+            self.policy = policy.clone();
+        }
+        if let Some(token_sha256) = token_of(item) {
+            self.holders_by_token
+                .insert(token_sha256.clone(), key.clone());
+        }
+    }
+
+    fn unindex(&mut self, key: &ItemKey, item: &Item) {
+        if let Item::Policy(_) = item {
+            self.policy = PolicyItem::default();
+        }
+        // A token may have passed to another holder in the same change.
+        if let Some(token_sha256) = token_of(item)
+            && self.holders_by_token.get(token_sha256) == Some(key)
+        {
+            self.holders_by_token.remove(token_sha256);
         }
     }
 }
+
+fn token_of(item: &Item) -> Option<&Digest> {
+    match item {
+        Item::Caller(caller) => Some(&caller.token_sha256),
+        Item::Operator(operator) => Some(&operator.token_sha256),
+        _ => None,
+    }
+}
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! # Parts
 //!
+//! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
 //! * [`token`]: digests of bearer tokens and of work.
@@ -16,6 +17,7 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod freshness;
 pub mod inventory;
 pub mod rendezvous;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystaged/src/router/admin_api/deployment.rs
@@ -0,0 +1,107 @@
+//! State of the whole deployment, and drains.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::admin::{AgentReport, DeploymentStatus, RouterReport};
+use chicorystage_api::name::VmId;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_platform::BorderError;
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use http::StatusCode;
+use serde_json::json;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::router::admin_api::admin_error::AdminError;
+use crate::router::admin_api::{AdminApi, Answer, ok};
+use crate::web;
+
+/// Longest time until one process has told its state, in milliseconds.
+const STATUS_MAX_MS: u64 = 2_000;
+/// Processes that are asked at once.
+const ASKED_AT_ONCE: usize = 64;
+
+/// What one process said.
+enum Report {
+    Router(RouterReport),
+    Agent(AgentReport),
+}
+
+impl AdminApi {
+    /// Asks every listed process for its state.
+    pub(super) async fn status(&self) -> Answer {
+        let mut asked = JoinSet::new();
+        let at_once = Arc::new(Semaphore::new(ASKED_AT_ONCE));
+        for vm in self.vms().await?.into_values() {
+            let (api, at_once) = (self.clone(), Arc::clone(&at_once));
+            asked.spawn(async move {
+                let _permit = at_once.acquire_owned().await;
+                api.report(vm).await
+            });
+        }
+        let mut status = DeploymentStatus {
+            revision: self.handle.status().await.map_or(0, |own| own.revision),
+            routers: Vec::new(),
+            agents: Vec::new(),
+            quarantine: self.read_quarantine().await.ok(),
+        };
+        while let Some(report) = asked.join_next().await {
+            match report {
+                Ok(Report::Router(router)) => status.routers.push(router),
+                Ok(Report::Agent(agent)) => status.agents.push(agent),
+                Err(_panicked) => {}
+            }
+        }
+        status.routers.sort_by(|a, b| a.vm.cmp(&b.vm));
+        status.agents.sort_by(|a, b| a.vm.cmp(&b.vm));
+        Ok(ok(&status))
+    }
+
+    async fn report(&self, vm: VmEntry) -> Report {
+        let bound = Duration::from_millis(STATUS_MAX_MS);
+        let listed_leaving = vm.state == VmState::Leaving;
+        if vm.group == self.group {
+            let status = timeout(bound, self.borders.routers.status(vm.address)).await;
+            return Report::Router(RouterReport {
+                vm: vm.id,
+                zone: vm.zone,
+                listed_leaving,
+                status: status.ok().and_then(Result::ok),
+            });
+        }
+        let status = timeout(bound, self.borders.agents.status(vm.address)).await;
+        Report::Agent(AgentReport {
+            vm: vm.id,
+            zone: vm.zone,
+            group: vm.group,
+            listed_leaving,
+            status: status.ok().and_then(Result::ok),
+        })
+    }
+
+    /// Asks one process for a graceful stop.
+    pub(super) async fn drain(&self, vm: &VmId) -> Answer {
+        let vms = self.vms().await?;
+        let entry = vms
+            .get(vm)
+            .ok_or_else(|| AdminError::NotFound(format!("no VM {vm} is listed")))?;
+        let asked = if entry.group == self.group {
+            self.borders.routers.drain(entry.address).await
+        } else {
+            self.borders.agents.drain(entry.address).await
+        };
+        asked.map_err(|error| undelivered(vm, &error))?;
+        log::info!(event = "drain_asked", vm = vm.as_str(); "drain asked for");
+        Ok(web::json(StatusCode::ACCEPTED, &json!({ "vm": vm })))
+    }
+}
+
+fn undelivered(vm: &VmId, error: &BorderError) -> Refusal {
+    let detail = format!("{vm} did not confirm the drain: {error}");
+    if error.had_no_effect() {
+        return Refusal::not_run(RefusalCode::NoEndpoint, detail);
+    }
+    Refusal::may_have_run(RefusalCode::ResultUnknown, detail)
+}
--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -3,12 +3,16 @@
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::inventory::{CallerItem, Snapshot};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus};
+use chicorystage_api::peer::{
+    PermitAnswer, PermitRequest, PlaceRequest, PlacementPush, QuarantineEntry, RouterStatus,
+};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
+use crate::router::inventory::InventoryEvent;
+
 /// One event of the router's main loop.
 #[derive(Debug)]
 pub enum RouterEvent {
@@ -52,6 +56,41 @@
         /// Why.
         refusal: Refusal,
     },
+    /// An event of the inventory's part.
+    Inventory(InventoryEvent),
+    /// An agent or router asks the planner of a model for a slot.
+    Place {
+        /// What it asks.
+        request: PlaceRequest,
+        /// Receives the row in force; dropped where this router cannot tell.
+        reply: oneshot::Sender<Option<PlacementPush>>,
+    },
+    /// An agent asks for permission to fetch weights.
+    AcquirePermit {
+        /// What it asks.
+        request: PermitRequest,
+        /// Receives the answer; dropped where this router hands out none.
+        reply: oneshot::Sender<PermitAnswer>,
+    },
+    /// An agent returns a permit.
+    ReleasePermit {
+        /// Identity of the permit.
+        permit_id: u64,
+        /// Receives the acknowledgement; dropped where this router hands out none.
+        reply: oneshot::Sender<()>,
+    },
+    /// A router or operator delivers quarantined digests.
+    PushQuarantine {
+        /// The digests.
+        entries: Vec<QuarantineEntry>,
+        /// Receives the acknowledgement once they are in force.
+        reply: oneshot::Sender<()>,
+    },
+    /// An operator asks for a graceful stop.
+    Drain {
+        /// Receives the acknowledgement; dropped where it cannot be done.
+        reply: oneshot::Sender<()>,
+    },
     /// Somebody asks for the router's state.
     Status {
         /// Receives the state.
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::event::{Admission, Choice, RouterEvent, Target};
+use crate::router::inventory::InventoryEvent;
 
 /// Sends events to the router's main loop.
 #[derive(Clone, Debug)]
@@ -66,7 +67,19 @@
         self.sender.send(event).await.is_ok()
     }
 
-    async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent) -> Option<T> {
+    /// Asks the inventory's part of the loop; none where the loop has ended.
+    pub async fn ask_inventory<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> InventoryEvent,
+    ) -> Option<T> {
+        self.ask(|reply| RouterEvent::Inventory(event(reply))).await
+    }
+
+    /// Asks the loop; none where it has ended or dropped the question.
+    pub(crate) async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent,
+    ) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.sender.send(event(reply)).await.ok()?;
         answer.await.ok()
--- a/crates/chicorystaged/src/router/internal_api.rs
+++ b/crates/chicorystaged/src/router/internal_api.rs
@@ -1,29 +1,33 @@
+use chicorystage_api::peer::{RPC_PATH, RouterRpcServer};
 use chicorystage_platform::BoxFuture;
 use chicorystage_platform::http::{Handler, ResponseBody};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::router::handle::RouterHandle;
+use crate::router::internal_rpc::InternalRpc;
+use crate::rpc_server::RpcServer;
 use crate::web;
 
 /// Answers the system's own processes.
 #[derive(Debug)]
 pub(crate) struct InternalApi {
-    handle: RouterHandle,
+    rpc: RpcServer,
 }
 
 impl InternalApi {
     pub(crate) fn new(handle: RouterHandle) -> Self {
-        Self { handle }
+        let rpc = RpcServer::new(InternalRpc::new(handle).into_rpc().into());
+        Self { rpc }
     }
 }
 
 impl Handler for InternalApi {
-    fn handle(&self, _request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
         Box::pin(async move {
-            match self.handle.status().await {
-                Some(status) => web::json(StatusCode::OK, &status),
-                None => web::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+            match request.uri().path() {
+                RPC_PATH => self.rpc.call(request).await,
+                _ => web::text(StatusCode::NOT_FOUND, "not found\n"),
             }
         })
     }
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/committer.rs
@@ -0,0 +1,360 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::admin::{ChangeAnswer, ChangeStatus};
+use chicorystage_api::inventory::{Change, ChangeRecord, ItemRow, OperatorItem};
+use chicorystage_api::name::{GroupName, VmId};
+use chicorystage_api::peer::RevisionHint;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::freshness::PeerContact;
+use chicorystage_platform::BorderError;
+use chicorystage_platform::table::{CommitOutcome, Row};
+use chicorystage_platform::vm_list::VmEntry;
+use tokio::sync::mpsc;
+
+use crate::router::borders::RouterBorders;
+use crate::router::handle::RouterHandle;
+use crate::router::inventory::announce::tell_router;
+use crate::router::inventory::rows::{self, Basis, ChangeRow};
+use crate::router::inventory::table_read::{Head, read_head};
+use crate::router::inventory::{CommitError, InventoryEvent, Prepared};
+use crate::timer::{Clock, unix_ms};
+
+/// Longest time to commit and settle a change, in milliseconds.
+const COMMIT_MAX_MS: u64 = 15_000;
+/// Pause before the head is read again, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 50;
+/// Longest time to gather acknowledgements, in milliseconds.
+const ACKNOWLEDGE_MAX_MS: u64 = 2_500;
+/// Delay after which an unsettled change should be sent again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 2_000;
+/// Answers of routers that wait to be counted.
+const ANSWERS_BUFFERED: usize = 64;
+
+/// Commits operators' changes and tells the other routers.
+#[derive(Clone, Debug)]
+pub struct Committer {
+    own: VmId,
+    group: GroupName,
+    borders: RouterBorders,
+    handle: RouterHandle,
+    clock: Clock,
+}
+
+/// What became of one try to commit.
+enum Try {
+    Committed(ChangeRecord),
+    Again,
+    Unsettled(BorderError),
+}
+
+impl Committer {
+    /// Creates a committer of one router.
+    #[must_use]
+    pub fn new(
+        (own, group): (VmId, GroupName),
+        borders: RouterBorders,
+        handle: RouterHandle,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            own,
+            group,
+            borders,
+            handle,
+            clock,
+        }
+    }
+
+    /// Commits a change and gathers the acknowledgements of the listed routers.
+    ///
+    /// # Errors
+    ///
+    /// Tells why the change was not committed. A refusal whose outcome is
+    /// `may_have_run` means that the table did not tell; the same change may be
+    /// sent again under the same id.
+    pub async fn submit(
+        &self,
+        operator: &OperatorItem,
+        change: &Change,
+    ) -> Result<ChangeAnswer, CommitError> {
+        let record = self.commit(operator, change).await?;
+        log::info!(
+            event = "change_committed", revision = record.revision,
+            change_id = record.change_id.as_str(), operator = record.operator.as_str();
+            "change committed"
+        );
+        Ok(self.spread(record).await)
+    }
+
+    async fn commit(
+        &self,
+        operator: &OperatorItem,
+        change: &Change,
+    ) -> Result<ChangeRecord, CommitError> {
+        let deadline_ms = self.clock.now_ms() + COMMIT_MAX_MS;
+        // Whether a commit was sent whose fate the table has not told. It can
+        // take effect only while the head has the version that it checks.
+        let mut unsettled = None;
+        while self.clock.now_ms() < deadline_ms {
+            let head = match self.read_settled(change).await {
+                Ok(Settled::Done(record)) => return Ok(record),
+                Ok(Settled::NotYet(head)) => head,
+                Err(TryError::Commit(error)) => return Err(error),
+                Err(TryError::Table(error)) => {
+                    if unsettled.is_none() {
+                        return Err(unavailable(&error).into());
+                    }
+                    self.pause().await;
+                    continue;
+                }
+            };
+            if unsettled.is_some_and(|version| version != head.version) {
+                unsettled = None;
+            }
+            match self.try_commit(operator, change, head).await {
+                Ok(Try::Committed(record)) => return Ok(record),
+                Ok(Try::Again) => self.pause().await,
+                Ok(Try::Unsettled(_no_answer)) => {
+                    unsettled = Some(head.version);
+                    self.pause().await;
+                }
+                Err(TryError::Commit(error)) if unsettled.is_none() => return Err(error),
+                Err(TryError::Table(error)) if unsettled.is_none() => {
+                    return Err(unavailable(&error).into());
+                }
+                Err(_unsettled) => self.pause().await,
+            }
+        }
+        Err(self.gave_up(unsettled.is_some()).into())
+    }
+
+    /// Reads the change's own row and the head, in that order of meaning: the
+    /// head is read first, so that an absent change row with an unmoved head
+    /// means that nothing sent on an older head can still take effect.
+    async fn read_settled(&self, change: &Change) -> Result<Settled, TryError> {
+        let table = &*self.borders.table;
+        let head = read_head(table).await?;
+        let Some(row) = table.get(&rows::change_key(&change.change_id)).await? else {
+            return Ok(Settled::NotYet(head));
+        };
+        let recorded: ChangeRow = rows::parse(&row).ok_or_else(|| unreadable(&row))?;
+        if recorded.content_sha256 != rows::content_sha256(change) {
+            let detail = "this change id was used for another change";
+            return Err(CommitError::from(Refusal::not_run(RefusalCode::KeyReused, detail)).into());
+        }
+        let log_row = table.get(&rows::log_key(recorded.revision)).await?;
+        let record = log_row.as_ref().and_then(rows::parse::<ChangeRecord>);
+        let record = record.ok_or_else(|| unreadable(&row))?;
+        Ok(Settled::Done(record))
+    }
+
+    async fn try_commit(
+        &self,
+        operator: &OperatorItem,
+        change: &Change,
+        head: Head,
+    ) -> Result<Try, TryError> {
+        let prepared = self
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Prepare {
+                change: change.clone(),
+                operator: operator.clone(),
+                head_revision: head.revision,
+                reply,
+            })
+            .await;
+        match prepared {
+            Some(Prepared::Ready) => {}
+            Some(Prepared::OtherRevision) => return Ok(Try::Again),
+            Some(Prepared::Conflict(mut conflicts)) => {
+                for conflict in &mut conflicts {
+                    let revision = conflict.current_revision;
+                    if let (None, Some(revision)) = (&conflict.winner, revision) {
+                        let row = self.borders.table.get(&rows::log_key(revision)).await?;
+                        conflict.winner = row.as_ref().and_then(rows::parse);
+                    }
+                }
+                return Err(CommitError::Conflict(conflicts).into());
+            }
+            Some(Prepared::Invalid(findings)) => return Err(CommitError::Invalid(findings).into()),
+            Some(Prepared::Forbidden(keys)) => return Err(CommitError::Forbidden(keys).into()),
+            None => {
+                let refusal = Refusal::not_run(RefusalCode::Internal, "the router is stopping");
+                return Err(CommitError::from(refusal).into());
+            }
+        }
+        let Some(basis) = self.basis(change, head).await? else {
+            return Ok(Try::Again);
+        };
+        let record = ChangeRecord {
+            revision: head.revision + 1,
+            change_id: change.change_id.clone(),
+            operator: operator.name.clone(),
+            accepted_unix_ms: unix_ms(),
+            reason: change.reason.clone(),
+            items: change.items.clone(),
+        };
+        let transaction = rows::commit(change, &record, &basis);
+        match self.borders.table.commit(transaction).await {
+            Ok(CommitOutcome::Applied { .. }) => Ok(Try::Committed(record)),
+            Ok(CommitOutcome::Conflict { .. }) => Ok(Try::Again),
+            Err(error) if error.had_no_effect() => Err(TryError::Table(error)),
+            Err(error) => Ok(Try::Unsettled(error)),
+        }
+    }
+
+    /// Reads the versions of the rows that are written; none where a row is
+    /// not of the revision that the change expects, so the head has moved.
+    async fn basis(&self, change: &Change, head: Head) -> Result<Option<Basis>, BorderError> {
+        let mut item_versions = Vec::with_capacity(change.items.len());
+        for entry in &change.items {
+            if entry.expected_revision.is_none() {
+                item_versions.push((entry.key.clone(), None));
+                continue;
+            }
+            let row = self.borders.table.get(&entry.key.row_key()).await?;
+            let revision = row
+                .as_ref()
+                .and_then(rows::parse::<ItemRow>)
+                .map(|row| row.revision);
+            if revision != entry.expected_revision {
+                return Ok(None);
+            }
+            item_versions.push((entry.key.clone(), row.map(|row| row.version)));
+        }
+        Ok(Some(Basis {
+            head_version: head.version,
+            item_versions,
+        }))
+    }
+
+    /// Puts a committed record in force here and at the listed routers.
+    async fn spread(&self, record: ChangeRecord) -> ChangeAnswer {
+        let (change_id, revision) = (record.change_id.clone(), record.revision);
+        let here = self
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Committed {
+                record: record.clone(),
+                reply,
+            })
+            .await;
+        let vms = self
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Vms { reply })
+            .await
+            .flatten();
+        let routers: HashMap<VmId, VmEntry> = vms
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|(_, vm)| vm.group == self.group)
+            .collect();
+        let mut acknowledged = self.gather(&routers, record).await;
+        if here == Some(true) {
+            acknowledged.push(self.own.clone());
+        }
+        acknowledged.sort();
+        // A router that is not listed has no vote.
+        let listed = routers.len();
+        let mut unconfirmed: Vec<VmId> = routers.into_keys().collect();
+        unconfirmed.retain(|vm| !acknowledged.contains(vm));
+        unconfirmed.sort();
+        let votes = listed - unconfirmed.len();
+        let status = if votes * 2 > listed {
+            ChangeStatus::Accepted
+        } else {
+            ChangeStatus::Committed
+        };
+        ChangeAnswer {
+            change_id,
+            revision,
+            status,
+            acknowledged,
+            unconfirmed,
+        }
+    }
+
+    async fn gather(&self, routers: &HashMap<VmId, VmEntry>, record: ChangeRecord) -> Vec<VmId> {
+        let revision = record.revision;
+        let hint = RevisionHint {
+            from: self.own.clone(),
+            revision,
+            confirmed_age_ms: 0,
+            record: Some(record),
+        };
+        let (answers, mut answered) = mpsc::channel::<PeerContact>(ANSWERS_BUFFERED);
+        for vm in routers.values().filter(|vm| vm.id != self.own) {
+            tokio::spawn(tell_router(
+                Arc::clone(&self.borders.routers),
+                (vm.id.clone(), vm.address),
+                hint.clone(),
+                (self.handle.clone(), self.clock),
+                Some(answers.clone()),
+            ));
+        }
+        drop(answers);
+        let mut acknowledged = Vec::new();
+        let counted = async {
+            while let Some(contact) = answered.recv().await {
+                if contact.revision >= revision {
+                    acknowledged.push(contact.vm);
+                }
+            }
+        };
+        // Whoever has not answered by then is named as unconfirmed.
+        let _all = tokio::time::timeout(Duration::from_millis(ACKNOWLEDGE_MAX_MS), counted).await;
+        acknowledged
+    }
+
+    async fn pause(&self) {
+        tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+    }
+
+    fn gave_up(&self, unsettled: bool) -> Refusal {
+        let vm = &self.own;
+        if unsettled {
+            let detail = format!(
+                "the table did not tell {vm} whether the change is committed; send it again under the same id"
+            );
+            return Refusal::may_have_run(RefusalCode::ResultUnknown, detail)
+                .retry_after_ms(RETRY_AFTER_MS);
+        }
+        let detail = format!("{vm} found no quiet moment to commit the change");
+        Refusal::not_run(RefusalCode::Overloaded, detail).retry_after_ms(RETRY_AFTER_MS)
+    }
+}
+
+/// What the change's own row tells.
+enum Settled {
+    Done(ChangeRecord),
+    NotYet(Head),
+}
+
+/// Why a try ended.
+enum TryError {
+    Commit(CommitError),
+    Table(BorderError),
+}
+
+impl From<BorderError> for TryError {
+    fn from(error: BorderError) -> Self {
+        Self::Table(error)
+    }
+}
+
+impl From<CommitError> for TryError {
+    fn from(error: CommitError) -> Self {
+        Self::Commit(error)
+    }
+}
+
+fn unreadable(row: &Row) -> CommitError {
+    let detail = format!("row {} is unreadable", row.key);
+    Refusal::not_run(RefusalCode::Internal, detail).into()
+}
+
+fn unavailable(error: &BorderError) -> Refusal {
+    let detail = format!("the table cannot record the change: {error}");
+    Refusal::not_run(RefusalCode::ClaimUnavailable, detail).retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/long_poll.rs
@@ -0,0 +1,70 @@
+use chicorystage_api::peer::{Changes, ChangesQuery};
+use chicorystage_core::inventory::{ChangeLog, InventoryState};
+use tokio::sync::oneshot;
+
+/// Polls held open at once; more are answered at once.
+const POLLS_MAX: usize = 4_096;
+/// Longest time that a poll is held open, in milliseconds.
+const POLL_MAX_MS: u64 = 25_000;
+
+/// Long polls that wait for a change.
+#[derive(Debug, Default)]
+pub(crate) struct LongPolls {
+    waiting: Vec<Poll>,
+}
+
+#[derive(Debug)]
+struct Poll {
+    since_revision: u64,
+    until_ms: u64,
+    reply: oneshot::Sender<Changes>,
+}
+
+impl LongPolls {
+    pub(crate) fn add(
+        &mut self,
+        query: &ChangesQuery,
+        reply: oneshot::Sender<Changes>,
+        now_ms: u64,
+    ) {
+        let wait_ms = if self.waiting.len() < POLLS_MAX {
+            query.wait_ms.min(POLL_MAX_MS)
+        } else {
+            0
+        };
+        self.waiting.push(Poll {
+            since_revision: query.since_revision,
+            until_ms: now_ms + wait_ms,
+            reply,
+        });
+    }
+
+    /// Answers the polls that are behind or whose time has passed.
+    pub(crate) fn answer(&mut self, state: &InventoryState, log: &ChangeLog, now_ms: u64) {
+        let due = self
+            .waiting
+            .extract_if(.., |poll| {
+                poll.since_revision < state.revision() || poll.until_ms <= now_ms
+            })
+            .collect::<Vec<_>>();
+        for poll in due {
+            // The agent may have gone; it polls again elsewhere.
+            let _sent = poll.reply.send(changes(state, log, poll.since_revision));
+        }
+        self.waiting.retain(|poll| !poll.reply.is_closed());
+    }
+}
+
+fn changes(state: &InventoryState, log: &ChangeLog, since_revision: u64) -> Changes {
+    if since_revision >= state.revision() {
+        return Changes::Unchanged;
+    }
+    if let Some(records) = log.since(since_revision)
+        && since_revision > 0
+    {
+        return Changes::Tail { records };
+    }
+    Changes::Whole {
+        snapshot: state.snapshot(),
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/prepare.rs
@@ -0,0 +1,78 @@
+//! Judging an operator's change in the loop.
+
+use chicorystage_api::admin::ChangeConflict;
+use chicorystage_api::inventory::{Change, ItemKey, OperatorItem};
+use chicorystage_core::inventory::{
+    ChangeLog, InventoryState, Problem, check_change, check_rights, check_versions,
+};
+
+use crate::router::inventory::Prepared;
+
+/// Judges a change that is to replace the head.
+pub(crate) fn prepare(
+    state: &InventoryState,
+    log: &ChangeLog,
+    operator: &OperatorItem,
+    change: &Change,
+    head_revision: u64,
+) -> Prepared {
+    if state.revision() != head_revision {
+        return Prepared::OtherRevision;
+    }
+    let forbidden = check_rights(state, operator, change);
+    if !forbidden.is_empty() {
+        return Prepared::Forbidden(forbidden);
+    }
+    let outdated = check_versions(state, change);
+    if !outdated.is_empty() {
+        let conflicts = outdated
+            .into_iter()
+            .map(|entry| conflict(state, log, &entry.key, entry.expected_revision));
+        return Prepared::Conflict(conflicts.collect());
+    }
+    let problems = check_change(state, change);
+    if problems.is_empty() {
+        return Prepared::Ready;
+    }
+    let conflicts: Vec<_> = problems
+        .iter()
+        .filter_map(|problem| lost_race(state, log, change, problem))
+        .collect();
+    if conflicts.is_empty() {
+        let findings = problems.into_iter().map(|problem| problem.finding);
+        return Prepared::Invalid(findings.collect());
+    }
+    Prepared::Conflict(conflicts)
+}
+
+/// A problem that another item causes is a lost race where that item changed
+/// after what the submitter saw.
+fn lost_race(
+    state: &InventoryState,
+    log: &ChangeLog,
+    change: &Change,
+    problem: &Problem,
+) -> Option<ChangeConflict> {
+    let cause = problem.cause.as_ref()?;
+    let seen = change
+        .items
+        .iter()
+        .filter_map(|entry| entry.expected_revision);
+    let seen_revision = seen.max().unwrap_or(0);
+    let winner = log.newest_of(cause)?;
+    (winner.revision > seen_revision).then(|| conflict(state, log, cause, None))
+}
+
+fn conflict(
+    state: &InventoryState,
+    log: &ChangeLog,
+    key: &ItemKey,
+    expected_revision: Option<u64>,
+) -> ChangeConflict {
+    ChangeConflict {
+        key: key.clone(),
+        expected_revision,
+        current_revision: state.row(key).map(|row| row.revision),
+        winner: log.newest_of(key).cloned(),
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/reader.rs
@@ -0,0 +1,87 @@
+//! The task that follows the inventory's head.
+
+use std::sync::Arc;
+
+use chicorystage_platform::BorderError;
+use chicorystage_platform::object_store::ObjectStore;
+use chicorystage_platform::table::Table;
+use tokio::sync::oneshot;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::inventory::table_read::{read_head, read_news};
+use crate::router::inventory::{InventoryEvent, News};
+use crate::timer::Clock;
+
+/// Time between two reads of the inventory's head, in milliseconds.
+const HEAD_READ_INTERVAL_MS: u64 = 1_000;
+/// Time between two ticks of the inventory's part of the loop, in milliseconds.
+const TICK_INTERVAL_MS: u64 = 250;
+
+/// Starts the tasks that keep the inventory fresh; they end with the loop.
+pub(crate) fn follow_head(borders: &RouterBorders, handle: &RouterHandle, clock: Clock) {
+    tokio::spawn(read(
+        Arc::clone(&borders.table),
+        Arc::clone(&borders.object_store),
+        handle.clone(),
+        clock,
+    ));
+    tokio::spawn(tick(handle.clone(), clock));
+}
+
+async fn tick(handle: RouterHandle, clock: Clock) {
+    let mut ticks = clock.subscribe(TICK_INTERVAL_MS);
+    while let Some(tick) = ticks.recv().await {
+        let event = RouterEvent::Inventory(InventoryEvent::Tick(tick));
+        if !handle.tell(event).await {
+            return;
+        }
+    }
+}
+
+async fn read(
+    table: Arc<dyn Table>,
+    object_store: Arc<dyn ObjectStore>,
+    handle: RouterHandle,
+    clock: Clock,
+) {
+    let mut ticks = clock.subscribe(HEAD_READ_INTERVAL_MS);
+    loop {
+        let (wake, woken) = oneshot::channel();
+        let position = handle
+            .ask_inventory(|reply| InventoryEvent::Position { wake, reply })
+            .await;
+        let Some(in_force) = position else {
+            return;
+        };
+        let asked_ms = clock.now_ms();
+        let event = match read_once(&*table, &*object_store, in_force).await {
+            Ok((head_revision, news)) => InventoryEvent::HeadRead {
+                asked_ms,
+                head_revision,
+                news,
+            },
+            Err(_table_down) => InventoryEvent::HeadFailed,
+        };
+        if !handle.tell(RouterEvent::Inventory(event)).await {
+            return;
+        }
+        tokio::select! {
+            tick = ticks.recv() => if tick.is_none() {
+                return;
+            },
+            Ok(()) = woken => {}
+        }
+    }
+}
+
+async fn read_once(
+    table: &dyn Table,
+    object_store: &dyn ObjectStore,
+    in_force: u64,
+) -> Result<(u64, News), BorderError> {
+    let head = read_head(table).await?;
+    let news = read_news(table, object_store, in_force, head.revision).await?;
+    Ok((head.revision, news))
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/snapshot_writer.rs
@@ -0,0 +1,50 @@
+//! Writing a snapshot and trimming the log below it.
+
+use bytes::Bytes;
+use chicorystage_api::inventory::{SNAPSHOT_OBJECT_KEY, Snapshot};
+use chicorystage_platform::table::Table;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::inventory::InventoryEvent;
+use crate::router::inventory::rows;
+use crate::router::inventory::table_read::read_records;
+
+/// Revisions after which a new snapshot is written.
+pub(crate) const SNAPSHOT_EVERY_REVISIONS: u64 = 128;
+/// Records kept below the snapshot, for the history.
+pub(crate) const LOG_KEPT_REVISIONS: u64 = 20_000;
+/// Records deleted in one transaction.
+const TRIM_RECORDS: usize = 100;
+
+/// Writes a snapshot, then trims the log, and tells the loop.
+pub(crate) async fn write(borders: RouterBorders, handle: RouterHandle, snapshot: Snapshot) {
+    let revision = snapshot.revision;
+    let written = match serde_json::to_vec(&snapshot) {
+        Ok(content) => borders
+            .object_store
+            .put(SNAPSHOT_OBJECT_KEY, Bytes::from(content))
+            .await
+            .is_ok(),
+        Err(_unserialisable) => false,
+    };
+    if written {
+        trim(&*borders.table, revision.saturating_sub(LOG_KEPT_REVISIONS)).await;
+    }
+    let event = InventoryEvent::SnapshotWritten(written.then_some(revision));
+    handle.tell(RouterEvent::Inventory(event)).await;
+}
+
+/// Deletes the records up to a revision; what fails is left for the next time.
+async fn trim(table: &dyn Table, up_to_revision: u64) {
+    loop {
+        let Ok(mut records) = read_records(table, 0, TRIM_RECORDS).await else {
+            return;
+        };
+        records.retain(|record| record.revision <= up_to_revision);
+        if records.is_empty() || table.commit(rows::trim(&records)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/inventory/spread.rs
@@ -0,0 +1,387 @@
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use chicorystage_api::inventory::{ChangeRecord, Snapshot};
+use chicorystage_api::name::{GroupName, VmId};
+use chicorystage_api::peer::{Changes, ChangesQuery, RevisionAck, RevisionHint};
+use chicorystage_core::freshness::{Freshness, PeerContact, Probe};
+use chicorystage_core::inventory::{Applied, ChangeLog, InventoryState};
+use chicorystage_core::rendezvous;
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use tokio::sync::oneshot;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::inventory::announce::tell_router;
+use crate::router::inventory::event::{InventoryEvent, News};
+use crate::router::inventory::long_poll::LongPolls;
+use crate::router::inventory::prepare::prepare;
+use crate::router::inventory::snapshot_writer::{self, SNAPSHOT_EVERY_REVISIONS};
+use crate::timer::Clock;
+
+/// Records kept in memory for those who lag.
+const LOG_RECORDS_MAX: usize = 1_024;
+/// Longest time that a hint waits for its revision, in milliseconds.
+const HINT_WAIT_MS: u64 = 1_500;
+/// Time between two rounds of questions to peers, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 500;
+/// Peers asked where one that has seen the head will do.
+const PROBE_FEW: usize = 3;
+/// Key by which the writer of snapshots is ranked.
+const SNAPSHOT_RANK_KEY: &str = "inventory-snapshot";
+
+/// The inventory's part of the router's loop.
+#[derive(Debug)]
+pub struct Spread {
+    own: VmId,
+    group: GroupName,
+    borders: RouterBorders,
+    handle: RouterHandle,
+    clock: Clock,
+    freshness: Freshness,
+    log: ChangeLog,
+    polls: LongPolls,
+    hints: Vec<WaitingHint>,
+    vms: Option<HashMap<VmId, VmEntry>>,
+    wake_reader: Option<oneshot::Sender<()>>,
+    fetching_from_peer: bool,
+    probed_ms: Option<u64>,
+    snapshot_revision: u64,
+    writing_snapshot: bool,
+    table_up: bool,
+    admitted: bool,
+}
+
+/// A hint whose revision is not in force yet.
+#[derive(Debug)]
+struct WaitingHint {
+    revision: u64,
+    until_ms: u64,
+    reply: oneshot::Sender<RevisionAck>,
+}
+
+impl Spread {
+    /// Creates the part of a router that has no inventory yet.
+    #[must_use]
+    pub fn new(
+        (own, group): (VmId, GroupName),
+        freshness_max_ms: u64,
+        borders: RouterBorders,
+        handle: RouterHandle,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            freshness: Freshness::new(own.clone(), freshness_max_ms),
+            own,
+            group,
+            borders,
+            handle,
+            clock,
+            log: ChangeLog::new(LOG_RECORDS_MAX),
+            polls: LongPolls::default(),
+            hints: Vec::new(),
+            vms: None,
+            wake_reader: None,
+            fetching_from_peer: false,
+            probed_ms: None,
+            snapshot_revision: 0,
+            writing_snapshot: false,
+            table_up: false,
+            admitted: false,
+        }
+    }
+
+    /// Returns whether requests may be admitted by the rules in force.
+    #[must_use]
+    pub fn admits(&self, now_ms: u64) -> bool {
+        self.freshness.admits(now_ms)
+    }
+
+    /// Returns the age of the last confirmation of the head, in milliseconds.
+    #[must_use]
+    pub fn confirmed_age_ms(&self, now_ms: u64) -> u64 {
+        self.freshness.confirmed_age_ms(now_ms)
+    }
+
+    /// Returns whether the last read of the table succeeded.
+    #[must_use]
+    pub fn table_up(&self) -> bool {
+        self.table_up
+    }
+
+    /// Notes the listed VMs.
+    pub fn vms_read(&mut self, vms: &HashMap<VmId, VmEntry>) {
+        let routers = vms.values().filter(|vm| vm.group == self.group);
+        let listed: BTreeSet<VmId> = routers.map(|vm| vm.id.clone()).collect();
+        self.freshness.set_listed(listed);
+        self.vms = Some(vms.clone());
+    }
+
+    /// Takes one event and puts what it brings in force in `state`.
+    pub fn on_event(&mut self, event: InventoryEvent, state: &mut InventoryState) {
+        let now_ms = self.clock.now_ms();
+        match event {
+            InventoryEvent::Tick(tick) => self.tick(state, tick.now_ms),
+            InventoryEvent::Position { wake, reply } => {
+                self.wake_reader = Some(wake);
+                let _sent = reply.send(state.revision());
+            }
+            InventoryEvent::HeadRead {
+                asked_ms,
+                head_revision,
+                news,
+            } => {
+                self.table_up = true;
+                self.take_news(state, news);
+                self.freshness.head_seen(head_revision, asked_ms);
+                self.advanced(state, now_ms);
+            }
+            InventoryEvent::HeadFailed => self.table_up = false,
+            InventoryEvent::Hint { hint, reply } => self.hinted(state, hint, reply, now_ms),
+            InventoryEvent::PeerAnswered(contact) => self.peer_answered(state, contact),
+            InventoryEvent::PeerSent(changes) => {
+                self.fetching_from_peer = false;
+                self.take_changes(state, changes);
+                self.advanced(state, now_ms);
+            }
+            InventoryEvent::Poll { query, reply } => {
+                self.polls.add(&query, reply, now_ms);
+                self.polls.answer(state, &self.log, now_ms);
+            }
+            InventoryEvent::Prepare {
+                change,
+                operator,
+                head_revision,
+                reply,
+            } => {
+                let prepared = prepare(state, &self.log, &operator, &change, head_revision);
+                if state.revision() < head_revision {
+                    self.wake_reader();
+                }
+                let _sent = reply.send(prepared);
+            }
+            InventoryEvent::Committed { record, reply } => {
+                let revision = record.revision;
+                self.take_record(state, record);
+                self.advanced(state, now_ms);
+                let _sent = reply.send(state.revision() >= revision);
+            }
+            InventoryEvent::SnapshotWritten(revision) => {
+                self.writing_snapshot = false;
+                self.snapshot_revision = self.snapshot_revision.max(revision.unwrap_or(0));
+            }
+            InventoryEvent::Operator {
+                token_sha256,
+                reply,
+            } => {
+                let _sent = reply.send(state.operator_by_token(&token_sha256).cloned());
+            }
+            InventoryEvent::Items { reply } => {
+                let rows = state.rows().cloned().collect();
+                let _sent = reply.send((state.revision(), rows));
+            }
+            InventoryEvent::Vms { reply } => {
+                let _sent = reply.send(self.vms.clone());
+            }
+        }
+    }
+
+    /// Puts a whole inventory, known to be the newest now, in force.
+    pub fn whole_read(&mut self, state: &mut InventoryState, snapshot: Snapshot) {
+        let now_ms = self.clock.now_ms();
+        let revision = snapshot.revision;
+        self.take_news(state, News::Whole(snapshot));
+        self.freshness.head_seen(revision, now_ms);
+        self.advanced(state, now_ms);
+    }
+
+    fn tick(&mut self, state: &InventoryState, now_ms: u64) {
+        self.polls.answer(state, &self.log, now_ms);
+        self.answer_hints(state, now_ms);
+        self.probe(state, now_ms);
+        self.log_freshness(state, now_ms);
+    }
+
+    fn log_freshness(&mut self, state: &InventoryState, now_ms: u64) {
+        let admits = self.freshness.admits(now_ms);
+        if admits == self.admitted {
+            return;
+        }
+        self.admitted = admits;
+        let (revision, confirmed_age_ms) = (state.revision(), self.confirmed_age_ms(now_ms));
+        if admits {
+            log::info!(event = "rules_confirmed", revision, confirmed_age_ms; "rules are confirmed, requests are admitted");
+        } else {
+            log::warn!(event = "rules_stale", revision, confirmed_age_ms; "rules cannot be confirmed, requests are refused");
+        }
+    }
+
+    fn take_news(&mut self, state: &mut InventoryState, news: News) {
+        match news {
+            News::Nothing => {}
+            News::Tail(records) => {
+                for record in records {
+                    self.take_record(state, record);
+                }
+            }
+            News::Whole(snapshot) => {
+                if state.replace(snapshot) {
+                    self.log.clear();
+                }
+            }
+        }
+    }
+
+    fn take_changes(&mut self, state: &mut InventoryState, changes: Option<Changes>) {
+        let news = match changes {
+            None | Some(Changes::Unchanged) => News::Nothing,
+            Some(Changes::Tail { records }) => News::Tail(records),
+            Some(Changes::Whole { snapshot }) => News::Whole(snapshot),
+        };
+        self.take_news(state, news);
+    }
+
+    fn take_record(&mut self, state: &mut InventoryState, record: ChangeRecord) {
+        match state.apply(&record) {
+            Applied::Advanced => self.log.push(record),
+            Applied::Known => {}
+            Applied::Gap => self.wake_reader(),
+        }
+    }
+
+    fn advanced(&mut self, state: &InventoryState, now_ms: u64) {
+        self.freshness.set_in_force(state.revision());
+        self.polls.answer(state, &self.log, now_ms);
+        self.answer_hints(state, now_ms);
+        self.write_snapshot(state);
+    }
+
+    fn hinted(
+        &mut self,
+        state: &mut InventoryState,
+        hint: RevisionHint,
+        reply: oneshot::Sender<RevisionAck>,
+        now_ms: u64,
+    ) {
+        if let Some(record) = hint.record {
+            self.take_record(state, record);
+        }
+        if state.revision() < hint.revision {
+            self.wake_reader();
+            self.fetch_from(&hint.from, state.revision());
+        }
+        self.hints.push(WaitingHint {
+            revision: hint.revision,
+            until_ms: now_ms + HINT_WAIT_MS,
+            reply,
+        });
+        self.advanced(state, now_ms);
+    }
+
+    fn answer_hints(&mut self, state: &InventoryState, now_ms: u64) {
+        let due = self.hints.extract_if(.., |hint| {
+            hint.revision <= state.revision() || hint.until_ms <= now_ms
+        });
+        for hint in due {
+            let ack = RevisionAck {
+                from: self.own.clone(),
+                revision: state.revision(),
+                confirmed_age_ms: self.freshness.confirmed_age_ms(now_ms),
+            };
+            let _sent = hint.reply.send(ack);
+        }
+    }
+
+    fn peer_answered(&mut self, state: &InventoryState, contact: PeerContact) {
+        if contact.revision > state.revision() {
+            self.fetch_from(&contact.vm, state.revision());
+        }
+        self.freshness.peer_answered(contact);
+    }
+
+    fn fetch_from(&mut self, vm: &VmId, since_revision: u64) {
+        let Some(address) = self.address(vm) else {
+            return;
+        };
+        if self.fetching_from_peer {
+            return;
+        }
+        self.fetching_from_peer = true;
+        let query = ChangesQuery {
+            vm: self.own.clone(),
+            since_revision,
+            wait_ms: 0,
+        };
+        let routers = Arc::clone(&self.borders.routers);
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let changes = routers.changes(address, query).await.ok();
+            let event = InventoryEvent::PeerSent(changes);
+            handle.tell(RouterEvent::Inventory(event)).await;
+        });
+    }
+
+    fn probe(&mut self, state: &InventoryState, now_ms: u64) {
+        let recently = self
+            .probed_ms
+            .is_some_and(|at_ms| now_ms < at_ms + PROBE_INTERVAL_MS);
+        let wanted = self.freshness.probe(now_ms);
+        if recently || wanted == Probe::Nobody {
+            return;
+        }
+        self.probed_ms = Some(now_ms);
+        let mut peers = self.peers();
+        if wanted == Probe::Few {
+            rendezvous::rank(self.own.as_str(), &mut peers, |(vm, _)| vm.as_str());
+            peers.truncate(PROBE_FEW);
+        }
+        let hint = RevisionHint {
+            from: self.own.clone(),
+            revision: state.revision(),
+            confirmed_age_ms: self.freshness.confirmed_age_ms(now_ms),
+            record: None,
+        };
+        for peer in peers {
+            let routers = Arc::clone(&self.borders.routers);
+            let to_loop = (self.handle.clone(), self.clock);
+            tokio::spawn(tell_router(routers, peer, hint.clone(), to_loop, None));
+        }
+    }
+
+    fn write_snapshot(&mut self, state: &InventoryState) {
+        let behind = state.revision() - self.snapshot_revision.min(state.revision());
+        if self.writing_snapshot || behind < SNAPSHOT_EVERY_REVISIONS || !self.writes_snapshots() {
+            return;
+        }
+        self.writing_snapshot = true;
+        let work =
+            snapshot_writer::write(self.borders.clone(), self.handle.clone(), state.snapshot());
+        tokio::spawn(work);
+    }
+
+    fn writes_snapshots(&self) -> bool {
+        let vms = self.vms.iter().flat_map(HashMap::values);
+        let live = vms.filter(|vm| vm.group == self.group && vm.state == VmState::Live);
+        let first = live.max_by_key(|vm| rendezvous::weight(SNAPSHOT_RANK_KEY, vm.id.as_str()));
+        first.is_some_and(|vm| vm.id == self.own)
+    }
+
+    fn wake_reader(&mut self) {
+        if let Some(wake) = self.wake_reader.take() {
+            // A reader that has gone reads again by itself.
+            let _sent = wake.send(());
+        }
+    }
+
+    fn peers(&self) -> Vec<(VmId, SocketAddr)> {
+        let vms = self.vms.iter().flat_map(HashMap::values);
+        let routers = vms.filter(|vm| vm.group == self.group && vm.id != self.own);
+        routers.map(|vm| (vm.id.clone(), vm.address)).collect()
+    }
+
+    fn address(&self, vm: &VmId) -> Option<SocketAddr> {
+        Some(self.vms.as_ref()?.get(vm)?.address)
+    }
+}
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -16,6 +16,7 @@
 use crate::router::borders::RouterBorders;
 use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
 use crate::router::handle::RouterHandle;
+use crate::router::inventory::Spread;
 use crate::router::placing;
 use crate::settings::{DaemonSettings, RouterSettings};
 use crate::timer::Clock;
@@ -41,7 +42,7 @@
     handle: RouterHandle,
     clock: Clock,
     inventory: InventoryState,
-    confirmed_ms: Option<u64>,
+    spread: Spread,
     vms: HashMap<VmId, VmEntry>,
     placements: HashMap<ModelName, PlacementPush>,
     waiting: HashMap<ModelName, Vec<Waiting>>,
@@ -58,6 +59,13 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let spread = Spread::new(
+            (daemon.vm.clone(), daemon.group.clone()),
+            settings.freshness_max_ms,
+            borders.clone(),
+            handle.clone(),
+            clock,
+        );
         Self {
             daemon,
             _settings: settings,
@@ -65,7 +73,7 @@
             handle,
             clock,
             inventory: InventoryState::default(),
-            confirmed_ms: None,
+            spread,
             vms: HashMap::new(),
             placements: HashMap::new(),
             waiting: HashMap::new(),
@@ -98,13 +106,18 @@
             } => self.choose(&group, model, avoid, reply),
             RouterEvent::AttemptEnded { vm, .. } => self.attempt_ended(&vm),
             RouterEvent::InventoryRead(snapshot) => {
-                self.confirmed_ms = Some(self.clock.now_ms());
-                if self.inventory.replace(snapshot) {
-                    log::info!(event = "inventory_in_force", revision = self.inventory.revision(); "inventory in force");
-                }
+                self.spread.whole_read(&mut self.inventory, snapshot);
             }
+            RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            // Dropping the reply tells the asker that this router cannot.
+            RouterEvent::Place { .. }
+            | RouterEvent::AcquirePermit { .. }
+            | RouterEvent::ReleasePermit { .. }
+            | RouterEvent::PushQuarantine { .. }
+            | RouterEvent::Drain { .. } => {}
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+                self.spread.vms_read(&self.vms);
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
@@ -119,6 +132,9 @@
     }
 
     fn admit(&self, token_sha256: &Digest, target: Target) -> Result<Admission, Refusal> {
+        if !self.spread.admits(self.clock.now_ms()) {
+            return Err(stale_rules());
+        }
         let Some(caller) = self.inventory.caller_by_token(token_sha256) else {
             return Err(Refusal::not_run(
                 RefusalCode::Unauthenticated,
@@ -324,18 +340,21 @@
             vm: self.daemon.vm.clone(),
             zone: self.daemon.zone.clone(),
             revision: self.inventory.revision(),
-            confirmed_age_ms: self
-                .confirmed_ms
-                .map_or(now_ms, |confirmed_ms| now_ms - confirmed_ms),
-            ready: self.inventory.revision() > 0 && !self.vms.is_empty(),
+            confirmed_age_ms: self.spread.confirmed_age_ms(now_ms),
+            ready: self.spread.admits(now_ms) && !self.vms.is_empty(),
             leaving: false,
-            table_up: true,
+            table_up: self.spread.table_up(),
             in_progress: self.in_flight.values().sum(),
             quarantined: 0,
         }
     }
 }
 
+fn stale_rules() -> Refusal {
+    let detail = "this router cannot confirm that its rules are still in force";
+    Refusal::not_run(RefusalCode::StaleRules, detail).retry_after_ms(RETRY_AFTER_MS)
+}
+
 fn no_endpoint() -> Refusal {
     let detail = Arc::<str>::from("no endpoint can take the request now");
     Refusal::not_run(RefusalCode::NoEndpoint, detail).retry_after_ms(RETRY_AFTER_MS)
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -10,12 +10,14 @@
 pub mod caller_api;
 pub mod event;
 pub mod handle;
+pub mod inventory;
 pub mod main_loop;
 pub mod placing;
 pub mod refresh;
 
 mod health_api;
 mod internal_api;
+mod internal_rpc;
 
 use std::sync::Arc;
 
@@ -56,7 +58,7 @@
     let handle = RouterHandle::new(sender);
     refresh::spawn(&borders, &handle, clock);
     let main_loop = RouterLoop::new(
-        settings.daemon,
+        settings.daemon.clone(),
         role.clone(),
         borders.clone(),
         handle.clone(),
@@ -66,7 +68,8 @@
 
     let caller_api = CallerApi::new(handle.clone(), borders.clone(), clock);
     let callers = caller_server.start(Arc::new(caller_api));
-    let admins = admin_server.start(Arc::new(AdminApi::new(handle.clone(), borders, role)));
+    let admin_api = AdminApi::new(&settings.daemon, &role, borders, handle.clone(), clock);
+    let admins = admin_server.start(Arc::new(admin_api));
     let internal = internal_server.start(Arc::new(InternalApi::new(handle.clone())));
     let health = health_server.start(Arc::new(HealthApi::new(handle.clone())));
 
