--- a/crates/chicorystaged/src/router/inventory/announce.rs
+++ b/crates/chicorystaged/src/router/inventory/announce.rs
@@ -1,12 +1,18 @@
 //! Telling the other routers of a revision.
 
+use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use chicorystage_api::name::VmId;
+use chicorystage_api::admin::{ChangeAnswer, ChangeStatus};
+use chicorystage_api::inventory::ChangeRecord;
+use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::peer::RevisionHint;
 use chicorystage_core::freshness::PeerContact;
 use chicorystage_platform::link::RouterLink;
+use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::mpsc;
 
 use crate::router::event::RouterEvent;
@@ -14,6 +20,123 @@
 use crate::router::inventory::InventoryEvent;
 use crate::timer::Clock;
 
+/// Longest time to gather acknowledgements, in milliseconds.
+const ACKNOWLEDGE_MAX_MS: u64 = 2_500;
+/// Answers of routers that wait to be counted.
+const ANSWERS_BUFFERED: usize = 64;
+
+/// Tells the listed routers of a commit and counts their acknowledgements.
+#[derive(Clone)]
+pub(crate) struct Announcer {
+    own: VmId,
+    group: GroupName,
+    routers: Arc<dyn RouterLink>,
+    handle: RouterHandle,
+    clock: Clock,
+}
+
+impl Announcer {
+    pub(crate) fn new(
+        (own, group): (VmId, GroupName),
+        routers: Arc<dyn RouterLink>,
+        handle: RouterHandle,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            own,
+            group,
+            routers,
+            handle,
+            clock,
+        }
+    }
+
+    /// Puts a committed record in force here and at the listed routers.
+    pub(crate) async fn announce(&self, record: ChangeRecord) -> ChangeAnswer {
+        let (change_id, revision) = (record.change_id.clone(), record.revision);
+        let here = self
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Committed {
+                record: record.clone(),
+                reply,
+            })
+            .await;
+        let vms = self
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Vms { reply })
+            .await
+            .flatten();
+        let routers: HashMap<VmId, VmEntry> = vms
+            .unwrap_or_default()
+            .into_iter()
+            .filter(|(_, vm)| vm.group == self.group)
+            .collect();
+        let mut acknowledged = self.gather(&routers, record).await;
+        if here == Some(true) {
+            acknowledged.push(self.own.clone());
+        }
+        acknowledged.sort();
+        // A router that is not listed has no vote.
+        let listed = routers.len();
+        let mut unconfirmed: Vec<VmId> = routers.into_keys().collect();
+        unconfirmed.retain(|vm| !acknowledged.contains(vm));
+        unconfirmed.sort();
+        let votes = listed - unconfirmed.len();
+        let status = if votes * 2 > listed {
+            ChangeStatus::Accepted
+        } else {
+            ChangeStatus::Committed
+        };
+        ChangeAnswer {
+            change_id,
+            revision,
+            status,
+            acknowledged,
+            unconfirmed,
+        }
+    }
+
+    async fn gather(&self, routers: &HashMap<VmId, VmEntry>, record: ChangeRecord) -> Vec<VmId> {
+        let revision = record.revision;
+        let hint = RevisionHint {
+            from: self.own.clone(),
+            revision,
+            confirmed_age_ms: 0,
+            record: Some(record),
+        };
+        let (answers, mut answered) = mpsc::channel::<PeerContact>(ANSWERS_BUFFERED);
+        for vm in routers.values().filter(|vm| vm.id != self.own) {
+            tokio::spawn(tell_router(
+                Arc::clone(&self.routers),
+                (vm.id.clone(), vm.address),
+                hint.clone(),
+                (self.handle.clone(), self.clock),
+                Some(answers.clone()),
+            ));
+        }
+        drop(answers);
+        let mut acknowledged = Vec::new();
+        let counted = async {
+            while let Some(contact) = answered.recv().await {
+                if contact.revision >= revision {
+                    acknowledged.push(contact.vm);
+                }
+            }
+        };
+        // Whoever has not answered by then is named as unconfirmed.
+        let _all = tokio::time::timeout(Duration::from_millis(ACKNOWLEDGE_MAX_MS), counted).await;
+        acknowledged
+    }
+}
+
+impl fmt::Debug for Announcer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Announcer")
+            .field("own", &self.own)
+            .finish_non_exhaustive()
+    }
+}
+
 /// Tells one router and passes its answer to the loop and to `answers`.
 pub(crate) async fn tell_router(
     routers: Arc<dyn RouterLink>,
--- a/crates/chicorystaged/src/router/inventory/committer.rs
+++ b/crates/chicorystaged/src/router/inventory/committer.rs
@@ -1,21 +1,16 @@
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use chicorystage_api::admin::{ChangeAnswer, ChangeStatus};
+use chicorystage_api::admin::ChangeAnswer;
 use chicorystage_api::inventory::{Change, ChangeRecord, ItemRow, OperatorItem};
 use chicorystage_api::name::{GroupName, VmId};
-use chicorystage_api::peer::RevisionHint;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_core::freshness::PeerContact;
 use chicorystage_platform::BorderError;
 use chicorystage_platform::table::{CommitOutcome, Row};
-use chicorystage_platform::vm_list::VmEntry;
-use tokio::sync::mpsc;
 
 use crate::router::borders::RouterBorders;
 use crate::router::handle::RouterHandle;
-use crate::router::inventory::announce::tell_router;
+use crate::router::inventory::announce::Announcer;
 use crate::router::inventory::rows::{self, Basis, ChangeRow};
 use crate::router::inventory::table_read::{Head, read_head};
 use crate::router::inventory::{CommitError, InventoryEvent, Prepared};
@@ -25,18 +20,14 @@
 const COMMIT_MAX_MS: u64 = 15_000;
 /// Pause before the head is read again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 50;
-/// Longest time to gather acknowledgements, in milliseconds.
-const ACKNOWLEDGE_MAX_MS: u64 = 2_500;
 /// Delay after which an unsettled change should be sent again, in milliseconds.
 const RETRY_AFTER_MS: u64 = 2_000;
-/// Answers of routers that wait to be counted.
-const ANSWERS_BUFFERED: usize = 64;
 
 /// Commits operators' changes and tells the other routers.
 #[derive(Clone, Debug)]
 pub struct Committer {
     own: VmId,
-    group: GroupName,
+    announcer: Announcer,
     borders: RouterBorders,
     handle: RouterHandle,
     clock: Clock,
@@ -58,9 +49,10 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let routers = Arc::clone(&borders.routers);
         Self {
+            announcer: Announcer::new((own.clone(), group), routers, handle.clone(), clock),
             own,
-            group,
             borders,
             handle,
             clock,
@@ -85,7 +77,7 @@
             change_id = record.change_id.as_str(), operator = record.operator.as_str();
             "change committed"
         );
-        Ok(self.spread(record).await)
+        Ok(self.announcer.announce(record).await)
     }
 
     async fn commit(
@@ -230,83 +222,6 @@
         }))
     }
 
-    /// Puts a committed record in force here and at the listed routers.
-    async fn spread(&self, record: ChangeRecord) -> ChangeAnswer {
-        let (change_id, revision) = (record.change_id.clone(), record.revision);
-        let here = self
-            .handle
-            .ask_inventory(|reply| InventoryEvent::Committed {
-                record: record.clone(),
-                reply,
-            })
-            .await;
-        let vms = self
-            .handle
-            .ask_inventory(|reply| InventoryEvent::Vms { reply })
-            .await
-            .flatten();
-        let routers: HashMap<VmId, VmEntry> = vms
-            .unwrap_or_default()
-            .into_iter()
-            .filter(|(_, vm)| vm.group == self.group)
-            .collect();
-        let mut acknowledged = self.gather(&routers, record).await;
-        if here == Some(true) {
-            acknowledged.push(self.own.clone());
-        }
-        acknowledged.sort();
-        // A router that is not listed has no vote.
-        let listed = routers.len();
-        let mut unconfirmed: Vec<VmId> = routers.into_keys().collect();
-        unconfirmed.retain(|vm| !acknowledged.contains(vm));
-        unconfirmed.sort();
-        let votes = listed - unconfirmed.len();
-        let status = if votes * 2 > listed {
-            ChangeStatus::Accepted
-        } else {
-            ChangeStatus::Committed
-        };
-        ChangeAnswer {
-            change_id,
-            revision,
-            status,
-            acknowledged,
-            unconfirmed,
-        }
-    }
-
-    async fn gather(&self, routers: &HashMap<VmId, VmEntry>, record: ChangeRecord) -> Vec<VmId> {
-        let revision = record.revision;
-        let hint = RevisionHint {
-            from: self.own.clone(),
-            revision,
-            confirmed_age_ms: 0,
-            record: Some(record),
-        };
-        let (answers, mut answered) = mpsc::channel::<PeerContact>(ANSWERS_BUFFERED);
-        for vm in routers.values().filter(|vm| vm.id != self.own) {
-            tokio::spawn(tell_router(
-                Arc::clone(&self.borders.routers),
-                (vm.id.clone(), vm.address),
-                hint.clone(),
-                (self.handle.clone(), self.clock),
-                Some(answers.clone()),
-            ));
-        }
-        drop(answers);
-        let mut acknowledged = Vec::new();
-        let counted = async {
-            while let Some(contact) = answered.recv().await {
-                if contact.revision >= revision {
-                    acknowledged.push(contact.vm);
-                }
-            }
-        };
-        // Whoever has not answered by then is named as unconfirmed.
-        let _all = tokio::time::timeout(Duration::from_millis(ACKNOWLEDGE_MAX_MS), counted).await;
-        acknowledged
-    }
-
     async fn pause(&self) {
         tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
     }
--- a/crates/chicorystaged/src/router/inventory/spread.rs
+++ b/crates/chicorystaged/src/router/inventory/spread.rs
@@ -1,34 +1,28 @@
-use std::collections::{BTreeSet, HashMap};
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use chicorystage_api::inventory::{ChangeRecord, Snapshot};
 use chicorystage_api::name::{GroupName, VmId};
-use chicorystage_api::peer::{Changes, ChangesQuery, RevisionAck, RevisionHint};
-use chicorystage_core::freshness::{Freshness, PeerContact, Probe};
+use chicorystage_api::peer::{Changes, RevisionAck, RevisionHint};
+use chicorystage_core::freshness::{Freshness, PeerContact};
 use chicorystage_core::inventory::{Applied, ChangeLog, InventoryState};
-use chicorystage_core::rendezvous;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::borders::RouterBorders;
-use crate::router::event::RouterEvent;
 use crate::router::handle::RouterHandle;
-use crate::router::inventory::announce::tell_router;
 use crate::router::inventory::event::{InventoryEvent, News};
 use crate::router::inventory::long_poll::LongPolls;
+use crate::router::inventory::peers::Peers;
 use crate::router::inventory::prepare::prepare;
-use crate::router::inventory::snapshot_writer::{self, SNAPSHOT_EVERY_REVISIONS};
+use crate::router::inventory::snapshot_plan::SnapshotPlan;
+use crate::router::inventory::snapshot_writer;
 use crate::timer::Clock;
 
 /// Records kept in memory for those who lag.
 const LOG_RECORDS_MAX: usize = 1_024;
 /// Longest time that a hint waits for its revision, in milliseconds.
 const HINT_WAIT_MS: u64 = 1_500;
-/// Time between two rounds of questions to peers, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 500;
-/// Peers asked where one that has seen the head will do.
-const PROBE_FEW: usize = 3;
 /// Key by which the writer of snapshots is ranked.
 const SNAPSHOT_RANK_KEY: &str = "inventory-snapshot";
 
@@ -36,7 +30,6 @@
 #[derive(Debug)]
 pub struct Spread {
     own: VmId,
-    group: GroupName,
     borders: RouterBorders,
     handle: RouterHandle,
     clock: Clock,
@@ -44,12 +37,9 @@
     log: ChangeLog,
     polls: LongPolls,
     hints: Vec<WaitingHint>,
-    vms: Option<HashMap<VmId, VmEntry>>,
+    peers: Peers,
     wake_reader: Option<oneshot::Sender<()>>,
-    fetching_from_peer: bool,
-    probed_ms: Option<u64>,
-    snapshot_revision: u64,
-    writing_snapshot: bool,
+    snapshots: SnapshotPlan,
     table_up: bool,
     admitted: bool,
 }
@@ -72,22 +62,19 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let routers = Arc::clone(&borders.routers);
         Self {
             freshness: Freshness::new(own.clone(), freshness_max_ms),
+            peers: Peers::new((own.clone(), group), routers, handle.clone(), clock),
             own,
-            group,
             borders,
             handle,
             clock,
             log: ChangeLog::new(LOG_RECORDS_MAX),
             polls: LongPolls::default(),
             hints: Vec::new(),
-            vms: None,
             wake_reader: None,
-            fetching_from_peer: false,
-            probed_ms: None,
-            snapshot_revision: 0,
-            writing_snapshot: false,
+            snapshots: SnapshotPlan::default(),
             table_up: false,
             admitted: false,
         }
@@ -113,10 +100,8 @@
 
     /// Notes the listed VMs.
     pub fn vms_read(&mut self, vms: &HashMap<VmId, VmEntry>) {
-        let routers = vms.values().filter(|vm| vm.group == self.group);
-        let listed: BTreeSet<VmId> = routers.map(|vm| vm.id.clone()).collect();
-        self.freshness.set_listed(listed);
-        self.vms = Some(vms.clone());
+        self.peers.set_vms(vms.clone());
+        self.freshness.set_listed(self.peers.listed_routers());
     }
 
     /// Takes one event and puts what it brings in force in `state`.
@@ -142,7 +127,7 @@
             InventoryEvent::Hint { hint, reply } => self.hinted(state, hint, reply, now_ms),
             InventoryEvent::PeerAnswered(contact) => self.peer_answered(state, contact),
             InventoryEvent::PeerSent(changes) => {
-                self.fetching_from_peer = false;
+                self.peers.fetch_ended();
                 self.take_changes(state, changes);
                 self.advanced(state, now_ms);
             }
@@ -169,8 +154,7 @@
                 let _sent = reply.send(state.revision() >= revision);
             }
             InventoryEvent::SnapshotWritten(revision) => {
-                self.writing_snapshot = false;
-                self.snapshot_revision = self.snapshot_revision.max(revision.unwrap_or(0));
+                self.snapshots.ended(revision);
             }
             InventoryEvent::Operator {
                 token_sha256,
@@ -183,7 +167,7 @@
                 let _sent = reply.send((state.revision(), rows));
             }
             InventoryEvent::Vms { reply } => {
-                let _sent = reply.send(self.vms.clone());
+                let _sent = reply.send(self.peers.vms().cloned());
             }
         }
     }
@@ -200,7 +184,7 @@
     fn tick(&mut self, state: &InventoryState, now_ms: u64) {
         self.polls.answer(state, &self.log, now_ms);
         self.answer_hints(state, now_ms);
-        self.probe(state, now_ms);
+        self.probe_peers(state, now_ms);
         self.log_freshness(state, now_ms);
     }
 
@@ -270,7 +254,7 @@
         }
         if state.revision() < hint.revision {
             self.wake_reader();
-            self.fetch_from(&hint.from, state.revision());
+            self.peers.fetch_from(&hint.from, state.revision());
         }
         self.hints.push(WaitingHint {
             revision: hint.revision,
@@ -296,92 +280,38 @@
 
     fn peer_answered(&mut self, state: &InventoryState, contact: PeerContact) {
         if contact.revision > state.revision() {
-            self.fetch_from(&contact.vm, state.revision());
+            self.peers.fetch_from(&contact.vm, state.revision());
         }
         self.freshness.peer_answered(contact);
     }
 
-    fn fetch_from(&mut self, vm: &VmId, since_revision: u64) {
-        let Some(address) = self.address(vm) else {
-            return;
-        };
-        if self.fetching_from_peer {
-            return;
-        }
-        self.fetching_from_peer = true;
-        let query = ChangesQuery {
-            vm: self.own.clone(),
-            since_revision,
-            wait_ms: 0,
-        };
-        let routers = Arc::clone(&self.borders.routers);
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
-            let changes = routers.changes(address, query).await.ok();
-            let event = InventoryEvent::PeerSent(changes);
-            handle.tell(RouterEvent::Inventory(event)).await;
-        });
-    }
-
-    fn probe(&mut self, state: &InventoryState, now_ms: u64) {
-        let recently = self
-            .probed_ms
-            .is_some_and(|at_ms| now_ms < at_ms + PROBE_INTERVAL_MS);
-        let wanted = self.freshness.probe(now_ms);
-        if recently || wanted == Probe::Nobody {
-            return;
-        }
-        self.probed_ms = Some(now_ms);
-        let mut peers = self.peers();
-        if wanted == Probe::Few {
-            rendezvous::rank(self.own.as_str(), &mut peers, |(vm, _)| vm.as_str());
-            peers.truncate(PROBE_FEW);
-        }
+    fn probe_peers(&mut self, state: &InventoryState, now_ms: u64) {
         let hint = RevisionHint {
             from: self.own.clone(),
             revision: state.revision(),
             confirmed_age_ms: self.freshness.confirmed_age_ms(now_ms),
             record: None,
         };
-        for peer in peers {
-            let routers = Arc::clone(&self.borders.routers);
-            let to_loop = (self.handle.clone(), self.clock);
-            tokio::spawn(tell_router(routers, peer, hint.clone(), to_loop, None));
-        }
+        self.peers
+            .probe(self.freshness.probe(now_ms), &hint, now_ms);
     }
 
     fn write_snapshot(&mut self, state: &InventoryState) {
-        let behind = state.revision() - self.snapshot_revision.min(state.revision());
-        if self.writing_snapshot || behind < SNAPSHOT_EVERY_REVISIONS || !self.writes_snapshots() {
+        if !self.snapshots.is_due(state.revision())
+            || !self.peers.is_first_router(SNAPSHOT_RANK_KEY)
+        {
             return;
         }
-        self.writing_snapshot = true;
+        self.snapshots.started();
         let work =
             snapshot_writer::write(self.borders.clone(), self.handle.clone(), state.snapshot());
         tokio::spawn(work);
     }
 
-    fn writes_snapshots(&self) -> bool {
-        let vms = self.vms.iter().flat_map(HashMap::values);
-        let live = vms.filter(|vm| vm.group == self.group && vm.state == VmState::Live);
-        let first = live.max_by_key(|vm| rendezvous::weight(SNAPSHOT_RANK_KEY, vm.id.as_str()));
-        first.is_some_and(|vm| vm.id == self.own)
-    }
-
     fn wake_reader(&mut self) {
         if let Some(wake) = self.wake_reader.take() {
             // A reader that has gone reads again by itself.
             let _sent = wake.send(());
         }
     }
-
-    fn peers(&self) -> Vec<(VmId, SocketAddr)> {
-        let vms = self.vms.iter().flat_map(HashMap::values);
-        let routers = vms.filter(|vm| vm.group == self.group && vm.id != self.own);
-        routers.map(|vm| (vm.id.clone(), vm.address)).collect()
-    }
-
-    fn address(&self, vm: &VmId) -> Option<SocketAddr> {
-        Some(self.vms.as_ref()?.get(vm)?.address)
-    }
 }
--- a/crates/chicorystaged/src/settings/ini_reader.rs
+++ b/crates/chicorystaged/src/settings/ini_reader.rs
@@ -15,6 +15,7 @@
     text: String,
     ini: Ini,
     known: BTreeSet<(String, String)>,
+    ignored: BTreeSet<String>,
     findings: Vec<Finding>,
 }
 
@@ -40,6 +41,7 @@
             text: text.to_owned(),
             ini,
             known: BTreeSet::new(),
+            ignored: BTreeSet::new(),
             findings,
         }
     }
@@ -78,6 +80,22 @@
         default
     }
 
+    /// Returns the names of the sections, in the order of the file.
+    #[must_use]
+    pub fn sections(&self) -> Vec<String> {
+        let names = self.ini.sections().flatten();
+        let mut seen = BTreeSet::new();
+        names
+            .filter(|name| seen.insert(*name))
+            .map(str::to_owned)
+            .collect()
+    }
+
+    /// Leaves a section's keys out of the report of unknown keys.
+    pub fn ignore(&mut self, section: &str) {
+        self.ignored.insert(section.to_owned());
+    }
+
     /// Adds a finding at a key.
     pub fn find(&mut self, section: &str, key: &str, given: &str, allowed: &str) {
         let finding = Finding {
@@ -109,7 +127,8 @@
             })
             .collect();
         for (section, key) in given {
-            if self.known.contains(&(section.clone(), key.clone())) {
+            let known = self.known.contains(&(section.clone(), key.clone()));
+            if known || self.ignored.contains(&section) {
                 continue;
             }
             let allowed = if sections.contains(&section) {
@@ -122,10 +141,33 @@
             };
             self.find(&section, &key, &key, &allowed);
         }
+        self.find_repeats();
         self.findings.sort_by_key(|finding| finding.line);
         self.findings
     }
 
+    /// Reports sections and keys that are given twice: only the first would count.
+    fn find_repeats(&mut self) {
+        let mut seen = BTreeSet::new();
+        for line in lines(&self.text) {
+            if seen.insert((line.section, line.key)) {
+                continue;
+            }
+            let (given, allowed) = match line.key {
+                "" => (line.section, "each section once"),
+                key => (key, "each key once in its section"),
+            };
+            self.findings.push(Finding {
+                file: Arc::clone(&self.file),
+                line: line.number,
+                section: Arc::from(line.section),
+                key: Arc::from(line.key),
+                given: Arc::from(given),
+                allowed: Arc::from(allowed),
+            });
+        }
+    }
+
     fn raw(&self, section: &str, key: &str) -> Option<&str> {
         let section = (!section.is_empty()).then_some(section);
         self.ini.get_from(section, key)
@@ -136,27 +178,46 @@
     }
 }
 
-/// Finds the line of a key, or of its section where the key is absent; 0 for neither.
-fn line_of(text: &str, section: &str, key: &str) -> u32 {
-    let mut current = "";
-    let mut section_line = 0;
-    for (i, line) in text.lines().enumerate() {
+/// A section heading or a key of the file.
+#[derive(Clone, Copy, Debug)]
+struct Line<'a> {
+    number: u32,
+    section: &'a str,
+    /// Key, empty for a heading.
+    key: &'a str,
+}
+
+/// Lists headings and keys; comments and empty lines are left out.
+fn lines(text: &str) -> impl Iterator<Item = Line<'_>> {
+    let mut section = "";
+    text.lines().enumerate().filter_map(move |(i, line)| {
         let line = line.trim();
         let number = u32::try_from(i + 1).unwrap_or(u32::MAX);
-        if let Some(name) = line
-            .strip_prefix('[')
-            .and_then(|rest| rest.strip_suffix(']'))
-        {
-            current = name.trim();
-            if current == section {
-                section_line = number;
-            }
-            continue;
+        if line.is_empty() || line.starts_with([';', '#']) {
+            return None;
         }
-        let name = line.split(['=', ':']).next().unwrap_or_default().trim();
-        if current == section && name == key && !key.is_empty() {
-            return number;
+        let heading = line.strip_prefix('[');
+        if let Some(name) = heading.and_then(|rest| rest.strip_suffix(']')) {
+            section = name.trim();
+            return Some(Line {
+                number,
+                section,
+                key: "",
+            });
         }
-    }
-    section_line
+        let key = line.split(['=', ':']).next().unwrap_or_default().trim();
+        Some(Line {
+            number,
+            section,
+            key,
+        })
+    })
+}
+
+/// Finds the line of a key, or of its section where the key is absent; 0 for neither.
+fn line_of(text: &str, section: &str, key: &str) -> u32 {
+    let mut in_section = lines(text).filter(|line| line.section == section);
+    let heading = in_section.next().map_or(0, |line| line.number);
+    let mut keys = lines(text).filter(|line| line.section == section && line.key == key);
+    keys.next().map_or(heading, |line| line.number)
 }
--- a/crates/chicorystaged/src/settings/mod.rs
+++ b/crates/chicorystaged/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! its file, line, section and key and all are reported together.
 
 mod agent_settings;
+mod cross_checks;
 mod daemon_settings;
 mod ini_reader;
 mod listen_settings;
--- a/crates/chicorystaged/src/settings/settings_file.rs
+++ b/crates/chicorystaged/src/settings/settings_file.rs
@@ -2,13 +2,15 @@
 use chicorystage_api::name::Digest;
 use log::LevelFilter;
 
+use crate::settings::cross_checks::{Parts, check_across};
 use crate::settings::{
     AgentSettings, DaemonSettings, EndpointKind, IniReader, ListenSettings, LogSettings,
     PlatformSettings, Role, RouterSettings,
 };
 
 const ADDRESS: &str = "IP:port, as in 127.0.0.1:7000";
-const NAME: &str = "a name";
+const NAME: &str = "1 to 128 letters, digits, '.', '_' or '-'";
+const NAME_LEN_MAX: usize = 128;
 const DIGEST_HEX_LEN: usize = 64;
 
 /// All settings of a daemon.
@@ -39,6 +41,15 @@
         let platform = read_platform(&mut reader);
         let log = read_log(&mut reader);
         let role = read_role(&mut reader);
+        check_across(
+            &mut reader,
+            &Parts {
+                daemon: daemon.as_ref(),
+                listen: listen.as_ref(),
+                platform: platform.as_ref(),
+                role: role.as_ref(),
+            },
+        );
         let findings = reader.finish();
         match (daemon, listen, platform, role) {
             (Some(daemon), Some(listen), Some(platform), Some(role)) if findings.is_empty() => {
@@ -56,9 +67,9 @@
 }
 
 fn read_daemon(reader: &mut IniReader) -> Option<DaemonSettings> {
-    let vm = reader.required::<String>("daemon", "vm", NAME);
-    let zone = reader.required::<String>("daemon", "zone", NAME);
-    let group = reader.required::<String>("daemon", "group", NAME);
+    let vm = read_name(reader, "daemon", "vm");
+    let zone = read_name(reader, "daemon", "zone");
+    let group = read_name(reader, "daemon", "group");
     Some(DaemonSettings {
         vm: vm?.into(),
         zone: zone?.into(),
@@ -66,6 +77,16 @@
     })
 }
 
+fn read_name(reader: &mut IniReader, section: &str, key: &str) -> Option<String> {
+    let given = reader.required::<String>(section, key, NAME)?;
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    if given.is_empty() || given.len() > NAME_LEN_MAX || !given.chars().all(allowed) {
+        reader.find(section, key, &given, NAME);
+        return None;
+    }
+    Some(given)
+}
+
 fn read_listen(reader: &mut IniReader) -> Option<ListenSettings> {
     let internal = reader.required("listen", "internal", ADDRESS);
     let health = reader.required("listen", "health", ADDRESS);
@@ -114,7 +135,7 @@
     let caller_api = reader.required("router", "caller_api", ADDRESS);
     let admin_api = reader.required("router", "admin_api", ADDRESS);
     let root_token_sha256 = read_digest(reader, "router", "root_token_sha256");
-    let freshness_max_ms = reader.number("router", "freshness_max_ms", 3_000, 500, 60_000);
+    let freshness_max_ms = reader.number("router", "freshness_max_ms", 3_000, 1_500, 60_000);
     let drain_lag_ms = reader.number("router", "drain_lag_ms", 5_000, 0, 300_000);
     let drain_max_ms = reader.number("router", "drain_max_ms", 600_000, 0, 3_600_000);
     let waiting_max = reader.number("router", "waiting_max", 4_096, 1, 1_000_000);
@@ -134,7 +155,7 @@
 
 fn read_agent(reader: &mut IniReader) -> Option<AgentSettings> {
     let endpoint = reader.required("agent", "endpoint", ADDRESS);
-    let router_group = reader.required::<String>("agent", "router_group", NAME);
+    let router_group = read_name(reader, "agent", "router_group");
     let endpoint_kind = read_endpoint_kind(reader);
     let service_concurrent_max = reader.number("agent", "service_concurrent_max", 16, 1, 10_000);
     let queue_max = reader.number("agent", "queue_max", 512, 1, 1_000_000);
