--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! # Parts
 //!
+//! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
@@ -17,6 +18,7 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod claim;
 pub mod freshness;
 pub mod inventory;
 pub mod rendezvous;
