--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod event;
 pub mod handle;
+pub mod inventory;
 pub mod main_loop;
 pub mod parts;
 pub mod placing;
@@ -19,6 +20,7 @@
 
 mod health_api;
 mod internal_api;
+mod internal_rpc;
 
 use chicorystage_platform::http::HttpServer;
 
@@ -44,7 +46,7 @@
         "router started"
     );
 
-    let parts = RouterParts::start(settings.daemon, role, borders, clock);
+    let parts = RouterParts::start(&settings.daemon, &role, borders, clock);
     let callers = caller_server.start(parts.caller_api);
     let admins = admin_server.start(parts.admin_api);
     let internal = internal_server.start(parts.internal_api);
