--- /dev/null
+++ b/crates/chicorystage/src/main.rs
@@ -0,0 +1,11 @@
+//! The `chicorystage` program; everything is in the library.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    chicorystage::cli::run(&arguments)
+}
--- /dev/null
+++ b/crates/chicorystage/src/tool_error.rs
@@ -0,0 +1,83 @@
+use std::fmt;
+use std::process::ExitCode;
+
+use chicorystage_api::admin::{ChangeConflict, ItemFinding};
+use chicorystage_api::finding::Finding;
+
+/// Exit status where a command failed.
+const EXIT_FAILED: u8 = 1;
+/// Exit status where the command line or a file is wrong.
+const EXIT_BAD_INPUT: u8 = 2;
+/// Exit status where another change came first.
+const EXIT_CONFLICT: u8 = 3;
+
+/// Why a command did not do what was asked.
+#[derive(Clone, Debug)]
+pub enum ToolError {
+    /// The command failed.
+    Failed(String),
+    /// The command line is wrong.
+    Usage(String),
+    /// A file is wrong.
+    File(Vec<Finding>),
+    /// The inventory does not allow the change.
+    Change(Vec<ItemFinding>),
+    /// Another change came first.
+    Conflict(Vec<ChangeConflict>),
+}
+
+impl ToolError {
+    /// Returns the exit status that tells the kind of error.
+    #[must_use]
+    pub fn exit_code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Self::Failed(_) => EXIT_FAILED,
+            Self::Usage(_) | Self::File(_) | Self::Change(_) => EXIT_BAD_INPUT,
+            Self::Conflict(_) => EXIT_CONFLICT,
+        })
+    }
+}
+
+impl fmt::Display for ToolError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Failed(detail) | Self::Usage(detail) => write!(f, "chicorystage: {detail}"),
+            Self::File(findings) => lines(f, findings),
+            Self::Change(findings) => lines(f, findings),
+            Self::Conflict(conflicts) => {
+                let described: Vec<String> = conflicts.iter().map(describe).collect();
+                lines(f, &described)
+            }
+        }
+    }
+}
+
+impl std::error::Error for ToolError {}
+
+fn lines<T: fmt::Display>(f: &mut fmt::Formatter<'_>, entries: &[T]) -> fmt::Result {
+    for (i, entry) in entries.iter().enumerate() {
+        if i > 0 {
+            writeln!(f)?;
+        }
+        write!(f, "{entry}")?;
+    }
+    Ok(())
+}
+
+fn describe(conflict: &ChangeConflict) -> String {
+    let version = |revision: Option<u64>| {
+        revision.map_or("absent".to_owned(), |revision| {
+            format!("revision {revision}")
+        })
+    };
+    let expected = version(conflict.expected_revision);
+    let current = version(conflict.current_revision);
+    let by = conflict.winner.as_ref().map(|winner| {
+        format!(
+            "; changed by {} in revision {} (change {})",
+            winner.operator, winner.revision, winner.change_id
+        )
+    });
+    let by = by.unwrap_or_default();
+    format!("{}: expected {expected}, found {current}{by}", conflict.key)
+}
--- a/crates/chicorystaged/src/settings/ini_reader.rs
+++ b/crates/chicorystaged/src/settings/ini_reader.rs
@@ -215,7 +215,8 @@
 }
 
 /// Finds the line of a key, or of its section where the key is absent; 0 for neither.
-fn line_of(text: &str, section: &str, key: &str) -> u32 {
+#[must_use]
+pub fn line_of(text: &str, section: &str, key: &str) -> u32 {
     let mut in_section = lines(text).filter(|line| line.section == section);
     let heading = in_section.next().map_or(0, |line| line.number);
     let mut keys = lines(text).filter(|line| line.section == section && line.key == key);
--- a/crates/chicorystaged/src/settings/mod.rs
+++ b/crates/chicorystaged/src/settings/mod.rs
@@ -16,7 +16,7 @@
 
 pub use agent_settings::{AgentSettings, EndpointKind};
 pub use daemon_settings::DaemonSettings;
-pub use ini_reader::IniReader;
+pub use ini_reader::{IniReader, line_of};
 pub use listen_settings::ListenSettings;
 pub use log_settings::LogSettings;
 pub use platform_settings::PlatformSettings;
