--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -68,7 +68,7 @@
         agents: Arc::clone(&scripted) as _,
         routers: Arc::new(RpcRouterLink::new(1, 1)),
     };
-    let parts = RouterParts::start(daemon(), settings(), borders, Clock::start());
+    let parts = RouterParts::start(&daemon(), &settings(), borders, Clock::start());
     let snapshot = RouterEvent::InventoryRead(inventory(caller));
     parts.handle.tell(snapshot).await;
     let listed = RouterEvent::VmsRead(
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -8,6 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::event::{Admission, Choice, RouterEvent, Target};
+use crate::router::inventory::InventoryEvent;
 use crate::router::serving::{ChooseRequest, Entry, ServingEvent, WaitGuard};
 
 /// Sends events to the router's main loop.
@@ -129,6 +130,12 @@
         .await;
     }
 
+    /// Waits until an operator orders a graceful stop, or the loop has ended.
+    pub async fn drain_ordered(&self) {
+        self.ask_serving(|reply| ServingEvent::AwaitDrain { reply })
+            .await;
+    }
+
     /// Makes the router fail its readiness; it serves on.
     pub async fn leave(&self) {
         self.tell(RouterEvent::Serving(ServingEvent::Leave)).await;
@@ -180,7 +187,19 @@
         }
     }
 
-    async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent) -> Option<T> {
+    /// Asks the inventory's part of the loop; none where the loop has ended.
+    pub async fn ask_inventory<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> InventoryEvent,
+    ) -> Option<T> {
+        self.ask(|reply| RouterEvent::Inventory(event(reply))).await
+    }
+
+    /// Asks the loop; none where it has ended or dropped the question.
+    pub(crate) async fn ask<T>(
+        &self,
+        event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent,
+    ) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.sender.send(event(reply)).await.ok()?;
         answer.await.ok()
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -19,6 +19,7 @@
 use crate::router::borders::RouterBorders;
 use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
 use crate::router::handle::RouterHandle;
+use crate::router::inventory::Spread;
 use crate::router::placing;
 use crate::router::serving::{ChooseRequest, ServingState, quarantine};
 use crate::settings::{DaemonSettings, RouterSettings};
@@ -44,7 +45,7 @@
     handle: RouterHandle,
     clock: Clock,
     inventory: InventoryState,
-    confirmed_ms: Option<u64>,
+    spread: Spread,
     vms: HashMap<VmId, VmEntry>,
     placements: HashMap<ModelName, PlacementPush>,
     waiting: HashMap<ModelName, Vec<Waiting>>,
@@ -65,13 +66,20 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let spread = Spread::new(
+            (daemon.vm.clone(), daemon.group.clone()),
+            settings.freshness_max_ms,
+            borders.clone(),
+            handle.clone(),
+            clock,
+        );
         Self {
             daemon,
             borders,
             handle,
             clock,
             inventory: InventoryState::default(),
-            confirmed_ms: None,
+            spread,
             vms: HashMap::new(),
             placements: HashMap::new(),
             waiting: HashMap::new(),
@@ -118,14 +126,25 @@
             }
             RouterEvent::Serving(event) => self.on_serving(event),
             RouterEvent::InventoryRead(snapshot) => {
-                self.confirmed_ms = Some(self.clock.now_ms());
-                if self.inventory.replace(snapshot) {
-                    log::info!(event = "inventory_in_force", revision = self.inventory.revision(); "inventory in force");
-                }
+                self.spread.whole_read(&mut self.inventory, snapshot);
+            }
+            RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            // Dropping the reply tells the asker that this router cannot.
+            RouterEvent::Place { .. }
+            | RouterEvent::AcquirePermit { .. }
+            | RouterEvent::ReleasePermit { .. } => {}
+            RouterEvent::PushQuarantine { entries, reply } => {
+                self.serving.learn(entries);
+                let _sent = reply.send(());
+            }
+            RouterEvent::Drain { reply } => {
+                self.serving.drain();
+                let _sent = reply.send(());
             }
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
                 self.serving.vms_listed(|vm| self.vms.contains_key(vm));
+                self.spread.vms_read(&self.vms);
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
@@ -140,6 +159,9 @@
     }
 
     fn admit(&self, token_sha256: &Digest, target: Target) -> Result<Admission, Refusal> {
+        if !self.spread.admits(self.clock.now_ms()) {
+            return Err(stale_rules());
+        }
         let Some(caller) = self.inventory.caller_by_token(token_sha256) else {
             return Err(unauthenticated());
         };
@@ -296,18 +318,21 @@
             vm: self.daemon.vm.clone(),
             zone: self.daemon.zone.clone(),
             revision: self.inventory.revision(),
-            confirmed_age_ms: self
-                .confirmed_ms
-                .map_or(now_ms, |confirmed_ms| now_ms - confirmed_ms),
-            ready: !self.serving.leaving && self.inventory.revision() > 0 && !self.vms.is_empty(),
+            confirmed_age_ms: self.spread.confirmed_age_ms(now_ms),
+            ready: !self.serving.leaving && self.spread.admits(now_ms) && !self.vms.is_empty(),
             leaving: self.serving.leaving,
-            table_up: true,
+            table_up: self.spread.table_up(),
             in_progress: self.serving.in_progress(),
             quarantined: self.serving.quarantined_len(),
         }
     }
 }
 
+fn stale_rules() -> Refusal {
+    let detail = "this router cannot confirm that its rules are still in force";
+    Refusal::not_run(RefusalCode::StaleRules, detail).retry_after_ms(RETRY_AFTER_MS)
+}
+
 fn no_endpoint() -> Refusal {
     let detail = Arc::<str>::from("no endpoint can take the request now");
     Refusal::not_run(RefusalCode::NoEndpoint, detail).retry_after_ms(RETRY_AFTER_MS)
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod event;
 pub mod handle;
+pub mod inventory;
 pub mod main_loop;
 pub mod parts;
 pub mod placing;
@@ -20,6 +21,7 @@
 mod drain;
 mod health_api;
 mod internal_api;
+mod internal_rpc;
 
 use std::time::Duration;
 
@@ -48,13 +50,16 @@
         "router started"
     );
 
-    let parts = RouterParts::start(settings.daemon, role.clone(), borders, clock);
+    let parts = RouterParts::start(&settings.daemon, &role, borders, clock);
     let callers = caller_server.start(parts.caller_api);
     let admins = admin_server.start(parts.admin_api);
     let internal = internal_server.start(parts.internal_api);
     let health = health_server.start(parts.health_api);
 
-    crate::stop::signalled().await;
+    tokio::select! {
+        () = crate::stop::signalled() => {}
+        () = parts.handle.drain_ordered() => {}
+    }
     log::info!(event = "router_stopping"; "router is leaving");
     leave(&parts.handle, callers, &role).await;
     admins.stop_gracefully().await;
--- a/crates/chicorystaged/src/router/serving/event.rs
+++ b/crates/chicorystaged/src/router/serving/event.rs
@@ -111,6 +111,11 @@
         /// Receives the trace, where it is still kept.
         reply: oneshot::Sender<Option<RequestTrace>>,
     },
+    /// The daemon waits for an operator's order to stop.
+    AwaitDrain {
+        /// Receives the order.
+        reply: oneshot::Sender<()>,
+    },
     /// The router is to leave: readiness fails from now on.
     Leave,
     /// The loop is to end.
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -11,6 +11,8 @@
 use chicorystage_core::retry::RetryBudget;
 use chicorystage_core::suspects::{Standing, SuspectList};
 
+use tokio::sync::oneshot;
+
 use crate::metrics::Metrics;
 use crate::router::handle::RouterHandle;
 use crate::router::serving::trace_log::TraceLog;
@@ -33,6 +35,7 @@
     pub(crate) suspects: SuspectList,
     pub(crate) traces: TraceLog,
     pub(crate) leaving: bool,
+    drain_listeners: Vec<oneshot::Sender<()>>,
     pub(crate) stopped: bool,
 }
 
@@ -49,6 +52,7 @@
             suspects: SuspectList::default(),
             traces: TraceLog::default(),
             leaving: false,
+            drain_listeners: Vec::new(),
             stopped: false,
         }
     }
@@ -57,6 +61,15 @@
         self.metrics = metrics;
     }
 
+    /// Starts a graceful stop by an operator's order.
+    pub(crate) fn drain(&mut self) {
+        self.leaving = true;
+        for listener in self.drain_listeners.drain(..) {
+            // Nobody listens where the router is stopping already.
+            let _sent = listener.send(());
+        }
+    }
+
     /// Handles the events that need no other state of the loop.
     pub(crate) fn on_event(&mut self, handle: &RouterHandle, event: ServingEvent) {
         match event {
@@ -93,6 +106,7 @@
             ServingEvent::Explain { request_id, reply } => {
                 let _sent = reply.send(self.traces.get(&request_id).cloned());
             }
+            ServingEvent::AwaitDrain { reply } => self.drain_listeners.push(reply),
             ServingEvent::Leave => self.leaving = true,
             ServingEvent::Stop => self.stopped = true,
             ServingEvent::Enter { .. }
@@ -199,7 +213,7 @@
         Ok(Some(chosen))
     }
 
-    fn learn(&mut self, entries: Vec<QuarantineEntry>) {
+    pub(crate) fn learn(&mut self, entries: Vec<QuarantineEntry>) {
         for entry in entries {
             let (digest, active) = (entry.digest.clone(), entry.active);
             if self.suspects.learn(entry) && active {
