--- a/crates/chicorystaged/src/router/serving/caller_work.rs
+++ b/crates/chicorystaged/src/router/serving/caller_work.rs
@@ -1,8 +1,14 @@
 use std::sync::Arc;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::name::ApplicationName;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{Completion, ServiceCall, WorkSpec};
+
+use crate::router::event::{Resolved, Target};
 
 /// What a caller asks to be run.
 #[derive(Clone, Debug)]
@@ -30,3 +36,83 @@
         body: Bytes,
     },
 }
+
+impl CallerWork {
+    /// Returns what the inventory is asked for.
+    pub(super) fn target(&self) -> Target {
+        match self {
+            Self::Completion { model, .. } => Target::Model(model.clone()),
+            Self::Call {
+                application,
+                method,
+                path,
+                ..
+            } => Target::Application {
+                application: application.clone(),
+                method: method.to_string(),
+                path: path.to_string(),
+            },
+        }
+    }
+
+    /// Names the work in a trace, without the query, which may hold personal data.
+    pub(super) fn describe(&self) -> Arc<str> {
+        match self {
+            Self::Completion { model, .. } => Arc::from(model.to_string()),
+            Self::Call {
+                application,
+                method,
+                path,
+                ..
+            } => {
+                let path = path.split('?').next().unwrap_or_default();
+                Arc::from(format!("{method} {application}{path}"))
+            }
+        }
+    }
+
+    /// Returns the work as agents run it.
+    pub(super) fn resolve(&self, resolved: &Resolved) -> Result<WorkSpec, Refusal> {
+        match (resolved, self) {
+            (
+                Resolved::Model {
+                    model,
+                    model_memory_bytes,
+                    adapter_memory_bytes,
+                },
+                Self::Completion {
+                    prompt, max_tokens, ..
+                },
+            ) => Ok(WorkSpec::Completion(Completion {
+                version: model.version.clone().unwrap_or_else(|| "".into()),
+                model: model.model.clone(),
+                adapter: model.adapter.clone(),
+                model_memory_bytes: *model_memory_bytes,
+                adapter_memory_bytes: *adapter_memory_bytes,
+                prompt: Arc::clone(prompt),
+                max_tokens: *max_tokens,
+            })),
+            (
+                Resolved::Application { idempotent },
+                Self::Call {
+                    application,
+                    method,
+                    path,
+                    content_type,
+                    body,
+                },
+            ) => Ok(WorkSpec::Service(ServiceCall {
+                application: application.clone(),
+                method: Arc::clone(method),
+                path: Arc::clone(path),
+                content_type: Arc::clone(content_type),
+                body_base64: STANDARD.encode(body).into(),
+                idempotent: *idempotent,
+            })),
+            _ => Err(Refusal::not_run(
+                RefusalCode::Internal,
+                "the request was resolved as another kind of work",
+            )),
+        }
+    }
+}
--- a/crates/chicorystaged/src/router/serving/dispatcher.rs
+++ b/crates/chicorystaged/src/router/serving/dispatcher.rs
@@ -1,24 +1,23 @@
 use std::sync::Arc;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use chicorystage_api::peer::TraceEvent;
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::{Completion, ServiceCall, WorkSpec};
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
 use crate::router::borders::RouterBorders;
-use crate::router::claims::ClaimWriter;
-use crate::router::event::{Admission, Resolved, Target};
+use crate::router::claims::{ClaimFlow, ClaimWriter, ClaimedCall};
+use crate::router::event::Resolved;
 use crate::router::handle::RouterHandle;
 use crate::router::serving::call::Call;
 use crate::router::serving::conversation::Conversation;
 use crate::router::serving::job::Job;
+use crate::router::serving::no_dispatch::NoDispatch;
 use crate::router::serving::request_record::RequestRecord;
 use crate::router::serving::terms::Terms;
 use crate::router::serving::{
     CallerHead, CallerRequest, CallerWork, Entry, OpenedAnswer, WholeAnswer, body_too_large,
+    work_key,
 };
 use crate::timer::Clock;
 
@@ -69,7 +68,7 @@
         let token = head.token_sha256.clone();
         let entered = self.handle.enter(token, body_bytes).await;
         entered.map_err(|refusal| match head.key {
-            Some(_) if is_limit(refusal.code) => Refusal {
+            Some(_) if is_passing(refusal.code) => Refusal {
                 outcome: Outcome::MayHaveRun,
                 ..refusal
             },
@@ -158,17 +157,38 @@
             self.clone(),
             entry.received_ms(),
             request.request_id.clone(),
-            describe(&request.work),
+            request.work.describe(),
         );
         match self.admit(entry, &request, &mut record).await {
             Ok(job) => Ok((job, record)),
             Err(refusal) => {
+                let refusal = self.confirm(entry, &request, refusal).await;
                 record.refused(&refusal);
                 Err(refusal)
             }
         }
     }
 
+    /// Makes the outcome of an early refusal true for every call with the same key.
+    async fn confirm(&self, entry: &Entry, request: &CallerRequest, refusal: Refusal) -> Refusal {
+        let (CallerWork::Call { .. }, Some(key)) = (&request.work, &request.head.key) else {
+            return refusal;
+        };
+        let resolved = Resolved::Application { idempotent: false };
+        let Ok(work) = request.work.resolve(&resolved) else {
+            return refusal;
+        };
+        let call = ClaimedCall {
+            caller: entry.caller().name.clone(),
+            key: key.clone(),
+            body_sha256: work_key::digest(&work),
+            request_id: request.request_id.clone(),
+        };
+        let (table, agents) = (&*self.borders.table, &*self.borders.agents);
+        let flow = ClaimFlow::new(table, agents, &self.claims, &NoDispatch, call);
+        flow.confirm(refusal).await
+    }
+
     /// Admits a request by the inventory.
     async fn admit(
         &self,
@@ -180,8 +200,8 @@
             return Err(body_too_large(entry.caller()));
         }
         let token = request.head.token_sha256.clone();
-        let admission = self.handle.admit(token, target(&request.work)).await?;
-        let work = work_spec(&admission, &request.work)?;
+        let admission = self.handle.admit(token, request.work.target()).await?;
+        let work = request.work.resolve(&admission.resolved)?;
         let received_ms = entry.received_ms();
         let terms = Terms::agree(self.clock, received_ms, request, &admission, &work)?;
         record.taken_on(&admission.caller.name, terms.class, terms.timeout_ms);
@@ -198,86 +218,14 @@
     }
 }
 
-fn target(work: &CallerWork) -> Target {
-    match work {
-        CallerWork::Completion { model, .. } => Target::Model(model.clone()),
-        CallerWork::Call {
-            application,
-            method,
-            path,
-            ..
-        } => Target::Application {
-            application: application.clone(),
-            method: method.to_string(),
-            path: path.to_string(),
-        },
-    }
-}
-
-/// Returns whether a refusal concerns a limit, which a repeat may meet.
-fn is_limit(code: RefusalCode) -> bool {
+/// Returns whether a refusal says nothing of the request, so that a repeat may meet it.
+fn is_passing(code: RefusalCode) -> bool {
     matches!(
         code,
-        RefusalCode::RateLimited | RefusalCode::ConcurrencyLimited | RefusalCode::Overloaded
+        RefusalCode::RateLimited
+            | RefusalCode::ConcurrencyLimited
+            | RefusalCode::Overloaded
+            | RefusalCode::StaleRules
+            | RefusalCode::Internal
     )
 }
-
-/// Names the work in a trace, without the query, which may hold personal data.
-fn describe(work: &CallerWork) -> Arc<str> {
-    match work {
-        CallerWork::Completion { model, .. } => Arc::from(model.to_string()),
-        CallerWork::Call {
-            application,
-            method,
-            path,
-            ..
-        } => {
-            let path = path.split('?').next().unwrap_or_default();
-            Arc::from(format!("{method} {application}{path}"))
-        }
-    }
-}
-
-fn work_spec(admission: &Admission, work: &CallerWork) -> Result<WorkSpec, Refusal> {
-    match (&admission.resolved, work) {
-        (
-            Resolved::Model {
-                model,
-                model_memory_bytes,
-                adapter_memory_bytes,
-            },
-            CallerWork::Completion {
-                prompt, max_tokens, ..
-            },
-        ) => Ok(WorkSpec::Completion(Completion {
-            version: model.version.clone().unwrap_or_else(|| "".into()),
-            model: model.model.clone(),
-            adapter: model.adapter.clone(),
-            model_memory_bytes: *model_memory_bytes,
-            adapter_memory_bytes: *adapter_memory_bytes,
-            prompt: Arc::clone(prompt),
-            max_tokens: *max_tokens,
-        })),
-        (
-            Resolved::Application { idempotent },
-            CallerWork::Call {
-                application,
-                method,
-                path,
-                content_type,
-                body,
-            },
-        ) => Ok(WorkSpec::Service(ServiceCall {
-            application: application.clone(),
-            method: Arc::clone(method),
-            path: Arc::clone(path),
-            content_type: Arc::clone(content_type),
-            body_base64: STANDARD.encode(body).into(),
-            idempotent: *idempotent,
-        })),
-        _ => Err(Refusal::not_run(
-            RefusalCode::Internal,
-            "the request was resolved as another kind of work",
-        )),
-    }
-}
--- a/crates/chicorystaged/src/router/serving/mod.rs
+++ b/crates/chicorystaged/src/router/serving/mod.rs
@@ -30,6 +30,7 @@
 mod entry;
 mod flight;
 mod job;
+mod no_dispatch;
 mod opened_answer;
 mod request_record;
 mod send_failure;
