A quarantine is lifted by an operator only

Change: completing clears a suspect on that router only; a suspicion never replaces a quarantine, whatever its time. Lifting a quarantine that the router had not read yet is decided after it.

--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -13,7 +13,7 @@
 ///
 /// An entry is shared between processes as a [`QuarantineEntry`]: active for a
 /// quarantine, inactive with crashes for a suspect, inactive without crashes
-/// for one that was cleared.
+/// for one that an operator lifted.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectList {
     entries: HashMap<Digest, QuarantineEntry>,
@@ -53,12 +53,14 @@
         entry
     }
 
-    /// Notes that a digest completed; returns the entry that clears a suspect.
-    pub fn completed(&mut self, now_unix_ms: u64, digest: &Digest) -> Option<QuarantineEntry> {
-        if self.standing(digest) != Standing::Suspect {
-            return None;
+    /// Notes that a digest completed, which clears a suspect here.
+    ///
+    /// The others are not told: it would reach them as newer than a quarantine
+    /// that was decided meanwhile. They clear the suspect by completing it too.
+    pub fn completed(&mut self, now_unix_ms: u64, digest: &Digest) {
+        if self.standing(digest) == Standing::Suspect {
+            self.clear(now_unix_ms, digest, "the request completed");
         }
-        Some(self.clear(now_unix_ms, digest, "the request completed"))
     }
 
     /// Lifts the quarantine of a digest by an operator's order.
@@ -69,7 +71,10 @@
     /// Takes over what another process decided and returns whether it was news.
     pub fn learn(&mut self, entry: QuarantineEntry) -> bool {
         let known = self.entries.get(&entry.digest);
-        if known.is_some_and(|known| known.decided_unix_ms >= entry.decided_unix_ms) {
+        let is_older = |known: &QuarantineEntry| known.decided_unix_ms >= entry.decided_unix_ms;
+        // A router that had not heard of the quarantine may report one more crash later.
+        let is_weaker = |known: &QuarantineEntry| known.active && is_suspicion(&entry);
+        if known.is_some_and(|known| is_older(known) || is_weaker(known)) {
             return false;
         }
         self.insert(entry);
@@ -107,6 +112,10 @@
     }
 }
 
+fn is_suspicion(entry: &QuarantineEntry) -> bool {
+    !entry.active && entry.crashes > 0
+}
+
 /// Clocks of two VMs differ; a decision that follows a known one is newer than it.
 fn newer_than(known: Option<&QuarantineEntry>, now_unix_ms: u64) -> u64 {
     known.map_or(now_unix_ms, |entry| {
--- a/crates/chicorystage-testbed/tests/serving_answers.rs
+++ b/crates/chicorystage-testbed/tests/serving_answers.rs
@@ -8,7 +8,8 @@
 use chicorystage_platform::vm_list::VmState;
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
-use serving_world::{Act, Breaks, delivered, world};
+use serving_world::script::Breaks;
+use serving_world::{Act, delivered, world};
 use tokio::time::{Duration, Instant, sleep};
 
 const PROMPT: &str = "is lot 12 dry enough";
--- a/crates/chicorystage-testbed/tests/serving_faults.rs
+++ b/crates/chicorystage-testbed/tests/serving_faults.rs
@@ -13,7 +13,8 @@
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use serving_world::{Act, Breaks, World, caller, request, world, world_with};
+use serving_world::script::Breaks;
+use serving_world::{Act, World, caller, request, world, world_with};
 use tokio::time::{Duration, sleep};
 
 const POISON: &str = "crash please";
--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -2,7 +2,7 @@
 
 #![expect(dead_code, reason = "each test binary uses a part of the world")]
 
-mod script;
+pub mod script;
 mod scripted_agents;
 
 use std::collections::BTreeMap;
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 use chicorystage_api::inventory::{
-    CallerItem, Class, Item, ItemRow, ModelItem, ModelVersion, PolicyItem, Snapshot,
+    ApplicationItem, CallerItem, Class, Item, ItemRow, ModelItem, ModelVersion, Operation,
+    PolicyItem, Snapshot,
 };
 use chicorystage_api::name::VmId;
 use chicorystage_api::refusal::Refusal;
@@ -28,11 +29,12 @@
 use chicorystaged::settings::{DaemonSettings, RouterSettings};
 use chicorystaged::timer::Clock;
 
-pub use script::{Act, Breaks, Script};
+pub use script::{Act, Script};
 pub use scripted_agents::ScriptedAgents;
 
 pub const TOKEN: &str = "caller-token";
 const MODEL: &str = "moisture";
+const LEDGER: &str = "libro";
 
 /// A router with its surroundings.
 pub struct World {
@@ -154,7 +156,18 @@
             memory_bytes: 1,
         }],
     };
+    let application = ApplicationItem {
+        name: LEDGER.into(),
+        owner: "ledger".into(),
+        group: "colmena-llm".into(),
+        operations: vec![Operation {
+            method: "GET".into(),
+            path_prefix: "/balances".into(),
+            idempotent: true,
+        }],
+    };
     let items = [
+        Item::Application(application),
         Item::Model(model),
         Item::Caller(caller),
         Item::Policy(PolicyItem::default()),
--- a/crates/chicorystaged/src/router/main_loop/serving.rs
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -38,9 +38,7 @@
                 if let Some((key, vm)) = prefix_at {
                     self.serving.prefixes.put(key, vm);
                 }
-                if let Some(entry) = self.serving.suspects.completed(unix_ms(), &digest) {
-                    self.announce(None, &entry);
-                }
+                self.serving.suspects.completed(unix_ms(), &digest);
             }
             ServingEvent::QuarantineLift { digest, reply } => {
                 let entry = self.serving.suspects.lift(unix_ms(), &digest);
--- a/crates/chicorystaged/src/router/serving/quarantine.rs
+++ b/crates/chicorystaged/src/router/serving/quarantine.rs
@@ -107,11 +107,17 @@
     let Ok(row) = table.get(key).await else {
         return false;
     };
-    let kept = row.as_ref().and_then(parse);
-    if kept.is_some_and(|kept| kept.decided_unix_ms >= entry.decided_unix_ms) {
-        return true;
+    let mut entry = entry.clone();
+    if let Some(kept) = row.as_ref().and_then(parse)
+        && kept.decided_unix_ms >= entry.decided_unix_ms
+    {
+        if entry.active || !kept.active {
+            return true;
+        }
+        // The operator's router had not read this quarantine; lifting it comes after it.
+        entry.decided_unix_ms = kept.decided_unix_ms + 1;
     }
-    let value = serde_json::to_string(entry).expect("message types serialise to JSON");
+    let value = serde_json::to_string(&entry).expect("message types serialise to JSON");
     let transaction = Transaction {
         id: format!("quarantine-{:016x}", rand::random::<u64>()).into(),
         checks: vec![Check {
