--- /dev/null
+++ b/crates/chicorystage-testbed/tests/serving_calls.rs
@@ -0,0 +1,168 @@
+//! Calls that are not idempotent, through the router's whole path, and its stop.
+
+mod serving_world;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chicorystage_api::inventory::CallerItem;
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{CLAIM_ROW_PREFIX, QuarantineEntry};
+use chicorystage_api::refusal::{Outcome, RefusalCode};
+use chicorystage_api::work::{AttemptRequest, EndSummary, Payload};
+use chicorystage_platform::http::HttpServer;
+use chicorystage_platform::table::Table;
+use chicorystage_testbed::calls::{CallerRequest, send};
+use chicorystage_testbed::fakes::TableFault;
+use chicorystaged::router::drain;
+use googletest::prelude::*;
+use serde_json::Value;
+use serving_world::script::Breaks;
+use serving_world::{Act, TOKEN, World, caller, payout, settings, world, world_with};
+use tokio::net::TcpStream;
+use tokio::time::{Duration, sleep, timeout};
+
+const TIMEOUT_MS: u64 = 30_000;
+
+fn posted(breaks: &[Breaks]) -> Act {
+    let frames = vec![
+        Payload::Head {
+            status: 201,
+            content_type: "text/plain".into(),
+        },
+        Payload::Body("cG9zdGVk".into()),
+        Payload::End(EndSummary::default()),
+    ];
+    Act::Answer(frames, breaks.to_vec())
+}
+
+async fn claim_outcome(world: &World, key: &str) -> Value {
+    let row = format!("{CLAIM_ROW_PREFIX}field-agents/{key}");
+    let row = world.table.get(&row).await.unwrap().unwrap();
+    let row: Value = serde_json::from_str(&row.value).unwrap();
+    row["outcome"]["kind"].clone()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn repeat_of_a_call_gets_the_recorded_answer() {
+    let world = world(2, |_: &AttemptRequest, _: &VmId| posted(&[])).await;
+    for _ in 0..3 {
+        let request = payout("k1", TIMEOUT_MS);
+        let answer = world.dispatcher().whole(request).await.unwrap();
+        expect_that!(answer.status, eq(201));
+        expect_that!(&*answer.body, eq(b"posted"));
+        sleep(Duration::from_millis(50)).await;
+    }
+    expect_that!(world.agents.started().len(), eq(1));
+    let claim = world.agents.started()[0].1.claim.clone();
+    expect_that!(claim, some(anything()));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_is_followed_to_its_end_though_its_caller_goes_away() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| {
+        posted(&[Breaks::Silent(1)])
+    });
+    let world = world.await;
+    let request = payout("k1", TIMEOUT_MS);
+    let gave_up = timeout(
+        Duration::from_millis(100),
+        world.dispatcher().whole(request),
+    );
+    expect_that!(gave_up.await.is_err(), is_true());
+    expect_that!(claim_outcome(&world, "k1").await, eq(&Value::from("open")));
+    sleep(Duration::from_secs(5)).await;
+    expect_that!(world.agents.cancelled(), is_empty());
+    let outcome = claim_outcome(&world, "k1").await;
+    expect_that!(outcome, eq(&Value::from("answered")));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn call_is_not_sent_where_its_claim_cannot_be_kept() {
+    let world = world(2, |_: &AttemptRequest, _: &VmId| posted(&[])).await;
+    world.table.set_fault(TableFault::Down);
+    let request = payout("k1", TIMEOUT_MS);
+    let refused = world.dispatcher().whole(request).await;
+    expect_that!(refused.is_err(), is_true());
+    expect_that!(world.agents.started(), is_empty());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn early_refusal_of_a_repeat_does_not_say_that_nothing_ran() {
+    let limited = CallerItem {
+        concurrent_max: 1,
+        ..caller()
+    };
+    let world = world_with(1, limited, |_: &AttemptRequest, _: &VmId| posted(&[])).await;
+    let dispatcher = world.dispatcher();
+    dispatcher.whole(payout("k1", TIMEOUT_MS)).await.unwrap();
+    sleep(Duration::from_millis(50)).await;
+    let quarantine = QuarantineEntry {
+        digest: world.agents.started()[0].1.digest.clone(),
+        active: true,
+        crashes: 2,
+        reason: "test".into(),
+        decided_unix_ms: 1,
+    };
+    world.parts.handle.learn_quarantine(vec![quarantine]).await;
+    let repeat = dispatcher.whole(payout("k1", TIMEOUT_MS)).await;
+    let repeat = repeat.unwrap_err();
+    expect_that!(repeat.code, eq(RefusalCode::Quarantined));
+    expect_that!(repeat.outcome, eq(Outcome::MayHaveRun));
+
+    let bad_time = dispatcher.whole(payout("k1", u64::MAX)).await.unwrap_err();
+    expect_that!(bad_time.code, eq(RefusalCode::BadTimeout));
+    expect_that!(bad_time.outcome, eq(Outcome::MayHaveRun));
+
+    let head = payout("k1", TIMEOUT_MS).head;
+    let _entered = dispatcher.enter(&head, Some(1)).await.unwrap();
+    let limited = dispatcher.enter(&head, Some(1)).await.unwrap_err();
+    expect_that!(limited.code, eq(RefusalCode::ConcurrencyLimited));
+    expect_that!(limited.outcome, eq(Outcome::MayHaveRun));
+}
+
+async fn post(address: SocketAddr, request: &CallerRequest) -> Option<Bytes> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let answer = send(stream, request).await.ok()?;
+    answer.is_served().then(|| answer.text().into())
+}
+
+#[gtest]
+#[tokio::test]
+async fn leaving_router_serves_on_finishes_what_runs_and_then_refuses_connections() {
+    let words = ["a "; 100];
+    let world = world(1, move |_: &AttemptRequest, _: &VmId| Act::whole(&words)).await;
+    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap()).await;
+    let server = server.unwrap();
+    let address = server.address();
+    let running = server.start(Arc::clone(&world.parts.caller_api));
+    let stream = CallerRequest::streamed(TOKEN, "moisture", "long", 100);
+    let whole = CallerRequest::completion(TOKEN, "moisture", "whole", 100);
+    let early = async { tokio::join!(post(address, &stream), post(address, &whole)) };
+    let late = async {
+        sleep(Duration::from_millis(200)).await;
+        expect_that!(world.parts.handle.status().await.unwrap().ready, is_false());
+        post(address, &whole).await
+    };
+    let leaving = async {
+        sleep(Duration::from_millis(100)).await;
+        let mut role = settings();
+        role.drain_lag_ms = 400;
+        role.drain_max_ms = 60_000;
+        drain::leave(&world.parts.handle, running, &role).await;
+    };
+    let (early, late, ()) = tokio::join!(early, late, leaving);
+    let text = Some(Bytes::from(words.concat()));
+    expect_that!(early, eq(&(text.clone(), text.clone())));
+    expect_that!(late, eq(&text));
+    expect_that!(post(address, &whole).await, none());
+    expect_that!(
+        world.parts.handle.status().await.unwrap().in_progress,
+        eq(0)
+    );
+}
--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -129,6 +129,20 @@
     CallerRequest::new(head, prompt.len() as u64, work)
 }
 
+/// A call that is not idempotent.
+pub fn payout(key: &str, timeout_ms: u64) -> CallerRequest {
+    let mut head = request("", timeout_ms).head;
+    head.key = Some(key.into());
+    let work = CallerWork::Call {
+        application: LEDGER.into(),
+        method: "POST".into(),
+        path: "/payouts".into(),
+        content_type: "".into(),
+        body: key.to_owned().into(),
+    };
+    CallerRequest::new(head, key.len() as u64, work)
+}
+
 pub fn caller() -> CallerItem {
     CallerItem {
         name: "field-agents".into(),
@@ -192,7 +206,7 @@
     }
 }
 
-fn settings() -> RouterSettings {
+pub fn settings() -> RouterSettings {
     RouterSettings {
         caller_api: address(0),
         admin_api: address(0),
--- a/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -7,7 +7,7 @@
 use chicorystage_api::peer::{
     AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
 };
-use chicorystage_api::work::{AttemptRequest, Frame, HEARTBEAT_INTERVAL_MS, Payload};
+use chicorystage_api::work::{AttemptRequest, EndpointLoad, Frame, HEARTBEAT_INTERVAL_MS, Payload};
 use chicorystage_platform::link::{AgentLink, FrameStream};
 use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
 use tokio::sync::mpsc;
@@ -198,8 +198,24 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn status(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<AgentStatus, BorderError>> {
-        Box::pin(async { Err(error(BorderErrorKind::NotDelivered)) })
+    fn status(&self, agent: SocketAddr) -> BoxFuture<'_, Result<AgentStatus, BorderError>> {
+        let status = AgentStatus {
+            vm: self.names[&agent].clone(),
+            zone: "huehue-a".into(),
+            group: "colmena-llm".into(),
+            incarnation: 1,
+            revision: 1,
+            leaving: false,
+            endpoint_up: true,
+            memory_total_bytes: 0,
+            memory_reserved_bytes: 0,
+            replicas: Vec::new(),
+            cached_memory: Vec::new(),
+            cached_disk: Vec::new(),
+            slots: Vec::new(),
+            load: EndpointLoad::default(),
+        };
+        Box::pin(async { Ok(status) })
     }
 
     fn drain(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -9,6 +9,7 @@
 pub mod borders;
 pub mod caller_api;
 pub mod claims;
+pub mod drain;
 pub mod event;
 pub mod handle;
 pub mod inventory;
@@ -18,17 +19,13 @@
 pub mod refresh;
 pub mod serving;
 
-mod drain;
 mod health_api;
 mod internal_api;
 mod internal_rpc;
 
-use std::time::Duration;
-
-use chicorystage_platform::http::{HttpServer, RunningServer};
+use chicorystage_platform::http::HttpServer;
 
 use crate::router::borders::RouterBorders;
-use crate::router::handle::RouterHandle;
 use crate::router::parts::RouterParts;
 use crate::settings::{RouterSettings, Settings};
 use crate::timer::Clock;
@@ -61,7 +58,7 @@
         () = parts.handle.drain_ordered() => {}
     }
     log::info!(event = "router_stopping"; "router is leaving");
-    leave(&parts.handle, callers, &role).await;
+    drain::leave(&parts.handle, callers, &role).await;
     admins.stop_gracefully().await;
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
@@ -71,17 +68,3 @@
     log::info!(event = "router_stopped"; "router stopped");
     Ok(())
 }
-
-/// Fails readiness, serves on while the balancer lags, and finishes what is in progress.
-async fn leave(handle: &RouterHandle, callers: RunningServer, role: &RouterSettings) {
-    handle.leave().await;
-    tokio::time::sleep(Duration::from_millis(role.drain_lag_ms)).await;
-    let finishing = async {
-        callers.stop_gracefully().await;
-        drain::finished(handle).await;
-    };
-    let limit = Duration::from_millis(role.drain_max_ms);
-    if tokio::time::timeout(limit, finishing).await.is_err() {
-        log::warn!(event = "drain_cut", limit_ms = role.drain_max_ms; "requests in progress were cut off");
-    }
-}
