Router: planner and weight-fetch permits on the placement decisions

Cause: the thin path wrote a model's first slot only and never moved one.

Change: router/planner asks the planner ranked first by rendezvous and falls back to a run of its own; a run probes the first eight candidates, reads the row with the rows of its cap and commits on all of them; upkeep every second revokes for leaving VMs and lower caps and removes released slots; rows are scanned at start and every 30 s. router/permits answers PermitEvent. The thin router/placing.rs is gone.

--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -9,6 +9,9 @@
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
+use crate::router::permits::PermitEvent;
+use crate::router::planner::PlannerEvent;
+
 /// One event of the router's main loop.
 #[derive(Debug)]
 pub enum RouterEvent {
@@ -52,6 +55,10 @@
         /// Why.
         refusal: Refusal,
     },
+    /// The planner has news or a question.
+    Planner(PlannerEvent),
+    /// An agent asks for or returns a permit.
+    Permit(PermitEvent),
     /// Somebody asks for the router's state.
     Status {
         /// Receives the state.
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -5,18 +5,18 @@
 
 use chicorystage_api::inventory::{CallerItem, ModelRef};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus, SlotState};
+use chicorystage_api::peer::{PlaceRequest, PlacementPush, RouterStatus, SlotState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::SlotGrant;
 use chicorystage_core::inventory::InventoryState;
-use chicorystage_core::rendezvous;
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
 use crate::router::handle::RouterHandle;
-use crate::router::placing;
+use crate::router::permits::PermitState;
+use crate::router::planner::{PlannerState, PlannerView, refresh};
 use crate::settings::{DaemonSettings, RouterSettings};
 use crate::timer::Clock;
 
@@ -46,6 +46,8 @@
     placements: HashMap<ModelName, PlacementPush>,
     waiting: HashMap<ModelName, Vec<Waiting>>,
     in_flight: HashMap<VmId, u32>,
+    planner: PlannerState,
+    permits: PermitState,
 }
 
 impl RouterLoop {
@@ -58,6 +60,7 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let planner = PlannerState::new(borders.clone(), handle.clone());
         Self {
             daemon,
             _settings: settings,
@@ -70,11 +73,15 @@
             placements: HashMap::new(),
             waiting: HashMap::new(),
             in_flight: HashMap::new(),
+            planner,
+            permits: PermitState::new(),
         }
     }
 
     /// Runs until every handle is gone.
     pub async fn run(mut self, mut events: mpsc::Receiver<RouterEvent>) {
+        let table = Arc::clone(&self.borders.table);
+        tokio::spawn(refresh::run(table, self.handle.clone(), self.clock));
         while let Some(event) = events.recv().await {
             self.on_event(event);
         }
@@ -105,6 +112,8 @@
             }
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+                let (planner, _, view) = self.planning();
+                planner.vms_read(view);
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
@@ -112,6 +121,14 @@
                     let _sent = waiting.reply.send(Err(refusal.clone()));
                 }
             }
+            RouterEvent::Planner(event) => {
+                let (planner, _, view) = self.planning();
+                planner.on_event(view, event);
+            }
+            RouterEvent::Permit(event) => {
+                let (_, permits, view) = self.planning();
+                permits.on_event(view, event);
+            }
             RouterEvent::Status { reply } => {
                 let _sent = reply.send(self.status());
             }
@@ -227,7 +244,7 @@
         let waiting = self.waiting.entry(model.clone()).or_default();
         waiting.push(Waiting { avoid, reply });
         if waiting.len() == 1 {
-            self.start_placing(group, model);
+            self.start_placing(model);
         }
     }
 
@@ -266,35 +283,28 @@
         Choice { vm, grant }
     }
 
-    fn start_placing(&self, group: &GroupName, model: ModelName) {
-        let live = self
-            .vms
-            .values()
-            .filter(|vm| vm.group == *group && vm.state == VmState::Live);
-        let mut candidates: Vec<VmId> = live.map(|vm| vm.id.clone()).collect();
-        rendezvous::rank(model.as_str(), &mut candidates, VmId::as_str);
-        let addresses: HashMap<VmId, VmEntry> = self.vms.clone();
-        let borders = self.borders.clone();
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
-            let event = match placing::read_or_decide(&*borders.table, &model, &candidates).await {
-                Ok(push) => {
-                    for slot in &push.row.slots {
-                        let Some(vm) = addresses.get(&slot.vm) else {
-                            continue;
-                        };
-                        // An agent that misses the push reads its slots from the table.
-                        let _acked = borders
-                            .agents
-                            .push_placements(vm.address, vec![push.clone()])
-                            .await;
-                    }
-                    RouterEvent::PlacementRead(push)
-                }
-                Err(refusal) => RouterEvent::PlacementFailed { model, refusal },
-            };
-            handle.tell(event).await;
-        });
+    fn start_placing(&mut self, model: ModelName) {
+        let request = PlaceRequest {
+            model,
+            additional: false,
+            avoid: Vec::new(),
+            seen_row_version: 0,
+        };
+        let (planner, _, view) = self.planning();
+        planner.need(view, request);
+    }
+
+    /// Splits the loop into the planner, the permits and what they decide by.
+    fn planning(&mut self) -> (&mut PlannerState, &mut PermitState, PlannerView<'_>) {
+        let view = PlannerView {
+            own_vm: &self.daemon.vm,
+            own_group: &self.daemon.group,
+            inventory: &self.inventory,
+            vms: &self.vms,
+            placements: &self.placements,
+            now_ms: self.clock.now_ms(),
+        };
+        (&mut self.planner, &mut self.permits, view)
     }
 
     fn placement_read(&mut self, push: PlacementPush) {
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -12,7 +12,8 @@
 pub mod event;
 pub mod handle;
 pub mod main_loop;
-pub mod placing;
+pub mod permits;
+pub mod planner;
 pub mod refresh;
 
 mod health_api;
--- /dev/null
+++ b/crates/chicorystaged/src/router/permits/state.rs
@@ -0,0 +1,59 @@
+use chicorystage_api::peer::{PermitAnswer, PermitRequest};
+use chicorystage_core::permit::{HOLDER_KEY, PermitDecision, PermitDesk, PermitLimits};
+
+use crate::router::permits::PermitEvent;
+use crate::router::planner::PlannerView;
+
+/// The permits' part of the main loop.
+#[derive(Debug)]
+pub struct PermitState {
+    desk: PermitDesk,
+}
+
+impl PermitState {
+    /// Creates the state without permits out.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            desk: PermitDesk::new(rand::random()),
+        }
+    }
+
+    /// Takes one event.
+    pub fn on_event(&mut self, view: PlannerView<'_>, event: PermitEvent) {
+        match event {
+            PermitEvent::Acquire { request, reply } => {
+                // The agent may have gone; an unused permit lapses.
+                let _sent = reply.send(self.acquire(view, &request));
+            }
+            PermitEvent::Release { permit_id } => self.desk.release(permit_id),
+        }
+    }
+
+    fn acquire(&mut self, view: PlannerView<'_>, request: &PermitRequest) -> PermitAnswer {
+        if let Some(holder) = view.first_router(HOLDER_KEY)
+            && holder.id != *view.own_vm
+        {
+            return PermitAnswer::Elsewhere {
+                holder: holder.id.clone(),
+            };
+        }
+        let limits = PermitLimits::from_policy(view.inventory.policy());
+        match self.desk.acquire(request, limits, view.now_ms) {
+            PermitDecision::Granted {
+                permit_id,
+                expires_in_ms,
+            } => PermitAnswer::Granted {
+                permit_id,
+                expires_in_ms,
+            },
+            PermitDecision::Wait { retry_in_ms } => PermitAnswer::Wait { retry_in_ms },
+        }
+    }
+}
+
+impl Default for PermitState {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/planner/pushes.rs
@@ -0,0 +1,29 @@
+use std::sync::Arc;
+
+use chicorystage_api::peer::PlacementPush;
+use chicorystage_platform::vm_list::VmEntry;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::planner::PlannerEvent;
+
+/// Delivers a row to one agent and tells the loop its acknowledgement.
+///
+/// An agent that misses the push reads its slots from the table, and a
+/// revoking slot is pushed again at the next upkeep.
+pub(crate) fn spawn(
+    borders: &RouterBorders,
+    handle: &RouterHandle,
+    vm: &VmEntry,
+    push: PlacementPush,
+) {
+    let (agents, handle, vm) = (Arc::clone(&borders.agents), handle.clone(), vm.clone());
+    tokio::spawn(async move {
+        let Ok(acks) = agents.push_placements(vm.address, vec![push]).await else {
+            return;
+        };
+        let acked = PlannerEvent::Acked { vm: vm.id, acks };
+        handle.tell(RouterEvent::Planner(acked)).await;
+    });
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/planner/refresh.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+
+use chicorystage_api::peer::{PLACEMENT_ROW_PREFIX, PlacementPush};
+use chicorystage_platform::table::Table;
+
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::planner::{PlannerEvent, row_store};
+use crate::timer::Clock;
+
+/// Time between two upkeeps, in milliseconds.
+const UPKEEP_INTERVAL_MS: u64 = 1_000;
+/// Upkeeps between two scans of the placement rows.
+const UPKEEPS_PER_SCAN: u64 = 30;
+/// Rows a scan page.
+const SCAN_PAGE_ROWS: usize = 1_000;
+
+/// Ticks for upkeep and reads the placement rows, until the loop ends.
+pub(crate) async fn run(table: Arc<dyn Table>, handle: RouterHandle, clock: Clock) {
+    let mut ticks = clock.subscribe(UPKEEP_INTERVAL_MS);
+    let mut until_scan = 0;
+    loop {
+        if until_scan == 0
+            && let Some(rows) = scan(&*table).await
+        {
+            until_scan = UPKEEPS_PER_SCAN;
+            let scanned = PlannerEvent::Scanned { rows };
+            handle.tell(RouterEvent::Planner(scanned)).await;
+        }
+        until_scan = until_scan.saturating_sub(1);
+        if ticks.recv().await.is_none()
+            || !handle.tell(RouterEvent::Planner(PlannerEvent::Tick)).await
+        {
+            return;
+        }
+    }
+}
+
+async fn scan(table: &dyn Table) -> Option<Vec<PlacementPush>> {
+    let mut rows = Vec::new();
+    let mut after = None;
+    loop {
+        let page = table
+            .scan(PLACEMENT_ROW_PREFIX, after.as_deref(), SCAN_PAGE_ROWS)
+            .await
+            .ok()?;
+        rows.extend(page.rows.iter().filter_map(row_store::parse));
+        after = page.next_after;
+        if after.is_none() {
+            return Some(rows);
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/planner/run_task.rs
@@ -0,0 +1,48 @@
+use chicorystage_api::peer::PlacementPush;
+use chicorystage_core::placement::{Goal, Wanted};
+use chicorystage_core::planner::{PlanEffect, PlanFailure, PlanRun};
+use chicorystage_platform::table::{CommitOutcome, Table};
+use chicorystage_platform::vm_list::VmEntry;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::planner::{PlannerEvent, probe, row_store};
+
+/// Carries one run through probes, reads and writes, and tells the loop.
+pub(crate) async fn run(
+    borders: RouterBorders,
+    handle: RouterHandle,
+    mut goal: Goal,
+    candidates: Vec<VmEntry>,
+) {
+    let model = goal.model.clone();
+    if goal.wanted != Wanted::Upkeep {
+        goal.candidates = probe::probe(&borders.agents, &model, candidates).await;
+    }
+    let result = decide(&*borders.table, goal).await;
+    let ended = PlannerEvent::RunEnded { model, result };
+    handle.tell(RouterEvent::Planner(ended)).await;
+}
+
+async fn decide(table: &dyn Table, goal: Goal) -> Result<Option<PlacementPush>, PlanFailure> {
+    let model = goal.model.clone();
+    let mut run = PlanRun::new(goal);
+    let mut effect = PlanEffect::Read;
+    loop {
+        effect = match effect {
+            PlanEffect::Read => run.on_read(row_store::read(table, &model).await),
+            PlanEffect::Commit {
+                row_version,
+                cap_rows,
+                row,
+            } => match row_store::commit(table, row_version, cap_rows, &row).await {
+                Ok(CommitOutcome::Applied { version }) => run.on_applied(version),
+                Err(error) if error.had_no_effect() => run.on_not_delivered(),
+                Ok(CommitOutcome::Conflict { .. }) | Err(_) => run.on_unsettled(),
+            },
+            PlanEffect::Done { push } => return Ok(push),
+            PlanEffect::Failed(failure) => return Err(failure),
+        };
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/planner/state.rs
@@ -0,0 +1,277 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chicorystage_api::name::{ModelName, VmId};
+use chicorystage_api::peer::{PlaceRequest, PlacementAck, PlacementPush, SlotState};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::placement::{Goal, Release, VmHistory, Wanted, next_row};
+use chicorystage_core::planner::PlanFailure;
+use chicorystage_platform::vm_list::VmState;
+use tokio::sync::oneshot;
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
+use crate::router::handle::RouterHandle;
+use crate::router::planner::{PlannerEvent, PlannerView, pushes, run_task};
+
+/// Delay after which a request without a slot should come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+type Reply = oneshot::Sender<Option<PlacementPush>>;
+
+/// One request for a slot; without a reply it is the main loop's own.
+#[derive(Debug)]
+struct Asked {
+    request: PlaceRequest,
+    reply: Option<Reply>,
+}
+
+/// The planner's part of the main loop.
+#[derive(Debug)]
+pub struct PlannerState {
+    borders: RouterBorders,
+    handle: RouterHandle,
+    history: VmHistory,
+    running: HashMap<ModelName, Vec<Asked>>,
+    releases: HashMap<ModelName, Vec<Release>>,
+}
+
+impl PlannerState {
+    /// Creates a planner without state.
+    #[must_use]
+    pub fn new(borders: RouterBorders, handle: RouterHandle) -> Self {
+        Self {
+            borders,
+            handle,
+            history: VmHistory::default(),
+            running: HashMap::new(),
+            releases: HashMap::new(),
+        }
+    }
+
+    /// Notes a successful read of the list of VMs.
+    pub fn vms_read(&mut self, view: PlannerView<'_>) {
+        let slots = view.placements.values().flat_map(|push| &push.row.slots);
+        let holders = slots.map(|slot| &slot.vm);
+        self.history.observe(view.vms.keys(), holders, view.now_ms);
+        let holds = |vm: &VmId| {
+            let mut slots = view.placements.values().flat_map(|push| &push.row.slots);
+            slots.any(|slot| slot.vm == *vm)
+        };
+        self.history.forget(view.now_ms, holds);
+    }
+
+    /// Asks for a slot on behalf of this router's requests.
+    ///
+    /// The answer reaches the loop as a placement that was read or failed.
+    pub fn need(&mut self, view: PlannerView<'_>, request: PlaceRequest) {
+        let planner = view.first_router(request.model.as_str());
+        let Some(planner) = planner.filter(|vm| vm.id != *view.own_vm) else {
+            self.ask(view, request, None);
+            return;
+        };
+        let (routers, handle) = (Arc::clone(&self.borders.routers), self.handle.clone());
+        let address = planner.address;
+        tokio::spawn(async move {
+            let event = match routers.place(address, request.clone()).await {
+                Ok(Some(push)) => RouterEvent::PlacementRead(push),
+                Ok(None) | Err(_) => RouterEvent::Planner(PlannerEvent::PlannerSilent { request }),
+            };
+            handle.tell(event).await;
+        });
+    }
+
+    /// Takes one event.
+    pub fn on_event(&mut self, view: PlannerView<'_>, event: PlannerEvent) {
+        match event {
+            PlannerEvent::Place { request, reply } => self.ask(view, request, Some(reply)),
+            PlannerEvent::PlannerSilent { request } => self.ask(view, request, None),
+            PlannerEvent::RunEnded { model, result } => self.run_ended(view, &model, result),
+            PlannerEvent::Acked { vm, acks } => {
+                for ack in acks {
+                    self.acked(view, &vm, &ack);
+                }
+            }
+            PlannerEvent::Scanned { rows } => {
+                for push in rows {
+                    self.tell_loop(RouterEvent::PlacementRead(push));
+                }
+            }
+            PlannerEvent::Tick => self.upkeep(view),
+        }
+    }
+
+    fn ask(&mut self, view: PlannerView<'_>, request: PlaceRequest, reply: Option<Reply>) {
+        let model = request.model.clone();
+        let asked = Asked { request, reply };
+        if let Some(others) = self.running.get_mut(&model) {
+            others.push(asked);
+            return;
+        }
+        let (wanted, avoid) = wanted_by(&asked.request);
+        self.running.insert(model.clone(), vec![asked]);
+        self.start_run(view, &model, wanted, avoid);
+    }
+
+    fn start_run(
+        &self,
+        view: PlannerView<'_>,
+        model: &ModelName,
+        wanted: Wanted,
+        avoid: Vec<VmId>,
+    ) {
+        let goal = self.goal(view, model, wanted, avoid);
+        tokio::spawn(run_task::run(
+            self.borders.clone(),
+            self.handle.clone(),
+            goal,
+            view.candidates(model),
+        ));
+    }
+
+    fn goal(
+        &self,
+        view: PlannerView<'_>,
+        model: &ModelName,
+        wanted: Wanted,
+        avoid: Vec<VmId>,
+    ) -> Goal {
+        let item = view.inventory.model(model);
+        let version = item.and_then(|item| item.version(None));
+        let leaving = view.vms.values().filter(|vm| vm.state == VmState::Leaving);
+        let slots = view.placements.get(model).map(|push| &push.row.slots);
+        let holders = slots.into_iter().flatten().map(|slot| &slot.vm);
+        let gone = holders.filter(|vm| self.history.is_gone(vm, view.now_ms));
+        Goal {
+            model: model.clone(),
+            memory_bytes: version.map_or(0, |version| version.memory_bytes),
+            wanted,
+            avoid,
+            candidates: Vec::new(),
+            leaving: leaving.map(|vm| vm.id.clone()).collect(),
+            gone: gone.cloned().collect(),
+            releases: self.releases.get(model).cloned().unwrap_or_default(),
+        }
+    }
+
+    fn run_ended(
+        &mut self,
+        view: PlannerView<'_>,
+        model: &ModelName,
+        result: Result<Option<PlacementPush>, PlanFailure>,
+    ) {
+        let asked = self.running.remove(model).unwrap_or_default();
+        match result {
+            Ok(Some(push)) => {
+                self.push_row(view, &push);
+                self.answer(view, asked, &push);
+                self.tell_loop(RouterEvent::PlacementRead(push));
+            }
+            Ok(None) => self.fail(asked, model, "no VM can hold a slot"),
+            Err(failure) => self.fail(asked, model, &failure.to_string()),
+        }
+    }
+
+    /// Answers those whom a row serves and runs again for the others.
+    fn answer(&mut self, view: PlannerView<'_>, asked: Vec<Asked>, push: &PlacementPush) {
+        for (i, asked) in asked.into_iter().enumerate() {
+            // The run was for the first one, whom its row answers in any case.
+            if i > 0 && !serves(push, &asked.request) {
+                self.ask(view, asked.request, asked.reply);
+            } else if let Some(reply) = asked.reply {
+                let _sent = reply.send(Some(push.clone()));
+            }
+        }
+    }
+
+    fn fail(&self, asked: Vec<Asked>, model: &ModelName, detail: &str) {
+        for asked in asked {
+            match asked.reply {
+                Some(reply) => {
+                    let _sent = reply.send(None);
+                }
+                None => self.tell_loop(RouterEvent::PlacementFailed {
+                    model: model.clone(),
+                    refusal: Refusal::not_run(RefusalCode::NoPlacement, detail)
+                        .retry_after_ms(RETRY_AFTER_MS),
+                }),
+            }
+        }
+    }
+
+    fn push_row(&self, view: PlannerView<'_>, push: &PlacementPush) {
+        for vm in view.holders(&push.row) {
+            pushes::spawn(&self.borders, &self.handle, vm, push.clone());
+        }
+    }
+
+    fn acked(&mut self, view: PlannerView<'_>, vm: &VmId, ack: &PlacementAck) {
+        if ack.held || !ack.released {
+            return;
+        }
+        let releases = self.releases.entry(ack.model.clone()).or_default();
+        releases.retain(|release| release.vm != *vm);
+        releases.push(Release {
+            vm: vm.clone(),
+            row_version: ack.row_version,
+        });
+        self.upkeep_of(view, &ack.model);
+    }
+
+    fn upkeep(&mut self, view: PlannerView<'_>) {
+        for (model, push) in view.placements {
+            let first = view.first_router(model.as_str());
+            if first.is_some_and(|vm| vm.id != *view.own_vm) {
+                continue;
+            }
+            let slots = push.row.slots.iter();
+            let revoking = slots.filter(|slot| slot.state == SlotState::Revoking);
+            for vm in revoking.filter_map(|slot| view.vms.get(&slot.vm)) {
+                pushes::spawn(&self.borders, &self.handle, vm, push.clone());
+            }
+            self.upkeep_of(view, model);
+        }
+    }
+
+    fn upkeep_of(&mut self, view: PlannerView<'_>, model: &ModelName) {
+        let Some(push) = view.placements.get(model) else {
+            return;
+        };
+        if self.running.contains_key(model) {
+            return;
+        }
+        let goal = self.goal(view, model, Wanted::Upkeep, Vec::new());
+        // Without an inventory, a cap of 0 would only mean that nothing is known.
+        let known = view.inventory.revision() > 0;
+        if known && next_row(Some(push), &goal, view.inventory.replicas_max(model)).is_some() {
+            self.running.insert(model.clone(), Vec::new());
+            self.start_run(view, model, Wanted::Upkeep, Vec::new());
+        } else {
+            self.releases.remove(model);
+        }
+    }
+
+    fn tell_loop(&self, event: RouterEvent) {
+        let handle = self.handle.clone();
+        tokio::spawn(async move { handle.tell(event).await });
+    }
+}
+
+fn wanted_by(request: &PlaceRequest) -> (Wanted, Vec<VmId>) {
+    let wanted = if request.additional {
+        Wanted::Additional {
+            seen_row_version: request.seen_row_version,
+        }
+    } else {
+        Wanted::First
+    };
+    (wanted, request.avoid.clone())
+}
+
+fn serves(push: &PlacementPush, request: &PlaceRequest) -> bool {
+    if request.additional && push.row_version <= request.seen_row_version {
+        return false;
+    }
+    let mut slots = push.row.slots.iter();
+    slots.any(|slot| slot.state == SlotState::Held && !request.avoid.contains(&slot.vm))
+}
