Merge router's serving path with planner, permits and freshness

Cause: the serving path, the planner and the spread of changes meet in the loop. Change: one event variant a part; quarantine and drain calls go to the serving part. Conclusion: the parts share one loop and one channel.

--- a/crates/chicorystaged/src/router/internal_rpc.rs
+++ b/crates/chicorystaged/src/router/internal_rpc.rs
@@ -60,8 +60,8 @@
     }
 
     async fn push_quarantine(&self, entries: Vec<QuarantineEntry>) -> RpcResult<()> {
-        self.ask(|reply| RouterEvent::PushQuarantine { entries, reply })
-            .await
+        self.handle.learn_quarantine(entries).await;
+        Ok(())
     }
 
     async fn status(&self) -> RpcResult<RouterStatus> {
@@ -69,7 +69,8 @@
     }
 
     async fn drain(&self) -> RpcResult<()> {
-        self.ask(|reply| RouterEvent::Drain { reply }).await
+        self.handle.leave().await;
+        Ok(())
     }
 }
 
