--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::inventory::{CallerItem, Snapshot};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus};
+use chicorystage_api::peer::{PlacementPush, QuarantineEntry, RouterStatus};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
 use chicorystage_platform::vm_list::VmEntry;
@@ -57,6 +57,18 @@
     },
     /// An event of the inventory's part.
     Inventory(InventoryEvent),
+    /// A router or operator delivers quarantined digests.
+    PushQuarantine {
+        /// The digests.
+        entries: Vec<QuarantineEntry>,
+        /// Receives the acknowledgement once they are in force.
+        reply: oneshot::Sender<()>,
+    },
+    /// An operator asks for a graceful stop.
+    Drain {
+        /// Receives the acknowledgement.
+        reply: oneshot::Sender<()>,
+    },
     /// The planner has news or a question.
     Planner(PlannerEvent),
     /// An agent asks for or returns a permit.
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -130,6 +130,12 @@
         .await;
     }
 
+    /// Waits until an operator orders a graceful stop, or the loop has ended.
+    pub async fn drain_ordered(&self) {
+        self.ask_serving(|reply| ServingEvent::AwaitDrain { reply })
+            .await;
+    }
+
     /// Makes the router fail its readiness; it serves on.
     pub async fn leave(&self) {
         self.tell(RouterEvent::Serving(ServingEvent::Leave)).await;
--- a/crates/chicorystaged/src/router/internal_rpc.rs
+++ b/crates/chicorystaged/src/router/internal_rpc.rs
@@ -60,8 +60,8 @@
     }
 
     async fn push_quarantine(&self, entries: Vec<QuarantineEntry>) -> RpcResult<()> {
-        self.handle.learn_quarantine(entries).await;
-        Ok(())
+        self.ask(|reply| RouterEvent::PushQuarantine { entries, reply })
+            .await
     }
 
     async fn status(&self) -> RpcResult<RouterStatus> {
@@ -69,8 +69,7 @@
     }
 
     async fn drain(&self) -> RpcResult<()> {
-        self.handle.leave().await;
-        Ok(())
+        self.ask(|reply| RouterEvent::Drain { reply }).await
     }
 }
 
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -136,6 +136,14 @@
                 self.spread.whole_read(&mut self.inventory, snapshot);
             }
             RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            RouterEvent::PushQuarantine { entries, reply } => {
+                self.serving.learn(entries);
+                let _sent = reply.send(());
+            }
+            RouterEvent::Drain { reply } => {
+                self.serving.drain();
+                let _sent = reply.send(());
+            }
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
                 self.spread.vms_read(&self.vms);
--- a/crates/chicorystaged/src/router/main_loop/serving.rs
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -5,7 +5,7 @@
 use chicorystage_api::refusal::Refusal;
 use chicorystage_platform::vm_list::VmEntry;
 
-use crate::router::main_loop::{RouterLoop, no_endpoint, unauthenticated};
+use crate::router::main_loop::{RouterLoop, no_endpoint, stale_rules, unauthenticated};
 use crate::router::serving::quarantine::{self, Audience};
 use crate::router::serving::{Entry, ServingEvent};
 use crate::timer::unix_ms;
@@ -52,6 +52,9 @@
     }
 
     fn enter(&mut self, token_sha256: &Digest, body_bytes: Option<u64>) -> Result<Entry, Refusal> {
+        if !self.spread.admits(self.clock.now_ms()) {
+            return Err(stale_rules());
+        }
         let caller = self.inventory.caller_by_token(token_sha256);
         let caller = caller.cloned().ok_or_else(unauthenticated)?;
         let now_ms = self.clock.now_ms();
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -57,7 +57,10 @@
     let internal = internal_server.start(parts.internal_api);
     let health = health_server.start(parts.health_api);
 
-    crate::stop::signalled().await;
+    tokio::select! {
+        () = crate::stop::signalled() => {}
+        () = parts.handle.drain_ordered() => {}
+    }
     log::info!(event = "router_stopping"; "router is leaving");
     leave(&parts.handle, callers, &role).await;
     admins.stop_gracefully().await;
