--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -84,7 +84,9 @@
     /// Runs until every handle is gone.
     pub async fn run(mut self, mut events: mpsc::Receiver<RouterEvent>) {
         while let Some(event) = events.recv().await {
-            self.on_event(event);
+            if let Some(event) = self.spread.hold_unconfirmed(event) {
+                self.on_event(event);
+            }
         }
     }
 
@@ -108,7 +110,12 @@
             RouterEvent::InventoryRead(snapshot) => {
                 self.spread.whole_read(&mut self.inventory, snapshot);
             }
-            RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            RouterEvent::Inventory(event) => {
+                self.spread.on_event(event, &mut self.inventory);
+                for held in self.spread.release() {
+                    self.on_event(held);
+                }
+            }
             // Dropping the reply tells the asker that this router cannot.
             RouterEvent::Place { .. }
             | RouterEvent::AcquirePermit { .. }
