--- a/crates/chicorystage-testbed/tests/inventory.rs
+++ b/crates/chicorystage-testbed/tests/inventory/main.rs
@@ -1,6 +1,7 @@
 //! Accepted changes are in force everywhere within seconds and never revert.
 
-mod inventory_world;
+mod schedules;
+mod world;
 
 use chicorystage_api::name::VmId;
 use chicorystage_testbed::calls::CallerRequest;
@@ -9,7 +10,7 @@
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 
-use crate::inventory_world::{
+use crate::world::{
     ROUTERS, SPREAD_MS, accepted, caller, change, cut_from_peers, delete, get, history, items,
     model, operator, refusal_of_call, rule, set_link, started, submit, submit_as, wait_ms, write,
 };
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/inventory/schedules.rs
@@ -0,0 +1,175 @@
+//! Random schedules of operators, faults and restarts against real router loops.
+
+use std::collections::BTreeMap;
+
+use chicorystage_api::inventory::{Change, ChangeRecord, Item, ItemKey};
+use chicorystage_core::inventory::{Applied, InventoryState};
+use chicorystage_testbed::calls::CallerAnswer;
+use chicorystage_testbed::fakes::TableFault;
+use chicorystage_testbed::harness::{Harness, LinkFaults};
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::world::{
+    ROUTERS, accepted, change, cut_from_peers, delete, history, items, model, rule, started,
+    submit, wait_ms, write,
+};
+
+const SEEDS: std::ops::Range<u64> = 100..112;
+const ROUNDS: u32 = 30;
+const HEALED_MS: u64 = 20_000;
+
+/// What operators were told, and the newest revision seen of each process.
+#[derive(Default)]
+struct Told {
+    accepted: BTreeMap<String, u64>,
+    not_run: Vec<String>,
+    conflicts: u32,
+    seen: [u64; ROUTERS],
+}
+
+impl Told {
+    fn note(&mut self, change: &Change, answer: &CallerAnswer) {
+        let id = change.change_id.to_string();
+        if let Some(answer) = accepted(answer) {
+            self.accepted.insert(id, answer.revision);
+        } else if answer.json()["outcome"] == "not_run" {
+            self.conflicts += u32::from(answer.status == 409);
+            self.not_run.push(id);
+        }
+    }
+}
+
+/// A change as an operator makes it who looked at a router a while ago.
+async fn random_change(harness: &Harness, rng: &mut StdRng, router: usize, id: &str) -> Change {
+    let page = items(harness, router).await;
+    let name = ["m", "n"][rng.random_range(0..2)];
+    let item: Item = if rng.random_bool(0.6) {
+        rule(name, rng.random_range(0..9))
+    } else {
+        model(name, "field")
+    };
+    let row = page.rows.iter().find(|row| row.item.key() == item.key());
+    let entry = match row.map(|row| row.revision) {
+        Some(revision) if rng.random_bool(0.3) => delete(revision, &item),
+        expected => write(expected, item),
+    };
+    change(id, vec![entry])
+}
+
+fn random_fault(harness: &Harness, rng: &mut StdRng) {
+    let commits = rng.random_range(1..3);
+    harness.table.set_fault(match rng.random_range(0..8) {
+        0 => TableFault::Down,
+        1 => TableFault::Slow { delay_ms: 300 },
+        2 | 3 => TableFault::UnansweredNext { commits },
+        4 => TableFault::LostNext { commits },
+        _ => TableFault::None,
+    });
+    harness.network.set_faults_default(LinkFaults {
+        refused_percent: rng.random_range(0..40),
+        answer_lost_percent: rng.random_range(0..20),
+        delay_max_ms: rng.random_range(0..200),
+        ..LinkFaults::default()
+    });
+    let router = rng.random_range(0..ROUTERS);
+    harness.gate(router).set_table_cut(rng.random_bool(0.4));
+}
+
+async fn run(seed: u64) -> Told {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut harness = started(seed).await;
+    let mut told = Told::default();
+    for round in 0..ROUNDS {
+        let (a, b) = (rng.random_range(0..ROUTERS), rng.random_range(0..ROUTERS));
+        let first = random_change(&harness, &mut rng, a, &format!("{round}-a")).await;
+        let second = random_change(&harness, &mut rng, b, &format!("{round}-b")).await;
+        random_fault(&harness, &mut rng);
+        let answers = tokio::join!(submit(&harness, a, &first), submit(&harness, b, &second));
+        told.note(&first, &answers.0);
+        told.note(&second, &answers.1);
+        if rng.random_bool(0.2) {
+            let router = rng.random_range(0..ROUTERS);
+            harness.restart(router);
+            told.seen[router] = 0;
+        }
+        wait_ms(rng.random_range(0..3_000)).await;
+        for router in 0..ROUTERS {
+            let revision = items(&harness, router).await.revision;
+            assert!(revision >= told.seen[router], "seed {seed}: went back");
+            told.seen[router] = revision;
+        }
+    }
+    heal(&harness);
+    wait_ms(HEALED_MS).await;
+    check(&harness, &told, seed).await;
+    told
+}
+
+fn heal(harness: &Harness) {
+    harness.table.set_fault(TableFault::None);
+    harness.network.set_faults_default(LinkFaults::default());
+    for router in 0..ROUTERS {
+        harness.gate(router).set_table_cut(false);
+        cut_from_peers(harness, router, false);
+    }
+}
+
+async fn check(harness: &Harness, told: &Told, seed: u64) {
+    let log = history(harness).await;
+    let state = replay(&log.records, seed);
+    assert_eq!(state.revision(), log.head_revision, "seed {seed}");
+    for (id, revision) in &told.accepted {
+        let record = &log.records[usize::try_from(revision - 1).unwrap()];
+        assert_eq!(record.change_id.as_str(), id, "seed {seed}: lost");
+    }
+    for id in &told.not_run {
+        let ran = log
+            .records
+            .iter()
+            .any(|record| record.change_id.as_str() == id);
+        assert!(
+            !ran,
+            "seed {seed}: {id} was refused as not run and is in force"
+        );
+    }
+    for router in 0..ROUTERS {
+        let page = items(harness, router).await;
+        assert_eq!(page.revision, log.head_revision, "seed {seed}");
+        assert_eq!(page.rows, state.snapshot().rows, "seed {seed}");
+    }
+}
+
+/// Applies the log; each change must have replaced the version that it expected.
+fn replay(records: &[ChangeRecord], seed: u64) -> InventoryState {
+    let mut state = InventoryState::default();
+    for record in records {
+        for entry in &record.items {
+            let current = state.row(&entry.key).map(|row| row.revision);
+            assert_eq!(current, entry.expected_revision, "seed {seed}: two winners");
+        }
+        assert_eq!(state.apply(record), Applied::Advanced, "seed {seed}: gap");
+        let rule = ItemKey::parse("rule/n").unwrap();
+        let model = ItemKey::parse("model/n").unwrap();
+        let dangling = state.row(&rule).is_some() && state.row(&model).is_none();
+        assert!(!dangling, "seed {seed}: a rule without its model");
+    }
+    state
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn random_schedules_keep_every_accepted_change() {
+    let (mut accepted, mut not_run, mut conflicts) = (0, 0, 0);
+    for seed in SEEDS {
+        let told = run(seed).await;
+        accepted += told.accepted.len();
+        not_run += told.not_run.len();
+        conflicts += told.conflicts;
+    }
+    println!("{accepted} accepted, {not_run} not run, {conflicts} of them conflicts");
+    // The schedules would prove little if nearly all changes ended alike.
+    expect_that!(accepted, ge(100));
+    expect_that!(conflicts, ge(50));
+}
