--- a/crates/chicorystaged/src/router/inventory/mod.rs
+++ b/crates/chicorystaged/src/router/inventory/mod.rs
@@ -9,6 +9,7 @@
 mod commit_error;
 mod committer;
 mod event;
+mod held;
 mod long_poll;
 mod peers;
 mod prepare;
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -109,7 +109,9 @@
             self.clock,
         ));
         while let Some(event) = events.recv().await {
-            self.on_event(event);
+            if let Some(event) = self.spread.hold_unconfirmed(event) {
+                self.on_event(event);
+            }
             if self.serving.stopped {
                 return;
             }
@@ -135,7 +137,12 @@
             RouterEvent::InventoryRead(snapshot) => {
                 self.spread.whole_read(&mut self.inventory, snapshot);
             }
-            RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            RouterEvent::Inventory(event) => {
+                self.spread.on_event(event, &mut self.inventory);
+                for held in self.spread.release() {
+                    self.on_event(held);
+                }
+            }
             RouterEvent::PushQuarantine { entries, reply } => {
                 self.serving.learn(entries);
                 let _sent = reply.send(());
