Learned keep-alive with prewarm windows, and eviction by expected reload cost

Cause: the design asks for a keep-alive from each model's own gaps, shifted by one weight of the deployment.

Ruled out: a window without a charge for its load; it chose to unload after every request and load again 27 s later.

Change: core::keep_alive chooses keep-alive and prewarm window of least expected cost; core::evict takes the least worth first.

--- /dev/null
+++ b/crates/chicorystage-core/src/evict/resident.rs
@@ -0,0 +1,30 @@
+use chicorystage_api::name::ModelName;
+
+/// A loaded replica as eviction sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resident {
+    /// Model of the replica.
+    pub model: ModelName,
+    /// Memory that it holds, adapters included, in bytes.
+    pub memory_bytes: u64,
+    /// Time that a reload would take, in milliseconds.
+    pub reload_ms: u64,
+    /// Chance that it is used soon, from 0 to 1.
+    pub chance_of_use: f64,
+    /// Whether it runs or awaits work.
+    pub has_work: bool,
+}
+
+impl Resident {
+    /// Returns the expected reload time saved for each gibibyte held.
+    #[must_use]
+    pub fn worth(&self) -> f64 {
+        const GIBIBYTE: f64 = 1_073_741_824.0;
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a ratio needs no exact operands"
+        )]
+        let (reload_ms, memory_bytes) = (self.reload_ms as f64, self.memory_bytes.max(1) as f64);
+        reload_ms * self.chance_of_use * GIBIBYTE / memory_bytes
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/keep_alive/gap_histogram.rs
@@ -0,0 +1,77 @@
+/// Buckets an octave.
+const BUCKETS_PER_OCTAVE: f64 = 8.0;
+/// Lower bound of the second bucket, in milliseconds.
+const SMALLEST_GAP_MS: f64 = 1_000.0;
+/// Buckets; the last one holds all gaps beyond about a day and a half.
+pub(crate) const BUCKETS: usize = 136;
+/// Factor by which a recorded gap fades with each later one.
+const FADING: f32 = 0.97;
+
+/// Fading counts of gaps on a logarithmic scale.
+#[derive(Clone, Debug)]
+pub(crate) struct GapHistogram {
+    counts: Vec<f32>,
+    total: f32,
+}
+
+impl GapHistogram {
+    pub(crate) fn new() -> Self {
+        Self {
+            counts: vec![0.0; BUCKETS],
+            total: 0.0,
+        }
+    }
+
+    /// Records a gap; costs one pass over the buckets.
+    pub(crate) fn record(&mut self, gap_ms: u64) {
+        for count in &mut self.counts {
+            *count *= FADING;
+        }
+        self.counts[bucket(gap_ms)] += 1.0;
+        self.total = self.total * FADING + 1.0;
+    }
+
+    pub(crate) fn total(&self) -> f32 {
+        self.total
+    }
+
+    /// Returns the share of gaps in each bucket, with another histogram
+    /// counting as `prior` recorded gaps.
+    pub(crate) fn shares(&self, other: &Self, prior: f32) -> Vec<f64> {
+        let other_scale = if other.total > 0.0 {
+            prior / other.total
+        } else {
+            0.0
+        };
+        let sum = self.total + other.total * other_scale;
+        let merged = self.counts.iter().zip(&other.counts);
+        merged
+            .map(|(own, other)| f64::from((own + other * other_scale) / sum.max(f32::MIN_POSITIVE)))
+            .collect()
+    }
+}
+
+/// Returns the upper bound of a bucket, in milliseconds.
+pub(crate) fn upper_ms(bucket: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "there are few buckets")]
+    let octaves = bucket as f64 / BUCKETS_PER_OCTAVE;
+    SMALLEST_GAP_MS * octaves.exp2()
+}
+
+fn bucket(gap_ms: u64) -> usize {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "gaps are far below the exact range"
+    )]
+    let ratio = gap_ms as f64 / SMALLEST_GAP_MS;
+    if ratio <= 1.0 {
+        return 0;
+    }
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the ratio is above one and the logarithm small"
+    )]
+    let at = (ratio.log2() * BUCKETS_PER_OCTAVE).ceil() as usize;
+    at.min(BUCKETS - 1)
+}
--- /dev/null
+++ b/crates/chicorystage-core/src/keep_alive/model_gaps.rs
@@ -0,0 +1,124 @@
+use std::collections::HashMap;
+
+use chicorystage_api::name::ModelName;
+
+use crate::keep_alive::gap_histogram::{BUCKETS, GapHistogram, upper_ms};
+use crate::keep_alive::{KeepAliveCost, KeepAlivePlan, plan_choice};
+
+/// Recorded gaps that the histogram of all models counts as.
+const PRIOR_GAPS: f32 = 2.0;
+/// Chance of use of a model without any history.
+const CHANCE_UNKNOWN: f64 = 0.5;
+
+/// Learns how long idle replicas should stay loaded.
+///
+/// Holds about half a kilobyte a model.
+#[derive(Clone, Debug)]
+pub struct KeepAlive {
+    models: HashMap<ModelName, ModelGaps>,
+    all: GapHistogram,
+}
+
+#[derive(Clone, Debug)]
+struct ModelGaps {
+    gaps: GapHistogram,
+    last_ms: u64,
+}
+
+impl KeepAlive {
+    /// Creates an empty history.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            models: HashMap::new(),
+            all: GapHistogram::new(),
+        }
+    }
+
+    /// Notes a request for a model.
+    pub fn observe(&mut self, model: &ModelName, now_ms: u64) {
+        let Some(known) = self.models.get_mut(model) else {
+            let fresh = ModelGaps {
+                gaps: GapHistogram::new(),
+                last_ms: now_ms,
+            };
+            self.models.insert(model.clone(), fresh);
+            return;
+        };
+        let gap_ms = now_ms.saturating_sub(known.last_ms);
+        known.gaps.record(gap_ms);
+        known.last_ms = now_ms;
+        self.all.record(gap_ms);
+    }
+
+    /// Returns the time of a model's last request, in milliseconds.
+    #[must_use]
+    pub fn last_ms(&self, model: &ModelName) -> Option<u64> {
+        self.models.get(model).map(|known| known.last_ms)
+    }
+
+    /// Returns how long a replica should stay after its last request.
+    #[must_use]
+    pub fn plan(&self, model: &ModelName, cost: &KeepAliveCost) -> KeepAlivePlan {
+        match self.shares(model) {
+            Some(shares) => plan_choice::choose(&shares, cost),
+            None => KeepAlivePlan {
+                keep_alive_ms: unknown_keep_alive_ms(cost),
+                prewarm: None,
+            },
+        }
+    }
+
+    /// Returns the chance that a model is used within a time from now.
+    #[must_use]
+    pub fn chance_of_use(&self, model: &ModelName, now_ms: u64, within_ms: u64) -> f64 {
+        let (Some(shares), Some(last_ms)) = (self.shares(model), self.last_ms(model)) else {
+            return CHANCE_UNKNOWN;
+        };
+        let idle_ms = now_ms.saturating_sub(last_ms);
+        let beyond = |ms: u64| share_beyond(&shares, ms);
+        let still_possible = beyond(idle_ms);
+        if still_possible <= 0.0 {
+            return 0.0;
+        }
+        1.0 - beyond(idle_ms.saturating_add(within_ms)) / still_possible
+    }
+
+    fn shares(&self, model: &ModelName) -> Option<Vec<f64>> {
+        let known = self.models.get(model)?;
+        if known.gaps.total() + self.all.total() <= 0.0 {
+            return None;
+        }
+        Some(known.gaps.shares(&self.all, PRIOR_GAPS))
+    }
+}
+
+impl Default for KeepAlive {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Without history, idling as long as a cold start is worth is at most twice
+/// as costly as the best choice in hindsight.
+fn unknown_keep_alive_ms(cost: &KeepAliveCost) -> u64 {
+    let worth_ms = cost.cold_start_in_idle_ms();
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is positive and the cast saturates"
+    )]
+    let keep_alive_ms = worth_ms as u64;
+    let max_ms = cost.keep_alive_max_ms.max(cost.keep_alive_min_ms);
+    keep_alive_ms.clamp(cost.keep_alive_min_ms, max_ms)
+}
+
+fn share_beyond(shares: &[f64], ms: u64) -> f64 {
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "times are far below the exact range"
+    )]
+    let ms = ms as f64;
+    let later = (0..BUCKETS).filter(|&i| upper_ms(i) > ms);
+    later.map(|i| shares[i]).sum()
+}
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -11,8 +11,10 @@
 //! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`drain`]: when a leaving agent may exit.
 //! * [`fence`]: when an agent may give orders, and under which number.
+//! * [`evict`]: which replicas give way when memory is needed.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`ledger`]: reservations of accelerator memory.
+//! * [`keep_alive`]: how long idle replicas stay, and when they return.
 //! * [`permit`]: pacing of fetches from the weight store.
 //! * [`placement`]: which VMs may load a model, and how slots move.
 //! * [`planner`]: one decision about slots, carried through the table.
@@ -31,8 +33,10 @@
 pub mod attempts;
 pub mod claim;
 pub mod drain;
+pub mod evict;
 pub mod fence;
 pub mod inventory;
+pub mod keep_alive;
 pub mod ledger;
 pub mod permit;
 pub mod placement;
