--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`drain`]: when a leaving agent may exit.
 //! * [`fence`]: when an agent may give orders, and under which number.
 //! * [`evict`]: which replicas give way when memory is needed.
+//! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`ledger`]: reservations of accelerator memory.
 //! * [`keep_alive`]: how long idle replicas stay, and when they return.
@@ -35,6 +36,7 @@
 pub mod drain;
 pub mod evict;
 pub mod fence;
+pub mod freshness;
 pub mod inventory;
 pub mod keep_alive;
 pub mod ledger;
--- a/crates/chicorystage-testbed/src/harness/system.rs
+++ b/crates/chicorystage-testbed/src/harness/system.rs
@@ -217,8 +217,8 @@
         let vm = VmId::from(format!("entry-{}", i + 1));
         let address = address(i);
         let role = RoleText::Router {
-            caller_api: address,
-            admin_api: address,
+            caller_api: unused(address, 3),
+            admin_api: unused(address, 4),
             root_token_sha256: token::sha256(ROOT_TOKEN.as_bytes()),
         };
         let settings = settings(&vm, ROUTER_GROUP, address, role);
@@ -234,7 +234,7 @@
             agents: Arc::new(self.agent_link(&vm, &gate)),
             routers: Arc::new(self.router_link(&vm, &gate)),
         };
-        let parts = RouterParts::start(settings.daemon, role, borders, Clock::start());
+        let parts = RouterParts::start(&settings.daemon, &role, borders, Clock::start());
         Process::router(vm, address, gate, parts)
     }
 
@@ -246,7 +246,7 @@
         let (kind, endpoint) = self.endpoint(i, &gate);
         let role = RoleText::Agent {
             kind: kind.to_owned(),
-            endpoint: address,
+            endpoint: unused(address, 3),
             router_group: ROUTER_GROUP.to_owned(),
         };
         let settings = settings(&vm, group.as_str(), address, role);
@@ -317,14 +317,19 @@
     SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset))
 }
 
+/// Returns an address that the settings must name and nobody calls.
+fn unused(address: SocketAddr, purpose: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 1, purpose], address.port()))
+}
+
 fn settings(vm: &VmId, group: &str, address: SocketAddr, role: RoleText) -> Settings {
     let text = DaemonText {
         vm: vm.to_string(),
         zone: ZONE.to_owned(),
         group: group.to_owned(),
         internal: address,
-        health: address,
-        platform: address,
+        health: unused(address, 1),
+        platform: unused(address, 2),
         role,
     };
     Settings::parse("harness", &text.to_string())
--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -3,12 +3,13 @@
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::inventory::{CallerItem, Snapshot};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus};
+use chicorystage_api::peer::{PlacementPush, QuarantineEntry, RouterStatus};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
+use crate::router::inventory::InventoryEvent;
 use crate::router::permits::PermitEvent;
 use crate::router::planner::PlannerEvent;
 
@@ -55,6 +56,20 @@
         /// Why.
         refusal: Refusal,
     },
+    /// An event of the inventory's part.
+    Inventory(InventoryEvent),
+    /// A router or operator delivers quarantined digests.
+    PushQuarantine {
+        /// The digests.
+        entries: Vec<QuarantineEntry>,
+        /// Receives the acknowledgement once they are in force.
+        reply: oneshot::Sender<()>,
+    },
+    /// An operator asks for a graceful stop.
+    Drain {
+        /// Receives the acknowledgement; dropped where it cannot be done.
+        reply: oneshot::Sender<()>,
+    },
     /// The planner has news or a question.
     Planner(PlannerEvent),
     /// An agent asks for or returns a permit.
