Demo as a deployment of processes

Ruled out: killing children at the end, which hides a stop that is not graceful; ports of the ephemeral range, which outgoing connections take.

Before: two requests, children killed.

Conclusion: the inventory still goes through the admin API, not the tool.

--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -6,6 +6,7 @@
 
 use chicorystage_platform::http::{Handler, HttpServer};
 use gumdrop::Options;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
@@ -123,7 +124,13 @@
     let server = HttpServer::bind(address).await?;
     println!("{}", server.address());
     let _running = server.start(handler);
-    std::future::pending().await
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _received = terminate.recv() => {}
+        _received = interrupt.recv() => {}
+    }
+    Ok(())
 }
 
 fn engine(options: &StandinOptions) -> FakeEngine {
--- /dev/null
+++ b/crates/chicorystage-testbed/src/demo/exchange.rs
@@ -0,0 +1,139 @@
+use std::collections::HashMap;
+
+use anyhow::Context;
+use http::Method;
+
+use crate::calls::{CallerAnswer, CallerRequest};
+use crate::deployment::Deployment;
+use crate::fakes::EngineReport;
+
+/// Path of the engine's stand-in that tells what it did.
+const REPORT_PATH: &str = "/control/report";
+/// Path of the service's stand-in that tells how often it ran what.
+const RUNS_PATH: &str = "/control/runs";
+
+/// A request that the demo will send.
+#[derive(Clone, Debug)]
+pub(crate) struct Planned {
+    pub(crate) name: String,
+    pub(crate) request: CallerRequest,
+    pub(crate) expected: Expected,
+}
+
+/// What must come of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Expected {
+    /// Served after a load.
+    Cold,
+    /// Served without a load.
+    Warm,
+    /// Served whole.
+    Whole,
+    /// Served, and run exactly once by the service.
+    RunOnce,
+}
+
+/// A request and what came of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Exchange {
+    pub(crate) name: String,
+    pub(crate) endpoint: String,
+    pub(crate) answer: CallerAnswer,
+    pub(crate) runs: Option<u32>,
+}
+
+impl Exchange {
+    pub(crate) async fn run(deployment: &Deployment, planned: &Planned) -> anyhow::Result<Self> {
+        let before = work_done(deployment).await?;
+        let answer = deployment
+            .send(0, &planned.request)
+            .await
+            .with_context(|| planned.name.clone())?;
+        let after = work_done(deployment).await?;
+        let endpoint = after
+            .iter()
+            .find(|(vm, count)| before.get(*vm) != Some(count))
+            .map_or("-", |(vm, _)| vm);
+        let runs = if planned.request.method == Method::POST && planned.request.key.is_some() {
+            Some(runs_of(deployment, &planned.request.body).await?)
+        } else {
+            None
+        };
+        Ok(Self {
+            name: planned.name.clone(),
+            endpoint: endpoint.to_owned(),
+            answer,
+            runs,
+        })
+    }
+
+    /// Returns what is not as it must be.
+    pub(crate) fn findings(&self, planned: &Planned) -> Vec<String> {
+        let mut findings = Vec::new();
+        let name = &self.name;
+        if !self.answer.is_served() {
+            findings.push(format!("{name}: {}", self.outcome()));
+        }
+        let cold = self
+            .answer
+            .cold_start_ms()
+            .is_some_and(|cold_ms| cold_ms > 0);
+        match planned.expected {
+            Expected::Cold if !cold => findings.push(format!("{name}: was not cold")),
+            Expected::Warm if cold => findings.push(format!("{name}: was not warm")),
+            Expected::RunOnce if self.runs != Some(1) => {
+                findings.push(format!("{name}: ran {:?} times", self.runs));
+            }
+            _ => {}
+        }
+        findings
+    }
+
+    /// Returns the outcome for a person.
+    pub(crate) fn outcome(&self) -> String {
+        match (self.answer.code(), self.answer.outcome()) {
+            (Some(code), Some(outcome)) => format!("{code} ({outcome})"),
+            (Some(code), None) => code,
+            _ if self.answer.is_served() => "served".to_owned(),
+            _ => format!("cut ({})", self.answer.status),
+        }
+    }
+
+    /// Returns whether the request met a loaded model, for a person.
+    pub(crate) fn warmth(&self) -> &'static str {
+        match self.answer.cold_start_ms() {
+            Some(0) => "warm",
+            Some(_) => "cold",
+            None => "-",
+        }
+    }
+}
+
+/// Returns how much each VM's endpoint has done.
+async fn work_done(deployment: &Deployment) -> anyhow::Result<HashMap<String, u64>> {
+    let mut done = HashMap::new();
+    for (i, agent) in deployment.agents.iter().enumerate() {
+        let endpoint = agent.endpoint().context("an agent has an endpoint")?;
+        let count = if i < deployment.config.engines {
+            let report: EngineReport = deployment.read_control(endpoint, REPORT_PATH).await?;
+            report.completions
+        } else {
+            let runs: HashMap<String, u32> = deployment.read_control(endpoint, RUNS_PATH).await?;
+            runs.values().copied().map(u64::from).sum()
+        };
+        done.insert(agent.text.vm.clone(), count);
+    }
+    Ok(done)
+}
+
+/// Returns how often all services together ran a body.
+async fn runs_of(deployment: &Deployment, body: &str) -> anyhow::Result<u32> {
+    let mut total = 0;
+    for agent in &deployment.agents[deployment.config.engines..] {
+        let endpoint = agent.endpoint().context("an agent has an endpoint")?;
+        let runs: HashMap<String, u32> = deployment.read_control(endpoint, RUNS_PATH).await?;
+        let matching = runs.iter().filter(|(name, _)| name.ends_with(body));
+        total += matching.map(|(_, count)| count).sum::<u32>();
+    }
+    Ok(total)
+}
--- a/crates/chicorystage-testbed/src/demo/mod.rs
+++ b/crates/chicorystage-testbed/src/demo/mod.rs
@@ -1,24 +1,19 @@
-//! The whole system on one machine, each part a process of its own.
+//! The demo: a deployment, a user's inventory, and some requests of its callers.
 
-mod child;
-mod deployment;
-mod inventory;
+mod exchange;
+mod sample;
+mod show;
 
-use std::time::Instant;
+use std::path::PathBuf;
 
-use anyhow::ensure;
-use bytes::Bytes;
-use chicorystage_platform::http::HttpClient;
+use anyhow::{bail, ensure};
 use gumdrop::Options;
-use http::Method;
-use http::header::AUTHORIZATION;
-use serde_json::json;
 
-use crate::demo::deployment::Deployment;
-use crate::demo::inventory::CALLER_TOKEN;
+use crate::demo::exchange::Exchange;
+use crate::demo::sample::Sample;
+use crate::deployment::{Deployment, DeploymentConfig};
 
-/// Longest call of the demo, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 30_000;
+pub use sample::inventory as sample_inventory;
 
 /// Options of the demo.
 #[derive(Debug, Options)]
@@ -28,6 +23,9 @@
     /// Send the demo's requests, print what came of them and stop.
     #[options(no_short)]
     once: bool,
+    /// Whose inventory to use: altiplano or guild.
+    #[options(no_short, default = "altiplano")]
+    deployment: String,
 }
 
 /// Runs the demo.
@@ -36,36 +34,40 @@
 ///
 /// Fails where a process does not start or an outcome is not as it must be.
 pub async fn run(options: DemoOptions) -> anyhow::Result<()> {
-    let deployment = Deployment::start().await?;
-    println!(
-        "caller API: http://{}  token: {CALLER_TOKEN}",
-        deployment.caller_api()
-    );
-    let client = HttpClient::new(deployment.caller_api(), CALL_TIMEOUT_MS);
-    for name in ["cold moisture check", "warm moisture check"] {
-        let start = Instant::now();
-        let body =
-            json!({ "model": "moisture", "prompt": "is lot 12 dry enough", "max_tokens": 5 });
-        let mut request = client.request(
-            Method::POST,
-            "/v1/completions",
-            Bytes::from(body.to_string()),
+    let Some(sample) = Sample::by_name(&options.deployment) else {
+        bail!(
+            "unknown deployment {:?}; allowed: altiplano or guild",
+            options.deployment
         );
-        request
-            .headers_mut()
-            .insert(AUTHORIZATION, format!("Bearer {CALLER_TOKEN}").parse()?);
-        let response = client.send(request).await?;
-        let text = String::from_utf8_lossy(response.body()).into_owned();
-        println!(
-            "{name}: {} in {} ms: {text}",
-            response.status(),
-            start.elapsed().as_millis()
-        );
-        ensure!(response.status().is_success(), "{name} failed");
+    };
+    let mut deployment = Deployment::start(config(&sample, std::env::current_exe()?)).await?;
+    sample.apply(&deployment).await?;
+    deployment.wait_until_ready().await?;
+    let mut findings = Vec::new();
+    let mut exchanges = Vec::new();
+    for planned in sample.requests() {
+        let exchange = Exchange::run(&deployment, &planned).await?;
+        findings.extend(exchange.findings(&planned));
+        exchanges.push(exchange);
     }
+    show::table(&exchanges);
     if !options.once {
-        println!("running; press Ctrl-C to stop");
+        show::addresses(&deployment, &sample);
         tokio::signal::ctrl_c().await?;
     }
-    deployment.stop().await
+    deployment.stop().await?;
+    for finding in &findings {
+        println!("not as it must be: {finding}");
+    }
+    ensure!(findings.is_empty(), "{} findings", findings.len());
+    Ok(())
+}
+
+fn config(sample: &Sample, program: PathBuf) -> DeploymentConfig {
+    DeploymentConfig {
+        zones: sample.zones.iter().map(|&zone| zone.to_owned()).collect(),
+        engine_group: sample.engine_group.to_owned(),
+        service_group: sample.service_group.to_owned(),
+        ..DeploymentConfig::new(program)
+    }
 }
--- /dev/null
+++ b/crates/chicorystage-testbed/src/deployment/child.rs
@@ -0,0 +1,144 @@
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{ExitStatus, Stdio};
+use std::time::Duration;
+
+use anyhow::{Context, bail};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// Longest wait for a process to end after it was asked to, in milliseconds.
+const END_TIMEOUT_MS: u64 = 60_000;
+
+/// A signal that the test bed sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// Asks for a graceful stop.
+    Terminate,
+    /// Stops the process until it is continued.
+    Stop,
+    /// Continues a stopped process.
+    Continue,
+}
+
+/// A process that the test bed started; killed by its id when dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    name: String,
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts the test bed's own program with other arguments.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program cannot be started.
+    pub fn start(program: &PathBuf, name: &str, arguments: &[OsString]) -> anyhow::Result<Self> {
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .with_context(|| format!("start {name}"))?;
+        Ok(Self {
+            name: name.to_owned(),
+            child,
+        })
+    }
+
+    /// Reads the address that a stand-in prints once it listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the process prints something else.
+    pub async fn printed_address(&mut self) -> anyhow::Result<SocketAddr> {
+        let output = self.child.stdout.take().context("output was read before")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line).await?;
+        let name = &self.name;
+        line.trim()
+            .parse()
+            .with_context(|| format!("{name} printed {line:?}"))
+    }
+
+    /// Returns the process's id; none once it has ended.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Returns the exit status where the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub fn ended(&mut self) -> anyhow::Result<Option<ExitStatus>> {
+        Ok(self.child.try_wait()?)
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the process has ended.
+    pub async fn signal(&self, signal: Signal) -> anyhow::Result<()> {
+        let pid = self
+            .pid()
+            .with_context(|| format!("{} has ended", self.name))?;
+        let flag = match signal {
+            Signal::Terminate => "-TERM",
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+        };
+        let sent = Command::new("kill")
+            .args([flag, &pid.to_string()])
+            .status()
+            .await?;
+        if !sent.success() {
+            bail!("kill {flag} {}: {sent}", self.name);
+        }
+        Ok(())
+    }
+
+    /// Kills the process at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub async fn kill(&mut self) -> anyhow::Result<()> {
+        let killed = self.child.kill().await;
+        killed.with_context(|| format!("kill {}", self.name))
+    }
+
+    /// Waits until the process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not end in time.
+    pub async fn wait(&mut self) -> anyhow::Result<ExitStatus> {
+        let waited = timeout(Duration::from_millis(END_TIMEOUT_MS), self.child.wait()).await;
+        let status = waited.with_context(|| format!("{} does not end", self.name))?;
+        Ok(status?)
+    }
+
+    /// Asks the process to stop and waits until it has ended well.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it does not end in time or with another status than 0.
+    pub async fn stop(&mut self) -> anyhow::Result<()> {
+        // A key press that ended the test bed may have reached the process as well.
+        if self.ended()?.is_none() {
+            self.signal(Signal::Terminate).await?;
+        }
+        let status = self.wait().await?;
+        if !status.success() {
+            bail!("{} ended with {status}", self.name);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/deployment/node.rs
@@ -0,0 +1,137 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use anyhow::bail;
+use bytes::Bytes;
+use chicorystage_platform::http::HttpClient;
+use http::Method;
+
+use crate::deployment::ChildProcess;
+use crate::settings_text::{DaemonText, RoleText};
+
+/// Time between two readiness checks, in milliseconds.
+const READY_POLL_MS: u64 = 50;
+/// Readiness checks before giving up.
+const READY_POLLS_MAX: u32 = 1_200;
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// A daemon of a deployment.
+#[derive(Debug)]
+pub struct Node {
+    /// What its settings say.
+    pub text: DaemonText,
+    /// Its process.
+    pub process: ChildProcess,
+    program: PathBuf,
+    path: PathBuf,
+}
+
+impl Node {
+    pub(super) fn start(
+        program: &PathBuf,
+        directory: &std::path::Path,
+        text: DaemonText,
+    ) -> anyhow::Result<Self> {
+        let path = directory.join(format!("{}.ini", text.vm));
+        std::fs::write(&path, text.to_string())?;
+        let process = start_process(program, &text.vm, &path)?;
+        Ok(Self {
+            text,
+            process,
+            program: program.clone(),
+            path,
+        })
+    }
+
+    /// Starts the daemon anew after its process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program cannot be started.
+    pub fn restart(&mut self) -> anyhow::Result<()> {
+        self.process = start_process(&self.program, &self.text.vm, &self.path)?;
+        Ok(())
+    }
+
+    /// Returns the address of a router's caller API.
+    #[must_use]
+    pub fn caller_api(&self) -> Option<SocketAddr> {
+        match self.text.role {
+            RoleText::Router { caller_api, .. } => Some(caller_api),
+            RoleText::Agent { .. } => None,
+        }
+    }
+
+    /// Returns the address of a router's admin API.
+    #[must_use]
+    pub fn admin_api(&self) -> Option<SocketAddr> {
+        match self.text.role {
+            RoleText::Router { admin_api, .. } => Some(admin_api),
+            RoleText::Agent { .. } => None,
+        }
+    }
+
+    /// Returns the address of an agent's endpoint.
+    #[must_use]
+    pub fn endpoint(&self) -> Option<SocketAddr> {
+        match self.text.role {
+            RoleText::Agent { endpoint, .. } => Some(endpoint),
+            RoleText::Router { .. } => None,
+        }
+    }
+
+    /// Returns whether the daemon says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let client = HttpClient::new(self.text.health, CALL_TIMEOUT_MS);
+        let request = client.request(Method::GET, "/readyz", Bytes::new());
+        let response = client.send(request).await;
+        response.is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Waits until the daemon says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it ends or does not become ready.
+    pub async fn wait_until_ready(&mut self) -> anyhow::Result<()> {
+        for _ in 0..READY_POLLS_MAX {
+            if self.is_ready().await {
+                return Ok(());
+            }
+            if let Some(status) = self.process.ended()? {
+                bail!("{} ended with {status}", self.text.vm);
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+        bail!("{} did not become ready", self.text.vm)
+    }
+
+    /// Waits until the daemon listens.
+    ///
+    /// # Errors
+    ///
+    /// Fails where it ends or does not listen.
+    pub async fn wait_until_listening(&mut self) -> anyhow::Result<()> {
+        let address = self.admin_api().unwrap_or(self.text.health);
+        for _ in 0..READY_POLLS_MAX {
+            if tokio::net::TcpStream::connect(address).await.is_ok() {
+                return Ok(());
+            }
+            if let Some(status) = self.process.ended()? {
+                bail!("{} ended with {status}", self.text.vm);
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+        bail!("{} does not listen on {address}", self.text.vm)
+    }
+}
+
+fn start_process(
+    program: &PathBuf,
+    name: &str,
+    path: &std::path::Path,
+) -> anyhow::Result<ChildProcess> {
+    let arguments = ["daemon".into(), "--config".into(), path.into()];
+    ChildProcess::start(program, name, &arguments)
+}
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`harness`]: real routers and agents in one process, for tests.
 //! * [`calls`]: what callers and operators send, and what they get.
 //! * [`settings_text`]: settings files of the daemons that are started.
+//! * [`deployment`]: the whole system as processes.
 //! * [`demo`]: the whole system on one machine.
 //!
 //! # Limits
@@ -18,6 +19,7 @@
 pub mod calls;
 pub mod cli;
 pub mod demo;
+pub mod deployment;
 pub mod fakes;
 pub mod harness;
 pub mod settings_text;
