--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,8 +7,10 @@
 //!
 //! # Parts
 //!
+//! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
+//! * [`sequence`]: the order of an attempt's frames.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
 //! # Units of time
@@ -16,6 +18,8 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod claim;
 pub mod inventory;
 pub mod rendezvous;
+pub mod sequence;
 pub mod token;
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -1,19 +1,21 @@
 //! The router: from a caller's request to an endpoint's whole answer.
 //!
-//! [`main_loop`] owns the state and decides. A [`caller_api`] task follows one
-//! request through its life, asks the loop for each decision and moves the
-//! bytes between the caller and an agent. Refresh tasks read the platform and
+//! [`main_loop`] owns the state and decides. The [`caller_api`] parses and
+//! formats HTTP. A [`serving`] task follows one request through its life, asks
+//! the loop for each decision and moves the frames of its attempts. Refresh tasks read the platform and
 //! tell the loop what they found.
 
 pub mod admin_api;
 pub mod borders;
 pub mod caller_api;
+pub mod claims;
 pub mod event;
 pub mod handle;
 pub mod main_loop;
 pub mod parts;
 pub mod placing;
 pub mod refresh;
+pub mod serving;
 
 mod health_api;
 mod internal_api;
--- a/crates/chicorystaged/src/router/parts.rs
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -15,6 +15,7 @@
 use crate::router::internal_api::InternalApi;
 use crate::router::main_loop::RouterLoop;
 use crate::router::refresh;
+use crate::router::serving::Dispatcher;
 use crate::settings::{DaemonSettings, RouterSettings};
 use crate::timer::Clock;
 
@@ -57,7 +58,8 @@
             clock,
         );
         let running = tokio::spawn(main_loop.run(events));
-        let caller_api = CallerApi::new(handle.clone(), borders.clone(), clock);
+        let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
+        let caller_api = CallerApi::new(dispatcher);
         let admin_api = AdminApi::new(handle.clone(), borders, settings);
         Self {
             caller_api: Arc::new(caller_api),
