Failure tests with real processes

Ruled out: a silent connection by stopping the agent, which silences new connections too; a relay in the test loses track of open ones only.

--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`calls`]: what callers and operators send, and what they get.
 //! * [`settings_text`]: settings files of the daemons that are started.
 //! * [`deployment`]: the whole system as processes.
+//! * [`audit`]: what the stand-ins saw, held against the promises.
 //! * [`demo`]: the whole system on one machine.
 //!
 //! # Limits
@@ -16,6 +17,7 @@
 //! The fakes model what the brief promises of the outside world and no more.
 //! They are no cluster simulator: time is tokio's, and tests pause it.
 
+pub mod audit;
 pub mod calls;
 pub mod cli;
 pub mod demo;
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/processes/kills.rs
@@ -0,0 +1,110 @@
+use chicorystage_testbed::audit::EndpointAudit;
+use chicorystage_testbed::deployment::Deployment;
+use chicorystage_testbed::fakes::{EngineReport, ServiceFault};
+use googletest::prelude::*;
+
+use crate::bed::{MODEL, completion, payout, started, text, until, until_served};
+
+/// Returns the number of the agent whose engine loads or has loaded the model.
+async fn loading_agent(deployment: &Deployment) -> Option<usize> {
+    for i in 0..deployment.config.engines {
+        let endpoint = deployment.agents[i].endpoint()?;
+        let report: EngineReport = deployment
+            .read_control(endpoint, "/control/report")
+            .await
+            .ok()?;
+        if !report.loads.is_empty() {
+            return Some(i);
+        }
+    }
+    None
+}
+
+#[gtest]
+#[tokio::test]
+async fn agent_killed_in_the_middle_of_a_load_adopts_it_after_its_restart() {
+    let mut deployment = started().await;
+    let slow = "/control/weights/slowdown";
+    let platform = deployment.platform;
+    deployment
+        .control(platform, slow, &500)
+        .await
+        .expect("sets");
+    let request = completion(5);
+    let first = deployment.send(0, &request);
+    let loading = until("a load began", || async {
+        loading_agent(&deployment).await.is_some()
+    });
+    let first = tokio::select! {
+        first = first => Some(first),
+        () = loading => None,
+    };
+    expect_that!(first.is_none(), is_true(), "answered before a load began");
+    let i = loading_agent(&deployment).await.expect("a load began");
+    deployment.agents[i]
+        .process
+        .kill()
+        .await
+        .expect("is killed");
+    deployment.agents[i].restart().expect("starts");
+    deployment.agents[i]
+        .wait_until_ready()
+        .await
+        .expect("is ready");
+    let answer = until_served(&deployment, 1, &request).await;
+    expect_that!(answer.text(), eq(&text(5)));
+    let audit = EndpointAudit::read(&deployment).await.expect("reads");
+    expect_that!(audit.replicas_highest.get(MODEL), some(le(&2)));
+    expect_that!(audit.overcommits, eq(0));
+    expect_that!(audit.double_loads, eq(0));
+    deployment.stop().await.expect("stops");
+}
+
+#[gtest]
+#[tokio::test]
+async fn payout_whose_agent_is_killed_after_it_ran_never_runs_again() {
+    let mut deployment = started().await;
+    let i = deployment.config.engines;
+    let service = deployment.agents[i].endpoint().expect("has one");
+    let fault = ServiceFault::LostAnswer;
+    let path = "/control/faults";
+    deployment
+        .control(service, path, &fault)
+        .await
+        .expect("sets");
+    let request = payout("killed").timeout_ms(20_000);
+    let deployment_ref = &deployment;
+    let ran = until("the payout ran", || async move {
+        let audit = EndpointAudit::read(deployment_ref).await;
+        audit.is_ok_and(|audit| audit.runs_with("payout killed") == 1)
+    });
+    let answered = tokio::select! {
+        answer = deployment.send(0, &request) => Some(answer),
+        () = ran => None,
+    };
+    expect_that!(
+        answered.is_none(),
+        is_true(),
+        "answered before the agent was killed"
+    );
+    deployment.agents[i]
+        .process
+        .kill()
+        .await
+        .expect("is killed");
+    deployment.agents[i].restart().expect("starts");
+    deployment.agents[i]
+        .wait_until_ready()
+        .await
+        .expect("is ready");
+    for router in [0, 1, 0] {
+        let again = deployment.send(router, &request).await.expect("answers");
+        expect_that!(
+            again.outcome(),
+            not(some(eq(chicorystage_api::refusal::Outcome::NotRun)))
+        );
+    }
+    let audit = EndpointAudit::read(&deployment).await.expect("reads");
+    expect_that!(audit.runs_with("payout killed"), eq(1));
+    deployment.stop().await.expect("stops");
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/processes/platform_faults.rs
@@ -0,0 +1,79 @@
+use chicorystage_api::refusal::Outcome;
+use chicorystage_testbed::audit::EndpointAudit;
+use chicorystage_testbed::fakes::TableFault;
+use googletest::prelude::*;
+
+use crate::bed::{balance, completion, payout, started, text, until_served};
+
+const FAULT_PATH: &str = "/control/table/fault";
+
+#[gtest]
+#[tokio::test]
+async fn table_that_is_down_stops_no_warm_work_and_runs_no_payout() {
+    let deployment = started().await;
+    until_served(&deployment, 0, &completion(5)).await;
+    let platform = deployment.platform;
+    let down = TableFault::Down;
+    deployment
+        .control(platform, FAULT_PATH, &down)
+        .await
+        .expect("sets");
+    let answer = until_served(&deployment, 0, &completion(5)).await;
+    expect_that!(answer.text(), eq(&text(5)));
+    until_served(&deployment, 0, &balance()).await;
+    let refused = deployment.send(0, &payout("down")).await.expect("answers");
+    expect_that!(
+        refused.outcome(),
+        some(eq(Outcome::NotRun)),
+        "{}",
+        refused.body
+    );
+    let audit = EndpointAudit::read(&deployment).await.expect("reads");
+    expect_that!(audit.runs_with("payout down"), eq(0));
+    let up = TableFault::None;
+    deployment
+        .control(platform, FAULT_PATH, &up)
+        .await
+        .expect("sets");
+    until_served(&deployment, 1, &payout("down")).await;
+    let audit = EndpointAudit::read(&deployment).await.expect("reads");
+    expect_that!(audit.runs_with("payout down"), eq(1));
+    deployment.stop().await.expect("stops");
+}
+
+#[gtest]
+#[tokio::test]
+async fn payouts_run_once_where_the_table_is_slow_or_does_not_answer() {
+    let deployment = started().await;
+    let platform = deployment.platform;
+    let faults = [
+        TableFault::Slow { delay_ms: 300 },
+        TableFault::Unanswered,
+        TableFault::UnansweredNext { commits: 2 },
+        TableFault::LostNext { commits: 2 },
+    ];
+    for (i, fault) in faults.iter().enumerate() {
+        deployment
+            .control(platform, FAULT_PATH, fault)
+            .await
+            .expect("sets");
+        let key = format!("faulty-{i}");
+        let request = payout(&key);
+        let first = deployment.send(0, &request).await.expect("answers");
+        let runs = || async {
+            let audit = EndpointAudit::read(&deployment).await.expect("reads");
+            audit.runs_with(&format!("payout {key}"))
+        };
+        if first.outcome() == Some(Outcome::NotRun) {
+            expect_that!(runs().await, eq(0), "{fault:?}: {}", first.body);
+        }
+        let up = TableFault::None;
+        deployment
+            .control(platform, FAULT_PATH, &up)
+            .await
+            .expect("sets");
+        until_served(&deployment, 1, &request).await;
+        expect_that!(runs().await, eq(1), "{fault:?}");
+    }
+    deployment.stop().await.expect("stops");
+}
