--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`drain`]: when a leaving agent may exit.
 //! * [`fence`]: when an agent may give orders, and under which number.
+//! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
 //! * [`ledger`]: reservations of accelerator memory.
 //! * [`permit`]: pacing of fetches from the weight store.
@@ -32,6 +33,7 @@
 pub mod claim;
 pub mod drain;
 pub mod fence;
+pub mod freshness;
 pub mod inventory;
 pub mod ledger;
 pub mod permit;
--- a/crates/chicorystaged/src/router/parts.rs
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -42,8 +42,8 @@
     /// Starts a router's loop and tasks within the current runtime.
     #[must_use]
     pub fn start(
-        daemon: DaemonSettings,
-        settings: RouterSettings,
+        daemon: &DaemonSettings,
+        settings: &RouterSettings,
         borders: RouterBorders,
         clock: Clock,
     ) -> Self {
@@ -51,7 +51,7 @@
         let handle = RouterHandle::new(sender);
         refresh::spawn(&borders, &handle, clock);
         let main_loop = RouterLoop::new(
-            daemon,
+            daemon.clone(),
             settings.clone(),
             borders.clone(),
             handle.clone(),
@@ -60,7 +60,7 @@
         let running = tokio::spawn(main_loop.run(events));
         let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
         let caller_api = CallerApi::new(dispatcher);
-        let admin_api = AdminApi::new(handle.clone(), borders, settings);
+        let admin_api = AdminApi::new(daemon, settings, borders, handle.clone(), clock);
         Self {
             caller_api: Arc::new(caller_api),
             admin_api: Arc::new(admin_api),
