--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -14,7 +14,8 @@
 pub mod inventory;
 pub mod main_loop;
 pub mod parts;
-pub mod placing;
+pub mod permits;
+pub mod planner;
 pub mod refresh;
 pub mod serving;
 
