Demo applies the sample inventories through the tool

Change: tool subcommand, Deployment::tool, the sample files, VMs listed before the first router reads the list. Before: admin API.

--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -36,7 +36,9 @@
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
-    Daemon(DaemonOptions),
+    Daemon(ForwardedOptions),
+    /// Run the operators' tool, as `chicorystage` does.
+    Tool(ForwardedOptions),
 }
 
 /// Options of one stand-in.
@@ -61,18 +63,21 @@
     memory_gib: u64,
 }
 
-/// Options of the daemon.
+/// Arguments that another program of the project parses.
 #[derive(Debug, Options)]
-struct DaemonOptions {
+struct ForwardedOptions {
     /// Print this help.
     help: bool,
-    /// Settings file (INI).
-    config: Option<String>,
 }
 
 /// Runs the test bed with command-line arguments, without the program's name.
 #[must_use]
 pub fn run(arguments: &[String]) -> ExitCode {
+    match arguments.split_first() {
+        Some((command, rest)) if command == "daemon" => return chicorystaged::cli::run(rest),
+        Some((command, rest)) if command == "tool" => return chicorystage::cli::run(rest),
+        _ => {}
+    }
     let arguments = match Arguments::parse_args_default(arguments) {
         Ok(arguments) => arguments,
         Err(error) => {
@@ -83,11 +88,7 @@
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
         Some(Command::Standin(options)) => block_on(run_standin(options)),
-        Some(Command::Daemon(options)) => {
-            let config = options.config.unwrap_or_default();
-            chicorystaged::cli::run(&["--config".to_owned(), config])
-        }
-        None => {
+        Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
             println!("\n{}", Arguments::command_list().unwrap_or_default());
             ExitCode::SUCCESS
--- a/crates/chicorystage-testbed/src/demo/sample.rs
+++ b/crates/chicorystage-testbed/src/demo/sample.rs
@@ -1,4 +1,4 @@
-use anyhow::ensure;
+use anyhow::Context;
 use chicorystage_api::inventory::{
     ApplicationItem, CallerItem, Change, Class, Item, ItemChange, ModelItem, ModelVersion,
     Operation,
@@ -16,6 +16,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Sample {
     pub(crate) name: &'static str,
+    pub(crate) inventory: &'static str,
     pub(crate) zones: [&'static str; 3],
     pub(crate) engine_group: &'static str,
     pub(crate) service_group: &'static str,
@@ -28,6 +29,7 @@
 
 const ALTIPLANO: Sample = Sample {
     name: "altiplano",
+    inventory: include_str!("../../../../docs/samples/altiplano-inventory.ini"),
     zones: ["huehue-a", "xela-b", "toto-c"],
     engine_group: "colmena-llm",
     service_group: "libro-socios",
@@ -40,6 +42,7 @@
 
 const GUILD: Sample = Sample {
     name: "guild",
+    inventory: include_str!("../../../../docs/samples/guild-inventory.ini"),
     zones: ["cleveland-a", "buffalo-b", "erie-c"],
     engine_group: "cuewriter",
     service_group: "cleardesk",
@@ -59,18 +62,9 @@
 
     /// Applies the user's inventory.
     pub(crate) async fn apply(&self, deployment: &Deployment) -> anyhow::Result<()> {
-        let change = inventory(
-            self.engine_group,
-            self.service_group,
-            &[self.short.1, self.long.1],
-            self.caller_token,
-        );
-        let body = serde_json::to_string(&change)?;
-        let token = &deployment.config.root_token;
-        let request = CallerRequest::new(Method::POST, "/admin/v1/changes", token, body);
-        let answer = deployment.send_admin(0, &request).await?;
-        ensure!(answer.status.is_success(), "inventory: {}", answer.body);
-        Ok(())
+        let path = deployment.write_file("inventory.ini", self.inventory)?;
+        let path = path.to_str().context("temporary directory is not UTF-8")?;
+        deployment.tool(&["apply", path, "--yes"]).await
     }
 
     /// Returns the demo's requests in their order.
--- a/crates/chicorystage-testbed/src/demo/show.rs
+++ b/crates/chicorystage-testbed/src/demo/show.rs
@@ -64,5 +64,9 @@
         "curl {caller} -H 'Idempotency-Key: key-1' -d '{{\"amount\":40}}' {service}{}",
         sample.post.1
     );
+    if let Ok(settings) = deployment.tool_settings() {
+        let program = deployment.config.program.display();
+        println!("{program} tool --config {} status", settings.display());
+    }
     println!("curl {root} http://{admin}/admin/v1/status");
 }
--- a/crates/chicorystage-testbed/src/deployment/mod.rs
+++ b/crates/chicorystage-testbed/src/deployment/mod.rs
@@ -6,8 +6,10 @@
 mod child;
 mod config;
 mod node;
+mod plan;
 mod ports;
 mod started;
+mod talk;
 
 pub use child::{ChildProcess, Signal};
 pub use config::DeploymentConfig;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/deployment/plan.rs
@@ -0,0 +1,88 @@
+//! Which VMs a deployment lists, and with which settings.
+
+use std::net::SocketAddr;
+
+use chicorystage_core::token;
+use serde_json::json;
+
+use crate::deployment::Deployment;
+use crate::deployment::ports::free_address;
+use crate::settings_text::{DaemonText, RoleText};
+
+const ROUTER_GROUP: &str = "entry";
+
+impl Deployment {
+    pub(super) async fn plan(&mut self) -> anyhow::Result<Vec<(bool, DaemonText)>> {
+        let mut planned = Vec::new();
+        for i in 0..self.config.routers {
+            planned.push((true, self.plan_router(i).await?));
+        }
+        for i in 0..self.config.engines {
+            let engine = self.start_engine(i).await?;
+            let group = self.config.engine_group.clone();
+            let text = self.plan_agent(i, "engine", engine, &group).await?;
+            planned.push((false, text));
+        }
+        for i in 0..self.config.services {
+            let service = self.standin("service", &[]).await?;
+            let group = self.config.service_group.clone();
+            let number = self.config.engines + i;
+            let text = self.plan_agent(number, "service", service, &group).await?;
+            planned.push((false, text));
+        }
+        Ok(planned)
+    }
+
+    pub(super) async fn plan_router(&self, i: usize) -> anyhow::Result<DaemonText> {
+        let root_token = self.config.root_token.as_bytes();
+        let role = RoleText::Router {
+            caller_api: free_address()?,
+            admin_api: free_address()?,
+            root_token_sha256: token::sha256(root_token),
+        };
+        let vm = format!("entry-{}", i + 1);
+        self.plan_node(vm, i, ROUTER_GROUP, role).await
+    }
+
+    pub(super) async fn plan_agent(
+        &self,
+        i: usize,
+        kind: &str,
+        endpoint: SocketAddr,
+        group: &str,
+    ) -> anyhow::Result<DaemonText> {
+        let role = RoleText::Agent {
+            kind: kind.to_owned(),
+            endpoint,
+            router_group: ROUTER_GROUP.to_owned(),
+        };
+        let vm = format!("worker-{}", i + 1);
+        self.plan_node(vm, i, group, role).await
+    }
+
+    /// Chooses a daemon's addresses and lists its VM.
+    pub(super) async fn plan_node(
+        &self,
+        vm: String,
+        i: usize,
+        group: &str,
+        role: RoleText,
+    ) -> anyhow::Result<DaemonText> {
+        let zones = &self.config.zones;
+        let text = DaemonText {
+            vm,
+            zone: zones[i % zones.len()].clone(),
+            group: group.to_owned(),
+            internal: free_address()?,
+            health: free_address()?,
+            platform: self.platform,
+            role,
+        };
+        let entry = json!({
+            "id": text.vm, "address": text.internal, "zone": text.zone,
+            "group": text.group, "state": "live",
+        });
+        self.control(self.platform, "/control/vms", &entry).await?;
+        Ok(text)
+    }
+}
--- a/crates/chicorystage-testbed/src/deployment/started.rs
+++ b/crates/chicorystage-testbed/src/deployment/started.rs
@@ -3,21 +3,8 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
-use anyhow::Context;
-use chicorystage_core::token;
-use chicorystage_platform::http::HttpClient;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use serde_json::json;
-use tokio::net::TcpStream;
-
-use crate::calls::{CallerAnswer, CallerRequest, SendError, send};
-use crate::deployment::ports::free_address;
 use crate::deployment::{ChildProcess, DeploymentConfig, Node};
-use crate::settings_text::{DaemonText, RoleText};
-
-const CALL_TIMEOUT_MS: u64 = 10_000;
-const ROUTER_GROUP: &str = "entry";
+use crate::settings_text::DaemonText;
 
 /// Number of deployments that this process has started.
 static STARTED: AtomicU32 = AtomicU32::new(0);
@@ -34,7 +21,7 @@
     /// Agents: first those with an engine, then those with a service.
     pub agents: Vec<Node>,
     standins: Vec<ChildProcess>,
-    directory: PathBuf,
+    pub(super) directory: PathBuf,
 }
 
 impl Deployment {
@@ -58,18 +45,10 @@
             standins,
             directory,
         };
-        for _ in 0..deployment.config.routers {
-            deployment.add_router().await?;
-        }
-        for i in 0..deployment.config.engines {
-            let engine = deployment.start_engine(i).await?;
-            let group = deployment.config.engine_group.clone();
-            deployment.add_agent("engine", engine, &group).await?;
-        }
-        for _ in 0..deployment.config.services {
-            let service = deployment.standin("service", &[]).await?;
-            let group = deployment.config.service_group.clone();
-            deployment.add_agent("service", service, &group).await?;
+        // The list names every VM before the first router reads it.
+        let planned = deployment.plan().await?;
+        for (is_router, text) in planned {
+            deployment.start_node(is_router, text)?;
         }
         for router in &mut deployment.routers {
             router.wait_until_listening().await?;
@@ -89,85 +68,14 @@
         Ok(())
     }
 
-    /// Sends a caller's request to a router.
-    ///
-    /// # Errors
-    ///
-    /// Fails where no response came.
-    pub async fn send(
-        &self,
-        router: usize,
-        request: &CallerRequest,
-    ) -> Result<CallerAnswer, SendError> {
-        let address = self.routers[router].caller_api();
-        send_to(address, request).await
-    }
-
-    /// Sends an operator's request to a router.
-    ///
-    /// # Errors
-    ///
-    /// Fails where no response came.
-    pub async fn send_admin(
-        &self,
-        router: usize,
-        request: &CallerRequest,
-    ) -> Result<CallerAnswer, SendError> {
-        let address = self.routers[router].admin_api();
-        send_to(address, request).await
-    }
-
-    /// Posts to a stand-in's control path.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the stand-in does not answer well.
-    pub async fn control<B: Serialize + Sync>(
-        &self,
-        standin: SocketAddr,
-        path: &str,
-        body: &B,
-    ) -> anyhow::Result<()> {
-        let client = HttpClient::new(standin, CALL_TIMEOUT_MS);
-        client
-            .post_json::<B, serde_json::Value>(path, body)
-            .await
-            .with_context(|| path.to_owned())?;
-        Ok(())
-    }
-
-    /// Reads a stand-in's control path.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the stand-in does not answer well.
-    pub async fn read_control<T: DeserializeOwned>(
-        &self,
-        standin: SocketAddr,
-        path: &str,
-    ) -> anyhow::Result<T> {
-        let client = HttpClient::new(standin, CALL_TIMEOUT_MS);
-        let found = client.get_json(path).await?;
-        found.with_context(|| format!("{path}: not found"))
-    }
-
     /// Adds a router and lists its VM.
     ///
     /// # Errors
     ///
     /// Fails where its process does not start.
     pub async fn add_router(&mut self) -> anyhow::Result<()> {
-        let i = self.routers.len();
-        let root_token = self.config.root_token.as_bytes();
-        let role = RoleText::Router {
-            caller_api: free_address()?,
-            admin_api: free_address()?,
-            root_token_sha256: token::sha256(root_token),
-        };
-        let vm = format!("entry-{}", i + 1);
-        let node = self.start_node(vm, i, ROUTER_GROUP, role).await?;
-        self.routers.push(node);
-        Ok(())
+        let text = self.plan_router(self.routers.len()).await?;
+        self.start_node(true, text)
     }
 
     /// Adds an agent beside an endpoint and lists its VM.
@@ -181,16 +89,10 @@
         endpoint: SocketAddr,
         group: &str,
     ) -> anyhow::Result<()> {
-        let i = self.agents.len();
-        let role = RoleText::Agent {
-            kind: kind.to_owned(),
-            endpoint,
-            router_group: ROUTER_GROUP.to_owned(),
-        };
-        let vm = format!("worker-{}", i + 1);
-        let node = self.start_node(vm, i, group, role).await?;
-        self.agents.push(node);
-        Ok(())
+        let text = self
+            .plan_agent(self.agents.len(), kind, endpoint, group)
+            .await?;
+        self.start_node(false, text)
     }
 
     /// Starts the stand-in of the engine with a number.
@@ -226,33 +128,22 @@
         Ok(())
     }
 
-    async fn standin(&mut self, kind: &str, arguments: &[OsString]) -> anyhow::Result<SocketAddr> {
+    pub(super) async fn standin(
+        &mut self,
+        kind: &str,
+        arguments: &[OsString],
+    ) -> anyhow::Result<SocketAddr> {
         start_standin(&self.config.program, kind, arguments, &mut self.standins).await
     }
 
-    async fn start_node(
-        &self,
-        vm: String,
-        i: usize,
-        group: &str,
-        role: RoleText,
-    ) -> anyhow::Result<Node> {
-        let zones = &self.config.zones;
-        let text = DaemonText {
-            vm,
-            zone: zones[i % zones.len()].clone(),
-            group: group.to_owned(),
-            internal: free_address()?,
-            health: free_address()?,
-            platform: self.platform,
-            role,
-        };
-        let entry = json!({
-            "id": text.vm, "address": text.internal, "zone": text.zone,
-            "group": text.group, "state": "live",
-        });
-        self.control(self.platform, "/control/vms", &entry).await?;
-        Node::start(&self.config.program, &self.directory, text)
+    fn start_node(&mut self, is_router: bool, text: DaemonText) -> anyhow::Result<()> {
+        let node = Node::start(&self.config.program, &self.directory, text)?;
+        if is_router {
+            self.routers.push(node);
+        } else {
+            self.agents.push(node);
+        }
+        Ok(())
     }
 }
 
@@ -276,15 +167,3 @@
     standins.push(child);
     Ok(address)
 }
-
-async fn send_to(
-    address: Option<SocketAddr>,
-    request: &CallerRequest,
-) -> Result<CallerAnswer, SendError> {
-    let not_connected = |detail: String| SendError::NotConnected(detail);
-    let address = address.ok_or_else(|| not_connected("an agent has no such API".to_owned()))?;
-    let connection = TcpStream::connect(address)
-        .await
-        .map_err(|error| not_connected(error.to_string()))?;
-    send(connection, request).await
-}
