Agent loop on the state machines of the core

Ruled out: refusing a second copy of an attempt, since a router cannot tell it from a lost one; the copy now listens to the first. Ending the loop's work in nested calls: what becomes runnable is looked at once after each event. Change: reserves before a load, one load per model, slots from the table, adapters, a bounded queue by class, fairness and deadline, reopening of cut engine streams, leaving, idle unloads behind a trait object, permits for weight fetches with local pacing, inventory long poll and VM list. Additive in chicorystage-platform: OrderKind::Fence, an order that only raises the fencing number; an engine that does not know it is waited for instead.

--- a/crates/chicorystage-core/src/drain/mod.rs
+++ b/crates/chicorystage-core/src/drain/mod.rs
@@ -7,5 +7,5 @@
 mod progress;
 mod remaining;
 
-pub use progress::Drain;
+pub use progress::{Drain, RELEASE_WAIT_MAX_MS};
 pub use remaining::Remaining;
--- a/crates/chicorystage-core/src/drain/progress.rs
+++ b/crates/chicorystage-core/src/drain/progress.rs
@@ -1,10 +1,18 @@
 use crate::drain::Remaining;
 
+/// Longest wait for slots and replicas once no work is left, in milliseconds.
+pub const RELEASE_WAIT_MAX_MS: u64 = 15_000;
+
 /// Progress of a graceful stop.
 #[derive(Clone, Debug)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit as a suffix"
+)]
 pub struct Drain {
     max_ms: u64,
     begun_ms: Option<u64>,
+    workless_since_ms: Option<u64>,
 }
 
 impl Drain {
@@ -14,6 +22,7 @@
         Self {
             max_ms,
             begun_ms: None,
+            workless_since_ms: None,
         }
     }
 
@@ -33,11 +42,23 @@
     }
 
     /// Returns whether the agent may exit.
-    #[must_use]
-    pub fn may_exit(&self, remaining: &Remaining, now_ms: u64) -> bool {
+    ///
+    /// Accepted work is waited for up to the longest graceful stop. Slots and
+    /// replicas that cannot be given up, since the table or the engine is down,
+    /// are waited for no longer than [`RELEASE_WAIT_MAX_MS`]: a VM that has left
+    /// the platform's list loses its slots anyway.
+    pub fn may_exit(&mut self, remaining: &Remaining, now_ms: u64) -> bool {
         let Some(begun_ms) = self.begun_ms else {
             return false;
         };
-        remaining.is_nothing() || now_ms.saturating_sub(begun_ms) >= self.max_ms
+        if remaining.is_nothing() || now_ms.saturating_sub(begun_ms) >= self.max_ms {
+            return true;
+        }
+        if remaining.has_work() {
+            self.workless_since_ms = None;
+            return false;
+        }
+        let since_ms = *self.workless_since_ms.get_or_insert(now_ms);
+        now_ms.saturating_sub(since_ms) >= RELEASE_WAIT_MAX_MS
     }
 }
--- a/crates/chicorystage-core/src/ledger/reservations.rs
+++ b/crates/chicorystage-core/src/ledger/reservations.rs
@@ -37,6 +37,12 @@
         self.total_bytes.saturating_sub(self.reserved_bytes)
     }
 
+    /// Returns the memory that is reserved for one thing, in bytes.
+    #[must_use]
+    pub fn held_bytes(&self, holding: &Holding) -> u64 {
+        self.holdings.get(holding).copied().unwrap_or(0)
+    }
+
     /// Reserves memory for an order that is about to be given.
     ///
     /// # Errors
--- a/crates/chicorystage-core/src/replicas/idle.rs
+++ b/crates/chicorystage-core/src/replicas/idle.rs
@@ -5,6 +5,7 @@
 use chicorystage_api::name::{AdapterName, ModelName};
 use chicorystage_api::peer::ReplicaState;
 
+use crate::ledger::Holding;
 use crate::replicas::{IdleReplica, ReplicaKey, Replicas};
 
 impl Replicas {
@@ -58,4 +59,40 @@
         }
         totals
     }
+
+    /// Returns the memory that unload orders in flight will give back, in bytes.
+    #[must_use]
+    pub fn unloading_bytes(&self) -> u64 {
+        let parts = self.by_key.iter().map(|(key, replica)| {
+            if replica.state() == ReplicaState::Unloading {
+                let adapters = replica.adapters.keys();
+                let adapters = adapters.map(|name| Holding::adapter(key, name));
+                let all = adapters.chain([Holding::replica(key)]);
+                return all.map(|holding| self.ledger.held_bytes(&holding)).sum();
+            }
+            let adapters = replica.adapters.iter();
+            adapters
+                .filter(|(_, adapter)| adapter.state() == ReplicaState::Unloading)
+                .map(|(name, _)| self.ledger.held_bytes(&Holding::adapter(key, name)))
+                .sum::<u64>()
+        });
+        parts.sum()
+    }
+
+    /// Returns the adapter loads whose order is in flight or unsettled.
+    #[must_use]
+    pub fn adapter_loads(&self) -> usize {
+        let adapters = self
+            .by_key
+            .values()
+            .flat_map(|replica| replica.adapters.values());
+        adapters
+            .filter(|adapter| {
+                matches!(
+                    adapter.state(),
+                    ReplicaState::Loading | ReplicaState::Unsettled
+                )
+            })
+            .count()
+    }
 }
--- a/crates/chicorystage-platform/src/engine/order.rs
+++ b/crates/chicorystage-platform/src/engine/order.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum OrderKind {
+    /// Raise the highest fencing number seen and change nothing else.
+    Fence,
     /// Load a replica.
     Load {
         /// Model.
--- a/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
@@ -149,7 +149,7 @@
             }
             OrderKind::LoadAdapter { .. } => None,
             OrderKind::Unload { .. } => Some(self.config.unload_ms),
-            OrderKind::UnloadAdapter { .. } => Some(0),
+            OrderKind::Fence | OrderKind::UnloadAdapter { .. } => Some(0),
         }
     }
 
--- a/crates/chicorystage-testbed/src/fakes/engine/state.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/state.rs
@@ -204,7 +204,7 @@
                     replica.state = EngineReplicaState::Unloading;
                 }
             }
-            OrderKind::UnloadAdapter { .. } => {}
+            OrderKind::Fence | OrderKind::UnloadAdapter { .. } => {}
         }
         self.memory_highest_bytes = self.memory_highest_bytes.max(self.used_bytes());
         Ok(())
@@ -231,7 +231,7 @@
                     ledger.left(&model);
                 }
             }
-            OrderKind::LoadAdapter { .. } => {}
+            OrderKind::Fence | OrderKind::LoadAdapter { .. } => {}
             OrderKind::UnloadAdapter { model, adapter } => {
                 if let Some(replica) = self.replica(&model) {
                     replica.adapters.retain(|(name, _)| *name != adapter);
--- /dev/null
+++ b/crates/chicorystaged/src/agent/call_task.rs
@@ -0,0 +1,49 @@
+//! Passes one call to the service.
+
+use std::sync::Arc;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use chicorystage_api::peer::AttemptRef;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{EndSummary, Payload, ServiceCall};
+use chicorystage_platform::service::Service;
+
+use crate::agent::event::AgentEvent;
+use crate::agent::handle::AgentHandle;
+
+/// Passes a call to the service and tells the loop its answer.
+pub(crate) async fn run_call(
+    service: Arc<dyn Service>,
+    handle: AgentHandle,
+    attempt: AttemptRef,
+    call: ServiceCall,
+    queued_ms: u64,
+) {
+    let payloads = match service.call(call).await {
+        Ok(reply) => vec![
+            Payload::Head {
+                status: reply.status,
+                content_type: reply.content_type,
+            },
+            Payload::Body(STANDARD.encode(&reply.body).into()),
+            Payload::End(EndSummary {
+                queued_ms,
+                ..EndSummary::default()
+            }),
+        ],
+        Err(error) if error.had_no_effect() => vec![Payload::Refused(Refusal::not_run(
+            RefusalCode::NoEndpoint,
+            error.to_string(),
+        ))],
+        Err(error) => vec![Payload::Refused(Refusal::may_have_run(
+            RefusalCode::ResultUnknown,
+            error.to_string(),
+        ))],
+    };
+    for payload in payloads {
+        let attempt = attempt.clone();
+        // Where the loop has ended nobody waits for the output.
+        handle.tell(AgentEvent::Output { attempt, payload }).await;
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/agent/dispatch.rs
@@ -0,0 +1,262 @@
+//! From the queue to the endpoint: what must be loaded, and what runs next.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chicorystage_api::name::{ModelName, VersionName};
+use chicorystage_api::peer::{AttemptRef, ReplicaState};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{Completion, WorkSpec};
+use chicorystage_core::ledger::Holding;
+use chicorystage_core::queue::Entry;
+use chicorystage_core::replicas::ReplicaUse;
+use chicorystage_platform::engine::{CompletionStart, Engine};
+use chicorystage_platform::service::Service;
+use tokio::sync::oneshot;
+
+use crate::agent::admission::leaving;
+use crate::agent::borders::Endpoint;
+use crate::agent::call_task;
+use crate::agent::completion_task::CompletionTask;
+use crate::agent::main_loop::AgentLoop;
+use crate::agent::readiness::Readiness;
+use crate::agent::running::{Running, RunningStream};
+use crate::agent::target::Target;
+use crate::agent::waiting::Waiting;
+
+/// Version of each model that the longest waiting attempt needs.
+pub(super) type WantedVersions = HashMap<ModelName, VersionName>;
+
+impl AgentLoop {
+    /// Refuses what can wait no longer, prepares what waits and starts what can run.
+    pub(super) fn dispatch(&mut self) {
+        let now_ms = self.clock.now_ms();
+        self.expire_queued(now_ms);
+        if self.queue.is_empty() {
+            return;
+        }
+        let wanted = self.wanted_versions();
+        self.prepare(&wanted, now_ms);
+        self.start_ready(&wanted, now_ms);
+    }
+
+    fn expire_queued(&mut self, now_ms: u64) {
+        let expired = self.queue.take_where(|entry| entry.deadline_ms <= now_ms);
+        let detail = "the deadline passed in the endpoint's queue";
+        for entry in expired {
+            let refusal = Refusal::not_run(RefusalCode::DeadlineExceeded, detail);
+            self.refuse(&entry.item.attempt, refusal);
+        }
+    }
+
+    fn wanted_versions(&self) -> WantedVersions {
+        let mut wanted = WantedVersions::new();
+        for target in self
+            .queue
+            .iter()
+            .filter_map(|entry| entry.item.target.as_ref())
+        {
+            wanted
+                .entry(target.key.model.clone())
+                .or_insert_with(|| target.key.version.clone());
+        }
+        wanted
+    }
+
+    /// Gives the orders that waiting attempts need, and refuses those that no order helps.
+    fn prepare(&mut self, wanted: &WantedVersions, now_ms: u64) {
+        let mut waiting: Vec<_> = self
+            .queue
+            .iter()
+            .filter_map(|entry| {
+                let target = entry.item.target.clone()?;
+                let order = (entry.class, entry.deadline_ms, entry.queued_ms);
+                Some((order, entry.item.attempt.clone(), target))
+            })
+            .collect();
+        waiting.sort_by_key(|(order, _, _)| *order);
+        let mut seen: Vec<(Target, Readiness)> = Vec::new();
+        let mut refused: Vec<(AttemptRef, Refusal)> = Vec::new();
+        for ((class, deadline_ms, queued_ms), attempt, target) in waiting {
+            let known = seen.iter().find(|(other, _)| *other == target);
+            let readiness = if let Some((_, readiness)) = known {
+                readiness.clone()
+            } else {
+                let urgency = (class, deadline_ms.saturating_sub(now_ms));
+                let readiness = self.ensure(&target, wanted, urgency, now_ms);
+                seen.push((target, readiness.clone()));
+                readiness
+            };
+            if let Some(refusal) = readiness.refusal(now_ms.saturating_sub(queued_ms)) {
+                refused.push((attempt, refusal));
+            }
+        }
+        self.refuse_queued(&refused);
+    }
+
+    fn refuse_queued(&mut self, refused: &[(AttemptRef, Refusal)]) {
+        if refused.is_empty() {
+            return;
+        }
+        let is_refused = |entry: &Entry<Waiting>| {
+            refused
+                .iter()
+                .any(|(attempt, _)| *attempt == entry.item.attempt)
+        };
+        let taken = self.queue.take_where(is_refused);
+        for entry in taken {
+            let attempt = &entry.item.attempt;
+            if let Some((_, refusal)) = refused.iter().find(|(refused, _)| refused == attempt) {
+                self.refuse(attempt, refusal.clone());
+            }
+        }
+    }
+
+    fn start_ready(&mut self, wanted: &WantedVersions, now_ms: u64) {
+        let alone = self.running.values().any(|running| running.suspect);
+        if alone {
+            return;
+        }
+        while self.running_count() < self.places() {
+            let running = self.running_count();
+            let replicas = &self.replicas;
+            let next = self.queue.pop(running, |waiting| {
+                waiting.target.as_ref().is_none_or(|target| {
+                    is_loaded(replicas, target)
+                        && wanted.get(&target.key.model) == Some(&target.key.version)
+                })
+            });
+            let Some(entry) = next else {
+                return;
+            };
+            let suspect = entry.suspect;
+            self.run_entry(entry, now_ms);
+            if suspect {
+                return;
+            }
+        }
+    }
+
+    fn run_entry(&mut self, entry: Entry<Waiting>, now_ms: u64) {
+        let queued_ms = now_ms.saturating_sub(entry.queued_ms);
+        let Waiting {
+            attempt,
+            request,
+            target,
+        } = entry.item;
+        let running = Running {
+            started_ms: now_ms,
+            deadline_ms: entry.deadline_ms,
+            suspect: entry.suspect,
+            stream: None,
+        };
+        match (self.borders.endpoint.clone(), request.work, target) {
+            (Endpoint::Engine(engine), WorkSpec::Completion(work), Some(target)) => {
+                let cold_start_ms = self.cold_start_ms(&target, entry.queued_ms);
+                let used = self
+                    .replicas
+                    .acquire(&target.key, target.adapter.as_ref(), now_ms);
+                let Some(used) = used else {
+                    return self.refuse(&attempt, leaving());
+                };
+                let start = completion_start(&attempt, &work, entry.class, request.digest);
+                let times = (queued_ms, cold_start_ms);
+                self.run_completion(engine, attempt, running, used, start, times);
+            }
+            (Endpoint::Service(service), WorkSpec::Service(call), _) => {
+                self.run_call(service, attempt, running, call, queued_ms);
+            }
+            _ => {
+                let detail = "this endpoint runs no work of that kind";
+                self.refuse(&attempt, Refusal::not_run(RefusalCode::NoEndpoint, detail));
+            }
+        }
+    }
+
+    fn run_completion(
+        &mut self,
+        engine: Arc<dyn Engine>,
+        attempt: AttemptRef,
+        mut running: Running,
+        used: ReplicaUse,
+        start: CompletionStart,
+        (queued_ms, cold_start_ms): (u64, u64),
+    ) {
+        let (reader, wanted) = oneshot::channel();
+        running.stream = Some(RunningStream {
+            used,
+            stream_id: Arc::clone(&start.stream_id),
+            _reader: reader,
+        });
+        self.running.insert(attempt.clone(), running);
+        let task = CompletionTask {
+            engine,
+            handle: self.handle.clone(),
+            attempt,
+            start,
+            engine_run: self.engine.as_ref().map_or(0, |engine| engine.engine_run),
+            queued_ms,
+            cold_start_ms,
+        };
+        tokio::spawn(task.run(wanted));
+    }
+
+    fn run_call(
+        &mut self,
+        service: Arc<dyn Service>,
+        attempt: AttemptRef,
+        running: Running,
+        call: chicorystage_api::work::ServiceCall,
+        queued_ms: u64,
+    ) {
+        self.running.insert(attempt.clone(), running);
+        let handle = self.handle.clone();
+        tokio::spawn(call_task::run_call(
+            service, handle, attempt, call, queued_ms,
+        ));
+    }
+
+    /// Returns how long an attempt waited for its replica and adapter; 0 when warm.
+    fn cold_start_ms(&self, target: &Target, queued_ms: u64) -> u64 {
+        let replica = self.loaded_ms.get(&Holding::replica(&target.key));
+        let adapter = target.adapter.as_ref().and_then(|adapter| {
+            let holding = Holding::adapter(&target.key, adapter);
+            self.loaded_ms.get(&holding)
+        });
+        let loaded_ms = replica.copied().max(adapter.copied()).unwrap_or(0);
+        loaded_ms.saturating_sub(queued_ms)
+    }
+
+    pub(super) fn running_count(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+}
+
+fn is_loaded(replicas: &chicorystage_core::replicas::Replicas, target: &Target) -> bool {
+    let Some(replica) = replicas.get(&target.key) else {
+        return false;
+    };
+    let has_adapter = target.adapter.as_ref().is_none_or(|name| {
+        let adapter = replica.adapter(name);
+        adapter.is_some_and(|adapter| adapter.state() == ReplicaState::Loaded)
+    });
+    replica.state() == ReplicaState::Loaded && has_adapter
+}
+
+fn completion_start(
+    attempt: &AttemptRef,
+    work: &Completion,
+    class: chicorystage_api::inventory::Class,
+    digest: chicorystage_api::name::Digest,
+) -> CompletionStart {
+    CompletionStart {
+        stream_id: format!("{}.{}", attempt.request_id, attempt.attempt).into(),
+        model: work.model.clone(),
+        version: work.version.clone(),
+        adapter: work.adapter.clone(),
+        prompt: Arc::clone(&work.prompt),
+        max_tokens: work.max_tokens,
+        class,
+        digest,
+    }
+}
--- a/crates/chicorystaged/src/agent/event.rs
+++ b/crates/chicorystaged/src/agent/event.rs
@@ -1,12 +1,16 @@
 //! Events of the agent's main loop.
 
+use std::sync::Arc;
+
 use chicorystage_api::name::ModelName;
 use chicorystage_api::peer::{
-    AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
+    AgentStatus, AttemptRef, Changes, ClaimQuery, ClaimState, PlacementAck, PlacementPush,
+    PlacementRow, QuarantineEntry,
 };
-use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{AttemptRequest, Frame, Payload};
+use chicorystage_platform::BorderError;
 use chicorystage_platform::engine::EngineStatus;
+use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::{mpsc, oneshot};
 
 /// One event of the agent's main loop.
@@ -39,15 +43,51 @@
         /// Content.
         payload: Payload,
     },
-    /// A model load ended.
-    Loaded {
-        /// Model that was loaded.
+    /// An order to the engine was answered or given up.
+    OrderEnded {
+        /// Number of the order.
+        order: u64,
+        /// Its answer.
+        result: Result<(), BorderError>,
+        /// Whether no router handed out a permit for it.
+        paced_locally: bool,
+    },
+    /// The engine's status was asked for.
+    EngineRead {
+        /// Reading of the clock when it was asked for.
+        begun_ms: u64,
+        /// The status; none where the engine did not answer.
+        status: Option<EngineStatus>,
+    },
+    /// The service was probed.
+    ServiceProbed {
+        /// Whether it answered.
+        up: bool,
+    },
+    /// The agent's slots were read from the table.
+    SlotsRead(Result<SlotsRead, BorderError>),
+    /// The placement row of one model was read from the table.
+    SlotRead {
+        /// Model of the row.
         model: ModelName,
-        /// Time that it took, in milliseconds, or why it failed.
-        result: Result<u64, Refusal>,
+        /// Row version whose grant made the agent read.
+        granted_version: u64,
+        /// The row with its version; none where there is no row.
+        result: Result<Option<(u64, PlacementRow)>, BorderError>,
     },
-    /// The engine's status was read.
-    EngineRead(Option<EngineStatus>),
+    /// The agent tried to give up a slot.
+    SlotGivenUp {
+        /// Model of the slot.
+        model: ModelName,
+        /// The row without the slot, with its version.
+        result: Result<Option<(u64, PlacementRow)>, BorderError>,
+    },
+    /// The platform's list of VMs was read.
+    VmListRead(Arc<[VmEntry]>),
+    /// A router told of inventory changes.
+    InventoryRead(Changes),
+    /// Time has passed.
+    Tick,
     /// A router asks what became of a claim.
     QueryClaim {
         /// The question.
@@ -72,3 +112,12 @@
     /// Somebody asks for a graceful stop.
     Drain,
 }
+
+/// All placement rows as read from the table.
+#[derive(Debug)]
+pub struct SlotsRead {
+    /// Newest commit number of the table when the read began.
+    pub table_version: u64,
+    /// Rows with their versions.
+    pub rows: Vec<(u64, PlacementRow)>,
+}
--- a/crates/chicorystaged/src/agent/handle.rs
+++ b/crates/chicorystaged/src/agent/handle.rs
@@ -17,6 +17,12 @@
         Self { sender }
     }
 
+    /// Returns whether the loop has ended.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Tells the loop something; returns false where it has ended.
     pub async fn tell(&self, event: AgentEvent) -> bool {
         self.sender.send(event).await.is_ok()
--- /dev/null
+++ b/crates/chicorystaged/src/agent/leaving.rs
@@ -0,0 +1,61 @@
+//! Leaving: the agent takes no new work, finishes what it has and exits.
+
+use std::sync::Arc;
+
+use chicorystage_api::peer::AttemptRef;
+use chicorystage_core::drain::Remaining;
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+
+use crate::agent::admission::leaving;
+use crate::agent::main_loop::AgentLoop;
+
+impl AgentLoop {
+    pub(super) fn vm_list_read(&mut self, vms: Arc<[VmEntry]>) {
+        let own = vms.iter().find(|vm| vm.id == self.daemon.vm);
+        let is_leaving = own.is_some_and(|vm| vm.state == VmState::Leaving);
+        self.vms.send_replace(vms);
+        if is_leaving {
+            self.leave("the VM is listed as leaving");
+        }
+    }
+
+    /// Begins to leave.
+    ///
+    /// What waits for a load is refused as not run, so that it runs elsewhere;
+    /// what waits only for a free place runs here.
+    pub(super) fn leave(&mut self, reason: &str) {
+        let now_ms = self.clock.now_ms();
+        if !self.drain.begin(now_ms) {
+            return;
+        }
+        log::info!(event = "agent_leaving", reason; "agent is leaving");
+        let replicas = &self.replicas;
+        let refused: Vec<AttemptRef> = self
+            .queue
+            .take_where(|entry| {
+                let target = entry.item.target.as_ref();
+                target.is_some_and(|target| replicas.get(&target.key).is_none())
+            })
+            .into_iter()
+            .map(|entry| entry.item.attempt)
+            .collect();
+        for attempt in refused {
+            self.refuse(&attempt, leaving());
+        }
+        self.dispatch_due = true;
+    }
+
+    /// Returns whether the agent has left and may exit.
+    pub(super) fn has_left(&mut self) -> bool {
+        if !self.drain.is_leaving() {
+            return false;
+        }
+        let remaining = Remaining {
+            running: self.running.len(),
+            queued: self.queue.len(),
+            replicas: self.replicas.iter().count(),
+            slots: self.slots.kept().count(),
+        };
+        self.drain.may_exit(&remaining, self.clock.now_ms())
+    }
+}
--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -1,23 +1,44 @@
 //! The agent: owner of one endpoint's memory, queue, orders and claims.
 //!
-//! [`main_loop`] owns the state and decides. The [`work_api`] turns a router's
-//! connection into events and the loop's frames into bytes; endpoint tasks
-//! talk to the engine or service and tell the loop what came of it.
+//! [`main_loop`] owns the state; the state machines of `chicorystage-core`
+//! decide. The [`work_api`] turns a router's connection into events and the
+//! loop's frames into bytes; tasks talk to the engine or service, the table,
+//! the list of VMs and a router, and tell the loop what came of it.
 
 pub mod borders;
 pub mod event;
 pub mod handle;
 pub mod main_loop;
 pub mod parts;
+pub mod policy;
 pub mod work_api;
 
+mod admission;
+mod call_task;
+mod completion_task;
 mod control_api;
-mod endpoint_task;
+mod dispatch;
+mod engine_state;
 mod health_api;
+mod leaving;
+mod order_task;
+mod orders;
+mod permit;
+mod placement;
+mod readiness;
+mod reporting;
+mod running;
+mod slot_reads;
+mod table_task;
+mod target;
+mod waiting;
+mod watch_task;
+mod work;
 
 use chicorystage_platform::http::HttpServer;
 
 use crate::agent::borders::AgentBorders;
+use crate::agent::event::AgentEvent;
 use crate::agent::parts::AgentParts;
 use crate::settings::{AgentSettings, Settings};
 use crate::timer::Clock;
@@ -41,11 +62,18 @@
     let internal = internal_server.start(parts.internal_api);
     let health = health_server.start(parts.health_api);
 
-    crate::stop::signalled().await;
-    log::info!(event = "agent_stopping"; "agent is leaving");
+    let mut running = parts.running;
+    let has_left = tokio::select! {
+        () = crate::stop::signalled() => false,
+        _ended = &mut running => true,
+    };
+    if !has_left {
+        parts.handle.tell(AgentEvent::Drain).await;
+        // The loop ends once nothing is in progress, or after the longest drain.
+        let _ended = running.await;
+    }
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    parts.running.abort();
     log::info!(event = "agent_stopped"; "agent stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/chicorystaged/src/agent/order_task.rs
@@ -0,0 +1,57 @@
+//! Orders to the engine.
+
+use std::sync::Arc;
+
+use chicorystage_platform::engine::{Engine, Order, OrderKind};
+
+use crate::agent::event::AgentEvent;
+use crate::agent::handle::AgentHandle;
+use crate::agent::permit::PermitAsker;
+use crate::timer::Clock;
+
+/// Gives an order, under a permit where it fetches weights, and tells the loop its end.
+pub(crate) async fn run_order(
+    engine: Arc<dyn Engine>,
+    handle: AgentHandle,
+    number: u64,
+    order: Order,
+    asker: Option<PermitAsker>,
+) {
+    let permit = match &asker {
+        Some(asker) => asker.acquire().await,
+        None => None,
+    };
+    let result = engine.order(order).await;
+    let paced_locally = asker.is_some() && permit.is_none();
+    let ended = AgentEvent::OrderEnded {
+        order: number,
+        result,
+        paced_locally,
+    };
+    handle.tell(ended).await;
+    if let (Some(asker), Some(permit)) = (asker, permit) {
+        asker.release(permit).await;
+    }
+}
+
+/// Tells the engine a fencing number and reads its status at once.
+pub(crate) async fn raise_fence(
+    engine: Arc<dyn Engine>,
+    handle: AgentHandle,
+    clock: Clock,
+    fence: u64,
+) {
+    let kind = OrderKind::Fence;
+    // The status shows whether it took effect.
+    let _answered = engine.order(Order { fence, kind }).await;
+    read_status(engine.as_ref(), &handle, clock).await;
+}
+
+/// Reads the engine's status and tells the loop; returns false where the loop has ended.
+pub(crate) async fn read_status(engine: &dyn Engine, handle: &AgentHandle, clock: Clock) -> bool {
+    let begun_ms = clock.now_ms();
+    let status = engine.status().await.ok();
+    handle
+        .tell(AgentEvent::EngineRead { begun_ms, status })
+        .await
+}
--- /dev/null
+++ b/crates/chicorystaged/src/agent/placement.rs
@@ -0,0 +1,168 @@
+//! The agent's slots: reading, following and giving them up.
+
+use std::sync::Arc;
+
+use chicorystage_api::name::ModelName;
+use chicorystage_api::peer::{PlacementAck, PlacementPush, PlacementRow};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::slots::Standing;
+use chicorystage_platform::BorderError;
+
+use crate::agent::event::{AgentEvent, SlotsRead};
+use crate::agent::main_loop::AgentLoop;
+use crate::agent::readiness::Readiness;
+use crate::agent::table_task;
+use crate::agent::target::Target;
+
+/// Delay after which slots may be readable, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+/// Time between two tries to give a slot up, in milliseconds.
+const GIVE_UP_RETRY_MS: u64 = 1_000;
+
+impl AgentLoop {
+    pub(super) fn slots_read(&mut self, result: Result<SlotsRead, BorderError>) {
+        match result {
+            Ok(read) => {
+                self.slots.read_all(read.table_version, read.rows);
+                let held = self.slots.held().count();
+                log::info!(event = "slots_read", table_version = read.table_version, held; "slots read");
+            }
+            Err(error) => {
+                if !self.slots_unreadable {
+                    log::warn!(event = "slots_unreadable", error:% = error; "slots cannot be read");
+                }
+                self.slots_unreadable = true;
+            }
+        }
+        self.dispatch_due = true;
+    }
+
+    pub(super) fn push_placements(&mut self, pushes: &[PlacementPush]) -> Vec<PlacementAck> {
+        let now_ms = self.clock.now_ms();
+        for push in pushes {
+            self.slots.push(push.row_version, &push.row);
+        }
+        self.unload_idle(now_ms);
+        self.dispatch_due = true;
+        let acks = pushes.iter().map(|push| {
+            let model = &push.row.model;
+            self.slots.ack(model, self.is_unloaded(model))
+        });
+        acks.collect()
+    }
+
+    /// Returns whether the engine certainly holds no replica of a model.
+    fn is_unloaded(&self, model: &ModelName) -> bool {
+        let is_rebuilt = self.fence.number().is_some();
+        is_rebuilt && self.replicas.of_model(model).next().is_none()
+    }
+
+    /// Reads the row that a grant speaks of, and tells where nothing may be loaded now.
+    pub(super) fn check_slot(&mut self, target: &Target) -> Option<Readiness> {
+        let model = &target.key.model;
+        let granted = target.granted_version;
+        let must_read =
+            self.slots.must_read(model, granted) && self.slot_reads.is_open(model, granted);
+        if must_read {
+            self.read_slot(model, granted);
+        }
+        let now_ms = self.clock.now_ms();
+        match self.slots.standing(model) {
+            Standing::Held => None,
+            Standing::Unread if self.replicas.of_model(model).next().is_some() => None,
+            Standing::Unread if self.slots_unreadable => {
+                let detail = "the agent could not read its slots yet";
+                Some(Readiness::Refused(not_placed(detail)))
+            }
+            Standing::Unread => Some(Readiness::Pending),
+            Standing::Revoking | Standing::Absent
+                if must_read && !self.slot_reads.has_failed(model, now_ms) =>
+            {
+                Some(Readiness::Pending)
+            }
+            Standing::Revoking | Standing::Absent => {
+                let detail = "the VM holds no slot of the model";
+                Some(Readiness::Refused(not_placed(detail)))
+            }
+        }
+    }
+
+    fn read_slot(&mut self, model: &ModelName, granted_version: u64) {
+        if !self.slot_reads.begin(model, self.clock.now_ms()) {
+            return;
+        }
+        let (table, handle) = (Arc::clone(&self.borders.table), self.handle.clone());
+        let model = model.clone();
+        tokio::spawn(async move {
+            let result = table_task::read_slot(table.as_ref(), &model).await;
+            let read = AgentEvent::SlotRead {
+                model,
+                granted_version,
+                result,
+            };
+            handle.tell(read).await;
+        });
+    }
+
+    pub(super) fn slot_read(
+        &mut self,
+        model: &ModelName,
+        granted_version: u64,
+        result: Result<Option<(u64, PlacementRow)>, BorderError>,
+    ) {
+        let now_ms = self.clock.now_ms();
+        let is_read = result.is_ok();
+        self.slot_reads.end(model, granted_version, is_read, now_ms);
+        // Where the read failed, a held slot is used as it is known.
+        if let Ok(found) = result {
+            self.slots.read_one(model, granted_version, found);
+        }
+        self.dispatch_due = true;
+    }
+
+    /// Gives up the slots of a leaving VM, each once nothing of the model is left.
+    pub(super) fn give_up_slots(&mut self, now_ms: u64) {
+        if !self.drain.is_leaving() {
+            return;
+        }
+        let kept: Vec<ModelName> = self.slots.kept().map(|(model, _)| model.clone()).collect();
+        for model in kept {
+            let last_try_ms = self.slots_being_given_up.get(&model);
+            let is_waiting =
+                last_try_ms.is_some_and(|ms| now_ms.saturating_sub(*ms) < GIVE_UP_RETRY_MS);
+            if is_waiting || !self.is_unloaded(&model) {
+                continue;
+            }
+            self.slots_being_given_up.insert(model.clone(), now_ms);
+            let (table, handle) = (Arc::clone(&self.borders.table), self.handle.clone());
+            let vm = self.daemon.vm.clone();
+            tokio::spawn(async move {
+                let result = table_task::give_up_slot(table.as_ref(), &model, &vm).await;
+                handle.tell(AgentEvent::SlotGivenUp { model, result }).await;
+            });
+        }
+    }
+
+    pub(super) fn slot_given_up(
+        &mut self,
+        model: &ModelName,
+        result: Result<Option<(u64, PlacementRow)>, BorderError>,
+    ) {
+        match result {
+            Ok(Some((row_version, row))) => {
+                self.slots.push(row_version, &row);
+                log::info!(event = "slot_given_up", model = model.as_str(), row_version; "slot given up");
+            }
+            Ok(None) => {
+                let row_version = self.slots.row_version(model) + 1;
+                self.slots.read_one(model, row_version, None);
+            }
+            // The next try reads the row again.
+            Err(_unknown) => {}
+        }
+    }
+}
+
+fn not_placed(detail: &str) -> Refusal {
+    Refusal::not_run(RefusalCode::NotPlaced, detail).retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/chicorystaged/src/agent/work.rs
@@ -0,0 +1,226 @@
+//! Attempts: accepting, recording and ending them.
+
+use std::sync::Arc;
+
+use chicorystage_api::peer::AttemptRef;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{AttemptRequest, Frame, Payload, WorkSpec};
+use chicorystage_core::queue::{Entry, Pushed};
+use tokio::sync::mpsc;
+
+use crate::agent::borders::Endpoint;
+use crate::agent::main_loop::AgentLoop;
+use crate::agent::running::Running;
+use crate::agent::target::Target;
+use crate::agent::waiting::Waiting;
+
+/// Weight of the newest service time in the smoothed one, as a divisor.
+const SMOOTHING: u64 = 8;
+/// Memory of a waiting attempt beside its text, in bytes.
+const ATTEMPT_OVERHEAD_BYTES: u64 = 512;
+/// Shortest and longest delay after which an overloaded agent is asked again, in milliseconds.
+const RETRY_AFTER_MS: (u64, u64) = (100, 10_000);
+
+impl AgentLoop {
+    pub(super) fn start(
+        &mut self,
+        request: AttemptRequest,
+        listener: mpsc::UnboundedSender<Frame>,
+    ) {
+        let attempt = AttemptRef {
+            request_id: request.request_id.clone(),
+            attempt: request.attempt,
+        };
+        if !self.attempts.begin(&attempt) {
+            // A second copy of the same message: the attempt runs once.
+            self.resume(&attempt, 0, listener);
+            return;
+        }
+        self.listeners.insert(attempt.clone(), vec![listener]);
+        if let Err(refusal) = self.admit(&request) {
+            return self.refuse(&attempt, refusal);
+        }
+        self.enqueue(attempt, request);
+        self.dispatch_due = true;
+    }
+
+    pub(super) fn resume(
+        &mut self,
+        attempt: &AttemptRef,
+        offset: u64,
+        listener: mpsc::UnboundedSender<Frame>,
+    ) -> bool {
+        let Some(record) = self.attempts.get(attempt) else {
+            return false;
+        };
+        for frame in record
+            .frames()
+            .iter()
+            .filter(|frame| frame.offset >= offset)
+        {
+            // A listener that has gone is dropped at the next frame.
+            let _sent = listener.send(frame.clone());
+        }
+        if !record.is_finished() {
+            let listeners = self.listeners.entry(attempt.clone()).or_default();
+            listeners.push(listener);
+        }
+        true
+    }
+
+    pub(super) fn cancel(&mut self, attempt: &AttemptRef) {
+        let taken = self
+            .queue
+            .take_where(|entry| entry.item.attempt == *attempt);
+        let detail = "the router gave the attempt up";
+        if !taken.is_empty() {
+            self.refuse(attempt, Refusal::not_run(RefusalCode::Cancelled, detail));
+        } else if self.is_stream(attempt) {
+            self.stop_stream(attempt);
+            self.refuse(
+                attempt,
+                Refusal::may_have_run(RefusalCode::Cancelled, detail),
+            );
+        }
+        // A call of a service cannot be stopped; it ends by itself.
+        self.dispatch_due = true;
+    }
+
+    /// Refuses completions whose deadline passed while they ran.
+    pub(super) fn expire_running(&mut self, now_ms: u64) {
+        let expired = self
+            .running
+            .iter()
+            .filter(|(_, running)| running.stream.is_some() && running.deadline_ms <= now_ms);
+        let expired: Vec<AttemptRef> = expired.map(|(attempt, _)| attempt.clone()).collect();
+        for attempt in expired {
+            self.stop_stream(&attempt);
+            let detail = "the deadline passed before the answer was complete";
+            self.refuse(
+                &attempt,
+                Refusal::may_have_run(RefusalCode::DeadlineExceeded, detail),
+            );
+        }
+    }
+
+    pub(super) fn refuse(&mut self, attempt: &AttemptRef, refusal: Refusal) {
+        self.output(attempt, Payload::Refused(refusal));
+    }
+
+    pub(super) fn output(&mut self, attempt: &AttemptRef, payload: Payload) {
+        let now_ms = self.clock.now_ms();
+        let is_final = payload.is_final();
+        if is_final {
+            self.end_running(attempt, now_ms);
+        }
+        let is_first = self
+            .attempts
+            .get(attempt)
+            .is_some_and(|record| record.frames().is_empty());
+        let load = (is_final || is_first).then(|| self.load());
+        let Some(frame) = self.attempts.append(attempt, payload, load, now_ms) else {
+            return;
+        };
+        if let Some(listeners) = self.listeners.get_mut(attempt) {
+            listeners.retain(|listener| listener.send(frame.clone()).is_ok());
+        }
+        if is_final {
+            self.listeners.remove(attempt);
+            self.dispatch_due = true;
+        }
+    }
+
+    /// Asks the engine to stop a stream and frees its place.
+    fn stop_stream(&mut self, attempt: &AttemptRef) {
+        let Some(running) = self.running.get(attempt) else {
+            return;
+        };
+        let (Some(stream), Endpoint::Engine(engine)) = (&running.stream, &self.borders.endpoint)
+        else {
+            return;
+        };
+        let (engine, stream_id) = (Arc::clone(engine), Arc::clone(&stream.stream_id));
+        tokio::spawn(async move {
+            // An engine that does not hear of it runs the stream to its end.
+            let _cancelled = engine.cancel(&stream_id).await;
+        });
+    }
+
+    fn is_stream(&self, attempt: &AttemptRef) -> bool {
+        self.running
+            .get(attempt)
+            .is_some_and(|running| running.stream.is_some())
+    }
+
+    fn end_running(&mut self, attempt: &AttemptRef, now_ms: u64) {
+        let Some(Running {
+            started_ms, stream, ..
+        }) = self.running.remove(attempt)
+        else {
+            return;
+        };
+        if let Some(stream) = stream {
+            self.replicas.release(&stream.used, now_ms);
+        }
+        let took_ms = now_ms.saturating_sub(started_ms);
+        self.service_time_ms = match self.service_time_ms {
+            0 => took_ms,
+            smoothed => (smoothed * (SMOOTHING - 1) + took_ms) / SMOOTHING,
+        };
+    }
+
+    fn enqueue(&mut self, attempt: AttemptRef, request: AttemptRequest) {
+        let now_ms = self.clock.now_ms();
+        let target = match &request.work {
+            WorkSpec::Completion(completion) => {
+                let granted = request.grant.as_ref().map_or(0, |grant| grant.row_version);
+                Some(Target::new(completion, granted))
+            }
+            WorkSpec::Service(_) => None,
+        };
+        if let Some(target) = &target {
+            self.policy.arrived(&target.key, now_ms);
+        }
+        let entry = Entry {
+            class: request.class,
+            caller: request.caller.clone(),
+            weight: request.weight,
+            deadline_ms: now_ms.saturating_add(request.time_left_ms),
+            queued_ms: now_ms,
+            bytes: ATTEMPT_OVERHEAD_BYTES + text_bytes(&request.work),
+            suspect: request.suspect,
+            item: Waiting {
+                attempt,
+                request,
+                target,
+            },
+        };
+        let given_up = match self.queue.push(entry) {
+            Pushed::Queued => Vec::new(),
+            Pushed::Displaced(given_up) => given_up,
+            Pushed::Full(entry) => vec![*entry],
+        };
+        for entry in given_up {
+            let detail = "the endpoint's queue is full";
+            let refusal = Refusal::not_run(RefusalCode::Overloaded, detail)
+                .retry_after_ms(self.retry_after_ms());
+            self.refuse(&entry.item.attempt, refusal);
+        }
+    }
+
+    /// Returns the delay after which a full queue has probably moved on.
+    pub(super) fn retry_after_ms(&self) -> u64 {
+        let queued = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
+        let rounds = queued / u64::from(self.places().max(1)) + 1;
+        let (shortest_ms, longest_ms) = RETRY_AFTER_MS;
+        (rounds * self.service_time_ms).clamp(shortest_ms, longest_ms)
+    }
+}
+
+fn text_bytes(work: &WorkSpec) -> u64 {
+    let len = match work {
+        WorkSpec::Completion(completion) => completion.prompt.len(),
+        WorkSpec::Service(call) => call.body_base64.len() + call.path.len(),
+    };
+    len as u64
+}
