--- /dev/null
+++ b/crates/chicorystage-testbed/tests/agent/router.rs
@@ -0,0 +1,142 @@
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use chicorystage_api::inventory::Snapshot;
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{
+    Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
+    QuarantineEntry, RevisionAck, RevisionHint, RouterStatus,
+};
+use chicorystage_platform::link::RouterLink;
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use tokio::time::sleep;
+
+/// A router that answers long polls and hands out permits as it is told.
+#[derive(Debug, Default)]
+pub struct TestRouter {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    snapshot: Option<Snapshot>,
+    permit_holder: Option<(VmId, SocketAddr)>,
+    asked: Vec<SocketAddr>,
+    released: Vec<u64>,
+}
+
+impl TestRouter {
+    pub fn set_inventory(&self, snapshot: Snapshot) {
+        self.lock().snapshot = Some(snapshot);
+    }
+
+    /// Lets one router hand out permits; the others name it.
+    pub fn set_permit_holder(&self, vm: &str, address: SocketAddr) {
+        self.lock().permit_holder = Some((vm.into(), address));
+    }
+
+    /// Returns the routers that were asked for a permit, in order.
+    pub fn asked(&self) -> Vec<SocketAddr> {
+        self.lock().asked.clone()
+    }
+
+    /// Returns the permits that were returned.
+    pub fn released(&self) -> Vec<u64> {
+        self.lock().released.clone()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    fn permit(&self, router: SocketAddr) -> Result<PermitAnswer, BorderError> {
+        let mut state = self.lock();
+        state.asked.push(router);
+        let (holder, address) = state.permit_holder.clone().ok_or_else(not_offered)?;
+        if address != router {
+            return Ok(PermitAnswer::Elsewhere { holder });
+        }
+        Ok(PermitAnswer::Granted {
+            permit_id: 7,
+            expires_in_ms: 10_000,
+        })
+    }
+}
+
+fn not_offered() -> BorderError {
+    BorderError::new(BorderErrorKind::Rejected, "method not found")
+}
+
+fn unused<T: Send + 'static>() -> BoxFuture<'static, Result<T, BorderError>> {
+    Box::pin(async { Err(not_offered()) })
+}
+
+impl RouterLink for TestRouter {
+    fn hint(
+        &self,
+        _router: SocketAddr,
+        _hint: RevisionHint,
+    ) -> BoxFuture<'_, Result<RevisionAck, BorderError>> {
+        unused()
+    }
+
+    fn changes(
+        &self,
+        _router: SocketAddr,
+        query: ChangesQuery,
+    ) -> BoxFuture<'_, Result<Changes, BorderError>> {
+        Box::pin(async move {
+            let snapshot = self.lock().snapshot.clone();
+            let newer = snapshot.filter(|snapshot| snapshot.revision > query.since_revision);
+            let Some(snapshot) = newer else {
+                sleep(Duration::from_millis(query.wait_ms.min(500))).await;
+                return Ok(Changes::Unchanged);
+            };
+            Ok(Changes::Whole { snapshot })
+        })
+    }
+
+    fn place(
+        &self,
+        _router: SocketAddr,
+        _request: PlaceRequest,
+    ) -> BoxFuture<'_, Result<Option<PlacementPush>, BorderError>> {
+        unused()
+    }
+
+    fn acquire_permit(
+        &self,
+        router: SocketAddr,
+        _request: PermitRequest,
+    ) -> BoxFuture<'_, Result<PermitAnswer, BorderError>> {
+        Box::pin(async move { self.permit(router) })
+    }
+
+    fn release_permit(
+        &self,
+        _router: SocketAddr,
+        permit_id: u64,
+    ) -> BoxFuture<'_, Result<(), BorderError>> {
+        Box::pin(async move {
+            self.lock().released.push(permit_id);
+            Ok(())
+        })
+    }
+
+    fn push_quarantine(
+        &self,
+        _router: SocketAddr,
+        _entries: Vec<QuarantineEntry>,
+    ) -> BoxFuture<'_, Result<(), BorderError>> {
+        unused()
+    }
+
+    fn status(&self, _router: SocketAddr) -> BoxFuture<'_, Result<RouterStatus, BorderError>> {
+        unused()
+    }
+
+    fn drain(&self, _router: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
+        unused()
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/agent/slots.rs
@@ -0,0 +1,146 @@
+//! Nothing is loaded without a slot that the table decided.
+
+use std::time::Duration;
+
+use chicorystage_api::peer::SlotState;
+use chicorystage_api::refusal::{Outcome, RefusalCode};
+use chicorystage_testbed::fakes::{FakeEngineConfig, TableFault};
+use googletest::prelude::*;
+use tokio::time::sleep;
+
+use crate::world::{VM, World, answer, grant, row, slots, write_slot};
+
+const HELD: &[(&str, SlotState)] = &[(VM, SlotState::Held)];
+const REVOKING: &[(&str, SlotState)] = &[(VM, SlotState::Revoking)];
+const ELSEWHERE: &[(&str, SlotState)] = &[("worker-2", SlotState::Held)];
+
+async fn start(models: &[&str]) -> World {
+    World::start(FakeEngineConfig::default(), models).await
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_model_without_a_slot_is_refused() {
+    let mut world = start(&[]).await;
+    let refused = world.ask("a").await;
+    expect_that!(
+        refused.refusal(),
+        some(eq((RefusalCode::NotPlaced, Outcome::NotRun)))
+    );
+    expect_that!(world.ledger.highest(&"a".into()), eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_grant_is_checked_in_the_table() {
+    let mut world = start(&[]).await;
+    let version = write_slot(&world.table, "a", HELD).await;
+    let mut request = world.request("a");
+    request.grant = Some(grant("a", version));
+    expect_that!(
+        answer(world.send(request).await).await.is_whole(),
+        is_true()
+    );
+
+    let version = write_slot(&world.table, "b", ELSEWHERE).await;
+    let mut request = world.request("b");
+    request.grant = Some(grant("b", version));
+    let refused = answer(world.send(request).await).await;
+    expect_that!(
+        refused.refusal().map(|(code, _)| code),
+        some(eq(RefusalCode::NotPlaced))
+    );
+    expect_that!(world.ledger.highest(&"b".into()), eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_delayed_push_does_not_bring_a_revoked_slot_back() {
+    let mut world = start(&["a"]).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    let revoked = write_slot(&world.table, "a", REVOKING).await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!((ack.held, ack.released), eq((false, false)));
+    sleep(Duration::from_millis(500)).await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!((ack.row_version, ack.released), eq((revoked, true)));
+    let ack = world.push(revoked - 1, row("a", HELD)).await;
+    expect_that!((ack.row_version, ack.held), eq((revoked, false)));
+    let refused = world.ask("a").await;
+    expect_that!(
+        refused.refusal().map(|(code, _)| code),
+        some(eq(RefusalCode::NotPlaced))
+    );
+    expect_that!(world.ledger.now(&"a".into()), eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_revoked_slot_is_released_only_after_running_work() {
+    let mut world = start(&["a"]).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    let mut request = world.request("a");
+    crate::world::work(&mut request).max_tokens = 1_000;
+    let running = world.send(request).await;
+    sleep(Duration::from_millis(100)).await;
+    let revoked = write_slot(&world.table, "a", REVOKING).await;
+    world.push(revoked, row("a", REVOKING)).await;
+    sleep(Duration::from_secs(1)).await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!(ack.released, is_false());
+    expect_that!(answer(running).await.is_whole(), is_true());
+    sleep(Duration::from_millis(500)).await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!(ack.released, is_true());
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_restarted_agent_serves_what_is_loaded_and_loads_nothing_while_the_table_is_down() {
+    let mut world = start(&["a", "b"]).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    world.table.set_fault(TableFault::Down);
+    world.restart();
+    sleep(Duration::from_millis(1_500)).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    let refused = world.ask("b").await;
+    expect_that!(
+        refused.refusal().map(|(code, _)| code),
+        some(eq(RefusalCode::NotPlaced))
+    );
+    let ack = world.push(99, row("b", HELD)).await;
+    expect_that!((ack.held, ack.released), eq((false, false)));
+    world.table.set_fault(TableFault::None);
+    sleep(Duration::from_millis(1_500)).await;
+    expect_that!(world.ask("b").await.is_whole(), is_true());
+    expect_that!(world.engine.report().overcommits, eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_held_slot_allows_cold_starts_while_the_table_is_down() {
+    let mut world = start(&["a"]).await;
+    world.table.set_fault(TableFault::Down);
+    let mut request = world.request("a");
+    request.grant = Some(grant("a", 99));
+    expect_that!(
+        answer(world.send(request).await).await.is_whole(),
+        is_true()
+    );
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_agent_that_has_not_read_its_engine_releases_nothing() {
+    let mut world = start(&["a"]).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    let revoked = write_slot(&world.table, "a", REVOKING).await;
+    world.restart();
+    tokio::task::yield_now().await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!(ack.released, is_false());
+    sleep(Duration::from_secs(2)).await;
+    let ack = world.push(revoked, row("a", REVOKING)).await;
+    expect_that!(ack.released, is_true());
+    expect_that!(slots(&world.table, "a").await, len(eq(1)));
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/agent/world.rs
@@ -0,0 +1,285 @@
+//! One agent and what surrounds it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::inventory::Class;
+use chicorystage_api::peer::{
+    AgentStatus, AttemptRef, PLACEMENT_ROW_PREFIX, PlacementAck, PlacementPush, PlacementRow, Slot,
+    SlotState,
+};
+use chicorystage_api::refusal::{Outcome, RefusalCode};
+use chicorystage_api::work::{AttemptRequest, Completion, Frame, Payload, SlotGrant, WorkSpec};
+use chicorystage_core::token;
+use chicorystage_platform::table::{CommitOutcome, Table, Transaction, Write};
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_testbed::fakes::{
+    FakeEngine, FakeEngineConfig, FakeTable, FakeVmList, FakeWeightStore, ReplicaLedger,
+};
+use chicorystaged::agent::borders::{AgentBorders, Endpoint};
+use chicorystaged::agent::event::AgentEvent;
+use chicorystaged::agent::handle::AgentHandle;
+use chicorystaged::agent::parts::AgentParts;
+use chicorystaged::settings::{AgentSettings, DaemonSettings, EndpointKind};
+use chicorystaged::timer::Clock;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::router::TestRouter;
+
+pub const GIB: u64 = 1 << 30;
+pub const VM: &str = "worker-1";
+/// Time in which an agent starts, in milliseconds.
+pub const START_MS: u64 = 1_500;
+const QUEUE_MAX: u32 = 8;
+
+pub struct World {
+    pub engine: FakeEngine,
+    pub ledger: Arc<ReplicaLedger>,
+    pub table: Arc<FakeTable>,
+    pub vms: Arc<FakeVmList>,
+    pub router: Arc<TestRouter>,
+    pub handle: AgentHandle,
+    pub running: JoinHandle<()>,
+    attempts: u32,
+}
+
+/// What came of one attempt.
+#[derive(Debug)]
+pub struct Answer {
+    pub text: String,
+    pub last: Payload,
+}
+
+impl Answer {
+    pub fn refusal(&self) -> Option<(RefusalCode, Outcome)> {
+        match &self.last {
+            Payload::Refused(refusal) => Some((refusal.code, refusal.outcome)),
+            _ => None,
+        }
+    }
+
+    pub fn is_whole(&self) -> bool {
+        matches!(self.last, Payload::End(_))
+    }
+}
+
+impl World {
+    /// Starts an agent that holds a slot of each of some models.
+    pub async fn start(config: FakeEngineConfig, models: &[&str]) -> Self {
+        let ledger = Arc::new(ReplicaLedger::new());
+        let weights = Arc::new(FakeWeightStore::new());
+        let engine = FakeEngine::with_shared(config, weights, Arc::clone(&ledger));
+        let table = Arc::new(FakeTable::new());
+        for model in models {
+            write_slot(&table, model, &[(VM, SlotState::Held)]).await;
+        }
+        let vms = Arc::new(FakeVmList::new());
+        vms.put(entry("entry-1", "entry", 1));
+        vms.put(entry("entry-2", "entry", 2));
+        vms.put(entry(VM, "colmena-llm", 3));
+        let router = Arc::new(TestRouter::default());
+        let parts = agent(&engine, &table, &vms, &router);
+        let world = Self {
+            engine,
+            ledger,
+            table,
+            vms,
+            router,
+            handle: parts.handle,
+            running: parts.running,
+            attempts: 0,
+        };
+        sleep(Duration::from_millis(START_MS)).await;
+        world
+    }
+
+    /// Kills the agent and starts another at once.
+    pub fn restart(&mut self) {
+        self.running.abort();
+        let parts = agent(&self.engine, &self.table, &self.vms, &self.router);
+        self.handle = parts.handle;
+        self.running = parts.running;
+    }
+
+    pub fn request(&mut self, model: &str) -> AttemptRequest {
+        self.attempts += 1;
+        let request_id = format!("r{}", self.attempts);
+        AttemptRequest {
+            request_id: request_id.as_str().into(),
+            attempt: 1,
+            caller: "field-agents".into(),
+            weight: 1,
+            class: Class::Standard,
+            time_left_ms: 20_000,
+            revision: 1,
+            digest: token::sha256(request_id.as_bytes()),
+            suspect: false,
+            grant: None,
+            claim: None,
+            work: WorkSpec::Completion(completion(model)),
+        }
+    }
+
+    pub async fn send(&self, request: AttemptRequest) -> mpsc::UnboundedReceiver<Frame> {
+        let (sender, frames) = mpsc::unbounded_channel();
+        let event = AgentEvent::Start {
+            request: Box::new(request),
+            frames: sender,
+        };
+        self.handle.tell(event).await;
+        frames
+    }
+
+    /// Sends a request for a model and waits for its whole answer.
+    pub async fn ask(&mut self, model: &str) -> Answer {
+        let request = self.request(model);
+        answer(self.send(request).await).await
+    }
+
+    pub async fn status(&self) -> AgentStatus {
+        let status = self.handle.ask(|reply| AgentEvent::Status { reply }).await;
+        status.expect("the agent runs")
+    }
+
+    pub async fn push(&self, row_version: u64, row: PlacementRow) -> PlacementAck {
+        let pushes = vec![PlacementPush { row_version, row }];
+        let acks = self
+            .handle
+            .ask(|reply| AgentEvent::PushPlacements { pushes, reply })
+            .await;
+        acks.expect("the agent runs").remove(0)
+    }
+}
+
+/// Collects an answer until its final frame.
+pub async fn answer(mut frames: mpsc::UnboundedReceiver<Frame>) -> Answer {
+    let mut text = String::new();
+    while let Some(frame) = frames.recv().await {
+        match frame.payload {
+            Payload::Token(token) => text.push_str(&token),
+            last if last.is_final() => return Answer { text, last },
+            _ => {}
+        }
+    }
+    panic!("the frames ended without a final one after {text:?}");
+}
+
+pub fn reference(request: &AttemptRequest) -> AttemptRef {
+    AttemptRef {
+        request_id: request.request_id.clone(),
+        attempt: request.attempt,
+    }
+}
+
+pub fn completion(model: &str) -> Completion {
+    Completion {
+        model: model.into(),
+        version: "v1".into(),
+        adapter: None,
+        model_memory_bytes: 50 * GIB,
+        adapter_memory_bytes: 0,
+        prompt: "is lot 12 dry enough".into(),
+        max_tokens: 20,
+    }
+}
+
+/// Returns a request's completion for changes.
+pub fn work(request: &mut AttemptRequest) -> &mut Completion {
+    match &mut request.work {
+        WorkSpec::Completion(work) => work,
+        WorkSpec::Service(_) => unreachable!("requests of this world are completions"),
+    }
+}
+
+pub fn grant(model: &str, row_version: u64) -> SlotGrant {
+    SlotGrant {
+        model: model.into(),
+        row_version,
+    }
+}
+
+pub fn row(model: &str, slots: &[(&str, SlotState)]) -> PlacementRow {
+    let slots = slots.iter().map(|(vm, state)| Slot {
+        vm: (*vm).into(),
+        state: *state,
+    });
+    PlacementRow {
+        model: model.into(),
+        slots: slots.collect(),
+    }
+}
+
+/// Writes a placement row and returns its version.
+pub async fn write_slot(table: &FakeTable, model: &str, slots: &[(&str, SlotState)]) -> u64 {
+    let value = serde_json::to_string(&row(model, slots)).expect("rows serialise");
+    let write = Write {
+        key: format!("{PLACEMENT_ROW_PREFIX}{model}").into(),
+        value: Some(value.into()),
+    };
+    let transaction = Transaction {
+        id: "test".into(),
+        checks: Vec::new(),
+        writes: vec![write],
+    };
+    match table.commit(transaction).await {
+        Ok(CommitOutcome::Applied { version }) => version,
+        other => panic!("commit: {other:?}"),
+    }
+}
+
+/// Returns the slots of a model in the table.
+pub async fn slots(table: &FakeTable, model: &str) -> Vec<Slot> {
+    let row = table.get(&format!("{PLACEMENT_ROW_PREFIX}{model}")).await;
+    let row = row.expect("the table is up").expect("the row exists");
+    let row: PlacementRow = serde_json::from_str(&row.value).expect("rows parse");
+    row.slots
+}
+
+pub fn address(i: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + i))
+}
+
+fn entry(id: &str, group: &str, i: u16) -> VmEntry {
+    VmEntry {
+        id: id.into(),
+        address: address(i),
+        zone: "huehue-a".into(),
+        group: group.into(),
+        state: VmState::Live,
+    }
+}
+
+fn agent(
+    engine: &FakeEngine,
+    table: &Arc<FakeTable>,
+    vms: &Arc<FakeVmList>,
+    router: &Arc<TestRouter>,
+) -> AgentParts {
+    let daemon = DaemonSettings {
+        vm: VM.into(),
+        zone: "huehue-a".into(),
+        group: "colmena-llm".into(),
+    };
+    let settings = AgentSettings {
+        endpoint_kind: EndpointKind::Engine,
+        endpoint: address(9),
+        router_group: "entry".into(),
+        service_concurrent_max: 4,
+        queue_max: QUEUE_MAX,
+        queue_bytes_max: 1 << 20,
+        order_timeout_ms: 60_000,
+        service_timeout_ms: 1_000,
+        finished_kept_ms: 60_000,
+        drain_max_ms: 60_000,
+    };
+    let borders = AgentBorders {
+        table: Arc::clone(table) as _,
+        vm_list: Arc::clone(vms) as _,
+        routers: Arc::clone(router) as _,
+        endpoint: Endpoint::Engine(Arc::new(engine.clone())),
+    };
+    AgentParts::start(daemon, settings, borders, Clock::start())
+}
