--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -3,12 +3,16 @@
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::inventory::{CallerItem, Snapshot};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus};
+use chicorystage_api::peer::{PlacementPush, QuarantineEntry, RouterStatus};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
+use crate::router::inventory::InventoryEvent;
+use crate::router::permits::PermitEvent;
+use crate::router::planner::PlannerEvent;
+
 /// One event of the router's main loop.
 #[derive(Debug)]
 pub enum RouterEvent {
@@ -52,6 +56,24 @@
         /// Why.
         refusal: Refusal,
     },
+    /// An event of the inventory's part.
+    Inventory(InventoryEvent),
+    /// A router or operator delivers quarantined digests.
+    PushQuarantine {
+        /// The digests.
+        entries: Vec<QuarantineEntry>,
+        /// Receives the acknowledgement once they are in force.
+        reply: oneshot::Sender<()>,
+    },
+    /// An operator asks for a graceful stop.
+    Drain {
+        /// Receives the acknowledgement; dropped where it cannot be done.
+        reply: oneshot::Sender<()>,
+    },
+    /// The planner has news or a question.
+    Planner(PlannerEvent),
+    /// An agent asks for or returns a permit.
+    Permit(PermitEvent),
     /// Somebody asks for the router's state.
     Status {
         /// Receives the state.
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -5,18 +5,19 @@
 
 use chicorystage_api::inventory::{CallerItem, ModelRef};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlacementPush, RouterStatus, SlotState};
+use chicorystage_api::peer::{PlaceRequest, PlacementPush, RouterStatus, SlotState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::SlotGrant;
 use chicorystage_core::inventory::InventoryState;
-use chicorystage_core::rendezvous;
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
 use crate::router::handle::RouterHandle;
-use crate::router::placing;
+use crate::router::inventory::Spread;
+use crate::router::permits::PermitState;
+use crate::router::planner::{PlannerState, PlannerView, refresh};
 use crate::settings::{DaemonSettings, RouterSettings};
 use crate::timer::Clock;
 
@@ -41,11 +42,13 @@
     handle: RouterHandle,
     clock: Clock,
     inventory: InventoryState,
-    confirmed_ms: Option<u64>,
+    spread: Spread,
     vms: HashMap<VmId, VmEntry>,
     placements: HashMap<ModelName, PlacementPush>,
     waiting: HashMap<ModelName, Vec<Waiting>>,
     in_flight: HashMap<VmId, u32>,
+    planner: PlannerState,
+    permits: PermitState,
 }
 
 impl RouterLoop {
@@ -58,6 +61,14 @@
         handle: RouterHandle,
         clock: Clock,
     ) -> Self {
+        let spread = Spread::new(
+            (daemon.vm.clone(), daemon.group.clone()),
+            settings.freshness_max_ms,
+            borders.clone(),
+            handle.clone(),
+            clock,
+        );
+        let planner = PlannerState::new(borders.clone(), handle.clone());
         Self {
             daemon,
             _settings: settings,
@@ -65,16 +76,20 @@
             handle,
             clock,
             inventory: InventoryState::default(),
-            confirmed_ms: None,
+            spread,
             vms: HashMap::new(),
             placements: HashMap::new(),
             waiting: HashMap::new(),
             in_flight: HashMap::new(),
+            planner,
+            permits: PermitState::new(),
         }
     }
 
     /// Runs until every handle is gone.
     pub async fn run(mut self, mut events: mpsc::Receiver<RouterEvent>) {
+        let table = Arc::clone(&self.borders.table);
+        tokio::spawn(refresh::run(table, self.handle.clone(), self.clock));
         while let Some(event) = events.recv().await {
             self.on_event(event);
         }
@@ -98,13 +113,16 @@
             } => self.choose(&group, model, avoid, reply),
             RouterEvent::AttemptEnded { vm, .. } => self.attempt_ended(&vm),
             RouterEvent::InventoryRead(snapshot) => {
-                self.confirmed_ms = Some(self.clock.now_ms());
-                if self.inventory.replace(snapshot) {
-                    log::info!(event = "inventory_in_force", revision = self.inventory.revision(); "inventory in force");
-                }
+                self.spread.whole_read(&mut self.inventory, snapshot);
             }
+            RouterEvent::Inventory(event) => self.spread.on_event(event, &mut self.inventory),
+            // Dropping the reply tells the asker that this router cannot.
+            RouterEvent::PushQuarantine { .. } | RouterEvent::Drain { .. } => {}
             RouterEvent::VmsRead(vms) => {
                 self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+                self.spread.vms_read(&self.vms);
+                let (planner, _, view) = self.planning();
+                planner.vms_read(view);
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
@@ -112,6 +130,14 @@
                     let _sent = waiting.reply.send(Err(refusal.clone()));
                 }
             }
+            RouterEvent::Planner(event) => {
+                let (planner, _, view) = self.planning();
+                planner.on_event(view, event);
+            }
+            RouterEvent::Permit(event) => {
+                let (_, permits, view) = self.planning();
+                permits.on_event(view, event);
+            }
             RouterEvent::Status { reply } => {
                 let _sent = reply.send(self.status());
             }
@@ -119,6 +145,9 @@
     }
 
     fn admit(&self, token_sha256: &Digest, target: Target) -> Result<Admission, Refusal> {
+        if !self.spread.admits(self.clock.now_ms()) {
+            return Err(stale_rules());
+        }
         let Some(caller) = self.inventory.caller_by_token(token_sha256) else {
             return Err(Refusal::not_run(
                 RefusalCode::Unauthenticated,
@@ -227,7 +256,7 @@
         let waiting = self.waiting.entry(model.clone()).or_default();
         waiting.push(Waiting { avoid, reply });
         if waiting.len() == 1 {
-            self.start_placing(group, model);
+            self.start_placing(model);
         }
     }
 
@@ -266,35 +295,28 @@
         Choice { vm, grant }
     }
 
-    fn start_placing(&self, group: &GroupName, model: ModelName) {
-        let live = self
-            .vms
-            .values()
-            .filter(|vm| vm.group == *group && vm.state == VmState::Live);
-        let mut candidates: Vec<VmId> = live.map(|vm| vm.id.clone()).collect();
-        rendezvous::rank(model.as_str(), &mut candidates, VmId::as_str);
-        let addresses: HashMap<VmId, VmEntry> = self.vms.clone();
-        let borders = self.borders.clone();
-        let handle = self.handle.clone();
-        tokio::spawn(async move {
-            let event = match placing::read_or_decide(&*borders.table, &model, &candidates).await {
-                Ok(push) => {
-                    for slot in &push.row.slots {
-                        let Some(vm) = addresses.get(&slot.vm) else {
-                            continue;
-                        };
-                        // An agent that misses the push reads its slots from the table.
-                        let _acked = borders
-                            .agents
-                            .push_placements(vm.address, vec![push.clone()])
-                            .await;
-                    }
-                    RouterEvent::PlacementRead(push)
-                }
-                Err(refusal) => RouterEvent::PlacementFailed { model, refusal },
-            };
-            handle.tell(event).await;
-        });
+    fn start_placing(&mut self, model: ModelName) {
+        let request = PlaceRequest {
+            model,
+            additional: false,
+            avoid: Vec::new(),
+            seen_row_version: 0,
+        };
+        let (planner, _, view) = self.planning();
+        planner.need(view, request);
+    }
+
+    /// Splits the loop into the planner, the permits and what they decide by.
+    fn planning(&mut self) -> (&mut PlannerState, &mut PermitState, PlannerView<'_>) {
+        let view = PlannerView {
+            own_vm: &self.daemon.vm,
+            own_group: &self.daemon.group,
+            inventory: &self.inventory,
+            vms: &self.vms,
+            placements: &self.placements,
+            now_ms: self.clock.now_ms(),
+        };
+        (&mut self.planner, &mut self.permits, view)
     }
 
     fn placement_read(&mut self, push: PlacementPush) {
@@ -324,18 +346,21 @@
             vm: self.daemon.vm.clone(),
             zone: self.daemon.zone.clone(),
             revision: self.inventory.revision(),
-            confirmed_age_ms: self
-                .confirmed_ms
-                .map_or(now_ms, |confirmed_ms| now_ms - confirmed_ms),
-            ready: self.inventory.revision() > 0 && !self.vms.is_empty(),
+            confirmed_age_ms: self.spread.confirmed_age_ms(now_ms),
+            ready: self.spread.admits(now_ms) && !self.vms.is_empty(),
             leaving: false,
-            table_up: true,
+            table_up: self.spread.table_up(),
             in_progress: self.in_flight.values().sum(),
             quarantined: 0,
         }
     }
 }
 
+fn stale_rules() -> Refusal {
+    let detail = "this router cannot confirm that its rules are still in force";
+    Refusal::not_run(RefusalCode::StaleRules, detail).retry_after_ms(RETRY_AFTER_MS)
+}
+
 fn no_endpoint() -> Refusal {
     let detail = Arc::<str>::from("no endpoint can take the request now");
     Refusal::not_run(RefusalCode::NoEndpoint, detail).retry_after_ms(RETRY_AFTER_MS)
