--- a/crates/chicorystaged/src/agent/admission.rs
+++ b/crates/chicorystaged/src/agent/admission.rs
@@ -2,11 +2,11 @@
 
 use std::borrow::Borrow;
 
-use chicorystage_api::inventory::{ChangeRecord, Item, ItemKey, ItemKind, ItemRow, Snapshot};
+use chicorystage_api::inventory::{Item, ItemKey, ItemKind};
 use chicorystage_api::peer::Changes;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, Completion, WorkSpec};
-use chicorystage_core::inventory::InventoryState;
+use chicorystage_core::inventory::Applied;
 
 use crate::agent::borders::Endpoint;
 use crate::agent::main_loop::AgentLoop;
@@ -39,7 +39,7 @@
             Changes::Tail { records } => {
                 let mut is_newer = false;
                 for record in records {
-                    is_newer |= self.inventory.replace(after(&self.inventory, record));
+                    is_newer |= self.inventory.apply(&record) == Applied::Advanced;
                 }
                 is_newer
             }
@@ -137,22 +137,3 @@
         .iter()
         .any(|entry| entry.borrow() == ALL || entry.borrow() == name)
 }
-
-/// Returns the inventory after the next record of the change log.
-fn after(inventory: &InventoryState, record: ChangeRecord) -> Snapshot {
-    let mut snapshot = inventory.snapshot();
-    if record.revision != snapshot.revision + 1 {
-        return snapshot;
-    }
-    snapshot.revision = record.revision;
-    for entry in record.items {
-        snapshot.rows.retain(|row| row.item.key() != entry.key);
-        snapshot.rows.extend(entry.item.map(|item| ItemRow {
-            item,
-            revision: record.revision,
-            change_id: record.change_id.clone(),
-            operator: record.operator.clone(),
-        }));
-    }
-    snapshot
-}
