--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -12,9 +12,11 @@
 //! * [`choice`]: which endpoint a request goes to.
 //! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`drain`]: when a leaving agent may exit.
+//! * [`evict`]: which replicas give way when memory is needed.
 //! * [`fence`]: when an agent may give orders, and under which number.
 //! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
+//! * [`keep_alive`]: how long idle replicas stay, and when they return.
 //! * [`ledger`]: reservations of accelerator memory.
 //! * [`limits`]: rate and concurrency of a caller.
 //! * [`permit`]: pacing of fetches from the weight store.
@@ -39,9 +41,11 @@
 pub mod choice;
 pub mod claim;
 pub mod drain;
+pub mod evict;
 pub mod fence;
 pub mod freshness;
 pub mod inventory;
+pub mod keep_alive;
 pub mod ledger;
 pub mod limits;
 pub mod permit;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/deployment/started.rs
@@ -0,0 +1,169 @@
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::deployment::{ChildProcess, DeploymentConfig, Node};
+use crate::settings_text::DaemonText;
+
+/// Number of deployments that this process has started.
+static STARTED: AtomicU32 = AtomicU32::new(0);
+
+/// A running system with its stand-ins.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What it consists of.
+    pub config: DeploymentConfig,
+    /// Address of the platform's stand-in.
+    pub platform: SocketAddr,
+    /// Routers.
+    pub routers: Vec<Node>,
+    /// Agents: first those with an engine, then those with a service.
+    pub agents: Vec<Node>,
+    standins: Vec<ChildProcess>,
+    pub(super) directory: PathBuf,
+}
+
+impl Deployment {
+    /// Starts all processes; waits until the routers listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a process does not start.
+    pub async fn start(config: DeploymentConfig) -> anyhow::Result<Self> {
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("chicorystage-testbed-{}-{number}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&directory)?;
+        let mut standins = Vec::new();
+        let platform = start_standin(&config.program, "platform", &[], &mut standins).await?;
+        let mut deployment = Self {
+            config,
+            platform,
+            routers: Vec::new(),
+            agents: Vec::new(),
+            standins,
+            directory,
+        };
+        // The list names every VM before the first router reads it.
+        let planned = deployment.plan().await?;
+        for (is_router, text) in planned {
+            deployment.start_node(is_router, text)?;
+        }
+        for router in &mut deployment.routers {
+            router.wait_until_listening().await?;
+        }
+        Ok(deployment)
+    }
+
+    /// Waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails where one does not become ready.
+    pub async fn wait_until_ready(&mut self) -> anyhow::Result<()> {
+        for node in self.routers.iter_mut().chain(&mut self.agents) {
+            node.wait_until_ready().await?;
+        }
+        Ok(())
+    }
+
+    /// Adds a router and lists its VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails where its process does not start.
+    pub async fn add_router(&mut self) -> anyhow::Result<()> {
+        let text = self.plan_router(self.routers.len()).await?;
+        self.start_node(true, text)
+    }
+
+    /// Adds an agent beside an endpoint and lists its VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails where its process does not start.
+    pub async fn add_agent(
+        &mut self,
+        kind: &str,
+        endpoint: SocketAddr,
+        group: &str,
+    ) -> anyhow::Result<()> {
+        let text = self
+            .plan_agent(self.agents.len(), kind, endpoint, group)
+            .await?;
+        self.start_node(false, text)
+    }
+
+    /// Starts the stand-in of the engine with a number.
+    ///
+    /// # Errors
+    ///
+    /// Fails where its process does not start.
+    pub async fn start_engine(&mut self, i: usize) -> anyhow::Result<SocketAddr> {
+        let mut arguments = vec![
+            "--platform".into(),
+            self.platform.to_string().into(),
+            "--memory-gib".into(),
+            self.config.engine_memory_gib.to_string().into(),
+        ];
+        if self.config.some_ignore_fencing && i % 2 == 1 {
+            arguments.push("--ignore-fencing".into());
+        }
+        self.standin("engine", &arguments).await
+    }
+
+    /// Stops everything gracefully, daemons before stand-ins.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a process does not end well.
+    pub async fn stop(mut self) -> anyhow::Result<()> {
+        for node in self.routers.iter_mut().chain(&mut self.agents) {
+            node.process.stop().await?;
+        }
+        for standin in &mut self.standins {
+            standin.stop().await?;
+        }
+        Ok(())
+    }
+
+    pub(super) async fn standin(
+        &mut self,
+        kind: &str,
+        arguments: &[OsString],
+    ) -> anyhow::Result<SocketAddr> {
+        start_standin(&self.config.program, kind, arguments, &mut self.standins).await
+    }
+
+    fn start_node(&mut self, is_router: bool, text: DaemonText) -> anyhow::Result<()> {
+        let node = Node::start(&self.config.program, &self.directory, text)?;
+        if is_router {
+            self.routers.push(node);
+        } else {
+            self.agents.push(node);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // A settings file that stays behind in the temporary directory does no harm.
+        let _removed = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+async fn start_standin(
+    program: &PathBuf,
+    kind: &str,
+    arguments: &[OsString],
+    standins: &mut Vec<ChildProcess>,
+) -> anyhow::Result<SocketAddr> {
+    let mut all: Vec<OsString> = vec!["standin".into(), kind.into()];
+    all.extend_from_slice(arguments);
+    let mut child = ChildProcess::start(program, kind, &all)?;
+    let address = child.printed_address().await?;
+    standins.push(child);
+    Ok(address)
+}
--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -18,6 +18,7 @@
 use chicorystage_api::work::Payload;
 use chicorystage_core::token;
 use chicorystage_platform::http::RpcRouterLink;
+use chicorystage_platform::table::{Table, Transaction, Write};
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
 use chicorystaged::router::borders::RouterBorders;
@@ -70,8 +71,10 @@
         agents: Arc::clone(&scripted) as _,
         routers: Arc::new(RpcRouterLink::new(1, 1)),
     };
+    let inventory = inventory(caller);
+    store(&table, &inventory).await;
     let parts = RouterParts::start(&daemon(), &settings(), borders, Clock::start());
-    let snapshot = RouterEvent::InventoryRead(inventory(caller));
+    let snapshot = RouterEvent::InventoryRead(inventory);
     parts.handle.tell(snapshot).await;
     let listed = RouterEvent::VmsRead(
         chicorystage_platform::vm_list::VmList::read(&*vms)
@@ -198,6 +201,20 @@
     }
 }
 
+/// Writes the item rows, by which slots are capped.
+async fn store(table: &FakeTable, inventory: &Snapshot) {
+    let writes = inventory.rows.iter().map(|row| Write {
+        key: row.item.key().row_key().into(),
+        value: Some(serde_json::to_string(row).unwrap().into()),
+    });
+    let transaction = Transaction {
+        id: "inventory".into(),
+        checks: Vec::new(),
+        writes: writes.collect(),
+    };
+    table.commit(transaction).await.unwrap();
+}
+
 fn daemon() -> DaemonSettings {
     DaemonSettings {
         vm: "entry-1".into(),
--- a/crates/chicorystaged/src/router/internal_rpc.rs
+++ b/crates/chicorystaged/src/router/internal_rpc.rs
@@ -10,6 +10,8 @@
 use crate::router::event::RouterEvent;
 use crate::router::handle::RouterHandle;
 use crate::router::inventory::InventoryEvent;
+use crate::router::permits::PermitEvent;
+use crate::router::planner::PlannerEvent;
 
 /// Answers control calls of routers, agents and operators.
 #[derive(Clone, Debug)]
@@ -40,18 +42,21 @@
     }
 
     async fn place(&self, request: PlaceRequest) -> RpcResult<Option<PlacementPush>> {
-        self.ask(|reply| RouterEvent::Place { request, reply })
+        self.ask(|reply| RouterEvent::Planner(PlannerEvent::Place { request, reply }))
             .await
     }
 
     async fn acquire_permit(&self, request: PermitRequest) -> RpcResult<PermitAnswer> {
-        self.ask(|reply| RouterEvent::AcquirePermit { request, reply })
+        self.ask(|reply| RouterEvent::Permit(PermitEvent::Acquire { request, reply }))
             .await
     }
 
     async fn release_permit(&self, permit_id: u64) -> RpcResult<()> {
-        self.ask(|reply| RouterEvent::ReleasePermit { permit_id, reply })
-            .await
+        let event = RouterEvent::Permit(PermitEvent::Release { permit_id });
+        if !self.handle.tell(event).await {
+            return Err(unanswered());
+        }
+        Ok(())
     }
 
     async fn push_quarantine(&self, entries: Vec<QuarantineEntry>) -> RpcResult<()> {
