A model whose slots cannot be used gets a further one

Ruled out: retrying the same VM only, which ends in the same refusal. Change: a request that finds no slot beyond those it tried asks the planner for another and waits for it; an estimated wait above 250 ms asks for one in the background, once a second for each model.

--- a/crates/chicorystage-testbed/tests/serving_faults.rs
+++ b/crates/chicorystage-testbed/tests/serving_faults.rs
@@ -8,14 +8,14 @@
     PLACEMENT_ROW_PREFIX, QUARANTINE_ROW_PREFIX, QuarantineEntry, TraceEnd, TraceEvent,
 };
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::AttemptRequest;
+use chicorystage_api::work::{AttemptRequest, EndpointLoad};
 use chicorystage_platform::table::{Table, Transaction, Write};
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use serving_world::script::Breaks;
 use serving_world::{Act, World, caller, request, world, world_with};
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep};
 
 const POISON: &str = "crash please";
 const PROMPT: &str = "is lot 12 dry enough";
@@ -300,3 +300,61 @@
         expect_that!(text, contains_substring(line));
     }
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn only_slot_on_a_vm_that_takes_nothing_is_joined_by_another() {
+    for code in [RefusalCode::Leaving, RefusalCode::MemoryFull] {
+        let script = move |request: &AttemptRequest, _: &VmId| {
+            if request.attempt == 1 {
+                return Act::refused(&[], Refusal::not_run(code, "not here"));
+            }
+            Act::whole(&["fine"])
+        };
+        let world = world(3, script).await;
+        world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+        let started = world.agents.started();
+        expect_that!(started.len(), eq(2));
+        expect_that!(started[0].0, not(eq(&started[1].0)));
+    }
+}
+
+fn busy() -> EndpointLoad {
+    EndpointLoad {
+        running: 4,
+        queued: 36,
+        service_time_ms: 100,
+        slots: 4,
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn request_that_cannot_be_in_time_is_refused_at_once() {
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&["fine"])).await;
+    world.agents.report(busy());
+    world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    let start = Instant::now();
+    let refusal = world.whole(PROMPT, 500).await.unwrap_err();
+    expect_that!(refusal.code, eq(RefusalCode::DeadlineUnreachable));
+    expect_that!(refusal.outcome, eq(Outcome::NotRun));
+    expect_that!(refusal.retry_after_ms, some(gt(0)));
+    expect_that!(start.elapsed(), lt(Duration::from_millis(500)));
+    expect_that!(world.agents.started().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn crowded_model_gets_a_further_slot() {
+    let world = world(3, |_: &AttemptRequest, _: &VmId| Act::whole(&["fine"])).await;
+    world.agents.report(busy());
+    for _ in 0..4 {
+        world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+        sleep(Duration::from_millis(200)).await;
+    }
+    let started = world.agents.started();
+    let mut vms: Vec<&VmId> = started.iter().map(|(vm, _)| vm).collect();
+    vms.sort();
+    vms.dedup();
+    expect_that!(vms.len(), eq(2));
+}
--- a/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -31,6 +31,7 @@
     resumed: Vec<(u32, u64)>,
     cancelled: Vec<AttemptRef>,
     quarantined: Vec<QuarantineEntry>,
+    load: Option<EndpointLoad>,
 }
 
 impl ScriptedAgents {
@@ -42,6 +43,11 @@
         }
     }
 
+    /// Makes every agent report this load with its answers.
+    pub fn report(&self, load: EndpointLoad) {
+        self.lock().load = Some(load);
+    }
+
     /// Returns the attempts that agents were sent.
     pub fn started(&self) -> Vec<(VmId, AttemptRequest)> {
         self.lock().started.clone()
@@ -66,6 +72,7 @@
 
     fn connect(&self, attempt: &AttemptRef, offset: u64) -> Option<FrameStream> {
         let mut state = self.lock();
+        let load = state.load;
         let (payloads, breaks) = state.attempts.get_mut(attempt)?;
         let breaks = if breaks.is_empty() {
             Breaks::Never
@@ -75,7 +82,7 @@
         let frames = payloads.iter().zip(0..).map(|(payload, offset)| Frame {
             attempt: attempt.attempt,
             offset,
-            load: None,
+            load,
             payload: payload.clone(),
         });
         let frames = frames.skip(usize::try_from(offset).unwrap()).collect();
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -8,7 +8,7 @@
 
 use chicorystage_api::inventory::{CallerItem, ModelRef};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlaceRequest, PlacementPush, RouterStatus};
+use chicorystage_api::peer::{PlacementPush, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_core::inventory::InventoryState;
 use chicorystage_platform::vm_list::VmEntry;
@@ -160,9 +160,7 @@
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
-                for waiting in self.waiting.remove(&model).unwrap_or_default() {
-                    let _sent = waiting.reply.send(Err(refusal.clone()));
-                }
+                self.placement_failed(&model, &refusal);
             }
             RouterEvent::Planner(event) => {
                 let (planner, _, view) = self.planning();
@@ -267,35 +265,6 @@
         }
     }
 
-    fn choose(&mut self, request: ChooseRequest, reply: oneshot::Sender<Result<Choice, Refusal>>) {
-        let Some(model) = request.model.clone() else {
-            let choice = self.choose_any(&request);
-            let _sent = reply.send(choice);
-            return;
-        };
-        if self.placements.contains_key(&model) {
-            let choice = self.choose_slot(&model, &request);
-            let _sent = reply.send(choice);
-            return;
-        }
-        let waiting = self.waiting.entry(model.clone()).or_default();
-        waiting.push(Waiting { request, reply });
-        if waiting.len() == 1 {
-            self.start_placing(model);
-        }
-    }
-
-    fn start_placing(&mut self, model: ModelName) {
-        let request = PlaceRequest {
-            model,
-            additional: false,
-            avoid: Vec::new(),
-            seen_row_version: 0,
-        };
-        let (planner, _, view) = self.planning();
-        planner.need(view, request);
-    }
-
     /// Splits the loop into the planner, the permits and what they decide by.
     fn planning(&mut self) -> (&mut PlannerState, &mut PermitState, PlannerView<'_>) {
         let view = PlannerView {
@@ -309,21 +278,6 @@
         (&mut self.planner, &mut self.permits, view)
     }
 
-    fn placement_read(&mut self, push: PlacementPush) {
-        let model = push.row.model.clone();
-        let known = self
-            .placements
-            .get(&model)
-            .map_or(0, |known| known.row_version);
-        if push.row_version > known {
-            self.placements.insert(model.clone(), push);
-        }
-        for waiting in self.waiting.remove(&model).unwrap_or_default() {
-            let choice = self.choose_slot(&model, &waiting.request);
-            let _sent = waiting.reply.send(choice);
-        }
-    }
-
     fn status(&self) -> RouterStatus {
         let now_ms = self.clock.now_ms();
         RouterStatus {
--- a/crates/chicorystaged/src/router/main_loop/choosing.rs
+++ b/crates/chicorystaged/src/router/main_loop/choosing.rs
@@ -1,42 +1,127 @@
 //! Choosing the endpoint of an attempt.
 
-use chicorystage_api::name::ModelName;
-use chicorystage_api::peer::SlotState;
+use chicorystage_api::name::{ModelName, VmId};
+use chicorystage_api::peer::{PlaceRequest, PlacementPush, SlotState};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::SlotGrant;
 use chicorystage_core::choice::Candidate;
 use chicorystage_core::rendezvous;
 use chicorystage_platform::vm_list::{VmEntry, VmState};
+use tokio::sync::oneshot;
 
 use crate::router::event::Choice;
-use crate::router::main_loop::{RouterLoop, no_endpoint};
+use crate::router::main_loop::{RouterLoop, Waiting, no_endpoint};
 use crate::router::serving::{ChooseRequest, Flight};
 
+type Reply = oneshot::Sender<Result<Choice, Refusal>>;
+
 impl RouterLoop {
-    pub(super) fn choose_any(&mut self, request: &ChooseRequest) -> Result<Choice, Refusal> {
+    /// Chooses an endpoint, or asks the planner for a slot and lets the request wait.
+    pub(super) fn choose(&mut self, request: ChooseRequest, reply: Reply) {
+        let Some(model) = request.model.clone() else {
+            let choice = self.choose_any(&request);
+            let _sent = reply.send(choice);
+            return;
+        };
+        if self.lacks_slot(&model, &request) {
+            self.wait_for_slot(&model, request, reply);
+            return;
+        }
+        let choice = self.choose_slot(&model, &request);
+        if self
+            .serving
+            .is_crowded(self.clock.now_ms(), &model, &choice)
+        {
+            self.ask_for_slot(&model);
+        }
+        let _sent = reply.send(choice);
+    }
+
+    /// Takes over a placement row and decides the requests that waited for it.
+    pub(super) fn placement_read(&mut self, push: PlacementPush) {
+        let model = push.row.model.clone();
+        let known = self.placements.get(&model);
+        let known_version = known.map_or(0, |known| known.row_version);
+        if push.row_version > known_version {
+            self.placements.insert(model.clone(), push);
+        }
+        for waiting in self.waiting.remove(&model).unwrap_or_default() {
+            let choice = self.choose_slot(&model, &waiting.request);
+            let _sent = waiting.reply.send(choice);
+        }
+    }
+
+    /// Decides the requests for which no further slot was found.
+    pub(super) fn placement_failed(&mut self, model: &ModelName, refusal: &Refusal) {
+        for waiting in self.waiting.remove(model).unwrap_or_default() {
+            let choice = if self.placements.contains_key(model) {
+                self.choose_slot(model, &waiting.request)
+            } else {
+                Err(refusal.clone())
+            };
+            let _sent = waiting.reply.send(choice);
+        }
+    }
+
+    fn wait_for_slot(&mut self, model: &ModelName, request: ChooseRequest, reply: Reply) {
+        let waiting = self.waiting.entry(model.clone()).or_default();
+        waiting.push(Waiting { request, reply });
+        if waiting.len() == 1 {
+            self.ask_for_slot(model);
+        }
+    }
+
+    /// Asks the planner for a first or a further slot; the answer comes as an event.
+    fn ask_for_slot(&mut self, model: &ModelName) {
+        let known = self.placements.get(model);
+        let slots = known.iter().flat_map(|push| &push.row.slots);
+        let request = PlaceRequest {
+            model: model.clone(),
+            additional: known.is_some(),
+            avoid: slots.map(|slot| slot.vm.clone()).collect(),
+            seen_row_version: known.map_or(0, |push| push.row_version),
+        };
+        let (planner, _, view) = self.planning();
+        planner.need(view, request);
+    }
+
+    /// Returns whether every slot's VM is unusable or was tried in vain.
+    fn lacks_slot(&self, model: &ModelName, request: &ChooseRequest) -> bool {
+        let usable = |vm: &VmEntry| self.is_usable(vm) && !request.avoid.contains(&vm.id);
+        !self.slot_vms(model).iter().any(usable)
+    }
+
+    fn is_usable(&self, vm: &VmEntry) -> bool {
+        vm.state == VmState::Live && !self.serving.is_leaving(&vm.id)
+    }
+
+    fn slot_vms(&self, model: &ModelName) -> Vec<VmEntry> {
+        let Some(push) = self.placements.get(model) else {
+            return Vec::new();
+        };
+        let slots = push.row.slots.iter();
+        let held = slots.filter(|slot| slot.state == SlotState::Held);
+        let vms = held.filter_map(|slot| self.vms.get(&slot.vm));
+        vms.cloned().collect()
+    }
+
+    fn choose_any(&mut self, request: &ChooseRequest) -> Result<Choice, Refusal> {
         let group = self.vms.values().filter(|vm| vm.group == request.group);
         let vms = group.cloned().collect();
         self.choose_among(vms, request, None)
     }
 
-    pub(super) fn choose_slot(
+    fn choose_slot(
         &mut self,
         model: &ModelName,
         request: &ChooseRequest,
     ) -> Result<Choice, Refusal> {
         let push = self.placements.get(model).ok_or_else(no_endpoint)?;
-        let held = push
-            .row
-            .slots
-            .iter()
-            .filter(|slot| slot.state == SlotState::Held);
-        let vms = held.filter_map(|slot| self.vms.get(&slot.vm)).cloned();
-        let vms = vms.collect();
         let grant = SlotGrant {
             model: model.clone(),
             row_version: push.row_version,
         };
-        self.choose_among(vms, request, Some(grant))
+        self.choose_among(self.slot_vms(model), request, Some(grant))
     }
 
     /// Chooses one of some VMs; those that are leaving get no new work.
@@ -46,7 +131,7 @@
         request: &ChooseRequest,
         grant: Option<SlotGrant>,
     ) -> Result<Choice, Refusal> {
-        vms.retain(|vm| vm.state == VmState::Live);
+        vms.retain(|vm| self.is_usable(vm));
         let key = request.model.as_ref().map_or("", ModelName::as_str);
         rendezvous::rank(key, &mut vms, |vm| vm.id.as_str());
         let candidates = vms.iter().map(|vm| Candidate {
@@ -57,7 +142,8 @@
         let now_ms = self.clock.now_ms();
         let chosen = self.serving.choose(now_ms, request, candidates)?;
         let chosen = chosen.ok_or_else(no_endpoint)?;
-        let vm = vms.into_iter().find(|vm| vm.id == chosen.vm);
+        let is_chosen = |vm: &VmEntry, chosen: &VmId| vm.id == *chosen;
+        let vm = vms.into_iter().find(|vm| is_chosen(vm, &chosen.vm));
         Ok(Choice {
             vm: vm.ok_or_else(no_endpoint)?,
             grant,
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -1,8 +1,8 @@
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use chicorystage_api::inventory::{CallerItem, Class};
-use chicorystage_api::name::{CallerName, Digest, VmId};
+use chicorystage_api::name::{CallerName, Digest, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_core::admission::{Reach, Shed, WaitingRoom, reach};
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::metrics::Metrics;
+use crate::router::event::Choice;
 use crate::router::handle::RouterHandle;
 use crate::router::serving::trace_log::TraceLog;
 use crate::router::serving::{ChooseRequest, ServingEvent, WaitGuard};
@@ -21,6 +22,10 @@
 
 /// Delay after which a request refused for lack of room should come back, in milliseconds.
 const SHED_RETRY_AFTER_MS: u64 = 1_000;
+/// Estimated wait above which a model is worth a further slot, in milliseconds.
+const CROWDED_WAIT_MS: u64 = 250;
+/// Time between two requests for a further slot of a model, in milliseconds.
+const SLOT_ASKED_INTERVAL_MS: u64 = 1_000;
 
 /// What the main loop keeps for the serving path.
 #[derive(Debug)]
@@ -29,6 +34,7 @@
     room: WaitingRoom,
     metrics: Arc<Metrics>,
     leaving_vms: HashSet<VmId>,
+    slots_asked_ms: HashMap<ModelName, u64>,
     pub(crate) endpoints: EndpointBook,
     pub(crate) prefixes: PrefixHints,
     pub(crate) retries: RetryBudget,
@@ -46,6 +52,7 @@
             room: WaitingRoom::new(settings.waiting_max, settings.body_bytes_held_max),
             metrics,
             leaving_vms: HashSet::new(),
+            slots_asked_ms: HashMap::new(),
             endpoints: EndpointBook::default(),
             prefixes: PrefixHints::default(),
             retries: RetryBudget::default(),
@@ -190,7 +197,6 @@
         request: &ChooseRequest,
         mut candidates: Vec<Candidate>,
     ) -> Result<Option<Preference>, Refusal> {
-        candidates.retain(|candidate| !self.leaving_vms.contains(&candidate.vm));
         let mut fresh = candidates.clone();
         fresh.retain(|candidate| !request.avoid.contains(&candidate.vm));
         if !fresh.is_empty() || !request.again {
@@ -222,6 +228,33 @@
         }
     }
 
+    /// Returns whether a VM has refused work because it is leaving.
+    pub(crate) fn is_leaving(&self, vm: &VmId) -> bool {
+        self.leaving_vms.contains(vm)
+    }
+
+    /// Returns whether a model's slots are too busy and none was asked for lately.
+    pub(crate) fn is_crowded(
+        &mut self,
+        now_ms: u64,
+        model: &ModelName,
+        choice: &Result<Choice, Refusal>,
+    ) -> bool {
+        let crowded = match choice {
+            Ok(choice) => choice.estimated_wait_ms > CROWDED_WAIT_MS,
+            Err(refusal) => refusal.code == RefusalCode::DeadlineUnreachable,
+        };
+        let asked_ms = self.slots_asked_ms.get(model);
+        let lately = asked_ms.is_some_and(|asked_ms| now_ms < asked_ms + SLOT_ASKED_INTERVAL_MS);
+        if !crowded || lately {
+            return false;
+        }
+        let kept = |asked_ms: u64| now_ms < asked_ms + SLOT_ASKED_INTERVAL_MS;
+        self.slots_asked_ms.retain(|_, asked_ms| kept(*asked_ms));
+        self.slots_asked_ms.insert(model.clone(), now_ms);
+        true
+    }
+
     /// Forgets what is known of VMs that are not listed any more; ids are not reused.
     pub(crate) fn vms_listed(&mut self, is_listed: impl Fn(&VmId) -> bool) {
         self.leaving_vms.retain(is_listed);
