Agent runs claims; a request without a usable slot asks the planner

Ruled out: dropping the cached row on a timer (it would ask for every leaving VM, and late); refusing where the planner fails (a suspect is retried at its only endpoint). Change: agent::claims enters a claim before the attempt is queued and records its end; a call that is not idempotent and carries no claim is refused. The router asks the planner where no known slot is live and untried, and falls back to known slots.

--- a/crates/chicorystaged/src/agent/main_loop.rs
+++ b/crates/chicorystaged/src/agent/main_loop.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 
 use chicorystage_api::name::{Digest, ModelName};
-use chicorystage_api::peer::{AttemptRef, ClaimState, QuarantineEntry};
+use chicorystage_api::peer::{AttemptRef, QuarantineEntry};
 use chicorystage_api::work::Frame;
 use chicorystage_core::attempts::Attempts;
+use chicorystage_core::claim::{ClaimBook, ClaimBookConfig};
 use chicorystage_core::drain::Drain;
 use chicorystage_core::fence::Fence;
 use chicorystage_core::inventory::InventoryState;
@@ -22,6 +23,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::agent::borders::{AgentBorders, Endpoint};
+use crate::agent::claims::OpenClaim;
 use crate::agent::event::AgentEvent;
 use crate::agent::handle::AgentHandle;
 use crate::agent::policy::{FixedKeepAlive, ReplicaPolicy};
@@ -47,6 +49,8 @@
     pub(super) clock: Clock,
     pub(super) incarnation: u64,
     pub(super) attempts: Attempts,
+    pub(super) claims: ClaimBook,
+    pub(super) open_claims: HashMap<AttemptRef, OpenClaim>,
     pub(super) listeners: HashMap<AttemptRef, Vec<mpsc::UnboundedSender<Frame>>>,
     pub(super) queue: Queue<Waiting>,
     pub(super) running: HashMap<AttemptRef, Running>,
@@ -82,8 +86,11 @@
         handle: AgentHandle,
         clock: Clock,
     ) -> Self {
+        let incarnation = rand::random();
         Self {
-            incarnation: rand::random(),
+            incarnation,
+            claims: ClaimBookConfig::new().build(incarnation),
+            open_claims: HashMap::new(),
             attempts: Attempts::new(settings.finished_kept_ms, FINISHED_BYTES_MAX),
             listeners: HashMap::new(),
             queue: Queue::new(settings.queue_max, settings.queue_bytes_max),
@@ -195,11 +202,8 @@
             AgentEvent::VmListRead(vms) => self.vm_list_read(vms),
             AgentEvent::InventoryRead(changes) => self.inventory_read(changes),
             AgentEvent::Tick => self.tick(),
-            AgentEvent::QueryClaim { reply, .. } => {
-                let state = ClaimState::OtherIncarnation {
-                    incarnation: self.incarnation,
-                };
-                let _sent = reply.send(state);
+            AgentEvent::QueryClaim { query, reply } => {
+                let _sent = reply.send(self.query_claim(&query));
             }
             AgentEvent::PushPlacements { pushes, reply } => {
                 let _sent = reply.send(self.push_placements(&pushes));
--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -15,6 +15,7 @@
 
 mod admission;
 mod call_task;
+mod claims;
 mod completion_task;
 mod control_api;
 mod dispatch;
--- a/crates/chicorystaged/src/agent/work.rs
+++ b/crates/chicorystaged/src/agent/work.rs
@@ -40,6 +40,9 @@
         if let Err(refusal) = self.admit(&request) {
             return self.refuse(&attempt, refusal);
         }
+        if let Err(refusal) = self.begin_claim(&attempt, &request) {
+            return self.refuse(&attempt, refusal);
+        }
         self.enqueue(attempt, request);
         self.dispatch_due = true;
     }
@@ -112,6 +115,7 @@
         let is_final = payload.is_final();
         if is_final {
             self.end_running(attempt, now_ms);
+            self.end_claim(attempt, &payload);
         }
         let is_first = self
             .attempts
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -8,7 +8,7 @@
 
 use chicorystage_api::inventory::{CallerItem, ModelRef};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{PlaceRequest, PlacementPush, RouterStatus};
+use chicorystage_api::peer::{PlacementPush, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_core::inventory::InventoryState;
 use chicorystage_platform::vm_list::VmEntry;
@@ -160,9 +160,7 @@
             }
             RouterEvent::PlacementRead(push) => self.placement_read(push),
             RouterEvent::PlacementFailed { model, refusal } => {
-                for waiting in self.waiting.remove(&model).unwrap_or_default() {
-                    let _sent = waiting.reply.send(Err(refusal.clone()));
-                }
+                self.placement_failed(&model, &refusal);
             }
             RouterEvent::Planner(event) => {
                 let (planner, _, view) = self.planning();
@@ -273,29 +271,19 @@
             let _sent = reply.send(choice);
             return;
         };
-        if self.placements.contains_key(&model) {
+        let Some(needed) = self.slot_needed(&model, &request) else {
             let choice = self.choose_slot(&model, &request);
             let _sent = reply.send(choice);
             return;
-        }
-        let waiting = self.waiting.entry(model.clone()).or_default();
+        };
+        let waiting = self.waiting.entry(model).or_default();
         waiting.push(Waiting { request, reply });
         if waiting.len() == 1 {
-            self.start_placing(model);
+            let (planner, _, view) = self.planning();
+            planner.need(view, needed);
         }
     }
 
-    fn start_placing(&mut self, model: ModelName) {
-        let request = PlaceRequest {
-            model,
-            additional: false,
-            avoid: Vec::new(),
-            seen_row_version: 0,
-        };
-        let (planner, _, view) = self.planning();
-        planner.need(view, request);
-    }
-
     /// Splits the loop into the planner, the permits and what they decide by.
     fn planning(&mut self) -> (&mut PlannerState, &mut PermitState, PlannerView<'_>) {
         let view = PlannerView {
@@ -309,6 +297,14 @@
         (&mut self.planner, &mut self.permits, view)
     }
 
+    /// Falls back to the slots that are known, where there are any.
+    fn placement_failed(&mut self, model: &ModelName, refusal: &Refusal) {
+        for waiting in self.waiting.remove(model).unwrap_or_default() {
+            let choice = self.choose_slot(model, &waiting.request);
+            let _sent = waiting.reply.send(choice.map_err(|_none| refusal.clone()));
+        }
+    }
+
     fn placement_read(&mut self, push: PlacementPush) {
         let model = push.row.model.clone();
         let known = self
--- a/crates/chicorystaged/src/router/main_loop/choosing.rs
+++ b/crates/chicorystaged/src/router/main_loop/choosing.rs
@@ -1,7 +1,7 @@
 //! Choosing the endpoint of an attempt.
 
 use chicorystage_api::name::ModelName;
-use chicorystage_api::peer::SlotState;
+use chicorystage_api::peer::{PlaceRequest, Slot, SlotState};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::SlotGrant;
 use chicorystage_core::choice::Candidate;
@@ -39,6 +39,33 @@
         self.choose_among(vms, request, Some(grant))
     }
 
+    /// Returns what to ask the planner for where no known slot can be used.
+    ///
+    /// An agent that left has given its slot up, and one that was tried in vain
+    /// may be gone: in both cases the row that is known here is of no use.
+    pub(super) fn slot_needed(
+        &self,
+        model: &ModelName,
+        request: &ChooseRequest,
+    ) -> Option<PlaceRequest> {
+        let known = self.placements.get(model);
+        let usable = |slot: &Slot| {
+            let vm = self.vms.get(&slot.vm);
+            let live = vm.is_some_and(|vm| vm.state == VmState::Live);
+            slot.state == SlotState::Held && live && !request.avoid.contains(&slot.vm)
+        };
+        let mut slots = known.into_iter().flat_map(|push| &push.row.slots);
+        if slots.any(usable) {
+            return None;
+        }
+        Some(PlaceRequest {
+            model: model.clone(),
+            additional: !request.avoid.is_empty(),
+            avoid: request.avoid.clone(),
+            seen_row_version: known.map_or(0, |push| push.row_version),
+        })
+    }
+
     /// Chooses one of some VMs; those that are leaving get no new work.
     fn choose_among(
         &mut self,
