--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -9,6 +9,7 @@
 
 use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
+use crate::replay;
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
 
 /// Exit status where the command line is wrong.
@@ -32,6 +33,8 @@
 enum Command {
     /// Run the whole system with stand-ins.
     Demo(demo::DemoOptions),
+    /// Replay recorded traces in virtual time.
+    Replay(replay::ReplayOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -81,6 +84,14 @@
     };
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
+        Some(Command::Replay(options)) => match replay::run(&options) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(EXIT_FAILED),
+            Err(error) => {
+                eprintln!("chicorystage-testbed: {error:#}");
+                ExitCode::from(EXIT_FAILED)
+            }
+        },
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(options)) => {
             let config = options.config.unwrap_or_default();
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`calls`]: what callers and operators send, and what they get.
 //! * [`settings_text`]: settings files of the daemons that are started.
 //! * [`demo`]: the whole system on one machine.
+//! * [`replay`]: the policy under load, measured in virtual time.
 //!
 //! # Limits
 //!
@@ -20,5 +21,6 @@
 pub mod demo;
 pub mod fakes;
 pub mod harness;
+pub mod replay;
 pub mod settings_text;
 pub mod standin;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/replay/recorder.rs
@@ -0,0 +1,276 @@
+//! Writes the traces, once, from a seed.
+
+use std::path::Path;
+
+use chicorystage_api::inventory::Class;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::replay::{Deployment, TraceRow};
+
+const SECOND_MS: u64 = 1_000;
+const MINUTE_MS: u64 = 60 * SECOND_MS;
+const HOUR_MS: u64 = 60 * MINUTE_MS;
+/// Length of a day's trace, in milliseconds.
+const DAY_MS: u64 = 24 * HOUR_MS;
+/// Length of a burst's trace, in milliseconds.
+const BURSTS_MS: u64 = 2 * HOUR_MS;
+/// Length of an overload's trace, in milliseconds.
+const OVERLOAD_MS: u64 = 4 * MINUTE_MS;
+/// Length of the trace of waking models, in milliseconds.
+const WAKING_MS: u64 = 3 * HOUR_MS;
+/// Routers that the balancer spreads requests over.
+const ROUTERS: usize = 3;
+/// Mean time that an engine takes for a request under overload, in milliseconds.
+const OVERLOAD_SERVICE_MS: u64 = 8 * SECOND_MS;
+
+/// Records one kind of trace.
+type Record = fn(&mut Recorder);
+
+/// Writes every trace into a directory.
+///
+/// # Errors
+///
+/// Fails where a file cannot be written.
+pub fn record_all(directory: &Path) -> anyhow::Result<()> {
+    for (seed, deployment) in (1..).zip([Deployment::co_op(), Deployment::guild()]) {
+        let burst = if deployment.name == "co-op" {
+            "harvest-week"
+        } else {
+            "edit-lock"
+        };
+        let kinds: [(&str, Record); 7] = [
+            ("ordinary-day", Recorder::ordinary_day),
+            (burst, Recorder::bursts),
+            ("slow-weights", Recorder::bursts),
+            ("zone-loss", Recorder::bursts),
+            ("overload", Recorder::overload),
+            ("noisy-tenant", Recorder::noisy_tenant),
+            ("waking", Recorder::waking),
+        ];
+        for (kind_seed, (kind, record)) in (0..).zip(kinds) {
+            let mut recorder = Recorder {
+                deployment: deployment.clone(),
+                rng: StdRng::seed_from_u64(seed * 100 + kind_seed),
+                rows: Vec::new(),
+            };
+            record(&mut recorder);
+            recorder.rows.sort_by_key(|row| (row.at_ms, row.model));
+            let file = directory.join(format!("{}-{kind}.csv", deployment.name));
+            TraceRow::write_all(&file, &recorder.rows)?;
+        }
+    }
+    Ok(())
+}
+
+struct Recorder {
+    deployment: Deployment,
+    rng: StdRng,
+    rows: Vec<TraceRow>,
+}
+
+impl Recorder {
+    /// A day on which a third of the models is used in sessions, a third by
+    /// habit at a regular distance and a third at random.
+    fn ordinary_day(&mut self) {
+        for model in 0..self.deployment.models.len() {
+            match model % 3 {
+                0 => self.sessions(model, 0, DAY_MS),
+                1 => self.habit(model, 0, DAY_MS),
+                _ => self.random_use(model, 0, DAY_MS),
+            }
+        }
+    }
+
+    /// Bursts for models that were idle, at all routers at once.
+    fn bursts(&mut self) {
+        let mut at_ms = 2 * MINUTE_MS;
+        while at_ms < BURSTS_MS - 5 * MINUTE_MS {
+            for _ in 0..self.rng.random_range(3..=6) {
+                let model = self.rng.random_range(0..self.deployment.models.len());
+                for _ in 0..self.rng.random_range(8..=30) {
+                    let offset_ms = self.rng.random_range(0..2 * SECOND_MS);
+                    self.request(at_ms + offset_ms, model);
+                }
+            }
+            at_ms += self.exponential_ms(4 * MINUTE_MS).max(MINUTE_MS / 2);
+        }
+    }
+
+    /// Three times what all engines can run, a fifth of it in the top class.
+    fn overload(&mut self) {
+        let gap_ms = self.overload_gap_ms() / 3.0;
+        self.steady(gap_ms, |recorder| {
+            let class = match recorder.rng.random_range(0..10) {
+                0..2 => Class::Interactive,
+                2..6 => Class::Standard,
+                _ => Class::Batch,
+            };
+            let caller = recorder.caller();
+            (class, caller)
+        });
+    }
+
+    /// Four tenants that stay below their share and one that sends ten times its own.
+    fn noisy_tenant(&mut self) {
+        let parts = 4 * 8 + 100;
+        let share_gap_ms = self.overload_gap_ms() * 50.0;
+        let gap_ms = share_gap_ms / f64::from(parts);
+        let last = self.deployment.tenants.len() - 1;
+        self.steady(gap_ms, |recorder| {
+            let draw = recorder.rng.random_range(0..parts);
+            let caller = usize::try_from(draw / 8).unwrap_or(last).min(last);
+            (Class::Standard, caller)
+        });
+    }
+
+    /// A quarter of the models wakes and another falls idle within an hour.
+    fn waking(&mut self) {
+        for model in 0..self.deployment.models.len() {
+            let wakes_ms = HOUR_MS + self.rng.random_range(0..HOUR_MS);
+            match model % 4 {
+                0 => self.random_use(model, wakes_ms, WAKING_MS),
+                1 => self.random_use(model, 0, wakes_ms),
+                2 => self.sessions(model, 0, WAKING_MS),
+                _ => {}
+            }
+        }
+    }
+
+    /// Requests half a minute apart in sessions that are hours apart.
+    fn sessions(&mut self, model: usize, from_ms: u64, until_ms: u64) {
+        let between_ms = self.rng.random_range(2 * HOUR_MS..8 * HOUR_MS);
+        let mut at_ms = from_ms + self.exponential_ms(between_ms / 2);
+        while at_ms < until_ms {
+            for _ in 0..self.rng.random_range(4..20) {
+                self.request(at_ms, model);
+                at_ms += self.exponential_ms(30 * SECOND_MS);
+            }
+            at_ms += self.exponential_ms(between_ms);
+        }
+    }
+
+    /// Requests at a regular distance, within a few percent.
+    fn habit(&mut self, model: usize, from_ms: u64, until_ms: u64) {
+        let period_ms = self.rng.random_range(15 * MINUTE_MS..2 * HOUR_MS);
+        let jitter_ms = period_ms / 20;
+        let mut at_ms = from_ms + self.rng.random_range(0..period_ms);
+        while at_ms < until_ms {
+            let offset_ms = self.rng.random_range(0..=jitter_ms);
+            for _ in 0..self.rng.random_range(1..4) {
+                let apart_ms = self.rng.random_range(0..5 * SECOND_MS);
+                self.request(at_ms + offset_ms + apart_ms, model);
+            }
+            at_ms += period_ms;
+        }
+    }
+
+    fn random_use(&mut self, model: usize, from_ms: u64, until_ms: u64) {
+        let gap_ms = self.rng.random_range(5 * MINUTE_MS..3 * HOUR_MS);
+        let mut at_ms = from_ms + self.exponential_ms(gap_ms);
+        while at_ms < until_ms {
+            self.request(at_ms, model);
+            at_ms += self.exponential_ms(gap_ms);
+        }
+    }
+
+    fn steady(&mut self, gap_ms: f64, mut who: impl FnMut(&mut Self) -> (Class, usize)) {
+        let mut at_ms = 0.0;
+        loop {
+            at_ms += self.exponential(gap_ms);
+            let sent_ms = whole_ms(at_ms);
+            if sent_ms >= OVERLOAD_MS {
+                return;
+            }
+            let (class, caller) = who(self);
+            let model = self.rng.random_range(0..self.deployment.models.len());
+            let spread_ms = self
+                .rng
+                .random_range(OVERLOAD_SERVICE_MS / 2..OVERLOAD_SERVICE_MS * 3 / 2);
+            let row = TraceRow {
+                service_ms: spread_ms,
+                class,
+                caller,
+                timeout_ms: timeout_ms(class),
+                ..self.row(sent_ms, model)
+            };
+            self.rows.push(row);
+        }
+    }
+
+    /// Returns the distance between requests that just fill all engines.
+    fn overload_gap_ms(&self) -> f64 {
+        to_f64(OVERLOAD_SERVICE_MS) / to_f64(self.deployment.capacity())
+    }
+
+    fn request(&mut self, at_ms: u64, model: usize) {
+        let row = self.row(at_ms, model);
+        self.rows.push(row);
+    }
+
+    fn row(&mut self, at_ms: u64, model: usize) -> TraceRow {
+        let class = match self.rng.random_range(0..10) {
+            0..4 => Class::Interactive,
+            4..8 => Class::Standard,
+            _ => Class::Batch,
+        };
+        let service_ms = match class {
+            Class::Interactive => self.rng.random_range(400..2 * SECOND_MS),
+            Class::Standard => self.rng.random_range(2 * SECOND_MS..12 * SECOND_MS),
+            Class::Batch => self.rng.random_range(10 * SECOND_MS..40 * SECOND_MS),
+        };
+        let with_adapter = self.rng.random_bool(0.5);
+        let per_model = self
+            .deployment
+            .adapters
+            .div_ceil(self.deployment.models.len());
+        let adapter = model * per_model + self.rng.random_range(0..per_model);
+        TraceRow {
+            at_ms,
+            router: self.rng.random_range(0..ROUTERS),
+            caller: self.caller(),
+            class,
+            model,
+            adapter: (with_adapter && adapter < self.deployment.adapters).then_some(adapter),
+            service_ms,
+            timeout_ms: timeout_ms(class),
+        }
+    }
+
+    fn caller(&mut self) -> usize {
+        self.rng.random_range(0..self.deployment.tenants.len())
+    }
+
+    fn exponential_ms(&mut self, mean_ms: u64) -> u64 {
+        whole_ms(self.exponential(to_f64(mean_ms)))
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random_range(f64::EPSILON..1.0);
+        -uniform.ln() * mean
+    }
+}
+
+fn timeout_ms(class: Class) -> u64 {
+    match class {
+        Class::Interactive => 30 * SECOND_MS,
+        Class::Standard => 2 * MINUTE_MS,
+        Class::Batch => 10 * MINUTE_MS,
+    }
+}
+
+fn to_f64(value: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "trace times are small")]
+    let value = value as f64;
+    value
+}
+
+fn whole_ms(value: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "trace times are positive and small"
+    )]
+    let ms = value as u64;
+    ms
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/replay/sim/loads.rs
@@ -0,0 +1,210 @@
+//! Loads: permits, memory, eviction and the weight store's speed.
+
+use chicorystage_api::inventory::{Class, PolicyItem};
+use chicorystage_api::peer::{PermitKind, PermitRequest};
+use chicorystage_core::evict::{Resident, evict};
+use chicorystage_core::permit::{PermitDecision, PermitLimits};
+use chicorystage_core::placement::CacheTier;
+
+use crate::replay::deployment::GIB;
+use crate::replay::sim::agenda::Event;
+use crate::replay::sim::caches::Caches;
+use crate::replay::sim::worker::ReplicaState;
+use crate::replay::sim::world::World;
+
+/// Time that an engine takes to start a model besides reading it, in milliseconds.
+const ENGINE_START_MS: u64 = 1_000;
+/// Time to read a gibibyte from host memory, in milliseconds.
+const MEMORY_MS_PER_GIB: u64 = 150;
+/// Time to read a gibibyte from local disk, in milliseconds.
+const DISK_MS_PER_GIB: u64 = 600;
+/// Time to read a gibibyte from the weight store at full speed, in milliseconds.
+const REMOTE_MS_PER_GIB: u64 = 1_000;
+/// Loads that the weight store serves at full speed.
+const FULL_SPEED_LOADS: u64 = 4;
+/// Time ahead for which eviction weighs the chance of use, in milliseconds.
+const USE_HORIZON_MS: u64 = 10 * 60 * 1_000;
+/// Time in which two loads of one slot count together, in milliseconds.
+const SAME_BURST_MS: u64 = 60_000;
+
+/// Returns how long a load takes from a cache tier.
+pub(crate) fn load_ms(tier: CacheTier, bytes: u64, slowdown: u64) -> u64 {
+    let ms_per_gib = match tier {
+        CacheTier::Loaded => return 0,
+        CacheTier::Memory => MEMORY_MS_PER_GIB,
+        CacheTier::Disk => DISK_MS_PER_GIB,
+        CacheTier::Remote => REMOTE_MS_PER_GIB * slowdown,
+    };
+    ENGINE_START_MS + bytes * ms_per_gib / GIB
+}
+
+/// Returns the tier from which a replica would return.
+pub(crate) fn tier_of_unloaded(caches: &Caches, model: usize, loaded: bool) -> CacheTier {
+    if loaded {
+        // Its weights go to host memory when it is unloaded.
+        CacheTier::Memory
+    } else {
+        caches.tier(model)
+    }
+}
+
+impl World<'_> {
+    /// Returns the factor by which the weight store is slower now.
+    pub(crate) fn slowdown(&self) -> u64 {
+        self.faults.weight_store_slowdown.max(1)
+    }
+
+    /// Begins a load, by a permit where the weights come from the weight store.
+    pub(crate) fn begin_load(&mut self, w: usize, model: usize) {
+        self.tickets += 1;
+        let ticket = self.tickets;
+        self.workers[w].replicas[model].state = ReplicaState::WaitingPermit { ticket };
+        if self.workers[w].caches.tier(model) == CacheTier::Remote {
+            self.poll_permit(w, model);
+        } else {
+            self.start_load(w, model, ticket, None);
+        }
+    }
+
+    pub(crate) fn poll_permit(&mut self, w: usize, model: usize) {
+        let ReplicaState::WaitingPermit { ticket } = self.workers[w].replicas[model].state else {
+            return;
+        };
+        let (class, deadline_ms) = self.most_urgent(w, model);
+        let request = PermitRequest {
+            vm: self.deployment.workers[w].clone(),
+            ticket,
+            kind: PermitKind::Model,
+            class,
+            time_left_ms: deadline_ms.saturating_sub(self.now_ms),
+        };
+        let limits = PermitLimits::from_policy(&PolicyItem::default());
+        match self.desk.acquire(&request, limits, self.now_ms) {
+            PermitDecision::Granted { permit_id, .. } => {
+                self.start_load(w, model, ticket, Some(permit_id));
+            }
+            PermitDecision::Wait { retry_in_ms } => {
+                let at_ms = self.now_ms + retry_in_ms;
+                self.agenda
+                    .add(at_ms, Event::PollPermit { worker: w, model });
+            }
+        }
+    }
+
+    pub(crate) fn return_permit(&mut self, permit: Option<u64>) {
+        if let Some(permit_id) = permit {
+            self.desk.release(permit_id);
+            self.fetching -= 1;
+        }
+    }
+
+    pub(crate) fn load_ended(&mut self, w: usize, model: usize, ended: u64) {
+        let state = self.workers[w].replicas[model].state;
+        let ReplicaState::Loading { ticket, permit, .. } = state else {
+            return;
+        };
+        if ticket != ended {
+            return;
+        }
+        self.return_permit(permit);
+        let bytes = self.deployment.models[model].memory_bytes;
+        let worker = &mut self.workers[w];
+        worker.replicas[model].state = ReplicaState::Loaded;
+        worker.replicas[model].idle_since_ms = self.now_ms;
+        worker.caches.put(model, bytes);
+        self.pump(w);
+        if self.workers[w].replicas[model].in_use == 0 {
+            self.begin_idle(w, model);
+        }
+    }
+
+    fn start_load(&mut self, w: usize, model: usize, ticket: u64, permit: Option<u64>) {
+        if permit.is_some() {
+            self.fetching += 1;
+        }
+        let bytes = self.deployment.models[model].memory_bytes;
+        if !self.make_room(w, bytes) {
+            self.return_permit(permit);
+            self.workers[w].replicas[model].state = ReplicaState::Absent;
+            return;
+        }
+        self.workers[w].memory_free_bytes -= bytes;
+        let tier = self.workers[w].caches.tier(model);
+        let mut duration_ms = load_ms(tier, bytes, self.slowdown());
+        if permit.is_some() {
+            duration_ms = duration_ms * self.fetching.max(FULL_SPEED_LOADS) / FULL_SPEED_LOADS;
+        }
+        let until_ms = self.now_ms + duration_ms;
+        let replica = &mut self.workers[w].replicas[model];
+        replica.state = ReplicaState::Loading {
+            ticket,
+            until_ms,
+            permit,
+        };
+        replica.loads_ms.push(self.now_ms);
+        let recent = replica.loads_ms.iter().rev();
+        let since_ms = self.now_ms.saturating_sub(SAME_BURST_MS);
+        let together = recent.take_while(|at_ms| **at_ms > since_ms).count() as u64;
+        self.tally.loads_per_slot_max = self.tally.loads_per_slot_max.max(together);
+        self.tally.loads += 1;
+        let ended = Event::LoadEnded {
+            worker: w,
+            model,
+            ticket,
+        };
+        self.agenda.add(until_ms, ended);
+    }
+
+    fn make_room(&mut self, w: usize, bytes: u64) -> bool {
+        let free_bytes = self.workers[w].memory_free_bytes;
+        if free_bytes >= bytes {
+            return true;
+        }
+        let Some(models) = evict(&self.residents(w), bytes - free_bytes) else {
+            return false;
+        };
+        for model in models {
+            let index = self
+                .deployment
+                .models
+                .iter()
+                .position(|spec| spec.name == model);
+            if let Some(index) = index {
+                self.unload(w, index);
+            }
+        }
+        true
+    }
+
+    fn residents(&self, w: usize) -> Vec<Resident> {
+        let worker = &self.workers[w];
+        let loaded = (0..self.deployment.models.len()).filter(|&model| worker.is_loaded(model));
+        let resident = |model: usize| {
+            let spec = &self.deployment.models[model];
+            let awaited = worker
+                .queue
+                .iter()
+                .any(|entry| self.rows[entry.item].model == model);
+            Resident {
+                model: spec.name.clone(),
+                memory_bytes: spec.memory_bytes,
+                reload_ms: load_ms(CacheTier::Memory, spec.memory_bytes, 1),
+                chance_of_use: worker.history.chance_of_use(
+                    &spec.name,
+                    self.now_ms,
+                    USE_HORIZON_MS,
+                ),
+                has_work: worker.replicas[model].in_use > 0 || awaited,
+            }
+        };
+        loaded.map(resident).collect()
+    }
+
+    /// Returns the class and deadline of the most urgent request for a model.
+    fn most_urgent(&self, w: usize, model: usize) -> (Class, u64) {
+        let waiting = self.workers[w].queue.iter();
+        let waiting = waiting.filter(|entry| self.rows[entry.item].model == model);
+        let urgency = waiting.map(|entry| (entry.class, entry.deadline_ms));
+        urgency.min().unwrap_or((Class::Batch, u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/replay/sim/request_path.rs
@@ -0,0 +1,357 @@
+//! A request's way: placement, choice of a worker, admission, queue, engine.
+
+use std::collections::HashSet;
+
+use chicorystage_api::peer::{PlacementPush, SlotState};
+use chicorystage_api::refusal::RefusalCode;
+use chicorystage_core::placement::{CacheTier, Candidate, Goal, Wanted, next_row};
+use chicorystage_core::queue::{Entry, Pushed};
+use rand::RngExt;
+
+use crate::replay::sim::agenda::Event;
+use crate::replay::sim::loads::{load_ms, tier_of_unloaded};
+use crate::replay::sim::worker::ReplicaState;
+use crate::replay::sim::world::World;
+
+/// Replicas of a model at most.
+const REPLICAS_MAX: u32 = 3;
+/// Time of the table's reads and the commit of a placement, in milliseconds.
+const DECISION_MS: u64 = 15;
+/// Time from a request's start on an engine to its first token, in milliseconds.
+const FIRST_TOKEN_MS: u64 = 150;
+/// Time of one adapter fetch, in milliseconds.
+const ADAPTER_FETCH_MS: u64 = 8;
+/// Adapter fetches that run at full speed.
+const FULL_SPEED_FETCHES: u64 = 30;
+
+impl World<'_> {
+    pub(crate) fn arrive(&mut self, request: usize) {
+        let row = &self.rows[request];
+        let flight = &mut self.flights[request];
+        if flight.deadline_ms == 0 {
+            flight.arrived_ms = row.at_ms;
+            flight.deadline_ms = row.at_ms + row.timeout_ms;
+            self.tally.requests += 1;
+            let demand = self
+                .tally
+                .demand_by_tenant_ms
+                .entry(row.caller)
+                .or_default();
+            *demand += row.service_ms;
+        }
+        let usable = self.best_slot(request).is_some();
+        if usable && self.known.contains(&(row.router, row.model)) {
+            self.route(request);
+        } else {
+            self.ask_planner(request, false);
+        }
+    }
+
+    pub(crate) fn placed(&mut self, request: usize, additional: bool) {
+        let row = &self.rows[request];
+        self.decide(request, additional);
+        self.known.insert((row.router, row.model));
+        self.route(request);
+    }
+
+    pub(crate) fn at_worker(&mut self, request: usize, w: usize) {
+        if self.flights[request].settled {
+            return;
+        }
+        if !self.workers[w].up {
+            self.flights[request].avoid.insert(w);
+            self.arrive(request);
+            return;
+        }
+        let row = &self.rows[request];
+        let name = &self.deployment.models[row.model].name;
+        let worker = &mut self.workers[w];
+        worker.history.observe(name, self.now_ms);
+        worker.replicas[row.model].epoch += 1;
+        let flight = &mut self.flights[request];
+        flight.worker = Some(w);
+        flight.at_worker_ms = Some(self.now_ms);
+        flight.cold |= !worker.is_loaded(row.model);
+        let wait_ms = self.wait_ms(w, request);
+        let service_ms = self.workers[w].service_ms();
+        let deadline_ms = self.flights[request].deadline_ms;
+        if self.now_ms + wait_ms + service_ms > deadline_ms {
+            self.refuse(request, RefusalCode::DeadlineUnreachable);
+            return;
+        }
+        self.enqueue(request, w, deadline_ms);
+        self.pump(w);
+    }
+
+    /// Starts what can run and loads what is waited for.
+    pub(crate) fn pump(&mut self, w: usize) {
+        while self.workers[w].running < self.deployment.engine_slots {
+            let worker = &mut self.workers[w];
+            let (rows, replicas) = (self.rows, &worker.replicas);
+            let runnable =
+                |request: &usize| replicas[rows[*request].model].state == ReplicaState::Loaded;
+            let Some(entry) = worker.queue.pop(worker.running, runnable) else {
+                break;
+            };
+            self.start_service(entry.item, w);
+        }
+        let waiting = self.workers[w].queue.iter();
+        let models: HashSet<usize> = waiting.map(|entry| self.rows[entry.item].model).collect();
+        let mut absent: Vec<usize> = models
+            .into_iter()
+            .filter(|&model| self.workers[w].replicas[model].state == ReplicaState::Absent)
+            .collect();
+        absent.sort_unstable();
+        for model in absent {
+            self.begin_load(w, model);
+        }
+    }
+
+    pub(crate) fn expire(&mut self, request: usize) {
+        let flight = &self.flights[request];
+        let Some(w) = flight.worker else { return };
+        if flight.settled || flight.started_ms.is_some() {
+            return;
+        }
+        self.workers[w]
+            .queue
+            .take_where(|entry| entry.item == request);
+        self.refuse(request, RefusalCode::DeadlineUnreachable);
+    }
+
+    pub(crate) fn service_ended(&mut self, request: usize, w: usize, started_ms: u64) {
+        let flight = &self.flights[request];
+        if flight.settled || flight.started_ms != Some(started_ms) || flight.worker != Some(w) {
+            return;
+        }
+        let row = &self.rows[request];
+        let worker = &mut self.workers[w];
+        worker.running -= 1;
+        worker.replicas[row.model].in_use -= 1;
+        worker.note_service(self.now_ms - started_ms);
+        self.settle(request);
+        self.pump(w);
+        if self.workers[w].replicas[row.model].in_use == 0 {
+            self.begin_idle(w, row.model);
+        }
+    }
+
+    fn settle(&mut self, request: usize) {
+        let deadline_ms = self.flights[request].deadline_ms;
+        let answered_ms = self.now_ms + self.deployment.caller_latency_ms;
+        if answered_ms > deadline_ms {
+            self.refuse(request, RefusalCode::DeadlineExceeded);
+            return;
+        }
+        let row = &self.rows[request];
+        let flight = &mut self.flights[request];
+        flight.settled = true;
+        self.tally.answered += 1;
+        if self.now_ms <= self.length_ms {
+            self.tally.goodput_ms += row.service_ms;
+        }
+        *self
+            .tally
+            .goodput_by_tenant_ms
+            .entry(row.caller)
+            .or_default() += row.service_ms;
+        *self.tally.answered_by_class.entry(row.class).or_default() += 1;
+        self.tally.cold_waits_ms.push(flight.cold_ms);
+        if flight.cold {
+            self.tally.cold_starts_ms.push(flight.cold_ms);
+        }
+        let first_ms = flight.started_ms.unwrap_or(self.now_ms) + FIRST_TOKEN_MS;
+        let first_ms = first_ms + self.deployment.caller_latency_ms;
+        self.tally
+            .first_tokens_ms
+            .push(first_ms - flight.arrived_ms);
+    }
+
+    fn start_service(&mut self, request: usize, w: usize) {
+        let row = &self.rows[request];
+        let mut service_ms = row.service_ms;
+        if let Some(adapter) = row.adapter
+            && self.workers[w].adapters.insert(adapter)
+        {
+            let load = self.adapters_fetching.max(FULL_SPEED_FETCHES) / FULL_SPEED_FETCHES;
+            service_ms += ADAPTER_FETCH_MS * load;
+        }
+        self.end_idle(w, row.model);
+        let worker = &mut self.workers[w];
+        worker.running += 1;
+        worker.replicas[row.model].in_use += 1;
+        let flight = &mut self.flights[request];
+        flight.started_ms = Some(self.now_ms);
+        if flight.cold {
+            flight.cold_ms = self.now_ms - flight.at_worker_ms.unwrap_or(self.now_ms);
+        }
+        // Work past its deadline is cancelled at the deadline.
+        let stop_ms = flight
+            .deadline_ms
+            .saturating_sub(self.deployment.caller_latency_ms)
+            + 1;
+        let ends_ms = (self.now_ms + service_ms).min(stop_ms.max(self.now_ms));
+        let ended = Event::ServiceEnded {
+            request,
+            worker: w,
+            started_ms: self.now_ms,
+        };
+        self.agenda.add(ends_ms, ended);
+    }
+
+    fn enqueue(&mut self, request: usize, w: usize, deadline_ms: u64) {
+        let row = &self.rows[request];
+        let tenant = &self.deployment.tenants[row.caller];
+        let (class, order_ms) = if self.policy.first_come {
+            (chicorystage_api::inventory::Class::Standard, self.now_ms)
+        } else {
+            (row.class, deadline_ms)
+        };
+        let caller = if self.policy.first_come {
+            self.deployment.tenants[0].name.clone()
+        } else {
+            tenant.name.clone()
+        };
+        let entry = Entry {
+            class,
+            caller,
+            weight: tenant.weight,
+            deadline_ms: order_ms,
+            queued_ms: self.now_ms,
+            bytes: 1,
+            suspect: false,
+            item: request,
+        };
+        let given_up = match self.workers[w].queue.push(entry) {
+            Pushed::Queued => Vec::new(),
+            Pushed::Displaced(displaced) => displaced,
+            Pushed::Full(entry) => vec![*entry],
+        };
+        for entry in given_up {
+            self.refuse(entry.item, RefusalCode::Overloaded);
+        }
+        let service_ms = self.workers[w].service_ms();
+        let expires_ms = deadline_ms.saturating_sub(service_ms).max(self.now_ms);
+        self.agenda.add(expires_ms, Event::Expire { request });
+    }
+
+    fn route(&mut self, request: usize) {
+        if self.flights[request].settled {
+            return;
+        }
+        let Some((w, wait_ms)) = self.best_slot(request) else {
+            self.refuse(request, RefusalCode::NoPlacement);
+            return;
+        };
+        let bytes = self.deployment.models[self.rows[request].model].memory_bytes;
+        let elsewhere_ms = load_ms(CacheTier::Remote, bytes, self.slowdown());
+        if wait_ms > 2 * elsewhere_ms && !self.flights[request].asked_additional {
+            self.ask_planner(request, true);
+            return;
+        }
+        let at_ms = self.now_ms + self.deployment.zone_latency_ms;
+        self.agenda
+            .add(at_ms, Event::AtWorker { request, worker: w });
+    }
+
+    fn ask_planner(&mut self, request: usize, additional: bool) {
+        self.flights[request].asked_additional |= additional;
+        let at_ms = self.now_ms + 2 * self.deployment.zone_latency_ms + DECISION_MS;
+        self.agenda.add(
+            at_ms,
+            Event::Placed {
+                request,
+                additional,
+            },
+        );
+    }
+
+    /// Returns the held slot with the least estimated wait.
+    fn best_slot(&self, request: usize) -> Option<(usize, u64)> {
+        let push = self.placements[self.rows[request].model].as_ref()?;
+        let held = push
+            .row
+            .slots
+            .iter()
+            .filter(|slot| slot.state == SlotState::Held);
+        let workers =
+            held.filter_map(|slot| self.deployment.workers.iter().position(|vm| *vm == slot.vm));
+        workers
+            .filter(|w| !self.flights[request].avoid.contains(w))
+            .map(|w| (w, self.wait_ms(w, request)))
+            .min_by_key(|(_, wait_ms)| *wait_ms)
+    }
+
+    /// Estimates a request's wait at a worker: the load, then those before it.
+    fn wait_ms(&self, w: usize, request: usize) -> u64 {
+        let (row, worker) = (&self.rows[request], &self.workers[w]);
+        let load = match worker.replicas[row.model].state {
+            ReplicaState::Loaded => 0,
+            ReplicaState::Loading { until_ms, .. } => until_ms.saturating_sub(self.now_ms),
+            ReplicaState::Absent | ReplicaState::WaitingPermit { .. } => {
+                let tier = tier_of_unloaded(&worker.caches, row.model, false);
+                load_ms(
+                    tier,
+                    self.deployment.models[row.model].memory_bytes,
+                    self.slowdown(),
+                )
+            }
+        };
+        let before = worker.queue.iter().filter(|entry| {
+            let first_come = self.policy.first_come;
+            first_come || entry.class <= row.class
+        });
+        let ahead = before.count() as u64 + u64::from(worker.running);
+        let slots = u64::from(self.deployment.engine_slots);
+        let queue_ms = (ahead + 1).saturating_sub(slots) * worker.service_ms() / slots;
+        load.max(queue_ms)
+    }
+
+    /// Decides slots as a planner would.
+    fn decide(&mut self, request: usize, additional: bool) {
+        let model = self.rows[request].model;
+        let current = self.placements[model].as_ref();
+        let spec = &self.deployment.models[model];
+        let flight = &self.flights[request];
+        let vm_of = |w: &usize| self.deployment.workers[*w].clone();
+        let down: HashSet<_> = (0..self.workers.len())
+            .filter(|&w| !self.workers[w].up)
+            .map(|w| vm_of(&w))
+            .collect();
+        let mut candidates: Vec<Candidate> = (0..self.workers.len())
+            .map(|w| Candidate {
+                vm: vm_of(&w),
+                zone: self.deployment.zone_of(w).clone(),
+                cache_tier: self.workers[w].caches.tier(model),
+                memory_free_bytes: Some(self.workers[w].memory_free_bytes),
+            })
+            .collect();
+        if self.policy.random_placement {
+            let only = self.rng.random_range(0..candidates.len());
+            candidates = vec![candidates.swap_remove(only)];
+        }
+        let goal = Goal {
+            model: spec.name.clone(),
+            memory_bytes: spec.memory_bytes,
+            wanted: if additional {
+                Wanted::Additional {
+                    seen_row_version: current.map_or(0, |push| push.row_version),
+                }
+            } else {
+                Wanted::First
+            },
+            avoid: flight.avoid.iter().map(vm_of).collect(),
+            candidates,
+            leaving: HashSet::new(),
+            gone: down,
+            releases: Vec::new(),
+        };
+        if let Some(row) = next_row(current, &goal, REPLICAS_MAX) {
+            self.table_version += 1;
+            self.placements[model] = Some(PlacementPush {
+                row_version: self.table_version,
+                row,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/replay/sim/worker.rs
@@ -0,0 +1,85 @@
+use std::collections::HashSet;
+
+use chicorystage_core::keep_alive::KeepAlive;
+use chicorystage_core::queue::Queue;
+
+use crate::replay::sim::caches::Caches;
+
+/// Requests that wait at a worker at once.
+const QUEUE_MAX: u32 = 256;
+/// Bytes that wait at a worker at once.
+const QUEUE_BYTES_MAX: u64 = 1 << 30;
+/// Expected service time before any was seen, in milliseconds.
+const SERVICE_START_MS: u64 = 4_000;
+/// Weight of the past in the smoothed service time.
+const SMOOTHING: u64 = 8;
+
+/// State of a model on a worker.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum ReplicaState {
+    #[default]
+    Absent,
+    WaitingPermit {
+        ticket: u64,
+    },
+    Loading {
+        ticket: u64,
+        until_ms: u64,
+        permit: Option<u64>,
+    },
+    Loaded,
+}
+
+/// A model on a worker.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Replica {
+    pub(crate) state: ReplicaState,
+    pub(crate) in_use: u32,
+    pub(crate) idle_since_ms: u64,
+    pub(crate) epoch: u64,
+    pub(crate) loads_ms: Vec<u64>,
+    pub(crate) prewarmed: bool,
+}
+
+/// One worker with its agent.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) up: bool,
+    pub(crate) memory_free_bytes: u64,
+    pub(crate) replicas: Vec<Replica>,
+    pub(crate) adapters: HashSet<usize>,
+    pub(crate) queue: Queue<usize>,
+    pub(crate) running: u32,
+    pub(crate) history: KeepAlive,
+    pub(crate) caches: Caches,
+    service_ms: u64,
+}
+
+impl Worker {
+    pub(crate) fn new(models: usize, memory_bytes: u64, caches: Caches) -> Self {
+        Self {
+            up: true,
+            memory_free_bytes: memory_bytes,
+            replicas: vec![Replica::default(); models],
+            adapters: HashSet::new(),
+            queue: Queue::new(QUEUE_MAX, QUEUE_BYTES_MAX),
+            running: 0,
+            history: KeepAlive::new(),
+            caches,
+            service_ms: SERVICE_START_MS,
+        }
+    }
+
+    pub(crate) fn is_loaded(&self, model: usize) -> bool {
+        self.replicas[model].state == ReplicaState::Loaded
+    }
+
+    /// Returns the smoothed service time, in milliseconds.
+    pub(crate) fn service_ms(&self) -> u64 {
+        self.service_ms
+    }
+
+    pub(crate) fn note_service(&mut self, service_ms: u64) {
+        self.service_ms = (self.service_ms * (SMOOTHING - 1) + service_ms) / SMOOTHING;
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/replay/trace.rs
@@ -0,0 +1,52 @@
+use std::path::Path;
+
+use chicorystage_api::inventory::Class;
+use serde::{Deserialize, Serialize};
+
+/// One request of a trace, as in its CSV file.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TraceRow {
+    /// Time at which the caller sends it, in milliseconds from the start.
+    pub at_ms: u64,
+    /// Router that the balancer gives it to.
+    pub router: usize,
+    /// Caller, as an index into the deployment's.
+    pub caller: usize,
+    /// Priority class.
+    pub class: Class,
+    /// Model, as an index into the deployment's.
+    pub model: usize,
+    /// Adapter, as an index into the deployment's; none for the base model.
+    pub adapter: Option<usize>,
+    /// Time that an engine takes for it, in milliseconds.
+    pub service_ms: u64,
+    /// Time until its deadline, in milliseconds.
+    pub timeout_ms: u64,
+}
+
+impl TraceRow {
+    /// Reads a trace.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be read or a row is malformed.
+    pub fn read_all(path: &Path) -> anyhow::Result<Vec<Self>> {
+        let mut reader = csv::Reader::from_path(path)?;
+        let rows: Result<Vec<Self>, csv::Error> = reader.deserialize().collect();
+        Ok(rows?)
+    }
+
+    /// Writes a trace.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be written.
+    pub fn write_all(path: &Path, rows: &[Self]) -> anyhow::Result<()> {
+        let mut writer = csv::Writer::from_path(path)?;
+        for row in rows {
+            writer.serialize(row)?;
+        }
+        writer.flush()?;
+        Ok(())
+    }
+}
