--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -12,6 +12,7 @@
 use crate::router::inventory::InventoryEvent;
 use crate::router::permits::PermitEvent;
 use crate::router::planner::PlannerEvent;
+use crate::router::serving::{ChooseRequest, Flight, ServingEvent};
 
 /// One event of the router's main loop.
 #[derive(Debug)]
@@ -27,12 +28,8 @@
     },
     /// An admitted request asks where to run.
     Choose {
-        /// Group of endpoints that can run it.
-        group: GroupName,
-        /// Model that it needs; none for a plain service.
-        model: Option<ModelName>,
-        /// VMs already tried in vain.
-        avoid: Vec<VmId>,
+        /// What it needs.
+        request: ChooseRequest,
         /// Receives the decision.
         reply: oneshot::Sender<Result<Choice, Refusal>>,
     },
@@ -43,6 +40,8 @@
         /// Load that the endpoint last reported with it.
         load: Option<EndpointLoad>,
     },
+    /// The serving path has news or a question.
+    Serving(ServingEvent),
     /// A newer inventory was read.
     InventoryRead(Snapshot),
     /// The list of VMs was read.
@@ -67,7 +66,7 @@
     },
     /// An operator asks for a graceful stop.
     Drain {
-        /// Receives the acknowledgement; dropped where it cannot be done.
+        /// Receives the acknowledgement.
         reply: oneshot::Sender<()>,
     },
     /// The planner has news or a question.
@@ -134,10 +133,14 @@
 }
 
 /// Decision where to run a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Choice {
     /// VM whose agent is tried next.
     pub vm: VmEntry,
     /// Evidence of the VM's slot, for a model request.
     pub grant: Option<SlotGrant>,
+    /// Estimated wait there, in milliseconds.
+    pub estimated_wait_ms: u64,
+    /// Counts the attempt as sent there until it is dropped.
+    pub flight: Flight,
 }
--- a/crates/chicorystaged/src/router/inventory/spread.rs
+++ b/crates/chicorystaged/src/router/inventory/spread.rs
@@ -10,8 +10,10 @@
 use tokio::sync::oneshot;
 
 use crate::router::borders::RouterBorders;
+use crate::router::event::RouterEvent;
 use crate::router::handle::RouterHandle;
 use crate::router::inventory::event::{InventoryEvent, News};
+use crate::router::inventory::held::HeldRequests;
 use crate::router::inventory::long_poll::LongPolls;
 use crate::router::inventory::peers::Peers;
 use crate::router::inventory::prepare::prepare;
@@ -37,6 +39,7 @@
     log: ChangeLog,
     polls: LongPolls,
     hints: Vec<WaitingHint>,
+    held: HeldRequests,
     peers: Peers,
     wake_reader: Option<oneshot::Sender<()>>,
     snapshots: SnapshotPlan,
@@ -73,6 +76,7 @@
             log: ChangeLog::new(LOG_RECORDS_MAX),
             polls: LongPolls::default(),
             hints: Vec::new(),
+            held: HeldRequests::default(),
             wake_reader: None,
             snapshots: SnapshotPlan::default(),
             table_up: false,
@@ -86,6 +90,25 @@
         self.freshness.admits(now_ms)
     }
 
+    /// Holds a caller's request while the rules are not confirmed.
+    ///
+    /// Returns the event where it is to be decided at once.
+    pub fn hold_unconfirmed(&mut self, event: RouterEvent) -> Option<RouterEvent> {
+        let now_ms = self.clock.now_ms();
+        let is_request = matches!(event, RouterEvent::Admit { .. });
+        if !is_request || self.freshness.admits(now_ms) {
+            return Some(event);
+        }
+        self.wake_reader();
+        self.held.hold(event, now_ms)
+    }
+
+    /// Returns the held requests that are to be decided now.
+    pub fn release(&mut self) -> Vec<RouterEvent> {
+        let now_ms = self.clock.now_ms();
+        self.held.release(self.freshness.admits(now_ms), now_ms)
+    }
+
     /// Returns the age of the last confirmation of the head, in milliseconds.
     #[must_use]
     pub fn confirmed_age_ms(&self, now_ms: u64) -> u64 {
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/call.rs
@@ -0,0 +1,230 @@
+//! A call that is not idempotent: run at most once, followed to its end.
+
+use std::sync::Mutex;
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{AttemptRef, ClaimOutcome, TraceEvent};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{ClaimTicket, Payload};
+use chicorystage_core::suspects::Standing;
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::vm_list::VmEntry;
+
+use crate::router::claims::{ClaimDispatch, ClaimFlow, ClaimedAnswer, ClaimedCall, StartFailure};
+use crate::router::event::Choice;
+use crate::router::serving::attempt_failure::AttemptFailure;
+use crate::router::serving::attempt_stream::AttemptStream;
+use crate::router::serving::job::{AttemptTerms, Job, ended_connection};
+use crate::router::serving::request_record::RequestRecord;
+use crate::router::serving::send_failure::SendFailure;
+use crate::router::serving::{Entry, WaitGuard, WholeAnswer};
+
+/// One call that is not idempotent.
+#[derive(Debug)]
+pub(crate) struct Call {
+    job: Job,
+    state: Mutex<CallState>,
+    _entry: Entry,
+}
+
+/// What changes while a call is claimed and dispatched.
+#[derive(Debug)]
+struct CallState {
+    record: RequestRecord,
+    waiting: Option<WaitGuard>,
+    standing: Standing,
+    attempts: u32,
+    chosen: Option<Choice>,
+}
+
+impl CallState {
+    fn wait(&mut self, waiting: WaitGuard) {
+        self.standing = waiting.standing();
+        self.waiting = Some(waiting);
+    }
+}
+
+/// An attempt of a call that has begun to answer.
+#[derive(Debug)]
+pub(crate) struct OpenedCall {
+    stream: AttemptStream,
+    first: Payload,
+}
+
+impl Call {
+    pub(crate) fn new(entry: Entry, job: Job, record: RequestRecord) -> Self {
+        let state = CallState {
+            record,
+            waiting: None,
+            standing: Standing::Clear,
+            attempts: 0,
+            chosen: None,
+        };
+        Self {
+            job,
+            state: Mutex::new(state),
+            _entry: entry,
+        }
+    }
+
+    /// Runs the call at most once and returns its whole answer.
+    pub(crate) async fn run(self) -> Result<WholeAnswer, Refusal> {
+        let end = self.follow().await;
+        let record = &mut self.lock().record;
+        match &end {
+            Ok(answer) => record.answered(answer.summary),
+            Err(refusal) => record.refused(refusal),
+        }
+        end
+    }
+
+    async fn follow(&self) -> Result<WholeAnswer, Refusal> {
+        let dispatcher = &self.job.dispatcher;
+        let Some(call) = self.claimed_call() else {
+            let detail = "the call is not idempotent; allowed: Idempotency-Key: KEY";
+            return Err(Refusal::not_run(RefusalCode::KeyRequired, detail));
+        };
+        let (table, agents) = (&*dispatcher.borders.table, &*dispatcher.borders.agents);
+        let flow = ClaimFlow::new(table, agents, &dispatcher.claims, self, call);
+        match self.job.wait().await {
+            Ok(waiting) => self.lock().wait(waiting),
+            Err(refusal) => return Err(flow.confirm(refusal).await),
+        }
+        match flow.run().await? {
+            ClaimedAnswer::Recorded(outcome) => recorded(outcome),
+            ClaimedAnswer::Opened { opened, recorder } => {
+                self.lock().waiting = None;
+                let mut stream = opened.stream;
+                let answer = WholeAnswer::collect(&mut stream, Some(opened.first), |_| {}).await;
+                // What is lost here the agent still knows: the claim stays open.
+                let answer = answer.map_err(|failure| may_have_run(failure.refusal))?;
+                recorder.record(answer.to_outcome()).await;
+                Ok(answer)
+            }
+        }
+    }
+
+    fn claimed_call(&self) -> Option<ClaimedCall> {
+        Some(ClaimedCall {
+            caller: self.job.admission.caller.name.clone(),
+            key: self.job.terms.key.clone()?,
+            body_sha256: self.job.terms.digest.clone(),
+            request_id: self.job.terms.request_id.clone(),
+        })
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, CallState> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+
+    /// Counts the attempt that is about to be sent to the VM chosen last.
+    fn begin_attempt(&self, vm: &VmEntry) -> (u32, bool, Option<Choice>) {
+        let mut state = self.lock();
+        state.attempts += 1;
+        let chosen = state.chosen.take().filter(|choice| choice.vm.id == vm.id);
+        let alone = state.standing == Standing::Suspect;
+        let attempt = state.attempts;
+        state.record.step(TraceEvent::Chosen {
+            attempt,
+            vm: vm.id.clone(),
+            estimated_wait_ms: chosen.as_ref().map_or(0, |choice| choice.estimated_wait_ms),
+            suspect: alone,
+        });
+        (attempt, alone, chosen)
+    }
+
+    /// Waits for the first content of an attempt.
+    async fn first_of(&self, mut stream: AttemptStream) -> Result<OpenedCall, StartFailure> {
+        match stream.next().await {
+            Ok(first) => Ok(OpenedCall { stream, first }),
+            Err(failure) => {
+                let mut state = self.lock();
+                let attempt = state.attempts;
+                state.record.step(TraceEvent::Failed {
+                    attempt,
+                    refusal: failure.refusal.clone(),
+                });
+                drop(state);
+                Err(start_failure(failure))
+            }
+        }
+    }
+}
+
+impl ClaimDispatch for Call {
+    type Opened = OpenedCall;
+
+    fn time_left_ms(&self) -> u64 {
+        self.job.time_left_ms()
+    }
+
+    fn choose<'a>(&'a self, avoid: &'a [VmId]) -> BoxFuture<'a, Result<VmEntry, Refusal>> {
+        Box::pin(async move {
+            let choice = self.job.choose(avoid, false).await?;
+            let vm = choice.vm.clone();
+            self.lock().chosen = Some(choice);
+            Ok(vm)
+        })
+    }
+
+    fn find<'a>(&'a self, vm: &'a VmId) -> BoxFuture<'a, Result<Option<VmEntry>, Refusal>> {
+        Box::pin(async move { self.job.dispatcher.handle.find_vm(vm.clone()).await })
+    }
+
+    fn start<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        ticket: ClaimTicket,
+    ) -> BoxFuture<'a, Result<OpenedCall, StartFailure>> {
+        Box::pin(async move {
+            let (attempt, alone, chosen) = self.begin_attempt(vm);
+            let terms = AttemptTerms {
+                attempt,
+                grant: None,
+                claim: Some(ticket),
+                alone,
+            };
+            let frames = self.job.send(vm.address, terms).await;
+            let frames = frames.map_err(|failure| match failure {
+                SendFailure::NotDelivered(_) => StartFailure::NotDelivered,
+                SendFailure::Unknown | SendFailure::TooLate => StartFailure::Unknown,
+            })?;
+            let attempt = self.job.attempt_ref(attempt);
+            let mut stream = self.job.stream(vm.address, attempt, frames);
+            if let Some(choice) = chosen {
+                stream = stream.with_flight(choice.flight);
+            }
+            self.first_of(stream).await
+        })
+    }
+
+    fn attach<'a>(
+        &'a self,
+        vm: &'a VmEntry,
+        attempt: AttemptRef,
+    ) -> BoxFuture<'a, Result<OpenedCall, StartFailure>> {
+        Box::pin(async move {
+            let stream = self.job.stream(vm.address, attempt, ended_connection());
+            self.first_of(stream).await
+        })
+    }
+}
+
+fn start_failure(failure: AttemptFailure) -> StartFailure {
+    if failure.by_agent || failure.refusal.code == RefusalCode::DeadlineExceeded {
+        return StartFailure::Refused(failure.refusal);
+    }
+    StartFailure::Unknown
+}
+
+fn recorded(outcome: ClaimOutcome) -> Result<WholeAnswer, Refusal> {
+    WholeAnswer::from_outcome(outcome).ok_or_else(|| {
+        let detail = "the recorded answer of an earlier call with this key cannot be read";
+        Refusal::may_have_run(RefusalCode::ResultUnknown, detail)
+    })
+}
+
+/// A call that has begun to answer has run, whatever its agent says later.
+fn may_have_run(refusal: Refusal) -> Refusal {
+    Refusal::may_have_run(refusal.code, refusal.detail)
+}
