--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`deployment`]: the whole system as processes.
 //! * [`audit`]: what the stand-ins saw, held against the promises.
 //! * [`demo`]: the whole system on one machine.
+//! * [`replay`]: the policy under load, measured in virtual time.
 //!
 //! # Limits
 //!
@@ -24,5 +25,6 @@
 pub mod deployment;
 pub mod fakes;
 pub mod harness;
+pub mod replay;
 pub mod settings_text;
 pub mod standin;
