--- a/crates/chicorystage-core/tests/inventory_changes.rs
+++ b/crates/chicorystage-core/tests/inventory_changes.rs
@@ -270,11 +270,14 @@
 
 #[gtest]
 fn a_token_that_moves_to_another_holder_stays_known() {
-    let mut state = state();
     let items = vec![delete(1, &caller("c", "t")), write(None, caller("b", "t"))];
-    state.apply(&record(2, items));
-    let holder = state.caller_by_token(&token::sha256(b"t"));
-    expect_that!(holder.map(|caller| caller.name.as_str()), some(eq("b")));
+    let reversed = items.iter().rev().cloned().collect();
+    for items in [items, reversed] {
+        let mut state = state();
+        state.apply(&record(2, items));
+        let holder = state.caller_by_token(&token::sha256(b"t"));
+        expect_that!(holder.map(|caller| caller.name.as_str()), some(eq("b")));
+    }
 }
 
 #[gtest]
--- a/crates/chicorystage-testbed/tests/inventory/main.rs
+++ b/crates/chicorystage-testbed/tests/inventory/main.rs
@@ -1,6 +1,7 @@
 //! Accepted changes are in force everywhere within seconds and never revert.
 
 mod schedules;
+mod tables;
 mod world;
 
 use chicorystage_api::name::VmId;
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -0,0 +1,276 @@
+//! One router on tables that answer late or change while they are read.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use chicorystage_api::inventory::{
+    Change, HEAD_ROW_KEY, ITEM_ROW_PREFIX, ItemRow, OperatorItem, SNAPSHOT_OBJECT_KEY, Snapshot,
+};
+use chicorystage_core::token;
+use chicorystage_platform::http::{RpcAgentLink, RpcRouterLink};
+use chicorystage_platform::object_store::ObjectStore;
+use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
+use chicorystaged::router::borders::RouterBorders;
+use chicorystaged::router::inventory::{Committer, InventoryEvent};
+use chicorystaged::router::parts::RouterParts;
+use chicorystaged::settings::{DaemonSettings, RouterSettings};
+use chicorystaged::timer::Clock;
+use googletest::prelude::*;
+
+use crate::world::{change, model, wait_ms, write};
+
+/// Time after which a late commit takes effect, in milliseconds.
+const LATE_MS: u64 = 5_000;
+const LINK_TIMEOUT_MS: u64 = 1_000;
+
+struct Router {
+    committer: Committer,
+    parts: RouterParts,
+}
+
+impl Router {
+    fn start(table: Arc<dyn Table>, objects: Arc<FakeObjectStore>) -> Self {
+        let address = ([127, 0, 0, 1], 0).into();
+        let daemon = DaemonSettings {
+            vm: "entry-1".into(),
+            zone: "huehue-a".into(),
+            group: "entry".into(),
+        };
+        let vms = FakeVmList::new();
+        vms.put(VmEntry {
+            id: daemon.vm.clone(),
+            address,
+            zone: daemon.zone.clone(),
+            group: daemon.group.clone(),
+            state: VmState::Live,
+        });
+        let borders = RouterBorders {
+            table,
+            object_store: objects,
+            vm_list: Arc::new(vms),
+            agents: Arc::new(RpcAgentLink::new(LINK_TIMEOUT_MS)),
+            routers: Arc::new(RpcRouterLink::new(LINK_TIMEOUT_MS, LINK_TIMEOUT_MS)),
+        };
+        let settings = RouterSettings {
+            caller_api: address,
+            admin_api: address,
+            root_token_sha256: token::sha256(b"root"),
+            freshness_max_ms: 3_000,
+            drain_lag_ms: 0,
+            drain_max_ms: 0,
+            waiting_max: 1,
+            body_bytes_held_max: 1,
+        };
+        let clock = Clock::start();
+        let identity = (daemon.vm.clone(), daemon.group.clone());
+        let parts = RouterParts::start(daemon, settings, borders.clone(), clock);
+        let committer = Committer::new(identity, borders, parts.handle.clone(), clock);
+        Self { committer, parts }
+    }
+
+    /// Commits a change and returns its revision, or the refusal's text.
+    async fn submit(&self, change: &Change) -> std::result::Result<u64, String> {
+        let root = OperatorItem {
+            name: "root".into(),
+            token_sha256: token::sha256(b"root"),
+            owners: vec!["*".into()],
+        };
+        let answer = self.committer.submit(&root, change).await;
+        let answer = answer.map_err(|error| format!("{error:?}"));
+        answer.map(|answer| answer.revision)
+    }
+
+    async fn items(&self) -> (u64, Vec<ItemRow>) {
+        let items = self
+            .parts
+            .handle
+            .ask_inventory(|reply| InventoryEvent::Items { reply });
+        items.await.unwrap()
+    }
+}
+
+/// A table whose first commit takes effect long after its client gave up, and
+/// which takes no other commit.
+#[derive(Default)]
+struct LateTable {
+    inner: Arc<FakeTable>,
+    commits: AtomicU32,
+}
+
+impl Table for LateTable {
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, std::result::Result<Option<Row>, BorderError>> {
+        self.inner.get(key)
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> BoxFuture<'a, std::result::Result<ScanPage, BorderError>> {
+        self.inner.scan(prefix, after, limit)
+    }
+
+    fn commit(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, std::result::Result<CommitOutcome, BorderError>> {
+        Box::pin(async move {
+            if self.commits.fetch_add(1, Ordering::Relaxed) > 0 {
+                return Err(BorderError::new(BorderErrorKind::NotDelivered, "busy"));
+            }
+            let inner = Arc::clone(&self.inner);
+            tokio::spawn(async move {
+                wait_ms(LATE_MS).await;
+                inner.commit(transaction).await
+            });
+            Err(BorderError::new(BorderErrorKind::Unknown, "no answer"))
+        })
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_commit_that_may_still_land_is_not_called_not_run() {
+    let table = Arc::new(LateTable::default());
+    let router = Router::start(Arc::clone(&table) as _, Arc::default());
+    wait_ms(1_000).await;
+    let late = change("late", vec![write(None, model("m", "field"))]);
+    expect_that!(router.submit(&late).await, ok(eq(&1)));
+}
+
+/// A table that gives items one by one and takes a change between two of them.
+struct ChangingTable {
+    inner: Arc<FakeTable>,
+    other: Router,
+    scans: AtomicU32,
+}
+
+impl Table for ChangingTable {
+    fn get<'a>(
+        &'a self,
+        key: &'a str,
+    ) -> BoxFuture<'a, std::result::Result<Option<Row>, BorderError>> {
+        self.inner.get(key)
+    }
+
+    fn scan<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Option<&'a str>,
+        limit: usize,
+    ) -> BoxFuture<'a, std::result::Result<ScanPage, BorderError>> {
+        Box::pin(async move {
+            if prefix != ITEM_ROW_PREFIX {
+                return self.inner.scan(prefix, after, limit).await;
+            }
+            let page = self.inner.scan(prefix, after, 1).await;
+            if self.scans.fetch_add(1, Ordering::Relaxed) == 0 {
+                let moved = change("moved", pair(Some(1), "export"));
+                assert_eq!(self.other.submit(&moved).await, Ok(2));
+            }
+            page
+        })
+    }
+
+    fn commit(
+        &self,
+        transaction: Transaction,
+    ) -> BoxFuture<'_, std::result::Result<CommitOutcome, BorderError>> {
+        self.inner.commit(transaction)
+    }
+}
+
+fn pair(expected: Option<u64>, owner: &str) -> Vec<chicorystage_api::inventory::ItemChange> {
+    let names = ["m", "n"].into_iter();
+    names
+        .map(|name| write(expected, model(name, owner)))
+        .collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_whole_read_never_shows_half_of_a_change() {
+    let inner = Arc::new(FakeTable::new());
+    let other = Router::start(Arc::clone(&inner) as _, Arc::default());
+    wait_ms(1_000).await;
+    expect_that!(
+        other.submit(&change("first", pair(None, "field"))).await,
+        ok(eq(&1))
+    );
+    let changing = ChangingTable {
+        inner,
+        other,
+        scans: AtomicU32::new(0),
+    };
+    let router = Router::start(Arc::new(changing), Arc::default());
+    for _ in 0..300 {
+        wait_ms(10).await;
+        let (revision, rows) = router.items().await;
+        let owners: Vec<&str> = rows
+            .iter()
+            .filter_map(|row| Some(row.item.owner()?.as_str()))
+            .collect();
+        match revision {
+            0 => expect_that!(owners, is_empty()),
+            1 => expect_that!(owners, elements_are![eq(&"field"), eq(&"field")]),
+            _ => expect_that!(owners, elements_are![eq(&"export"), eq(&"export")]),
+        }
+    }
+    expect_that!(router.items().await.0, eq(2));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_stale_snapshot_of_another_router_costs_only_time() {
+    let table = Arc::new(FakeTable::new());
+    let objects = Arc::new(FakeObjectStore::new());
+    let writer = Router::start(Arc::clone(&table) as _, Arc::clone(&objects));
+    wait_ms(1_000).await;
+    writer.submit(&change("c1", pair(None, "a"))).await.unwrap();
+    for revision in 1..=130 {
+        let items = pair(Some(revision), "a");
+        let next = change(&format!("c{}", revision + 1), items);
+        writer.submit(&next).await.unwrap();
+    }
+    let stored = objects.get(SNAPSHOT_OBJECT_KEY).await.unwrap().unwrap();
+    let stored: Snapshot = serde_json::from_slice(&stored).unwrap();
+    expect_that!(stored.revision, ge(128));
+    let exact = writer.items().await;
+    // A snapshot below a log that was trimmed meanwhile, then garbage.
+    let older = Snapshot {
+        revision: 1,
+        rows: Vec::new(),
+    };
+    trim_log(&*table, 60).await;
+    for content in [serde_json::to_vec(&older).unwrap(), b"{".to_vec()] {
+        objects
+            .put(SNAPSHOT_OBJECT_KEY, content.into())
+            .await
+            .unwrap();
+        let starting = Router::start(Arc::clone(&table) as _, Arc::clone(&objects));
+        wait_ms(1_000).await;
+        expect_that!(starting.items().await, eq(&exact));
+    }
+}
+
+async fn trim_log(table: &dyn Table, up_to_revision: u64) {
+    let keys = (1..=up_to_revision).map(|revision| format!("inventory/log/{revision:020}"));
+    let writes = keys.map(|key| chicorystage_platform::table::Write {
+        key: key.into(),
+        value: None,
+    });
+    let transaction = Transaction {
+        id: "trim".into(),
+        checks: Vec::new(),
+        writes: writes.collect(),
+    };
+    table.commit(transaction).await.unwrap();
+    assert!(table.get(HEAD_ROW_KEY).await.unwrap().is_some());
+}
