--- a/crates/chicorystage-testbed/tests/inventory/tables.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -260,6 +260,26 @@
     }
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_router_that_lags_below_the_trimmed_log_reads_the_whole() {
+    let table = Arc::new(FakeTable::new());
+    let lagging = Router::start(Arc::clone(&table) as _, Arc::default());
+    let writer = Router::start(Arc::clone(&table) as _, Arc::default());
+    wait_ms(1_000).await;
+    writer.submit(&change("c1", pair(None, "a"))).await.unwrap();
+    wait_ms(2_000).await;
+    expect_that!(lagging.items().await.0, eq(1));
+    for revision in 1..=20 {
+        let next = change(&format!("c{}", revision + 1), pair(Some(revision), "b"));
+        writer.submit(&next).await.unwrap();
+    }
+    trim_log(&*table, 10).await;
+    expect_that!(lagging.items().await.0, eq(1));
+    wait_ms(2_000).await;
+    expect_that!(lagging.items().await, eq(&writer.items().await));
+}
+
 async fn trim_log(table: &dyn Table, up_to_revision: u64) {
     let keys = (1..=up_to_revision).map(|revision| format!("inventory/log/{revision:020}"));
     let writes = keys.map(|key| chicorystage_platform::table::Write {
