--- a/crates/chicorystage-testbed/src/harness/system.rs
+++ b/crates/chicorystage-testbed/src/harness/system.rs
@@ -236,7 +236,7 @@
             agents: Arc::new(self.agent_link(&vm, &gate)),
             routers: Arc::new(self.router_link(&vm, &gate)),
         };
-        let parts = RouterParts::start(settings.daemon, role, borders, Clock::start());
+        let parts = RouterParts::start(&settings.daemon, &role, borders, Clock::start());
         Process::router(vm, address, gate, parts)
     }
 
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/planner_world/mod.rs
@@ -0,0 +1,346 @@
+//! Two router loops over one table, with agents that follow pushed rows.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use chicorystage_api::inventory::{Item, ItemRow, ModelItem, ModelVersion, RuleItem, Snapshot};
+use chicorystage_api::name::{ModelName, VmId};
+use chicorystage_api::peer::{
+    AgentStatus, AttemptRef, Changes, ChangesQuery, ClaimQuery, ClaimState, PermitAnswer,
+    PermitRequest, PlaceRequest, PlacementAck, PlacementPush, QuarantineEntry, RevisionAck,
+    RevisionHint, RouterStatus, SlotState,
+};
+use chicorystage_api::work::AttemptRequest;
+use chicorystage_platform::link::{AgentLink, FrameStream, RouterLink};
+use chicorystage_platform::table::{Table, Transaction, Write};
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
+use chicorystaged::router::borders::RouterBorders;
+use chicorystaged::router::event::RouterEvent;
+use chicorystaged::router::handle::RouterHandle;
+use chicorystaged::router::main_loop::RouterLoop;
+use chicorystaged::router::permits::PermitEvent;
+use chicorystaged::router::planner::PlannerEvent;
+use chicorystaged::settings::{DaemonSettings, RouterSettings};
+use chicorystaged::timer::Clock;
+use tokio::sync::{mpsc, oneshot};
+
+pub const MODEL: &str = "varietal";
+const ROUTERS: u16 = 2;
+const WORKERS: u16 = 4;
+const EVENTS: usize = 256;
+
+type Answer<'a, T> = BoxFuture<'a, Result<T, BorderError>>;
+
+#[derive(Default)]
+struct Links {
+    routers: Mutex<HashMap<SocketAddr, RouterHandle>>,
+    silent: Mutex<HashSet<SocketAddr>>,
+    probed: Mutex<HashSet<SocketAddr>>,
+}
+
+pub struct World {
+    pub table: Arc<FakeTable>,
+    links: Arc<Links>,
+    pub vms: Mutex<Vec<VmEntry>>,
+    handles: Vec<RouterHandle>,
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn entry(name: &str, port: u16, group: &str) -> VmEntry {
+    VmEntry {
+        id: name.into(),
+        address: address(port),
+        zone: "huehue-a".into(),
+        group: group.into(),
+        state: VmState::Live,
+    }
+}
+
+impl World {
+    pub async fn new(cap: u32) -> Self {
+        let routers = (1..=ROUTERS).map(|i| entry(&format!("entry-{i}"), i, "routers"));
+        let workers = (1..=WORKERS).map(|i| entry(&format!("worker-{i}"), 100 + i, "colmena-llm"));
+        let vms: Vec<VmEntry> = routers.chain(workers).collect();
+        let world = Self {
+            table: Arc::new(FakeTable::new()),
+            links: Arc::default(),
+            handles: vms[..usize::from(ROUTERS)]
+                .iter()
+                .map(|_| mpsc::channel(1).0)
+                .map(RouterHandle::new)
+                .collect(),
+            vms: Mutex::new(vms),
+        };
+        let mut world = world;
+        for i in 0..usize::from(ROUTERS) {
+            world.handles[i] = world.start(i);
+        }
+        world.set_cap(cap, 1).await;
+        world.list_vms().await;
+        world
+    }
+
+    fn start(&self, i: usize) -> RouterHandle {
+        let vm = self.lock_vms()[i].clone();
+        let (sender, events) = mpsc::channel(EVENTS);
+        let handle = RouterHandle::new(sender);
+        let borders = RouterBorders {
+            table: Arc::<FakeTable>::clone(&self.table),
+            object_store: Arc::new(FakeObjectStore::new()),
+            vm_list: Arc::new(FakeVmList::new()),
+            agents: Arc::<Links>::clone(&self.links),
+            routers: Arc::<Links>::clone(&self.links),
+        };
+        let daemon = DaemonSettings {
+            vm: vm.id,
+            zone: vm.zone,
+            group: vm.group,
+        };
+        let settings = RouterSettings {
+            caller_api: address(0),
+            admin_api: address(0),
+            root_token_sha256: "".into(),
+            freshness_max_ms: 4_000,
+            drain_lag_ms: 0,
+            drain_max_ms: 0,
+            waiting_max: 100,
+            body_bytes_held_max: 1_000_000,
+        };
+        let main_loop = RouterLoop::new(daemon, settings, borders, handle.clone(), Clock::start());
+        tokio::spawn(main_loop.run(events));
+        self.links
+            .routers
+            .lock()
+            .unwrap()
+            .insert(vm.address, handle.clone());
+        handle
+    }
+
+    pub fn lock_vms(&self) -> MutexGuard<'_, Vec<VmEntry>> {
+        self.vms.lock().unwrap()
+    }
+
+    /// Puts a cap in force in the table and at the routers.
+    pub async fn set_cap(&self, cap: u32, revision: u64) {
+        let model = ModelItem {
+            name: MODEL.into(),
+            owner: "co-op".into(),
+            group: "colmena-llm".into(),
+            default_version: "v1".into(),
+            versions: vec![ModelVersion {
+                version: "v1".into(),
+                memory_bytes: 1,
+            }],
+        };
+        let rule = RuleItem {
+            model: MODEL.into(),
+            owner: "co-op".into(),
+            replicas_max: cap,
+            keep_alive_min_ms: 0,
+            keep_alive_max_ms: 0,
+        };
+        let row = |item| ItemRow {
+            item,
+            revision,
+            change_id: "c".into(),
+            operator: "o".into(),
+        };
+        let rows = vec![row(Item::Model(model)), row(Item::Rule(rule))];
+        let writes = rows.iter().map(|row| Write {
+            key: row.item.key().row_key().into(),
+            value: Some(serde_json::to_string(row).unwrap().into()),
+        });
+        let transaction = Transaction {
+            id: "cap".into(),
+            checks: Vec::new(),
+            writes: writes.collect(),
+        };
+        self.table.commit(transaction).await.unwrap();
+        self.tell_all(|| {
+            RouterEvent::InventoryRead(Snapshot {
+                revision,
+                rows: rows.clone(),
+            })
+        })
+        .await;
+    }
+
+    /// Lets every router read the list of VMs.
+    pub async fn list_vms(&self) {
+        let vms = self.lock_vms().clone();
+        self.tell_all(|| RouterEvent::VmsRead(vms.clone())).await;
+    }
+
+    async fn tell_all(&self, event: impl Fn() -> RouterEvent) {
+        for handle in &self.handles {
+            handle.tell(event()).await;
+        }
+    }
+
+    /// Makes a process unreachable, or reachable again.
+    pub fn set_silent(&self, vm: &VmId, silent: bool) {
+        let address = self
+            .lock_vms()
+            .iter()
+            .find(|entry| entry.id == *vm)
+            .unwrap()
+            .address;
+        let mut all = self.links.silent.lock().unwrap();
+        if silent {
+            all.insert(address);
+        } else {
+            all.remove(&address);
+        }
+    }
+
+    /// Asks one router for a slot, as another router would.
+    pub async fn place(&self, router: usize, additional: bool, seen: u64) -> Option<PlacementPush> {
+        let (reply, answer) = oneshot::channel();
+        let request = PlaceRequest {
+            model: MODEL.into(),
+            additional,
+            avoid: Vec::new(),
+            seen_row_version: seen,
+        };
+        let event = PlannerEvent::Place { request, reply };
+        self.handles[router].tell(RouterEvent::Planner(event)).await;
+        answer.await.unwrap()
+    }
+
+    /// Asks one router for a permit.
+    pub async fn permit(&self, router: usize, request: PermitRequest) -> PermitAnswer {
+        let (reply, answer) = oneshot::channel();
+        let event = PermitEvent::Acquire { request, reply };
+        self.handles[router].tell(RouterEvent::Permit(event)).await;
+        answer.await.unwrap()
+    }
+
+    /// Reads the placement row from the table.
+    pub async fn slots(&self) -> Vec<(VmId, SlotState)> {
+        let row = self.table.get(&format!("placement/{MODEL}")).await.unwrap();
+        let row: chicorystage_api::peer::PlacementRow =
+            serde_json::from_str(&row.unwrap().value).unwrap();
+        row.slots
+            .into_iter()
+            .map(|slot| (slot.vm, slot.state))
+            .collect()
+    }
+}
+
+impl Links {
+    fn reach(&self, address: SocketAddr) -> Result<(), BorderError> {
+        if self.silent.lock().unwrap().contains(&address) {
+            return Err(BorderError::new(BorderErrorKind::Unknown, "silent"));
+        }
+        Ok(())
+    }
+}
+
+impl AgentLink for Links {
+    fn start(&self, _: SocketAddr, _: AttemptRequest) -> Answer<'_, FrameStream> {
+        unimplemented!("no attempts run here")
+    }
+
+    fn resume(&self, _: SocketAddr, _: AttemptRef, _: u64) -> Answer<'_, FrameStream> {
+        unimplemented!("no attempts run here")
+    }
+
+    fn cancel(&self, _: SocketAddr, _: AttemptRef) -> Answer<'_, ()> {
+        unimplemented!("no attempts run here")
+    }
+
+    fn query_claim(&self, _: SocketAddr, _: ClaimQuery) -> Answer<'_, ClaimState> {
+        unimplemented!("no claims here")
+    }
+
+    fn push_placements(
+        &self,
+        agent: SocketAddr,
+        pushes: Vec<PlacementPush>,
+    ) -> Answer<'_, Vec<PlacementAck>> {
+        Box::pin(async move {
+            self.reach(agent)?;
+            let vm = VmId::from(format!("worker-{}", agent.port() - 100));
+            let ack = |push: PlacementPush| {
+                let mut slots = push.row.slots.iter();
+                let held = slots.any(|slot| slot.vm == vm && slot.state == SlotState::Held);
+                PlacementAck {
+                    model: ModelName::from(MODEL),
+                    row_version: push.row_version,
+                    held,
+                    released: !held,
+                }
+            };
+            Ok(pushes.into_iter().map(ack).collect())
+        })
+    }
+
+    fn push_quarantine(&self, _: SocketAddr, _: Vec<QuarantineEntry>) -> Answer<'_, ()> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn status(&self, agent: SocketAddr) -> Answer<'_, AgentStatus> {
+        Box::pin(async move {
+            self.probed.lock().unwrap().insert(agent);
+            Err(BorderError::new(
+                BorderErrorKind::NotDelivered,
+                "not asked here",
+            ))
+        })
+    }
+
+    fn drain(&self, _: SocketAddr) -> Answer<'_, ()> {
+        unimplemented!("nothing is drained here")
+    }
+}
+
+impl RouterLink for Links {
+    fn hint(&self, _: SocketAddr, _: RevisionHint) -> Answer<'_, RevisionAck> {
+        unimplemented!("no hints here")
+    }
+
+    fn changes(&self, _: SocketAddr, _: ChangesQuery) -> Answer<'_, Changes> {
+        unimplemented!("no polls here")
+    }
+
+    fn place(
+        &self,
+        router: SocketAddr,
+        request: PlaceRequest,
+    ) -> Answer<'_, Option<PlacementPush>> {
+        Box::pin(async move {
+            self.reach(router)?;
+            let handle = self.routers.lock().unwrap()[&router].clone();
+            let (reply, answer) = oneshot::channel();
+            let event = PlannerEvent::Place { request, reply };
+            handle.tell(RouterEvent::Planner(event)).await;
+            Ok(answer.await.unwrap())
+        })
+    }
+
+    fn acquire_permit(&self, _: SocketAddr, _: PermitRequest) -> Answer<'_, PermitAnswer> {
+        unimplemented!("permits are asked of the loops")
+    }
+
+    fn release_permit(&self, _: SocketAddr, _: u64) -> Answer<'_, ()> {
+        unimplemented!("permits are asked of the loops")
+    }
+
+    fn push_quarantine(&self, _: SocketAddr, _: Vec<QuarantineEntry>) -> Answer<'_, ()> {
+        Box::pin(async { Ok(()) })
+    }
+
+    fn status(&self, _: SocketAddr) -> Answer<'_, RouterStatus> {
+        unimplemented!("no status here")
+    }
+
+    fn drain(&self, _: SocketAddr) -> Answer<'_, ()> {
+        unimplemented!("nothing is drained here")
+    }
+}
--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -3,15 +3,16 @@
 use chicorystage_api::inventory::ModelRef;
 use chicorystage_api::inventory::{CallerItem, Snapshot};
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
-use chicorystage_api::peer::{
-    PermitAnswer, PermitRequest, PlaceRequest, PlacementPush, QuarantineEntry, RouterStatus,
-};
+use chicorystage_api::peer::{PlacementPush, QuarantineEntry, RouterStatus};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
 use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::inventory::InventoryEvent;
+use crate::router::permits::PermitEvent;
+use crate::router::planner::PlannerEvent;
+use crate::router::serving::{ChooseRequest, Flight, ServingEvent};
 
 /// One event of the router's main loop.
 #[derive(Debug)]
@@ -27,12 +28,8 @@
     },
     /// An admitted request asks where to run.
     Choose {
-        /// Group of endpoints that can run it.
-        group: GroupName,
-        /// Model that it needs; none for a plain service.
-        model: Option<ModelName>,
-        /// VMs already tried in vain.
-        avoid: Vec<VmId>,
+        /// What it needs.
+        request: ChooseRequest,
         /// Receives the decision.
         reply: oneshot::Sender<Result<Choice, Refusal>>,
     },
@@ -43,6 +40,8 @@
         /// Load that the endpoint last reported with it.
         load: Option<EndpointLoad>,
     },
+    /// The serving path has news or a question.
+    Serving(ServingEvent),
     /// A newer inventory was read.
     InventoryRead(Snapshot),
     /// The list of VMs was read.
@@ -58,27 +57,6 @@
     },
     /// An event of the inventory's part.
     Inventory(InventoryEvent),
-    /// An agent or router asks the planner of a model for a slot.
-    Place {
-        /// What it asks.
-        request: PlaceRequest,
-        /// Receives the row in force; dropped where this router cannot tell.
-        reply: oneshot::Sender<Option<PlacementPush>>,
-    },
-    /// An agent asks for permission to fetch weights.
-    AcquirePermit {
-        /// What it asks.
-        request: PermitRequest,
-        /// Receives the answer; dropped where this router hands out none.
-        reply: oneshot::Sender<PermitAnswer>,
-    },
-    /// An agent returns a permit.
-    ReleasePermit {
-        /// Identity of the permit.
-        permit_id: u64,
-        /// Receives the acknowledgement; dropped where this router hands out none.
-        reply: oneshot::Sender<()>,
-    },
     /// A router or operator delivers quarantined digests.
     PushQuarantine {
         /// The digests.
@@ -88,9 +66,13 @@
     },
     /// An operator asks for a graceful stop.
     Drain {
-        /// Receives the acknowledgement; dropped where it cannot be done.
+        /// Receives the acknowledgement.
         reply: oneshot::Sender<()>,
     },
+    /// The planner has news or a question.
+    Planner(PlannerEvent),
+    /// An agent asks for or returns a permit.
+    Permit(PermitEvent),
     /// Somebody asks for the router's state.
     Status {
         /// Receives the state.
@@ -151,10 +133,14 @@
 }
 
 /// Decision where to run a request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Choice {
     /// VM whose agent is tried next.
     pub vm: VmEntry,
     /// Evidence of the VM's slot, for a model request.
     pub grant: Option<SlotGrant>,
+    /// Estimated wait there, in milliseconds.
+    pub estimated_wait_ms: u64,
+    /// Counts the attempt as sent there until it is dropped.
+    pub flight: Flight,
 }
--- a/crates/chicorystaged/src/router/parts.rs
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::metrics::Metrics;
 use crate::router::admin_api::AdminApi;
 use crate::router::borders::RouterBorders;
 use crate::router::caller_api::CallerApi;
@@ -26,6 +27,10 @@
 pub struct RouterParts {
     /// Access to the main loop.
     pub handle: RouterHandle,
+    /// Entry point of requests without HTTP.
+    pub dispatcher: Dispatcher,
+    /// What the router counts.
+    pub metrics: Arc<Metrics>,
     /// Answers callers.
     pub caller_api: Arc<dyn Handler>,
     /// Answers operators.
@@ -42,25 +47,36 @@
     /// Starts a router's loop and tasks within the current runtime.
     #[must_use]
     pub fn start(
-        daemon: DaemonSettings,
-        settings: RouterSettings,
+        daemon: &DaemonSettings,
+        settings: &RouterSettings,
         borders: RouterBorders,
         clock: Clock,
     ) -> Self {
         let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
         let handle = RouterHandle::new(sender);
         refresh::spawn(&borders, &handle, clock);
-        let admin_api = AdminApi::new(&daemon, &settings, borders.clone(), handle.clone(), clock);
-        let main_loop = RouterLoop::new(daemon, settings, borders.clone(), handle.clone(), clock);
+        let main_loop = RouterLoop::new(
+            daemon.clone(),
+            settings.clone(),
+            borders.clone(),
+            handle.clone(),
+            clock,
+        );
+        let metrics = Arc::new(Metrics::new());
+        let main_loop = main_loop.with_metrics(Arc::clone(&metrics));
         let running = tokio::spawn(main_loop.run(events));
-        let dispatcher = Dispatcher::new(handle.clone(), borders, clock);
-        let caller_api = CallerApi::new(dispatcher);
+        let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
+        let dispatcher = dispatcher.with_metrics(Arc::clone(&metrics));
+        let caller_api = CallerApi::new(dispatcher.clone());
+        let admin_api = AdminApi::new(daemon, settings, borders, handle.clone(), clock);
         Self {
             caller_api: Arc::new(caller_api),
             admin_api: Arc::new(admin_api),
             internal_api: Arc::new(InternalApi::new(handle.clone())),
-            health_api: Arc::new(HealthApi::new(handle.clone())),
+            health_api: Arc::new(HealthApi::new(handle.clone(), Arc::clone(&metrics))),
             handle,
+            dispatcher,
+            metrics,
             running,
         }
     }
--- a/crates/chicorystaged/src/router/serving/whole_answer.rs
+++ b/crates/chicorystaged/src/router/serving/whole_answer.rs
@@ -1,7 +1,17 @@
 use std::sync::Arc;
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use chicorystage_api::work::EndSummary;
+use chicorystage_api::peer::ClaimOutcome;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::{EndSummary, Payload};
+
+use crate::router::serving::attempt_failure::AttemptFailure;
+use crate::router::serving::attempt_stream::AttemptStream;
+
+/// Status of an answer that names none.
+const STATUS_OK: u16 = 200;
 
 /// An answer collected up to its end marker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,11 +26,70 @@
     pub summary: EndSummary,
 }
 
-/// Status of an answer that names none.
-const STATUS_OK: u16 = 200;
-
 impl WholeAnswer {
-    pub(crate) fn empty() -> Self {
+    /// Collects one attempt's answer from its first payload on.
+    pub(super) async fn collect(
+        stream: &mut AttemptStream,
+        mut first: Option<Payload>,
+        mut on_payload: impl FnMut(&Payload),
+    ) -> Result<Self, AttemptFailure> {
+        let mut answer = Self::empty();
+        let mut body = Vec::new();
+        loop {
+            let payload = match first.take() {
+                Some(first) => first,
+                None => stream.next().await?,
+            };
+            on_payload(&payload);
+            match payload {
+                Payload::Token(token) => body.extend_from_slice(token.as_bytes()),
+                Payload::Head {
+                    status,
+                    content_type,
+                } => {
+                    answer.status = status;
+                    answer.content_type = content_type;
+                }
+                Payload::Body(text) => body.extend(decode(&text)?),
+                Payload::End(summary) => {
+                    answer.summary = summary;
+                    answer.body = Bytes::from(body);
+                    return Ok(answer);
+                }
+                Payload::Refused(refusal) => return Err(AttemptFailure::refused(refusal)),
+                Payload::Heartbeat => {}
+            }
+        }
+    }
+
+    /// Returns the answer as the outcome of a claim.
+    pub(super) fn to_outcome(&self) -> ClaimOutcome {
+        ClaimOutcome::Answered {
+            status: self.status,
+            content_type: Arc::clone(&self.content_type),
+            body_base64: STANDARD.encode(&self.body).into(),
+        }
+    }
+
+    /// Returns the answer that a claim's outcome records, if any.
+    pub(super) fn from_outcome(outcome: ClaimOutcome) -> Option<Self> {
+        let ClaimOutcome::Answered {
+            status,
+            content_type,
+            body_base64,
+        } = outcome
+        else {
+            return None;
+        };
+        Some(Self {
+            status,
+            content_type,
+            body: STANDARD.decode(body_base64.as_bytes()).ok()?.into(),
+            summary: EndSummary::default(),
+        })
+    }
+
+    fn empty() -> Self {
         Self {
             status: STATUS_OK,
             content_type: Arc::from(""),
@@ -29,3 +98,10 @@
         }
     }
 }
+
+fn decode(text: &str) -> Result<Vec<u8>, AttemptFailure> {
+    STANDARD.decode(text.as_bytes()).map_err(|error| {
+        let detail = format!("answer: {error}");
+        AttemptFailure::lost(Refusal::may_have_run(RefusalCode::ResultUnknown, detail))
+    })
+}
