Agent metrics; version switches wait for a held slot; orders split by concern

Change: /metrics on the health address (refusals, orders, queue wait and cold start by class, idle accelerator time by model), unloading.rs and order_end.rs.

--- a/crates/chicorystaged/src/agent/dispatch.rs
+++ b/crates/chicorystaged/src/agent/dispatch.rs
@@ -147,6 +147,7 @@
         let running = Running {
             started_ms: now_ms,
             deadline_ms: entry.deadline_ms,
+            class: entry.class,
             suspect: entry.suspect,
             stream: None,
         };
--- a/crates/chicorystaged/src/agent/event.rs
+++ b/crates/chicorystaged/src/agent/event.rs
@@ -109,6 +109,11 @@
         /// Receives the state.
         reply: oneshot::Sender<AgentStatus>,
     },
+    /// Somebody asks for the agent's metrics.
+    Metrics {
+        /// Receives them as text.
+        reply: oneshot::Sender<String>,
+    },
     /// Somebody asks for a graceful stop.
     Drain,
 }
--- a/crates/chicorystaged/src/agent/health_api.rs
+++ b/crates/chicorystaged/src/agent/health_api.rs
@@ -7,7 +7,7 @@
 use crate::agent::handle::AgentHandle;
 use crate::web;
 
-/// Answers health checks.
+/// Answers health checks and readers of metrics.
 #[derive(Debug)]
 pub(crate) struct HealthApi {
     handle: AgentHandle,
@@ -30,6 +30,10 @@
                     }
                     _ => web::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
                 },
+                "/metrics" => match self.handle.ask(|reply| AgentEvent::Metrics { reply }).await {
+                    Some(text) => web::text(StatusCode::OK, text),
+                    None => web::text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"),
+                },
                 _ => web::text(StatusCode::NOT_FOUND, "not found\n"),
             }
         })
--- a/crates/chicorystaged/src/agent/main_loop.rs
+++ b/crates/chicorystaged/src/agent/main_loop.rs
@@ -24,6 +24,7 @@
 use crate::agent::borders::{AgentBorders, Endpoint};
 use crate::agent::event::AgentEvent;
 use crate::agent::handle::AgentHandle;
+use crate::agent::metrics::Metrics;
 use crate::agent::policy::{FixedKeepAlive, ReplicaPolicy};
 use crate::agent::running::Running;
 use crate::agent::slot_reads::SlotReads;
@@ -70,6 +71,7 @@
     pub(super) revision: watch::Sender<u64>,
     pub(super) quarantined: HashSet<Digest>,
     pub(super) drain: Drain,
+    pub(super) metrics: Metrics,
 }
 
 impl AgentLoop {
@@ -107,6 +109,7 @@
             revision: watch::channel(0).0,
             quarantined: HashSet::new(),
             drain: Drain::new(settings.drain_max_ms),
+            metrics: Metrics::new(),
             daemon,
             settings,
             borders,
@@ -208,6 +211,9 @@
             AgentEvent::Status { reply } => {
                 let _sent = reply.send(self.status());
             }
+            AgentEvent::Metrics { reply } => {
+                let _sent = reply.send(self.metrics_text());
+            }
             AgentEvent::Drain => self.leave("drain"),
         }
     }
--- /dev/null
+++ b/crates/chicorystaged/src/agent/order_end.rs
@@ -0,0 +1,94 @@
+//! Ends of orders: what is loaded now, and who waited for nothing.
+
+use chicorystage_api::name::AdapterName;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::ledger::Holding;
+use chicorystage_core::replicas::{EndedOrder, OrderEnd};
+use chicorystage_platform::BorderError;
+
+use crate::agent::main_loop::AgentLoop;
+
+/// Delay after which a failed load may be tried again, in milliseconds.
+const LOAD_RETRY_AFTER_MS: u64 = 500;
+
+impl AgentLoop {
+    pub(super) fn order_ended(
+        &mut self,
+        order: u64,
+        result: Result<(), BorderError>,
+        paced_locally: bool,
+    ) {
+        let now_ms = self.clock.now_ms();
+        self.local_orders = if paced_locally {
+            self.local_orders.saturating_add(1)
+        } else {
+            0
+        };
+        let end = match &result {
+            Ok(()) => OrderEnd::Done,
+            Err(error) if error.had_no_effect() => OrderEnd::NoEffect,
+            Err(_unknown) => OrderEnd::Unknown,
+        };
+        if let Some(ended) = self.replicas.end_order(order, end, now_ms) {
+            self.take_end(&ended, result.err(), now_ms);
+        }
+        self.dispatch_due = true;
+    }
+
+    fn take_end(&mut self, ended: &EndedOrder, error: Option<BorderError>, now_ms: u64) {
+        self.metrics
+            .order_ended(kind_name(ended), end_name(ended.end));
+        let holding = Holding {
+            replica: ended.replica.clone(),
+            adapter: ended.adapter.clone(),
+        };
+        let model = ended.replica.model.as_str();
+        let adapter = ended.adapter.as_ref().map_or("", AdapterName::as_str);
+        let Some(error) = error else {
+            if ended.is_load {
+                self.loaded_ms.insert(holding, now_ms);
+                log::info!(event = "loaded", model, adapter; "load order done");
+            } else {
+                self.loaded_ms.remove(&holding);
+                log::info!(event = "unloaded", model, adapter; "unload order done");
+            }
+            return;
+        };
+        log::warn!(event = "order_failed", model, adapter, error:% = error; "order failed");
+        if ended.is_load {
+            self.refuse_waiting(ended, &error);
+        }
+    }
+
+    /// Refuses everyone who waited for a load that failed.
+    fn refuse_waiting(&mut self, ended: &EndedOrder, error: &BorderError) {
+        let waiting = self.queue.take_where(|entry| {
+            entry.item.target.as_ref().is_some_and(|target| {
+                let needs_it = ended.adapter.is_none() || target.adapter == ended.adapter;
+                target.key == ended.replica && needs_it
+            })
+        });
+        for entry in waiting {
+            let refusal = Refusal::not_run(RefusalCode::LoadFailed, error.to_string())
+                .retry_after_ms(LOAD_RETRY_AFTER_MS);
+            self.refuse(&entry.item.attempt, refusal);
+        }
+    }
+}
+
+fn kind_name(ended: &EndedOrder) -> &'static str {
+    match (ended.is_load, ended.adapter.is_some()) {
+        (true, false) => "load",
+        (false, false) => "unload",
+        (true, true) => "load_adapter",
+        (false, true) => "unload_adapter",
+    }
+}
+
+fn end_name(end: OrderEnd) -> &'static str {
+    match end {
+        OrderEnd::Done => "done",
+        OrderEnd::NoEffect => "no_effect",
+        OrderEnd::Unknown => "unknown",
+    }
+}
--- a/crates/chicorystaged/src/agent/orders.rs
+++ b/crates/chicorystaged/src/agent/orders.rs
@@ -1,15 +1,12 @@
-//! Orders to the engine: loads, unloads and adapters.
+//! Orders that waiting attempts need: loads of models and adapters.
 
 use std::sync::Arc;
 
 use chicorystage_api::inventory::Class;
-use chicorystage_api::name::AdapterName;
 use chicorystage_api::peer::{PermitKind, ReplicaState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_core::ledger::{Holding, LedgerFull};
-use chicorystage_core::replicas::{BeginError, EndedOrder, OrderEnd, ReplicaKey};
+use chicorystage_core::replicas::{BeginError, ReplicaKey};
 use chicorystage_core::slots::Standing;
-use chicorystage_platform::BorderError;
 use chicorystage_platform::engine::{CacheTier, Order, OrderKind};
 use chicorystage_platform::vm_list::VmState;
 
@@ -24,9 +21,6 @@
 
 /// Adapter fetches of one agent in flight at once.
 const ADAPTER_LOADS_MAX: usize = 8;
-/// Delay after which a failed load may be tried again, in milliseconds.
-const LOAD_RETRY_AFTER_MS: u64 = 500;
-
 /// Highest class that waits for an order, and the time left to its deadline.
 type Urgency = (Class, u64);
 
@@ -50,7 +44,8 @@
                 self.ensure_adapter(target, wanted, urgency, now_ms)
             }
             Some((other, ReplicaState::Loaded)) => {
-                if wanted.get(model) == Some(&target.key.version) {
+                let is_held = self.slots.standing(model) == Standing::Held;
+                if is_held && wanted.get(model) == Some(&target.key.version) {
                     self.unload(&other, now_ms);
                 }
                 Readiness::Pending
@@ -157,104 +152,7 @@
         self.make_room(full, wanted, now_ms)
     }
 
-    /// Unloads what is idle until enough memory is about to be free.
-    fn make_room(&mut self, full: LedgerFull, wanted: &WantedVersions, now_ms: u64) -> Readiness {
-        let mut freed_bytes = self.replicas.unloading_bytes();
-        if freed_bytes >= full.missing_bytes() {
-            return Readiness::Pending;
-        }
-        for (key, adapter) in self.replicas.idle_adapters() {
-            if freed_bytes >= full.missing_bytes() {
-                return Readiness::Pending;
-            }
-            if !self.is_adapter_wanted(&key, &adapter) {
-                self.unload_adapter(&key, &adapter, now_ms);
-                freed_bytes = self.replicas.unloading_bytes();
-            }
-        }
-        let mut idle = self.replicas.idle(now_ms);
-        idle.retain(|replica| wanted.get(&replica.key.model) != Some(&replica.key.version));
-        self.policy.sort_for_eviction(&mut idle, now_ms);
-        for replica in idle {
-            if freed_bytes >= full.missing_bytes() {
-                return Readiness::Pending;
-            }
-            self.unload(&replica.key, now_ms);
-            freed_bytes = self.replicas.unloading_bytes();
-        }
-        if freed_bytes > 0 {
-            return Readiness::Pending;
-        }
-        Readiness::NoMemory
-    }
-
-    fn is_adapter_wanted(&self, key: &ReplicaKey, adapter: &AdapterName) -> bool {
-        let mut targets = self
-            .queue
-            .iter()
-            .filter_map(|entry| entry.item.target.as_ref());
-        targets.any(|target| target.key == *key && target.adapter.as_ref() == Some(adapter))
-    }
-
-    /// Unloads idle replicas whose time is up or whose slot is gone, and surplus ones.
-    pub(super) fn unload_idle(&mut self, now_ms: u64) {
-        if self.fence.number().is_none() {
-            return;
-        }
-        for idle in self.replicas.idle(now_ms) {
-            let model = &idle.key.model;
-            let is_wanted = self.queue.iter().any(|entry| {
-                let target = entry.item.target.as_ref();
-                target.is_some_and(|target| target.key == idle.key)
-            });
-            let may_unload = match self.slots.standing(model) {
-                Standing::Revoking | Standing::Absent => true,
-                Standing::Unread | Standing::Held if self.drain.is_leaving() => !is_wanted,
-                Standing::Unread => false,
-                Standing::Held => {
-                    let rule = self.inventory.rule(model);
-                    let is_surplus = self.replicas.of_model(model).count() > 1;
-                    !is_wanted && (is_surplus || self.policy.may_unload(&idle, rule, now_ms))
-                }
-            };
-            if may_unload {
-                self.unload(&idle.key, now_ms);
-            }
-        }
-    }
-
-    fn unload(&mut self, key: &ReplicaKey, now_ms: u64) {
-        if self.fence.number().is_none() {
-            return;
-        }
-        let Ok(order) = self.replicas.begin_unload(key, now_ms) else {
-            return;
-        };
-        log::info!(
-            event = "replica_unloading", model = key.model.as_str(), version = key.version.as_str();
-            "unloading a replica"
-        );
-        let kind = OrderKind::Unload {
-            model: key.model.clone(),
-            version: key.version.clone(),
-        };
-        self.give_order(order, kind, None);
-    }
-
-    fn unload_adapter(&mut self, key: &ReplicaKey, adapter: &AdapterName, now_ms: u64) {
-        if self.fence.number().is_none() {
-            return;
-        }
-        if let Ok(order) = self.replicas.begin_adapter_unload(key, adapter, now_ms) {
-            let kind = OrderKind::UnloadAdapter {
-                model: key.model.clone(),
-                adapter: adapter.clone(),
-            };
-            self.give_order(order, kind, None);
-        }
-    }
-
-    fn give_order(&self, number: u64, kind: OrderKind, asker: Option<PermitAsker>) {
+    pub(super) fn give_order(&self, number: u64, kind: OrderKind, asker: Option<PermitAsker>) {
         let (Some(fence), Endpoint::Engine(engine)) = (self.fence.number(), &self.borders.endpoint)
         else {
             return;
@@ -264,67 +162,6 @@
         tokio::spawn(order_task::run_order(engine, handle, number, order, asker));
     }
 
-    pub(super) fn order_ended(
-        &mut self,
-        order: u64,
-        result: Result<(), BorderError>,
-        paced_locally: bool,
-    ) {
-        let now_ms = self.clock.now_ms();
-        self.local_orders = if paced_locally {
-            self.local_orders.saturating_add(1)
-        } else {
-            0
-        };
-        let end = match &result {
-            Ok(()) => OrderEnd::Done,
-            Err(error) if error.had_no_effect() => OrderEnd::NoEffect,
-            Err(_unknown) => OrderEnd::Unknown,
-        };
-        if let Some(ended) = self.replicas.end_order(order, end, now_ms) {
-            self.take_end(&ended, result.err(), now_ms);
-        }
-        self.dispatch_due = true;
-    }
-
-    fn take_end(&mut self, ended: &EndedOrder, error: Option<BorderError>, now_ms: u64) {
-        let holding = Holding {
-            replica: ended.replica.clone(),
-            adapter: ended.adapter.clone(),
-        };
-        let model = ended.replica.model.as_str();
-        let adapter = ended.adapter.as_ref().map_or("", AdapterName::as_str);
-        let Some(error) = error else {
-            if ended.is_load {
-                self.loaded_ms.insert(holding, now_ms);
-                log::info!(event = "loaded", model, adapter; "load order done");
-            } else {
-                self.loaded_ms.remove(&holding);
-                log::info!(event = "unloaded", model, adapter; "unload order done");
-            }
-            return;
-        };
-        log::warn!(event = "order_failed", model, adapter, error:% = error; "order failed");
-        if ended.is_load {
-            self.refuse_waiting(ended, &error);
-        }
-    }
-
-    /// Refuses everyone who waited for a load that failed.
-    fn refuse_waiting(&mut self, ended: &EndedOrder, error: &BorderError) {
-        let waiting = self.queue.take_where(|entry| {
-            entry.item.target.as_ref().is_some_and(|target| {
-                let needs_it = ended.adapter.is_none() || target.adapter == ended.adapter;
-                target.key == ended.replica && needs_it
-            })
-        });
-        for entry in waiting {
-            let refusal = Refusal::not_run(RefusalCode::LoadFailed, error.to_string())
-                .retry_after_ms(LOAD_RETRY_AFTER_MS);
-            self.refuse(&entry.item.attempt, refusal);
-        }
-    }
-
     fn is_remote(&self, key: &ReplicaKey) -> bool {
         let cached = self.engine.iter().flat_map(|engine| &engine.cached);
         let mut near = cached.filter(|cached| cached.tier != CacheTier::Remote);
--- a/crates/chicorystaged/src/agent/reporting.rs
+++ b/crates/chicorystaged/src/agent/reporting.rs
@@ -7,6 +7,7 @@
 
 use crate::agent::borders::Endpoint;
 use crate::agent::main_loop::AgentLoop;
+use crate::agent::metrics::Readings;
 
 impl AgentLoop {
     /// Returns the attempts that the endpoint runs at once.
@@ -56,6 +57,17 @@
         }
     }
 
+    pub(super) fn metrics_text(&self) -> String {
+        for (model, idle_ms) in self.replicas.idle_total_ms(self.clock.now_ms()) {
+            self.metrics.set_idle(model.as_str(), idle_ms);
+        }
+        self.metrics.text(&Readings {
+            running: self.running_count(),
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            memory_reserved_bytes: self.replicas.ledger().reserved_bytes(),
+        })
+    }
+
     fn cached(&self, tier: CacheTier) -> Vec<ModelName> {
         let cached = self.engine.iter().flat_map(|engine| &engine.cached);
         let cached = cached.filter(|cached| cached.tier == tier);
--- a/crates/chicorystaged/src/agent/running.rs
+++ b/crates/chicorystaged/src/agent/running.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use chicorystage_api::inventory::Class;
 use chicorystage_core::replicas::ReplicaUse;
 use tokio::sync::oneshot;
 
@@ -8,6 +9,7 @@
 pub(crate) struct Running {
     pub(crate) started_ms: u64,
     pub(crate) deadline_ms: u64,
+    pub(crate) class: Class,
     pub(crate) suspect: bool,
     /// The engine's part; none for a call of a plain service.
     pub(crate) stream: Option<RunningStream>,
--- /dev/null
+++ b/crates/chicorystaged/src/agent/unloading.rs
@@ -0,0 +1,115 @@
+//! Unloads: what is idle, surplus or in the way.
+
+use chicorystage_api::name::AdapterName;
+use chicorystage_core::ledger::LedgerFull;
+use chicorystage_core::replicas::ReplicaKey;
+use chicorystage_core::slots::Standing;
+use chicorystage_platform::engine::OrderKind;
+
+use crate::agent::dispatch::WantedVersions;
+use crate::agent::main_loop::AgentLoop;
+use crate::agent::readiness::Readiness;
+
+impl AgentLoop {
+    /// Unloads what is idle until enough memory is about to be free.
+    pub(super) fn make_room(
+        &mut self,
+        full: LedgerFull,
+        wanted: &WantedVersions,
+        now_ms: u64,
+    ) -> Readiness {
+        let mut freed_bytes = self.replicas.unloading_bytes();
+        if freed_bytes >= full.missing_bytes() {
+            return Readiness::Pending;
+        }
+        for (key, adapter) in self.replicas.idle_adapters() {
+            if freed_bytes >= full.missing_bytes() {
+                return Readiness::Pending;
+            }
+            if !self.is_adapter_wanted(&key, &adapter) {
+                self.unload_adapter(&key, &adapter, now_ms);
+                freed_bytes = self.replicas.unloading_bytes();
+            }
+        }
+        let mut idle = self.replicas.idle(now_ms);
+        idle.retain(|replica| wanted.get(&replica.key.model) != Some(&replica.key.version));
+        self.policy.sort_for_eviction(&mut idle, now_ms);
+        for replica in idle {
+            if freed_bytes >= full.missing_bytes() {
+                return Readiness::Pending;
+            }
+            self.unload(&replica.key, now_ms);
+            freed_bytes = self.replicas.unloading_bytes();
+        }
+        if freed_bytes > 0 {
+            return Readiness::Pending;
+        }
+        Readiness::NoMemory
+    }
+
+    fn is_adapter_wanted(&self, key: &ReplicaKey, adapter: &AdapterName) -> bool {
+        let mut targets = self
+            .queue
+            .iter()
+            .filter_map(|entry| entry.item.target.as_ref());
+        targets.any(|target| target.key == *key && target.adapter.as_ref() == Some(adapter))
+    }
+
+    /// Unloads idle replicas whose time is up or whose slot is gone, and surplus ones.
+    pub(super) fn unload_idle(&mut self, now_ms: u64) {
+        if self.fence.number().is_none() {
+            return;
+        }
+        for idle in self.replicas.idle(now_ms) {
+            let model = &idle.key.model;
+            let is_wanted = self.queue.iter().any(|entry| {
+                let target = entry.item.target.as_ref();
+                target.is_some_and(|target| target.key == idle.key)
+            });
+            let may_unload = match self.slots.standing(model) {
+                Standing::Revoking | Standing::Absent => true,
+                Standing::Unread | Standing::Held if self.drain.is_leaving() => !is_wanted,
+                Standing::Unread => false,
+                Standing::Held => {
+                    let rule = self.inventory.rule(model);
+                    let is_surplus = self.replicas.of_model(model).count() > 1;
+                    !is_wanted && (is_surplus || self.policy.may_unload(&idle, rule, now_ms))
+                }
+            };
+            if may_unload {
+                self.unload(&idle.key, now_ms);
+            }
+        }
+    }
+
+    pub(super) fn unload(&mut self, key: &ReplicaKey, now_ms: u64) {
+        if self.fence.number().is_none() {
+            return;
+        }
+        let Ok(order) = self.replicas.begin_unload(key, now_ms) else {
+            return;
+        };
+        log::info!(
+            event = "replica_unloading", model = key.model.as_str(), version = key.version.as_str();
+            "unloading a replica"
+        );
+        let kind = OrderKind::Unload {
+            model: key.model.clone(),
+            version: key.version.clone(),
+        };
+        self.give_order(order, kind, None);
+    }
+
+    fn unload_adapter(&mut self, key: &ReplicaKey, adapter: &AdapterName, now_ms: u64) {
+        if self.fence.number().is_none() {
+            return;
+        }
+        if let Ok(order) = self.replicas.begin_adapter_unload(key, adapter, now_ms) {
+            let kind = OrderKind::UnloadAdapter {
+                model: key.model.clone(),
+                adapter: adapter.clone(),
+            };
+            self.give_order(order, kind, None);
+        }
+    }
+}
--- a/crates/chicorystaged/src/agent/work.rs
+++ b/crates/chicorystaged/src/agent/work.rs
@@ -111,6 +111,7 @@
         let now_ms = self.clock.now_ms();
         let is_final = payload.is_final();
         if is_final {
+            self.count(attempt, &payload);
             self.end_running(attempt, now_ms);
         }
         let is_first = self
@@ -130,6 +131,14 @@
         }
     }
 
+    fn count(&self, attempt: &AttemptRef, last: &Payload) {
+        match (last, self.running.get(attempt)) {
+            (Payload::End(summary), Some(running)) => self.metrics.served(running.class, summary),
+            (Payload::Refused(refusal), _) => self.metrics.refused(refusal),
+            _ => {}
+        }
+    }
+
     /// Asks the engine to stop a stream and frees its place.
     fn stop_stream(&mut self, attempt: &AttemptRef) {
         let Some(running) = self.running.get(attempt) else {
