--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -7,21 +7,28 @@
 //!
 //! # Parts
 //!
+//! * [`admission`]: which requests may wait.
 //! * [`attempts`]: recorded frames of attempts, for resuming them.
+//! * [`choice`]: which endpoint a request goes to.
 //! * [`claim`]: calls that are not idempotent run at most once.
 //! * [`drain`]: when a leaving agent may exit.
+//! * [`evict`]: which replicas give way when memory is needed.
 //! * [`fence`]: when an agent may give orders, and under which number.
 //! * [`freshness`]: whether the rules in force may still be used.
 //! * [`inventory`]: the inventory in force and what it allows.
+//! * [`keep_alive`]: how long idle replicas stay, and when they return.
 //! * [`ledger`]: reservations of accelerator memory.
+//! * [`limits`]: rate and concurrency of a caller.
 //! * [`permit`]: pacing of fetches from the weight store.
 //! * [`placement`]: which VMs may load a model, and how slots move.
 //! * [`planner`]: one decision about slots, carried through the table.
 //! * [`queue`]: attempts that wait, by class, fairness and deadline.
 //! * [`rendezvous`]: the order in which VMs are tried for a key.
 //! * [`replicas`]: loads and unloads of one endpoint.
+//! * [`retry`]: when a failed attempt may be followed by another.
 //! * [`sequence`]: the order of an attempt's frames.
 //! * [`slots`]: the slots that a VM holds.
+//! * [`suspects`]: requests that crash endpoints.
 //! * [`token`]: digests of bearer tokens and of work.
 //!
 //! # Units of time
@@ -29,19 +36,26 @@
 //! `now_ms` is a reading of a monotonic clock in milliseconds. Only
 //! differences of it mean anything.
 
+pub mod admission;
 pub mod attempts;
+pub mod choice;
 pub mod claim;
 pub mod drain;
+pub mod evict;
 pub mod fence;
 pub mod freshness;
 pub mod inventory;
+pub mod keep_alive;
 pub mod ledger;
+pub mod limits;
 pub mod permit;
 pub mod placement;
 pub mod planner;
 pub mod queue;
 pub mod rendezvous;
 pub mod replicas;
+pub mod retry;
 pub mod sequence;
 pub mod slots;
+pub mod suspects;
 pub mod token;
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -19,13 +19,17 @@
 pub mod refresh;
 pub mod serving;
 
+mod drain;
 mod health_api;
 mod internal_api;
 mod internal_rpc;
 
-use chicorystage_platform::http::HttpServer;
+use std::time::Duration;
+
+use chicorystage_platform::http::{HttpServer, RunningServer};
 
 use crate::router::borders::RouterBorders;
+use crate::router::handle::RouterHandle;
 use crate::router::parts::RouterParts;
 use crate::settings::{RouterSettings, Settings};
 use crate::timer::Clock;
@@ -53,14 +57,32 @@
     let internal = internal_server.start(parts.internal_api);
     let health = health_server.start(parts.health_api);
 
-    crate::stop::signalled().await;
+    tokio::select! {
+        () = crate::stop::signalled() => {}
+        () = parts.handle.drain_ordered() => {}
+    }
     log::info!(event = "router_stopping"; "router is leaving");
-    callers.stop_gracefully().await;
+    leave(&parts.handle, callers, &role).await;
     admins.stop_gracefully().await;
     internal.stop_gracefully().await;
     health.stop_gracefully().await;
-    drop(parts.handle);
-    parts.running.abort();
+    parts.handle.stop().await;
+    // The loop ends by the event above; a panic in it has ended the process's work anyway.
+    let _ended = parts.running.await;
     log::info!(event = "router_stopped"; "router stopped");
     Ok(())
 }
+
+/// Fails readiness, serves on while the balancer lags, and finishes what is in progress.
+async fn leave(handle: &RouterHandle, callers: RunningServer, role: &RouterSettings) {
+    handle.leave().await;
+    tokio::time::sleep(Duration::from_millis(role.drain_lag_ms)).await;
+    let finishing = async {
+        callers.stop_gracefully().await;
+        drain::finished(handle).await;
+    };
+    let limit = Duration::from_millis(role.drain_max_ms);
+    if tokio::time::timeout(limit, finishing).await.is_err() {
+        log::warn!(event = "drain_cut", limit_ms = role.drain_max_ms; "requests in progress were cut off");
+    }
+}
--- a/crates/chicorystaged/src/router/parts.rs
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -7,6 +7,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
+use crate::metrics::Metrics;
 use crate::router::admin_api::AdminApi;
 use crate::router::borders::RouterBorders;
 use crate::router::caller_api::CallerApi;
@@ -26,6 +27,10 @@
 pub struct RouterParts {
     /// Access to the main loop.
     pub handle: RouterHandle,
+    /// Entry point of requests without HTTP.
+    pub dispatcher: Dispatcher,
+    /// What the router counts.
+    pub metrics: Arc<Metrics>,
     /// Answers callers.
     pub caller_api: Arc<dyn Handler>,
     /// Answers operators.
@@ -57,16 +62,21 @@
             handle.clone(),
             clock,
         );
+        let metrics = Arc::new(Metrics::new());
+        let main_loop = main_loop.with_metrics(Arc::clone(&metrics));
         let running = tokio::spawn(main_loop.run(events));
         let dispatcher = Dispatcher::new(handle.clone(), borders.clone(), clock);
-        let caller_api = CallerApi::new(dispatcher);
+        let dispatcher = dispatcher.with_metrics(Arc::clone(&metrics));
+        let caller_api = CallerApi::new(dispatcher.clone());
         let admin_api = AdminApi::new(daemon, settings, borders, handle.clone(), clock);
         Self {
             caller_api: Arc::new(caller_api),
             admin_api: Arc::new(admin_api),
             internal_api: Arc::new(InternalApi::new(handle.clone())),
-            health_api: Arc::new(HealthApi::new(handle.clone())),
+            health_api: Arc::new(HealthApi::new(handle.clone(), Arc::clone(&metrics))),
             handle,
+            dispatcher,
+            metrics,
             running,
         }
     }
