--- a/crates/chicorystage-testbed/tests/agent/work.rs
+++ b/crates/chicorystage-testbed/tests/agent/work.rs
@@ -1,18 +1,21 @@
 //! Attempts: queue, deadlines, whole answers and honest refusals.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chicorystage_api::inventory::{CallerItem, Class, Item, ItemRow, Snapshot};
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::{Outcome, RefusalCode};
-use chicorystage_testbed::fakes::{EngineFault, FakeEngineConfig, answer_words};
+use chicorystage_platform::engine::Engine;
+use chicorystage_testbed::fakes::{EngineFault, FakeEngine, FakeEngineConfig, answer_words};
 use chicorystaged::agent::event::AgentEvent;
 use googletest::prelude::*;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-use crate::world::{World, answer, reference, work};
+use crate::deceptive_engine::DeceptiveEngine;
+use crate::world::{Answer, World, answer, reference, work};
 
 async fn start() -> World {
     World::start(FakeEngineConfig::default(), &["a"]).await
@@ -62,6 +65,9 @@
         some(eq((RefusalCode::DeadlineExceeded, Outcome::MayHaveRun)))
     );
     expect_that!(world.status().await.load.running, eq(0));
+    sleep(Duration::from_secs(1)).await;
+    let report = world.engine.load_report().await.expect("the engine is up");
+    expect_that!(report.running, eq(0), "the engine still generates");
 }
 
 #[gtest]
@@ -167,6 +173,52 @@
     expect_that!(world.engine.report().completions, eq(2));
 }
 
+async fn crash_behind(silent: bool) -> (World, Answer, Duration) {
+    let wrap: fn(FakeEngine) -> Arc<dyn Engine> = if silent {
+        |engine| {
+            let silent = true;
+            Arc::new(DeceptiveEngine { engine, silent })
+        }
+    } else {
+        |engine| {
+            let silent = false;
+            Arc::new(DeceptiveEngine { engine, silent })
+        }
+    };
+    let mut world = World::start_behind(FakeEngineConfig::default(), &["a"], wrap).await;
+    expect_that!(world.ask("a").await.is_whole(), is_true());
+    let mut request = world.request("a");
+    work(&mut request).max_tokens = 500;
+    let frames = world.send(request).await;
+    sleep(Duration::from_millis(100)).await;
+    world.engine.inject(EngineFault::Crash);
+    let begun = Instant::now();
+    let answer = answer(frames).await;
+    (world, answer, begun.elapsed())
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_restarted_engine_is_never_asked_to_go_on_with_an_answer() {
+    let (_world, answer, _elapsed) = crash_behind(false).await;
+    expect_that!(
+        answer.refusal(),
+        some(eq((RefusalCode::EndpointLost, Outcome::MayHaveRun)))
+    );
+    expect_that!(answer.text, not(contains_substring("another")));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_restart_ends_answers_also_where_their_connections_went_silent() {
+    let (_world, answer, elapsed) = crash_behind(true).await;
+    expect_that!(
+        answer.refusal(),
+        some(eq((RefusalCode::EndpointLost, Outcome::MayHaveRun)))
+    );
+    expect_that!(elapsed.as_millis(), le(1_200));
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_second_copy_of_an_attempt_listens_to_the_first() {
--- a/crates/chicorystage-testbed/tests/agent/world.rs
+++ b/crates/chicorystage-testbed/tests/agent/world.rs
@@ -12,6 +12,7 @@
 use chicorystage_api::refusal::{Outcome, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, Completion, Frame, Payload, SlotGrant, WorkSpec};
 use chicorystage_core::token;
+use chicorystage_platform::engine::Engine;
 use chicorystage_platform::table::{CommitOutcome, Table, Transaction, Write};
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use chicorystage_testbed::fakes::{
@@ -69,6 +70,15 @@
 impl World {
     /// Starts an agent that holds a slot of each of some models.
     pub async fn start(config: FakeEngineConfig, models: &[&str]) -> Self {
+        Self::start_behind(config, models, |engine| Arc::new(engine)).await
+    }
+
+    /// Starts an agent that reaches its engine through something that misbehaves.
+    pub async fn start_behind(
+        config: FakeEngineConfig,
+        models: &[&str],
+        wrap: fn(FakeEngine) -> Arc<dyn Engine>,
+    ) -> Self {
         let ledger = Arc::new(ReplicaLedger::new());
         let weights = Arc::new(FakeWeightStore::new());
         let engine = FakeEngine::with_shared(config, weights, Arc::clone(&ledger));
@@ -81,7 +91,7 @@
         vms.put(entry("entry-2", "entry", 2));
         vms.put(entry(VM, "colmena-llm", 3));
         let router = Arc::new(TestRouter::default());
-        let parts = agent(&engine, &table, &vms, &router);
+        let parts = agent(wrap(engine.clone()), &table, &vms, &router);
         let world = Self {
             engine,
             ledger,
@@ -99,7 +109,8 @@
     /// Kills the agent and starts another at once.
     pub fn restart(&mut self) {
         self.running.abort();
-        let parts = agent(&self.engine, &self.table, &self.vms, &self.router);
+        let engine = Arc::new(self.engine.clone());
+        let parts = agent(engine, &self.table, &self.vms, &self.router);
         self.handle = parts.handle;
         self.running = parts.running;
     }
@@ -253,7 +264,7 @@
 }
 
 fn agent(
-    engine: &FakeEngine,
+    engine: Arc<dyn Engine>,
     table: &Arc<FakeTable>,
     vms: &Arc<FakeVmList>,
     router: &Arc<TestRouter>,
@@ -279,7 +290,7 @@
         table: Arc::clone(table) as _,
         vm_list: Arc::clone(vms) as _,
         routers: Arc::clone(router) as _,
-        endpoint: Endpoint::Engine(Arc::new(engine.clone())),
+        endpoint: Endpoint::Engine(engine),
     };
     AgentParts::start(daemon, settings, borders, Clock::start())
 }
