--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -2,7 +2,7 @@
 
 #![expect(dead_code, reason = "each test binary uses a part of the world")]
 
-mod script;
+pub mod script;
 mod scripted_agents;
 
 use std::collections::BTreeMap;
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 
 use chicorystage_api::inventory::{
-    CallerItem, Class, Item, ItemRow, ModelItem, ModelVersion, PolicyItem, Snapshot,
+    ApplicationItem, CallerItem, Class, Item, ItemRow, ModelItem, ModelVersion, Operation,
+    PolicyItem, Snapshot,
 };
 use chicorystage_api::name::VmId;
 use chicorystage_api::refusal::Refusal;
@@ -29,11 +30,12 @@
 use chicorystaged::settings::{DaemonSettings, RouterSettings};
 use chicorystaged::timer::Clock;
 
-pub use script::{Act, Breaks, Script};
+pub use script::{Act, Script};
 pub use scripted_agents::ScriptedAgents;
 
 pub const TOKEN: &str = "caller-token";
 const MODEL: &str = "moisture";
+const LEDGER: &str = "libro";
 
 /// A router with its surroundings.
 pub struct World {
@@ -130,6 +132,20 @@
     CallerRequest::new(head, prompt.len() as u64, work)
 }
 
+/// A call that is not idempotent.
+pub fn payout(key: &str, timeout_ms: u64) -> CallerRequest {
+    let mut head = request("", timeout_ms).head;
+    head.key = Some(key.into());
+    let work = CallerWork::Call {
+        application: LEDGER.into(),
+        method: "POST".into(),
+        path: "/payouts".into(),
+        content_type: "".into(),
+        body: key.to_owned().into(),
+    };
+    CallerRequest::new(head, key.len() as u64, work)
+}
+
 pub fn caller() -> CallerItem {
     CallerItem {
         name: "field-agents".into(),
@@ -157,7 +173,18 @@
             memory_bytes: 1,
         }],
     };
+    let application = ApplicationItem {
+        name: LEDGER.into(),
+        owner: "ledger".into(),
+        group: "colmena-llm".into(),
+        operations: vec![Operation {
+            method: "GET".into(),
+            path_prefix: "/balances".into(),
+            idempotent: true,
+        }],
+    };
     let items = [
+        Item::Application(application),
         Item::Model(model),
         Item::Caller(caller),
         Item::Policy(PolicyItem::default()),
@@ -196,7 +223,7 @@
     }
 }
 
-fn settings() -> RouterSettings {
+pub fn settings() -> RouterSettings {
     RouterSettings {
         caller_api: address(0),
         admin_api: address(0),
