--- a/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -94,6 +94,7 @@
 
 /// Sends frames as a connection would; errors mean that the router has gone.
 async fn play(frames: Vec<Frame>, breaks: Breaks, sender: mpsc::Sender<Frame>) {
+    let last = frames.last().cloned();
     for (i, frame) in frames.into_iter().enumerate() {
         tokio::time::sleep(Duration::from_millis(FRAME_MS)).await;
         match breaks {
@@ -116,6 +117,10 @@
             return;
         }
     }
+    // A connection that lost a frame lives on, so that only the gap can tell.
+    if let (Breaks::Gap(_), Some(last)) = (breaks, last) {
+        beat(last, &sender).await;
+    }
 }
 
 async fn beat(frame: Frame, sender: &mpsc::Sender<Frame>) {
--- a/crates/chicorystaged/src/router/main_loop/choosing.rs
+++ b/crates/chicorystaged/src/router/main_loop/choosing.rs
@@ -32,7 +32,8 @@
             .serving
             .is_crowded(self.clock.now_ms(), &model, &choice)
         {
-            self.ask_for_slot(&model);
+            let slots = self.slot_vms(&model).into_iter();
+            self.ask_for_slot(&model, slots.map(|vm| vm.id).collect());
         }
         let _sent = reply.send(choice);
     }
@@ -64,28 +65,35 @@
     }
 
     fn wait_for_slot(&mut self, model: &ModelName, request: ChooseRequest, reply: Reply) {
+        let mut avoid = request.avoid.clone();
+        let slots = self.slot_vms(model).into_iter();
+        avoid.extend(slots.filter(|vm| !self.is_usable(vm)).map(|vm| vm.id));
         let waiting = self.waiting.entry(model.clone()).or_default();
         waiting.push(Waiting { request, reply });
         if waiting.len() == 1 {
-            self.ask_for_slot(model);
+            self.ask_for_slot(model, avoid);
         }
     }
 
-    /// Asks the planner for a first or a further slot; the answer comes as an event.
-    fn ask_for_slot(&mut self, model: &ModelName) {
+    /// Asks the planner for a first slot, or for one beside those to avoid.
+    ///
+    /// The answer comes as an event.
+    fn ask_for_slot(&mut self, model: &ModelName, avoid: Vec<VmId>) {
         let known = self.placements.get(model);
-        let slots = known.iter().flat_map(|push| &push.row.slots);
         let request = PlaceRequest {
             model: model.clone(),
-            additional: known.is_some(),
-            avoid: slots.map(|slot| slot.vm.clone()).collect(),
+            additional: !avoid.is_empty(),
+            avoid,
             seen_row_version: known.map_or(0, |push| push.row_version),
         };
         let (planner, _, view) = self.planning();
         planner.need(view, request);
     }
 
-    /// Returns whether every slot's VM is unusable or was tried in vain.
+    /// Returns whether no known slot can be used.
+    ///
+    /// An agent that left has given its slot up, and one that was tried in vain
+    /// may be gone: in both cases the row that is known here is of no use.
     fn lacks_slot(&self, model: &ModelName, request: &ChooseRequest) -> bool {
         let usable = |vm: &VmEntry| self.is_usable(vm) && !request.avoid.contains(&vm.id);
         !self.slot_vms(model).iter().any(usable)
