Bound a caller that stops reading; give back spare body bytes

Cause: a stream whose caller stopped reading waited for it without end and held its request; a body without a declared length held the caller's whole limit until the request ended. Change: an event is sent until the deadline at most; the reservation shrinks to the size read. A service that dies under a call makes its digest a suspect, as an engine does. After: caller_that_stops_reading_is_given_up_at_its_deadline and caller_that_hangs_up_before_its_answer_cancels_the_attempt pass over TCP.

--- a/crates/chicorystage-testbed/tests/serving_answers.rs
+++ b/crates/chicorystage-testbed/tests/serving_answers.rs
@@ -9,7 +9,7 @@
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
 use serving_world::script::Breaks;
-use serving_world::{Act, delivered, world};
+use serving_world::{Act, balance, delivered, world};
 use tokio::time::{Duration, Instant, sleep};
 
 const PROMPT: &str = "is lot 12 dry enough";
@@ -229,13 +229,16 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn vm_listed_as_leaving_gets_no_new_work() {
-    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&WORDS));
-    let world = world.await;
+    let world = world(1, |_: &AttemptRequest, _: &VmId| Act::whole(&WORDS)).await;
     world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    let call = || world.dispatcher().whole(balance(TIMEOUT_MS));
+    call().await.unwrap();
     world.vms.set_state(&"worker-1".into(), VmState::Leaving);
     sleep(Duration::from_secs(2)).await;
-    let refusal = world.whole(PROMPT, TIMEOUT_MS).await.unwrap_err();
-    expect_that!(refusal.outcome, eq(Outcome::NotRun));
-    expect_that!(refusal.retry_after_ms, some(gt(0)));
-    expect_that!(world.agents.started().len(), eq(1));
+    for refused in [world.whole(PROMPT, TIMEOUT_MS).await, call().await] {
+        let refusal = refused.unwrap_err();
+        expect_that!(refusal.outcome, eq(Outcome::NotRun));
+        expect_that!(refusal.retry_after_ms, some(gt(0)));
+    }
+    expect_that!(world.agents.started().len(), eq(2));
 }
--- a/crates/chicorystage-testbed/tests/serving_calls.rs
+++ b/crates/chicorystage-testbed/tests/serving_calls.rs
@@ -20,6 +20,7 @@
 use serde_json::Value;
 use serving_world::script::Breaks;
 use serving_world::{Act, TOKEN, World, caller, payout, settings, world, world_with};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{Duration, sleep, timeout};
 
@@ -166,3 +167,62 @@
         eq(0)
     );
 }
+
+async fn serve(world: &World) -> (SocketAddr, chicorystage_platform::http::RunningServer) {
+    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap()).await;
+    let server = server.unwrap();
+    let address = server.address();
+    (address, server.start(Arc::clone(&world.parts.caller_api)))
+}
+
+/// Sends a request and returns the open connection, of which nothing is read.
+async fn send_only(address: SocketAddr, body: &str, timeout_ms: u64) -> TcpStream {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: localhost\r\nauthorization: Bearer {TOKEN}\r\n\
+         x-request-timeout-ms: {timeout_ms}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+async fn until_idle(world: &World) {
+    while world.parts.handle.status().await.unwrap().in_progress > 0 {
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn caller_that_stops_reading_is_given_up_at_its_deadline() {
+    let part = "x".repeat(1 << 20);
+    let script = move |_: &AttemptRequest, _: &VmId| Act::whole(&[part.as_str(); 60]);
+    let world = world(1, script).await;
+    let (address, _running) = serve(&world).await;
+    let body = r#"{"model":"moisture","prompt":"long","stream":true}"#;
+    let _unread = send_only(address, body, 1_500).await;
+    sleep(Duration::from_secs(1)).await;
+    expect_that!(
+        world.parts.handle.status().await.unwrap().in_progress,
+        eq(1)
+    );
+    until_idle(&world).await;
+    expect_that!(world.agents.cancelled().len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn caller_that_hangs_up_before_its_answer_cancels_the_attempt() {
+    let stalls = |_: &AttemptRequest, _: &VmId| Act::broken(&["fine"], &[Breaks::Stalls(0)]);
+    let world = world(1, stalls).await;
+    let (address, _running) = serve(&world).await;
+    let body = r#"{"model":"moisture","prompt":"whole"}"#;
+    let connection = send_only(address, body, 60_000).await;
+    while world.agents.started().is_empty() {
+        sleep(Duration::from_millis(20)).await;
+    }
+    drop(connection);
+    until_idle(&world).await;
+    expect_that!(world.agents.cancelled().len(), eq(1));
+}
--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -132,6 +132,18 @@
     CallerRequest::new(head, prompt.len() as u64, work)
 }
 
+/// A call that may be repeated.
+pub fn balance(timeout_ms: u64) -> CallerRequest {
+    let work = CallerWork::Call {
+        application: LEDGER.into(),
+        method: "GET".into(),
+        path: "/balances/7".into(),
+        content_type: "".into(),
+        body: "".into(),
+    };
+    CallerRequest::new(request("", timeout_ms).head, 0, work)
+}
+
 /// A call that is not idempotent.
 pub fn payout(key: &str, timeout_ms: u64) -> CallerRequest {
     let mut head = request("", timeout_ms).head;
--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use chicorystage_api::name::RequestId;
@@ -8,12 +9,15 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::{Value, json};
+use tokio::time::timeout_at;
 
 use crate::metrics::Metrics;
 use crate::router::serving::{OpenedAnswer, WholeAnswer};
 use crate::web;
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Time to send a stream's last event after the deadline, in milliseconds.
+const LAST_EVENT_MS: u64 = 1_000;
 /// Events of a streamed answer buffered ahead of the caller.
 const EVENTS_BUFFERED: usize = 16;
 
@@ -53,6 +57,7 @@
     web::set_content_type(&mut response, "text/event-stream");
     let request_id = opened.request_id().clone();
     let model = opened.model_name();
+    let deadline = opened.deadline() + Duration::from_millis(LAST_EVENT_MS);
     tokio::spawn(async move {
         loop {
             let (event, last) = match opened.next().await {
@@ -67,7 +72,9 @@
                 }
                 Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => continue,
             };
-            if sender.send_data(event).await.is_err() || last {
+            // A caller that stops reading holds its request no longer than its deadline.
+            let sent = timeout_at(deadline, sender.send_data(event)).await;
+            if !matches!(sent, Ok(Ok(()))) || last {
                 break;
             }
         }
--- a/crates/chicorystaged/src/router/caller_api/mod.rs
+++ b/crates/chicorystaged/src/router/caller_api/mod.rs
@@ -138,8 +138,9 @@
     ) -> Result<(CallerHead, Entry, Bytes), Refusal> {
         let head = request_head::parse(&request)?;
         let declared_bytes = request.body().size_hint().exact();
-        let entry = self.dispatcher.enter(&head, declared_bytes).await?;
+        let mut entry = self.dispatcher.enter(&head, declared_bytes).await?;
         let bytes = request_body::read(request.into_body(), entry.caller()).await?;
+        entry.shrink(bytes.len() as u64);
         Ok((head, entry, bytes))
     }
 }
--- a/crates/chicorystaged/src/router/serving/call.rs
+++ b/crates/chicorystaged/src/router/serving/call.rs
@@ -11,9 +11,10 @@
 use chicorystage_platform::vm_list::VmEntry;
 
 use crate::router::claims::{ClaimDispatch, ClaimFlow, ClaimedAnswer, ClaimedCall, StartFailure};
-use crate::router::event::Choice;
+use crate::router::event::{Choice, RouterEvent};
 use crate::router::serving::attempt_failure::AttemptFailure;
 use crate::router::serving::attempt_stream::AttemptStream;
+use crate::router::serving::event::ServingEvent;
 use crate::router::serving::job::{AttemptTerms, Job, ended_connection};
 use crate::router::serving::request_record::RequestRecord;
 use crate::router::serving::send_failure::SendFailure;
@@ -97,7 +98,14 @@
                 let mut stream = opened.stream;
                 let answer = WholeAnswer::collect(&mut stream, Some(opened.first), |_| {}).await;
                 // What is lost here the agent still knows: the claim stays open.
-                let answer = answer.map_err(|failure| may_have_run(failure.refusal))?;
+                let answer = answer.map_err(|failure| {
+                    self.note_crash(&failure);
+                    may_have_run(failure.refusal)
+                })?;
+                self.tell(ServingEvent::Completed {
+                    digest: self.job.terms.digest.clone(),
+                    prefix_at: None,
+                });
                 recorder.record(answer.to_outcome()).await;
                 Ok(answer)
             }
@@ -133,11 +141,30 @@
         (attempt, alone, chosen)
     }
 
+    /// Tells the loop where the service died under the call.
+    fn note_crash(&self, failure: &AttemptFailure) {
+        if !failure.crashed {
+            return;
+        }
+        let alone = self.lock().standing == Standing::Suspect;
+        self.tell(ServingEvent::Crashed {
+            digest: self.job.terms.digest.clone(),
+            alone,
+            group: self.job.admission.group.clone(),
+        });
+    }
+
+    fn tell(&self, event: ServingEvent) {
+        let handle = &self.job.dispatcher.handle;
+        handle.tell_later(RouterEvent::Serving(event));
+    }
+
     /// Waits for the first content of an attempt.
     async fn first_of(&self, mut stream: AttemptStream) -> Result<OpenedCall, StartFailure> {
         match stream.next().await {
             Ok(first) => Ok(OpenedCall { stream, first }),
             Err(failure) => {
+                self.note_crash(&failure);
                 let mut state = self.lock();
                 let attempt = state.attempts;
                 state.record.step(TraceEvent::Failed {
--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -6,7 +6,7 @@
 use chicorystage_api::work::{Payload, SlotGrant};
 use chicorystage_core::retry::backoff_ms;
 use chicorystage_core::suspects::Standing;
-use tokio::time::{sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::router::event::{Resolved, RouterEvent};
 use crate::router::serving::attempt_failure::AttemptFailure;
@@ -78,6 +78,10 @@
         &self.job.terms.request_id
     }
 
+    pub(crate) fn deadline(&self) -> Instant {
+        self.job.terms.deadline
+    }
+
     pub(crate) fn model_name(&self) -> String {
         match &self.job.admission.resolved {
             Resolved::Model { model, .. } => model.to_string(),
--- a/crates/chicorystaged/src/router/serving/entry.rs
+++ b/crates/chicorystaged/src/router/serving/entry.rs
@@ -28,6 +28,16 @@
         }
     }
 
+    /// Gives back what was reserved above the size that the body turned out to have.
+    pub(crate) fn shrink(&mut self, body_bytes: u64) {
+        let Some(spare_bytes) = self.body_bytes.checked_sub(body_bytes) else {
+            return;
+        };
+        self.body_bytes = body_bytes;
+        let spare = ServingEvent::BytesSpare { spare_bytes };
+        self.handle.tell_later(RouterEvent::Serving(spare));
+    }
+
     /// Returns the caller with its limits.
     #[must_use]
     pub fn caller(&self) -> &CallerItem {
--- a/crates/chicorystaged/src/router/serving/event.rs
+++ b/crates/chicorystaged/src/router/serving/event.rs
@@ -29,6 +29,11 @@
         /// Body bytes that were reserved.
         body_bytes: u64,
     },
+    /// A body turned out smaller than what was reserved for it.
+    BytesSpare {
+        /// Bytes given back.
+        spare_bytes: u64,
+    },
     /// An admitted request is about to wait for its answer to begin.
     Wait {
         /// Its caller.
--- a/crates/chicorystaged/src/router/serving/opened_answer.rs
+++ b/crates/chicorystaged/src/router/serving/opened_answer.rs
@@ -1,6 +1,7 @@
 use chicorystage_api::name::RequestId;
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::Payload;
+use tokio::time::Instant;
 
 use crate::router::serving::WholeAnswer;
 use crate::router::serving::attempt_stream::AttemptStream;
@@ -37,6 +38,11 @@
         self.conversation.model_name()
     }
 
+    /// Returns the caller's deadline.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.conversation.deadline()
+    }
+
     /// Returns the next payload of an answer that is delivered as it comes.
     ///
     /// `End` and `Refused` are the last. From the first call on the answer is
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -81,6 +81,7 @@
     pub(crate) fn on_event(&mut self, handle: &RouterHandle, event: ServingEvent) {
         match event {
             ServingEvent::Left { caller, body_bytes } => self.left(&caller, body_bytes),
+            ServingEvent::BytesSpare { spare_bytes } => self.room.release_bytes(spare_bytes),
             ServingEvent::Wait {
                 caller,
                 weight,
