--- /dev/null
+++ b/crates/chicorystage-testbed/tests/poison.rs
@@ -0,0 +1,138 @@
+//! A request that crashes every engine that runs it, among innocent ones.
+
+use chicorystage_api::inventory::{
+    CallerItem, Change, Class, Item, ItemChange, ModelItem, ModelVersion, RuleItem,
+};
+use chicorystage_core::token;
+use chicorystage_testbed::calls::{CallerAnswer, CallerRequest};
+use chicorystage_testbed::fakes::{EngineFault, answer_words};
+use chicorystage_testbed::harness::{Harness, HarnessConfig};
+use futures_util::future::join_all;
+use googletest::prelude::*;
+use tokio::time::{Duration, sleep};
+
+const TOKEN: &str = "caller-token";
+const POISON: &str = "poison in the prompt";
+const ROUTERS: usize = 3;
+
+fn inventory() -> Change {
+    let model = ModelItem {
+        name: "moisture".into(),
+        owner: "field".into(),
+        group: "colmena-llm".into(),
+        default_version: "v1".into(),
+        versions: vec![ModelVersion {
+            version: "v1".into(),
+            memory_bytes: 8 << 30,
+        }],
+    };
+    let rule = RuleItem {
+        model: "moisture".into(),
+        owner: "field".into(),
+        replicas_max: 3,
+        keep_alive_min_ms: 0,
+        keep_alive_max_ms: 600_000,
+    };
+    let caller = CallerItem {
+        name: "field-agents".into(),
+        owner: "field".into(),
+        token_sha256: token::sha256(TOKEN.as_bytes()),
+        class: Class::Interactive,
+        models: vec!["*".into()],
+        applications: vec!["*".into()],
+        rate_per_s: 1_000,
+        burst: 1_000,
+        concurrent_max: 1_000,
+        body_bytes_max: 1 << 20,
+        weight: 1,
+    };
+    let items = [Item::Model(model), Item::Rule(rule), Item::Caller(caller)];
+    let items = items.map(|item| ItemChange {
+        key: item.key(),
+        expected_revision: None,
+        item: Some(item),
+    });
+    Change {
+        change_id: "poison".into(),
+        items: items.into(),
+        reason: String::new(),
+    }
+}
+
+async fn started(seed: u64) -> Harness {
+    let config = HarnessConfig {
+        seed,
+        routers: ROUTERS,
+        services: 0,
+        ..HarnessConfig::default()
+    };
+    let harness = Harness::start(config, "colmena-llm", "none");
+    sleep(Duration::from_secs(1)).await;
+    harness.apply(&inventory()).await;
+    for engine in &harness.engines {
+        engine.inject(EngineFault::CrashOnPrompt {
+            text: POISON.to_owned(),
+        });
+    }
+    harness
+}
+
+fn crashes(harness: &Harness) -> u64 {
+    let runs = harness.engines.iter();
+    runs.map(|engine| engine.report().engine_run - 1).sum()
+}
+
+async fn complete(harness: &Harness, router: usize, prompt: &str) -> CallerAnswer {
+    let request = CallerRequest::completion(TOKEN, "moisture", prompt, 20);
+    harness.send(router, &request).await.expect("answers")
+}
+
+/// Sends innocent requests through all routers for a while and expects every answer.
+async fn innocents(harness: &Harness) {
+    let rounds = (0..40).map(|i| async move {
+        sleep(Duration::from_millis(i * 50)).await;
+        let prompt = format!("is lot {i} dry");
+        let answer = complete(harness, usize::try_from(i).unwrap() % ROUTERS, &prompt).await;
+        expect_that!(answer.is_served(), is_true(), "{}", answer.body);
+        expect_that!(answer.text(), eq(&answer_words(&prompt, 20).concat()));
+    });
+    join_all(rounds).await;
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn request_resent_through_all_routers_crashes_two_engines_and_no_innocent_fails() {
+    for seed in 0..5 {
+        let harness = started(seed).await;
+        let poison = async {
+            sleep(Duration::from_millis(500)).await;
+            for i in 0..9 {
+                let answer = complete(&harness, i % ROUTERS, POISON).await;
+                expect_that!(answer.code(), some(eq("quarantined")), "{}", answer.body);
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::join!(poison, innocents(&harness));
+        expect_that!(crashes(&harness), eq(2), "seed {seed}");
+    }
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn copies_sent_at_once_crash_each_router_s_two_engines_at_most() {
+    for seed in 0..5 {
+        let harness = started(seed).await;
+        let copies = (0..ROUTERS).map(|i| complete(&harness, i, POISON));
+        for answer in join_all(copies).await {
+            expect_that!(answer.is_served(), is_false());
+        }
+        let at_once = crashes(&harness);
+        expect_that!(at_once, le(2 * ROUTERS as u64), "seed {seed}");
+        sleep(Duration::from_secs(1)).await;
+        for router in 0..ROUTERS {
+            let answer = complete(&harness, router, POISON).await;
+            expect_that!(answer.code(), some(eq("quarantined")), "{}", answer.body);
+        }
+        expect_that!(crashes(&harness), eq(at_once), "seed {seed}");
+    }
+}
