Pass over an endpoint that has just not answered

Cause: a VM that died or went silent while still listed live took each request first and cost it up to four connection attempts. Ruled out: dropping it from the candidates, which leaves a model without an endpoint when it is the only one. After: of 20 requests to two slots the dead one is tried once (endpoint_that_does_not_answer_is_passed_over_by_the_next_requests).

--- a/crates/chicorystage-core/src/choice/endpoint_book.rs
+++ b/crates/chicorystage-core/src/choice/endpoint_book.rs
@@ -38,6 +38,7 @@
             let record = self.record(&candidate.vm);
             let mut cost_ms = record.estimated_wait_ms(now_ms) + PREFIX_WORTH_MS;
             cost_ms += record.occupancy(now_ms) * BATCH_COST_MS;
+            cost_ms += record.unanswered_cost_ms(now_ms);
             if !candidate.same_zone {
                 cost_ms += OTHER_ZONE_COST_MS;
             }
@@ -66,6 +67,12 @@
         }
     }
 
+    /// Notes that an endpoint's agent did not answer: others are preferred for a while.
+    pub fn unanswered(&mut self, now_ms: u64, vm: &VmId) {
+        let record = self.records.entry(vm.clone()).or_default();
+        record.unanswered(now_ms);
+    }
+
     /// Returns the attempts that this router has at an endpoint.
     #[must_use]
     pub fn in_flight(&self, vm: &VmId) -> u32 {
--- a/crates/chicorystage-core/src/choice/mod.rs
+++ b/crates/chicorystage-core/src/choice/mod.rs
@@ -6,7 +6,8 @@
 //! report and fades as it ages. The candidate with the least estimated wait
 //! wins. A likely cached prompt prefix and the router's own availability zone
 //! are worth a few milliseconds: they decide between equals and never outweigh
-//! a queue.
+//! a queue. An endpoint whose agent did not answer is passed over for a few
+//! seconds where there is another, since the list of VMs learns of it late.
 //!
 //! Memory is one record for each endpoint used lately and a bounded number of
 //! prefix hints.
--- a/crates/chicorystage-core/tests/endpoint_choice.rs
+++ b/crates/chicorystage-core/tests/endpoint_choice.rs
@@ -108,3 +108,15 @@
     let kept = (0..100_000).filter(|key| hints.get(*key).is_some());
     expect_that!(kept.count(), le(2 * 4_096));
 }
+
+#[gtest]
+fn endpoint_that_did_not_answer_is_passed_over_for_a_while() {
+    let mut book = EndpointBook::default();
+    book.unanswered(0, &"a".into());
+    expect_that!(chosen(&book, 0, &["a", "b"]), eq("b"));
+    expect_that!(chosen(&book, 4_000, &["a", "b"]), eq("b"));
+    expect_that!(chosen(&book, 5_000, &["a", "b"]), eq("a"));
+    expect_that!(chosen(&book, 0, &["a"]), eq("a"));
+    report(&mut book, 1, "a", 0);
+    expect_that!(chosen(&book, 1, &["a", "b"]), eq("a"));
+}
--- a/crates/chicorystage-testbed/tests/serving_answers.rs
+++ b/crates/chicorystage-testbed/tests/serving_answers.rs
@@ -3,13 +3,15 @@
 mod serving_world;
 
 use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{PlacementPush, PlacementRow, Slot, SlotState};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 use chicorystage_api::work::AttemptRequest;
 use chicorystage_platform::vm_list::VmState;
 use chicorystage_testbed::fakes::TableFault;
+use chicorystaged::router::event::RouterEvent;
 use googletest::prelude::*;
 use serving_world::script::Breaks;
-use serving_world::{Act, balance, delivered, world};
+use serving_world::{Act, World, balance, delivered, world};
 use tokio::time::{Duration, Instant, sleep};
 
 const PROMPT: &str = "is lot 12 dry enough";
@@ -202,21 +204,7 @@
         Act::whole(&WORDS)
     });
     let world = world.await;
-    let slots = chicorystage_api::peer::PlacementRow {
-        model: "moisture".into(),
-        slots: ["worker-1", "worker-2"]
-            .map(|vm| chicorystage_api::peer::Slot {
-                vm: vm.into(),
-                state: chicorystage_api::peer::SlotState::Held,
-            })
-            .into(),
-    };
-    let push = chicorystage_api::peer::PlacementPush {
-        row_version: 1,
-        row: slots,
-    };
-    let read = chicorystaged::router::event::RouterEvent::PlacementRead(push);
-    world.parts.handle.tell(read).await;
+    place(&world, &["worker-1", "worker-2"]).await;
     for _ in 0..20 {
         let answer = world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
         expect_that!(&*answer.body, eq(TEXT.as_bytes()));
@@ -226,6 +214,42 @@
     expect_that!(to_leaving.count(), le(1));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn endpoint_that_does_not_answer_is_passed_over_by_the_next_requests() {
+    let world = world(2, |_: &AttemptRequest, vm: &VmId| {
+        if vm.as_str() == "worker-1" {
+            return Act::NotDelivered;
+        }
+        Act::whole(&WORDS)
+    });
+    let world = world.await;
+    place(&world, &["worker-1", "worker-2"]).await;
+    for _ in 0..20 {
+        world.whole(PROMPT, TIMEOUT_MS).await.unwrap();
+    }
+    let started = world.agents.started();
+    let to_silent = started.iter().filter(|(vm, _)| vm.as_str() == "worker-1");
+    expect_that!(to_silent.count(), eq(1));
+}
+
+/// Gives the model slots on these VMs.
+async fn place(world: &World, vms: &[&str]) {
+    let slots = vms.iter().map(|vm| Slot {
+        vm: (*vm).into(),
+        state: SlotState::Held,
+    });
+    let push = PlacementPush {
+        row_version: 1,
+        row: PlacementRow {
+            model: "moisture".into(),
+            slots: slots.collect(),
+        },
+    };
+    let read = RouterEvent::PlacementRead(push);
+    world.parts.handle.tell(read).await;
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn vm_listed_as_leaving_gets_no_new_work() {
--- a/crates/chicorystaged/src/router/main_loop/serving.rs
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -23,6 +23,10 @@
             ServingEvent::FindVm { vm, reply } => {
                 let _sent = reply.send(self.find_vm(&vm));
             }
+            ServingEvent::Unanswered(vm) => {
+                let now_ms = self.clock.now_ms();
+                self.serving.endpoints.unanswered(now_ms, &vm);
+            }
             ServingEvent::NotPlaced { model, row_version } => {
                 self.not_placed(&model, row_version);
             }
--- a/crates/chicorystaged/src/router/serving/attempt_failure.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_failure.rs
@@ -36,6 +36,11 @@
         self.refusal.outcome == Outcome::NotRun
     }
 
+    /// Returns whether the agent gave no answer, though there was time for one.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        !self.by_agent && self.refusal.code != RefusalCode::DeadlineExceeded
+    }
+
     /// Returns whether another endpoint may do better.
     pub(crate) fn is_transient(&self) -> bool {
         matches!(
--- a/crates/chicorystaged/src/router/serving/attempt_start.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_start.rs
@@ -36,19 +36,22 @@
             claim: None,
             alone,
         };
-        let frames = match self.job.send(address, attempt).await {
-            Ok(frames) => frames,
+        let (frames, in_doubt) = match self.job.send(address, attempt).await {
+            Ok(frames) => (frames, false),
             Err(SendFailure::NotDelivered(detail)) => {
                 let refusal = Refusal::not_run(RefusalCode::NoEndpoint, detail);
                 return Err(AttemptFailure::lost(refusal));
             }
             // The attempt may run though its connection failed: a fresh one tells,
             // or cancels it where the deadline has passed.
-            Err(SendFailure::Unknown | SendFailure::TooLate) => ended_connection(),
+            Err(SendFailure::Unknown | SendFailure::TooLate) => (ended_connection(), true),
         };
         let attempt = self.job.attempt_ref(self.attempts);
         let stream = self.job.stream(address, attempt, frames);
         let mut stream = stream.with_flight(choice.flight);
+        if in_doubt {
+            stream = stream.in_doubt();
+        }
         let first = stream.next().await?;
         Ok((stream, first))
     }
--- a/crates/chicorystaged/src/router/serving/attempt_stream.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_stream.rs
@@ -32,6 +32,7 @@
     sequence: FrameSequence,
     deadline: Instant,
     resumes: u32,
+    resumes_max: u32,
     finished: bool,
     cancel_on_drop: bool,
 }
@@ -55,6 +56,7 @@
             sequence,
             deadline,
             resumes: 0,
+            resumes_max: RESUMES_MAX,
             finished: false,
             cancel_on_drop: false,
         }
@@ -66,6 +68,12 @@
         self
     }
 
+    /// Allows one fresh connection only until something has come.
+    pub(crate) fn in_doubt(mut self) -> Self {
+        self.resumes_max = 1;
+        self
+    }
+
     /// Makes the agent give the attempt up where the stream is dropped unfinished.
     pub(crate) fn cancelled_on_drop(mut self) -> Self {
         self.cancel_on_drop = true;
@@ -93,6 +101,7 @@
             match self.sequence.accept(&frame) {
                 Sequenced::Deliver => {
                     self.resumes = 0;
+                    self.resumes_max = RESUMES_MAX;
                     self.report(frame.load);
                     return self.deliver(frame.payload);
                 }
@@ -126,7 +135,7 @@
     /// Replaces the connection by a fresh one at the offset reached.
     async fn resume(&mut self) -> Result<(), AttemptFailure> {
         loop {
-            if self.resumes >= RESUMES_MAX {
+            if self.resumes >= self.resumes_max {
                 let offset = self.sequence.next_offset();
                 return Err(lost(offset, "the endpoint's agent does not answer"));
             }
--- a/crates/chicorystaged/src/router/serving/call.rs
+++ b/crates/chicorystaged/src/router/serving/call.rs
@@ -212,6 +212,9 @@
                 alone,
             };
             let frames = self.job.send(vm.address, terms).await;
+            if frames.is_err() {
+                self.tell(ServingEvent::Unanswered(vm.id.clone()));
+            }
             let frames = frames.map_err(|failure| match failure {
                 SendFailure::NotDelivered(_) => StartFailure::NotDelivered,
                 SendFailure::Unknown | SendFailure::TooLate => StartFailure::Unknown,
--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -213,6 +213,9 @@
                 group: self.job.admission.group.clone(),
             });
         }
+        if failure.is_unanswered() {
+            self.tell(ServingEvent::Unanswered(current.vm.clone()));
+        }
         match (failure.refusal.code, current.grant) {
             (RefusalCode::Leaving, _) => self.tell(ServingEvent::VmLeaving(current.vm)),
             (RefusalCode::NotPlaced, Some(grant)) => self.tell(ServingEvent::NotPlaced {
--- a/crates/chicorystaged/src/router/serving/event.rs
+++ b/crates/chicorystaged/src/router/serving/event.rs
@@ -70,6 +70,8 @@
     },
     /// An agent refused an attempt because its VM is leaving.
     VmLeaving(VmId),
+    /// An agent did not answer.
+    Unanswered(VmId),
     /// An agent refused an attempt because it holds no slot.
     NotPlaced {
         /// Model without the slot.
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -119,6 +119,7 @@
             ServingEvent::Stop => self.stopped = true,
             ServingEvent::Enter { .. }
             | ServingEvent::FindVm { .. }
+            | ServingEvent::Unanswered(_)
             | ServingEvent::NotPlaced { .. }
             | ServingEvent::Crashed { .. }
             | ServingEvent::Completed { .. }
