--- a/crates/chicorystage-testbed/src/audit/endpoint_audit.rs
+++ b/crates/chicorystage-testbed/src/audit/endpoint_audit.rs
@@ -55,6 +55,20 @@
         Ok(audit)
     }
 
+    /// Reads the report of one engine, without its replicas.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the stand-in does not answer.
+    pub async fn read_one(deployment: &Deployment, agent: usize) -> anyhow::Result<Self> {
+        let endpoint = deployment.agents[agent].endpoint();
+        let endpoint = endpoint.context("an agent has an endpoint")?;
+        let report: EngineReport = deployment.read_control(endpoint, "/control/report").await?;
+        let mut audit = Self::default();
+        audit.add(&report);
+        Ok(audit)
+    }
+
     /// Returns how often the services ran calls whose body contains a text.
     #[must_use]
     pub fn runs_with(&self, text: &str) -> u32 {
--- /dev/null
+++ b/crates/chicorystage-testbed/src/chaos/caller.rs
@@ -0,0 +1,212 @@
+//! One caller of the stress command.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::refusal::Outcome;
+use http::Method;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::calls::{CallerAnswer, CallerRequest, SendError};
+use crate::chaos::payout_book;
+use crate::chaos::stage::{Stage, send_to};
+use crate::chaos::{CALLER_TOKEN, MODELS};
+use crate::fakes::answer_words;
+
+/// Time that a caller gives a request, in milliseconds.
+const TIMEOUT_MS: u64 = 10_000;
+/// Time after the deadline from which an answer counts as late, in milliseconds.
+const GRACE_MS: u64 = 2_000;
+/// Time after which a request counts as never answered, in milliseconds.
+const GIVE_UP_MS: u64 = 90_000;
+/// Longest pause between two requests, in milliseconds.
+const PAUSE_MAX_MS: u64 = 200;
+/// Most sends of one payout.
+const PAYOUT_SENDS_MAX: u32 = 6;
+/// One completion in so many carries the prompt that may crash engines.
+const POISON_EVERY: u32 = 200;
+/// Part of the prompt that engines die of while that fault is on.
+pub(super) const POISON: &str = "poison";
+
+/// Sends requests until the run ends.
+pub(super) async fn run(stage: Arc<Stage>, number: u64) {
+    let mut caller = Caller {
+        rng: stage.rng(number),
+        stage,
+        number,
+        count: 0,
+    };
+    while !caller.stage.is_stopped() {
+        caller.next().await;
+        let pause_ms = caller.rng.random_range(0..PAUSE_MAX_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+struct Caller {
+    stage: Arc<Stage>,
+    rng: StdRng,
+    number: u64,
+    count: u64,
+}
+
+impl Caller {
+    async fn next(&mut self) {
+        self.count += 1;
+        match self.rng.random_range(0..10) {
+            0..4 => self.complete(false).await,
+            4..7 => self.complete(true).await,
+            7 => self.read_balance().await,
+            _ => self.pay_out().await,
+        }
+    }
+
+    async fn complete(&mut self, stream: bool) {
+        let model = MODELS[self.rng.random_range(0..MODELS.len())];
+        let tokens = self.rng.random_range(1..300);
+        let poison = self.rng.random_range(0..POISON_EVERY) == 0;
+        let tail = if poison { POISON } else { "lot" };
+        let prompt = format!("caller {} request {} {tail}", self.number, self.count);
+        let request = if stream {
+            CallerRequest::streamed(CALLER_TOKEN, model, &prompt, tokens)
+        } else {
+            CallerRequest::completion(CALLER_TOKEN, model, &prompt, tokens)
+        };
+        let Some(answer) = self.send(&request.timeout_ms(TIMEOUT_MS)).await else {
+            return;
+        };
+        let expected = answer_words(&prompt, tokens).concat();
+        let text = answer.text();
+        let right = if answer.is_served() {
+            text == expected
+        } else {
+            expected.starts_with(&text)
+        };
+        self.record(&answer, right, &request_name(model, &prompt));
+    }
+
+    async fn read_balance(&mut self) {
+        let path = format!(
+            "/v1/services/{}/balances/{}-{}",
+            self.stage.application, self.number, self.count
+        );
+        let request = CallerRequest::new(Method::GET, &path, CALLER_TOKEN, "");
+        let Some(answer) = self.send(&request.timeout_ms(TIMEOUT_MS)).await else {
+            return;
+        };
+        let own = format!("/balances/{}-{}\"", self.number, self.count);
+        let right = !answer.is_served() || answer.body.contains(&own);
+        self.record(&answer, right, &path);
+    }
+
+    /// Sends a payout until it is served or its caller gives up.
+    async fn pay_out(&mut self) {
+        let key = format!("key-{}-{}", self.number, self.count);
+        let path = format!("/v1/services/{}/payouts", self.stage.application);
+        let body = payout_book::body(&key);
+        let request = CallerRequest::new(Method::POST, &path, CALLER_TOKEN, body.clone())
+            .key(&key)
+            .timeout_ms(TIMEOUT_MS);
+        for _ in 0..self.rng.random_range(1..=PAYOUT_SENDS_MAX) {
+            let Some(answer) = self.send(&request).await else {
+                self.stage
+                    .payouts()
+                    .refused(&key, Some(Outcome::MayHaveRun));
+                continue;
+            };
+            let right = !answer.is_served() || answer.body.contains(&body);
+            self.record(&answer, right, &key);
+            if answer.is_served() {
+                self.stage.payouts().served(&key);
+                if self.rng.random_range(0..2) == 0 {
+                    return;
+                }
+            } else {
+                self.stage.payouts().refused(&key, answer.outcome());
+                sleep(Duration::from_millis(self.rng.random_range(0..1_000))).await;
+            }
+        }
+    }
+
+    /// Sends a request through a router that listens; none where it got no answer.
+    async fn send(&mut self, request: &CallerRequest) -> Option<CallerAnswer> {
+        loop {
+            let i = self.rng.random_range(0..self.stage.routers.len());
+            let router = &self.stage.routers[i];
+            let (kills, stops) = (router.kills(), router.stops());
+            let start = Instant::now();
+            let limit = Duration::from_millis(GIVE_UP_MS);
+            let sent = timeout(limit, send_to(router.caller_api, request)).await;
+            let killed = router.kills() != kills;
+            let stopped = router.stops() != stops;
+            if let Ok(Err(SendError::NotConnected(_))) = sent {
+                sleep(Duration::from_millis(PAUSE_MAX_MS)).await;
+                continue;
+            }
+            let mut tally = self.stage.tally();
+            tally.sent += 1;
+            let answer = match sent {
+                Ok(Ok(answer)) => answer,
+                _ if killed => {
+                    tally.cut_by_kill += 1;
+                    return None;
+                }
+                Ok(Err(error)) => {
+                    tally.cut += 1;
+                    tally.note(format!("{}: {error}", request.path));
+                    return None;
+                }
+                Err(_elapsed) => {
+                    tally.unanswered += 1;
+                    tally.note(format!("{}: no answer from router {i}", request.path));
+                    return None;
+                }
+            };
+            let whole = answer.is_served() || answer.outcome().is_some();
+            if !whole && killed {
+                tally.cut_by_kill += 1;
+                return None;
+            }
+            let late = start.elapsed() > Duration::from_millis(TIMEOUT_MS + GRACE_MS);
+            if late && !stopped && !killed {
+                tally.late += 1;
+                let outcome = answer.code().unwrap_or_else(|| "served".to_owned());
+                let elapsed_ms = start.elapsed().as_millis();
+                tally.note(format!("{}: {outcome} after {elapsed_ms} ms", request.path));
+            }
+            return Some(answer);
+        }
+    }
+
+    fn record(&self, answer: &CallerAnswer, right: bool, name: &str) {
+        let mut tally = self.stage.tally();
+        if !right {
+            tally.wrong += 1;
+            tally.note(format!("{name}: wrong answer {}", shortened(&answer.body)));
+        } else if answer.is_served() {
+            tally.served += 1;
+        } else if let (Some(code), Some(_)) = (answer.code(), answer.outcome()) {
+            *tally.refused.entry(code).or_default() += 1;
+        } else {
+            tally.cut += 1;
+            let status = answer.status;
+            tally.note(format!("{name}: cut, {status} {}", shortened(&answer.body)));
+        }
+    }
+}
+
+fn request_name(model: &str, prompt: &str) -> String {
+    format!("{model}: {prompt}")
+}
+
+fn shortened(text: &str) -> String {
+    text.chars()
+        .rev()
+        .take(300)
+        .collect::<Vec<_>>()
+        .into_iter()
+        .rev()
+        .collect()
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/chaos/fault_loop.rs
@@ -0,0 +1,249 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+use crate::audit::EndpointAudit;
+use crate::chaos::caller::POISON;
+use crate::chaos::fault::{Fault, draw_platform, draw_process};
+use crate::chaos::stage::Stage;
+use crate::deployment::{Deployment, Signal};
+use crate::fakes::{EngineFault, ServiceFault, TableFault};
+
+/// Pause between two rounds of faults, in milliseconds.
+const ROUND_MS: (u64, u64) = (500, 3_000);
+/// How long a fault lasts, in milliseconds.
+const FAULT_MS: (u64, u64) = (500, 7_000);
+/// Time after which a leaving endpoint gets no new work, in milliseconds.
+const LEAVING_BOUND_MS: u64 = 5_000;
+/// Time for which a leaving endpoint is watched after the bound, in milliseconds.
+const LEAVING_WATCH_MS: u64 = 2_000;
+/// Number of the random sequence of the faults.
+const RNG_PART: u64 = 901;
+const TABLE_FAULT_PATH: &str = "/control/table/fault";
+const SLOWDOWN_PATH: &str = "/control/weights/slowdown";
+const STALE_PATH: &str = "/control/vms/stale";
+const FAULTS_PATH: &str = "/control/faults";
+
+/// Causes faults, one or two at a time.
+pub(super) struct FaultLoop<'a> {
+    deployment: &'a mut Deployment,
+    stage: Arc<Stage>,
+    rng: StdRng,
+    verbose: bool,
+}
+
+impl<'a> FaultLoop<'a> {
+    pub(super) fn new(deployment: &'a mut Deployment, stage: Arc<Stage>, verbose: bool) -> Self {
+        Self {
+            deployment,
+            rng: stage.rng(RNG_PART),
+            stage,
+            verbose,
+        }
+    }
+
+    /// Causes faults for a time; each is over before the next round.
+    pub(super) async fn run_for(&mut self, length: Duration) -> anyhow::Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < length {
+            self.pause(ROUND_MS).await;
+            let both = self.rng.random_range(0..3) == 0;
+            let platform = both || self.rng.random_range(0..3) == 0;
+            if platform {
+                let fault = draw_platform(&mut self.rng);
+                self.note(fault);
+                self.cause_platform(fault).await?;
+            }
+            if both || !platform {
+                let fault = draw_process(&mut self.rng);
+                self.note(fault);
+                self.cause(fault)
+                    .await
+                    .with_context(|| format!("{fault:?}"))?;
+            }
+            if platform {
+                self.pause(FAULT_MS).await;
+                self.heal_platform().await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes back every fault that waits for something.
+    pub(super) async fn heal(&mut self) -> anyhow::Result<()> {
+        self.heal_platform().await?;
+        for i in 0..self.deployment.config.engines {
+            self.engine_fault(i, EngineFault::Clear).await?;
+        }
+        Ok(())
+    }
+
+    fn note(&self, fault: Fault) {
+        let name = format!("{fault:?}");
+        if self.verbose {
+            println!("fault: {name}");
+        }
+        *self.stage.tally().faults.entry(name).or_default() += 1;
+    }
+
+    async fn pause(&mut self, range_ms: (u64, u64)) {
+        let pause_ms = self.rng.random_range(range_ms.0..range_ms.1);
+        sleep(Duration::from_millis(pause_ms)).await;
+    }
+
+    async fn platform<B: Serialize + Sync>(&self, path: &str, body: &B) -> anyhow::Result<()> {
+        let platform = self.deployment.platform;
+        self.deployment.control(platform, path, body).await
+    }
+
+    async fn cause_platform(&mut self, fault: Fault) -> anyhow::Result<()> {
+        let commits = self.rng.random_range(1..20);
+        let table = match fault {
+            Fault::TableDown => TableFault::Down,
+            Fault::TableSlow => TableFault::Slow { delay_ms: 400 },
+            Fault::TableUnanswered => TableFault::UnansweredNext { commits },
+            Fault::TableLost => TableFault::LostNext { commits },
+            Fault::WeightsSlow => return self.platform(SLOWDOWN_PATH, &400).await,
+            _ => return self.platform(STALE_PATH, &true).await,
+        };
+        self.platform(TABLE_FAULT_PATH, &table).await
+    }
+
+    async fn heal_platform(&mut self) -> anyhow::Result<()> {
+        self.platform(TABLE_FAULT_PATH, &TableFault::None).await?;
+        self.platform(SLOWDOWN_PATH, &0).await?;
+        self.platform(STALE_PATH, &false).await
+    }
+
+    async fn cause(&mut self, fault: Fault) -> anyhow::Result<()> {
+        let agent = self.rng.random_range(0..self.deployment.agents.len());
+        let engine = self.rng.random_range(0..self.deployment.config.engines);
+        let router = self.rng.random_range(0..self.deployment.routers.len());
+        let tokens = self.rng.random_range(0..50);
+        let text = POISON.to_owned();
+        match fault {
+            Fault::KillAgent => self.kill_agent(agent).await,
+            Fault::KillRouter => self.kill_router(router).await,
+            Fault::StopAgent => self.stop_agent(agent).await,
+            Fault::StopRouter => self.stop_router(router).await,
+            Fault::TerminateRouter => self.terminate_router(router).await,
+            Fault::LeaveVm => self.leave(engine).await,
+            Fault::EngineCrash => self.engine_fault(engine, EngineFault::Crash).await,
+            Fault::EngineCrashMidLoad => self.engine_fault(engine, EngineFault::CrashMidLoad).await,
+            Fault::EngineCrashMidAnswer => {
+                self.engine_fault(engine, EngineFault::CrashMidAnswer { tokens })
+                    .await
+            }
+            Fault::EnginePoison => {
+                for i in 0..self.deployment.config.engines {
+                    let fault = EngineFault::CrashOnPrompt { text: text.clone() };
+                    self.engine_fault(i, fault).await?;
+                }
+                Ok(())
+            }
+            Fault::OrderAnswersLost => {
+                self.engine_fault(engine, EngineFault::LostOrderAnswers { orders: 2 })
+                    .await
+            }
+            Fault::OrderLate => {
+                self.engine_fault(engine, EngineFault::LateOrder { delay_ms: 300 })
+                    .await
+            }
+            Fault::StreamsCut => self.engine_fault(engine, EngineFault::CutStreams).await,
+            Fault::ServiceLosesAnswer => self.service_fault(ServiceFault::LostAnswer).await,
+            Fault::ServiceDiesBefore => self.service_fault(ServiceFault::DiesBefore).await,
+            _ => {
+                self.service_fault(ServiceFault::Slow { delay_ms: 3_000 })
+                    .await
+            }
+        }
+    }
+
+    async fn engine_fault(&self, i: usize, fault: EngineFault) -> anyhow::Result<()> {
+        let endpoint = self.endpoint(i)?;
+        self.deployment.control(endpoint, FAULTS_PATH, &fault).await
+    }
+
+    async fn service_fault(&mut self, fault: ServiceFault) -> anyhow::Result<()> {
+        let services = self.deployment.config.engines..self.deployment.agents.len();
+        let service = self.rng.random_range(services);
+        let endpoint = self.endpoint(service)?;
+        self.deployment.control(endpoint, FAULTS_PATH, &fault).await
+    }
+
+    fn endpoint(&self, agent: usize) -> anyhow::Result<SocketAddr> {
+        let endpoint = self.deployment.agents[agent].endpoint();
+        endpoint.context("an agent has an endpoint")
+    }
+
+    async fn kill_agent(&mut self, i: usize) -> anyhow::Result<()> {
+        self.deployment.agents[i].process.kill().await?;
+        self.pause(FAULT_MS).await;
+        self.deployment.agents[i].restart()
+    }
+
+    async fn kill_router(&mut self, i: usize) -> anyhow::Result<()> {
+        self.stage.routers[i].note_kill();
+        self.deployment.routers[i].process.kill().await?;
+        self.pause(FAULT_MS).await;
+        self.deployment.routers[i].restart()?;
+        self.deployment.routers[i].wait_until_listening().await
+    }
+
+    async fn stop_agent(&mut self, i: usize) -> anyhow::Result<()> {
+        self.deployment.agents[i]
+            .process
+            .signal(Signal::Stop)
+            .await?;
+        self.pause(FAULT_MS).await;
+        self.deployment.agents[i]
+            .process
+            .signal(Signal::Continue)
+            .await
+    }
+
+    async fn stop_router(&mut self, i: usize) -> anyhow::Result<()> {
+        self.stage.routers[i].note_stop();
+        self.deployment.routers[i]
+            .process
+            .signal(Signal::Stop)
+            .await?;
+        self.pause(FAULT_MS).await;
+        let continued = Signal::Continue;
+        self.deployment.routers[i].process.signal(continued).await
+    }
+
+    /// Ends a router gracefully: no caller of it may be cut.
+    async fn terminate_router(&mut self, i: usize) -> anyhow::Result<()> {
+        self.deployment.routers[i].process.stop().await?;
+        self.deployment.routers[i].restart()?;
+        self.deployment.routers[i].wait_until_listening().await
+    }
+
+    /// Lets a VM leave and replaces it by a new one beside the same engine.
+    async fn leave(&mut self, i: usize) -> anyhow::Result<()> {
+        let vm = self.deployment.agents[i].text.vm.clone();
+        self.platform("/control/vms/leaving", &vm).await?;
+        sleep(Duration::from_millis(LEAVING_BOUND_MS)).await;
+        let before = EndpointAudit::read_one(self.deployment, i).await?;
+        sleep(Duration::from_millis(LEAVING_WATCH_MS)).await;
+        let after = EndpointAudit::read_one(self.deployment, i).await?;
+        let late = after.completions - before.completions;
+        if late > 0 {
+            let mut tally = self.stage.tally();
+            tally.work_after_leaving += late;
+            tally.note(format!("{vm} got {late} completions after it was leaving"));
+        }
+        self.deployment.agents[i].process.stop().await?;
+        self.platform("/control/vms/remove", &vm).await?;
+        // The next VM's engine starts empty.
+        self.engine_fault(i, EngineFault::Crash).await?;
+        self.deployment.replace_agent(i).await
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/chaos/mod.rs
@@ -0,0 +1,134 @@
+//! Real processes under a steady mix of callers and random faults.
+//!
+//! Callers send completions, streams, balance reads and payouts through all
+//! routers while faults drawn from a seed come one or two at a time. After the
+//! run everything is healed, and what callers got is held against what the
+//! stand-ins did. Faults come in the seed's order; their effect depends on the
+//! machine's timing, so a seed narrows a failure down and does not replay it.
+
+mod caller;
+mod fault;
+mod fault_loop;
+mod operator;
+mod payout_book;
+mod stage;
+mod tally;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::ensure;
+use gumdrop::Options;
+use tokio::time::sleep;
+
+use crate::audit::EndpointAudit;
+use crate::calls::CallerRequest;
+use crate::chaos::fault_loop::FaultLoop;
+use crate::chaos::stage::Stage;
+use crate::demo::sample_inventory;
+use crate::deployment::{Deployment, DeploymentConfig};
+
+pub(crate) const CALLER_TOKEN: &str = "chaos-caller-token";
+pub(crate) const MODELS: [&str; 6] = ["m-1", "m-2", "m-3", "m-4", "m-5", "m-6"];
+const CALLERS: u64 = 12;
+/// Replicas that the rules allow a model.
+const REPLICAS_MAX: u32 = 2;
+/// Time to heal before the ledger is checked, in milliseconds.
+const HEAL_MS: u64 = 8_000;
+const MS_PER_MINUTE: u64 = 60_000;
+
+/// Options of the stress command.
+#[derive(Debug, Options)]
+pub struct ChaosOptions {
+    /// Print this help.
+    help: bool,
+    /// Seed of callers and faults.
+    #[options(no_short, default = "1")]
+    seed: u64,
+    /// Length of the run.
+    #[options(no_short, default = "2")]
+    minutes: u64,
+    /// Print each fault as it happens.
+    #[options(no_short)]
+    verbose: bool,
+}
+
+/// Runs the stress command.
+///
+/// # Errors
+///
+/// Fails where a process does not start or a promise was broken.
+pub async fn run(options: ChaosOptions) -> anyhow::Result<()> {
+    let config = DeploymentConfig {
+        engines: 4,
+        services: 2,
+        engine_memory_gib: 26,
+        some_ignore_fencing: true,
+        ..DeploymentConfig::new(std::env::current_exe()?)
+    };
+    let mut deployment = Deployment::start(config).await?;
+    apply_inventory(&deployment).await?;
+    deployment.wait_until_ready().await?;
+
+    let stage = Arc::new(Stage::new(&deployment, options.seed));
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|i| tokio::spawn(caller::run(Arc::clone(&stage), i)))
+        .collect();
+    let operator = tokio::spawn(operator::run(Arc::clone(&stage)));
+    let mut faults = FaultLoop::new(&mut deployment, Arc::clone(&stage), options.verbose);
+    let length = Duration::from_millis(options.minutes * MS_PER_MINUTE);
+    faults.run_for(length).await?;
+    faults.heal().await?;
+    sleep(Duration::from_millis(HEAL_MS)).await;
+    stage.stop();
+    for caller in callers {
+        caller.await?;
+    }
+    operator.await?;
+    sleep(Duration::from_millis(HEAL_MS)).await;
+
+    operator::check_final(&stage).await;
+    let audit = EndpointAudit::read(&deployment).await?;
+    let breaches = check(&stage, &audit);
+    stage.print(options.seed, options.minutes, &audit);
+    if let Err(error) = deployment.stop().await {
+        println!("stop: {error:#}");
+    }
+    for breach in &breaches {
+        println!("BREACH: {breach}");
+    }
+    ensure!(breaches.is_empty(), "{} promises broken", breaches.len());
+    println!("all promises kept");
+    Ok(())
+}
+
+async fn apply_inventory(deployment: &Deployment) -> anyhow::Result<()> {
+    let config = &deployment.config;
+    let change = sample_inventory(
+        &config.engine_group,
+        &config.service_group,
+        &MODELS,
+        CALLER_TOKEN,
+    );
+    let body = serde_json::to_string(&change)?;
+    let path = "/admin/v1/changes";
+    let request = CallerRequest::new(http::Method::POST, path, &config.root_token, body);
+    let answer = deployment.send_admin(0, &request).await?;
+    ensure!(answer.status.is_success(), "inventory: {}", answer.body);
+    Ok(())
+}
+
+/// Holds what callers got against what the stand-ins did.
+fn check(stage: &Stage, audit: &EndpointAudit) -> Vec<String> {
+    let mut breaches = stage.tally().breaches();
+    for (model, highest) in &audit.replicas_highest {
+        if *highest > REPLICAS_MAX {
+            breaches.push(format!("{model} had {highest} replicas of {REPLICAS_MAX}"));
+        }
+    }
+    if audit.overcommits > 0 {
+        breaches.push(format!("{} orders overcommitted memory", audit.overcommits));
+    }
+    breaches.extend(stage.payouts().breaches(audit));
+    breaches
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/chaos/operator.rs
@@ -0,0 +1,132 @@
+//! The operator of the stress command: changes one rule and watches it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chicorystage_api::admin::{ChangeAnswer, ChangeStatus};
+use chicorystage_api::inventory::{Change, Item, ItemChange, ItemRow, RuleItem};
+use http::{Method, StatusCode};
+use rand::RngExt;
+use tokio::time::{sleep, timeout};
+
+use crate::calls::CallerRequest;
+use crate::chaos::stage::Stage;
+use crate::chaos::{MODELS, REPLICAS_MAX};
+
+/// Time between two changes, in milliseconds.
+const CHANGE_INTERVAL_MS: u64 = 500;
+/// Longest call, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 20_000;
+/// Smallest value of the rule; the number of the change is added to it.
+const VALUE_BASE_MS: u64 = 1_000_000;
+/// Number of the random sequence of the operator.
+const RNG_PART: u64 = 900;
+const ITEMS_PATH: &str = "/admin/v1/items/rule/m-1";
+
+/// Changes the rule until the run ends.
+pub(super) async fn run(stage: Arc<Stage>) {
+    let mut rng = stage.rng(RNG_PART);
+    let mut seen = vec![(0, 0); stage.routers.len()];
+    let mut number = 0;
+    while !stage.is_stopped() {
+        let router = rng.random_range(0..stage.routers.len());
+        let kills = stage.routers[router].kills();
+        if let Some(found) = read(&stage, router).await {
+            check_read(&stage, router, kills, &mut seen[router], found.as_ref());
+            number += 1;
+            let expected = found.map(|row| row.revision);
+            let value_ms = VALUE_BASE_MS + number;
+            if change(&stage, router, expected, value_ms).await {
+                let mut tally = stage.tally();
+                tally.changes_accepted += 1;
+                tally.change_value_ms = value_ms;
+            }
+        }
+        sleep(Duration::from_millis(CHANGE_INTERVAL_MS)).await;
+    }
+}
+
+/// Checks that every router has the last accepted change or a later one in force.
+pub(super) async fn check_final(stage: &Stage) {
+    for router in 0..stage.routers.len() {
+        let found = read(stage, router).await.flatten();
+        let value_ms = found.as_ref().map_or(0, value);
+        let mut tally = stage.tally();
+        if value_ms < tally.change_value_ms {
+            tally.changes_reverted += 1;
+            let accepted_ms = tally.change_value_ms;
+            tally.note(format!(
+                "router {router} has {value_ms} in force at the end, accepted was {accepted_ms}"
+            ));
+        }
+    }
+}
+
+/// A router's value never goes back while its process lives.
+fn check_read(
+    stage: &Stage,
+    router: usize,
+    kills: u32,
+    seen: &mut (u32, u64),
+    found: Option<&ItemRow>,
+) {
+    let value_ms = found.map_or(0, value);
+    if seen.0 == kills && value_ms < seen.1 {
+        let mut tally = stage.tally();
+        tally.changes_reverted += 1;
+        let before_ms = seen.1;
+        tally.note(format!(
+            "router {router} went from {before_ms} back to {value_ms}"
+        ));
+    }
+    *seen = (kills, value_ms);
+}
+
+/// Reads the rule at a router; none where it does not answer.
+async fn read(stage: &Stage, router: usize) -> Option<Option<ItemRow>> {
+    let request = CallerRequest::new(Method::GET, ITEMS_PATH, &stage.root_token, "");
+    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let answer = timeout(limit, stage.send_admin(router, &request)).await;
+    let answer = answer.ok()?.ok()?;
+    match answer.status {
+        StatusCode::OK => serde_json::from_str(&answer.body).ok(),
+        StatusCode::NOT_FOUND => Some(None),
+        _ => None,
+    }
+}
+
+/// Returns whether the change was accepted.
+async fn change(stage: &Stage, router: usize, expected: Option<u64>, value_ms: u64) -> bool {
+    let item = Item::Rule(RuleItem {
+        model: MODELS[0].into(),
+        owner: "testbed".into(),
+        replicas_max: REPLICAS_MAX,
+        keep_alive_min_ms: 1_000,
+        keep_alive_max_ms: value_ms,
+    });
+    let change = Change {
+        change_id: format!("chaos-{value_ms}").into(),
+        items: vec![ItemChange {
+            key: item.key(),
+            expected_revision: expected,
+            item: Some(item),
+        }],
+        reason: "chaos".to_owned(),
+    };
+    let body = serde_json::to_string(&change).expect("message types serialise to JSON");
+    let path = "/admin/v1/changes";
+    let request = CallerRequest::new(Method::POST, path, &stage.root_token, body);
+    let limit = Duration::from_millis(CALL_TIMEOUT_MS);
+    let Ok(Ok(answer)) = timeout(limit, stage.send_admin(router, &request)).await else {
+        return false;
+    };
+    let parsed: Option<ChangeAnswer> = serde_json::from_str(&answer.body).ok();
+    parsed.is_some_and(|answer| answer.status == ChangeStatus::Accepted)
+}
+
+fn value(row: &ItemRow) -> u64 {
+    match &row.item {
+        Item::Rule(rule) => rule.keep_alive_max_ms,
+        _ => 0,
+    }
+}
--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -8,9 +8,9 @@
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
+use crate::{chaos, demo};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -33,6 +33,8 @@
 enum Command {
     /// Run the whole system with stand-ins.
     Demo(demo::DemoOptions),
+    /// Run real processes under random faults and check the promises.
+    Chaos(chaos::ChaosOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -87,6 +89,7 @@
     };
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
+        Some(Command::Chaos(options)) => block_on(chaos::run(options)),
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
--- a/crates/chicorystage-testbed/src/deployment/plan.rs
+++ b/crates/chicorystage-testbed/src/deployment/plan.rs
@@ -60,6 +60,13 @@
         self.plan_node(vm, i, group, role).await
     }
 
+    pub(super) async fn plan_successor(&self, agent: usize) -> anyhow::Result<DaemonText> {
+        let old = &self.agents[agent].text;
+        let vm = format!("worker-{}-{}", agent + 1, self.replaced);
+        self.plan_node(vm, agent, &old.group, old.role.clone())
+            .await
+    }
+
     /// Chooses a daemon's addresses and lists its VM.
     pub(super) async fn plan_node(
         &self,
--- a/crates/chicorystage-testbed/src/deployment/started.rs
+++ b/crates/chicorystage-testbed/src/deployment/started.rs
@@ -21,6 +21,7 @@
     /// Agents: first those with an engine, then those with a service.
     pub agents: Vec<Node>,
     standins: Vec<ChildProcess>,
+    pub(super) replaced: u32,
     pub(super) directory: PathBuf,
 }
 
@@ -43,6 +44,7 @@
             routers: Vec::new(),
             agents: Vec::new(),
             standins,
+            replaced: 0,
             directory,
         };
         // The list names every VM before the first router reads it.
@@ -95,6 +97,18 @@
         self.start_node(false, text)
     }
 
+    /// Starts a new VM beside the endpoint of an agent whose process has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails where its process does not start.
+    pub async fn replace_agent(&mut self, agent: usize) -> anyhow::Result<()> {
+        self.replaced += 1;
+        let text = self.plan_successor(agent).await?;
+        self.agents[agent] = Node::start(&self.config.program, &self.directory, text)?;
+        Ok(())
+    }
+
     /// Starts the stand-in of the engine with a number.
     ///
     /// # Errors
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`settings_text`]: settings files of the daemons that are started.
 //! * [`deployment`]: the whole system as processes.
 //! * [`audit`]: what the stand-ins saw, held against the promises.
+//! * [`chaos`]: real processes under random faults.
 //! * [`demo`]: the whole system on one machine.
 //!
 //! # Limits
@@ -19,6 +20,7 @@
 
 pub mod audit;
 pub mod calls;
+pub mod chaos;
 pub mod cli;
 pub mod demo;
 pub mod deployment;
