--- a/crates/chicorystage-testbed/src/harness/system.rs
+++ b/crates/chicorystage-testbed/src/harness/system.rs
@@ -1,5 +1,5 @@
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +35,8 @@
 /// Group of the routers.
 pub(super) const ROUTER_GROUP: &str = "entry";
 const ZONE: &str = "huehue-a";
+/// Stands in settings where the harness opens no socket.
+const UNUSED_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 const FIRST_PORT: u16 = 7_000;
 /// Time in which every router reads a change, in milliseconds.
 const SPREAD_MS: u64 = 3_000;
@@ -217,11 +219,11 @@
         let vm = VmId::from(format!("entry-{}", i + 1));
         let address = address(i);
         let role = RoleText::Router {
-            caller_api: unused(address, 3),
-            admin_api: unused(address, 4),
+            caller_api: UNUSED_ADDRESS,
+            admin_api: UNUSED_ADDRESS,
             root_token_sha256: token::sha256(ROOT_TOKEN.as_bytes()),
         };
-        let settings = settings(&vm, ROUTER_GROUP, address, role);
+        let settings = settings(&vm, ROUTER_GROUP, role);
         let Role::Router(role) = settings.role else {
             unreachable!("the settings name a router");
         };
@@ -246,10 +248,10 @@
         let (kind, endpoint) = self.endpoint(i, &gate);
         let role = RoleText::Agent {
             kind: kind.to_owned(),
-            endpoint: unused(address, 3),
+            endpoint: UNUSED_ADDRESS,
             router_group: ROUTER_GROUP.to_owned(),
         };
-        let settings = settings(&vm, group.as_str(), address, role);
+        let settings = settings(&vm, group.as_str(), role);
         let Role::Agent(role) = settings.role else {
             unreachable!("the settings name an agent");
         };
@@ -317,19 +319,14 @@
     SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset))
 }
 
-/// Returns an address that the settings must name and nobody calls.
-fn unused(address: SocketAddr, purpose: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 1, purpose], address.port()))
-}
-
-fn settings(vm: &VmId, group: &str, address: SocketAddr, role: RoleText) -> Settings {
+fn settings(vm: &VmId, group: &str, role: RoleText) -> Settings {
     let text = DaemonText {
         vm: vm.to_string(),
         zone: ZONE.to_owned(),
         group: group.to_owned(),
-        internal: address,
-        health: unused(address, 1),
-        platform: unused(address, 2),
+        internal: UNUSED_ADDRESS,
+        health: UNUSED_ADDRESS,
+        platform: UNUSED_ADDRESS,
         role,
     };
     Settings::parse("harness", &text.to_string())
--- /dev/null
+++ b/crates/chicorystaged/src/router/serving/attempt_start.rs
@@ -0,0 +1,55 @@
+//! How one attempt of idempotent work is dispatched.
+
+use chicorystage_api::peer::TraceEvent;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::suspects::Standing;
+
+use crate::router::event::Choice;
+use crate::router::serving::attempt_failure::AttemptFailure;
+use crate::router::serving::conversation::{Begun, Conversation, CurrentAttempt};
+use crate::router::serving::job::{AttemptTerms, ended_connection};
+use crate::router::serving::send_failure::SendFailure;
+
+impl Conversation {
+    /// Runs one attempt up to its first content.
+    pub(super) async fn attempt(&mut self, choice: Choice) -> Result<Begun, AttemptFailure> {
+        self.attempts += 1;
+        let alone = self.standing == Standing::Suspect;
+        self.record.step(TraceEvent::Chosen {
+            attempt: self.attempts,
+            vm: choice.vm.id.clone(),
+            estimated_wait_ms: choice.estimated_wait_ms,
+            suspect: alone,
+        });
+        if !self.avoid.contains(&choice.vm.id) {
+            self.avoid.push(choice.vm.id.clone());
+        }
+        self.current = Some(CurrentAttempt {
+            vm: choice.vm.id.clone(),
+            grant: choice.grant.clone(),
+            alone,
+        });
+        let address = choice.vm.address;
+        let attempt = AttemptTerms {
+            attempt: self.attempts,
+            grant: choice.grant,
+            claim: None,
+            alone,
+        };
+        let frames = match self.job.send(address, attempt).await {
+            Ok(frames) => frames,
+            Err(SendFailure::NotDelivered(detail)) => {
+                let refusal = Refusal::not_run(RefusalCode::NoEndpoint, detail);
+                return Err(AttemptFailure::lost(refusal));
+            }
+            // The attempt may run though its connection failed: a fresh one tells,
+            // or cancels it where the deadline has passed.
+            Err(SendFailure::Unknown | SendFailure::TooLate) => ended_connection(),
+        };
+        let attempt = self.job.attempt_ref(self.attempts);
+        let stream = self.job.stream(address, attempt, frames);
+        let mut stream = stream.with_flight(choice.flight);
+        let first = stream.next().await?;
+        Ok((stream, first))
+    }
+}
