--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -8,10 +8,9 @@
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
-use crate::replay;
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
+use crate::{chaos, demo, replay};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -36,6 +35,8 @@
     Demo(demo::DemoOptions),
     /// Replay recorded traces in virtual time.
     Replay(replay::ReplayOptions),
+    /// Run real processes under random faults and check the promises.
+    Chaos(chaos::ChaosOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -98,6 +99,7 @@
                 ExitCode::from(EXIT_FAILED)
             }
         },
+        Some(Command::Chaos(options)) => block_on(chaos::run(options)),
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
