Replay: bring weights to a model's first slot before its first use

Tried before and reverted: a keep-alive of at least four reload times.

Change: the learned policy decides each model's first slot at the start, loads it in the lowest class where its weights are remote, and unloads it at once. learned-unseeded shows the policy without it; the fixed baselines do not seed.

It is in the replay only; planner and agent do not seed yet, so the gain over the fixed keep-alives is not yet the product's.

--- a/crates/chicorystage-testbed/src/replay/policy.rs
+++ b/crates/chicorystage-testbed/src/replay/policy.rs
@@ -7,6 +7,10 @@
 
 /// A policy that is replayed: the product's own or a baseline.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the switches of an experiment are independent"
+)]
 pub struct Policy {
     /// Name on the command line and in tables.
     pub name: &'static str,
@@ -14,6 +18,8 @@
     pub is_fixed_keep_alive: bool,
     /// Whether requests run in the order of their arrival.
     pub first_come: bool,
+    /// Whether weights are brought to the slots' VMs before their first use.
+    pub seeds_caches: bool,
     /// Whether slots go to random VMs.
     pub random_placement: bool,
     pub(crate) idle: Box<dyn IdlePolicy>,
@@ -27,6 +33,7 @@
             name: "learned",
             is_fixed_keep_alive: false,
             first_come: false,
+            seeds_caches: true,
             random_placement: false,
             idle: Box::new(LearnedIdle),
         }
@@ -43,6 +50,11 @@
             Self::fixed("keep-60m", 60 * MINUTE_MS),
             Self::fixed("never-unload", FOREVER_MS),
             Self::fixed("unload-at-once", 0),
+            Self {
+                name: "learned-unseeded",
+                seeds_caches: false,
+                ..Self::learned()
+            },
             Self {
                 name: "first-come",
                 first_come: true,
@@ -60,6 +72,7 @@
         Self {
             name,
             is_fixed_keep_alive: true,
+            seeds_caches: false,
             idle: Box::new(FixedIdle { keep_alive_ms }),
             ..Self::learned()
         }
--- a/crates/chicorystage-testbed/src/replay/sim/agenda.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/agenda.rs
@@ -38,6 +38,8 @@
         model: usize,
         epoch: u64,
     },
+    /// A model gets its first slot, and its weights go to the slot's VM.
+    Seed { model: usize },
     /// An availability zone is lost.
     ZoneLost,
 }
--- a/crates/chicorystage-testbed/src/replay/sim/loads.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/loads.rs
@@ -1,10 +1,12 @@
 //! Loads: permits, memory, eviction and the weight store's speed.
 
+use std::collections::HashSet;
+
 use chicorystage_api::inventory::{Class, PolicyItem};
 use chicorystage_api::peer::{PermitKind, PermitRequest};
 use chicorystage_core::evict::{Resident, evict};
 use chicorystage_core::permit::{PermitDecision, PermitLimits};
-use chicorystage_core::placement::CacheTier;
+use chicorystage_core::placement::{CacheTier, Wanted};
 
 use crate::replay::deployment::GIB;
 use crate::replay::sim::agenda::Event;
@@ -66,6 +68,22 @@
         }
     }
 
+    /// Decides a model's first slot and brings its weights there.
+    pub(crate) fn seed(&mut self, model: usize) {
+        if self.placements[model].is_none() {
+            self.decide(model, Wanted::First, &HashSet::new());
+        }
+        let Some(w) = self.first_holder(model) else {
+            return;
+        };
+        let worker = &mut self.workers[w];
+        let absent = worker.replicas[model].state == ReplicaState::Absent;
+        if absent && worker.caches.tier(model) == CacheTier::Remote {
+            worker.replicas[model].seeding = true;
+            self.begin_load(w, model);
+        }
+    }
+
     pub(crate) fn poll_permit(&mut self, w: usize, model: usize) {
         let ReplicaState::WaitingPermit { ticket } = self.workers[w].replicas[model].state else {
             return;
@@ -113,7 +131,14 @@
         worker.replicas[model].idle_since_ms = self.now_ms;
         worker.caches.put(model, bytes);
         self.pump(w);
-        if self.workers[w].replicas[model].in_use == 0 {
+        let replica = &mut self.workers[w].replicas[model];
+        let seeded = std::mem::take(&mut replica.seeding);
+        if replica.in_use > 0 {
+            return;
+        }
+        if seeded {
+            self.unload(w, model);
+        } else {
             self.begin_idle(w, model);
         }
     }
--- a/crates/chicorystage-testbed/src/replay/sim/mod.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/mod.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod loads;
 mod request_path;
+mod slots;
 mod tally;
 mod worker;
 mod world;
--- a/crates/chicorystage-testbed/src/replay/sim/request_path.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/request_path.rs
@@ -2,19 +2,16 @@
 
 use std::collections::HashSet;
 
-use chicorystage_api::peer::{PlacementPush, SlotState};
+use chicorystage_api::peer::SlotState;
 use chicorystage_api::refusal::RefusalCode;
-use chicorystage_core::placement::{CacheTier, Candidate, Goal, Wanted, next_row};
+use chicorystage_core::placement::{CacheTier, Wanted};
 use chicorystage_core::queue::{Entry, Pushed};
-use rand::RngExt;
 
 use crate::replay::sim::agenda::Event;
 use crate::replay::sim::loads::{load_ms, tier_of_unloaded};
 use crate::replay::sim::worker::ReplicaState;
 use crate::replay::sim::world::World;
 
-/// Replicas of a model at most.
-const REPLICAS_MAX: u32 = 3;
 /// Time of the table's reads and the commit of a placement, in milliseconds.
 const DECISION_MS: u64 = 15;
 /// Time from a request's start on an engine to its first token, in milliseconds.
@@ -49,7 +46,15 @@
 
     pub(crate) fn placed(&mut self, request: usize, additional: bool) {
         let row = &self.rows[request];
-        self.decide(request, additional);
+        let current = self.placements[row.model].as_ref();
+        let seen_row_version = current.map_or(0, |push| push.row_version);
+        let wanted = if additional {
+            Wanted::Additional { seen_row_version }
+        } else {
+            Wanted::First
+        };
+        let avoid = self.flights[request].avoid.clone();
+        self.decide(row.model, wanted, &avoid);
         self.known.insert((row.router, row.model));
         self.route(request);
     }
@@ -306,52 +311,4 @@
         let queue_ms = (ahead + 1).saturating_sub(slots) * worker.service_ms() / slots;
         load.max(queue_ms)
     }
-
-    /// Decides slots as a planner would.
-    fn decide(&mut self, request: usize, additional: bool) {
-        let model = self.rows[request].model;
-        let current = self.placements[model].as_ref();
-        let spec = &self.deployment.models[model];
-        let flight = &self.flights[request];
-        let vm_of = |w: &usize| self.deployment.workers[*w].clone();
-        let down: HashSet<_> = (0..self.workers.len())
-            .filter(|&w| !self.workers[w].up)
-            .map(|w| vm_of(&w))
-            .collect();
-        let mut candidates: Vec<Candidate> = (0..self.workers.len())
-            .map(|w| Candidate {
-                vm: vm_of(&w),
-                zone: self.deployment.zone_of(w).clone(),
-                cache_tier: self.workers[w].caches.tier(model),
-                memory_free_bytes: Some(self.workers[w].memory_free_bytes),
-            })
-            .collect();
-        if self.policy.random_placement {
-            let only = self.rng.random_range(0..candidates.len());
-            candidates = vec![candidates.swap_remove(only)];
-        }
-        let goal = Goal {
-            model: spec.name.clone(),
-            memory_bytes: spec.memory_bytes,
-            wanted: if additional {
-                Wanted::Additional {
-                    seen_row_version: current.map_or(0, |push| push.row_version),
-                }
-            } else {
-                Wanted::First
-            },
-            avoid: flight.avoid.iter().map(vm_of).collect(),
-            candidates,
-            leaving: HashSet::new(),
-            gone: down,
-            releases: Vec::new(),
-        };
-        if let Some(row) = next_row(current, &goal, REPLICAS_MAX) {
-            self.table_version += 1;
-            self.placements[model] = Some(PlacementPush {
-                row_version: self.table_version,
-                row,
-            });
-        }
-    }
 }
--- a/crates/chicorystage-testbed/src/replay/sim/worker.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/worker.rs
@@ -39,6 +39,7 @@
     pub(crate) epoch: u64,
     pub(crate) loads_ms: Vec<u64>,
     pub(crate) prewarmed: bool,
+    pub(crate) seeding: bool,
 }
 
 /// One worker with its agent.
--- a/crates/chicorystage-testbed/src/replay/sim/world.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/world.rs
@@ -15,6 +15,8 @@
 
 /// Seed of what the trace does not say: the caches at the start.
 const WORLD_SEED: u64 = 3;
+/// Time between the first slots of two models, in milliseconds.
+const SEED_INTERVAL_MS: usize = 250;
 /// Chance that a model's weights are on a worker's disk at the start.
 const ON_DISK_CHANCE: f64 = 0.1;
 
@@ -88,6 +90,13 @@
             let at_ms = row.at_ms + self.deployment.caller_latency_ms;
             self.agenda.add(at_ms, Event::Arrive { request });
         }
+        if self.policy.seeds_caches {
+            for (model, at_ms) in
+                (0..self.deployment.models.len()).zip((0..).step_by(SEED_INTERVAL_MS))
+            {
+                self.agenda.add(at_ms, Event::Seed { model });
+            }
+        }
         if let Some(at_ms) = self.faults.zone_lost_at_ms {
             self.agenda.add(at_ms, Event::ZoneLost);
         }
@@ -135,6 +144,7 @@
                 model,
                 epoch,
             } => self.prewarm(worker, model, epoch),
+            Event::Seed { model } => self.seed(model),
             Event::ZoneLost => self.zone_lost(),
         }
     }
