--- a/crates/chicorystage-testbed/tests/refusal_table.rs
+++ b/crates/chicorystage-testbed/tests/refusal_table.rs
@@ -174,6 +174,21 @@
     }
 }
 
+/// Reads the metrics from the health address.
+async fn metrics(world: &World) -> String {
+    let server = HttpServer::bind("127.0.0.1:0".parse().unwrap()).await;
+    let server = server.unwrap();
+    let address = server.address();
+    let _running = server.start(std::sync::Arc::clone(&world.parts.health_api));
+    let request = Request::builder()
+        .uri("/metrics")
+        .header("host", "localhost");
+    let request = request.body(Full::new(Bytes::new())).unwrap();
+    let body = exchange(address, request).await.into_body();
+    let body = body.collect().await.unwrap().to_bytes();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
 #[gtest]
 #[tokio::test]
 async fn each_malformed_request_gets_its_code() {
@@ -185,6 +200,9 @@
     expect_refusals(address, malformed()).await;
     expect_refusals(address, unwelcome()).await;
     expect_that!(world.agents.started(), is_empty());
+    let metrics = metrics(&world).await;
+    let counted = "chicorystage_refusals_total{code=\"bad_json\",outcome=\"not_run\"} 3";
+    expect_that!(metrics, contains_substring(counted));
     let status = world.parts.handle.status().await.unwrap();
     expect_that!(status.in_progress, eq(0));
 }
--- a/crates/chicorystage-testbed/tests/serving_calls.rs
+++ b/crates/chicorystage-testbed/tests/serving_calls.rs
@@ -156,6 +156,8 @@
         role.drain_lag_ms = 400;
         role.drain_max_ms = 60_000;
         drain::leave(&world.parts.handle, running, &role).await;
+        let left = world.parts.handle.status().await.unwrap();
+        expect_that!(left.in_progress, eq(0));
     };
     let (early, late, ()) = tokio::join!(early, late, leaving);
     let text = Some(Bytes::from(words.concat()));
