--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -13,8 +13,8 @@
 use crate::router::serving::attempt_stream::AttemptStream;
 use crate::router::serving::event::ServingEvent;
 use crate::router::serving::job::{Job, deadline_passed};
+use crate::router::serving::refusals::quarantined;
 use crate::router::serving::request_record::RequestRecord;
-use crate::router::serving::state::quarantined;
 use crate::router::serving::{Entry, OpenedAnswer, WaitGuard};
 
 /// Attempts of one request.
--- a/crates/chicorystaged/src/router/serving/mod.rs
+++ b/crates/chicorystaged/src/router/serving/mod.rs
@@ -32,6 +32,7 @@
 mod job;
 mod no_dispatch;
 mod opened_answer;
+mod refusals;
 mod request_record;
 mod send_failure;
 mod state;
@@ -55,4 +56,5 @@
 pub use wait_guard::WaitGuard;
 pub use whole_answer::WholeAnswer;
 
-pub(crate) use state::{ServingState, body_too_large};
+pub(crate) use refusals::body_too_large;
+pub(crate) use state::ServingState;
--- a/crates/chicorystaged/src/router/serving/state.rs
+++ b/crates/chicorystaged/src/router/serving/state.rs
@@ -5,9 +5,9 @@
 use chicorystage_api::name::{CallerName, Digest, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_core::admission::{Reach, Shed, WaitingRoom, reach};
+use chicorystage_core::admission::{Reach, WaitingRoom, reach};
 use chicorystage_core::choice::{Candidate, EndpointBook, Preference, PrefixHints};
-use chicorystage_core::limits::{CallerMeters, LimitExceeded};
+use chicorystage_core::limits::CallerMeters;
 use chicorystage_core::retry::RetryBudget;
 use chicorystage_core::suspects::{Standing, SuspectList};
 
@@ -16,12 +16,11 @@
 use crate::metrics::Metrics;
 use crate::router::event::Choice;
 use crate::router::handle::RouterHandle;
+use crate::router::serving::refusals::{body_too_large, limited, overloaded, quarantined};
 use crate::router::serving::trace_log::TraceLog;
 use crate::router::serving::{ChooseRequest, ServingEvent, WaitGuard};
 use crate::settings::RouterSettings;
 
-/// Delay after which a request refused for lack of room should come back, in milliseconds.
-const SHED_RETRY_AFTER_MS: u64 = 1_000;
 /// Estimated wait above which a model is worth a further slot, in milliseconds.
 const CROWDED_WAIT_MS: u64 = 250;
 /// Time between two requests for a further slot of a model, in milliseconds.
@@ -293,53 +292,3 @@
         );
     }
 }
-
-/// Refuses a body above the caller's limit.
-pub(crate) fn body_too_large(caller: &CallerItem) -> Refusal {
-    let detail = format!(
-        "caller {} may send bodies of up to {} bytes",
-        caller.name, caller.body_bytes_max
-    );
-    Refusal::not_run(RefusalCode::BodyTooLarge, detail)
-}
-
-/// Refuses work that crashed endpoints; coming back does not help.
-pub(crate) fn quarantined() -> Refusal {
-    let detail = "this request crashed the endpoint that ran it alone and is quarantined";
-    Refusal::not_run(RefusalCode::Quarantined, detail)
-}
-
-fn overloaded(shed: Shed, tenant: &CallerName) -> Refusal {
-    let detail = match shed {
-        Shed::ClassFull => "too many requests of this class wait".to_owned(),
-        Shed::TenantOverShare => {
-            format!("caller {tenant} has its share of the requests that may wait")
-        }
-        Shed::BytesFull => "too many bytes of request bodies are held".to_owned(),
-    };
-    Refusal::not_run(RefusalCode::Overloaded, detail).retry_after_ms(SHED_RETRY_AFTER_MS)
-}
-
-fn limited(exceeded: LimitExceeded, caller: &CallerItem) -> Refusal {
-    match exceeded {
-        LimitExceeded::Rate { retry_after_ms } => {
-            let detail = format!(
-                "caller {} may send {} requests a second, {} at once",
-                caller.name, caller.rate_per_s, caller.burst
-            );
-            let refusal = Refusal::not_run(RefusalCode::RateLimited, detail);
-            match retry_after_ms {
-                Some(delay_ms) => refusal.retry_after_ms(delay_ms),
-                None => refusal,
-            }
-        }
-        LimitExceeded::Concurrency => {
-            let detail = format!(
-                "caller {} may have {} requests in progress",
-                caller.name, caller.concurrent_max
-            );
-            Refusal::not_run(RefusalCode::ConcurrencyLimited, detail)
-                .retry_after_ms(SHED_RETRY_AFTER_MS)
-        }
-    }
-}
