--- a/crates/chicorystage-testbed/src/chaos/fault_loop.rs
+++ b/crates/chicorystage-testbed/src/chaos/fault_loop.rs
@@ -229,6 +229,8 @@
     /// Lets a VM leave and replaces it by a new one beside the same engine.
     async fn leave(&mut self, i: usize) -> anyhow::Result<()> {
         let vm = self.deployment.agents[i].text.vm.clone();
+        // The bound counts from the moment that the list shows it.
+        self.platform(STALE_PATH, &false).await?;
         self.platform("/control/vms/leaving", &vm).await?;
         sleep(Duration::from_millis(LEAVING_BOUND_MS)).await;
         let before = EndpointAudit::read_one(self.deployment, i).await?;
