--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -10,7 +10,7 @@
 
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
-use crate::{chaos, demo};
+use crate::{chaos, demo, replay};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -35,6 +35,8 @@
     Demo(demo::DemoOptions),
     /// Run real processes under random faults and check the promises.
     Chaos(chaos::ChaosOptions),
+    /// Replay recorded traces in virtual time.
+    Replay(replay::ReplayOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -90,6 +92,14 @@
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
         Some(Command::Chaos(options)) => block_on(chaos::run(options)),
+        Some(Command::Replay(options)) => match replay::run(&options) {
+            Ok(true) => ExitCode::SUCCESS,
+            Ok(false) => ExitCode::from(EXIT_FAILED),
+            Err(error) => {
+                eprintln!("chicorystage-testbed: {error:#}");
+                ExitCode::from(EXIT_FAILED)
+            }
+        },
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`audit`]: what the stand-ins saw, held against the promises.
 //! * [`chaos`]: real processes under random faults.
 //! * [`demo`]: the whole system on one machine.
+//! * [`replay`]: the policy under load, measured in virtual time.
 //!
 //! # Limits
 //!
@@ -26,5 +27,6 @@
 pub mod deployment;
 pub mod fakes;
 pub mod harness;
+pub mod replay;
 pub mod settings_text;
 pub mod standin;
