--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -33,10 +33,10 @@
 enum Command {
     /// Run the whole system with stand-ins.
     Demo(demo::DemoOptions),
-    /// Replay recorded traces in virtual time.
-    Replay(replay::ReplayOptions),
     /// Run real processes under random faults and check the promises.
     Chaos(chaos::ChaosOptions),
+    /// Replay recorded traces in virtual time.
+    Replay(replay::ReplayOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -91,6 +91,7 @@
     };
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
+        Some(Command::Chaos(options)) => block_on(chaos::run(options)),
         Some(Command::Replay(options)) => match replay::run(&options) {
             Ok(true) => ExitCode::SUCCESS,
             Ok(false) => ExitCode::from(EXIT_FAILED),
@@ -99,7 +100,6 @@
                 ExitCode::from(EXIT_FAILED)
             }
         },
-        Some(Command::Chaos(options)) => block_on(chaos::run(options)),
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
