A load that waits for a permit takes over the urgency of later waiters

Cause: a load begun for batch work, or ahead of use, waited for its permit in the lowest class while an interactive request waited for the same load. Change: the loop raises the order's urgency; each question for the permit, which is the same request by its ticket, carries the newest class and time left.

--- a/crates/chicorystage-testbed/tests/agent/memory.rs
+++ b/crates/chicorystage-testbed/tests/agent/memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicorystage_api::inventory::{Item, ItemRow, RuleItem, Snapshot};
+use chicorystage_api::inventory::{Class, Item, ItemRow, RuleItem, Snapshot};
 use chicorystage_api::peer::ReplicaState;
 use chicorystage_api::refusal::{Outcome, RefusalCode};
 use chicorystage_api::work::Payload;
@@ -241,6 +241,28 @@
     expect_that!(world.router.released(), eq(&vec![7]));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_permit_is_asked_for_as_urgently_as_the_newest_waiter_needs() {
+    let mut world = World::start(config(), &["a"]).await;
+    world.router.set_permit_holder("entry-1", address(1));
+    world.router.set_permits_wait(true);
+    let mut batch = world.request("a");
+    batch.class = Class::Batch;
+    let batch = world.send(batch).await;
+    sleep(Duration::from_millis(300)).await;
+    let mut interactive = world.request("a");
+    interactive.class = Class::Interactive;
+    let interactive = world.send(interactive).await;
+    sleep(Duration::from_millis(300)).await;
+    let classes = world.router.classes();
+    expect_that!(classes.first(), some(eq(&Class::Batch)));
+    expect_that!(classes.last(), some(eq(&Class::Interactive)));
+    world.router.set_permits_wait(false);
+    expect_that!(answer(interactive).await.is_whole(), is_true());
+    expect_that!(answer(batch).await.is_whole(), is_true());
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_load_goes_on_where_no_router_hands_out_permits() {
--- a/crates/chicorystage-testbed/tests/agent/router.rs
+++ b/crates/chicorystage-testbed/tests/agent/router.rs
@@ -2,7 +2,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use chicorystage_api::inventory::Snapshot;
+use chicorystage_api::inventory::{Class, Snapshot};
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
@@ -23,6 +23,8 @@
     snapshot: Option<Snapshot>,
     permit_holder: Option<(VmId, SocketAddr)>,
     asked: Vec<SocketAddr>,
+    classes: Vec<Class>,
+    permits_wait: bool,
     released: Vec<u64>,
 }
 
@@ -41,6 +43,16 @@
         self.lock().asked.clone()
     }
 
+    /// Sets whether the holder of the permits lets everyone wait.
+    pub fn set_permits_wait(&self, permits_wait: bool) {
+        self.lock().permits_wait = permits_wait;
+    }
+
+    /// Returns the classes for which permits were asked, in order.
+    pub fn classes(&self) -> Vec<Class> {
+        self.lock().classes.clone()
+    }
+
     /// Returns the permits that were returned.
     pub fn released(&self) -> Vec<u64> {
         self.lock().released.clone()
@@ -50,13 +62,17 @@
         self.state.lock().expect("no holder of the lock panics")
     }
 
-    fn permit(&self, router: SocketAddr) -> Result<PermitAnswer, BorderError> {
+    fn permit(&self, router: SocketAddr, class: Class) -> Result<PermitAnswer, BorderError> {
         let mut state = self.lock();
         state.asked.push(router);
+        state.classes.push(class);
         let (holder, address) = state.permit_holder.clone().ok_or_else(not_offered)?;
         if address != router {
             return Ok(PermitAnswer::Elsewhere { holder });
         }
+        if state.permits_wait {
+            return Ok(PermitAnswer::Wait { retry_in_ms: 100 });
+        }
         Ok(PermitAnswer::Granted {
             permit_id: 7,
             expires_in_ms: 10_000,
@@ -108,9 +124,9 @@
     fn acquire_permit(
         &self,
         router: SocketAddr,
-        _request: PermitRequest,
+        request: PermitRequest,
     ) -> BoxFuture<'_, Result<PermitAnswer, BorderError>> {
-        Box::pin(async move { self.permit(router) })
+        Box::pin(async move { self.permit(router, request.class) })
     }
 
     fn release_permit(
--- a/crates/chicorystaged/src/agent/dispatch.rs
+++ b/crates/chicorystaged/src/agent/dispatch.rs
@@ -22,6 +22,7 @@
 use crate::agent::readiness::Readiness;
 use crate::agent::running::{Running, RunningStream};
 use crate::agent::target::Target;
+use crate::agent::urgency::Urgency;
 use crate::agent::waiting::Waiting;
 
 /// Version of each model that the longest waiting attempt needs.
@@ -82,7 +83,7 @@
             let readiness = if let Some((_, readiness)) = known {
                 readiness.clone()
             } else {
-                let urgency = (class, deadline_ms.saturating_sub(now_ms));
+                let urgency = Urgency { class, deadline_ms };
                 let readiness = self.ensure(&target, wanted, urgency, now_ms);
                 seen.push((target, readiness.clone()));
                 readiness
--- a/crates/chicorystaged/src/agent/main_loop.rs
+++ b/crates/chicorystaged/src/agent/main_loop.rs
@@ -16,7 +16,7 @@
 use chicorystage_core::inventory::InventoryState;
 use chicorystage_core::ledger::Holding;
 use chicorystage_core::queue::Queue;
-use chicorystage_core::replicas::Replicas;
+use chicorystage_core::replicas::{ReplicaKey, Replicas};
 use chicorystage_core::slots::Slots;
 use chicorystage_platform::engine::EngineStatus;
 use chicorystage_platform::vm_list::VmEntry;
@@ -32,6 +32,7 @@
 use crate::agent::prewarm::LastUse;
 use crate::agent::running::Running;
 use crate::agent::slot_reads::SlotReads;
+use crate::agent::urgency::Urgency;
 use crate::agent::waiting::Waiting;
 use crate::agent::watch_task;
 use crate::settings::{AgentSettings, DaemonSettings};
@@ -70,6 +71,7 @@
     pub(super) loaded_ms: BTreeMap<Holding, u64>,
     pub(super) policy: Box<dyn ReplicaPolicy>,
     pub(super) idle_checked_ms: u64,
+    pub(super) load_urgencies: HashMap<ReplicaKey, watch::Sender<Urgency>>,
     pub(super) last_uses: HashMap<ModelName, LastUse>,
     pub(super) slots: Slots,
     pub(super) slots_unreadable: bool,
@@ -113,6 +115,7 @@
             loaded_ms: BTreeMap::new(),
             policy: Box::new(LearnedPolicy::new()),
             idle_checked_ms: 0,
+            load_urgencies: HashMap::new(),
             last_uses: HashMap::new(),
             slots: Slots::new(daemon.vm.clone()),
             slots_unreadable: false,
--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -37,6 +37,7 @@
 mod table_task;
 mod target;
 mod unloading;
+mod urgency;
 mod waiting;
 mod watch_task;
 mod work;
--- a/crates/chicorystaged/src/agent/orders.rs
+++ b/crates/chicorystaged/src/agent/orders.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use chicorystage_api::inventory::Class;
 use chicorystage_api::peer::{PermitKind, ReplicaState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_core::replicas::{BeginError, ReplicaKey};
 use chicorystage_core::slots::Standing;
 use chicorystage_platform::engine::{CacheTier, Order, OrderKind};
 use chicorystage_platform::vm_list::VmState;
+use tokio::sync::watch;
 
 use crate::agent::admission::leaving;
 use crate::agent::borders::Endpoint;
@@ -18,11 +18,10 @@
 use crate::agent::permit::PermitAsker;
 use crate::agent::readiness::Readiness;
 use crate::agent::target::Target;
+use crate::agent::urgency::Urgency;
 
 /// Adapter fetches of one agent in flight at once.
 const ADAPTER_LOADS_MAX: usize = 8;
-/// Highest class that waits for an order, and the time left to its deadline.
-pub(super) type Urgency = (Class, u64);
 
 impl AgentLoop {
     /// Gives the next order that a target needs, if it may be given.
@@ -50,7 +49,10 @@
                 }
                 Readiness::Pending
             }
-            Some(_) => Readiness::Pending,
+            Some((key, _)) => {
+                self.raise_urgency(&key, urgency);
+                Readiness::Pending
+            }
             None => self.begin_load(target, wanted, urgency, now_ms),
         }
     }
@@ -96,9 +98,11 @@
             version: target.key.version.clone(),
             memory_bytes: target.memory_bytes,
         };
-        let asker = self
-            .is_remote(&target.key)
-            .then(|| self.permit_asker(order, PermitKind::Model, urgency));
+        let asker = self.is_remote(&target.key).then(|| {
+            let (sender, receiver) = watch::channel(urgency);
+            self.load_urgencies.insert(target.key.clone(), sender);
+            self.permit_asker(order, PermitKind::Model, receiver)
+        });
         self.give_order(order, kind, asker);
         Ok(())
     }
@@ -139,6 +143,7 @@
             adapter: adapter.clone(),
             memory_bytes: bytes,
         };
+        let (_unchanged, urgency) = watch::channel(urgency);
         let asker = self.permit_asker(order, PermitKind::Adapter, urgency);
         self.give_order(order, kind, Some(asker));
         Readiness::Pending
@@ -179,8 +184,26 @@
         !near.any(|cached| cached.model == key.model && cached.version == key.version)
     }
 
-    fn permit_asker(&self, ticket: u64, kind: PermitKind, urgency: Urgency) -> PermitAsker {
-        let (class, time_left_ms) = urgency;
+    /// Lets a load that waits for a permit go on as urgently as its newest waiter.
+    fn raise_urgency(&mut self, key: &ReplicaKey, urgency: Urgency) {
+        let Some(sender) = self.load_urgencies.get(key) else {
+            return;
+        };
+        sender.send_if_modified(|known| {
+            let is_higher = urgency < *known;
+            if is_higher {
+                *known = urgency;
+            }
+            is_higher
+        });
+    }
+
+    fn permit_asker(
+        &self,
+        ticket: u64,
+        kind: PermitKind,
+        urgency: watch::Receiver<Urgency>,
+    ) -> PermitAsker {
         let vms = self.vms.borrow();
         let routers = vms
             .iter()
@@ -191,8 +214,8 @@
             vm: self.daemon.vm.clone(),
             ticket,
             kind,
-            class,
-            time_left_ms,
+            urgency,
+            clock: self.clock,
             local_orders: self.local_orders,
         }
     }
--- a/crates/chicorystaged/src/agent/permit.rs
+++ b/crates/chicorystaged/src/agent/permit.rs
@@ -4,15 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chicorystage_api::inventory::Class;
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{PermitAnswer, PermitKind, PermitRequest};
 use chicorystage_core::rendezvous;
 use chicorystage_platform::link::RouterLink;
 use chicorystage_platform::vm_list::VmEntry;
 use rand::RngExt;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+use crate::agent::urgency::Urgency;
+use crate::timer::Clock;
+
 /// Key by which routers are ranked as holder of the permits.
 const PERMITS_KEY: &str = "permits";
 /// Routers that are asked before the agent paces itself.
@@ -37,8 +40,9 @@
     pub(crate) vm: VmId,
     pub(crate) ticket: u64,
     pub(crate) kind: PermitKind,
-    pub(crate) class: Class,
-    pub(crate) time_left_ms: u64,
+    /// Highest urgency of those who wait by now.
+    pub(crate) urgency: watch::Receiver<Urgency>,
+    pub(crate) clock: Clock,
     /// Orders in a row for which no router answered.
     pub(crate) local_orders: u32,
 }
@@ -80,7 +84,7 @@
         while start.elapsed() < Duration::from_millis(PERMIT_WAIT_MAX_MS) {
             let answer = self
                 .link
-                .acquire_permit(router.address, self.request(start))
+                .acquire_permit(router.address, self.request())
                 .await;
             match answer.ok()? {
                 PermitAnswer::Granted { permit_id, .. } => {
@@ -102,14 +106,14 @@
         None
     }
 
-    fn request(&self, start: Instant) -> PermitRequest {
-        let waited_ms = u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX);
+    fn request(&self) -> PermitRequest {
+        let urgency = *self.urgency.borrow();
         PermitRequest {
             vm: self.vm.clone(),
             ticket: self.ticket,
             kind: self.kind,
-            class: self.class,
-            time_left_ms: self.time_left_ms.saturating_sub(waited_ms),
+            class: urgency.class,
+            time_left_ms: urgency.deadline_ms.saturating_sub(self.clock.now_ms()),
         }
     }
 
--- a/crates/chicorystaged/src/agent/prewarm.rs
+++ b/crates/chicorystaged/src/agent/prewarm.rs
@@ -5,6 +5,7 @@
 
 use crate::agent::main_loop::AgentLoop;
 use crate::agent::target::Target;
+use crate::agent::urgency::Urgency;
 
 /// What a model's last attempt needed.
 #[derive(Clone, Debug)]
@@ -60,6 +61,10 @@
             last_use.is_prewarmed = true;
         }
         // Nobody waits for it: where it does not begin, the next request loads it.
-        let _begun = self.give_load(target, (Class::Batch, wanted_for_ms), now_ms);
+        let urgency = Urgency {
+            class: Class::Batch,
+            deadline_ms: now_ms.saturating_add(wanted_for_ms),
+        };
+        let _begun = self.give_load(target, urgency, now_ms);
     }
 }
