An engine's stream that never goes on is given up

Cause: a reopened stream that left tokens out was reopened again at once and for ever, until the request's deadline. Change: connections that end without a token are counted; after a few in a row the answer is lost and says so. Silence is no such end, since a long prefill is silent.

--- a/crates/chicorystage-testbed/tests/agent/deceptive_engine.rs
+++ b/crates/chicorystage-testbed/tests/agent/deceptive_engine.rs
@@ -12,14 +12,29 @@
 #[derive(Clone, Debug)]
 pub struct DeceptiveEngine {
     pub engine: FakeEngine,
-    /// Whether a stream that is cut stays open and silent.
-    pub silent: bool,
+    pub deceit: Deceit,
 }
 
+/// What is strange about an engine's streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Deceit {
+    /// A stream that is cut stays open and silent.
+    Silent,
+    /// A reopened stream gives the tokens of another.
+    Foreign,
+    /// A reopened stream begins some tokens before the offset.
+    Early,
+    /// A reopened stream begins some tokens after the offset.
+    Late,
+}
+
+/// Tokens by which a stream is reopened too early or too late.
+const SHIFT_TOKENS: u64 = 5;
+
 impl DeceptiveEngine {
     fn pass_on(&self, mut events: EngineStream) -> EngineStream {
         let (sender, receiver) = mpsc::channel(EVENTS_BUFFERED);
-        let silent = self.silent;
+        let silent = self.deceit == Deceit::Silent;
         tokio::spawn(async move {
             while let Some(event) = events.recv().await {
                 if sender.send(event).await.is_err() {
@@ -50,13 +65,23 @@
         })
     }
 
-    /// Gives the tokens of some other stream from the offset on.
     fn resume<'a>(
         &'a self,
-        _stream_id: &'a str,
+        stream_id: &'a str,
         offset_tokens: u64,
     ) -> BoxFuture<'a, Result<EngineStream, BorderError>> {
         Box::pin(async move {
+            match self.deceit {
+                Deceit::Silent | Deceit::Foreign => {}
+                Deceit::Early => {
+                    let early = offset_tokens.saturating_sub(SHIFT_TOKENS);
+                    return self.engine.resume(stream_id, early).await;
+                }
+                Deceit::Late => {
+                    let late = offset_tokens + SHIFT_TOKENS;
+                    return self.engine.resume(stream_id, late).await;
+                }
+            }
             let (sender, receiver) = mpsc::channel(EVENTS_BUFFERED);
             let token = EngineEvent::Token {
                 offset_tokens,
--- a/crates/chicorystage-testbed/tests/agent/leaving.rs
+++ b/crates/chicorystage-testbed/tests/agent/leaving.rs
@@ -23,7 +23,8 @@
     let mut world = start(&["a", "b"]).await;
     expect_that!(world.ask("a").await.is_whole(), is_true());
     let mut request = world.request("a");
-    work(&mut request).max_tokens = 1_000;
+    // Longer than a leaving agent waits for its slots.
+    work(&mut request).max_tokens = 8_500;
     let running = world.send(request).await;
     sleep(Duration::from_millis(50)).await;
     world.handle.tell(AgentEvent::Drain).await;
@@ -34,7 +35,7 @@
     );
     let answer = answer(running).await;
     expect_that!(answer.is_whole(), is_true());
-    expect_that!(answer.text.split_whitespace().count(), eq(1_000));
+    expect_that!(answer.text.split_whitespace().count(), eq(8_500));
     let ended = timeout(EXIT_MAX, &mut world.running).await;
     expect_that!(ended.is_ok(), is_true());
     expect_that!(slots(&world.table, "a").await, is_empty());
--- a/crates/chicorystage-testbed/tests/agent/work.rs
+++ b/crates/chicorystage-testbed/tests/agent/work.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
-use crate::deceptive_engine::DeceptiveEngine;
+use crate::deceptive_engine::{Deceit, DeceptiveEngine};
 use crate::world::{Answer, World, answer, reference, work};
 
 async fn start() -> World {
@@ -173,34 +173,47 @@
     expect_that!(world.engine.report().completions, eq(2));
 }
 
-async fn crash_behind(silent: bool) -> (World, Answer, Duration) {
-    let wrap: fn(FakeEngine) -> Arc<dyn Engine> = if silent {
-        |engine| {
-            let silent = true;
-            Arc::new(DeceptiveEngine { engine, silent })
-        }
-    } else {
-        |engine| {
-            let silent = false;
-            Arc::new(DeceptiveEngine { engine, silent })
-        }
-    };
+/// Lets something happen to an engine in the middle of an answer of 500 tokens.
+async fn fault_behind(
+    wrap: fn(FakeEngine) -> Arc<dyn Engine>,
+    fault: EngineFault,
+) -> (Answer, Duration) {
     let mut world = World::start_behind(FakeEngineConfig::default(), &["a"], wrap).await;
     expect_that!(world.ask("a").await.is_whole(), is_true());
     let mut request = world.request("a");
     work(&mut request).max_tokens = 500;
     let frames = world.send(request).await;
     sleep(Duration::from_millis(100)).await;
-    world.engine.inject(EngineFault::Crash);
+    world.engine.inject(fault);
     let begun = Instant::now();
     let answer = answer(frames).await;
-    (world, answer, begun.elapsed())
+    (answer, begun.elapsed())
+}
+
+fn foreign(engine: FakeEngine) -> Arc<dyn Engine> {
+    let deceit = Deceit::Foreign;
+    Arc::new(DeceptiveEngine { engine, deceit })
+}
+
+fn silent(engine: FakeEngine) -> Arc<dyn Engine> {
+    let deceit = Deceit::Silent;
+    Arc::new(DeceptiveEngine { engine, deceit })
+}
+
+fn early(engine: FakeEngine) -> Arc<dyn Engine> {
+    let deceit = Deceit::Early;
+    Arc::new(DeceptiveEngine { engine, deceit })
+}
+
+fn late(engine: FakeEngine) -> Arc<dyn Engine> {
+    let deceit = Deceit::Late;
+    Arc::new(DeceptiveEngine { engine, deceit })
 }
 
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_restarted_engine_is_never_asked_to_go_on_with_an_answer() {
-    let (_world, answer, _elapsed) = crash_behind(false).await;
+    let (answer, _elapsed) = fault_behind(foreign, EngineFault::Crash).await;
     expect_that!(
         answer.refusal(),
         some(eq((RefusalCode::EndpointLost, Outcome::MayHaveRun)))
@@ -211,7 +224,7 @@
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_restart_ends_answers_also_where_their_connections_went_silent() {
-    let (_world, answer, elapsed) = crash_behind(true).await;
+    let (answer, elapsed) = fault_behind(silent, EngineFault::Crash).await;
     expect_that!(
         answer.refusal(),
         some(eq((RefusalCode::EndpointLost, Outcome::MayHaveRun)))
@@ -219,6 +232,25 @@
     expect_that!(elapsed.as_millis(), le(1_200));
 }
 
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn tokens_that_come_twice_are_delivered_once() {
+    let (answer, _elapsed) = fault_behind(early, EngineFault::CutStreams).await;
+    expect_that!(answer.is_whole(), is_true());
+    expect_that!(answer.text, eq(&whole(500)));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_answer_with_missing_tokens_is_lost_and_not_spliced() {
+    let (answer, _elapsed) = fault_behind(late, EngineFault::CutStreams).await;
+    expect_that!(
+        answer.refusal(),
+        some(eq((RefusalCode::EndpointLost, Outcome::MayHaveRun)))
+    );
+    expect_that!(whole(500).starts_with(&answer.text), is_true());
+}
+
 #[gtest]
 #[tokio::test(start_paused = true)]
 async fn a_second_copy_of_an_attempt_listens_to_the_first() {
--- a/crates/chicorystaged/src/agent/completion_task.rs
+++ b/crates/chicorystaged/src/agent/completion_task.rs
@@ -18,6 +18,8 @@
 const STREAM_SILENCE_MAX_MS: u64 = 3_000;
 /// Tries to reopen a stream that was cut.
 const REOPEN_TRIES_MAX: u32 = 4;
+/// Connections in a row that may end without a token.
+const CUTS_IN_A_ROW_MAX: u32 = 3;
 /// Delay between two tries, in milliseconds.
 const REOPEN_RETRY_MS: u64 = 100;
 
@@ -36,8 +38,10 @@
 /// What one connection of a stream ended with.
 enum Ended {
     Finished(Payload),
-    /// The connection ended or went silent; the stream may live on.
+    /// The connection ended or left tokens out; the stream may live on.
     Cut,
+    /// Nothing came for a while; the connection may be dead.
+    Silent,
 }
 
 impl CompletionTask {
@@ -62,10 +66,17 @@
                 Err(refusal) => return self.output(Payload::Refused(refusal)).await,
             },
         };
+        let mut cuts = 0;
         loop {
+            let first_token = offset_tokens;
             match self.read_connection(&mut stream, &mut offset_tokens).await {
                 Ended::Finished(payload) => return self.output(payload).await,
-                Ended::Cut => {}
+                Ended::Cut if offset_tokens == first_token => cuts += 1,
+                Ended::Cut | Ended::Silent => cuts = 0,
+            }
+            if cuts > CUTS_IN_A_ROW_MAX {
+                let refusal = lost("the engine's stream does not go on");
+                return self.output(Payload::Refused(refusal)).await;
             }
             stream = match self.reopen(offset_tokens).await {
                 Ok(stream) => stream,
@@ -77,8 +88,10 @@
     async fn read_connection(&self, stream: &mut EngineStream, offset_tokens: &mut u64) -> Ended {
         let silence_max = Duration::from_millis(STREAM_SILENCE_MAX_MS);
         loop {
-            let Ok(Some(event)) = timeout(silence_max, stream.recv()).await else {
-                return Ended::Cut;
+            let event = match timeout(silence_max, stream.recv()).await {
+                Ok(Some(event)) => event,
+                Ok(None) => return Ended::Cut,
+                Err(_elapsed) => return Ended::Silent,
             };
             match event {
                 EngineEvent::Token {
