Explain at any router, quarantine through the serving part, held requests

Cause: explain and quarantine had no counterpart when the admin API was written; requests enter the loop by Serving(Enter) since the serving path was merged, so stale rules refused them at once after a pause.

--- a/crates/chicorystage-api/src/admin/deployment_status.rs
+++ b/crates/chicorystage-api/src/admin/deployment_status.rs
@@ -12,8 +12,8 @@
     pub routers: Vec<RouterReport>,
     /// Listed agents.
     pub agents: Vec<AgentReport>,
-    /// Digests in quarantine; none where the table could not be read.
-    pub quarantine: Option<Vec<QuarantineEntry>>,
+    /// Digests in quarantine.
+    pub quarantine: Vec<QuarantineEntry>,
 }
 
 /// What one router said.
--- a/crates/chicorystage-api/src/peer/router_rpc.rs
+++ b/crates/chicorystage-api/src/peer/router_rpc.rs
@@ -1,9 +1,10 @@
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
 
+use crate::name::RequestId;
 use crate::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
-    QuarantineEntry, RevisionAck, RevisionHint, RouterStatus,
+    QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterStatus,
 };
 
 /// What a router answers to other routers, agents and operators.
@@ -37,6 +38,10 @@
     #[method(name = "status")]
     async fn status(&self) -> RpcResult<RouterStatus>;
 
+    /// Tells what happened to a request that this router accepted.
+    #[method(name = "explain")]
+    async fn explain(&self, request_id: RequestId) -> RpcResult<Option<RequestTrace>>;
+
     /// Starts a graceful stop.
     #[method(name = "drain")]
     async fn drain(&self) -> RpcResult<()>;
--- a/crates/chicorystage-platform/src/http/rpc_router_link.rs
+++ b/crates/chicorystage-platform/src/http/rpc_router_link.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 
+use chicorystage_api::name::RequestId;
 use chicorystage_api::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
-    QuarantineEntry, RevisionAck, RevisionHint, RouterRpcClient, RouterStatus,
+    QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterRpcClient, RouterStatus,
 };
 
 use crate::http::rpc_clients::{RpcClients, call};
@@ -80,6 +81,14 @@
         call!(self.clients, router, client => client.status())
     }
 
+    fn explain(
+        &self,
+        router: SocketAddr,
+        request_id: RequestId,
+    ) -> BoxFuture<'_, Result<Option<RequestTrace>, BorderError>> {
+        call!(self.clients, router, client => client.explain(request_id))
+    }
+
     fn drain(&self, router: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
         call!(self.clients, router, client => client.drain())
     }
--- a/crates/chicorystage-platform/src/link/router_link.rs
+++ b/crates/chicorystage-platform/src/link/router_link.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
 
+use chicorystage_api::name::RequestId;
 use chicorystage_api::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
-    QuarantineEntry, RevisionAck, RevisionHint, RouterStatus,
+    QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterStatus,
 };
 
 use crate::{BorderError, BoxFuture};
@@ -54,6 +55,17 @@
     /// Reads the router's state.
     fn status(&self, router: SocketAddr) -> BoxFuture<'_, Result<RouterStatus, BorderError>>;
 
+    /// Asks what happened to a request that the router accepted.
+    ///
+    /// A link that cannot ask knows of no request.
+    fn explain(
+        &self,
+        _router: SocketAddr,
+        _request_id: RequestId,
+    ) -> BoxFuture<'_, Result<Option<RequestTrace>, BorderError>> {
+        Box::pin(async { Ok(None) })
+    }
+
     /// Starts a graceful stop.
     fn drain(&self, router: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>>;
 }
--- a/crates/chicorystage-testbed/src/harness/memory_router_link.rs
+++ b/crates/chicorystage-testbed/src/harness/memory_router_link.rs
@@ -1,10 +1,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chicorystage_api::name::VmId;
+use chicorystage_api::name::{RequestId, VmId};
 use chicorystage_api::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
-    QuarantineEntry, RevisionAck, RevisionHint, RouterStatus,
+    QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterStatus,
 };
 use chicorystage_platform::link::RouterLink;
 use chicorystage_platform::{BorderError, BoxFuture};
@@ -110,6 +110,15 @@
         self.call(router, "router_status", json!([]), CALL_TIMEOUT_MS)
     }
 
+    fn explain(
+        &self,
+        router: SocketAddr,
+        request_id: RequestId,
+    ) -> BoxFuture<'_, Result<Option<RequestTrace>, BorderError>> {
+        let params = json!([request_id]);
+        self.call(router, "router_explain", params, CALL_TIMEOUT_MS)
+    }
+
     fn drain(&self, router: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
         self.call(router, "router_drain", json!([]), CALL_TIMEOUT_MS)
     }
--- a/crates/chicorystage-testbed/tests/inventory/main.rs
+++ b/crates/chicorystage-testbed/tests/inventory/main.rs
@@ -12,8 +12,9 @@
 use http::{Method, StatusCode};
 
 use crate::world::{
-    ROUTERS, SPREAD_MS, accepted, caller, change, cut_from_peers, delete, get, history, items,
-    model, operator, refusal_of_call, rule, set_link, started, submit, submit_as, wait_ms, write,
+    CALLER_TOKEN, ROUTERS, SPREAD_MS, accepted, caller, change, cut_from_peers, delete, get,
+    history, items, model, operator, refusal_of_call, rule, set_link, started, submit, submit_as,
+    wait_ms, write,
 };
 
 /// Longer than the freshness bound of the default settings, with its retries.
@@ -352,3 +353,27 @@
         expect_that!(answer.code(), some(eq(code)), "{path}");
     }
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn any_router_explains_a_request_and_tells_the_state_of_all() {
+    let harness = started(25).await;
+    let request = CallerRequest::completion(CALLER_TOKEN, "m", "prompt", 1);
+    let answer = harness.send(1, &request).await.unwrap();
+    let path = format!("/admin/v1/explain/{}", answer.request_id());
+    for router in 0..ROUTERS {
+        let explained = get(&harness, router, &path).await;
+        expect_that!(
+            explained.json()["request_id"].as_str(),
+            some(eq(answer.request_id()))
+        );
+    }
+    harness.kill(2);
+    let status = get(&harness, 0, "/admin/v1/status").await.json();
+    let routers = status["routers"].as_array().unwrap();
+    let revisions: Vec<Option<u64>> = routers
+        .iter()
+        .map(|router| router["status"]["revision"].as_u64())
+        .collect();
+    expect_that!(revisions, elements_are![some(eq(&1)), some(eq(&1)), none()]);
+}
--- a/crates/chicorystage/src/cli/status.rs
+++ b/crates/chicorystage/src/cli/status.rs
@@ -59,10 +59,7 @@
     for report in &status.agents {
         agents.row(agent(report));
     }
-    let quarantine = match &status.quarantine {
-        Some(entries) => quarantine::describe(entries),
-        None => "quarantine: the table could not be read\n".to_owned(),
-    };
+    let quarantine = quarantine::describe(&status.quarantine);
     format!("{routers}\n{agents}\n{quarantine}")
 }
 
--- a/crates/chicorystaged/src/router/admin_api/deployment.rs
+++ b/crates/chicorystaged/src/router/admin_api/deployment.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chicorystage_api::admin::{AgentReport, DeploymentStatus, RouterReport};
-use chicorystage_api::name::VmId;
+use chicorystage_api::name::{RequestId, VmId};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_platform::BorderError;
 use chicorystage_platform::vm_list::{VmEntry, VmState};
@@ -45,7 +45,7 @@
             revision: self.handle.status().await.map_or(0, |own| own.revision),
             routers: Vec::new(),
             agents: Vec::new(),
-            quarantine: self.read_quarantine().await.ok(),
+            quarantine: self.handle.quarantine_list().await,
         };
         while let Some(report) = asked.join_next().await {
             match report {
@@ -81,6 +81,27 @@
         })
     }
 
+    /// Tells what happened to a request; the router that accepted it remembers.
+    pub(super) async fn explain(&self, id: RequestId) -> Answer {
+        if let Some(trace) = self.handle.explain(id.clone()).await {
+            return Ok(ok(&trace));
+        }
+        let mut asked = JoinSet::new();
+        let vms = self.vms().await?.into_values();
+        for vm in vms.filter(|vm| vm.group == self.group && vm.id != self.own) {
+            let (routers, id) = (Arc::clone(&self.borders.routers), id.clone());
+            let bound = Duration::from_millis(STATUS_MAX_MS);
+            asked.spawn(async move { timeout(bound, routers.explain(vm.address, id)).await });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Ok(Ok(Some(trace)))) = answer {
+                return Ok(ok(&trace));
+            }
+        }
+        let detail = format!("no router that answers remembers request {id}");
+        Err(AdminError::NotFound(detail))
+    }
+
     /// Asks one process for a graceful stop.
     pub(super) async fn drain(&self, vm: &VmId) -> Answer {
         let vms = self.vms().await?;
--- a/crates/chicorystaged/src/router/admin_api/mod.rs
+++ b/crates/chicorystaged/src/router/admin_api/mod.rs
@@ -15,7 +15,7 @@
 
 use chicorystage_api::admin::{HistoryPage, ItemsPage};
 use chicorystage_api::inventory::{Change, ItemKey, ItemKind, OperatorItem};
-use chicorystage_api::name::{Digest, GroupName, VmId};
+use chicorystage_api::name::{Digest, GroupName, RequestId, VmId};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_platform::BoxFuture;
 use chicorystage_platform::http::{Handler, ResponseBody};
@@ -49,6 +49,7 @@
 /// Answers operators.
 #[derive(Clone, Debug)]
 pub struct AdminApi {
+    own: VmId,
     group: GroupName,
     root_token_sha256: Digest,
     borders: RouterBorders,
@@ -68,6 +69,7 @@
     ) -> Self {
         let identity = (daemon.vm.clone(), daemon.group.clone());
         Self {
+            own: daemon.vm.clone(),
             group: daemon.group.clone(),
             root_token_sha256: settings.root_token_sha256.clone(),
             committer: Committer::new(identity, borders.clone(), handle.clone(), clock),
@@ -93,7 +95,9 @@
                 require_any_owner(&operator)?;
                 self.drain(&VmId::from(query::decode(vm))).await
             }
-            (&Method::GET, ["explain", id]) => self.explain(&query::decode(id)),
+            (&Method::GET, ["explain", id]) => {
+                self.explain(RequestId::from(query::decode(id))).await
+            }
             (&Method::GET, ["quarantine"]) => self.quarantine().await,
             (&Method::DELETE, ["quarantine"]) => {
                 require_any_owner(&operator)?;
@@ -164,12 +168,6 @@
         }))
     }
 
-    fn explain(&self, id: &str) -> Answer {
-        let group = &self.group;
-        let detail = format!("no router of {group} remembers request {id}");
-        Err(AdminError::NotFound(detail))
-    }
-
     async fn ask<T>(
         &self,
         event: impl FnOnce(tokio::sync::oneshot::Sender<T>) -> InventoryEvent,
--- a/crates/chicorystaged/src/router/internal_rpc.rs
+++ b/crates/chicorystaged/src/router/internal_rpc.rs
@@ -1,6 +1,7 @@
+use chicorystage_api::name::RequestId;
 use chicorystage_api::peer::{
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
-    QuarantineEntry, RevisionAck, RevisionHint, RouterRpcServer, RouterStatus,
+    QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterRpcServer, RouterStatus,
 };
 use jsonrpsee::core::{RpcResult, async_trait};
 use jsonrpsee::types::ErrorObjectOwned;
@@ -68,6 +69,10 @@
         self.ask(|reply| RouterEvent::Status { reply }).await
     }
 
+    async fn explain(&self, request_id: RequestId) -> RpcResult<Option<RequestTrace>> {
+        Ok(self.handle.explain(request_id).await)
+    }
+
     async fn drain(&self) -> RpcResult<()> {
         self.ask(|reply| RouterEvent::Drain { reply }).await
     }
--- a/crates/chicorystaged/src/router/inventory/spread.rs
+++ b/crates/chicorystaged/src/router/inventory/spread.rs
@@ -19,6 +19,7 @@
 use crate::router::inventory::prepare::prepare;
 use crate::router::inventory::snapshot_plan::SnapshotPlan;
 use crate::router::inventory::snapshot_writer;
+use crate::router::serving::ServingEvent;
 use crate::timer::Clock;
 
 /// Records kept in memory for those who lag.
@@ -95,7 +96,10 @@
     /// Returns the event where it is to be decided at once.
     pub fn hold_unconfirmed(&mut self, event: RouterEvent) -> Option<RouterEvent> {
         let now_ms = self.clock.now_ms();
-        let is_request = matches!(event, RouterEvent::Admit { .. });
+        let is_request = matches!(
+            event,
+            RouterEvent::Admit { .. } | RouterEvent::Serving(ServingEvent::Enter { .. })
+        );
         if !is_request || self.freshness.admits(now_ms) {
             return Some(event);
         }
