--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -10,7 +10,9 @@
 //! * [`settings_text`]: settings files of the daemons that are started.
 //! * [`deployment`]: the whole system as processes.
 //! * [`audit`]: what the stand-ins saw, held against the promises.
+//! * [`chaos`]: real processes under random faults.
 //! * [`demo`]: the whole system on one machine.
+//! * [`replay`]: the policy under load, measured in virtual time.
 //!
 //! # Limits
 //!
@@ -19,10 +21,12 @@
 
 pub mod audit;
 pub mod calls;
+pub mod chaos;
 pub mod cli;
 pub mod demo;
 pub mod deployment;
 pub mod fakes;
 pub mod harness;
+pub mod replay;
 pub mod settings_text;
 pub mod standin;
--- a/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -7,7 +7,7 @@
 use chicorystage_api::peer::{
     AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
 };
-use chicorystage_api::work::{AttemptRequest, Frame, HEARTBEAT_INTERVAL_MS, Payload};
+use chicorystage_api::work::{AttemptRequest, EndpointLoad, Frame, HEARTBEAT_INTERVAL_MS, Payload};
 use chicorystage_platform::link::{AgentLink, FrameStream};
 use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
 use tokio::sync::mpsc;
@@ -31,6 +31,7 @@
     resumed: Vec<(u32, u64)>,
     cancelled: Vec<AttemptRef>,
     quarantined: Vec<QuarantineEntry>,
+    load: Option<EndpointLoad>,
 }
 
 impl ScriptedAgents {
@@ -42,6 +43,11 @@
         }
     }
 
+    /// Makes every agent report this load with its answers.
+    pub fn report(&self, load: EndpointLoad) {
+        self.lock().load = Some(load);
+    }
+
     /// Returns the attempts that agents were sent.
     pub fn started(&self) -> Vec<(VmId, AttemptRequest)> {
         self.lock().started.clone()
@@ -66,6 +72,7 @@
 
     fn connect(&self, attempt: &AttemptRef, offset: u64) -> Option<FrameStream> {
         let mut state = self.lock();
+        let load = state.load;
         let (payloads, breaks) = state.attempts.get_mut(attempt)?;
         let breaks = if breaks.is_empty() {
             Breaks::Never
@@ -75,7 +82,7 @@
         let frames = payloads.iter().zip(0..).map(|(payload, offset)| Frame {
             attempt: attempt.attempt,
             offset,
-            load: None,
+            load,
             payload: payload.clone(),
         });
         let frames = frames.skip(usize::try_from(offset).unwrap()).collect();
@@ -87,6 +94,7 @@
 
 /// Sends frames as a connection would; errors mean that the router has gone.
 async fn play(frames: Vec<Frame>, breaks: Breaks, sender: mpsc::Sender<Frame>) {
+    let last = frames.last().cloned();
     for (i, frame) in frames.into_iter().enumerate() {
         tokio::time::sleep(Duration::from_millis(FRAME_MS)).await;
         match breaks {
@@ -109,6 +117,10 @@
             return;
         }
     }
+    // A connection that lost a frame lives on, so that only the gap can tell.
+    if let (Breaks::Gap(_), Some(last)) = (breaks, last) {
+        beat(last, &sender).await;
+    }
 }
 
 async fn beat(frame: Frame, sender: &mpsc::Sender<Frame>) {
@@ -198,8 +210,24 @@
         Box::pin(async { Ok(()) })
     }
 
-    fn status(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<AgentStatus, BorderError>> {
-        Box::pin(async { Err(error(BorderErrorKind::NotDelivered)) })
+    fn status(&self, agent: SocketAddr) -> BoxFuture<'_, Result<AgentStatus, BorderError>> {
+        let status = AgentStatus {
+            vm: self.names[&agent].clone(),
+            zone: "huehue-a".into(),
+            group: "colmena-llm".into(),
+            incarnation: 1,
+            revision: 1,
+            leaving: false,
+            endpoint_up: true,
+            memory_total_bytes: 0,
+            memory_reserved_bytes: 0,
+            replicas: Vec::new(),
+            cached_memory: Vec::new(),
+            cached_disk: Vec::new(),
+            slots: Vec::new(),
+            load: EndpointLoad::default(),
+        };
+        Box::pin(async { Ok(status) })
     }
 
     fn drain(&self, _agent: SocketAddr) -> BoxFuture<'_, Result<(), BorderError>> {
--- a/crates/chicorystaged/src/agent/main_loop.rs
+++ b/crates/chicorystaged/src/agent/main_loop.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 
 use chicorystage_api::name::{Digest, ModelName};
-use chicorystage_api::peer::{AttemptRef, ClaimState, QuarantineEntry};
+use chicorystage_api::peer::{AttemptRef, QuarantineEntry};
 use chicorystage_api::work::Frame;
 use chicorystage_core::attempts::Attempts;
+use chicorystage_core::claim::{ClaimBook, ClaimBookConfig};
 use chicorystage_core::drain::Drain;
 use chicorystage_core::fence::Fence;
 use chicorystage_core::inventory::InventoryState;
@@ -22,9 +23,13 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::agent::borders::{AgentBorders, Endpoint};
+use crate::agent::claims::OpenClaim;
 use crate::agent::event::AgentEvent;
 use crate::agent::handle::AgentHandle;
-use crate::agent::policy::{FixedKeepAlive, ReplicaPolicy};
+use crate::agent::learned_policy::LearnedPolicy;
+use crate::agent::metrics::Metrics;
+use crate::agent::policy::ReplicaPolicy;
+use crate::agent::prewarm::LastUse;
 use crate::agent::running::Running;
 use crate::agent::slot_reads::SlotReads;
 use crate::agent::waiting::Waiting;
@@ -34,6 +39,8 @@
 
 /// Time between two looks at deadlines and idle replicas, in milliseconds.
 const TICK_MS: u64 = 25;
+/// Time between two looks at idle replicas, in milliseconds.
+const IDLE_CHECK_MS: u64 = 250;
 /// Memory of recorded finished attempts, in bytes.
 const FINISHED_BYTES_MAX: u64 = 16 << 20;
 
@@ -47,6 +54,8 @@
     pub(super) clock: Clock,
     pub(super) incarnation: u64,
     pub(super) attempts: Attempts,
+    pub(super) claims: ClaimBook,
+    pub(super) open_claims: HashMap<AttemptRef, OpenClaim>,
     pub(super) listeners: HashMap<AttemptRef, Vec<mpsc::UnboundedSender<Frame>>>,
     pub(super) queue: Queue<Waiting>,
     pub(super) running: HashMap<AttemptRef, Running>,
@@ -60,6 +69,8 @@
     pub(super) replicas: Replicas,
     pub(super) loaded_ms: BTreeMap<Holding, u64>,
     pub(super) policy: Box<dyn ReplicaPolicy>,
+    pub(super) idle_checked_ms: u64,
+    pub(super) last_uses: HashMap<ModelName, LastUse>,
     pub(super) slots: Slots,
     pub(super) slots_unreadable: bool,
     pub(super) slot_reads: SlotReads,
@@ -70,6 +81,7 @@
     pub(super) revision: watch::Sender<u64>,
     pub(super) quarantined: HashSet<Digest>,
     pub(super) drain: Drain,
+    pub(super) metrics: Metrics,
 }
 
 impl AgentLoop {
@@ -82,8 +94,11 @@
         handle: AgentHandle,
         clock: Clock,
     ) -> Self {
+        let incarnation = rand::random();
         Self {
-            incarnation: rand::random(),
+            incarnation,
+            claims: ClaimBookConfig::new().build(incarnation),
+            open_claims: HashMap::new(),
             attempts: Attempts::new(settings.finished_kept_ms, FINISHED_BYTES_MAX),
             listeners: HashMap::new(),
             queue: Queue::new(settings.queue_max, settings.queue_bytes_max),
@@ -96,7 +111,9 @@
             fence: Fence::new(clock.now_ms()),
             replicas: Replicas::default(),
             loaded_ms: BTreeMap::new(),
-            policy: Box::new(FixedKeepAlive),
+            policy: Box::new(LearnedPolicy::new()),
+            idle_checked_ms: 0,
+            last_uses: HashMap::new(),
             slots: Slots::new(daemon.vm.clone()),
             slots_unreadable: false,
             slot_reads: SlotReads::default(),
@@ -107,6 +124,7 @@
             revision: watch::channel(0).0,
             quarantined: HashSet::new(),
             drain: Drain::new(settings.drain_max_ms),
+            metrics: Metrics::new(),
             daemon,
             settings,
             borders,
@@ -181,8 +199,9 @@
             AgentEvent::OrderEnded {
                 order,
                 result,
+                took_ms,
                 paced_locally,
-            } => self.order_ended(order, result, paced_locally),
+            } => self.order_ended(order, result, took_ms, paced_locally),
             AgentEvent::EngineRead { begun_ms, status } => self.engine_read(begun_ms, status),
             AgentEvent::ServiceProbed { up } => self.endpoint_up = up,
             AgentEvent::SlotsRead(result) => self.slots_read(result),
@@ -195,11 +214,8 @@
             AgentEvent::VmListRead(vms) => self.vm_list_read(vms),
             AgentEvent::InventoryRead(changes) => self.inventory_read(changes),
             AgentEvent::Tick => self.tick(),
-            AgentEvent::QueryClaim { reply, .. } => {
-                let state = ClaimState::OtherIncarnation {
-                    incarnation: self.incarnation,
-                };
-                let _sent = reply.send(state);
+            AgentEvent::QueryClaim { query, reply } => {
+                let _sent = reply.send(self.query_claim(&query));
             }
             AgentEvent::PushPlacements { pushes, reply } => {
                 let _sent = reply.send(self.push_placements(&pushes));
@@ -208,6 +224,9 @@
             AgentEvent::Status { reply } => {
                 let _sent = reply.send(self.status());
             }
+            AgentEvent::Metrics { reply } => {
+                let _sent = reply.send(self.metrics_text());
+            }
             AgentEvent::Drain => self.leave("drain"),
         }
     }
@@ -216,7 +235,11 @@
         let now_ms = self.clock.now_ms();
         self.attempts.forget(now_ms);
         self.expire_running(now_ms);
-        self.unload_idle(now_ms);
+        if now_ms.saturating_sub(self.idle_checked_ms) >= IDLE_CHECK_MS {
+            self.idle_checked_ms = now_ms;
+            self.unload_idle(now_ms);
+            self.prewarm(now_ms);
+        }
         self.give_up_slots(now_ms);
         self.dispatch_due = true;
     }
