--- a/crates/chicorystage/src/cli/history.rs
+++ b/crates/chicorystage/src/cli/history.rs
@@ -7,6 +7,10 @@
 use crate::cli::context::Context;
 use crate::cli::options::HistoryOptions;
 use crate::table::Table;
+use crate::utc_time::utc_text;
+
+/// Items of one change that are named; the JSON has all.
+const ITEMS_SHOWN: usize = 3;
 
 pub(crate) async fn run(context: &Context, options: &HistoryOptions) -> Result<(), ToolError> {
     let mut parameters = Vec::new();
@@ -23,22 +27,30 @@
 
 fn describe(page: &HistoryPage) -> String {
     let mut table = Table::new(&[
-        "REVISION", "UNIX_MS", "OPERATOR", "CHANGE", "ITEMS", "REASON",
+        "REVISION", "ACCEPTED", "OPERATOR", "CHANGE", "ITEMS", "REASON",
     ]);
     for record in &page.records {
-        let items: Vec<String> = record.items.iter().map(item).collect();
         table.row(vec![
             record.revision.to_string(),
-            record.accepted_unix_ms.to_string(),
+            utc_text(record.accepted_unix_ms),
             record.operator.to_string(),
             record.change_id.to_string(),
-            items.join(" "),
+            items(&record.items),
             record.reason.clone(),
         ]);
     }
     format!("{table}\nhead at revision {}\n", page.head_revision)
 }
 
+fn items(entries: &[ItemChange]) -> String {
+    let shown = entries.iter().take(ITEMS_SHOWN).map(item);
+    let mut shown: Vec<String> = shown.collect();
+    if entries.len() > ITEMS_SHOWN {
+        shown.push(format!("and {} more", entries.len() - ITEMS_SHOWN));
+    }
+    shown.join(" ")
+}
+
 fn item(entry: &ItemChange) -> String {
     let sign = match (entry.expected_revision, &entry.item) {
         (None, _) => '+',
--- a/crates/chicorystage/src/cli/quarantine.rs
+++ b/crates/chicorystage/src/cli/quarantine.rs
@@ -9,6 +9,7 @@
 use crate::cli::context::Context;
 use crate::cli::options::{ClearOptions, QuarantineCommand, QuarantineOptions};
 use crate::table::Table;
+use crate::utc_time::utc_text;
 
 pub(crate) async fn run(context: &Context, options: &QuarantineOptions) -> Result<(), ToolError> {
     match &options.command {
@@ -41,12 +42,12 @@
     if entries.is_empty() {
         return "nothing in quarantine\n".to_owned();
     }
-    let mut table = Table::new(&["QUARANTINED", "CRASHES", "UNIX_MS", "REASON"]);
+    let mut table = Table::new(&["QUARANTINED", "CRASHES", "DECIDED", "REASON"]);
     for entry in entries {
         table.row(vec![
             entry.digest.to_string(),
             entry.crashes.to_string(),
-            entry.decided_unix_ms.to_string(),
+            utc_text(entry.decided_unix_ms),
             entry.reason.to_string(),
         ]);
     }
--- a/crates/chicorystage/src/lib.rs
+++ b/crates/chicorystage/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod table;
 
 mod tool_error;
+mod utc_time;
 
 pub use tool_error::ToolError;
