--- a/crates/chicorystage-testbed/tests/inventory/main.rs
+++ b/crates/chicorystage-testbed/tests/inventory/main.rs
@@ -2,6 +2,7 @@
 
 mod schedules;
 mod tables;
+mod tool;
 mod world;
 
 use chicorystage_api::name::VmId;
--- a/crates/chicorystage-testbed/tests/inventory/tables.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -7,7 +7,7 @@
     Change, HEAD_ROW_KEY, ITEM_ROW_PREFIX, ItemRow, OperatorItem, SNAPSHOT_OBJECT_KEY, Snapshot,
 };
 use chicorystage_core::token;
-use chicorystage_platform::http::{RpcAgentLink, RpcRouterLink};
+use chicorystage_platform::http::{Handler, RpcAgentLink, RpcRouterLink};
 use chicorystage_platform::object_store::ObjectStore;
 use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
 use chicorystage_platform::vm_list::{VmEntry, VmState};
@@ -26,13 +26,13 @@
 const LATE_MS: u64 = 5_000;
 const LINK_TIMEOUT_MS: u64 = 1_000;
 
-struct Router {
+pub struct Router {
     committer: Committer,
     parts: RouterParts,
 }
 
 impl Router {
-    fn start(table: Arc<dyn Table>, objects: Arc<FakeObjectStore>) -> Self {
+    pub fn start(table: Arc<dyn Table>, objects: Arc<FakeObjectStore>) -> Self {
         let address = ([127, 0, 0, 1], 0).into();
         let daemon = DaemonSettings {
             vm: "entry-1".into(),
@@ -71,6 +71,10 @@
         Self { committer, parts }
     }
 
+    pub fn admin_api(&self) -> Arc<dyn Handler> {
+        Arc::clone(&self.parts.admin_api)
+    }
+
     /// Commits a change and returns its revision, or the refusal's text.
     async fn submit(&self, change: &Change) -> std::result::Result<u64, String> {
         let root = OperatorItem {
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/inventory/tool.rs
@@ -0,0 +1,126 @@
+//! The command-line tool against a router's admin API over HTTP.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use chicorystage_platform::http::HttpServer;
+use chicorystage_testbed::fakes::FakeTable;
+use googletest::prelude::*;
+
+use crate::tables::Router;
+use crate::world::wait_ms;
+
+/// Time between two tries to find the router ready, in milliseconds.
+const TRY_MS: u64 = 20;
+const TRIES: u32 = 500;
+
+/// A directory that is removed with its files.
+struct Directory(PathBuf);
+
+impl Directory {
+    fn new() -> Self {
+        let name = format!("chicorystage-tool-{:016x}", rand::random::<u64>());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir(&path).unwrap();
+        Self(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+}
+
+impl Drop for Directory {
+    fn drop(&mut self) {
+        // A leftover in the temporary directory harms nothing.
+        let _removed = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Runs the tool as its own program would and returns its exit status.
+async fn run(config: &str, words: &str) -> String {
+    let mut arguments = vec!["--config".to_owned(), config.to_owned()];
+    arguments.extend(words.split_whitespace().map(str::to_owned));
+    let code = tokio::task::spawn_blocking(move || chicorystage::cli::run(&arguments));
+    let code = format!("{:?}", code.await.unwrap());
+    code.chars().filter(char::is_ascii_digit).collect()
+}
+
+fn sample(name: &str) -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let path = root.join(format!("../../docs/samples/{name}.ini"));
+    path.display().to_string()
+}
+
+#[gtest]
+#[tokio::test]
+async fn each_command_ends_with_its_status() {
+    let router = Router::start(Arc::new(FakeTable::new()), Arc::default());
+    let server = HttpServer::bind(([127, 0, 0, 1], 0).into()).await.unwrap();
+    let address = server.address();
+    let _running = server.start(router.admin_api());
+    let directory = Directory::new();
+    directory.write("root.token", "root\n");
+    let text = format!("[admin]\naddress = {address}\ntoken_file = root.token\n");
+    let config = directory.write("tool.ini", &text);
+    let bad_file = directory.write("bad.ini", "[rule moisture]\nreplicas_max = many\n");
+    let no_token = directory.write("no_token.ini", &text.replace("root.token", "none"));
+    let unreachable = directory.write(
+        "gone.ini",
+        &text.replace(&address.to_string(), "127.0.0.1:9"),
+    );
+    for _ in 0..TRIES {
+        if run(&config, "list").await == "0" {
+            break;
+        }
+        wait_ms(TRY_MS).await;
+    }
+    let inventory = sample("altiplano-inventory");
+    let cases = [
+        (
+            format!("check-settings {}", sample("altiplano-router")),
+            "0",
+        ),
+        (format!("check-settings {inventory}"), "2"),
+        (format!("validate {inventory}"), "0"),
+        (format!("validate {bad_file}"), "2"),
+        (format!("apply {inventory} --yes --json"), "0"),
+        (format!("apply {inventory} --yes"), "0"),
+        (format!("diff {inventory}"), "0"),
+        (format!("diff {bad_file}"), "2"),
+        (
+            "set rule/moisture replicas_max=3 --expect 1".to_owned(),
+            "0",
+        ),
+        (
+            "set rule/moisture replicas_max=4 --expect 1".to_owned(),
+            "3",
+        ),
+        ("set rule/moisture replicas_max=many".to_owned(), "2"),
+        ("set rule/nothing replicas_max=1".to_owned(), "2"),
+        ("set rule/moisture owner=export".to_owned(), "2"),
+        ("delete rule/moisture --expect 1".to_owned(), "3"),
+        ("delete rule/moisture".to_owned(), "0"),
+        ("delete moisture".to_owned(), "2"),
+        ("list rule --ini".to_owned(), "0"),
+        ("list rules".to_owned(), "1"),
+        ("history --after 1 --limit 1".to_owned(), "0"),
+        ("status --json".to_owned(), "0"),
+        ("explain nothing".to_owned(), "1"),
+        ("drain nobody".to_owned(), "1"),
+        ("quarantine list".to_owned(), "0"),
+        ("quarantine clear".to_owned(), "2"),
+        ("quarantine clear --all".to_owned(), "0"),
+        ("quarantine clear abc".to_owned(), "1"),
+        ("nonsense".to_owned(), "2"),
+        ("apply --help".to_owned(), "0"),
+    ];
+    for (words, status) in cases {
+        expect_that!(run(&config, &words).await, eq(status), "{words}");
+    }
+    expect_that!(run(&no_token, "list").await, eq("2"));
+    expect_that!(run(&unreachable, "list").await, eq("1"));
+    expect_that!(run("/nonexistent.ini", "list").await, eq("2"));
+}
