--- a/crates/chicorystage-testbed/tests/inventory/tables.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -4,12 +4,13 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use chicorystage_api::inventory::{
-    Change, HEAD_ROW_KEY, ITEM_ROW_PREFIX, ItemRow, OperatorItem, SNAPSHOT_OBJECT_KEY, Snapshot,
+    CHANGE_ROW_PREFIX, Change, ChangeRecord, HEAD_ROW_KEY, HeadRow, ITEM_ROW_PREFIX, ItemRow,
+    LOG_ROW_PREFIX, OperatorItem, SNAPSHOT_OBJECT_KEY, Snapshot,
 };
 use chicorystage_core::token;
 use chicorystage_platform::http::{Handler, RpcAgentLink, RpcRouterLink};
 use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
+use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction, Write};
 use chicorystage_platform::vm_list::{VmEntry, VmState};
 use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
@@ -284,9 +285,76 @@
     expect_that!(lagging.items().await, eq(&writer.items().await));
 }
 
+/// Fills a table with the log of changes to one model, as if written long ago.
+async fn fill_log(table: &dyn Table, revisions: u64) {
+    let mut writes = Vec::new();
+    let mut put = |key: String, value: String| {
+        writes.push(Write {
+            key: key.into(),
+            value: Some(value.into()),
+        });
+    };
+    for revision in 1..=revisions {
+        let record = ChangeRecord {
+            revision,
+            change_id: format!("c{revision}").into(),
+            operator: "root".into(),
+            accepted_unix_ms: 0,
+            reason: String::new(),
+            items: Vec::new(),
+        };
+        let key = format!("{LOG_ROW_PREFIX}{revision:020}");
+        put(key, serde_json::to_string(&record).unwrap());
+        put(format!("{CHANGE_ROW_PREFIX}c{revision}"), String::new());
+    }
+    let head = HeadRow {
+        revision: revisions,
+        change_id: format!("c{revisions}").into(),
+    };
+    put(
+        HEAD_ROW_KEY.to_owned(),
+        serde_json::to_string(&head).unwrap(),
+    );
+    let transaction = Transaction {
+        id: "fill".into(),
+        checks: Vec::new(),
+        writes,
+    };
+    table.commit(transaction).await.unwrap();
+}
+
+async fn first_key(table: &dyn Table, prefix: &str) -> String {
+    let page = table.scan(prefix, None, 1).await.unwrap();
+    page.rows[0].key.to_string()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn the_log_is_trimmed_only_far_below_a_written_snapshot() {
+    let table = Arc::new(FakeTable::new());
+    fill_log(&*table, 20_300).await;
+    let objects = Arc::new(FakeObjectStore::new());
+    objects.set_down(true);
+    let router = Router::start(Arc::clone(&table) as _, Arc::clone(&objects));
+    wait_ms(2_000).await;
+    expect_that!(router.items().await.0, eq(20_300));
+    let oldest = first_key(&*table, LOG_ROW_PREFIX).await;
+    expect_that!(oldest, ends_with("00001"));
+    objects.set_down(false);
+    let next = change("next", vec![write(None, model("m", "field"))]);
+    expect_that!(router.submit(&next).await, ok(eq(&20_301)));
+    wait_ms(2_000).await;
+    let oldest = first_key(&*table, LOG_ROW_PREFIX).await;
+    expect_that!(oldest, ends_with("00302"));
+    let change_row = format!("{CHANGE_ROW_PREFIX}c301");
+    expect_that!(table.get(&change_row).await.unwrap(), none());
+    let change_row = format!("{CHANGE_ROW_PREFIX}c302");
+    expect_that!(table.get(&change_row).await.unwrap(), some(anything()));
+}
+
 async fn trim_log(table: &dyn Table, up_to_revision: u64) {
     let keys = (1..=up_to_revision).map(|revision| format!("inventory/log/{revision:020}"));
-    let writes = keys.map(|key| chicorystage_platform::table::Write {
+    let writes = keys.map(|key| Write {
         key: key.into(),
         value: None,
     });
