Admission estimate: count only those who go first under fair shares

Change: core::queue::ahead_of counts higher classes, the caller's own and of each other caller its lead and weighted part. Red when: queue/ahead.rs, min with the shares removed (201 instead of at most 8) would fail a_flood_of_another_caller_does_not_lengthen_the_wait.

The agent does not use it yet.

--- a/crates/chicorystage-core/src/queue/mod.rs
+++ b/crates/chicorystage-core/src/queue/mod.rs
@@ -8,11 +8,13 @@
 //!
 //! A suspect runs alone: once one is next, nothing else starts until it ran.
 
+mod ahead;
 mod entry;
 mod pushed;
 mod shares;
 mod waiting;
 
+pub use ahead::ahead_of;
 pub use entry::Entry;
 pub use pushed::Pushed;
 pub use waiting::Queue;
--- a/crates/chicorystage-testbed/src/replay/sim/request_path.rs
+++ b/crates/chicorystage-testbed/src/replay/sim/request_path.rs
@@ -5,7 +5,7 @@
 use chicorystage_api::peer::SlotState;
 use chicorystage_api::refusal::RefusalCode;
 use chicorystage_core::placement::{CacheTier, Wanted};
-use chicorystage_core::queue::{Entry, Pushed};
+use chicorystage_core::queue::{Entry, Pushed, ahead_of};
 
 use crate::replay::sim::agenda::Event;
 use crate::replay::sim::loads::{load_ms, tier_of_unloaded};
@@ -302,11 +302,13 @@
                 )
             }
         };
-        let before = worker.queue.iter().filter(|entry| {
-            let first_come = self.policy.first_come;
-            first_come || entry.class <= row.class
-        });
-        let ahead = before.count() as u64 + u64::from(worker.running);
+        let tenant = &self.deployment.tenants[row.caller];
+        let before = if self.policy.first_come {
+            worker.queue.len() as u64
+        } else {
+            ahead_of(worker.queue.iter(), row.class, &tenant.name, tenant.weight)
+        };
+        let ahead = before + u64::from(worker.running);
         let slots = u64::from(self.deployment.engine_slots);
         let queue_ms = (ahead + 1).saturating_sub(slots) * worker.service_ms() / slots;
         load.max(queue_ms)
