--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -8,10 +8,9 @@
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::demo;
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
-use crate::replay;
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
+use crate::{chaos, demo, replay};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -34,6 +33,8 @@
 enum Command {
     /// Run the whole system with stand-ins.
     Demo(demo::DemoOptions),
+    /// Run real processes under random faults and check the promises.
+    Chaos(chaos::ChaosOptions),
     /// Replay recorded traces in virtual time.
     Replay(replay::ReplayOptions),
     /// Run one stand-in until it is ended.
@@ -90,6 +91,7 @@
     };
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
+        Some(Command::Chaos(options)) => block_on(chaos::run(options)),
         Some(Command::Replay(options)) => match replay::run(&options) {
             Ok(true) => ExitCode::SUCCESS,
             Ok(false) => ExitCode::from(EXIT_FAILED),
--- a/crates/chicorystaged/src/agent/event.rs
+++ b/crates/chicorystaged/src/agent/event.rs
@@ -49,6 +49,8 @@
         order: u64,
         /// Its answer.
         result: Result<(), BorderError>,
+        /// Time until its answer, in milliseconds.
+        took_ms: u64,
         /// Whether no router handed out a permit for it.
         paced_locally: bool,
     },
@@ -109,6 +111,11 @@
         /// Receives the state.
         reply: oneshot::Sender<AgentStatus>,
     },
+    /// Somebody asks for the agent's metrics.
+    Metrics {
+        /// Receives them as text.
+        reply: oneshot::Sender<String>,
+    },
     /// Somebody asks for a graceful stop.
     Drain,
 }
