Slopes: what routers and agents cost at several sizes

Ruled out: processor time from /proc/PID/stat, whose tick of 10 ms is as large as what an idle daemon uses in the measurement; socket bytes from /proc, which does not count recv and send; so schedstat, and bytes counted on the harness's links.

Ports are held until their daemons start: two deployments at once had met on one.

Before: no such command.

--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -10,7 +10,7 @@
 
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
-use crate::{chaos, demo, replay};
+use crate::{chaos, demo, replay, slopes};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -37,6 +37,8 @@
     Chaos(chaos::ChaosOptions),
     /// Replay recorded traces in virtual time.
     Replay(replay::ReplayOptions),
+    /// Measure what routers and agents cost at several sizes.
+    Slopes(slopes::SlopesOptions),
     /// Run one stand-in until it is ended.
     Standin(StandinOptions),
     /// Run the daemon, as `chicorystaged` does.
@@ -100,6 +102,7 @@
                 ExitCode::from(EXIT_FAILED)
             }
         },
+        Some(Command::Slopes(options)) => run_slopes(options),
         Some(Command::Standin(options)) => block_on(run_standin(options)),
         Some(Command::Daemon(_) | Command::Tool(_)) | None => {
             println!("{}", Arguments::usage());
@@ -125,6 +128,14 @@
     }
 }
 
+fn run_slopes(options: slopes::SlopesOptions) -> ExitCode {
+    if let Err(error) = slopes::run_link_bytes() {
+        eprintln!("chicorystage-testbed: {error:#}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    block_on(slopes::run(options))
+}
+
 async fn run_standin(options: StandinOptions) -> anyhow::Result<()> {
     let handler: Arc<dyn Handler> = match options.kind.as_str() {
         "platform" => Arc::new(PlatformApi::new()),
--- a/crates/chicorystage-testbed/src/deployment/plan.rs
+++ b/crates/chicorystage-testbed/src/deployment/plan.rs
@@ -6,7 +6,6 @@
 use serde_json::json;
 
 use crate::deployment::Deployment;
-use crate::deployment::ports::free_address;
 use crate::settings_text::{DaemonText, RoleText};
 
 const ROUTER_GROUP: &str = "entry";
@@ -33,19 +32,19 @@
         Ok(planned)
     }
 
-    pub(super) async fn plan_router(&self, i: usize) -> anyhow::Result<DaemonText> {
-        let root_token = self.config.root_token.as_bytes();
+    pub(super) async fn plan_router(&mut self, i: usize) -> anyhow::Result<DaemonText> {
+        let root_token_sha256 = token::sha256(self.config.root_token.as_bytes());
         let role = RoleText::Router {
-            caller_api: free_address()?,
-            admin_api: free_address()?,
-            root_token_sha256: token::sha256(root_token),
+            caller_api: self.ports.take()?,
+            admin_api: self.ports.take()?,
+            root_token_sha256,
         };
         let vm = format!("entry-{}", i + 1);
         self.plan_node(vm, i, ROUTER_GROUP, role).await
     }
 
     pub(super) async fn plan_agent(
-        &self,
+        &mut self,
         i: usize,
         kind: &str,
         endpoint: SocketAddr,
@@ -60,28 +59,28 @@
         self.plan_node(vm, i, group, role).await
     }
 
-    pub(super) async fn plan_successor(&self, agent: usize) -> anyhow::Result<DaemonText> {
-        let old = &self.agents[agent].text;
+    pub(super) async fn plan_successor(&mut self, agent: usize) -> anyhow::Result<DaemonText> {
+        let old = self.agents[agent].text.clone();
         let vm = format!("worker-{}-{}", agent + 1, self.replaced);
-        self.plan_node(vm, agent, &old.group, old.role.clone())
-            .await
+        self.plan_node(vm, agent, &old.group, old.role).await
     }
 
     /// Chooses a daemon's addresses and lists its VM.
     pub(super) async fn plan_node(
-        &self,
+        &mut self,
         vm: String,
         i: usize,
         group: &str,
         role: RoleText,
     ) -> anyhow::Result<DaemonText> {
+        let (internal, health) = (self.ports.take()?, self.ports.take()?);
         let zones = &self.config.zones;
         let text = DaemonText {
             vm,
             zone: zones[i % zones.len()].clone(),
             group: group.to_owned(),
-            internal: free_address()?,
-            health: free_address()?,
+            internal,
+            health,
             platform: self.platform,
             role,
         };
--- a/crates/chicorystage-testbed/src/deployment/started.rs
+++ b/crates/chicorystage-testbed/src/deployment/started.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use crate::deployment::ports::Ports;
 use crate::deployment::{ChildProcess, DeploymentConfig, Node};
 use crate::settings_text::DaemonText;
 
@@ -22,6 +23,7 @@
     pub agents: Vec<Node>,
     standins: Vec<ChildProcess>,
     pub(super) replaced: u32,
+    pub(super) ports: Ports,
     pub(super) directory: PathBuf,
 }
 
@@ -45,10 +47,12 @@
             agents: Vec::new(),
             standins,
             replaced: 0,
+            ports: Ports::default(),
             directory,
         };
         // The list names every VM before the first router reads it.
         let planned = deployment.plan().await?;
+        deployment.ports.release();
         for (is_router, text) in planned {
             deployment.start_node(is_router, text)?;
         }
@@ -77,6 +81,7 @@
     /// Fails where its process does not start.
     pub async fn add_router(&mut self) -> anyhow::Result<()> {
         let text = self.plan_router(self.routers.len()).await?;
+        self.ports.release();
         self.start_node(true, text)
     }
 
@@ -94,6 +99,7 @@
         let text = self
             .plan_agent(self.agents.len(), kind, endpoint, group)
             .await?;
+        self.ports.release();
         self.start_node(false, text)
     }
 
@@ -105,6 +111,7 @@
     pub async fn replace_agent(&mut self, agent: usize) -> anyhow::Result<()> {
         self.replaced += 1;
         let text = self.plan_successor(agent).await?;
+        self.ports.release();
         self.agents[agent] = Node::start(&self.config.program, &self.directory, text)?;
         Ok(())
     }
--- a/crates/chicorystage-testbed/src/harness/mod.rs
+++ b/crates/chicorystage-testbed/src/harness/mod.rs
@@ -12,6 +12,7 @@
 mod gated_platform;
 mod gated_service;
 mod harness_config;
+mod link_bytes;
 mod link_faults;
 mod memory_agent_link;
 mod memory_router_link;
@@ -21,6 +22,7 @@
 
 pub use gate::{VmCondition, VmGate};
 pub use harness_config::HarnessConfig;
+pub use link_bytes::LinkBytes;
 pub use link_faults::LinkFaults;
 pub use memory_agent_link::MemoryAgentLink;
 pub use memory_router_link::MemoryRouterLink;
--- a/crates/chicorystage-testbed/src/harness/network.rs
+++ b/crates/chicorystage-testbed/src/harness/network.rs
@@ -12,7 +12,7 @@
 use chicorystage_platform::{BorderError, BorderErrorKind};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -23,6 +23,7 @@
 
 use crate::harness::exchange::exchange;
 use crate::harness::gate::VmGate;
+use crate::harness::link_bytes::LinkBytes;
 use crate::harness::link_faults::LinkFaults;
 
 const PERCENT: u32 = 100;
@@ -41,6 +42,7 @@
     processes: HashMap<SocketAddr, Peer>,
     faults: HashMap<(VmId, SocketAddr), LinkFaults>,
     faults_default: LinkFaults,
+    bytes: LinkBytes,
 }
 
 #[derive(Clone)]
@@ -73,6 +75,7 @@
                 processes: HashMap::new(),
                 faults: HashMap::new(),
                 faults_default: LinkFaults::default(),
+                bytes: LinkBytes::default(),
             }),
         }
     }
@@ -87,6 +90,12 @@
         self.lock().faults.insert((from.clone(), to), faults);
     }
 
+    /// Returns the control traffic so far.
+    #[must_use]
+    pub fn bytes(&self) -> LinkBytes {
+        self.lock().bytes.clone()
+    }
+
     pub(super) fn put(&self, address: SocketAddr, handler: Arc<dyn Handler>, gate: VmGate) {
         self.lock()
             .processes
@@ -141,11 +150,14 @@
     ) -> Result<T, BorderError> {
         let body = json!({ "jsonrpc": "2.0", "id": 1, "method": method, "params": params });
         let request = http_request(Method::POST, RPC_PATH, &body);
+        self.count(method, request.body().size_hint().lower());
         let response = self.request(route, request, timeout_ms).await?;
         let body = response.into_body().collect().await;
         let body = body.map_err(|error| unknown(route.to, &error.to_string()))?;
-        let mut answer: Value = serde_json::from_slice(&body.to_bytes())
-            .map_err(|error| unknown(route.to, &error.to_string()))?;
+        let body = body.to_bytes();
+        self.lock().bytes.control_bytes += body.len() as u64;
+        let mut answer: Value =
+            serde_json::from_slice(&body).map_err(|error| unknown(route.to, &error.to_string()))?;
         if let Some(error) = answer.get("error") {
             let detail = format!("{}: {error}", route.to);
             return Err(BorderError::new(BorderErrorKind::Rejected, detail));
@@ -204,6 +216,12 @@
         }
     }
 
+    fn count(&self, method: &str, request_bytes: u64) {
+        let bytes = &mut self.lock().bytes;
+        *bytes.calls_by_method.entry(method.to_owned()).or_default() += 1;
+        bytes.control_bytes += request_bytes;
+    }
+
     fn draw_break(&self, faults: LinkFaults) -> Break {
         let after_frames = self.lock().rng.random_range(0..FRAMES_BEFORE_BREAK_MAX);
         if self.happens(faults.stream_cut_percent) {
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`deployment`]: the whole system as processes.
 //! * [`audit`]: what the stand-ins saw, held against the promises.
 //! * [`chaos`]: real processes under random faults.
+//! * [`slopes`]: what routers and agents cost at several sizes.
 //! * [`demo`]: the whole system on one machine.
 //! * [`replay`]: the policy under load, measured in virtual time.
 //!
@@ -29,4 +30,5 @@
 pub mod harness;
 pub mod replay;
 pub mod settings_text;
+pub mod slopes;
 pub mod standin;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/slopes/axis.rs
@@ -0,0 +1,130 @@
+use std::path::Path;
+use std::time::Duration;
+
+use crate::deployment::{Deployment, DeploymentConfig};
+use crate::slopes::inventory::declare;
+use crate::slopes::load::{Load, warm};
+use crate::slopes::measured::{Measured, Reading};
+
+/// Axes that are measured.
+pub(super) const AXES: [Axis; 7] = [
+    Axis::Inventory,
+    Axis::Routers,
+    Axis::Agents,
+    Axis::Requests,
+    Axis::ColdStarts,
+    Axis::Claims,
+    Axis::Changes,
+];
+
+/// Models of the deployments whose inventory does not vary.
+const MODELS: u32 = 65;
+/// Adapters of the deployments whose inventory does not vary.
+const ADAPTERS: u32 = 100;
+/// Models where each event needs one that was not used before.
+const MODELS_MANY: u32 = 280;
+/// Inventory at the target: adapters a model.
+const ADAPTERS_A_MODEL: u32 = 82;
+/// Time for a deployment to come to rest, in milliseconds.
+const SETTLE_MS: u64 = 3_000;
+
+/// One quantity that is varied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Axis {
+    /// Models in the inventory, with their adapters.
+    Inventory,
+    /// Routers.
+    Routers,
+    /// Agents.
+    Agents,
+    /// Warm completions a second.
+    Requests,
+    /// Cold starts a second.
+    ColdStarts,
+    /// Claims a second.
+    Claims,
+    /// Changes a second.
+    Changes,
+}
+
+impl Axis {
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Inventory => "models",
+            Self::Routers => "routers",
+            Self::Agents => "agents",
+            Self::Requests => "requests_per_s",
+            Self::ColdStarts => "cold_starts_per_s",
+            Self::Claims => "claims_per_s",
+            Self::Changes => "changes_per_s",
+        }
+    }
+
+    pub(super) fn sizes(self) -> &'static [u32] {
+        match self {
+            Self::Inventory => &[1, 70, 140, 280],
+            Self::Routers => &[1, 4, 10, 20, 30],
+            Self::Agents => &[4, 16, 32, 64],
+            Self::Requests => &[0, 50, 150, 300],
+            Self::ColdStarts => &[0, 1, 2, 4],
+            Self::Claims => &[0, 25, 75, 150],
+            Self::Changes => &[0, 1, 4, 8],
+        }
+    }
+
+    /// Starts a deployment of one size and measures it.
+    pub(super) async fn measure(
+        self,
+        program: &Path,
+        size: u32,
+        seconds: u64,
+    ) -> anyhow::Result<Measured> {
+        let mut deployment = Deployment::start(self.config(program, size)).await?;
+        let (models, adapters) = self.inventory(size);
+        declare(&deployment, models, adapters).await?;
+        deployment.wait_until_ready().await?;
+        if self == Self::Requests {
+            warm(&deployment).await?;
+        }
+        tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+        let per_s = if self.load() == Load::Idle { 0 } else { size };
+        let before = Reading::take(&deployment).await?;
+        let good = self.load().run(&deployment, per_s, seconds).await?;
+        let after = Reading::take(&deployment).await?;
+        if per_s > 0 {
+            let wanted = u64::from(per_s) * seconds;
+            println!("  {size:>6}: {good} of {wanted} events went well");
+        }
+        deployment.stop().await?;
+        Ok(after.since(&before, seconds))
+    }
+
+    fn config(self, program: &Path, size: u32) -> DeploymentConfig {
+        let mut config = DeploymentConfig::new(program.to_path_buf());
+        let size = usize::try_from(size).unwrap_or(1);
+        match self {
+            Self::Routers => config.routers = size,
+            Self::Agents => config.engines = size,
+            _ => {}
+        }
+        config
+    }
+
+    fn inventory(self, size: u32) -> (u32, u32) {
+        match self {
+            Self::Inventory => (size, size * ADAPTERS_A_MODEL),
+            Self::ColdStarts | Self::Changes => (MODELS_MANY, ADAPTERS),
+            _ => (MODELS, ADAPTERS),
+        }
+    }
+
+    fn load(self) -> Load {
+        match self {
+            Self::Inventory | Self::Routers | Self::Agents => Load::Idle,
+            Self::Requests => Load::Requests,
+            Self::ColdStarts => Load::ColdStarts,
+            Self::Claims => Load::Claims,
+            Self::Changes => Load::Changes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/slopes/link_bytes.rs
@@ -0,0 +1,59 @@
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::harness::{Harness, HarnessConfig, LinkBytes};
+
+/// Length of one count in virtual time, in seconds.
+const COUNT_S: u64 = 60;
+/// Time for the processes to come to rest, in seconds.
+const SETTLE_S: u64 = 10;
+const ROUTERS: [usize; 3] = [3, 10, 30];
+const ENGINES: [usize; 3] = [3, 30, 100];
+
+/// Counts control bytes of idle systems of several sizes and prints them.
+pub(super) fn run() -> anyhow::Result<()> {
+    println!("control between daemons at rest, in virtual time, bodies only:");
+    for routers in ROUTERS {
+        print_one(routers, ENGINES[0])?;
+    }
+    for engines in ENGINES {
+        print_one(ROUTERS[0], engines)?;
+    }
+    Ok(())
+}
+
+fn print_one(routers: usize, engines: usize) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()?;
+    let counted = runtime.block_on(count(routers, engines));
+    let total = counted.calls_by_method.values().sum::<u64>();
+    println!(
+        "  routers {routers:>3}, agents {engines:>3}: {} calls/s x 1000, {} bytes/s",
+        total * 1_000 / COUNT_S,
+        counted.control_bytes / COUNT_S
+    );
+    for (method, calls) in &counted.calls_by_method {
+        println!(
+            "      {method:<28} {} calls/s x 1000",
+            calls * 1_000 / COUNT_S
+        );
+    }
+    Ok(())
+}
+
+async fn count(routers: usize, engines: usize) -> LinkBytes {
+    let config = HarnessConfig {
+        routers,
+        engines,
+        services: 0,
+        ..HarnessConfig::default()
+    };
+    let harness = Harness::start(config, "colmena-llm", "libro-socios");
+    sleep(Duration::from_secs(SETTLE_S)).await;
+    let before = harness.network.bytes();
+    sleep(Duration::from_secs(COUNT_S)).await;
+    harness.network.bytes().since(&before)
+}
--- a/crates/chicorystage-testbed/tests/inventory/tables.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -66,7 +66,7 @@
         };
         let clock = Clock::start();
         let identity = (daemon.vm.clone(), daemon.group.clone());
-        let parts = RouterParts::start(daemon, settings, borders.clone(), clock);
+        let parts = RouterParts::start(&daemon, &settings, borders.clone(), clock);
         let committer = Committer::new(identity, borders, parts.handle.clone(), clock);
         Self { committer, parts }
     }
