--- a/crates/chicorystage-testbed/src/deployment/ports.rs
+++ b/crates/chicorystage-testbed/src/deployment/ports.rs
@@ -1,35 +1,36 @@
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use anyhow::bail;
 
 /// Ports that the operating system does not give to outgoing connections.
 const FIRST_PORT: u16 = 12_000;
 const PORTS: u16 = 20_000;
-/// Ports that are tried before giving up.
-const TRIES: u32 = 2_000;
 
-/// Addresses of the loopback interface, held until their daemons start.
-#[derive(Debug, Default)]
-pub(super) struct Ports {
-    held: Vec<TcpListener>,
-}
+/// Ports handed out by this process; tests start deployments side by side.
+static HANDED_OUT: AtomicU16 = AtomicU16::new(0);
 
-impl Ports {
-    /// Takes a free address and holds it.
-    pub(super) fn take(&mut self) -> anyhow::Result<SocketAddr> {
-        for _ in 0..TRIES {
-            let port = FIRST_PORT + rand::random::<u16>() % PORTS;
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
-            if let Ok(listener) = TcpListener::bind(address) {
-                self.held.push(listener);
-                return Ok(address);
-            }
+/// Finds a free address of the loopback network.
+///
+/// Each process has a loopback host of its own and hands each port out once, so
+/// that nobody takes the address between this look and the daemon's.
+pub(super) fn free_address() -> anyhow::Result<SocketAddr> {
+    let host = loopback_host(std::process::id());
+    for _ in 0..PORTS {
+        let port = FIRST_PORT + HANDED_OUT.fetch_add(1, Ordering::Relaxed) % PORTS;
+        let address = SocketAddr::from((host, port));
+        if TcpListener::bind(address).is_ok() {
+            return Ok(address);
         }
-        bail!("no free port")
     }
+    bail!("no free port at {host}")
+}
 
-    /// Lets go of all addresses so that daemons can listen on them.
-    pub(super) fn release(&mut self) {
-        self.held.clear();
-    }
+/// Returns a host of 127.0.0.0/8 that no other living process gets.
+///
+/// Process ids have 22 bits; the host part has 24, of which the top one is set
+/// to keep clear of 127.0.0.1.
+fn loopback_host(process_id: u32) -> Ipv4Addr {
+    let [_, a, b, c] = process_id.to_be_bytes();
+    Ipv4Addr::new(127, 0x80 | a, b, c)
 }
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -265,25 +265,6 @@
         }
     }
 
-    fn choose(&mut self, request: ChooseRequest, reply: oneshot::Sender<Result<Choice, Refusal>>) {
-        let Some(model) = request.model.clone() else {
-            let choice = self.choose_any(&request);
-            let _sent = reply.send(choice);
-            return;
-        };
-        let Some(needed) = self.slot_needed(&model, &request) else {
-            let choice = self.choose_slot(&model, &request);
-            let _sent = reply.send(choice);
-            return;
-        };
-        let waiting = self.waiting.entry(model).or_default();
-        waiting.push(Waiting { request, reply });
-        if waiting.len() == 1 {
-            let (planner, _, view) = self.planning();
-            planner.need(view, needed);
-        }
-    }
-
     /// Splits the loop into the planner, the permits and what they decide by.
     fn planning(&mut self) -> (&mut PlannerState, &mut PermitState, PlannerView<'_>) {
         let view = PlannerView {
@@ -297,29 +278,6 @@
         (&mut self.planner, &mut self.permits, view)
     }
 
-    /// Falls back to the slots that are known, where there are any.
-    fn placement_failed(&mut self, model: &ModelName, refusal: &Refusal) {
-        for waiting in self.waiting.remove(model).unwrap_or_default() {
-            let choice = self.choose_slot(model, &waiting.request);
-            let _sent = waiting.reply.send(choice.map_err(|_none| refusal.clone()));
-        }
-    }
-
-    fn placement_read(&mut self, push: PlacementPush) {
-        let model = push.row.model.clone();
-        let known = self
-            .placements
-            .get(&model)
-            .map_or(0, |known| known.row_version);
-        if push.row_version > known {
-            self.placements.insert(model.clone(), push);
-        }
-        for waiting in self.waiting.remove(&model).unwrap_or_default() {
-            let choice = self.choose_slot(&model, &waiting.request);
-            let _sent = waiting.reply.send(choice);
-        }
-    }
-
     fn status(&self) -> RouterStatus {
         let now_ms = self.clock.now_ms();
         RouterStatus {
