Demo test; engine and harness split by job

Change: LaggingReports and harness/start.rs; tests/demo.rs runs the demo of both users and wants exit status 0.

--- a/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
@@ -246,7 +246,7 @@
         Box::pin(async move {
             let state = self.lock();
             state.check_up()?;
-            Ok(state.lagging_load(self.config.report_lag_ms))
+            Ok(state.reports.lagging_load(self.config.report_lag_ms))
         })
     }
 
@@ -257,7 +257,9 @@
         Box::pin(async move {
             let state = self.lock();
             state.check_up()?;
-            Ok(state.lagging_events(after_sequence, self.config.report_lag_ms))
+            Ok(state
+                .reports
+                .lagging_events(after_sequence, self.config.report_lag_ms))
         })
     }
 }
--- a/crates/chicorystage-testbed/src/fakes/engine/generation.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/generation.rs
@@ -64,7 +64,7 @@
                 state.batch.leave();
                 state.note_load();
                 if !cancelled {
-                    state.publish(&self.config, &start);
+                    state.reports.publish(&self.config, &start);
                 }
             }
         }
--- a/crates/chicorystage-testbed/src/fakes/engine/mod.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/mod.rs
@@ -5,6 +5,7 @@
 mod fake_engine;
 mod fault;
 mod generation;
+mod lagging_reports;
 mod report;
 mod state;
 mod stream;
--- a/crates/chicorystage-testbed/src/fakes/engine/state.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/state.rs
@@ -3,26 +3,19 @@
 use std::time::Duration;
 
 use chicorystage_api::name::{ModelName, VersionName};
-use chicorystage_core::token;
 use chicorystage_platform::engine::{
-    CacheEvent, CacheTier, CompletionStart, EngineReplica, EngineReplicaState, LoadReport, Order,
-    OrderKind,
+    CacheTier, EngineReplica, EngineReplicaState, Order, OrderKind,
 };
 use chicorystage_platform::{BorderError, BorderErrorKind};
 use tokio::time::Instant;
 
 use crate::fakes::engine::batch::Batch;
+use crate::fakes::engine::lagging_reports::LaggingReports;
 use crate::fakes::engine::stream::StreamEntry;
 use crate::fakes::{EngineFault, FakeEngineConfig, ReplicaLedger};
 
 /// Finished streams that are kept for resuming.
 const STREAMS_KEPT: usize = 1_024;
-/// Cache events that are kept.
-const EVENTS_KEPT: usize = 1_024;
-/// Load reports that are kept.
-const REPORTS_KEPT: usize = 256;
-/// Length of the prompt prefix that a cache event names, in bytes.
-const PREFIX_BYTES: usize = 64;
 
 /// State of a fake engine.
 #[derive(Debug)]
@@ -42,9 +35,7 @@
     pub(super) completions: u64,
     stream_order: VecDeque<Arc<str>>,
     up_at: Instant,
-    events: VecDeque<(Instant, CacheEvent)>,
-    event_sequence: u64,
-    reports: VecDeque<(Instant, LoadReport)>,
+    pub(super) reports: LaggingReports,
 }
 
 impl EngineState {
@@ -65,9 +56,7 @@
             completions: 0,
             stream_order: VecDeque::new(),
             up_at: Instant::now(),
-            events: VecDeque::new(),
-            event_sequence: 0,
-            reports: VecDeque::new(),
+            reports: LaggingReports::default(),
         }
     }
 
@@ -108,6 +97,11 @@
         Some(found)
     }
 
+    /// Records the load as it is now.
+    pub(super) fn note_load(&mut self) {
+        self.reports.note_load(&self.batch);
+    }
+
     /// Returns whether the next order's answer is to be lost.
     pub(super) fn lose_order_answer(&mut self) -> bool {
         let left = self.take_fault(|fault| match fault {
@@ -248,65 +242,6 @@
         }
         Ok(())
     }
-
-    /// Records the load as it is now.
-    pub(super) fn note_load(&mut self) {
-        let report = LoadReport {
-            running: self.batch.running(),
-            waiting: self.batch.waiting(),
-            age_ms: 0,
-        };
-        self.reports.push_back((Instant::now(), report));
-        if self.reports.len() > REPORTS_KEPT {
-            self.reports.pop_front();
-        }
-    }
-
-    /// Returns the load as it was `lag_ms` ago.
-    pub(super) fn lagging_load(&self, lag_ms: u64) -> LoadReport {
-        let now = Instant::now();
-        let lag = Duration::from_millis(lag_ms);
-        let old = self.reports.iter().rev();
-        let mut old = old.filter(|(at, _)| now.duration_since(*at) >= lag);
-        let report = old.next().map(|(_, report)| *report).unwrap_or_default();
-        LoadReport {
-            age_ms: lag_ms,
-            ..report
-        }
-    }
-
-    /// Publishes that a prompt's prefix is cached; some events are lost.
-    pub(super) fn publish(&mut self, config: &FakeEngineConfig, start: &CompletionStart) {
-        self.event_sequence += 1;
-        let lost_every = config.events_lost_every;
-        if lost_every > 0 && self.event_sequence.is_multiple_of(lost_every) {
-            return;
-        }
-        let prompt = start.prompt.as_bytes();
-        let prefix = &prompt[..prompt.len().min(PREFIX_BYTES)];
-        let event = CacheEvent {
-            sequence: self.event_sequence,
-            model: start.model.clone(),
-            prefix_digest: token::sha256(prefix).as_str().into(),
-            cached: true,
-        };
-        self.events.push_back((Instant::now(), event));
-        if self.events.len() > EVENTS_KEPT {
-            self.events.pop_front();
-        }
-    }
-
-    pub(super) fn lagging_events(&self, after_sequence: u64, lag_ms: u64) -> Vec<CacheEvent> {
-        let now = Instant::now();
-        let lag = Duration::from_millis(lag_ms);
-        let old = self
-            .events
-            .iter()
-            .filter(|(at, _)| now.duration_since(*at) >= lag);
-        old.map(|(_, event)| event.clone())
-            .filter(|event| event.sequence > after_sequence)
-            .collect()
-    }
 }
 
 pub(super) fn rejected(detail: &str) -> BorderError {
--- a/crates/chicorystage-testbed/src/harness/mod.rs
+++ b/crates/chicorystage-testbed/src/harness/mod.rs
@@ -18,6 +18,7 @@
 mod memory_router_link;
 mod network;
 mod process;
+mod start;
 mod system;
 
 pub use gate::{VmCondition, VmGate};
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/demo.rs
@@ -0,0 +1,28 @@
+//! The demo holds for both users' deployments.
+
+use std::process::Command;
+
+use googletest::prelude::*;
+
+fn demo(deployment: &str) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_chicorystage-testbed"))
+        .args(["demo", "--once", "--deployment", deployment])
+        .output()
+        .expect("the test bed starts");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    (output.status.success(), text)
+}
+
+#[gtest]
+fn altiplano_demo_ends_well_and_runs_the_payout_once() {
+    let (succeeded, text) = demo("altiplano");
+    expect_that!(succeeded, is_true(), "{text}");
+    expect_that!(text, contains_substring("payout again"));
+}
+
+#[gtest]
+fn guild_demo_ends_well_and_runs_the_clearance_request_once() {
+    let (succeeded, text) = demo("guild");
+    expect_that!(succeeded, is_true(), "{text}");
+    expect_that!(text, contains_substring("clearance request again"));
+}
