--- a/crates/chicorystage-testbed/src/harness/mod.rs
+++ b/crates/chicorystage-testbed/src/harness/mod.rs
@@ -12,15 +12,18 @@
 mod gated_platform;
 mod gated_service;
 mod harness_config;
+mod link_bytes;
 mod link_faults;
 mod memory_agent_link;
 mod memory_router_link;
 mod network;
 mod process;
+mod start;
 mod system;
 
 pub use gate::{VmCondition, VmGate};
 pub use harness_config::HarnessConfig;
+pub use link_bytes::LinkBytes;
 pub use link_faults::LinkFaults;
 pub use memory_agent_link::MemoryAgentLink;
 pub use memory_router_link::MemoryRouterLink;
