--- a/crates/chicorystaged/src/router/serving/conversation.rs
+++ b/crates/chicorystaged/src/router/serving/conversation.rs
@@ -13,8 +13,8 @@
 use crate::router::serving::attempt_stream::AttemptStream;
 use crate::router::serving::event::ServingEvent;
 use crate::router::serving::job::{Job, deadline_passed};
+use crate::router::serving::refusals::quarantined;
 use crate::router::serving::request_record::RequestRecord;
-use crate::router::serving::state::quarantined;
 use crate::router::serving::{Entry, OpenedAnswer, WaitGuard};
 
 /// Attempts of one request.
@@ -213,6 +213,9 @@
                 group: self.job.admission.group.clone(),
             });
         }
+        if failure.is_unanswered() {
+            self.tell(ServingEvent::Unanswered(current.vm.clone()));
+        }
         match (failure.refusal.code, current.grant) {
             (RefusalCode::Leaving, _) => self.tell(ServingEvent::VmLeaving(current.vm)),
             (RefusalCode::NotPlaced, Some(grant)) => self.tell(ServingEvent::NotPlaced {
