Deployments stop their daemons together

Change: Deployment::stop asks all routers, then all agents, then all stand-ins at once and waits for each.

Before and after: same checks, each process must still end with status 0.

--- a/crates/chicorystage-testbed/src/deployment/started.rs
+++ b/crates/chicorystage-testbed/src/deployment/started.rs
@@ -3,6 +3,8 @@
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use futures_util::future::try_join_all;
+
 use crate::deployment::{ChildProcess, DeploymentConfig, Node};
 use crate::settings_text::DaemonText;
 
@@ -127,18 +129,17 @@
         self.standin("engine", &arguments).await
     }
 
-    /// Stops everything gracefully, daemons before stand-ins.
+    /// Stops everything gracefully: routers, then agents, then stand-ins.
     ///
     /// # Errors
     ///
     /// Fails where a process does not end well.
     pub async fn stop(mut self) -> anyhow::Result<()> {
-        for node in self.routers.iter_mut().chain(&mut self.agents) {
-            node.process.stop().await?;
-        }
-        for standin in &mut self.standins {
-            standin.stop().await?;
-        }
+        let routers = self.routers.iter_mut().map(|node| node.process.stop());
+        try_join_all(routers).await?;
+        let agents = self.agents.iter_mut().map(|node| node.process.stop());
+        try_join_all(agents).await?;
+        try_join_all(self.standins.iter_mut().map(ChildProcess::stop)).await?;
         Ok(())
     }
 
