Reads of the list of VMs are conditional; the stress command deals every fault

Cause: at the size to build towards the list is about 0.8 MB, and routers read it each second, agents every two: 0.8 MB/s a router against a bound of 28 KB/s. And three runs of the stress command drew no KillAgent, KillRouter or TerminateRouter. Ruled out: reading less often (a leaving VM must be known within seconds); deltas from one router (a protocol of our own, and a node above its bound). Change: the client sends the entity tag of the list it has and takes 304 for 'unchanged'; a platform without tags is read whole. Faults are dealt from a shuffled deck. Before: every read whole. After: whole, 304, whole, 304 in an_unchanged_list_is_not_ transferred_again; red without the header.

--- a/crates/chicorystage-testbed/src/chaos/fault.rs
+++ b/crates/chicorystage-testbed/src/chaos/fault.rs
@@ -1,5 +1,5 @@
-use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 
 /// A fault that the stress command causes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,12 +56,37 @@
     Fault::ListStale,
 ];
 
-/// Draws a fault of a process or an endpoint.
-pub(super) fn draw_process(rng: &mut StdRng) -> Fault {
-    PROCESS_FAULTS[rng.random_range(0..PROCESS_FAULTS.len())]
+/// Deals faults in random order, each once before any comes again.
+///
+/// Independent draws leave some faults out of a run of a few minutes.
+#[derive(Debug)]
+pub(super) struct FaultDeck {
+    faults: Vec<Fault>,
+    dealt: usize,
 }
 
-/// Draws a fault of the platform.
-pub(super) fn draw_platform(rng: &mut StdRng) -> Fault {
-    PLATFORM_FAULTS[rng.random_range(0..PLATFORM_FAULTS.len())]
+impl FaultDeck {
+    /// Returns the faults of processes and endpoints.
+    pub(super) fn of_processes() -> Self {
+        Self::new(PROCESS_FAULTS.to_vec())
+    }
+
+    /// Returns the faults of the platform.
+    pub(super) fn of_platform() -> Self {
+        Self::new(PLATFORM_FAULTS.to_vec())
+    }
+
+    fn new(faults: Vec<Fault>) -> Self {
+        Self { faults, dealt: 0 }
+    }
+
+    /// Deals the next fault.
+    pub(super) fn deal(&mut self, rng: &mut StdRng) -> Fault {
+        let i = self.dealt % self.faults.len();
+        if i == 0 {
+            self.faults.shuffle(rng);
+        }
+        self.dealt += 1;
+        self.faults[i]
+    }
 }
--- a/crates/chicorystage-testbed/src/chaos/fault_loop.rs
+++ b/crates/chicorystage-testbed/src/chaos/fault_loop.rs
@@ -10,7 +10,7 @@
 
 use crate::audit::EndpointAudit;
 use crate::chaos::caller::POISON;
-use crate::chaos::fault::{Fault, draw_platform, draw_process};
+use crate::chaos::fault::{Fault, FaultDeck};
 use crate::chaos::stage::Stage;
 use crate::deployment::{Deployment, Signal};
 use crate::fakes::{EngineFault, ServiceFault, TableFault};
@@ -35,6 +35,8 @@
     deployment: &'a mut Deployment,
     stage: Arc<Stage>,
     rng: StdRng,
+    processes: FaultDeck,
+    platform: FaultDeck,
     verbose: bool,
 }
 
@@ -43,6 +45,8 @@
         Self {
             deployment,
             rng: stage.rng(RNG_PART),
+            processes: FaultDeck::of_processes(),
+            platform: FaultDeck::of_platform(),
             stage,
             verbose,
         }
@@ -56,12 +60,12 @@
             let both = self.rng.random_range(0..3) == 0;
             let platform = both || self.rng.random_range(0..3) == 0;
             if platform {
-                let fault = draw_platform(&mut self.rng);
+                let fault = self.platform.deal(&mut self.rng);
                 self.note(fault);
                 self.cause_platform(fault).await?;
             }
             if both || !platform {
-                let fault = draw_process(&mut self.rng);
+                let fault = self.processes.deal(&mut self.rng);
                 self.note(fault);
                 self.cause(fault)
                     .await
--- a/crates/chicorystage-testbed/src/standin/platform_api.rs
+++ b/crates/chicorystage-testbed/src/standin/platform_api.rs
@@ -42,7 +42,10 @@
                 Ok(transaction) => wire::result(self.table.commit(transaction).await),
                 Err(response) => response,
             },
-            (&Method::GET, "/vms/v1/list") => wire::result(self.vms.read().await),
+            (&Method::GET, "/vms/v1/list") => match self.vms.read().await {
+                Ok(vms) => wire::tagged(&request, &vms),
+                Err(error) => wire::result::<()>(Err(error)),
+            },
             (&Method::POST, FETCH_PATH) => match wire::parsed::<Fetch>(request).await {
                 Ok(fetch) => {
                     self.weights.fetch(fetch.kind, fetch.duration_ms).await;
--- a/crates/chicorystage-testbed/src/standin/wire.rs
+++ b/crates/chicorystage-testbed/src/standin/wire.rs
@@ -1,7 +1,8 @@
 use bytes::Bytes;
+use chicorystage_core::token;
 use chicorystage_platform::http::{ResponseBody, full_body};
 use chicorystage_platform::{BorderError, BorderErrorKind};
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,6 +19,23 @@
     response
 }
 
+/// Answers a document with its entity tag, or that the client has it already.
+pub(crate) fn tagged<T: Serialize>(
+    request: &Request<Incoming>,
+    value: &T,
+) -> Response<ResponseBody> {
+    let mut response = json(value);
+    let body = serde_json::to_vec(value).expect("message types serialise to JSON");
+    let tag = format!("\"{}\"", token::sha256(&body));
+    let tag = HeaderValue::from_str(&tag).expect("a digest is a header value");
+    if request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+        response = Response::new(full_body(Bytes::new()));
+        *response.status_mut() = StatusCode::NOT_MODIFIED;
+    }
+    response.headers_mut().insert(ETAG, tag);
+    response
+}
+
 pub(crate) fn status(status: StatusCode, text: impl Into<String>) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(text.into()));
     *response.status_mut() = status;
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/vm_list_reads.rs
@@ -0,0 +1,113 @@
+//! Reads of the list of VMs transfer it only after it has changed.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::http::{
+    Handler, HttpClient, HttpServer, HttpVmList, ResponseBody, RunningServer,
+};
+use chicorystage_platform::vm_list::{VmEntry, VmList};
+use chicorystage_testbed::standin::PlatformApi;
+use googletest::prelude::*;
+use http::header::ETAG;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+
+const TIMEOUT_MS: u64 = 30_000;
+
+/// A platform that notes the status of each reading.
+struct NotedPlatform {
+    platform: PlatformApi,
+    tags: bool,
+    statuses: Mutex<Vec<StatusCode>>,
+}
+
+impl Handler for NotedPlatform {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(async move {
+            let is_read = request.uri().path().starts_with("/vms/");
+            let mut response = self.platform.handle(request).await;
+            if is_read {
+                self.statuses.lock().unwrap().push(response.status());
+            }
+            if !self.tags {
+                response.headers_mut().remove(ETAG);
+            }
+            response
+        })
+    }
+}
+
+struct World {
+    noted: Arc<NotedPlatform>,
+    address: SocketAddr,
+    list: HttpVmList,
+    _server: RunningServer,
+}
+
+async fn world(tags: bool) -> World {
+    let noted = Arc::new(NotedPlatform {
+        platform: PlatformApi::new(),
+        tags,
+        statuses: Mutex::default(),
+    });
+    let server = HttpServer::bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .await
+        .unwrap();
+    let address = server.address();
+    World {
+        _server: server.start(Arc::clone(&noted) as Arc<dyn Handler>),
+        noted,
+        address,
+        list: HttpVmList::new(address, TIMEOUT_MS),
+    }
+}
+
+impl World {
+    async fn put(&self, vm: &str) {
+        let client = HttpClient::new(self.address, TIMEOUT_MS);
+        let entry = json!({
+            "id": vm, "address": "127.0.0.1:7000", "zone": "z", "group": "g", "state": "live",
+        });
+        client
+            .post_json::<_, Value>("/control/vms", &entry)
+            .await
+            .unwrap();
+    }
+
+    async fn read(&self) -> Vec<String> {
+        let vms: Vec<VmEntry> = self.list.read().await.unwrap();
+        vms.iter().map(|vm| vm.id.to_string()).collect()
+    }
+
+    fn statuses(&self) -> Vec<u16> {
+        let statuses = self.noted.statuses.lock().unwrap();
+        statuses.iter().map(StatusCode::as_u16).collect()
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_unchanged_list_is_not_transferred_again() {
+    let world = world(true).await;
+    world.put("a").await;
+    expect_that!(world.read().await, elements_are![eq("a")]);
+    expect_that!(world.read().await, elements_are![eq("a")]);
+    world.put("b").await;
+    expect_that!(world.read().await, elements_are![eq("a"), eq("b")]);
+    expect_that!(world.read().await, elements_are![eq("a"), eq("b")]);
+    expect_that!(world.statuses(), eq(&vec![200, 304, 200, 304]));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_platform_without_tags_is_read_whole_each_time() {
+    let world = world(false).await;
+    world.put("a").await;
+    expect_that!(world.read().await, elements_are![eq("a")]);
+    world.put("b").await;
+    expect_that!(world.read().await, elements_are![eq("a"), eq("b")]);
+    expect_that!(world.statuses(), eq(&vec![200, 200]));
+}
