--- a/crates/chicorystage-testbed/tests/inventory/main.rs
+++ b/crates/chicorystage-testbed/tests/inventory/main.rs
@@ -378,3 +378,15 @@
         .collect();
     expect_that!(revisions, elements_are![some(eq(&1)), some(eq(&1)), none()]);
 }
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_request_waits_for_the_read_that_confirms_the_rules() {
+    let harness = started(26).await;
+    harness.gate(2).set_table_cut(true);
+    cut_from_peers(&harness, 2, true);
+    wait_ms(BOUND_PASSED_MS).await;
+    expect_that!(refusal_of_call(&harness, 2).await, eq("stale_rules"));
+    harness.gate(2).set_table_cut(false);
+    expect_that!(refusal_of_call(&harness, 2).await, not(eq("stale_rules")));
+}
