--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -79,8 +79,7 @@
         // The loop ends once nothing is in progress, or after the longest drain.
         let _ended = running.await;
     }
-    internal.stop_gracefully().await;
-    health.stop_gracefully().await;
+    tokio::join!(internal.stop_gracefully(), health.stop_gracefully());
     log::info!(event = "agent_stopped"; "agent stopped");
     Ok(())
 }
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -60,9 +60,11 @@
     }
     log::info!(event = "router_stopping"; "router is leaving");
     drain::leave(&parts.handle, callers, &role).await;
-    admins.stop_gracefully().await;
-    internal.stop_gracefully().await;
-    health.stop_gracefully().await;
+    tokio::join!(
+        admins.stop_gracefully(),
+        internal.stop_gracefully(),
+        health.stop_gracefully()
+    );
     parts.handle.stop().await;
     // The loop ends by the event above; a panic in it has ended the process's work anyway.
     let _ended = parts.running.await;
