Revert the try to share names that rows repeat

Ruled out: repeated names as the cause of the router's memory. Change: reverted whole. Conclusion: next suspects are copies made while reading and what the allocator keeps.

--- a/crates/chicorystage-core/src/inventory/mod.rs
+++ b/crates/chicorystage-core/src/inventory/mod.rs
@@ -13,7 +13,6 @@
 mod overlay;
 mod problem;
 mod rights;
-mod shared_names;
 mod state;
 
 pub use applied::Applied;
--- a/crates/chicorystage-core/src/inventory/state.rs
+++ b/crates/chicorystage-core/src/inventory/state.rs
@@ -7,7 +7,6 @@
 use chicorystage_api::name::{AdapterName, ApplicationName, Digest, ModelName};
 
 use crate::inventory::Applied;
-use crate::inventory::shared_names::SharedNames;
 
 /// The inventory in force in one process.
 ///
@@ -34,12 +33,11 @@
             return false;
         }
         self.revision = snapshot.revision;
-        let mut names = SharedNames::default();
-        let rows = snapshot.rows.into_iter().map(|mut row| {
-            names.share_in(&mut row);
-            (row.item.key(), row)
-        });
-        self.rows = rows.collect();
+        self.rows = snapshot
+            .rows
+            .into_iter()
+            .map(|row| (row.item.key(), row))
+            .collect();
         self.index_all();
         true
     }
