--- a/crates/chicorystaged/src/router/claims/claim_flow.rs
+++ b/crates/chicorystaged/src/router/claims/claim_flow.rs
@@ -1,38 +1,27 @@
+//! The flow of one call, from its claim row to its answer.
+
+mod asking;
+mod claiming;
+
 use std::sync::Arc;
 
-use chicorystage_api::name::{CallerName, Digest, IdempotencyKey, RequestId, VmId};
-use chicorystage_api::peer::{AttemptRef, ClaimOutcome, ClaimQuery, ClaimRow, ClaimState};
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{ClaimOutcome, ClaimRow};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::ClaimTicket;
-use chicorystage_core::claim::{ClaimStep, step_after_answer, step_for_row};
+use chicorystage_core::claim::{ClaimStep, step_for_row};
 use chicorystage_platform::link::AgentLink;
 use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::VmEntry;
 
 use crate::router::claims::claimed_answer::OutcomeRecorder;
 use crate::router::claims::{
-    ClaimDispatch, ClaimWrite, ClaimWriter, ClaimedAnswer, StartFailure, WriteResult, claim_row_key,
+    ClaimDispatch, ClaimWriter, ClaimedAnswer, ClaimedCall, claim_row_key,
 };
-use crate::timer::unix_ms;
 
 /// Delay after which a call whose claim could not be settled should come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 /// Rounds of one call: each ends in an answer, or follows a change that another router made.
 const ROUNDS_MAX: u32 = 16;
 
-/// One call that is not idempotent.
-#[derive(Clone, Debug)]
-pub struct ClaimedCall {
-    /// Caller who owns the key.
-    pub caller: CallerName,
-    /// Caller's idempotency key.
-    pub key: IdempotencyKey,
-    /// Digest of method, path and body.
-    pub body_sha256: Digest,
-    /// Request that makes the call.
-    pub request_id: RequestId,
-}
-
 /// Carries a call to one execution.
 pub struct ClaimFlow<'a, D> {
     table: &'a dyn Table,
@@ -185,163 +174,6 @@
         }))
     }
 
-    async fn claim_and_start(
-        &mut self,
-        epoch: u32,
-        expected_version: Option<u64>,
-    ) -> Result<Round<D::Opened>, Refusal> {
-        let (vm, incarnation) = self.choose().await?;
-        let row = ClaimRow {
-            body_sha256: self.call.body_sha256.clone(),
-            epoch,
-            vm: vm.id.clone(),
-            incarnation,
-            request_id: self.call.request_id.clone(),
-            claimed_unix_ms: unix_ms(),
-            outcome: ClaimOutcome::Open,
-        };
-        let write = ClaimWrite {
-            row_key: Arc::clone(&self.row_key),
-            expected_version,
-            row: row.clone(),
-        };
-        match self.writer.write(write).await {
-            WriteResult::Written { row_version } => {
-                let read = ReadRow {
-                    version: row_version,
-                    row,
-                };
-                self.start(&vm, read).await
-            }
-            WriteResult::Conflict => Ok(Round::Again),
-            WriteResult::NotWritten | WriteResult::Unknown => {
-                let detail = "the table did not confirm the claim; the call was not dispatched";
-                Err(Refusal::not_run(RefusalCode::ClaimUnavailable, detail)
-                    .retry_after_ms(RETRY_AFTER_MS))
-            }
-        }
-    }
-
-    /// Chooses a VM whose agent answers, and learns its incarnation.
-    async fn choose(&mut self) -> Result<(VmEntry, u64), Refusal> {
-        loop {
-            let vm = self.dispatch.choose(&self.avoid).await?;
-            match self.agents.status(vm.address).await {
-                Ok(status) if status.vm == vm.id && !status.leaving => {
-                    return Ok((vm, status.incarnation));
-                }
-                Ok(_) | Err(_) => self.avoid.push(vm.id),
-            }
-        }
-    }
-
-    async fn start(&mut self, vm: &VmEntry, read: ReadRow) -> Result<Round<D::Opened>, Refusal> {
-        let ticket = ClaimTicket {
-            key: self.call.key.clone(),
-            body_sha256: self.call.body_sha256.clone(),
-            epoch: read.row.epoch,
-            incarnation: read.row.incarnation,
-            row_version: read.version,
-        };
-        match self.dispatch.start(vm, ticket).await {
-            Ok(opened) => Ok(Round::Answered(self.opened(opened, read))),
-            Err(StartFailure::NotDelivered) => {
-                self.avoid.push(vm.id.clone());
-                Ok(Round::Reclaim(read))
-            }
-            Err(StartFailure::Refused(refusal)) => self.refused(vm, read, refusal),
-            Err(StartFailure::Unknown) => self.ask(&vm.id, read).await,
-        }
-    }
-
-    fn refused(
-        &mut self,
-        vm: &VmEntry,
-        read: ReadRow,
-        refusal: Refusal,
-    ) -> Result<Round<D::Opened>, Refusal> {
-        if refusal.code == RefusalCode::StaleClaim {
-            // Another router tombstoned this epoch and may have run a higher one.
-            return Ok(Round::Again);
-        }
-        if refusal.outcome == Outcome::MayHaveRun {
-            return Err(refusal);
-        }
-        let elsewhere = matches!(
-            refusal.code,
-            RefusalCode::Leaving
-                | RefusalCode::Overloaded
-                | RefusalCode::NoEndpoint
-                | RefusalCode::WrongIncarnation
-                | RefusalCode::Internal
-        );
-        if elsewhere {
-            self.avoid.push(vm.id.clone());
-            return Ok(Round::Reclaim(read));
-        }
-        Err(refusal)
-    }
-
-    /// Asks the agent of an open claim what became of it.
-    async fn ask(&mut self, vm: &VmId, read: ReadRow) -> Result<Round<D::Opened>, Refusal> {
-        let Some(entry) = self.dispatch.find(vm).await? else {
-            return self.gone(read).await;
-        };
-        let query = ClaimQuery {
-            caller: self.call.caller.clone(),
-            key: self.call.key.clone(),
-            epoch: read.row.epoch,
-            incarnation: read.row.incarnation,
-            row_version: read.version,
-        };
-        let state = match self.agents.query_claim(entry.address, query).await {
-            Ok(state) => state,
-            Err(error) => return Err(unsettled(&error.to_string())),
-        };
-        match step_after_answer(&read.row, state) {
-            ClaimStep::Attach { attempt } => self.attach(&entry, attempt, read).await,
-            ClaimStep::Claim { .. } => Ok(Round::Reclaim(read)),
-            ClaimStep::Refuse { refusal, record } => {
-                if let Some(outcome) = record {
-                    self.recorder(read).record(outcome).await;
-                }
-                Err(refusal)
-            }
-            ClaimStep::Ask { .. } | ClaimStep::Replay(_) => Ok(Round::Again),
-        }
-    }
-
-    /// Ends a claim whose VM has left the platform's list for good.
-    async fn gone(&self, read: ReadRow) -> Result<Round<D::Opened>, Refusal> {
-        let state = ClaimState::Unknown;
-        if let ClaimStep::Refuse { refusal, record } = step_after_answer(&read.row, state) {
-            if let Some(outcome) = record {
-                self.recorder(read).record(outcome).await;
-            }
-            return Err(refusal);
-        }
-        Ok(Round::Again)
-    }
-
-    async fn attach(
-        &self,
-        vm: &VmEntry,
-        attempt: AttemptRef,
-        read: ReadRow,
-    ) -> Result<Round<D::Opened>, Refusal> {
-        match self.dispatch.attach(vm, attempt).await {
-            Ok(opened) => Ok(Round::Answered(self.opened(opened, read))),
-            // The agent gave the claim up before the call ran: ask again.
-            Err(StartFailure::Refused(refusal)) if refusal.outcome == Outcome::NotRun => {
-                Ok(Round::Again)
-            }
-            Err(StartFailure::Refused(refusal)) => Err(refusal),
-            Err(StartFailure::NotDelivered | StartFailure::Unknown) => Err(unsettled(
-                "the attempt that runs the call cannot be followed",
-            )),
-        }
-    }
-
     fn opened(&self, opened: D::Opened, read: ReadRow) -> ClaimedAnswer<D::Opened> {
         ClaimedAnswer::Opened {
             opened,
--- /dev/null
+++ b/crates/chicorystaged/src/router/claims/claim_flow/asking.rs
@@ -0,0 +1,76 @@
+//! Asking the agent of an open claim, and following what it ran.
+
+use chicorystage_api::name::VmId;
+use chicorystage_api::peer::{AttemptRef, ClaimQuery, ClaimState};
+use chicorystage_api::refusal::{Outcome, Refusal};
+use chicorystage_core::claim::{ClaimStep, step_after_answer};
+use chicorystage_platform::vm_list::VmEntry;
+
+use super::{ClaimFlow, ReadRow, Round, unsettled};
+use crate::router::claims::{ClaimDispatch, StartFailure};
+
+impl<D: ClaimDispatch> ClaimFlow<'_, D> {
+    /// Asks the agent of an open claim what became of it.
+    pub(super) async fn ask(
+        &mut self,
+        vm: &VmId,
+        read: ReadRow,
+    ) -> Result<Round<D::Opened>, Refusal> {
+        let Some(entry) = self.dispatch.find(vm).await? else {
+            return self.gone(read).await;
+        };
+        let query = ClaimQuery {
+            caller: self.call.caller.clone(),
+            key: self.call.key.clone(),
+            epoch: read.row.epoch,
+            incarnation: read.row.incarnation,
+            row_version: read.version,
+        };
+        let state = match self.agents.query_claim(entry.address, query).await {
+            Ok(state) => state,
+            Err(error) => return Err(unsettled(&error.to_string())),
+        };
+        match step_after_answer(&read.row, state) {
+            ClaimStep::Attach { attempt } => self.attach(&entry, attempt, read).await,
+            ClaimStep::Claim { .. } => Ok(Round::Reclaim(read)),
+            ClaimStep::Refuse { refusal, record } => {
+                if let Some(outcome) = record {
+                    self.recorder(read).record(outcome).await;
+                }
+                Err(refusal)
+            }
+            ClaimStep::Ask { .. } | ClaimStep::Replay(_) => Ok(Round::Again),
+        }
+    }
+
+    /// Ends a claim whose VM has left the platform's list for good.
+    pub(super) async fn gone(&self, read: ReadRow) -> Result<Round<D::Opened>, Refusal> {
+        let state = ClaimState::Unknown;
+        if let ClaimStep::Refuse { refusal, record } = step_after_answer(&read.row, state) {
+            if let Some(outcome) = record {
+                self.recorder(read).record(outcome).await;
+            }
+            return Err(refusal);
+        }
+        Ok(Round::Again)
+    }
+
+    pub(super) async fn attach(
+        &self,
+        vm: &VmEntry,
+        attempt: AttemptRef,
+        read: ReadRow,
+    ) -> Result<Round<D::Opened>, Refusal> {
+        match self.dispatch.attach(vm, attempt).await {
+            Ok(opened) => Ok(Round::Answered(self.opened(opened, read))),
+            // The agent gave the claim up before the call ran: ask again.
+            Err(StartFailure::Refused(refusal)) if refusal.outcome == Outcome::NotRun => {
+                Ok(Round::Again)
+            }
+            Err(StartFailure::Refused(refusal)) => Err(refusal),
+            Err(StartFailure::NotDelivered | StartFailure::Unknown) => Err(unsettled(
+                "the attempt that runs the call cannot be followed",
+            )),
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/claims/claim_flow/claiming.rs
@@ -0,0 +1,115 @@
+//! Claiming an epoch and dispatching it.
+
+use std::sync::Arc;
+
+use chicorystage_api::peer::{ClaimOutcome, ClaimRow};
+use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
+use chicorystage_api::work::ClaimTicket;
+use chicorystage_platform::vm_list::VmEntry;
+
+use super::{ClaimFlow, RETRY_AFTER_MS, ReadRow, Round};
+use crate::router::claims::{ClaimDispatch, ClaimWrite, StartFailure, WriteResult};
+use crate::timer::unix_ms;
+
+impl<D: ClaimDispatch> ClaimFlow<'_, D> {
+    pub(super) async fn claim_and_start(
+        &mut self,
+        epoch: u32,
+        expected_version: Option<u64>,
+    ) -> Result<Round<D::Opened>, Refusal> {
+        let (vm, incarnation) = self.choose().await?;
+        let row = ClaimRow {
+            body_sha256: self.call.body_sha256.clone(),
+            epoch,
+            vm: vm.id.clone(),
+            incarnation,
+            request_id: self.call.request_id.clone(),
+            claimed_unix_ms: unix_ms(),
+            outcome: ClaimOutcome::Open,
+        };
+        let write = ClaimWrite {
+            row_key: Arc::clone(&self.row_key),
+            expected_version,
+            row: row.clone(),
+        };
+        match self.writer.write(write).await {
+            WriteResult::Written { row_version } => {
+                let read = ReadRow {
+                    version: row_version,
+                    row,
+                };
+                self.start(&vm, read).await
+            }
+            WriteResult::Conflict => Ok(Round::Again),
+            WriteResult::NotWritten | WriteResult::Unknown => {
+                let detail = "the table did not confirm the claim; the call was not dispatched";
+                Err(Refusal::not_run(RefusalCode::ClaimUnavailable, detail)
+                    .retry_after_ms(RETRY_AFTER_MS))
+            }
+        }
+    }
+
+    /// Chooses a VM whose agent answers, and learns its incarnation.
+    pub(super) async fn choose(&mut self) -> Result<(VmEntry, u64), Refusal> {
+        loop {
+            let vm = self.dispatch.choose(&self.avoid).await?;
+            match self.agents.status(vm.address).await {
+                Ok(status) if status.vm == vm.id && !status.leaving => {
+                    return Ok((vm, status.incarnation));
+                }
+                Ok(_) | Err(_) => self.avoid.push(vm.id),
+            }
+        }
+    }
+
+    pub(super) async fn start(
+        &mut self,
+        vm: &VmEntry,
+        read: ReadRow,
+    ) -> Result<Round<D::Opened>, Refusal> {
+        let ticket = ClaimTicket {
+            key: self.call.key.clone(),
+            body_sha256: self.call.body_sha256.clone(),
+            epoch: read.row.epoch,
+            incarnation: read.row.incarnation,
+            row_version: read.version,
+        };
+        match self.dispatch.start(vm, ticket).await {
+            Ok(opened) => Ok(Round::Answered(self.opened(opened, read))),
+            Err(StartFailure::NotDelivered) => {
+                self.avoid.push(vm.id.clone());
+                Ok(Round::Reclaim(read))
+            }
+            Err(StartFailure::Refused(refusal)) => self.refused(vm, read, refusal),
+            Err(StartFailure::Unknown) => self.ask(&vm.id, read).await,
+        }
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        vm: &VmEntry,
+        read: ReadRow,
+        refusal: Refusal,
+    ) -> Result<Round<D::Opened>, Refusal> {
+        if refusal.code == RefusalCode::StaleClaim {
+            // Another router tombstoned this epoch and may have run a higher one.
+            return Ok(Round::Again);
+        }
+        if refusal.outcome == Outcome::MayHaveRun {
+            return Err(refusal);
+        }
+        let elsewhere = matches!(
+            refusal.code,
+            RefusalCode::Leaving
+                | RefusalCode::Overloaded
+                | RefusalCode::NoEndpoint
+                | RefusalCode::WrongIncarnation
+                | RefusalCode::Internal
+        );
+        if elsewhere {
+            self.avoid.push(vm.id.clone());
+            return Ok(Round::Reclaim(read));
+        }
+        Err(refusal)
+    }
+}
--- a/crates/chicorystaged/src/router/claims/mod.rs
+++ b/crates/chicorystaged/src/router/claims/mod.rs
@@ -16,10 +16,12 @@
 mod claim_key;
 mod claim_writer;
 mod claimed_answer;
+mod claimed_call;
 mod write_batch;
 
 pub use claim_dispatch::{ClaimDispatch, StartFailure};
-pub use claim_flow::{ClaimFlow, ClaimedCall};
+pub use claim_flow::ClaimFlow;
 pub use claim_key::claim_row_key;
 pub use claim_writer::{ClaimWrite, ClaimWriter, WriteResult};
 pub use claimed_answer::{ClaimedAnswer, OutcomeRecorder};
+pub use claimed_call::ClaimedCall;
