A planner that cannot read the table answers from the row it knows

Cause: in a table outage a router that had not yet read a new slot refused the model as no_placement, though another router had decided the slot and its replica was loaded: the planner reads the table before it answers. Ruled out: answering from the known row always (an additional slot must see the newest). Change: where the read fails, the planner answers those whom its known row serves. The agent checks its slot, so an old row costs a detour. Before: two_vms_that_go_in_a_long_table_outage_... failed: no_placement at the second router.

--- a/crates/chicorystage-testbed/tests/harness.rs
+++ b/crates/chicorystage-testbed/tests/harness.rs
@@ -4,10 +4,12 @@
     ApplicationItem, CallerItem, Change, Class, Item, ItemChange, ModelItem, ModelVersion,
     Operation,
 };
+use chicorystage_api::peer::PlacementRow;
 use chicorystage_api::refusal::Outcome;
 use chicorystage_core::token;
+use chicorystage_platform::table::Table;
 use chicorystage_testbed::calls::CallerRequest;
-use chicorystage_testbed::fakes::answer_words;
+use chicorystage_testbed::fakes::{TableFault, answer_words};
 use chicorystage_testbed::harness::{Harness, HarnessConfig, LinkFaults, VmCondition};
 use googletest::prelude::*;
 use tokio::time::{Duration, Instant, sleep};
@@ -167,3 +169,48 @@
     let sent = harness.send(0, &request).await.expect("answers");
     expect_that!(sent.text(), eq(&answer(5)));
 }
+
+/// Returns the numbers of the agents that hold a slot of the model.
+async fn holders(harness: &Harness) -> Vec<usize> {
+    let row = harness
+        .table
+        .get("placement/moisture")
+        .await
+        .expect("reads");
+    let row = row.expect("the model has a slot");
+    let row: PlacementRow = serde_json::from_str(&row.value).expect("parses");
+    let agents = (0..3).map(|i| harness.agent(i));
+    let holds = |agent: &usize| row.slots.iter().any(|slot| slot.vm == *harness.vm(*agent));
+    agents.filter(holds).collect()
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn two_vms_that_go_in_a_long_table_outage_cost_refusals_and_no_second_replica() {
+    let harness = started(HarnessConfig::default()).await;
+    let request = CallerRequest::completion(TOKEN, "moisture", PROMPT, 5);
+    let sent = harness.send(0, &request).await.expect("answers");
+    expect_that!(sent.is_served(), is_true());
+    let holder = holders(&harness).await[0];
+
+    harness.table.set_fault(TableFault::Down);
+    sleep(Duration::from_mins(1)).await;
+    let warm = harness.send(1, &request).await.expect("answers");
+    expect_that!(warm.is_served(), is_true(), "{}", warm.body);
+    for gone in [holder, 2] {
+        harness.kill(gone);
+        harness.vms.remove(harness.vm(gone));
+    }
+    sleep(Duration::from_mins(5)).await;
+    let refused = harness.send(0, &request).await.expect("answers");
+    expect_that!(refused.is_served(), is_false());
+    expect_that!(refused.outcome(), some(eq(Outcome::NotRun)));
+    expect_that!(refused.headers.contains_key("retry-after"), is_true());
+
+    harness.table.set_fault(TableFault::None);
+    sleep(Duration::from_mins(2)).await;
+    let moved = harness.send(0, &request).await.expect("answers");
+    expect_that!(moved.text(), eq(&answer(5)));
+    expect_that!(holders(&harness).await, not(contains(eq(&holder))));
+    expect_that!(harness.ledger.highest(&"moisture".into()), le(2));
+}
--- a/crates/chicorystaged/src/router/planner/state.rs
+++ b/crates/chicorystaged/src/router/planner/state.rs
@@ -168,10 +168,30 @@
                 self.tell_loop(RouterEvent::PlacementRead(push));
             }
             Ok(None) => self.fail(asked, model, "no VM can hold a slot"),
-            Err(failure) => self.fail(asked, model, &failure.to_string()),
+            Err(failure) => self.fall_back(view, asked, model, &failure.to_string()),
         }
     }
 
+    /// Answers from the row that is known here where the table cannot tell.
+    ///
+    /// A row decides nothing by itself: the agent it names checks its slot. So
+    /// a router that has not read the row yet can serve on in an outage.
+    fn fall_back(&self, view: PlannerView<'_>, asked: Vec<Asked>, model: &ModelName, detail: &str) {
+        let known = view.placements.get(model);
+        let (served, failed) = asked
+            .into_iter()
+            .partition(|asked| known.is_some_and(|push| serves(push, &asked.request)));
+        self.fail(failed, model, detail);
+        let served: Vec<Asked> = served;
+        let Some(push) = known.filter(|_| !served.is_empty()) else {
+            return;
+        };
+        for reply in served.into_iter().filter_map(|asked| asked.reply) {
+            let _sent = reply.send(Some(push.clone()));
+        }
+        self.tell_loop(RouterEvent::PlacementRead(push.clone()));
+    }
+
     /// Answers those whom a row serves and runs again for the others.
     fn answer(&mut self, view: PlannerView<'_>, asked: Vec<Asked>, push: &PlacementPush) {
         for (i, asked) in asked.into_iter().enumerate() {
