Agents rank permit holders by the core's key; work done twice taken out

Cause: a last reading of the whole change. The key by which routers and agents must rank the same permit holder stood in the agent once more; a tagged document was serialised twice; each read of the list of VMs cloned the whole list to get at its tag. Ruled out: one piece for the constructors of Announcer and Peers and for the test worlds' link stubs (alike in shape, not in purpose). Change: core::permit::HOLDER_KEY in the agent; one encoding in the stand-in; the list is kept shared and cloned only where it is returned; an import and a type in their places. Behaviour is unchanged. Conclusion: the two sides cannot drift apart over the key.

--- a/crates/chicorystage-platform/src/http/http_vm_list.rs
+++ b/crates/chicorystage-platform/src/http/http_vm_list.rs
@@ -1,5 +1,5 @@
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
 use http::header::{ETAG, IF_NONE_MATCH};
@@ -19,11 +19,11 @@
 #[derive(Debug)]
 pub struct HttpVmList {
     client: HttpClient,
-    last: Mutex<Option<TaggedList>>,
+    last: Mutex<Option<Arc<TaggedList>>>,
 }
 
 /// A list as it was read, with the platform's tag for it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 struct TaggedList {
     tag: HeaderValue,
     vms: Vec<VmEntry>,
@@ -39,7 +39,7 @@
         }
     }
 
-    fn last(&self) -> Option<TaggedList> {
+    fn last(&self) -> Option<Arc<TaggedList>> {
         let last = self.last.lock().expect("no holder of the lock panics");
         last.clone()
     }
@@ -54,7 +54,7 @@
         }
         let response = self.client.send(request).await?;
         match (response.status(), last) {
-            (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.vms),
+            (StatusCode::NOT_MODIFIED, Some(last)) => Ok(last.vms.clone()),
             (StatusCode::OK, _) => self.keep(&response),
             (status, _) => {
                 let detail = format!("{LIST_PATH}: status {status}");
@@ -69,9 +69,9 @@
             BorderError::new(BorderErrorKind::Unknown, detail)
         })?;
         let tag = response.headers().get(ETAG).cloned();
-        let tagged = tag.map(|tag| TaggedList {
-            tag,
-            vms: vms.clone(),
+        let tagged = tag.map(|tag| {
+            let vms = vms.clone();
+            Arc::new(TaggedList { tag, vms })
         });
         *self.last.lock().expect("no holder of the lock panics") = tagged;
         Ok(vms)
--- a/crates/chicorystage-testbed/src/standin/wire.rs
+++ b/crates/chicorystage-testbed/src/standin/wire.rs
@@ -11,7 +11,14 @@
 use serde::de::DeserializeOwned;
 
 pub(crate) fn json<T: Serialize>(value: &T) -> Response<ResponseBody> {
-    let body = serde_json::to_vec(value).expect("message types serialise to JSON");
+    json_body(encode(value))
+}
+
+fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).expect("message types serialise to JSON")
+}
+
+fn json_body(body: Vec<u8>) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(body));
     response
         .headers_mut()
@@ -24,14 +31,14 @@
     request: &Request<Incoming>,
     value: &T,
 ) -> Response<ResponseBody> {
-    let mut response = json(value);
-    let body = serde_json::to_vec(value).expect("message types serialise to JSON");
+    let body = encode(value);
     let tag = format!("\"{}\"", token::sha256(&body));
     let tag = HeaderValue::from_str(&tag).expect("a digest is a header value");
-    if request.headers().get(IF_NONE_MATCH) == Some(&tag) {
-        response = Response::new(full_body(Bytes::new()));
-        *response.status_mut() = StatusCode::NOT_MODIFIED;
-    }
+    let mut response = if request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+        status(StatusCode::NOT_MODIFIED, "")
+    } else {
+        json_body(body)
+    };
     response.headers_mut().insert(ETAG, tag);
     response
 }
--- a/crates/chicorystaged/src/agent/claims.rs
+++ b/crates/chicorystaged/src/agent/claims.rs
@@ -7,7 +7,7 @@
 use chicorystage_api::name::{CallerName, IdempotencyKey};
 use chicorystage_api::peer::{AttemptRef, ClaimQuery, ClaimState};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_api::work::{AttemptRequest, Payload};
+use chicorystage_api::work::{AttemptRequest, Payload, WorkSpec};
 use chicorystage_core::claim::ClaimRejection;
 
 use crate::agent::main_loop::AgentLoop;
@@ -68,7 +68,7 @@
 
 /// Refuses a call that must not run twice and that no claim guards.
 fn check_unclaimed(request: &AttemptRequest) -> Result<(), Refusal> {
-    let chicorystage_api::work::WorkSpec::Service(call) = &request.work else {
+    let WorkSpec::Service(call) = &request.work else {
         return Ok(());
     };
     if call.idempotent {
--- a/crates/chicorystaged/src/agent/permit.rs
+++ b/crates/chicorystaged/src/agent/permit.rs
@@ -6,6 +6,7 @@
 
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{PermitAnswer, PermitKind, PermitRequest};
+use chicorystage_core::permit::HOLDER_KEY;
 use chicorystage_core::rendezvous;
 use chicorystage_platform::link::RouterLink;
 use chicorystage_platform::vm_list::VmEntry;
@@ -16,8 +17,6 @@
 use crate::agent::urgency::Urgency;
 use crate::timer::Clock;
 
-/// Key by which routers are ranked as holder of the permits.
-const PERMITS_KEY: &str = "permits";
 /// Routers that are asked before the agent paces itself.
 const ROUTERS_ASKED_MAX: usize = 2;
 /// Times that the agent follows a router's word about the holder.
@@ -58,7 +57,7 @@
     /// Waits for a permit; none where the agent paced itself instead.
     pub(crate) async fn acquire(&self) -> Option<Permit> {
         let mut ranked = self.routers.clone();
-        rendezvous::rank(PERMITS_KEY, &mut ranked, |router| router.id.as_str());
+        rendezvous::rank(HOLDER_KEY, &mut ranked, |router| router.id.as_str());
         let start = Instant::now();
         for router in ranked.iter().take(ROUTERS_ASKED_MAX) {
             if let Some(permit) = self.ask(router, start).await {
--- a/crates/chicorystaged/src/router/planner/state.rs
+++ b/crates/chicorystaged/src/router/planner/state.rs
@@ -178,11 +178,10 @@
     /// a router that has not read the row yet can serve on in an outage.
     fn fall_back(&self, view: PlannerView<'_>, asked: Vec<Asked>, model: &ModelName, detail: &str) {
         let known = view.placements.get(model);
-        let (served, failed) = asked
+        let (served, failed): (Vec<Asked>, Vec<Asked>) = asked
             .into_iter()
             .partition(|asked| known.is_some_and(|push| serves(push, &asked.request)));
         self.fail(failed, model, detail);
-        let served: Vec<Asked> = served;
         let Some(push) = known.filter(|_| !served.is_empty()) else {
             return;
         };
