--- /dev/null
+++ b/crates/chicorystage-api/src/work/mod.rs
@@ -0,0 +1,43 @@
+//! One attempt of one request, and the frames that answer it.
+//!
+//! A router sends an [`AttemptRequest`] to an agent as the body of
+//! `POST /work/v1/attempts`. The answer is a stream of [`Frame`]s, one JSON
+//! document a line. `GET /work/v1/attempts/<request>/<attempt>?offset=N`
+//! resumes the same attempt on a fresh connection at frame offset `N`.
+//!
+//! # Invariants
+//!
+//! * Offsets of an attempt's content frames count from 0 without gaps.
+//!   Heartbeats carry the offset of the next content frame and are not kept.
+//! * Exactly one frame of an attempt is final ([`Payload::is_final`]); an
+//!   answer without one was cut.
+//! * A frame names its attempt, so a late frame of an earlier one is dropped.
+
+mod attempt_request;
+mod claim_ticket;
+mod completion;
+mod end_summary;
+mod endpoint_load;
+mod frame;
+mod payload;
+mod service_call;
+mod slot_grant;
+mod spec;
+
+pub use attempt_request::AttemptRequest;
+pub use claim_ticket::ClaimTicket;
+pub use completion::Completion;
+pub use end_summary::EndSummary;
+pub use endpoint_load::EndpointLoad;
+pub use frame::Frame;
+pub use payload::Payload;
+pub use service_call::ServiceCall;
+pub use slot_grant::SlotGrant;
+pub use spec::WorkSpec;
+
+/// Path to which attempts are posted.
+pub const ATTEMPTS_PATH: &str = "/work/v1/attempts";
+/// Longest pause between two frames of a live attempt, in milliseconds.
+pub const HEARTBEAT_INTERVAL_MS: u64 = 500;
+/// Missed heartbeats after which a connection is retired.
+pub const HEARTBEATS_MISSED_MAX: u64 = 3;
--- /dev/null
+++ b/crates/chicorystage-core/src/inventory/mod.rs
@@ -0,0 +1,5 @@
+//! The inventory in force and what it allows.
+
+mod state;
+
+pub use state::InventoryState;
--- /dev/null
+++ b/crates/chicorystage-platform/src/http/body.rs
@@ -0,0 +1,28 @@
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Empty, Full};
+
+/// Body of a response.
+pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// Returns a body without content.
+#[must_use]
+pub fn empty_body() -> ResponseBody {
+    Empty::new().boxed_unsync()
+}
+
+/// Returns a body of known content.
+#[must_use]
+pub fn full_body(content: impl Into<Bytes>) -> ResponseBody {
+    Full::new(content.into()).boxed_unsync()
+}
+
+/// Returns a body that is written piece by piece; dropping the sender ends it.
+#[must_use]
+pub fn channel_body(pieces_buffered_max: usize) -> (Sender<Bytes, Infallible>, ResponseBody) {
+    let (sender, body) = Channel::new(pieces_buffered_max);
+    (sender, body.boxed_unsync())
+}
--- /dev/null
+++ b/crates/chicorystage-platform/src/http/http_client.rs
@@ -0,0 +1,183 @@
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::{BorderError, BorderErrorKind};
+
+type Pool = Client<HttpConnector, Full<Bytes>>;
+
+/// Time after which an idle pooled connection is closed, in milliseconds.
+const POOL_IDLE_MS: u64 = 30_000;
+/// Largest response body that is read into memory, in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 << 20;
+
+/// Pooled HTTP client of one address, for short calls.
+pub struct HttpClient {
+    address: SocketAddr,
+    timeout_ms: u64,
+    pool: Mutex<Pool>,
+}
+
+impl HttpClient {
+    /// Creates a client whose calls fail after `timeout_ms`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+        Self {
+            address,
+            timeout_ms,
+            pool: Mutex::new(new_pool(timeout_ms)),
+        }
+    }
+
+    /// Returns the address that the client calls.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and reads the whole response.
+    ///
+    /// # Errors
+    ///
+    /// Fails as not delivered where no connection could be opened, else as
+    /// unknown: the request may have taken effect.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, BorderError> {
+        let action = format!("{} {}", request.method(), request.uri());
+        let pool = self.lock_pool().clone();
+        let exchange = async {
+            let response = pool.request(request).await.map_err(|error| {
+                let kind = if error.is_connect() {
+                    BorderErrorKind::NotDelivered
+                } else {
+                    BorderErrorKind::Unknown
+                };
+                BorderError::new(kind, format!("{action}: {error}"))
+            })?;
+            let (parts, body) = response.into_parts();
+            let body = Limited::new(body, RESPONSE_BYTES_MAX)
+                .collect()
+                .await
+                .map_err(|error| {
+                    BorderError::new(BorderErrorKind::Unknown, format!("{action}: {error}"))
+                })?;
+            Ok(Response::from_parts(parts, body.to_bytes()))
+        };
+        let Ok(result) =
+            tokio::time::timeout(Duration::from_millis(self.timeout_ms), exchange).await
+        else {
+            *self.lock_pool() = new_pool(self.timeout_ms);
+            let detail = format!("{action}: no answer within {} ms", self.timeout_ms);
+            return Err(BorderError::new(BorderErrorKind::Unknown, detail));
+        };
+        result
+    }
+
+    /// Gets a JSON document; none where the path is absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`send`](Self::send) does, and as rejected on another status than 200 or 404.
+    pub async fn get_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<Option<T>, BorderError> {
+        let response = self
+            .send(self.request(Method::GET, path, Bytes::new()))
+            .await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        decode(path, &response).map(Some)
+    }
+
+    /// Posts a JSON document and reads the JSON answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`send`](Self::send) does, and as rejected on another status than 200.
+    pub async fn post_json<B: Serialize + Sync, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<T, BorderError> {
+        let body = encode(path, body)?;
+        let response = self.send(self.request(Method::POST, path, body)).await?;
+        decode(path, &response)
+    }
+
+    /// Builds a request to the client's address.
+    ///
+    /// # Panics
+    ///
+    /// Panics where `path` is not a valid path and query.
+    #[must_use]
+    pub fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .body(Full::new(body))
+            .expect("an address and an encoded path form a URI")
+    }
+
+    fn lock_pool(&self) -> std::sync::MutexGuard<'_, Pool> {
+        self.pool
+            .lock()
+            .expect("no holder of the pool's lock panics")
+    }
+}
+
+impl fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HttpClient")
+            .field("address", &self.address)
+            .field("timeout_ms", &self.timeout_ms)
+            .finish_non_exhaustive()
+    }
+}
+
+fn new_pool(timeout_ms: u64) -> Pool {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_millis(POOL_IDLE_MS))
+        .build(connector)
+}
+
+fn encode<B: Serialize>(path: &str, body: &B) -> Result<Bytes, BorderError> {
+    let bytes = serde_json::to_vec(body).map_err(|error| {
+        BorderError::new(BorderErrorKind::NotDelivered, format!("{path}: {error}"))
+    })?;
+    Ok(Bytes::from(bytes))
+}
+
+fn decode<T: DeserializeOwned>(path: &str, response: &Response<Bytes>) -> Result<T, BorderError> {
+    let status = response.status();
+    if status.is_server_error() {
+        let detail = format!("{path}: status {status}");
+        return Err(BorderError::new(BorderErrorKind::Unknown, detail));
+    }
+    if !status.is_success() {
+        let detail = format!(
+            "{path}: status {status}: {}",
+            String::from_utf8_lossy(response.body())
+        );
+        return Err(BorderError::new(BorderErrorKind::Rejected, detail));
+    }
+    serde_json::from_slice(response.body())
+        .map_err(|error| BorderError::new(BorderErrorKind::Unknown, format!("{path}: {error}")))
+}
--- /dev/null
+++ b/crates/chicorystage-platform/src/http/http_engine.rs
@@ -0,0 +1,157 @@
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::engine::{
+    CacheEvent, CompletionStart, Engine, EngineStatus, EngineStream, LoadReport, Order,
+};
+use crate::http::http_table::encode;
+use crate::http::stream_client::send_on_fresh_connection;
+use crate::http::{HttpClient, JsonLines};
+use crate::{BorderError, BorderErrorKind, BoxFuture};
+
+/// Events of a stream buffered ahead of their reader.
+const STREAM_EVENTS_BUFFERED: usize = 64;
+
+/// A model engine over HTTP and JSON.
+#[derive(Debug)]
+pub struct HttpEngine {
+    client: HttpClient,
+    order_timeout_ms: u64,
+}
+
+impl HttpEngine {
+    /// Creates a client; short calls fail after `timeout_ms`, orders after `order_timeout_ms`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout_ms: u64, order_timeout_ms: u64) -> Self {
+        Self {
+            client: HttpClient::new(address, timeout_ms),
+            order_timeout_ms,
+        }
+    }
+
+    async fn open(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<EngineStream, BorderError> {
+        let response = send_on_fresh_connection(self.client.address(), request, timeout_ms).await?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            let detail = format!("engine stream: status {status}");
+            return Err(BorderError::new(BorderErrorKind::Rejected, detail));
+        }
+        let (sender, receiver) = mpsc::channel(STREAM_EVENTS_BUFFERED);
+        let mut lines = JsonLines::new(response.into_body());
+        tokio::spawn(async move {
+            while let Ok(Some(event)) = lines.next().await {
+                if sender.send(event).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(receiver)
+    }
+
+    async fn post<B: Serialize + Sync>(&self, path: &str, body: &B) -> Result<(), BorderError> {
+        self.client
+            .post_json::<B, serde_json::Value>(path, body)
+            .await
+            .map(drop)
+    }
+
+    async fn read<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, BorderError> {
+        let found = self.client.get_json(path).await?;
+        found.ok_or_else(|| {
+            BorderError::new(BorderErrorKind::Rejected, format!("{path}: not found"))
+        })
+    }
+}
+
+impl Engine for HttpEngine {
+    fn status(&self) -> BoxFuture<'_, Result<EngineStatus, BorderError>> {
+        Box::pin(self.read("/engine/v1/status"))
+    }
+
+    fn order(&self, order: Order) -> BoxFuture<'_, Result<(), BorderError>> {
+        Box::pin(async move {
+            let body = json(&order);
+            let request = self.client.request(Method::POST, "/engine/v1/orders", body);
+            let response =
+                send_on_fresh_connection(self.client.address(), request, self.order_timeout_ms)
+                    .await?;
+            let status = response.status();
+            if status.is_success() {
+                return Ok(());
+            }
+            let text = response
+                .into_body()
+                .collect()
+                .await
+                .map(http_body_util::Collected::to_bytes);
+            let detail = format!(
+                "order: status {status}: {}",
+                String::from_utf8_lossy(&text.unwrap_or_default())
+            );
+            let kind = if status.is_client_error() {
+                BorderErrorKind::Rejected
+            } else {
+                BorderErrorKind::Unknown
+            };
+            Err(BorderError::new(kind, detail))
+        })
+    }
+
+    fn start(&self, start: CompletionStart) -> BoxFuture<'_, Result<EngineStream, BorderError>> {
+        Box::pin(async move {
+            let request = self
+                .client
+                .request(Method::POST, "/engine/v1/streams", json(&start));
+            self.open(request, self.order_timeout_ms).await
+        })
+    }
+
+    fn resume<'a>(
+        &'a self,
+        stream_id: &'a str,
+        offset_tokens: u64,
+    ) -> BoxFuture<'a, Result<EngineStream, BorderError>> {
+        Box::pin(async move {
+            let path = format!(
+                "/engine/v1/streams/{}?offset={offset_tokens}",
+                encode(stream_id)
+            );
+            let request = self.client.request(Method::GET, &path, Bytes::new());
+            self.open(request, self.order_timeout_ms).await
+        })
+    }
+
+    fn cancel<'a>(&'a self, stream_id: &'a str) -> BoxFuture<'a, Result<(), BorderError>> {
+        Box::pin(async move {
+            let path = format!("/engine/v1/streams/{}/cancel", encode(stream_id));
+            self.post(&path, &()).await
+        })
+    }
+
+    fn load_report(&self) -> BoxFuture<'_, Result<LoadReport, BorderError>> {
+        Box::pin(self.read("/engine/v1/load"))
+    }
+
+    fn cache_events(
+        &self,
+        after_sequence: u64,
+    ) -> BoxFuture<'_, Result<Vec<CacheEvent>, BorderError>> {
+        Box::pin(async move {
+            self.read(&format!("/engine/v1/events?after={after_sequence}"))
+                .await
+        })
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Bytes {
+    Bytes::from(serde_json::to_vec(value).expect("message types serialise to JSON"))
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -0,0 +1,118 @@
+//! Command line of the test bed.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use chicorystage_platform::http::{Handler, HttpServer};
+use gumdrop::Options;
+
+use crate::demo;
+use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
+use crate::standin::{EngineApi, PlatformApi, ServiceApi};
+
+/// Exit status where the command line is wrong.
+const EXIT_BAD_ARGUMENTS: u8 = 2;
+/// Exit status where a command failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Runs chicorystage on one machine, with stand-ins for everything outside.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    /// What to do.
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// Run the whole system with stand-ins.
+    Demo(demo::DemoOptions),
+    /// Run one stand-in until it is ended.
+    Standin(StandinOptions),
+    /// Run the daemon, as `chicorystaged` does.
+    Daemon(DaemonOptions),
+}
+
+/// Options of one stand-in.
+#[derive(Debug, Options)]
+struct StandinOptions {
+    /// Print this help.
+    help: bool,
+    /// What it stands for: platform, engine or service.
+    #[options(free)]
+    kind: String,
+    /// Address to listen on.
+    #[options(no_short)]
+    listen: Option<SocketAddr>,
+}
+
+/// Options of the daemon.
+#[derive(Debug, Options)]
+struct DaemonOptions {
+    /// Print this help.
+    help: bool,
+    /// Settings file (INI).
+    config: Option<String>,
+}
+
+/// Runs the test bed with command-line arguments, without the program's name.
+#[must_use]
+pub fn run(arguments: &[String]) -> ExitCode {
+    let arguments = match Arguments::parse_args_default(arguments) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("chicorystage-testbed: {error}");
+            return ExitCode::from(EXIT_BAD_ARGUMENTS);
+        }
+    };
+    match arguments.command {
+        Some(Command::Demo(options)) => block_on(demo::run(options)),
+        Some(Command::Standin(options)) => block_on(run_standin(options)),
+        Some(Command::Daemon(options)) => {
+            let config = options.config.unwrap_or_default();
+            chicorystaged::cli::run(&["--config".to_owned(), config])
+        }
+        None => {
+            println!("{}", Arguments::usage());
+            println!("\n{}", Arguments::command_list().unwrap_or_default());
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn block_on(work: impl Future<Output = anyhow::Result<()>>) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = runtime
+        .map_err(anyhow::Error::from)
+        .and_then(|runtime| runtime.block_on(work));
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("chicorystage-testbed: {error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+async fn run_standin(options: StandinOptions) -> anyhow::Result<()> {
+    let handler: Arc<dyn Handler> = match options.kind.as_str() {
+        "platform" => Arc::new(PlatformApi::new()),
+        "engine" => Arc::new(EngineApi::new(Arc::new(FakeEngine::new(
+            FakeEngineConfig::default(),
+        )))),
+        "service" => Arc::new(ServiceApi::new(Arc::new(FakeService::new(5)))),
+        kind => anyhow::bail!("unknown stand-in {kind:?}; allowed: platform, engine or service"),
+    };
+    let address = options
+        .listen
+        .unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let server = HttpServer::bind(address).await?;
+    println!("{}", server.address());
+    let _running = server.start(handler);
+    std::future::pending().await
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/fakes/vm_list.rs
@@ -0,0 +1,90 @@
+use std::sync::Mutex;
+
+use chicorystage_api::name::VmId;
+use chicorystage_platform::vm_list::{VmEntry, VmList, VmState};
+use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+
+/// The platform's list of VMs in memory.
+#[derive(Debug, Default)]
+pub struct FakeVmList {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    vms: Vec<VmEntry>,
+    shown: Vec<VmEntry>,
+    stale: bool,
+    down: bool,
+}
+
+impl FakeVmList {
+    /// Creates an empty list.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a VM or replaces the one of the same id.
+    pub fn put(&self, vm: VmEntry) {
+        let mut state = self.lock();
+        state.vms.retain(|known| known.id != vm.id);
+        state.vms.push(vm);
+        state.show();
+    }
+
+    /// Sets the state of a VM.
+    pub fn set_state(&self, id: &VmId, vm_state: VmState) {
+        let mut state = self.lock();
+        for vm in state.vms.iter_mut().filter(|vm| vm.id == *id) {
+            vm.state = vm_state;
+        }
+        state.show();
+    }
+
+    /// Removes a VM.
+    pub fn remove(&self, id: &VmId) {
+        let mut state = self.lock();
+        state.vms.retain(|vm| vm.id != *id);
+        state.show();
+    }
+
+    /// Sets whether readers see the list as it was.
+    pub fn set_stale(&self, frozen: bool) {
+        let mut state = self.lock();
+        state.stale = frozen;
+        state.show();
+    }
+
+    /// Sets whether calls fail.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl State {
+    fn show(&mut self) {
+        if !self.stale {
+            self.shown.clone_from(&self.vms);
+        }
+    }
+}
+
+impl VmList for FakeVmList {
+    fn read(&self) -> BoxFuture<'_, Result<Vec<VmEntry>, BorderError>> {
+        Box::pin(async move {
+            let state = self.lock();
+            if state.down {
+                return Err(BorderError::new(
+                    BorderErrorKind::NotDelivered,
+                    "list of VMs is down",
+                ));
+            }
+            Ok(state.shown.clone())
+        })
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins, fakes and experiments for chicorystage; not shipped.
+//!
+//! # Parts
+//!
+//! * [`fakes`]: the outside world in memory, behind the traits of
+//!   `chicorystage-platform`, with faults.
+//! * [`standin`]: the fakes behind HTTP, as processes.
+//! * [`demo`]: the whole system on one machine.
+//!
+//! # Limits
+//!
+//! The fakes model what the brief promises of the outside world and no more.
+//! They are no cluster simulator: time is tokio's, and tests pause it.
+
+pub mod cli;
+pub mod demo;
+pub mod fakes;
+pub mod standin;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/standin/engine_api.rs
@@ -0,0 +1,105 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::engine::{CompletionStart, Engine, EngineStream, Order};
+use chicorystage_platform::http::{Handler, ResponseBody, channel_body};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::fakes::FakeEngine;
+use crate::standin::wire;
+
+const STREAMS_PATH: &str = "/engine/v1/streams";
+/// Events encoded ahead of the connection.
+const EVENTS_BUFFERED: usize = 64;
+
+/// A model engine over HTTP.
+#[derive(Debug)]
+pub struct EngineApi {
+    engine: Arc<FakeEngine>,
+}
+
+impl EngineApi {
+    /// Puts a fake engine behind HTTP.
+    #[must_use]
+    pub fn new(engine: Arc<FakeEngine>) -> Self {
+        Self { engine }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/engine/v1/status") => wire::result(self.engine.status().await),
+            (&Method::GET, "/engine/v1/load") => wire::result(self.engine.load_report().await),
+            (&Method::GET, "/engine/v1/events") => {
+                let after = wire::query(&request, "after").and_then(|after| after.parse().ok());
+                wire::result(self.engine.cache_events(after.unwrap_or(0)).await)
+            }
+            (&Method::GET, "/control/loads") => wire::json(&self.engine.loads()),
+            (&Method::POST, "/engine/v1/orders") => match wire::parsed::<Order>(request).await {
+                Ok(order) => self.order(order).await,
+                Err(response) => response,
+            },
+            (&Method::POST, STREAMS_PATH) => match wire::parsed::<CompletionStart>(request).await {
+                Ok(start) => stream(self.engine.start(start).await),
+                Err(response) => response,
+            },
+            (method, path) => match path
+                .strip_prefix(STREAMS_PATH)
+                .and_then(|rest| rest.strip_prefix('/'))
+            {
+                Some(rest) if method == Method::GET => {
+                    let offset =
+                        wire::query(&request, "offset").and_then(|offset| offset.parse().ok());
+                    stream(
+                        self.engine
+                            .resume(&wire::decode(rest), offset.unwrap_or(0))
+                            .await,
+                    )
+                }
+                Some(rest) => {
+                    let stream_id = wire::decode(rest.trim_end_matches("/cancel"));
+                    wire::result(self.engine.cancel(&stream_id).await)
+                }
+                None => wire::status(StatusCode::NOT_FOUND, "not found"),
+            },
+        }
+    }
+
+    /// Carries an order out even where the agent that gave it goes away.
+    async fn order(&self, order: Order) -> Response<ResponseBody> {
+        let engine = Arc::clone(&self.engine);
+        let carried_out = tokio::spawn(async move { engine.order(order).await });
+        match carried_out.await {
+            Ok(result) => wire::result(result),
+            Err(error) => wire::status(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+}
+
+impl Handler for EngineApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(self.answer(request))
+    }
+}
+
+fn stream(
+    opened: Result<EngineStream, chicorystage_platform::BorderError>,
+) -> Response<ResponseBody> {
+    let mut events = match opened {
+        Ok(events) => events,
+        Err(error) => return wire::result::<()>(Err(error)),
+    };
+    let (mut sender, body) = channel_body(EVENTS_BUFFERED);
+    tokio::spawn(async move {
+        while let Some(event) = events.recv().await {
+            let mut line = serde_json::to_vec(&event).expect("message types serialise to JSON");
+            line.push(b'\n');
+            if sender.send_data(Bytes::from(line)).await.is_err() {
+                return;
+            }
+        }
+    });
+    Response::new(body)
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/standin/mod.rs
@@ -0,0 +1,10 @@
+//! The fakes behind HTTP, as processes of their own.
+
+mod engine_api;
+mod platform_api;
+mod service_api;
+mod wire;
+
+pub use engine_api::EngineApi;
+pub use platform_api::PlatformApi;
+pub use service_api::ServiceApi;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/standin/platform_api.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::http::{Handler, ResponseBody};
+use chicorystage_platform::object_store::ObjectStore;
+use chicorystage_platform::table::Table;
+use chicorystage_platform::vm_list::{VmEntry, VmList};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::fakes::{FakeObjectStore, FakeTable, FakeVmList, TableFault};
+use crate::standin::wire;
+
+/// Rows a scan page where the client names none.
+const SCAN_LIMIT: usize = 1_000;
+
+/// The platform over HTTP: table, object store, list of VMs, and faults.
+#[derive(Debug, Default)]
+pub struct PlatformApi {
+    table: Arc<FakeTable>,
+    objects: Arc<FakeObjectStore>,
+    vms: Arc<FakeVmList>,
+}
+
+impl PlatformApi {
+    /// Creates a platform without rows, objects and VMs.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/table/v1/row") => self.row(&request).await,
+            (&Method::GET, "/table/v1/scan") => self.scan(&request).await,
+            (&Method::POST, "/table/v1/transaction") => match wire::parsed(request).await {
+                Ok(transaction) => wire::result(self.table.commit(transaction).await),
+                Err(response) => response,
+            },
+            (&Method::GET, "/vms/v1/list") => wire::result(self.vms.read().await),
+            (&Method::POST, "/control/vms") => match wire::parsed::<VmEntry>(request).await {
+                Ok(vm) => {
+                    self.vms.put(vm);
+                    wire::json(&())
+                }
+                Err(response) => response,
+            },
+            (&Method::POST, "/control/table_fault") => {
+                match wire::parsed::<TableFault>(request).await {
+                    Ok(fault) => {
+                        self.table.set_fault(fault);
+                        wire::json(&())
+                    }
+                    Err(response) => response,
+                }
+            }
+            (_, path) => match path.strip_prefix("/objects/v1/") {
+                Some(key) => self.object(wire::decode(key), request).await,
+                None => wire::status(StatusCode::NOT_FOUND, "not found"),
+            },
+        }
+    }
+
+    async fn row(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let key = wire::query(request, "key").unwrap_or_default();
+        match self.table.get(&key).await {
+            Ok(None) => wire::status(StatusCode::NOT_FOUND, "no such row"),
+            found => wire::result(found),
+        }
+    }
+
+    async fn scan(&self, request: &Request<Incoming>) -> Response<ResponseBody> {
+        let prefix = wire::query(request, "prefix").unwrap_or_default();
+        let after = wire::query(request, "after");
+        let limit = wire::query(request, "limit")
+            .and_then(|limit| limit.parse().ok())
+            .unwrap_or(SCAN_LIMIT);
+        wire::result(self.table.scan(&prefix, after.as_deref(), limit).await)
+    }
+
+    async fn object(&self, key: String, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.method() == Method::PUT {
+            let content = wire::body(request).await;
+            return wire::result(self.objects.put(&key, content).await);
+        }
+        match self.objects.get(&key).await {
+            Ok(Some(content)) => Response::new(chicorystage_platform::http::full_body(content)),
+            Ok(None) => wire::status(StatusCode::NOT_FOUND, "no such object"),
+            Err(error) => wire::result::<()>(Err(error)),
+        }
+    }
+}
+
+impl Handler for PlatformApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(self.answer(request))
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/standin/service_api.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use chicorystage_api::work::ServiceCall;
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::http::{Handler, ResponseBody, full_body};
+use chicorystage_platform::service::Service;
+use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
+use hyper::body::Incoming;
+
+use crate::fakes::FakeService;
+use crate::standin::wire;
+
+/// A plain service over HTTP.
+#[derive(Debug)]
+pub struct ServiceApi {
+    service: Arc<FakeService>,
+}
+
+impl ServiceApi {
+    /// Puts a fake service behind HTTP.
+    #[must_use]
+    pub fn new(service: Arc<FakeService>) -> Self {
+        Self { service }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let path = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |path| path.as_str())
+            .to_owned();
+        match path.as_str() {
+            "/healthz" => return wire::json(&()),
+            "/control/runs" => return wire::json(&self.service.runs()),
+            _ => {}
+        }
+        let call = ServiceCall {
+            application: "".into(),
+            method: request.method().as_str().into(),
+            path: path.into(),
+            content_type: Arc::default(),
+            idempotent: true,
+            body_base64: STANDARD.encode(wire::body(request).await).into(),
+        };
+        match self.service.call(call).await {
+            Ok(reply) => {
+                let mut response = Response::new(full_body(reply.body));
+                *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or_default();
+                if let Ok(value) = HeaderValue::from_str(&reply.content_type) {
+                    response.headers_mut().insert(CONTENT_TYPE, value);
+                }
+                response
+            }
+            Err(error) => wire::result::<()>(Err(error)),
+        }
+    }
+}
+
+impl Handler for ServiceApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(self.answer(request))
+    }
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/standin/wire.rs
@@ -0,0 +1,65 @@
+use bytes::Bytes;
+use chicorystage_platform::http::{ResponseBody, full_body};
+use chicorystage_platform::{BorderError, BorderErrorKind};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+pub(crate) fn json<T: Serialize>(value: &T) -> Response<ResponseBody> {
+    let body = serde_json::to_vec(value).expect("message types serialise to JSON");
+    let mut response = Response::new(full_body(body));
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+pub(crate) fn status(status: StatusCode, text: impl Into<String>) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(text.into()));
+    *response.status_mut() = status;
+    response
+}
+
+pub(crate) fn result<T: Serialize>(result: Result<T, BorderError>) -> Response<ResponseBody> {
+    match result {
+        Ok(value) => json(&value),
+        Err(error) if error.kind() == BorderErrorKind::Rejected => {
+            status(StatusCode::CONFLICT, error.to_string())
+        }
+        Err(error) => status(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+    }
+}
+
+pub(crate) async fn body(request: Request<Incoming>) -> Bytes {
+    request
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default()
+}
+
+pub(crate) async fn parsed<T: DeserializeOwned>(
+    request: Request<Incoming>,
+) -> Result<T, Response<ResponseBody>> {
+    let bytes = body(request).await;
+    serde_json::from_slice(&bytes)
+        .map_err(|error| status(StatusCode::BAD_REQUEST, error.to_string()))
+}
+
+pub(crate) fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let pairs = request.uri().query()?.split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)?
+        .1;
+    Some(decode(value))
+}
+
+pub(crate) fn decode(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
--- /dev/null
+++ b/crates/chicorystage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/chicorystaged/src/agent/borders.rs
@@ -0,0 +1,81 @@
+//! What an agent talks to, as trait objects.
+
+use std::fmt;
+use std::sync::Arc;
+
+use chicorystage_platform::engine::Engine;
+use chicorystage_platform::http::{HttpEngine, HttpService, HttpTable, HttpVmList, RpcRouterLink};
+use chicorystage_platform::link::RouterLink;
+use chicorystage_platform::service::Service;
+use chicorystage_platform::table::Table;
+use chicorystage_platform::vm_list::VmList;
+
+use crate::settings::{AgentSettings, EndpointKind, PlatformSettings};
+
+/// Longest short call to an endpoint, in milliseconds.
+const ENDPOINT_TIMEOUT_MS: u64 = 2_000;
+/// Longest control call between processes, in milliseconds.
+const LINK_TIMEOUT_MS: u64 = 2_000;
+/// Longest long poll between processes, in milliseconds.
+const POLL_TIMEOUT_MS: u64 = 30_000;
+
+/// What an agent talks to.
+#[derive(Clone)]
+pub struct AgentBorders {
+    /// The platform's table.
+    pub table: Arc<dyn Table>,
+    /// The platform's list of VMs.
+    pub vm_list: Arc<dyn VmList>,
+    /// Routers.
+    pub routers: Arc<dyn RouterLink>,
+    /// The endpoint beside the agent.
+    pub endpoint: Endpoint,
+}
+
+/// The endpoint beside an agent.
+#[derive(Clone)]
+pub enum Endpoint {
+    /// A model engine.
+    Engine(Arc<dyn Engine>),
+    /// A plain service.
+    Service(Arc<dyn Service>),
+}
+
+impl AgentBorders {
+    /// Creates the clients of a running deployment.
+    #[must_use]
+    pub fn connect(platform: &PlatformSettings, settings: &AgentSettings) -> Self {
+        let endpoint = match settings.endpoint_kind {
+            EndpointKind::Engine => Endpoint::Engine(Arc::new(HttpEngine::new(
+                settings.endpoint,
+                ENDPOINT_TIMEOUT_MS,
+                settings.order_timeout_ms,
+            ))),
+            EndpointKind::Service => Endpoint::Service(Arc::new(HttpService::new(
+                settings.endpoint,
+                settings.service_timeout_ms,
+            ))),
+        };
+        Self {
+            table: Arc::new(HttpTable::new(platform.table, platform.timeout_ms)),
+            vm_list: Arc::new(HttpVmList::new(platform.vm_list, platform.timeout_ms)),
+            routers: Arc::new(RpcRouterLink::new(LINK_TIMEOUT_MS, POLL_TIMEOUT_MS)),
+            endpoint,
+        }
+    }
+}
+
+impl fmt::Debug for AgentBorders {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AgentBorders").finish_non_exhaustive()
+    }
+}
+
+impl fmt::Debug for Endpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Engine(_) => "Engine",
+            Self::Service(_) => "Service",
+        })
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/cli.rs
@@ -0,0 +1,133 @@
+//! Command line and start of the daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::json::JsonEncoder;
+
+use crate::settings::{LogSettings, Role, Settings};
+use crate::{agent, router};
+
+/// Exit status where the settings or the command line are wrong.
+const EXIT_BAD_SETTINGS: u8 = 2;
+/// Exit status where the daemon could not start or failed.
+const EXIT_FAILED: u8 = 1;
+
+/// Name of the one log appender.
+const APPENDER: &str = "main";
+
+/// Runs a router or an agent of the chicorystage serving system.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    /// Print the version.
+    #[options(no_short)]
+    version: bool,
+    /// Settings file (INI).
+    #[options(meta = "FILE")]
+    config: Option<PathBuf>,
+    /// Check the settings and stop.
+    #[options(no_short)]
+    check: bool,
+}
+
+/// Runs the daemon with command-line arguments, without the program's name.
+#[must_use]
+pub fn run(arguments: &[String]) -> ExitCode {
+    let arguments = match Arguments::parse_args_default(arguments) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("chicorystaged: {error}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if arguments.help {
+        println!(
+            "Usage: chicorystaged --config FILE [--check]\n\n{}",
+            Arguments::usage()
+        );
+        return ExitCode::SUCCESS;
+    }
+    if arguments.version {
+        println!("chicorystaged {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = &arguments.config else {
+        eprintln!("chicorystaged: --config FILE is required");
+        return ExitCode::from(EXIT_BAD_SETTINGS);
+    };
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            eprintln!("chicorystaged: {}: {error}", path.display());
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    let settings = match Settings::parse(&path.display().to_string(), &text) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    serve(settings)
+}
+
+fn serve(settings: Settings) -> ExitCode {
+    if let Err(error) = start_log(&settings.log) {
+        eprintln!("chicorystaged: log: {error:#}");
+        return ExitCode::from(EXIT_BAD_SETTINGS);
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("chicorystaged: runtime: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
+    let ended = runtime.block_on(async {
+        match settings.role.clone() {
+            Role::Router(role) => router::serve(settings, role).await,
+            Role::Agent(role) => agent::serve(settings, role).await,
+        }
+    });
+    if let Err(error) = ended {
+        eprintln!("chicorystaged: {error:#}");
+        return ExitCode::from(EXIT_FAILED);
+    }
+    ExitCode::SUCCESS
+}
+
+fn start_log(settings: &LogSettings) -> anyhow::Result<()> {
+    let encoder = Box::new(JsonEncoder::new());
+    let appender: Box<dyn Append> = if let Some(path) = &settings.file {
+        Box::new(FileAppender::builder().encoder(encoder).build(path)?)
+    } else {
+        Box::new(
+            ConsoleAppender::builder()
+                .target(Target::Stderr)
+                .encoder(encoder)
+                .build(),
+        )
+    };
+    let appender = Appender::builder().build(APPENDER, appender);
+    let root = Root::builder().appender(APPENDER).build(settings.level);
+    let config = Config::builder().appender(appender).build(root)?;
+    log4rs::init_config(config)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -0,0 +1,178 @@
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use chicorystage_api::name::RequestId;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::Payload;
+use chicorystage_platform::http::{ResponseBody, channel_body, full_body};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use serde_json::{Value, json};
+
+use crate::router::caller_api::conversation::OpenedAnswer;
+use crate::web;
+
+const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Events of a streamed answer buffered ahead of the caller.
+const EVENTS_BUFFERED: usize = 16;
+
+/// Collects a completion and answers it whole.
+pub(crate) async fn whole_completion(
+    mut opened: OpenedAnswer,
+    request_id: &RequestId,
+    model: &str,
+    chat: bool,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut text = String::new();
+    let result = loop {
+        match opened.next().await.payload {
+            Payload::Token(token) => text.push_str(&token),
+            Payload::End(summary) => break Ok(summary),
+            Payload::Refused(refusal) => break Err(refusal),
+            Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => {}
+        }
+    };
+    opened.close().await;
+    let summary = result?;
+    let choice = if chat {
+        json!({ "index": 0, "message": { "role": "assistant", "content": text }, "finish_reason": "stop" })
+    } else {
+        json!({ "index": 0, "text": text, "finish_reason": "stop" })
+    };
+    let answer = json!({
+        "id": request_id,
+        "object": object_name(chat, false),
+        "model": model,
+        "choices": [choice],
+        "usage": { "completion_tokens": summary.tokens },
+        "cold_start_ms": summary.cold_start_ms,
+    });
+    let mut response = web::json(StatusCode::OK, &answer);
+    set_request_id(&mut response, request_id);
+    Ok(response)
+}
+
+/// Answers a completion as server-sent events.
+pub(crate) fn stream_completion(
+    mut opened: OpenedAnswer,
+    request_id: &RequestId,
+    model: &str,
+    chat: bool,
+) -> Response<ResponseBody> {
+    let (mut sender, body) = channel_body(EVENTS_BUFFERED);
+    let mut response = Response::new(body);
+    web::set_content_type(&mut response, "text/event-stream");
+    set_request_id(&mut response, request_id);
+    let (request_id, model) = (request_id.clone(), model.to_owned());
+    tokio::spawn(async move {
+        loop {
+            let (event, last) = match opened.next().await.payload {
+                Payload::Token(token) => (token_event(&request_id, &model, chat, &token), false),
+                Payload::End(summary) => (
+                    end_events(&request_id, &model, chat, summary.cold_start_ms),
+                    true,
+                ),
+                Payload::Refused(refusal) => (error_event(&refusal), true),
+                Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => continue,
+            };
+            if sender.send_data(event).await.is_err() || last {
+                break;
+            }
+        }
+        opened.close().await;
+    });
+    response
+}
+
+/// Collects a service's answer and passes it on.
+pub(crate) async fn service_reply(
+    mut opened: OpenedAnswer,
+    request_id: &RequestId,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mut body = Vec::new();
+    let mut response = Response::new(());
+    let result = loop {
+        match opened.next().await.payload {
+            Payload::Head {
+                status,
+                content_type,
+            } => {
+                *response.status_mut() =
+                    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                if let Ok(value) = HeaderValue::from_str(&content_type) {
+                    response.headers_mut().insert(CONTENT_TYPE, value);
+                }
+            }
+            Payload::Body(text) => match STANDARD.decode(text.as_bytes()) {
+                Ok(bytes) => body.extend(bytes),
+                Err(error) => {
+                    break Err(Refusal::may_have_run(
+                        RefusalCode::ResultUnknown,
+                        format!("answer: {error}"),
+                    ));
+                }
+            },
+            Payload::End(_) => break Ok(()),
+            Payload::Refused(refusal) => break Err(refusal),
+            Payload::Heartbeat | Payload::Token(_) => {}
+        }
+    };
+    opened.close().await;
+    result?;
+    let mut response = response.map(|()| full_body(body));
+    set_request_id(&mut response, request_id);
+    Ok(response)
+}
+
+fn object_name(chat: bool, streamed: bool) -> &'static str {
+    match (chat, streamed) {
+        (true, true) => "chat.completion.chunk",
+        (true, false) => "chat.completion",
+        (false, _) => "text_completion",
+    }
+}
+
+fn token_event(request_id: &RequestId, model: &str, chat: bool, token: &str) -> Bytes {
+    let choice = if chat {
+        json!({ "index": 0, "delta": { "content": token }, "finish_reason": null })
+    } else {
+        json!({ "index": 0, "text": token, "finish_reason": null })
+    };
+    event(&chunk(request_id, model, chat, &choice))
+}
+
+fn end_events(request_id: &RequestId, model: &str, chat: bool, cold_start_ms: u64) -> Bytes {
+    let choice = if chat {
+        json!({ "index": 0, "delta": {}, "finish_reason": "stop" })
+    } else {
+        json!({ "index": 0, "text": "", "finish_reason": "stop" })
+    };
+    let mut last = chunk(request_id, model, chat, &choice);
+    last["cold_start_ms"] = json!(cold_start_ms);
+    let mut bytes = event(&last).to_vec();
+    bytes.extend_from_slice(b"data: [DONE]\n\n");
+    Bytes::from(bytes)
+}
+
+fn chunk(request_id: &RequestId, model: &str, chat: bool, choice: &Value) -> Value {
+    json!({
+        "id": request_id,
+        "object": object_name(chat, true),
+        "model": model,
+        "choices": [choice],
+    })
+}
+
+fn error_event(refusal: &Refusal) -> Bytes {
+    Bytes::from(format!("event: error\ndata: {}\n\n", json!(refusal)))
+}
+
+fn event(value: &Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
+
+fn set_request_id(response: &mut Response<ResponseBody>, request_id: &RequestId) {
+    if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/caller_api/request_head.rs
@@ -0,0 +1,88 @@
+use chicorystage_api::inventory::Class;
+use chicorystage_api::name::{Digest, IdempotencyKey};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_core::token;
+use http::header::AUTHORIZATION;
+use http::{HeaderMap, Request};
+
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+const CLASS_HEADER: &str = "x-request-class";
+const KEY_HEADER: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const KEY_BYTES_MAX: usize = 255;
+
+/// What a caller's headers say.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestHead {
+    /// Digest of the bearer token.
+    pub(crate) token_sha256: Digest,
+    /// Time that the caller gives the request, in milliseconds.
+    pub(crate) timeout_ms: Option<u64>,
+    /// Class that the caller asks for.
+    pub(crate) class: Option<Class>,
+    /// Idempotency key.
+    pub(crate) key: Option<IdempotencyKey>,
+}
+
+impl RequestHead {
+    pub(crate) fn parse<B>(request: &Request<B>) -> Result<Self, Refusal> {
+        let headers = request.headers();
+        let token =
+            text(headers, AUTHORIZATION.as_str())?.and_then(|value| value.strip_prefix("Bearer "));
+        let Some(token) = token else {
+            let detail = "allowed: Authorization: Bearer TOKEN";
+            return Err(Refusal::not_run(RefusalCode::Unauthenticated, detail));
+        };
+        Ok(Self {
+            token_sha256: token::sha256(token.trim().as_bytes()),
+            timeout_ms: parse_timeout(text(headers, TIMEOUT_HEADER)?)?,
+            class: parse_class(text(headers, CLASS_HEADER)?)?,
+            key: parse_key(text(headers, KEY_HEADER)?)?,
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let bad = || {
+        Refusal::not_run(
+            RefusalCode::BadRequest,
+            format!("header {name} is not plain text"),
+        )
+    };
+    value.to_str().map(Some).map_err(|_not_ascii| bad())
+}
+
+fn parse_timeout(given: Option<&str>) -> Result<Option<u64>, Refusal> {
+    let Some(given) = given else { return Ok(None) };
+    match given.parse::<u64>() {
+        Ok(timeout_ms) if timeout_ms > 0 => Ok(Some(timeout_ms)),
+        _ => {
+            let detail =
+                format!("X-Request-Timeout-Ms: given {given:?}, allowed: a whole number above 0");
+            Err(Refusal::not_run(RefusalCode::BadTimeout, detail))
+        }
+    }
+}
+
+fn parse_class(given: Option<&str>) -> Result<Option<Class>, Refusal> {
+    let Some(given) = given else { return Ok(None) };
+    let detail =
+        || format!("X-Request-Class: given {given:?}, allowed: interactive, standard or batch");
+    Class::from_name(given)
+        .map(Some)
+        .ok_or_else(|| Refusal::not_run(RefusalCode::BadClass, detail()))
+}
+
+fn parse_key(given: Option<&str>) -> Result<Option<IdempotencyKey>, Refusal> {
+    let Some(given) = given else { return Ok(None) };
+    let well_formed = (1..=KEY_BYTES_MAX).contains(&given.len())
+        && given.bytes().all(|byte| byte.is_ascii_graphic());
+    if well_formed {
+        return Ok(Some(given.into()));
+    }
+    let detail = format!("Idempotency-Key: allowed: 1 to {KEY_BYTES_MAX} visible ASCII characters");
+    Err(Refusal::not_run(RefusalCode::BadKey, detail))
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -0,0 +1,78 @@
+//! Typed access to the router's main loop.
+
+use chicorystage_api::name::{Digest, GroupName, ModelName, VmId};
+use chicorystage_api::peer::RouterStatus;
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::router::event::{Admission, Choice, RouterEvent, Target};
+
+/// Sends events to the router's main loop.
+#[derive(Clone, Debug)]
+pub struct RouterHandle {
+    sender: mpsc::Sender<RouterEvent>,
+}
+
+impl RouterHandle {
+    /// Creates a handle on a loop's channel.
+    #[must_use]
+    pub fn new(sender: mpsc::Sender<RouterEvent>) -> Self {
+        Self { sender }
+    }
+
+    /// Asks for a request to be admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, or an internal one where the loop has ended.
+    pub async fn admit(&self, token_sha256: Digest, target: Target) -> Result<Admission, Refusal> {
+        self.ask(|reply| RouterEvent::Admit {
+            token_sha256,
+            target,
+            reply,
+        })
+        .await
+        .unwrap_or_else(|| Err(stopped()))
+    }
+
+    /// Asks where an admitted request is to run.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal, or an internal one where the loop has ended.
+    pub async fn choose(
+        &self,
+        group: GroupName,
+        model: Option<ModelName>,
+        avoid: Vec<VmId>,
+    ) -> Result<Choice, Refusal> {
+        self.ask(|reply| RouterEvent::Choose {
+            group,
+            model,
+            avoid,
+            reply,
+        })
+        .await
+        .unwrap_or_else(|| Err(stopped()))
+    }
+
+    /// Reads the router's state; none where the loop has ended.
+    pub async fn status(&self) -> Option<RouterStatus> {
+        self.ask(|reply| RouterEvent::Status { reply }).await
+    }
+
+    /// Tells the loop something; returns false where it has ended.
+    pub async fn tell(&self, event: RouterEvent) -> bool {
+        self.sender.send(event).await.is_ok()
+    }
+
+    async fn ask<T>(&self, event: impl FnOnce(oneshot::Sender<T>) -> RouterEvent) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.sender.send(event(reply)).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+fn stopped() -> Refusal {
+    Refusal::not_run(RefusalCode::Internal, "the router is stopping")
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/health_api.rs
@@ -0,0 +1,34 @@
+use chicorystage_platform::BoxFuture;
+use chicorystage_platform::http::{Handler, ResponseBody};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::router::handle::RouterHandle;
+use crate::web;
+
+/// Answers health checks.
+#[derive(Debug)]
+pub(crate) struct HealthApi {
+    handle: RouterHandle,
+}
+
+impl HealthApi {
+    pub(crate) fn new(handle: RouterHandle) -> Self {
+        Self { handle }
+    }
+}
+
+impl Handler for HealthApi {
+    fn handle(&self, request: Request<Incoming>) -> BoxFuture<'_, Response<ResponseBody>> {
+        Box::pin(async move {
+            match request.uri().path() {
+                "/healthz" => web::text(StatusCode::OK, "ok\n"),
+                "/readyz" => match self.handle.status().await {
+                    Some(status) if status.ready => web::text(StatusCode::OK, "ready\n"),
+                    _ => web::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+                },
+                _ => web::text(StatusCode::NOT_FOUND, "not found\n"),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -0,0 +1,342 @@
+//! The router's main loop: owns all state and decides.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use chicorystage_api::inventory::{CallerItem, ModelRef};
+use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
+use chicorystage_api::peer::{PlacementPush, RouterStatus, SlotState};
+use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_api::work::SlotGrant;
+use chicorystage_core::inventory::InventoryState;
+use chicorystage_core::rendezvous;
+use chicorystage_platform::vm_list::{VmEntry, VmState};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::router::borders::RouterBorders;
+use crate::router::event::{Admission, Choice, Resolved, RouterEvent, Target};
+use crate::router::handle::RouterHandle;
+use crate::router::placing;
+use crate::settings::{DaemonSettings, RouterSettings};
+use crate::timer::Clock;
+
+/// Stands for every model or application in a caller's rights.
+const ANY: &str = "*";
+/// Delay after which a request without an endpoint should come back, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A request that waits for a model's slot to be decided.
+#[derive(Debug)]
+struct Waiting {
+    avoid: Vec<VmId>,
+    reply: oneshot::Sender<Result<Choice, Refusal>>,
+}
+
+/// The router's main loop.
+#[derive(Debug)]
+pub struct RouterLoop {
+    daemon: DaemonSettings,
+    _settings: RouterSettings,
+    borders: RouterBorders,
+    handle: RouterHandle,
+    clock: Clock,
+    inventory: InventoryState,
+    confirmed_ms: Option<u64>,
+    vms: HashMap<VmId, VmEntry>,
+    placements: HashMap<ModelName, PlacementPush>,
+    waiting: HashMap<ModelName, Vec<Waiting>>,
+    in_flight: HashMap<VmId, u32>,
+}
+
+impl RouterLoop {
+    /// Creates a loop without state.
+    #[must_use]
+    pub fn new(
+        daemon: DaemonSettings,
+        settings: RouterSettings,
+        borders: RouterBorders,
+        handle: RouterHandle,
+        clock: Clock,
+    ) -> Self {
+        Self {
+            daemon,
+            _settings: settings,
+            borders,
+            handle,
+            clock,
+            inventory: InventoryState::default(),
+            confirmed_ms: None,
+            vms: HashMap::new(),
+            placements: HashMap::new(),
+            waiting: HashMap::new(),
+            in_flight: HashMap::new(),
+        }
+    }
+
+    /// Runs until every handle is gone.
+    pub async fn run(mut self, mut events: mpsc::Receiver<RouterEvent>) {
+        while let Some(event) = events.recv().await {
+            self.on_event(event);
+        }
+    }
+
+    fn on_event(&mut self, event: RouterEvent) {
+        match event {
+            RouterEvent::Admit {
+                token_sha256,
+                target,
+                reply,
+            } => {
+                // The caller may have gone meanwhile; then nobody needs the answer.
+                let _sent = reply.send(self.admit(&token_sha256, target));
+            }
+            RouterEvent::Choose {
+                group,
+                model,
+                avoid,
+                reply,
+            } => self.choose(&group, model, avoid, reply),
+            RouterEvent::AttemptEnded { vm, .. } => self.attempt_ended(&vm),
+            RouterEvent::InventoryRead(snapshot) => {
+                self.confirmed_ms = Some(self.clock.now_ms());
+                if self.inventory.replace(snapshot) {
+                    log::info!(event = "inventory_in_force", revision = self.inventory.revision(); "inventory in force");
+                }
+            }
+            RouterEvent::VmsRead(vms) => {
+                self.vms = vms.into_iter().map(|vm| (vm.id.clone(), vm)).collect();
+            }
+            RouterEvent::PlacementRead(push) => self.placement_read(push),
+            RouterEvent::PlacementFailed { model, refusal } => {
+                for waiting in self.waiting.remove(&model).unwrap_or_default() {
+                    let _sent = waiting.reply.send(Err(refusal.clone()));
+                }
+            }
+            RouterEvent::Status { reply } => {
+                let _sent = reply.send(self.status());
+            }
+        }
+    }
+
+    fn admit(&self, token_sha256: &Digest, target: Target) -> Result<Admission, Refusal> {
+        let Some(caller) = self.inventory.caller_by_token(token_sha256) else {
+            return Err(Refusal::not_run(
+                RefusalCode::Unauthenticated,
+                "unknown bearer token",
+            ));
+        };
+        match target {
+            Target::Model(model) => self.admit_model(caller, model),
+            Target::Application {
+                application,
+                method,
+                path,
+            } => self.admit_call(caller, &application, &method, &path),
+        }
+    }
+
+    fn admit_model(&self, caller: &CallerItem, mut model: ModelRef) -> Result<Admission, Refusal> {
+        let allowed = caller
+            .models
+            .iter()
+            .any(|name| name.as_str() == ANY || *name == model.model);
+        let unknown = || {
+            Refusal::not_run(
+                RefusalCode::UnknownModel,
+                format!("no model {model} in the inventory"),
+            )
+        };
+        let item = self.inventory.model(&model.model).ok_or_else(unknown)?;
+        let version = item.version(model.version.as_ref()).ok_or_else(unknown)?;
+        let adapter_memory_bytes = match &model.adapter {
+            Some(adapter) => {
+                self.inventory
+                    .adapter(&model.model, adapter)
+                    .ok_or_else(unknown)?
+                    .memory_bytes
+            }
+            None => 0,
+        };
+        if !allowed {
+            let detail = format!("caller {} may not use model {}", caller.name, model.model);
+            return Err(Refusal::not_run(RefusalCode::Forbidden, detail));
+        }
+        let model_memory_bytes = version.memory_bytes;
+        model.version = Some(version.version.clone());
+        let resolved = Resolved::Model {
+            model,
+            model_memory_bytes,
+            adapter_memory_bytes,
+        };
+        Ok(self.admission(caller, item.group.clone(), resolved))
+    }
+
+    fn admit_call(
+        &self,
+        caller: &CallerItem,
+        name: &ApplicationName,
+        method: &str,
+        path: &str,
+    ) -> Result<Admission, Refusal> {
+        let Some(item) = self.inventory.application(name) else {
+            let detail = format!("no application {name} in the inventory");
+            return Err(Refusal::not_run(RefusalCode::UnknownApplication, detail));
+        };
+        if !caller
+            .applications
+            .iter()
+            .any(|allowed| allowed.as_str() == ANY || allowed == name)
+        {
+            let detail = format!("caller {} may not use application {name}", caller.name);
+            return Err(Refusal::not_run(RefusalCode::Forbidden, detail));
+        }
+        let resolved = Resolved::Application {
+            idempotent: item.is_idempotent(method, path),
+        };
+        Ok(self.admission(caller, item.group.clone(), resolved))
+    }
+
+    fn admission(&self, caller: &CallerItem, group: GroupName, resolved: Resolved) -> Admission {
+        Admission {
+            caller: caller.clone(),
+            revision: self.inventory.revision(),
+            group,
+            timeout_default_ms: self.inventory.policy().timeout_default_ms,
+            timeout_max_ms: self.inventory.policy().timeout_max_ms,
+            resolved,
+        }
+    }
+
+    fn choose(
+        &mut self,
+        group: &GroupName,
+        model: Option<ModelName>,
+        avoid: Vec<VmId>,
+        reply: oneshot::Sender<Result<Choice, Refusal>>,
+    ) {
+        let Some(model) = model else {
+            let choice = self.choose_any(group, &avoid);
+            let _sent = reply.send(choice);
+            return;
+        };
+        if self.placements.contains_key(&model) {
+            let choice = self.choose_slot(&model, &avoid);
+            let _sent = reply.send(choice);
+            return;
+        }
+        let waiting = self.waiting.entry(model.clone()).or_default();
+        waiting.push(Waiting { avoid, reply });
+        if waiting.len() == 1 {
+            self.start_placing(group, model);
+        }
+    }
+
+    fn choose_any(&mut self, group: &GroupName, avoid: &[VmId]) -> Result<Choice, Refusal> {
+        let candidates = self
+            .vms
+            .values()
+            .filter(|vm| vm.group == *group && vm.state == VmState::Live);
+        let candidates = candidates.filter(|vm| !avoid.contains(&vm.id));
+        let vm = candidates.min_by_key(|vm| self.in_flight.get(&vm.id).copied().unwrap_or(0));
+        let vm = vm.cloned().ok_or_else(no_endpoint)?;
+        Ok(self.chosen(vm, None))
+    }
+
+    fn choose_slot(&mut self, model: &ModelName, avoid: &[VmId]) -> Result<Choice, Refusal> {
+        let push = self.placements.get(model).ok_or_else(no_endpoint)?;
+        let held = push
+            .row
+            .slots
+            .iter()
+            .filter(|slot| slot.state == SlotState::Held);
+        let vms = held
+            .filter_map(|slot| self.vms.get(&slot.vm))
+            .filter(|vm| !avoid.contains(&vm.id));
+        let vm = vms.min_by_key(|vm| self.in_flight.get(&vm.id).copied().unwrap_or(0));
+        let vm = vm.cloned().ok_or_else(no_endpoint)?;
+        let grant = SlotGrant {
+            model: model.clone(),
+            row_version: push.row_version,
+        };
+        Ok(self.chosen(vm, Some(grant)))
+    }
+
+    fn chosen(&mut self, vm: VmEntry, grant: Option<SlotGrant>) -> Choice {
+        *self.in_flight.entry(vm.id.clone()).or_default() += 1;
+        Choice { vm, grant }
+    }
+
+    fn start_placing(&self, group: &GroupName, model: ModelName) {
+        let live = self
+            .vms
+            .values()
+            .filter(|vm| vm.group == *group && vm.state == VmState::Live);
+        let mut candidates: Vec<VmId> = live.map(|vm| vm.id.clone()).collect();
+        rendezvous::rank(model.as_str(), &mut candidates, VmId::as_str);
+        let addresses: HashMap<VmId, VmEntry> = self.vms.clone();
+        let borders = self.borders.clone();
+        let handle = self.handle.clone();
+        tokio::spawn(async move {
+            let event = match placing::read_or_decide(&*borders.table, &model, &candidates).await {
+                Ok(push) => {
+                    for slot in &push.row.slots {
+                        let Some(vm) = addresses.get(&slot.vm) else {
+                            continue;
+                        };
+                        // An agent that misses the push reads its slots from the table.
+                        let _acked = borders
+                            .agents
+                            .push_placements(vm.address, vec![push.clone()])
+                            .await;
+                    }
+                    RouterEvent::PlacementRead(push)
+                }
+                Err(refusal) => RouterEvent::PlacementFailed { model, refusal },
+            };
+            handle.tell(event).await;
+        });
+    }
+
+    fn placement_read(&mut self, push: PlacementPush) {
+        let model = push.row.model.clone();
+        let known = self
+            .placements
+            .get(&model)
+            .map_or(0, |known| known.row_version);
+        if push.row_version > known {
+            self.placements.insert(model.clone(), push);
+        }
+        for waiting in self.waiting.remove(&model).unwrap_or_default() {
+            let choice = self.choose_slot(&model, &waiting.avoid);
+            let _sent = waiting.reply.send(choice);
+        }
+    }
+
+    fn attempt_ended(&mut self, vm: &VmId) {
+        if let Some(count) = self.in_flight.get_mut(vm) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
+    fn status(&self) -> RouterStatus {
+        let now_ms = self.clock.now_ms();
+        RouterStatus {
+            vm: self.daemon.vm.clone(),
+            zone: self.daemon.zone.clone(),
+            revision: self.inventory.revision(),
+            confirmed_age_ms: self
+                .confirmed_ms
+                .map_or(now_ms, |confirmed_ms| now_ms - confirmed_ms),
+            ready: self.inventory.revision() > 0 && !self.vms.is_empty(),
+            leaving: false,
+            table_up: true,
+            in_progress: self.in_flight.values().sum(),
+            quarantined: 0,
+        }
+    }
+}
+
+fn no_endpoint() -> Refusal {
+    let detail = Arc::<str>::from("no endpoint can take the request now");
+    Refusal::not_run(RefusalCode::NoEndpoint, detail).retry_after_ms(RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/chicorystaged/src/settings/mod.rs
@@ -0,0 +1,24 @@
+//! Settings of a daemon, read from an INI file and checked as a whole.
+//!
+//! A check never stops at its first problem: every finding is collected with
+//! its file, line, section and key and all are reported together.
+
+mod agent_settings;
+mod daemon_settings;
+mod ini_reader;
+mod listen_settings;
+mod log_settings;
+mod platform_settings;
+mod role;
+mod router_settings;
+mod settings_file;
+
+pub use agent_settings::{AgentSettings, EndpointKind};
+pub use daemon_settings::DaemonSettings;
+pub use ini_reader::IniReader;
+pub use listen_settings::ListenSettings;
+pub use log_settings::LogSettings;
+pub use platform_settings::PlatformSettings;
+pub use role::Role;
+pub use router_settings::RouterSettings;
+pub use settings_file::Settings;
--- /dev/null
+++ b/crates/chicorystaged/src/timer.rs
@@ -0,0 +1,77 @@
+//! The timer service: ticks that parts subscribe to.
+//!
+//! Time is read through [`Clock`], a monotonic clock that counts milliseconds
+//! since the process started and follows tokio's virtual time in tests. A part
+//! that needs to act periodically subscribes; closing its receiver ends the
+//! subscription.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
+
+/// A monotonic clock in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+/// One tick of a subscription.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tick {
+    /// Reading of the clock, in milliseconds.
+    pub now_ms: u64,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the clock started, in milliseconds.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Subscribes to ticks `period_ms` apart.
+    ///
+    /// At most one tick waits unread, and ticks missed while the process was
+    /// paused are not made up for.
+    #[must_use]
+    pub fn subscribe(&self, period_ms: u64) -> mpsc::Receiver<Tick> {
+        let clock = *self;
+        let (sender, receiver) = mpsc::channel(1);
+        let period = Duration::from_millis(period_ms.max(1));
+        tokio::spawn(async move {
+            let mut ticks = interval_at(Instant::now() + period, period);
+            ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+            loop {
+                tokio::select! {
+                    _instant = ticks.tick() => {}
+                    () = sender.closed() => return,
+                }
+                let tick = Tick {
+                    now_ms: clock.now_ms(),
+                };
+                if sender.send(tick).await.is_err() {
+                    return;
+                }
+            }
+        });
+        receiver
+    }
+}
+
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+#[must_use]
+pub fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
