--- a/crates/chicorystage-api/src/lib.rs
+++ b/crates/chicorystage-api/src/lib.rs
@@ -3,7 +3,7 @@
 //! The router, the agent, the operator's tool and the test bed agree on the
 //! types of this crate and on nothing else. It holds no policy and does no
 //! I/O; decisions live in `chicorystage-core` and sockets in
-//! `chicorystage-platform` and in the programs.
+//! `chicorystage-borders` and in the programs.
 //!
 //! # Parts
 //!
--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use chicorystage_platform::http::{Handler, HttpServer};
+use chicorystage_borders::http::{Handler, HttpServer};
 use gumdrop::Options;
 use tokio::signal::unix::{SignalKind, signal};
 
--- a/crates/chicorystage-testbed/src/deployment/node.rs
+++ b/crates/chicorystage-testbed/src/deployment/node.rs
@@ -4,7 +4,7 @@
 
 use anyhow::bail;
 use bytes::Bytes;
-use chicorystage_platform::http::HttpClient;
+use chicorystage_borders::http::HttpClient;
 use http::Method;
 
 use crate::deployment::ChildProcess;
--- a/crates/chicorystage-testbed/src/deployment/talk.rs
+++ b/crates/chicorystage-testbed/src/deployment/talk.rs
@@ -5,7 +5,7 @@
 use std::process::Stdio;
 
 use anyhow::{Context, bail};
-use chicorystage_platform::http::HttpClient;
+use chicorystage_borders::http::HttpClient;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
--- a/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/fake_engine.rs
@@ -2,11 +2,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use chicorystage_platform::engine::{
+use chicorystage_borders::engine::{
     CacheEvent, CacheTier, CachedWeights, CompletionStart, Engine, EngineStatus, EngineStream,
     LoadReport, Order, OrderKind,
 };
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use tokio::time::sleep;
 
 use crate::fakes::engine::state::{EngineState, rejected};
--- a/crates/chicorystage-testbed/src/fakes/engine/generation.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/generation.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chicorystage_platform::BorderError;
-use chicorystage_platform::engine::{
+use chicorystage_borders::BorderError;
+use chicorystage_borders::engine::{
     CompletionStart, EngineEvent, EngineReplicaState, EngineStream,
 };
 use tokio::time::sleep;
--- a/crates/chicorystage-testbed/src/fakes/engine/lagging_reports.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/lagging_reports.rs
@@ -1,8 +1,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use chicorystage_borders::engine::{CacheEvent, CompletionStart, LoadReport};
 use chicorystage_core::token;
-use chicorystage_platform::engine::{CacheEvent, CompletionStart, LoadReport};
 use tokio::time::Instant;
 
 use crate::fakes::FakeEngineConfig;
--- a/crates/chicorystage-testbed/src/fakes/engine/state.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/state.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use chicorystage_api::name::{ModelName, VersionName};
-use chicorystage_platform::engine::{
+use chicorystage_borders::engine::{
     CacheTier, EngineReplica, EngineReplicaState, Order, OrderKind,
 };
-use chicorystage_platform::{BorderError, BorderErrorKind};
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use tokio::time::Instant;
 
 use crate::fakes::engine::batch::Batch;
--- a/crates/chicorystage-testbed/src/fakes/engine/stream.rs
+++ b/crates/chicorystage-testbed/src/fakes/engine/stream.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use chicorystage_platform::engine::{EngineEvent, EngineStream};
+use chicorystage_borders::engine::{EngineEvent, EngineStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Events that a reader may leave unread before its stream waits for it.
--- a/crates/chicorystage-testbed/src/fakes/object_store.rs
+++ b/crates/chicorystage-testbed/src/fakes/object_store.rs
@@ -2,8 +2,8 @@
 use std::sync::Mutex;
 
 use bytes::Bytes;
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 
 /// The platform's object store in memory.
 #[derive(Debug, Default)]
--- a/crates/chicorystage-testbed/src/fakes/table.rs
+++ b/crates/chicorystage-testbed/src/fakes/table.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use serde::{Deserialize, Serialize};
 
 /// Fault of a [`FakeTable`].
--- a/crates/chicorystage-testbed/src/fakes/vm_list.rs
+++ b/crates/chicorystage-testbed/src/fakes/vm_list.rs
@@ -1,8 +1,8 @@
 use std::sync::Mutex;
 
 use chicorystage_api::name::VmId;
-use chicorystage_platform::vm_list::{VmEntry, VmList, VmState};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::vm_list::{VmEntry, VmList, VmState};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 
 /// The platform's list of VMs in memory.
 #[derive(Debug, Default)]
--- a/crates/chicorystage-testbed/src/fakes/weight_store.rs
+++ b/crates/chicorystage-testbed/src/fakes/weight_store.rs
@@ -1,7 +1,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
-use chicorystage_platform::BoxFuture;
+use chicorystage_borders::BoxFuture;
 use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, sleep, sleep_until};
 
--- a/crates/chicorystage-testbed/src/harness/exchange.rs
+++ b/crates/chicorystage-testbed/src/harness/exchange.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chicorystage_platform::http::Handler;
+use chicorystage_borders::http::Handler;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
--- a/crates/chicorystage-testbed/src/harness/gate.rs
+++ b/crates/chicorystage-testbed/src/harness/gate.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use chicorystage_platform::{BorderError, BorderErrorKind};
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use tokio::sync::watch;
 
 /// Whether a process of the harness runs.
--- a/crates/chicorystage-testbed/src/harness/gated_engine.rs
+++ b/crates/chicorystage-testbed/src/harness/gated_engine.rs
@@ -1,7 +1,7 @@
-use chicorystage_platform::engine::{
+use chicorystage_borders::engine::{
     CacheEvent, CompletionStart, Engine, EngineStatus, EngineStream, LoadReport, Order,
 };
-use chicorystage_platform::{BorderError, BoxFuture};
+use chicorystage_borders::{BorderError, BoxFuture};
 
 use crate::fakes::FakeEngine;
 use crate::harness::gate::VmGate;
--- a/crates/chicorystage-testbed/src/harness/gated_platform.rs
+++ b/crates/chicorystage-testbed/src/harness/gated_platform.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
-use chicorystage_platform::vm_list::{VmEntry, VmList};
-use chicorystage_platform::{BorderError, BoxFuture};
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::{CommitOutcome, Row, ScanPage, Table, Transaction};
+use chicorystage_borders::vm_list::{VmEntry, VmList};
+use chicorystage_borders::{BorderError, BoxFuture};
 
 use crate::fakes::{FakeObjectStore, FakeTable, FakeVmList};
 use crate::harness::gate::VmGate;
--- a/crates/chicorystage-testbed/src/harness/gated_service.rs
+++ b/crates/chicorystage-testbed/src/harness/gated_service.rs
@@ -1,6 +1,6 @@
 use chicorystage_api::work::ServiceCall;
-use chicorystage_platform::service::{Service, ServiceReply};
-use chicorystage_platform::{BorderError, BoxFuture};
+use chicorystage_borders::service::{Service, ServiceReply};
+use chicorystage_borders::{BorderError, BoxFuture};
 
 use crate::fakes::FakeService;
 use crate::harness::gate::VmGate;
--- a/crates/chicorystage-testbed/src/harness/memory_agent_link.rs
+++ b/crates/chicorystage-testbed/src/harness/memory_agent_link.rs
@@ -6,8 +6,8 @@
     AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
 };
 use chicorystage_api::work::{ATTEMPTS_PATH, AttemptRequest};
-use chicorystage_platform::link::{AgentLink, FrameStream};
-use chicorystage_platform::{BorderError, BoxFuture};
+use chicorystage_borders::link::{AgentLink, FrameStream};
+use chicorystage_borders::{BorderError, BoxFuture};
 use http::Method;
 use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
--- a/crates/chicorystage-testbed/src/harness/memory_router_link.rs
+++ b/crates/chicorystage-testbed/src/harness/memory_router_link.rs
@@ -6,8 +6,8 @@
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
     QuarantineEntry, RequestTrace, RevisionAck, RevisionHint, RouterStatus,
 };
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::{BorderError, BoxFuture};
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::{BorderError, BoxFuture};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
--- a/crates/chicorystage-testbed/src/harness/process.rs
+++ b/crates/chicorystage-testbed/src/harness/process.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use chicorystage_api::name::{GroupName, VmId};
-use chicorystage_platform::http::Handler;
+use chicorystage_borders::http::Handler;
 use chicorystaged::agent::parts::AgentParts;
 use chicorystaged::router::parts::RouterParts;
 use tokio::task::AbortHandle;
--- a/crates/chicorystage-testbed/src/harness/system.rs
+++ b/crates/chicorystage-testbed/src/harness/system.rs
@@ -5,8 +5,8 @@
 
 use chicorystage_api::inventory::Change;
 use chicorystage_api::name::VmId;
-use chicorystage_platform::http::Handler;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
+use chicorystage_borders::http::Handler;
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use http::Method;
 use tokio::time::sleep;
 
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -3,7 +3,7 @@
 //! # Parts
 //!
 //! * [`fakes`]: the outside world in memory, behind the traits of
-//!   `chicorystage-platform`, with faults.
+//!   `chicorystage-borders`, with faults.
 //! * [`standin`]: the fakes behind HTTP, as processes.
 //! * [`harness`]: real routers and agents in one process, for tests.
 //! * [`calls`]: what callers and operators send, and what they get.
--- a/crates/chicorystage-testbed/src/standin/engine_api.rs
+++ b/crates/chicorystage-testbed/src/standin/engine_api.rs
@@ -1,9 +1,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::engine::{CompletionStart, Engine, EngineStream, Order};
-use chicorystage_platform::http::{Handler, ResponseBody, channel_body};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::engine::{CompletionStart, Engine, EngineStream, Order};
+use chicorystage_borders::http::{Handler, ResponseBody, channel_body};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -82,7 +82,7 @@
 }
 
 fn stream(
-    opened: Result<EngineStream, chicorystage_platform::BorderError>,
+    opened: Result<EngineStream, chicorystage_borders::BorderError>,
 ) -> Response<ResponseBody> {
     let mut events = match opened {
         Ok(events) => events,
--- a/crates/chicorystage-testbed/src/standin/http_weight_store.rs
+++ b/crates/chicorystage-testbed/src/standin/http_weight_store.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::HttpClient;
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::HttpClient;
 use serde::{Deserialize, Serialize};
 
 use crate::fakes::{FetchKind, WeightStore};
--- a/crates/chicorystage-testbed/src/standin/platform_api.rs
+++ b/crates/chicorystage-testbed/src/standin/platform_api.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, ResponseBody};
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::{VmEntry, VmList, VmState};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, ResponseBody};
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::Table;
+use chicorystage_borders::vm_list::{VmEntry, VmList, VmState};
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
@@ -120,7 +120,7 @@
             return wire::result(self.objects.put(&key, content).await);
         }
         match self.objects.get(&key).await {
-            Ok(Some(content)) => Response::new(chicorystage_platform::http::full_body(content)),
+            Ok(Some(content)) => Response::new(chicorystage_borders::http::full_body(content)),
             Ok(None) => wire::status(StatusCode::NOT_FOUND, "no such object"),
             Err(error) => wire::result::<()>(Err(error)),
         }
--- a/crates/chicorystage-testbed/src/standin/service_api.rs
+++ b/crates/chicorystage-testbed/src/standin/service_api.rs
@@ -3,9 +3,9 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use chicorystage_api::work::ServiceCall;
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, ResponseBody, full_body};
-use chicorystage_platform::service::Service;
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, ResponseBody, full_body};
+use chicorystage_borders::service::Service;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use hyper::body::Incoming;
 
--- a/crates/chicorystage-testbed/src/standin/wire.rs
+++ b/crates/chicorystage-testbed/src/standin/wire.rs
@@ -1,7 +1,7 @@
 use bytes::Bytes;
+use chicorystage_borders::http::{ResponseBody, full_body};
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use chicorystage_core::token;
-use chicorystage_platform::http::{ResponseBody, full_body};
-use chicorystage_platform::{BorderError, BorderErrorKind};
 use http::header::{CONTENT_TYPE, ETAG, IF_NONE_MATCH};
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
--- a/crates/chicorystage-testbed/tests/agent/leaving.rs
+++ b/crates/chicorystage-testbed/tests/agent/leaving.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chicorystage_api::refusal::{Outcome, RefusalCode};
-use chicorystage_platform::vm_list::VmState;
+use chicorystage_borders::vm_list::VmState;
 use chicorystage_testbed::fakes::{FakeEngineConfig, TableFault};
 use chicorystaged::agent::event::AgentEvent;
 use googletest::prelude::*;
--- a/crates/chicorystage-testbed/tests/agent/router.rs
+++ b/crates/chicorystage-testbed/tests/agent/router.rs
@@ -8,8 +8,8 @@
     Changes, ChangesQuery, PermitAnswer, PermitRequest, PlaceRequest, PlacementPush,
     QuarantineEntry, RevisionAck, RevisionHint, RouterStatus,
 };
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use tokio::time::sleep;
 
 /// A router that answers long polls and hands out permits as it is told.
--- a/crates/chicorystage-testbed/tests/agent/work.rs
+++ b/crates/chicorystage-testbed/tests/agent/work.rs
@@ -7,7 +7,7 @@
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::{Outcome, RefusalCode};
-use chicorystage_platform::engine::Engine;
+use chicorystage_borders::engine::Engine;
 use chicorystage_testbed::fakes::{EngineFault, FakeEngine, FakeEngineConfig, answer_words};
 use chicorystaged::agent::event::AgentEvent;
 use googletest::prelude::*;
--- a/crates/chicorystage-testbed/tests/agent/world.rs
+++ b/crates/chicorystage-testbed/tests/agent/world.rs
@@ -11,10 +11,10 @@
 };
 use chicorystage_api::refusal::{Outcome, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, Completion, Frame, Payload, SlotGrant, WorkSpec};
+use chicorystage_borders::engine::Engine;
+use chicorystage_borders::table::{CommitOutcome, Table, Transaction, Write};
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::token;
-use chicorystage_platform::engine::Engine;
-use chicorystage_platform::table::{CommitOutcome, Table, Transaction, Write};
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 use chicorystage_testbed::fakes::{
     FakeEngine, FakeEngineConfig, FakeTable, FakeVmList, FakeWeightStore, ReplicaLedger,
 };
--- a/crates/chicorystage-testbed/tests/claim_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/claim_world/mod.rs
@@ -11,11 +11,11 @@
 };
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, ClaimTicket, EndpointLoad};
+use chicorystage_borders::link::{AgentLink, FrameStream};
+use chicorystage_borders::table::Table;
+use chicorystage_borders::vm_list::{VmEntry, VmState};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_core::claim::{ClaimBook, ClaimBookConfig};
-use chicorystage_platform::link::{AgentLink, FrameStream};
-use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_testbed::fakes::FakeTable;
 use chicorystaged::router::claims::{
     ClaimDispatch, ClaimFlow, ClaimWriter, ClaimedAnswer, ClaimedCall, StartFailure,
--- a/crates/chicorystage-testbed/tests/fakes.rs
+++ b/crates/chicorystage-testbed/tests/fakes.rs
@@ -6,12 +6,12 @@
 use chicorystage_api::inventory::Class;
 use chicorystage_api::name::Digest;
 use chicorystage_api::work::ServiceCall;
-use chicorystage_platform::BorderErrorKind;
-use chicorystage_platform::engine::{
+use chicorystage_borders::BorderErrorKind;
+use chicorystage_borders::engine::{
     CompletionStart, Engine, EngineEvent, EngineStream, Order, OrderKind,
 };
-use chicorystage_platform::service::Service;
-use chicorystage_platform::table::{Table, Transaction, Write};
+use chicorystage_borders::service::Service;
+use chicorystage_borders::table::{Table, Transaction, Write};
 use chicorystage_testbed::fakes::{
     EngineFault, FakeEngine, FakeEngineConfig, FakeService, FakeTable, FakeWeightStore, FetchKind,
     ServiceFault, TableFault, WeightStore,
--- a/crates/chicorystage-testbed/tests/harness.rs
+++ b/crates/chicorystage-testbed/tests/harness.rs
@@ -6,8 +6,8 @@
 };
 use chicorystage_api::peer::PlacementRow;
 use chicorystage_api::refusal::Outcome;
+use chicorystage_borders::table::Table;
 use chicorystage_core::token;
-use chicorystage_platform::table::Table;
 use chicorystage_testbed::calls::CallerRequest;
 use chicorystage_testbed::fakes::{TableFault, answer_words};
 use chicorystage_testbed::harness::{Harness, HarnessConfig, LinkFaults, VmCondition};
--- a/crates/chicorystage-testbed/tests/inventory/tables.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tables.rs
@@ -7,12 +7,12 @@
     CHANGE_ROW_PREFIX, Change, ChangeRecord, HEAD_ROW_KEY, HeadRow, ITEM_ROW_PREFIX, ItemRow,
     LOG_ROW_PREFIX, OperatorItem, SNAPSHOT_OBJECT_KEY, Snapshot,
 };
+use chicorystage_borders::http::{Handler, RpcAgentLink, RpcRouterLink};
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::{CommitOutcome, Row, ScanPage, Table, Transaction, Write};
+use chicorystage_borders::vm_list::{VmEntry, VmState};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_core::token;
-use chicorystage_platform::http::{Handler, RpcAgentLink, RpcRouterLink};
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::{CommitOutcome, Row, ScanPage, Table, Transaction, Write};
-use chicorystage_platform::vm_list::{VmEntry, VmState};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
 use chicorystaged::router::borders::RouterBorders;
 use chicorystaged::router::inventory::{Committer, InventoryEvent};
--- a/crates/chicorystage-testbed/tests/inventory/tool.rs
+++ b/crates/chicorystage-testbed/tests/inventory/tool.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-use chicorystage_platform::http::HttpServer;
+use chicorystage_borders::http::HttpServer;
 use chicorystage_testbed::fakes::FakeTable;
 use googletest::prelude::*;
 
--- a/crates/chicorystage-testbed/tests/planner_loops.rs
+++ b/crates/chicorystage-testbed/tests/planner_loops.rs
@@ -6,7 +6,7 @@
 
 use chicorystage_api::inventory::Class;
 use chicorystage_api::peer::{PermitAnswer, PermitKind, PermitRequest, SlotState};
-use chicorystage_platform::vm_list::VmState;
+use chicorystage_borders::vm_list::VmState;
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
 
--- a/crates/chicorystage-testbed/tests/planner_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/planner_world/mod.rs
@@ -12,10 +12,10 @@
     RevisionHint, RouterStatus, SlotState,
 };
 use chicorystage_api::work::AttemptRequest;
-use chicorystage_platform::link::{AgentLink, FrameStream, RouterLink};
-use chicorystage_platform::table::{Table, Transaction, Write};
-use chicorystage_platform::vm_list::{VmEntry, VmState};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::link::{AgentLink, FrameStream, RouterLink};
+use chicorystage_borders::table::{Table, Transaction, Write};
+use chicorystage_borders::vm_list::{VmEntry, VmState};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
 use chicorystaged::router::borders::RouterBorders;
 use chicorystaged::router::event::RouterEvent;
--- a/crates/chicorystage-testbed/tests/refusal_table.rs
+++ b/crates/chicorystage-testbed/tests/refusal_table.rs
@@ -8,7 +8,7 @@
 use chicorystage_api::inventory::CallerItem;
 use chicorystage_api::name::VmId;
 use chicorystage_api::work::AttemptRequest;
-use chicorystage_platform::http::{HttpServer, RunningServer};
+use chicorystage_borders::http::{HttpServer, RunningServer};
 use googletest::prelude::*;
 use http::{Method, Request, Response};
 use http_body_util::channel::Channel;
--- a/crates/chicorystage-testbed/tests/server_stop.rs
+++ b/crates/chicorystage-testbed/tests/server_stop.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, HttpServer, ResponseBody, full_body};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, HttpServer, ResponseBody, full_body};
 use googletest::prelude::*;
 use http::{Request, Response};
 use hyper::body::Incoming;
--- a/crates/chicorystage-testbed/tests/serving_answers.rs
+++ b/crates/chicorystage-testbed/tests/serving_answers.rs
@@ -6,7 +6,7 @@
 use chicorystage_api::peer::{PlacementPush, PlacementRow, Slot, SlotState};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 use chicorystage_api::work::AttemptRequest;
-use chicorystage_platform::vm_list::VmState;
+use chicorystage_borders::vm_list::VmState;
 use chicorystage_testbed::fakes::TableFault;
 use chicorystaged::router::event::RouterEvent;
 use googletest::prelude::*;
--- a/crates/chicorystage-testbed/tests/serving_calls.rs
+++ b/crates/chicorystage-testbed/tests/serving_calls.rs
@@ -11,8 +11,8 @@
 use chicorystage_api::peer::{CLAIM_ROW_PREFIX, QuarantineEntry};
 use chicorystage_api::refusal::{Outcome, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, EndSummary, Payload};
-use chicorystage_platform::http::HttpServer;
-use chicorystage_platform::table::Table;
+use chicorystage_borders::http::HttpServer;
+use chicorystage_borders::table::Table;
 use chicorystage_testbed::calls::{CallerRequest, send};
 use chicorystage_testbed::fakes::TableFault;
 use chicorystaged::router::drain;
@@ -170,7 +170,7 @@
     );
 }
 
-async fn serve(world: &World) -> (SocketAddr, chicorystage_platform::http::RunningServer) {
+async fn serve(world: &World) -> (SocketAddr, chicorystage_borders::http::RunningServer) {
     let server = HttpServer::bind("127.0.0.1:0".parse().unwrap()).await;
     let server = server.unwrap();
     let address = server.address();
--- a/crates/chicorystage-testbed/tests/serving_faults.rs
+++ b/crates/chicorystage-testbed/tests/serving_faults.rs
@@ -9,7 +9,7 @@
 };
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, EndpointLoad};
-use chicorystage_platform::table::{Table, Transaction, Write};
+use chicorystage_borders::table::{Table, Transaction, Write};
 use chicorystage_testbed::fakes::TableFault;
 use googletest::prelude::*;
 use serde_json::{Value, json};
--- a/crates/chicorystage-testbed/tests/serving_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/mod.rs
@@ -16,10 +16,10 @@
 use chicorystage_api::name::VmId;
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::Payload;
+use chicorystage_borders::http::RpcRouterLink;
+use chicorystage_borders::table::{Table, Transaction, Write};
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::token;
-use chicorystage_platform::http::RpcRouterLink;
-use chicorystage_platform::table::{Table, Transaction, Write};
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 use chicorystage_testbed::fakes::{FakeObjectStore, FakeTable, FakeVmList};
 use chicorystaged::router::borders::RouterBorders;
 use chicorystaged::router::event::RouterEvent;
@@ -77,7 +77,7 @@
     let snapshot = RouterEvent::InventoryRead(inventory);
     parts.handle.tell(snapshot).await;
     let listed = RouterEvent::VmsRead(
-        chicorystage_platform::vm_list::VmList::read(&*vms)
+        chicorystage_borders::vm_list::VmList::read(&*vms)
             .await
             .unwrap(),
     );
--- a/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
+++ b/crates/chicorystage-testbed/tests/serving_world/scripted_agents.rs
@@ -8,8 +8,8 @@
     AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush, QuarantineEntry,
 };
 use chicorystage_api::work::{AttemptRequest, EndpointLoad, Frame, HEARTBEAT_INTERVAL_MS, Payload};
-use chicorystage_platform::link::{AgentLink, FrameStream};
-use chicorystage_platform::{BorderError, BorderErrorKind, BoxFuture};
+use chicorystage_borders::link::{AgentLink, FrameStream};
+use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use tokio::sync::mpsc;
 
 use super::script::{Act, Breaks, Script};
--- a/crates/chicorystage-testbed/tests/vm_list_reads.rs
+++ b/crates/chicorystage-testbed/tests/vm_list_reads.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{
     Handler, HttpClient, HttpServer, HttpVmList, ResponseBody, RunningServer,
 };
-use chicorystage_platform::vm_list::{VmEntry, VmList};
+use chicorystage_borders::vm_list::{VmEntry, VmList};
 use chicorystage_testbed::standin::PlatformApi;
 use googletest::prelude::*;
 use http::header::ETAG;
--- a/crates/chicorystage/src/admin_client.rs
+++ b/crates/chicorystage/src/admin_client.rs
@@ -9,7 +9,7 @@
     CODE_CHANGE_CONFLICT, CODE_INVALID_CHANGE, ChangeAnswer, ChangeConflict, ItemFinding, ItemsPage,
 };
 use chicorystage_api::inventory::Change;
-use chicorystage_platform::http::HttpClient;
+use chicorystage_borders::http::HttpClient;
 use chicorystaged::settings::IniReader;
 use http::header::AUTHORIZATION;
 use http::{HeaderValue, Method, Response};
--- a/crates/chicorystaged/src/agent/borders.rs
+++ b/crates/chicorystaged/src/agent/borders.rs
@@ -3,12 +3,12 @@
 use std::fmt;
 use std::sync::Arc;
 
-use chicorystage_platform::engine::Engine;
-use chicorystage_platform::http::{HttpEngine, HttpService, HttpTable, HttpVmList, RpcRouterLink};
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::service::Service;
-use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::VmList;
+use chicorystage_borders::engine::Engine;
+use chicorystage_borders::http::{HttpEngine, HttpService, HttpTable, HttpVmList, RpcRouterLink};
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::service::Service;
+use chicorystage_borders::table::Table;
+use chicorystage_borders::vm_list::VmList;
 
 use crate::settings::{AgentSettings, EndpointKind, PlatformSettings};
 
--- a/crates/chicorystaged/src/agent/call_task.rs
+++ b/crates/chicorystaged/src/agent/call_task.rs
@@ -7,7 +7,7 @@
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{EndSummary, Payload, ServiceCall};
-use chicorystage_platform::service::Service;
+use chicorystage_borders::service::Service;
 
 use crate::agent::event::AgentEvent;
 use crate::agent::handle::AgentHandle;
--- a/crates/chicorystaged/src/agent/completion_task.rs
+++ b/crates/chicorystaged/src/agent/completion_task.rs
@@ -6,8 +6,8 @@
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{EndSummary, Payload};
-use chicorystage_platform::engine::{CompletionStart, Engine, EngineEvent, EngineStream};
-use chicorystage_platform::{BorderError, BorderErrorKind};
+use chicorystage_borders::engine::{CompletionStart, Engine, EngineEvent, EngineStream};
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
 
--- a/crates/chicorystaged/src/agent/dispatch.rs
+++ b/crates/chicorystaged/src/agent/dispatch.rs
@@ -7,11 +7,11 @@
 use chicorystage_api::peer::{AttemptRef, ReplicaState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{Completion, WorkSpec};
+use chicorystage_borders::engine::{CompletionStart, Engine};
+use chicorystage_borders::service::Service;
 use chicorystage_core::ledger::Holding;
 use chicorystage_core::queue::Entry;
 use chicorystage_core::replicas::ReplicaUse;
-use chicorystage_platform::engine::{CompletionStart, Engine};
-use chicorystage_platform::service::Service;
 use tokio::sync::oneshot;
 
 use crate::agent::admission::leaving;
--- a/crates/chicorystaged/src/agent/engine_state.rs
+++ b/crates/chicorystaged/src/agent/engine_state.rs
@@ -4,9 +4,9 @@
 
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::engine::{EngineReplica, EngineReplicaState, EngineStatus};
 use chicorystage_core::fence::{FenceStep, FenceView};
 use chicorystage_core::replicas::{ObservedAdapter, ObservedReplica, ObservedState, ReplicaKey};
-use chicorystage_platform::engine::{EngineReplica, EngineReplicaState, EngineStatus};
 
 use crate::agent::borders::Endpoint;
 use crate::agent::main_loop::AgentLoop;
--- a/crates/chicorystaged/src/agent/event.rs
+++ b/crates/chicorystaged/src/agent/event.rs
@@ -8,9 +8,9 @@
     PlacementRow, QuarantineEntry,
 };
 use chicorystage_api::work::{AttemptRequest, Frame, Payload};
-use chicorystage_platform::BorderError;
-use chicorystage_platform::engine::EngineStatus;
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::BorderError;
+use chicorystage_borders::engine::EngineStatus;
+use chicorystage_borders::vm_list::VmEntry;
 use tokio::sync::{mpsc, oneshot};
 
 /// One event of the agent's main loop.
--- a/crates/chicorystaged/src/agent/health_api.rs
+++ b/crates/chicorystaged/src/agent/health_api.rs
@@ -1,5 +1,5 @@
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, ResponseBody};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, ResponseBody};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
--- a/crates/chicorystaged/src/agent/leaving.rs
+++ b/crates/chicorystaged/src/agent/leaving.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use chicorystage_api::peer::AttemptRef;
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::drain::Remaining;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 
 use crate::agent::admission::leaving;
 use crate::agent::main_loop::AgentLoop;
--- a/crates/chicorystaged/src/agent/main_loop.rs
+++ b/crates/chicorystaged/src/agent/main_loop.rs
@@ -9,6 +9,8 @@
 use chicorystage_api::name::{Digest, ModelName};
 use chicorystage_api::peer::{AttemptRef, QuarantineEntry};
 use chicorystage_api::work::Frame;
+use chicorystage_borders::engine::EngineStatus;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::attempts::Attempts;
 use chicorystage_core::claim::{ClaimBook, ClaimBookConfig};
 use chicorystage_core::drain::Drain;
@@ -18,8 +20,6 @@
 use chicorystage_core::queue::Queue;
 use chicorystage_core::replicas::{ReplicaKey, Replicas};
 use chicorystage_core::slots::Slots;
-use chicorystage_platform::engine::EngineStatus;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::{mpsc, watch};
 
 use crate::agent::borders::{AgentBorders, Endpoint};
--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -42,7 +42,7 @@
 mod watch_task;
 mod work;
 
-use chicorystage_platform::http::HttpServer;
+use chicorystage_borders::http::HttpServer;
 
 use crate::agent::borders::AgentBorders;
 use crate::agent::event::AgentEvent;
--- a/crates/chicorystaged/src/agent/order_end.rs
+++ b/crates/chicorystaged/src/agent/order_end.rs
@@ -2,9 +2,9 @@
 
 use chicorystage_api::name::AdapterName;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::BorderError;
 use chicorystage_core::ledger::Holding;
 use chicorystage_core::replicas::{EndedOrder, OrderEnd};
-use chicorystage_platform::BorderError;
 
 use crate::agent::main_loop::AgentLoop;
 
--- a/crates/chicorystaged/src/agent/order_task.rs
+++ b/crates/chicorystaged/src/agent/order_task.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use chicorystage_platform::engine::{Engine, Order, OrderKind};
+use chicorystage_borders::engine::{Engine, Order, OrderKind};
 
 use crate::agent::event::AgentEvent;
 use crate::agent::handle::AgentHandle;
--- a/crates/chicorystaged/src/agent/orders.rs
+++ b/crates/chicorystaged/src/agent/orders.rs
@@ -4,10 +4,10 @@
 
 use chicorystage_api::peer::{PermitKind, ReplicaState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::engine::{CacheTier, Order, OrderKind};
+use chicorystage_borders::vm_list::VmState;
 use chicorystage_core::replicas::{BeginError, ReplicaKey};
 use chicorystage_core::slots::Standing;
-use chicorystage_platform::engine::{CacheTier, Order, OrderKind};
-use chicorystage_platform::vm_list::VmState;
 use tokio::sync::watch;
 
 use crate::agent::admission::leaving;
--- a/crates/chicorystaged/src/agent/permit.rs
+++ b/crates/chicorystaged/src/agent/permit.rs
@@ -6,10 +6,10 @@
 
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{PermitAnswer, PermitKind, PermitRequest};
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::permit::HOLDER_KEY;
 use chicorystage_core::rendezvous;
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::vm_list::VmEntry;
 use rand::RngExt;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
--- a/crates/chicorystaged/src/agent/placement.rs
+++ b/crates/chicorystaged/src/agent/placement.rs
@@ -5,8 +5,8 @@
 use chicorystage_api::name::ModelName;
 use chicorystage_api::peer::{PlacementAck, PlacementPush, PlacementRow};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::BorderError;
 use chicorystage_core::slots::Standing;
-use chicorystage_platform::BorderError;
 
 use crate::agent::event::{AgentEvent, SlotsRead};
 use crate::agent::main_loop::AgentLoop;
--- a/crates/chicorystaged/src/agent/reporting.rs
+++ b/crates/chicorystaged/src/agent/reporting.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::name::ModelName;
 use chicorystage_api::peer::{AgentStatus, ReplicaStatus};
 use chicorystage_api::work::EndpointLoad;
-use chicorystage_platform::engine::CacheTier;
+use chicorystage_borders::engine::CacheTier;
 
 use crate::agent::borders::Endpoint;
 use crate::agent::main_loop::AgentLoop;
--- a/crates/chicorystaged/src/agent/table_task.rs
+++ b/crates/chicorystaged/src/agent/table_task.rs
@@ -4,8 +4,8 @@
 
 use chicorystage_api::name::{ModelName, VmId};
 use chicorystage_api::peer::{PLACEMENT_ROW_PREFIX, PlacementRow};
-use chicorystage_platform::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
-use chicorystage_platform::{BorderError, BorderErrorKind};
+use chicorystage_borders::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
+use chicorystage_borders::{BorderError, BorderErrorKind};
 
 use crate::agent::event::SlotsRead;
 
--- a/crates/chicorystaged/src/agent/unloading.rs
+++ b/crates/chicorystaged/src/agent/unloading.rs
@@ -1,10 +1,10 @@
 //! Unloads: what is idle, surplus or in the way.
 
 use chicorystage_api::name::{AdapterName, ModelName};
+use chicorystage_borders::engine::OrderKind;
 use chicorystage_core::ledger::LedgerFull;
 use chicorystage_core::replicas::ReplicaKey;
 use chicorystage_core::slots::Standing;
-use chicorystage_platform::engine::OrderKind;
 
 use crate::agent::dispatch::WantedVersions;
 use crate::agent::main_loop::AgentLoop;
--- a/crates/chicorystaged/src/agent/watch_task.rs
+++ b/crates/chicorystaged/src/agent/watch_task.rs
@@ -5,12 +5,12 @@
 
 use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::peer::{Changes, ChangesQuery};
+use chicorystage_borders::engine::Engine;
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::service::Service;
+use chicorystage_borders::table::Table;
+use chicorystage_borders::vm_list::{VmEntry, VmList, VmState};
 use chicorystage_core::rendezvous;
-use chicorystage_platform::engine::Engine;
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::service::Service;
-use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::{VmEntry, VmList, VmState};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
--- a/crates/chicorystaged/src/agent/work_api.rs
+++ b/crates/chicorystaged/src/agent/work_api.rs
@@ -6,8 +6,8 @@
 use chicorystage_api::work::{
     ATTEMPTS_PATH, AttemptRequest, Frame, HEARTBEAT_INTERVAL_MS, Payload,
 };
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, ResponseBody, channel_body};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, ResponseBody, channel_body};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/chicorystaged/src/router/admin_api/admin_error.rs
+++ b/crates/chicorystaged/src/router/admin_api/admin_error.rs
@@ -1,7 +1,7 @@
 use chicorystage_api::admin::{CODE_CHANGE_CONFLICT, CODE_INVALID_CHANGE, CODE_NOT_FOUND};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
-use chicorystage_platform::BorderError;
-use chicorystage_platform::http::ResponseBody;
+use chicorystage_borders::BorderError;
+use chicorystage_borders::http::ResponseBody;
 use http::{Response, StatusCode};
 use serde_json::{Value, json};
 
--- a/crates/chicorystaged/src/router/borders.rs
+++ b/crates/chicorystaged/src/router/borders.rs
@@ -3,13 +3,13 @@
 use std::fmt;
 use std::sync::Arc;
 
-use chicorystage_platform::http::{
+use chicorystage_borders::http::{
     HttpObjectStore, HttpTable, HttpVmList, RpcAgentLink, RpcRouterLink,
 };
-use chicorystage_platform::link::{AgentLink, RouterLink};
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::Table;
-use chicorystage_platform::vm_list::VmList;
+use chicorystage_borders::link::{AgentLink, RouterLink};
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::Table;
+use chicorystage_borders::vm_list::VmList;
 
 use crate::settings::PlatformSettings;
 
--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -5,7 +5,7 @@
 use chicorystage_api::name::RequestId;
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::Payload;
-use chicorystage_platform::http::{ResponseBody, channel_body, full_body};
+use chicorystage_borders::http::{ResponseBody, channel_body, full_body};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 use serde_json::{Value, json};
--- a/crates/chicorystaged/src/router/claims/claim_flow.rs
+++ b/crates/chicorystaged/src/router/claims/claim_flow.rs
@@ -8,9 +8,9 @@
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{ClaimOutcome, ClaimRow};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
+use chicorystage_borders::link::AgentLink;
+use chicorystage_borders::table::Table;
 use chicorystage_core::claim::{ClaimStep, step_for_row};
-use chicorystage_platform::link::AgentLink;
-use chicorystage_platform::table::Table;
 
 use crate::router::claims::claimed_answer::OutcomeRecorder;
 use crate::router::claims::{
--- a/crates/chicorystaged/src/router/claims/claim_flow/asking.rs
+++ b/crates/chicorystaged/src/router/claims/claim_flow/asking.rs
@@ -3,8 +3,8 @@
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::{AttemptRef, ClaimQuery, ClaimState};
 use chicorystage_api::refusal::{Outcome, Refusal};
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::claim::{ClaimStep, step_after_answer};
-use chicorystage_platform::vm_list::VmEntry;
 
 use super::{ClaimFlow, ReadRow, Round, unsettled};
 use crate::router::claims::{ClaimDispatch, StartFailure};
--- a/crates/chicorystaged/src/router/claims/claim_flow/claiming.rs
+++ b/crates/chicorystaged/src/router/claims/claim_flow/claiming.rs
@@ -5,7 +5,7 @@
 use chicorystage_api::peer::{ClaimOutcome, ClaimRow};
 use chicorystage_api::refusal::{Outcome, Refusal, RefusalCode};
 use chicorystage_api::work::ClaimTicket;
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::vm_list::VmEntry;
 
 use super::{ClaimFlow, RETRY_AFTER_MS, ReadRow, Round};
 use crate::router::claims::{ClaimDispatch, ClaimWrite, StartFailure, WriteResult};
--- a/crates/chicorystaged/src/router/claims/claim_writer.rs
+++ b/crates/chicorystaged/src/router/claims/claim_writer.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use chicorystage_api::peer::ClaimRow;
-use chicorystage_platform::table::Table;
+use chicorystage_borders::table::Table;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::claims::write_batch::WriteBatch;
--- a/crates/chicorystaged/src/router/claims/write_batch.rs
+++ b/crates/chicorystaged/src/router/claims/write_batch.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 
 use chicorystage_api::peer::ClaimRow;
-use chicorystage_platform::table::{Check, CommitOutcome, Table, Transaction, Write};
+use chicorystage_borders::table::{Check, CommitOutcome, Table, Transaction, Write};
 use tokio::sync::oneshot;
 
 use crate::router::claims::{ClaimWrite, WriteResult};
--- a/crates/chicorystaged/src/router/drain.rs
+++ b/crates/chicorystaged/src/router/drain.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use chicorystage_platform::http::RunningServer;
+use chicorystage_borders::http::RunningServer;
 
 use crate::router::handle::RouterHandle;
 use crate::settings::RouterSettings;
--- a/crates/chicorystaged/src/router/event.rs
+++ b/crates/chicorystaged/src/router/event.rs
@@ -6,7 +6,7 @@
 use chicorystage_api::peer::{PlacementPush, QuarantineEntry, RouterStatus};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::{EndpointLoad, SlotGrant};
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::inventory::InventoryEvent;
--- a/crates/chicorystaged/src/router/handle.rs
+++ b/crates/chicorystaged/src/router/handle.rs
@@ -4,7 +4,7 @@
 use chicorystage_api::name::{CallerName, Digest, RequestId, VmId};
 use chicorystage_api::peer::{QuarantineEntry, RequestTrace, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::vm_list::VmEntry;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::router::event::{Admission, Choice, RouterEvent, Target};
--- a/crates/chicorystaged/src/router/internal_api.rs
+++ b/crates/chicorystaged/src/router/internal_api.rs
@@ -1,6 +1,6 @@
 use chicorystage_api::peer::{RPC_PATH, RouterRpcServer};
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::{Handler, ResponseBody};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::{Handler, ResponseBody};
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
--- a/crates/chicorystaged/src/router/inventory/announce.rs
+++ b/crates/chicorystaged/src/router/inventory/announce.rs
@@ -10,9 +10,9 @@
 use chicorystage_api::inventory::ChangeRecord;
 use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::peer::RevisionHint;
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::freshness::PeerContact;
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::mpsc;
 
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/inventory/committer.rs
+++ b/crates/chicorystaged/src/router/inventory/committer.rs
@@ -5,8 +5,8 @@
 use chicorystage_api::inventory::{Change, ChangeRecord, ItemRow, OperatorItem};
 use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
-use chicorystage_platform::BorderError;
-use chicorystage_platform::table::{CommitOutcome, Row};
+use chicorystage_borders::BorderError;
+use chicorystage_borders::table::{CommitOutcome, Row};
 
 use crate::router::borders::RouterBorders;
 use crate::router::handle::RouterHandle;
--- a/crates/chicorystaged/src/router/inventory/event.rs
+++ b/crates/chicorystaged/src/router/inventory/event.rs
@@ -4,8 +4,8 @@
 use chicorystage_api::inventory::{Change, ChangeRecord, ItemKey, ItemRow, OperatorItem, Snapshot};
 use chicorystage_api::name::{Digest, VmId};
 use chicorystage_api::peer::{Changes, ChangesQuery, RevisionAck, RevisionHint};
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::freshness::PeerContact;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::timer::Tick;
--- a/crates/chicorystaged/src/router/inventory/peers.rs
+++ b/crates/chicorystaged/src/router/inventory/peers.rs
@@ -6,10 +6,10 @@
 
 use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::peer::{ChangesQuery, RevisionHint};
+use chicorystage_borders::link::RouterLink;
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::freshness::Probe;
 use chicorystage_core::rendezvous;
-use chicorystage_platform::link::RouterLink;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 use tokio::time::timeout;
 
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/inventory/reader.rs
+++ b/crates/chicorystaged/src/router/inventory/reader.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use chicorystage_platform::BorderError;
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::Table;
+use chicorystage_borders::BorderError;
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::Table;
 use tokio::sync::oneshot;
 
 use crate::router::borders::RouterBorders;
--- a/crates/chicorystaged/src/router/inventory/rows.rs
+++ b/crates/chicorystaged/src/router/inventory/rows.rs
@@ -7,8 +7,8 @@
     LOG_ROW_PREFIX,
 };
 use chicorystage_api::name::{ChangeId, Digest};
+use chicorystage_borders::table::{Check, Row, Transaction, Write};
 use chicorystage_core::token;
-use chicorystage_platform::table::{Check, Row, Transaction, Write};
 use serde::{Deserialize, Serialize};
 
 /// Ties a change id to the revision that it made.
--- a/crates/chicorystaged/src/router/inventory/snapshot_writer.rs
+++ b/crates/chicorystaged/src/router/inventory/snapshot_writer.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use chicorystage_api::inventory::{SNAPSHOT_OBJECT_KEY, Snapshot};
-use chicorystage_platform::table::Table;
+use chicorystage_borders::table::Table;
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/inventory/spread.rs
+++ b/crates/chicorystaged/src/router/inventory/spread.rs
@@ -4,9 +4,9 @@
 use chicorystage_api::inventory::{ChangeRecord, Snapshot};
 use chicorystage_api::name::{GroupName, VmId};
 use chicorystage_api::peer::{Changes, RevisionAck, RevisionHint};
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::freshness::{Freshness, PeerContact};
 use chicorystage_core::inventory::{Applied, ChangeLog, InventoryState};
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::borders::RouterBorders;
--- a/crates/chicorystaged/src/router/inventory/table_read.rs
+++ b/crates/chicorystaged/src/router/inventory/table_read.rs
@@ -4,10 +4,10 @@
     ChangeRecord, HEAD_ROW_KEY, HeadRow, ITEM_ROW_PREFIX, LOG_ROW_PREFIX, SNAPSHOT_OBJECT_KEY,
     Snapshot,
 };
+use chicorystage_borders::object_store::ObjectStore;
+use chicorystage_borders::table::Table;
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use chicorystage_core::inventory::{Applied, InventoryState};
-use chicorystage_platform::object_store::ObjectStore;
-use chicorystage_platform::table::Table;
-use chicorystage_platform::{BorderError, BorderErrorKind};
 
 use crate::router::inventory::News;
 use crate::router::inventory::rows::{log_key, parse};
--- a/crates/chicorystaged/src/router/main_loop.rs
+++ b/crates/chicorystaged/src/router/main_loop.rs
@@ -10,8 +10,8 @@
 use chicorystage_api::name::{ApplicationName, Digest, GroupName, ModelName, VmId};
 use chicorystage_api::peer::{PlacementPush, RouterStatus};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::inventory::InventoryState;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::metrics::Metrics;
--- a/crates/chicorystaged/src/router/main_loop/choosing.rs
+++ b/crates/chicorystaged/src/router/main_loop/choosing.rs
@@ -4,9 +4,9 @@
 use chicorystage_api::peer::{PlaceRequest, PlacementPush, SlotState};
 use chicorystage_api::refusal::Refusal;
 use chicorystage_api::work::SlotGrant;
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::choice::Candidate;
 use chicorystage_core::rendezvous;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 use tokio::sync::oneshot;
 
 use crate::router::event::Choice;
--- a/crates/chicorystaged/src/router/main_loop/serving.rs
+++ b/crates/chicorystaged/src/router/main_loop/serving.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::name::{Digest, GroupName, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_api::refusal::Refusal;
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::vm_list::VmEntry;
 
 use crate::router::main_loop::{RouterLoop, no_endpoint, stale_rules, unauthenticated};
 use crate::router::serving::quarantine::{self, Audience};
--- a/crates/chicorystaged/src/router/mod.rs
+++ b/crates/chicorystaged/src/router/mod.rs
@@ -24,7 +24,7 @@
 mod internal_api;
 mod internal_rpc;
 
-use chicorystage_platform::http::HttpServer;
+use chicorystage_borders::http::HttpServer;
 
 use crate::router::borders::RouterBorders;
 use crate::router::parts::RouterParts;
--- a/crates/chicorystaged/src/router/parts.rs
+++ b/crates/chicorystaged/src/router/parts.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use chicorystage_platform::http::Handler;
+use chicorystage_borders::http::Handler;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
--- a/crates/chicorystaged/src/router/planner/probe.rs
+++ b/crates/chicorystaged/src/router/planner/probe.rs
@@ -3,9 +3,9 @@
 
 use chicorystage_api::name::ModelName;
 use chicorystage_api::peer::{AgentStatus, ReplicaState};
+use chicorystage_borders::link::AgentLink;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::placement::{CacheTier, Candidate};
-use chicorystage_platform::link::AgentLink;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::mpsc;
 
 /// Candidates that are asked before a slot is decided.
--- a/crates/chicorystaged/src/router/planner/pushes.rs
+++ b/crates/chicorystaged/src/router/planner/pushes.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use chicorystage_api::peer::PlacementPush;
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::vm_list::VmEntry;
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/planner/refresh.rs
+++ b/crates/chicorystaged/src/router/planner/refresh.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use chicorystage_api::peer::{PLACEMENT_ROW_PREFIX, PlacementPush};
-use chicorystage_platform::table::Table;
+use chicorystage_borders::table::Table;
 
 use crate::router::event::RouterEvent;
 use crate::router::handle::RouterHandle;
--- a/crates/chicorystaged/src/router/planner/row_store.rs
+++ b/crates/chicorystaged/src/router/planner/row_store.rs
@@ -3,9 +3,9 @@
 use chicorystage_api::inventory::{Item, ItemKey, ItemKind, ItemRow, PolicyItem};
 use chicorystage_api::name::ModelName;
 use chicorystage_api::peer::{PLACEMENT_ROW_PREFIX, PlacementPush, PlacementRow};
+use chicorystage_borders::BorderError;
+use chicorystage_borders::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
 use chicorystage_core::planner::CapRows;
-use chicorystage_platform::BorderError;
-use chicorystage_platform::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
 
 /// Name of the only policy item.
 const POLICY_NAME: &str = "deployment";
--- a/crates/chicorystaged/src/router/planner/run_task.rs
+++ b/crates/chicorystaged/src/router/planner/run_task.rs
@@ -1,8 +1,8 @@
 use chicorystage_api::peer::PlacementPush;
+use chicorystage_borders::table::{CommitOutcome, Table};
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::placement::{Goal, Wanted};
 use chicorystage_core::planner::{PlanEffect, PlanFailure, PlanRun};
-use chicorystage_platform::table::{CommitOutcome, Table};
-use chicorystage_platform::vm_list::VmEntry;
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/planner/state.rs
+++ b/crates/chicorystaged/src/router/planner/state.rs
@@ -4,9 +4,9 @@
 use chicorystage_api::name::{ModelName, VmId};
 use chicorystage_api::peer::{PlaceRequest, PlacementAck, PlacementPush, SlotState};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
+use chicorystage_borders::vm_list::VmState;
 use chicorystage_core::placement::{Goal, Release, VmHistory, Wanted, next_row};
 use chicorystage_core::planner::PlanFailure;
-use chicorystage_platform::vm_list::VmState;
 use tokio::sync::oneshot;
 
 use crate::router::borders::RouterBorders;
--- a/crates/chicorystaged/src/router/planner/view.rs
+++ b/crates/chicorystaged/src/router/planner/view.rs
@@ -2,9 +2,9 @@
 
 use chicorystage_api::name::{GroupName, ModelName, VmId};
 use chicorystage_api::peer::{PlacementPush, PlacementRow};
+use chicorystage_borders::vm_list::{VmEntry, VmState};
 use chicorystage_core::inventory::InventoryState;
 use chicorystage_core::rendezvous;
-use chicorystage_platform::vm_list::{VmEntry, VmState};
 
 /// What the main loop knows that the planner decides by.
 #[derive(Clone, Copy, Debug)]
--- a/crates/chicorystaged/src/router/refresh.rs
+++ b/crates/chicorystaged/src/router/refresh.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use chicorystage_platform::vm_list::VmList;
+use chicorystage_borders::vm_list::VmList;
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/router/serving/attempt_stream.rs
+++ b/crates/chicorystaged/src/router/serving/attempt_stream.rs
@@ -4,9 +4,9 @@
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{EndpointLoad, HEARTBEAT_INTERVAL_MS, HEARTBEATS_MISSED_MAX, Payload};
+use chicorystage_borders::BorderErrorKind;
+use chicorystage_borders::link::FrameStream;
 use chicorystage_core::sequence::{FrameSequence, Sequenced};
-use chicorystage_platform::BorderErrorKind;
-use chicorystage_platform::link::FrameStream;
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::router::serving::attempt_failure::AttemptFailure;
--- a/crates/chicorystaged/src/router/serving/call.rs
+++ b/crates/chicorystaged/src/router/serving/call.rs
@@ -6,9 +6,9 @@
 use chicorystage_api::peer::{AttemptRef, ClaimOutcome, TraceEvent};
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{ClaimTicket, Payload};
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::suspects::Standing;
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::vm_list::VmEntry;
 
 use crate::router::claims::{ClaimDispatch, ClaimFlow, ClaimedAnswer, ClaimedCall, StartFailure};
 use crate::router::event::{Choice, RouterEvent};
--- a/crates/chicorystaged/src/router/serving/event.rs
+++ b/crates/chicorystaged/src/router/serving/event.rs
@@ -4,8 +4,8 @@
 use chicorystage_api::name::{CallerName, Digest, GroupName, ModelName, RequestId, VmId};
 use chicorystage_api::peer::{QuarantineEntry, RequestTrace};
 use chicorystage_api::refusal::Refusal;
+use chicorystage_borders::vm_list::VmEntry;
 use chicorystage_core::suspects::Standing;
-use chicorystage_platform::vm_list::VmEntry;
 use tokio::sync::oneshot;
 
 use crate::router::serving::{Entry, WaitGuard};
--- a/crates/chicorystaged/src/router/serving/job.rs
+++ b/crates/chicorystaged/src/router/serving/job.rs
@@ -4,7 +4,7 @@
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::{AttemptRequest, ClaimTicket, SlotGrant, WorkSpec};
-use chicorystage_platform::link::FrameStream;
+use chicorystage_borders::link::FrameStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout_at;
 
--- a/crates/chicorystaged/src/router/serving/no_dispatch.rs
+++ b/crates/chicorystaged/src/router/serving/no_dispatch.rs
@@ -2,8 +2,8 @@
 use chicorystage_api::peer::AttemptRef;
 use chicorystage_api::refusal::{Refusal, RefusalCode};
 use chicorystage_api::work::ClaimTicket;
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::vm_list::VmEntry;
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::vm_list::VmEntry;
 
 use crate::router::claims::{ClaimDispatch, StartFailure};
 
--- a/crates/chicorystaged/src/router/serving/quarantine.rs
+++ b/crates/chicorystaged/src/router/serving/quarantine.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chicorystage_api::peer::{QUARANTINE_ROW_PREFIX, QuarantineEntry};
-use chicorystage_platform::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
+use chicorystage_borders::table::{Check, CommitOutcome, Row, Table, Transaction, Write};
 
 use crate::router::borders::RouterBorders;
 use crate::router::event::RouterEvent;
--- a/crates/chicorystaged/src/rpc_server.rs
+++ b/crates/chicorystaged/src/rpc_server.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-use chicorystage_platform::BoxFuture;
-use chicorystage_platform::http::ResponseBody;
+use chicorystage_borders::BoxFuture;
+use chicorystage_borders::http::ResponseBody;
 use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -62,7 +62,7 @@
     match body.collect().await {
         Ok(body) => Response::from_parts(
             parts,
-            chicorystage_platform::http::full_body(body.to_bytes()),
+            chicorystage_borders::http::full_body(body.to_bytes()),
         ),
         Err(error) => web::text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
     }
--- a/crates/chicorystaged/src/web.rs
+++ b/crates/chicorystaged/src/web.rs
@@ -1,7 +1,7 @@
 //! Responses that every HTTP interface of a daemon gives.
 
 use chicorystage_api::refusal::Refusal;
-use chicorystage_platform::http::{ResponseBody, full_body};
+use chicorystage_borders::http::{ResponseBody, full_body};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Response, StatusCode};
 use serde::Serialize;
