Orders: a freed place is kept for its model; no order while an engine is busy

Cause: the plan forgot for which model it had unloaded, so that one wish emptied several engines; adapter orders during a load got 409 each 80 ms; engines that took no connection were tried again. Change: reservation of a freed place, load right after its unload, adapters wait for the load to end, unreachable endpoints are passed over for 0.8 s.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -8,6 +8,10 @@
 const PLACEMENT_KEPT_MS: u64 = 3_000;
 /// Time for which a model that an endpoint denied to hold is not asked for there, in milliseconds.
 const DENIED_MS: u64 = 600;
+/// Time for which an adapter that an endpoint denied to hold is not asked for there, in milliseconds.
+const ADAPTER_DENIED_MS: u64 = 40;
+/// Time for which an endpoint that took no connection is not tried, in milliseconds.
+const UNREACHABLE_MS: u64 = 800;
 /// Share of the failure rate that the newest outcome makes.
 const OUTCOME_WEIGHT: f64 = 0.3;
 /// Time in which the memory of failures falls to 1/e, in milliseconds.
@@ -28,6 +32,7 @@
     failure_ms: u64,
     unanswered: u32,
     silent_since_ms: u64,
+    unreachable_until_ms: u64,
 }
 
 /// Models as the router that gives orders knows them.
@@ -50,6 +55,7 @@
             failure_ms: 0,
             unanswered: 0,
             silent_since_ms: 0,
+            unreachable_until_ms: 0,
         }
     }
 
@@ -59,6 +65,17 @@
         self.entry.state == EndpointState::Ready
     }
 
+    /// Notes that the endpoint took no connection.
+    pub fn unreachable(&mut self, now_ms: u64) {
+        self.unreachable_until_ms = now_ms + UNREACHABLE_MS;
+    }
+
+    /// Returns whether the endpoint is worth trying now.
+    #[must_use]
+    pub fn is_reachable(&self, now_ms: u64) -> bool {
+        now_ms >= self.unreachable_until_ms
+    }
+
     /// Returns the models that the endpoint is believed to hold.
     #[must_use]
     pub fn models(&self, now_ms: u64) -> &[HeldModel] {
@@ -94,7 +111,12 @@
 
     /// Notes that the endpoint answered that it lacks a model or an adapter.
     pub fn denied(&mut self, now_ms: u64, model: ModelName, adapter: Option<AdapterName>) {
-        self.denied.insert((model, adapter), now_ms + DENIED_MS);
+        let denied_ms = if adapter.is_some() {
+            ADAPTER_DENIED_MS
+        } else {
+            DENIED_MS
+        };
+        self.denied.insert((model, adapter), now_ms + denied_ms);
     }
 
     /// Forgets everything but the entry, as after a restart of the endpoint.
@@ -103,6 +125,7 @@
         self.denied.clear();
         self.failure_rate = 0.0;
         self.unanswered = 0;
+        self.unreachable_until_ms = 0;
     }
 
     /// Notes that a request was sent.
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -111,7 +111,8 @@
         let mut reason = Choice::NoEndpoint;
         let mut best: Option<(f64, &EndpointId)> = None;
         for (id, endpoint) in &self.endpoints {
-            if endpoint.entry.service != want.service || !endpoint.is_ready() {
+            let is_usable = endpoint.is_ready() && endpoint.is_reachable(now_ms);
+            if endpoint.entry.service != want.service || !is_usable {
                 continue;
             }
             if let Some(lacking) = lacking(now_ms, endpoint, want) {
--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -9,9 +9,15 @@
 /// Time between two reports that are waited for, in milliseconds.
 const REPORT_RETRY_MS: u64 = 120;
 /// Time between reports of an engine that nothing is expected of, in milliseconds.
-const REPORT_IDLE_MS: u64 = 3_000;
+const REPORT_IDLE_MS: u64 = 4_000;
+/// Time by which a report lags behind the engine, in milliseconds.
+const REPORT_LAG_MS: u64 = 100;
 /// Time from the acceptance of an adapter's load to its use, in milliseconds.
 const ADAPTER_LOAD_MS: u64 = 12;
+/// Time for which an accepted adapter counts as held though a report lacks it, in milliseconds.
+const ADAPTER_TRUSTED_MS: u64 = 500;
+/// Time for which a freed place is kept for the model that it was freed for, in milliseconds.
+const RESERVED_MS: u64 = 1_500;
 
 /// One engine as the router that gives orders knows it.
 #[derive(Clone, Debug)]
@@ -34,8 +40,14 @@
     pub wait_until_ms: u64,
     /// Time at which the next report is due, in milliseconds.
     pub report_due_ms: u64,
-    /// Adapters that arrive, with the time at which they may be used.
+    /// Adapters that arrive, with the time at which their load was accepted.
     arriving: Vec<(AdapterRef, u64)>,
+    /// Adapters that have arrived lately, with the time at which their load was accepted.
+    arrived: Vec<(AdapterRef, u64)>,
+    /// Model that a place was freed for, and until when it is kept.
+    reserved: Option<(ModelName, u64)>,
+    /// Whether an order that another router gave is under way.
+    has_foreign_order: bool,
     /// Time at which models were loaded here, in milliseconds.
     loaded_ms: BTreeMap<ModelName, u64>,
     in_memory: HashSet<ModelName>,
@@ -57,6 +69,9 @@
             wait_until_ms: 0,
             report_due_ms: 0,
             arriving: Vec::new(),
+            arrived: Vec::new(),
+            reserved: None,
+            has_foreign_order: false,
             loaded_ms: BTreeMap::new(),
             in_memory: HashSet::new(),
             on_disk: HashSet::new(),
@@ -79,11 +94,10 @@
             return;
         }
         let Some(underway) = self.underway.clone() else {
-            self.take_held(report);
-            self.report_due_ms = now_ms + REPORT_IDLE_MS;
-            if report.is_busy {
-                self.wait_until_ms = now_ms + REPORT_RETRY_MS;
-                self.report_due_ms = now_ms + REPORT_RETRY_MS;
+            self.take_held(now_ms, report);
+            self.has_foreign_order = report.is_busy;
+            if !report.is_busy {
+                self.report_due_ms = now_ms + REPORT_IDLE_MS;
             }
             return;
         };
@@ -99,7 +113,7 @@
         };
         if is_done {
             self.underway = None;
-            self.take_held(report);
+            self.take_held(now_ms, report);
             if is_held {
                 self.loaded_ms.insert(underway.model().clone(), now_ms);
             }
@@ -131,7 +145,8 @@
             OrderKind::Load => {
                 let source = self.source(&model);
                 let due_ms = now_ms + load_ms;
-                self.report_due_ms = due_ms;
+                self.reserved = None;
+                self.report_due_ms = due_ms + REPORT_LAG_MS;
                 self.underway = Some(Underway::Loading {
                     model,
                     source,
@@ -150,7 +165,7 @@
                     model,
                     adapter: adapter.clone(),
                 };
-                self.arriving.push((adapter, now_ms + ADAPTER_LOAD_MS));
+                self.arriving.push((adapter, now_ms));
             }
             OrderKind::UnloadAdapter(_) => {}
         }
@@ -173,18 +188,35 @@
         self.report_due_ms = now_ms;
     }
 
-    /// Moves adapters that have arrived to those that are held; returns whether there were any.
-    pub fn tick(&mut self, now_ms: u64) -> bool {
-        let arriving = std::mem::take(&mut self.arriving);
-        let count = arriving.len();
-        for (adapter, ready_ms) in arriving {
-            if ready_ms > now_ms {
-                self.arriving.push((adapter, ready_ms));
-            } else if let Some(adapters) = self.held.get_mut(&adapter.model) {
-                adapters.insert(adapter.adapter);
+    /// Moves adapters that have arrived to those that are held, and ends reservations.
+    pub fn tick(&mut self, now_ms: u64) {
+        for (adapter, accepted_ms) in std::mem::take(&mut self.arriving) {
+            if accepted_ms + ADAPTER_LOAD_MS > now_ms {
+                self.arriving.push((adapter, accepted_ms));
+                continue;
             }
+            if let Some(adapters) = self.held.get_mut(&adapter.model) {
+                adapters.insert(adapter.adapter.clone());
+            }
+            self.arrived.push((adapter, accepted_ms));
+        }
+        self.arrived
+            .retain(|(_, accepted_ms)| now_ms < accepted_ms + ADAPTER_TRUSTED_MS);
+        let is_over = |(_, until_ms): &(ModelName, u64)| now_ms >= *until_ms;
+        if self.reserved.as_ref().is_some_and(is_over) {
+            self.reserved = None;
         }
-        self.arriving.len() != count
+    }
+
+    /// Keeps the place that an unload frees for a model.
+    pub fn reserve(&mut self, now_ms: u64, model: ModelName) {
+        self.reserved = Some((model, now_ms + RESERVED_MS));
+    }
+
+    /// Returns the model that a place is kept for.
+    #[must_use]
+    pub fn reserved(&self) -> Option<&ModelName> {
+        self.reserved.as_ref().map(|(model, _)| model)
     }
 
     /// Returns what the engine holds, as the routers need it.
@@ -222,7 +254,7 @@
             &self.underway,
             Some(Underway::Loading { model: loading, .. }) if loading == model
         );
-        is_sent || is_loading
+        is_sent || is_loading || self.reserved() == Some(model)
     }
 
     /// Returns whether an adapter is asked for or arrives.
@@ -252,16 +284,27 @@
         is_sent || is_loading
     }
 
-    /// Returns whether an order may be given about an adapter.
+    /// Returns whether an order may be given; an engine refuses all while one is under way.
     #[must_use]
-    pub fn takes_adapter_order(&self, now_ms: u64) -> bool {
-        self.sequence.is_some() && self.sent.is_none() && now_ms >= self.wait_until_ms
+    pub fn takes_order(&self, now_ms: u64) -> bool {
+        self.is_quiet(now_ms) && self.underway.is_none()
     }
 
-    /// Returns whether an order may be given about a model.
+    /// Returns the model that may be loaded into the place that was freed for it.
+    ///
+    /// The engine refuses the load for as long as the unload is under way.
     #[must_use]
-    pub fn takes_model_order(&self, now_ms: u64) -> bool {
-        self.takes_adapter_order(now_ms) && self.underway.is_none()
+    pub fn takes_reserved(&self, now_ms: u64) -> Option<&ModelName> {
+        let is_unloading = !matches!(self.underway, Some(Underway::Loading { .. }));
+        let reserved = self.reserved()?;
+        (self.is_quiet(now_ms) && is_unloading).then_some(reserved)
+    }
+
+    fn is_quiet(&self, now_ms: u64) -> bool {
+        self.sequence.is_some()
+            && self.sent.is_none()
+            && !self.has_foreign_order
+            && now_ms >= self.wait_until_ms
     }
 
     /// Returns whether a model was loaded within `recent_ms`.
@@ -313,12 +356,18 @@
         self.held.values().map(BTreeSet::len).sum::<usize>() + self.arriving.len()
     }
 
-    fn take_held(&mut self, report: &EngineReport) {
+    fn take_held(&mut self, now_ms: u64, report: &EngineReport) {
         let held = report.models.iter().map(|held| {
             let adapters = held.adapters.iter().cloned().collect();
             (held.model.clone(), adapters)
         });
         self.held = held.collect();
+        self.tick(now_ms);
+        for (adapter, _) in &self.arrived {
+            if let Some(adapters) = self.held.get_mut(&adapter.model) {
+                adapters.insert(adapter.adapter.clone());
+            }
+        }
         self.on_disk.extend(self.held.keys().cloned());
     }
 }
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -14,7 +14,7 @@
 /// Time after which an order without an answer is sent again, in milliseconds.
 const REPEAT_MS: u64 = 400;
 /// Pause after a conflict, in milliseconds.
-const CONFLICT_PAUSE_MS: u64 = 60;
+const CONFLICT_PAUSE_MS: u64 = 40;
 /// Pause after an order that an engine cannot carry out, in milliseconds.
 const REJECTED_PAUSE_MS: u64 = 2_000;
 /// Loads that one plan starts at most.
@@ -125,7 +125,10 @@
             OrderReply::Holds => engine.holds_already(now_ms, order),
             OrderReply::Conflict => {
                 engine.wait_until_ms = now_ms + CONFLICT_PAUSE_MS;
-                engine.report_due_ms = now_ms;
+                let expects_conflict = engine.reserved() == Some(&order.model);
+                if !expects_conflict {
+                    engine.report_due_ms = now_ms;
+                }
             }
             OrderReply::Rejected | OrderReply::Fenced => {
                 engine.wait_until_ms = now_ms + REJECTED_PAUSE_MS;
@@ -191,7 +194,7 @@
                 continue;
             }
             let options = self.engines.values().filter(|engine| {
-                engine.takes_adapter_order(now_ms)
+                engine.takes_order(now_ms)
                     && engine
                         .held
                         .get(&adapter.model)
@@ -224,6 +227,7 @@
         demand: &DemandBook,
         orders: &mut Vec<Order>,
     ) {
+        self.load_reserved(now_ms, orders);
         for _ in 0..STEPS_MAX {
             let Some(step) = self.next_step(now_ms, spec, fleet, demand) else {
                 return;
@@ -231,10 +235,34 @@
             if step.kind == OrderKind::Load && step.source == LoadSource::Store {
                 self.pace.started(now_ms);
             }
+            if let (Some(reserved), Some(engine)) =
+                (step.reserved, self.engines.get_mut(&step.endpoint))
+            {
+                engine.reserve(now_ms, reserved);
+            }
             self.send(now_ms, &step.endpoint, step.model, step.kind, orders);
         }
     }
 
+    /// Loads models into the places that were freed for them.
+    fn load_reserved(&mut self, now_ms: u64, orders: &mut Vec<Order>) {
+        let ready: Vec<(EndpointId, ModelName, LoadSource)> = self
+            .engines
+            .iter()
+            .filter_map(|(id, engine)| {
+                let model = engine.takes_reserved(now_ms)?.clone();
+                let source = engine.source(&model);
+                Some((id.clone(), model, source))
+            })
+            .collect();
+        for (id, model, source) in ready {
+            if source == LoadSource::Store {
+                self.pace.started(now_ms);
+            }
+            self.send(now_ms, &id, model, OrderKind::Load, orders);
+        }
+    }
+
     fn next_step(
         &mut self,
         now_ms: u64,
@@ -252,7 +280,12 @@
         let limit = spec.loads_per_s * self.settings.ceiling_factor * window_ms as f64 / 1_000.0;
         let store_is_free = self.pace.allows(now_ms, running, window_ms, limit);
 
-        let engines: Vec<&EngineRecord> = self.engines.values().collect();
+        let is_reachable = |engine: &&EngineRecord| {
+            fleet
+                .get(&engine.id)
+                .is_some_and(|endpoint| endpoint.is_reachable(now_ms))
+        };
+        let engines: Vec<&EngineRecord> = self.engines.values().filter(is_reachable).collect();
         let states: HashMap<ModelName, ModelState> = spec
             .models
             .values()
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -17,6 +17,10 @@
 const FRESH_MS: u64 = 1_500;
 /// Worth of a second of loading, which favours copies that are near.
 const LOAD_SECOND_WORTH: f64 = 0.3;
+/// Worth of taking adapters at once, for each request a second for a model with adapters.
+const ADAPTER_RATE_WORTH: f64 = 0.1;
+/// Largest worth of taking adapters at once.
+const ADAPTER_WORTH_MAX: f64 = 1.0;
 /// Worth of an empty batch, which favours idle engines.
 const IDLE_WORTH: f64 = 0.3;
 
@@ -27,6 +31,8 @@
     pub model: ModelName,
     pub kind: OrderKind,
     pub source: LoadSource,
+    /// Model that the freed place is kept for, where something is unloaded.
+    pub reserved: Option<ModelName>,
 }
 
 /// What is known when the next step for one model is looked for.
@@ -45,7 +51,9 @@
     /// Returns the best step towards one more replica of a model, if it is worth one.
     pub(super) fn step(&self, model: &ModelSpec, worth: f64) -> Option<Step> {
         let options = self.engines.iter().filter(|engine| {
-            engine.takes_model_order(self.now_ms) && !engine.held.contains_key(&model.name)
+            engine.takes_order(self.now_ms)
+                && engine.reserved().is_none()
+                && !engine.held.contains_key(&model.name)
         });
         let mut best: Option<(f64, Step)> = None;
         for engine in options {
@@ -72,19 +80,41 @@
         let load_s = seconds(load_ms(model, source));
         let occupancy = self.fleet.occupancy(self.now_ms, &engine.id);
         let crowd = f64::from(occupancy) / f64::from(self.spec.slots.max(1));
-        let cost = LOAD_SECOND_WORTH * load_s + IDLE_WORTH * crowd;
+        let cost = LOAD_SECOND_WORTH * load_s + IDLE_WORTH * crowd + self.adapter_cost(engine);
         if engine.fits(self.spec, model, None) {
-            let step = self.order(engine, &model.name, OrderKind::Load, source);
+            let step = Step {
+                endpoint: engine.id.clone(),
+                model: model.name.clone(),
+                kind: OrderKind::Load,
+                source,
+                reserved: None,
+            };
             return (worth > LOAD_WORTH).then_some((cost, step));
         }
         let (lost, victim) = self.victim(engine, model)?;
         if worth <= lost * ADVANTAGE + LOAD_WORTH {
             return None;
         }
-        let step = self.order(engine, victim, OrderKind::Unload, source);
+        let step = Step {
+            endpoint: engine.id.clone(),
+            model: victim.clone(),
+            kind: OrderKind::Unload,
+            source,
+            reserved: Some(model.name.clone()),
+        };
         Some((cost + lost, step))
     }
 
+    /// An engine takes no order for an adapter while it loads a model.
+    fn adapter_cost(&self, engine: &EngineRecord) -> f64 {
+        let held = engine.held.keys().filter_map(|held| self.states.get(held));
+        let rate_per_s: f64 = held
+            .filter(|state| state.has_adapters)
+            .map(|state| state.rate_per_s)
+            .sum();
+        (ADAPTER_RATE_WORTH * rate_per_s).min(ADAPTER_WORTH_MAX)
+    }
+
     /// Returns the held model that is worth least and is not in use.
     fn victim<'b>(
         &self,
@@ -109,20 +139,6 @@
         best
     }
 
-    fn order(
-        &self,
-        engine: &EngineRecord,
-        model: &ModelName,
-        kind: OrderKind,
-        source: LoadSource,
-    ) -> Step {
-        Step {
-            endpoint: engine.id.clone(),
-            model: model.clone(),
-            kind,
-            source,
-        }
-    }
 }
 
 /// Returns the time of a load, in milliseconds.
--- a/crates/chicorystage-core/src/orders/worth.rs
+++ b/crates/chicorystage-core/src/orders/worth.rs
@@ -1,7 +1,5 @@
 //! What a place in an engine's memory is worth to a model.
 
-use chicorystage_api::name::ModelName;
-
 use crate::deployment::{EngineSpec, ModelSpec};
 use crate::fleet::FleetView;
 use crate::orders::{DemandBook, EngineRecord};
@@ -32,7 +30,6 @@
 /// State of one model over all engines.
 #[derive(Clone, Debug)]
 pub(super) struct ModelState {
-    pub name: ModelName,
     pub replicas: u32,
     pub rate_per_s: f64,
     pub is_asked: bool,
@@ -61,7 +58,6 @@
             .map(|engine| fleet.model_occupancy(now_ms, &engine.id, &model.name));
         let asked = demand.model(&model.name);
         Self {
-            name: model.name.clone(),
             replicas: u32::try_from(replicas).unwrap_or(u32::MAX),
             rate_per_s: asked.rate_per_s(now_ms),
             is_asked: asked.asked_ms.is_some(),
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -197,15 +197,14 @@
         reason: "endpoint takes no connection",
         is_misdirected: false,
     };
-    let Ok(mut connection) = Connection::open(reservation.address).await else {
-        reservation.outcome(false);
-        return Err(not_run);
-    };
-    if connection.sender.ready().await.is_err() {
-        reservation.outcome(false);
-        return Err(not_run);
+    let opened = Connection::open(reservation.address).await;
+    if let Ok(mut connection) = opened
+        && connection.sender.ready().await.is_ok()
+    {
+        return Ok(connection);
     }
-    Ok(connection)
+    reservation.unreachable();
+    Err(not_run)
 }
 
 async fn refused(gateway: &Rc<Gateway>, answered: Answered) -> Attempted {
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -51,6 +51,17 @@
         });
     }
 
+    /// Notes that the endpoint took no connection.
+    pub fn unreachable(&self) {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.with(|view| {
+            if let Some(endpoint) = view.fleet.get_mut(&self.endpoint) {
+                endpoint.unreachable(now_ms);
+                endpoint.outcome(now_ms, false);
+            }
+        });
+    }
+
     /// Notes whether the endpoint served the request well.
     pub fn outcome(&self, is_good: bool) {
         let now_ms = self.gateway.now_ms();
