A conflict of an engine's order makes its record wait for a report

Change: after a conflict nothing is ordered before a report; unloads of adapters, which answer 200, count as accepted.

--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -171,20 +171,20 @@
         }
     }
 
-    /// Notes that the engine is already as an order wanted it.
+    /// Notes that the engine is as an order wanted it, at once or already.
     pub fn holds_already(&mut self, now_ms: u64, order: &Order) {
-        match &order.kind {
-            OrderKind::Load => {
-                self.held.entry(order.model.clone()).or_default();
-            }
-            OrderKind::LoadAdapter(adapter) => {
-                if let Some(adapters) = self.held.get_mut(&order.model) {
-                    adapters.insert(adapter.clone());
-                }
-            }
-            OrderKind::Unload | OrderKind::UnloadAdapter(_) => {}
+        if matches!(order.kind, OrderKind::UnloadAdapter(_)) {
+            // An adapter that nothing uses is unloaded at once.
+            self.sequence = Some(order.expected_sequence + 1);
+            return;
         }
-        // The engine may have counted the order or not.
+        self.doubt(now_ms);
+    }
+
+    /// Waits for a report before the next order, since what the engine holds is in doubt.
+    pub fn doubt(&mut self, now_ms: u64) {
+        self.sequence = None;
+        self.reserved = None;
         self.report_due_ms = now_ms;
     }
 
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -125,14 +125,15 @@
             OrderReply::Holds => engine.holds_already(now_ms, order),
             OrderReply::Conflict => {
                 engine.wait_until_ms = now_ms + CONFLICT_PAUSE_MS;
-                let expects_conflict = engine.reserved() == Some(&order.model);
-                if !expects_conflict {
-                    engine.report_due_ms = now_ms;
+                let awaits_unload =
+                    order.kind == OrderKind::Load && engine.reserved() == Some(&order.model);
+                if !awaits_unload {
+                    engine.doubt(now_ms);
                 }
             }
             OrderReply::Rejected | OrderReply::Fenced => {
                 engine.wait_until_ms = now_ms + REJECTED_PAUSE_MS;
-                engine.report_due_ms = now_ms;
+                engine.doubt(now_ms);
             }
             OrderReply::Unknown => {}
         }
