--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`chaos`]: real processes under random faults.
 //! * [`slopes`]: what routers and agents cost at several sizes.
 //! * [`demo`]: the whole system on one machine.
+//! * [`users_platform`]: stand-ins that speak the pages of the users' platform.
 //! * [`replay`]: the policy under load, measured in virtual time.
 //!
 //! # Limits
@@ -32,3 +33,4 @@
 pub mod settings_text;
 pub mod slopes;
 pub mod standin;
+pub mod users_platform;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/caller.rs
@@ -0,0 +1,104 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Time after which a caller of a test gives up, in milliseconds.
+const CALL_MS: u64 = 20_000;
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct CallerReply {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body as far as it came.
+    pub body: Bytes,
+    /// Whether the body came to its end.
+    pub is_whole: bool,
+}
+
+impl CallerReply {
+    /// Returns a header as text, empty where it is absent.
+    #[must_use]
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// Returns the body as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Sends a request on a connection of its own.
+///
+/// # Errors
+///
+/// Fails where the connection ends without the head of an answer.
+pub async fn call(
+    gateway: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> anyhow::Result<CallerReply> {
+    let stream = TcpStream::connect(gateway).await?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::task::spawn_local(connection);
+    let reply = call_on(&mut sender, method, path, headers, body).await;
+    connection.abort();
+    reply
+}
+
+/// Sends a request on an open connection.
+///
+/// # Errors
+///
+/// Fails where the connection ends without the head of an answer.
+pub async fn call_on(
+    sender: &mut SendRequest<Full<Bytes>>,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> anyhow::Result<CallerReply> {
+    let mut request = Request::builder().method(method).uri(path);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Full::new(Bytes::from(body.to_owned())))?;
+    let exchange = async {
+        sender.ready().await?;
+        let response = sender.send_request(request).await?;
+        let (parts, mut body) = response.into_parts();
+        let mut read = BytesMut::new();
+        let mut is_whole = true;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else {
+                is_whole = false;
+                break;
+            };
+            if let Some(data) = frame.data_ref() {
+                read.extend_from_slice(data);
+            }
+        }
+        anyhow::Ok(CallerReply {
+            status: parts.status,
+            headers: parts.headers,
+            body: read.freeze(),
+            is_whole,
+        })
+    };
+    tokio::time::timeout(Duration::from_millis(CALL_MS), exchange).await?
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_stand_in.rs
@@ -0,0 +1,252 @@
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Either, StreamBody};
+use hyper::body::{Frame, Incoming};
+use serde_json::{Value, json};
+
+use crate::users_platform::local_http::{self, Broken, Frames, StandInBody, whole};
+use crate::users_platform::{EndpointEngine, Reply, SeenRequest};
+
+/// An endpoint, with or without a model engine.
+#[derive(Debug)]
+pub struct EndpointStandIn {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+    state: Rc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    id: String,
+    script: RefCell<VecDeque<Reply>>,
+    usual: RefCell<Reply>,
+    seen: RefCell<Vec<SeenRequest>>,
+    engine: RefCell<Option<EndpointEngine>>,
+    /// Streams whose connection was closed before their end.
+    cancelled: Cell<u32>,
+}
+
+/// Counts a stream as cancelled unless it ended.
+#[derive(Debug)]
+struct StreamGuard {
+    state: Rc<State>,
+    has_ended: bool,
+}
+
+impl StreamGuard {
+    fn ended(&mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.state.cancelled.set(self.state.cancelled.get() + 1);
+        }
+    }
+}
+
+impl EndpointStandIn {
+    /// Starts an endpoint that answers each request with `usual`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub async fn start(
+        id: &str,
+        usual: Reply,
+        engine: Option<EndpointEngine>,
+    ) -> std::io::Result<Self> {
+        let state = Rc::new(State {
+            id: id.to_owned(),
+            script: RefCell::default(),
+            usual: RefCell::new(usual),
+            seen: RefCell::default(),
+            engine: RefCell::new(engine),
+            cancelled: Cell::new(0),
+        });
+        let serving = Rc::clone(&state);
+        let address = local_http::serve(move |request| {
+            let state = Rc::clone(&serving);
+            Box::pin(async move { answer(&state, request).await })
+        })
+        .await?;
+        Ok(Self { address, state })
+    }
+
+    /// Returns the identity.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.state.id
+    }
+
+    /// Sets what the endpoint does with its next request that is not scripted yet.
+    pub fn script(&self, reply: Reply) {
+        self.state.script.borrow_mut().push_back(reply);
+    }
+
+    /// Returns the requests that the endpoint ran or refused, without reports and orders.
+    #[must_use]
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.state.seen.borrow().clone()
+    }
+
+    /// Returns the streams whose connection was closed before their end.
+    #[must_use]
+    pub fn cancelled(&self) -> u32 {
+        self.state.cancelled.get()
+    }
+
+    /// Looks at the engine, or changes it.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the endpoint has no engine.
+    pub fn with_engine<T>(&self, look: impl FnOnce(&mut EndpointEngine) -> T) -> T {
+        let mut engine = self.state.engine.borrow_mut();
+        look(engine.as_mut().expect("the endpoint has an engine"))
+    }
+
+    /// Returns the registry entry of the endpoint.
+    #[must_use]
+    pub fn entry(&self, service: &str, state: &str, born_ms: u64) -> Value {
+        let mut engine = self.state.engine.borrow_mut();
+        let models = engine.as_mut().map(|engine| engine.report()["models"].clone());
+        json!({
+            "backend": service, "addr": self.address.to_string(), "zone": "z1", "version": "v1",
+            "slots": 8, "state": state, "cold_left_ms": 0, "stage": "colocated",
+            "models": models.unwrap_or_else(|| json!([])), "seq": 1, "born": born_ms,
+        })
+    }
+}
+
+async fn answer(
+    state: &Rc<State>,
+    request: Request<Incoming>,
+) -> Result<Response<StandInBody>, Broken> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await;
+    let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    if let Some(engine) = state.engine.borrow_mut().as_mut() {
+        match parts.uri.path() {
+            "/report" => return Ok(whole(200, engine.report().to_string())),
+            "/order" => {
+                let order = serde_json::from_slice(&body).unwrap_or_default();
+                return Ok(whole(engine.order(order), ""));
+            }
+            _ => {}
+        }
+    }
+    let seen = SeenRequest {
+        method: parts.method,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        headers: parts.headers,
+        body,
+    };
+    let is_misdirected = is_misdirected(state, &seen);
+    let attempt_id = seen.header("attempt-id").to_owned();
+    state.seen.borrow_mut().push(seen);
+    if is_misdirected {
+        return Ok(signed(state, whole(421, ""), &attempt_id));
+    }
+    let scripted = state.script.borrow_mut().pop_front();
+    let reply = scripted.unwrap_or_else(|| state.usual.borrow().clone());
+    let response = match reply {
+        Reply::Whole { status, body } => whole(status, body),
+        Reply::NotRun => {
+            let mut response = whole(503, "");
+            response
+                .headers_mut()
+                .insert("not-executed", http::HeaderValue::from_static("1"));
+            response
+        }
+        Reply::Lost => return Err(Broken::OnPurpose),
+        Reply::Silent => {
+            let _guard = StreamGuard {
+                state: Rc::clone(state),
+                has_ended: false,
+            };
+            std::future::pending().await
+        }
+        Reply::Foreign => return Ok(signed(state, whole(200, "foreign"), "another")),
+        Reply::Events {
+            first,
+            last,
+            pause_ms,
+        } => events(state, first, last, pause_ms, false),
+        Reply::BrokenEvents { first, last } => events(state, first, last, 0, true),
+    };
+    Ok(signed(state, response, &attempt_id))
+}
+
+fn is_misdirected(state: &State, seen: &SeenRequest) -> bool {
+    let expected = seen.header("expect-instance");
+    if !expected.is_empty() && expected != state.id {
+        return true;
+    }
+    let mut engine = state.engine.borrow_mut();
+    let model = seen.header("model");
+    engine
+        .as_mut()
+        .is_some_and(|engine| !engine.holds(model))
+}
+
+fn signed(
+    state: &State,
+    mut response: Response<StandInBody>,
+    attempt_id: &str,
+) -> Response<StandInBody> {
+    let headers = response.headers_mut();
+    if let Ok(id) = http::HeaderValue::from_str(attempt_id) {
+        headers.insert("attempt-id", id);
+    }
+    if let Ok(stamp) = http::HeaderValue::from_str(&format!("stamp-{}", state.id)) {
+        headers.insert("response-stamp", stamp);
+    }
+    response
+}
+
+fn events(
+    state: &Rc<State>,
+    first: u32,
+    last: u32,
+    pause_ms: u64,
+    is_broken: bool,
+) -> Response<StandInBody> {
+    let mut guard = StreamGuard {
+        state: Rc::clone(state),
+        has_ended: false,
+    };
+    let whole_events = stream::iter(first..=last).then(move |number| async move {
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        Ok(Frame::data(Bytes::from(format!("id: {number}\ndata: e{number}\n\n"))))
+    });
+    let end = stream::iter([0, 1]).filter_map(move |step| {
+        guard.ended();
+        let item = match (is_broken, step) {
+            (true, 0) => Some(Ok(Frame::data(Bytes::from_static(b"id: 99\ndata: ha")))),
+            (true, _) => Some(Err(Broken::OnPurpose)),
+            (false, _) => None,
+        };
+        async move {
+            // The part of an event leaves before the connection breaks.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            item
+        }
+    });
+    let frames: Frames = Box::pin(whole_events.chain(end));
+    let mut response = Response::new(Either::Right(StreamBody::new(frames)));
+    response.headers_mut().insert(
+        http::header::CONTENT_TYPE,
+        http::HeaderValue::from_static("text/event-stream"),
+    );
+    response
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/local_http.rs
@@ -0,0 +1,55 @@
+//! An HTTP server on the local task set.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http::{Request, Response};
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+/// Why a stand-in breaks a connection.
+#[derive(Clone, Copy, Debug, displaydoc::Display)]
+pub(super) enum Broken {
+    /// the stand-in breaks the connection as it was told
+    OnPurpose,
+}
+
+impl std::error::Error for Broken {}
+
+pub(super) type Frames = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, Broken>>>>;
+pub(super) type StandInBody = Either<Full<Bytes>, StreamBody<Frames>>;
+pub(super) type Answer = Pin<Box<dyn Future<Output = Result<Response<StandInBody>, Broken>>>>;
+
+/// Serves a handler on a free port of loopback.
+pub(super) async fn serve(
+    handler: impl Fn(Request<Incoming>) -> Answer + 'static,
+) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let address = listener.local_addr()?;
+    let handler = Rc::new(handler);
+    tokio::task::spawn_local(async move {
+        while let Ok((stream, _peer)) = listener.accept().await {
+            let handler = Rc::clone(&handler);
+            let service = service_fn(move |request| handler(request));
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            tokio::task::spawn_local(async move {
+                // The other end sees a broken connection too.
+                let _ended = connection.await;
+            });
+        }
+    });
+    Ok(address)
+}
+
+pub(super) fn whole(status: u16, body: impl Into<Bytes>) -> Response<StandInBody> {
+    let mut response = Response::new(Either::Left(Full::new(body.into())));
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/platform_world.rs
@@ -0,0 +1,167 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystaged::gateway::shared::Gateway;
+use chicorystaged::settings::GatewaySettings;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::users_platform::{CallerReply, EndpointStandIn, StoreStandIn, call};
+
+/// Time between two looks at something that is waited for, in milliseconds.
+const POLL_MS: u64 = 10;
+/// Looks before something that is waited for counts as missing.
+const POLLS_MAX: u32 = 1_500;
+
+/// A store, and gateways that follow it.
+#[derive(Debug)]
+pub struct PlatformWorld {
+    /// The store.
+    pub store: StoreStandIn,
+}
+
+impl PlatformWorld {
+    /// Starts a store without rows.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub async fn start() -> std::io::Result<Self> {
+        let store = StoreStandIn::start().await?;
+        Ok(Self { store })
+    }
+
+    /// Starts a gateway; it is not ready before there is a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub async fn gateway(&self, vm: &str) -> anyhow::Result<Rc<Gateway>> {
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        chicorystaged::gateway::start(GatewaySettings {
+            vm: vm.into(),
+            zone: "z1".into(),
+            callers: free,
+            readiness: free,
+            metrics: None,
+            peers: free,
+            store: self.store.address,
+            store_timeout_ms: 700,
+            stop_max_ms: 8_000,
+            lease_ms: 3_000,
+            endpoints_check_epoch: true,
+            ceiling_window_ms: 5_000,
+            ceiling_factor: 1.1,
+            retry_ratio: 0.2,
+            retry_allowance: 54.0,
+            retry_window_ms: 10_000,
+        })
+        .await
+    }
+
+    /// Declares the usual routes: `/app/` idempotent, `/pay/` once, `/chat/` a stream and
+    /// `/long/` a stream that may be resumed, the latter two at the service `llm`.
+    pub fn declare(&self, version: u64) {
+        self.declare_with(version, &usual_routes());
+    }
+
+    /// Declares routes.
+    pub fn declare_with(&self, version: u64, routes: &Value) {
+        let models: Vec<Value> = (0..4)
+            .map(|i| {
+                json!({
+                    "name": format!("m{i}"), "model_size": 70_000.0, "load_s": 0.3, "disk_s": 0.1,
+                    "warm_s": 0.1, "adapters": 4, "adapter_mb": 60.0,
+                })
+            })
+            .collect();
+        let configuration = json!({
+            "version": version,
+            "routes": routes,
+            "services": [
+                {"name": "llm", "health_path": "/healthz", "max_conns": 100, "engine": {
+                    "slots": 8, "kv_capacity": 90_000, "models": models, "model_size": 150_000.0,
+                    "adapter_slots": 4, "loads_per_s": 4.0,
+                }},
+                {"name": "app", "health_path": "/healthz", "max_conns": 100},
+                {"name": "other", "health_path": "/healthz", "max_conns": 100},
+            ],
+            "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
+        });
+        self.store
+            .put("op", "config", configuration.to_string().as_bytes());
+    }
+
+    /// Registers an endpoint.
+    pub fn register(&self, endpoint: &EndpointStandIn, service: &str) {
+        self.register_as(endpoint, service, "ready", 1);
+    }
+
+    /// Registers an endpoint in a state, with the time of its start.
+    pub fn register_as(
+        &self,
+        endpoint: &EndpointStandIn,
+        service: &str,
+        state: &str,
+        born_ms: u64,
+    ) {
+        let entry = endpoint.entry(service, state, born_ms).to_string();
+        self.store.put("servers", endpoint.id(), entry.as_bytes());
+    }
+}
+
+/// Returns the usual routes.
+#[must_use]
+pub fn usual_routes() -> Value {
+    json!([
+        {"name": "app", "host": "h.example", "prefix": "/app/", "kind": "safe", "backend": "app",
+            "timeout_ms": 3_000, "latency_target_ms": 150, "priority": 2, "max_attempts": 2},
+        {"name": "pay", "host": "h.example", "prefix": "/pay/", "kind": "unsafe", "backend": "app",
+            "timeout_ms": 3_000, "latency_target_ms": 150, "priority": 2, "max_attempts": 1},
+        {"name": "chat", "host": "h.example", "prefix": "/chat/", "kind": "stream",
+            "backend": "llm", "timeout_ms": 5_000, "latency_target_ms": 300, "priority": 0,
+            "max_attempts": 1, "resumable": false, "gap_aim_ms": 150},
+        {"name": "long", "host": "h.example", "prefix": "/long/", "kind": "stream",
+            "backend": "llm", "timeout_ms": 15_000, "latency_target_ms": 3_000, "priority": 1,
+            "max_attempts": 2, "resumable": true, "gap_aim_ms": 150},
+    ])
+}
+
+/// Sends a request with the usual headers through a gateway.
+///
+/// # Errors
+///
+/// Fails where the connection ends without the head of an answer.
+pub async fn ask(
+    gateway: &Gateway,
+    method: Method,
+    path: &str,
+    more: &[(&str, &str)],
+    body: &str,
+) -> anyhow::Result<CallerReply> {
+    let mut headers = vec![
+        ("host", "h.example"),
+        ("attempt-id", "a1"),
+        ("deadline-ms", "4000"),
+    ];
+    headers.retain(|(name, _)| more.iter().all(|(other, _)| other != name));
+    headers.extend_from_slice(more);
+    call(gateway.settings.callers, method, path, &headers, body).await
+}
+
+/// Waits until something holds.
+///
+/// # Panics
+///
+/// Panics where it does not come to hold.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..POLLS_MAX {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+    panic!("waited in vain until {what}");
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/store_stand_in.rs
@@ -0,0 +1,258 @@
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::users_platform::StoreMode;
+use crate::users_platform::local_http::{self, Broken, StandInBody, whole};
+
+/// The platform's store: rows, transactions and feeds.
+#[derive(Debug)]
+pub struct StoreStandIn {
+    /// Address of the store.
+    pub address: SocketAddr,
+    state: Rc<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mode: Cell<StoreMode>,
+    rows: RefCell<BTreeMap<(String, String), (Vec<u8>, u64)>>,
+    history: RefCell<Vec<Change>>,
+    history_from: Cell<u64>,
+    calls: Cell<u64>,
+    version: watch::Sender<u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    version: u64,
+    table: String,
+    key: String,
+    value: Option<Vec<u8>>,
+}
+
+impl StoreStandIn {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error.
+    pub async fn start() -> std::io::Result<Self> {
+        let state = Rc::new(State::default());
+        let serving = Rc::clone(&state);
+        let address = local_http::serve(move |request| {
+            let state = Rc::clone(&serving);
+            Box::pin(async move { answer(&state, request).await })
+        })
+        .await?;
+        Ok(Self { address, state })
+    }
+
+    /// Sets how the store answers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.state.mode.set(mode);
+    }
+
+    /// Drops the history, so that feeds must read again.
+    pub fn forget_history(&self) {
+        self.state.history.borrow_mut().clear();
+        self.state.history_from.set(*self.state.version.borrow());
+    }
+
+    /// Writes a row, as the operator and the endpoints do.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.state.write(table, key, Some(value.to_vec()));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.state.write(table, key, None);
+    }
+
+    /// Returns the value of a row.
+    #[must_use]
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let rows = self.state.rows.borrow();
+        let (value, _) = rows.get(&(table.to_owned(), key.to_owned()))?;
+        Some(value.clone())
+    }
+
+    /// Returns the number of calls so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.state.calls.get()
+    }
+}
+
+impl State {
+    fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
+        let version = *self.version.borrow() + 1;
+        let place = (table.to_owned(), key.to_owned());
+        match &value {
+            Some(value) => {
+                self.rows
+                    .borrow_mut()
+                    .insert(place, (value.clone(), version));
+            }
+            None => {
+                self.rows.borrow_mut().remove(&place);
+            }
+        }
+        self.history.borrow_mut().push(Change {
+            version,
+            table: table.to_owned(),
+            key: key.to_owned(),
+            value,
+        });
+        self.version.send_replace(version);
+        version
+    }
+
+    fn read(&self, table: &str) -> Value {
+        let rows = self.rows.borrow();
+        let rows = rows.iter().filter(|((of, _), _)| of == table);
+        let rows: Vec<Value> = rows
+            .map(|((table, key), (value, version))| {
+                row(table, key, Some(value.as_slice()), *version)
+            })
+            .collect();
+        json!({"rows": rows, "has_more": false, "ver": *self.version.borrow(), "now_ms": 0})
+    }
+
+    async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> Option<Value> {
+        let mut version = self.version.subscribe();
+        let changed = async {
+            loop {
+                if after < self.history_from.get() {
+                    return None;
+                }
+                let rows = self.changes(table, after);
+                if !rows.is_empty() {
+                    return Some(rows);
+                }
+                if version.changed().await.is_err() {
+                    return None;
+                }
+            }
+        };
+        let rows = tokio::time::timeout(Duration::from_millis(wait_ms), changed).await;
+        let rows = rows.unwrap_or(Some(Vec::new()))?;
+        Some(json!({"rows": rows, "ver": *self.version.borrow(), "now_ms": 0}))
+    }
+
+    fn changes(&self, table: &str, after: u64) -> Vec<Value> {
+        let history = self.history.borrow();
+        let changes = history
+            .iter()
+            .filter(|change| change.table == table && change.version > after);
+        changes
+            .map(|change| {
+                row(
+                    &change.table,
+                    &change.key,
+                    change.value.as_deref(),
+                    change.version,
+                )
+            })
+            .collect()
+    }
+
+    fn transact(&self, body: &Value) -> Response<StandInBody> {
+        let empty = Vec::new();
+        let expected = body["expect_rev"].as_array().unwrap_or(&empty);
+        for entry in expected {
+            let (table, key) = place(entry);
+            let rows = self.rows.borrow();
+            let known = rows.get(&(table.clone(), key.clone()));
+            let version = known.map_or(0, |(_, version)| *version);
+            if entry["ver"].as_u64() != Some(version) {
+                let value = known.map(|(value, _)| value.as_slice());
+                let rows = [row(&table, &key, value, version)];
+                return whole(412, json!({"rows": rows}).to_string());
+            }
+        }
+        for entry in body["puts"].as_array().unwrap_or(&empty) {
+            let (table, key) = place(entry);
+            let value = entry["value"].as_str().unwrap_or_default();
+            let value = BASE64_STANDARD.decode(value).unwrap_or_default();
+            self.write(&table, &key, Some(value));
+        }
+        let version = *self.version.borrow();
+        whole(200, json!({"ver": version, "now_ms": 0}).to_string())
+    }
+}
+
+fn place(entry: &Value) -> (String, String) {
+    let text = |name: &str| entry[name].as_str().unwrap_or_default().to_owned();
+    (text("table"), text("key"))
+}
+
+fn row(table: &str, key: &str, value: Option<&[u8]>, version: u64) -> Value {
+    match value {
+        Some(value) => json!({
+            "table": table, "part": "", "key": key, "ver": version,
+            "value": BASE64_STANDARD.encode(value),
+        }),
+        None => json!({"table": table, "part": "", "key": key, "ver": version, "removed": true}),
+    }
+}
+
+async fn answer(
+    state: &Rc<State>,
+    request: Request<Incoming>,
+) -> Result<Response<StandInBody>, Broken> {
+    state.calls.set(state.calls.get() + 1);
+    match state.mode.get() {
+        StoreMode::Busy => return Ok(whole(503, "")),
+        StoreMode::Silent => std::future::pending().await,
+        StoreMode::Serving | StoreMode::LosingAnswers => {}
+    }
+    let response = serve(state, request).await;
+    match state.mode.get() {
+        StoreMode::Serving | StoreMode::Busy => Ok(response),
+        StoreMode::Silent => std::future::pending().await,
+        StoreMode::LosingAnswers => Err(Broken::OnPurpose),
+    }
+}
+
+async fn serve(state: &Rc<State>, request: Request<Incoming>) -> Response<StandInBody> {
+    let query: HashMap<String, String> = request
+        .uri()
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect();
+    let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
+    let table = query.get("table").map_or("", String::as_str).to_owned();
+    match request.uri().path() {
+        "/rows-get" => whole(200, state.read(&table).to_string()),
+        "/rows-feed" => {
+            let (after, wait_ms) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
+            match state.feed(&table, after, wait_ms).await {
+                Some(changes) => whole(200, changes.to_string()),
+                None => whole(410, ""),
+            }
+        }
+        "/rows-tx" => {
+            let body = request.into_body().collect().await;
+            let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+            match serde_json::from_slice(&body) {
+                Ok(body) => state.transact(&body),
+                Err(_malformed) => whole(400, ""),
+            }
+        }
+        _ => whole(404, ""),
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -0,0 +1,27 @@
+//! Endpoints for the requests that wait.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::gateway::shared::Gateway;
+
+/// Time between two looks at waiting requests where nothing happens, in milliseconds.
+const GRANT_PERIOD_MS: u64 = 50;
+
+/// Starts to grant.
+pub fn start(gateway: &Rc<Gateway>) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { run(&gateway).await });
+}
+
+async fn run(gateway: &Rc<Gateway>) {
+    loop {
+        let period = Duration::from_millis(GRANT_PERIOD_MS);
+        // Either the period is over or there may be room.
+        let _elapsed = tokio::time::timeout(period, gateway.room_changed.notified()).await;
+        gateway.grant_waiters();
+        gateway.pool.sweep(gateway.now_ms());
+        let (waiting, in_progress) = gateway.with(|view| (view.waiters.len(), view.in_progress));
+        gateway.metrics.set_held(waiting, in_progress);
+    }
+}
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! * [`callers`] accepts connections and hands each request to [`request`],
 //!   which finds its route, waits for an endpoint and sends it by [`attempt`].
 //! * [`follow`] keeps the tables of the store in view.
+//! * [`granting`] gives waiting requests the endpoints that have room.
 //! * [`peers`] tells the other gateways what is in progress and asked for.
 //! * [`ordering`] gives orders to engines while this gateway holds the lease.
 //! * [`shared`] is the state that all of them share.
@@ -23,6 +24,7 @@
 pub mod connection;
 pub mod event_stream;
 pub mod follow;
+pub mod granting;
 pub mod ordering;
 pub mod peer_message;
 pub mod peers;
@@ -51,30 +53,45 @@
 /// Fails where an address cannot be bound.
 pub async fn serve(path: &Path, settings: GatewaySettings) -> anyhow::Result<()> {
     let tasks = LocalSet::new();
-    let path = path.to_owned();
     tasks
         .run_until(async move {
-            let listener = callers::bind(settings.callers)?;
-            let readiness = callers::bind(settings.readiness)?;
-            let socket = peers::bind(settings.peers)?;
-            let metrics = match settings.metrics {
-                Some(address) => Some(HttpServer::bind(address).await?),
-                None => None,
-            };
-            let gateway = Rc::new(Gateway::new(settings));
-            log::info!(
-                event = "gateway_started", vm = gateway.settings.vm.as_str(),
-                callers:% = gateway.settings.callers, version = env!("CARGO_PKG_VERSION");
-                "gateway started"
-            );
-            let _metrics = metrics.map(|server| plain_http::serve_metrics(server, &gateway));
-            plain_http::serve_readiness(readiness, Rc::clone(&gateway));
-            follow::start(&gateway);
-            peers::start(&gateway, socket);
-            ordering::start(&gateway);
-            callers::start(&gateway, listener);
-            stop::run(&gateway, &path).await;
+            let gateway = start(settings).await?;
+            stop::run(&gateway, path).await;
             Ok(())
         })
         .await
 }
+
+/// Starts a gateway on the current local task set; port 0 takes a free port.
+///
+/// # Errors
+///
+/// Fails where an address cannot be bound.
+pub async fn start(mut settings: GatewaySettings) -> anyhow::Result<Rc<Gateway>> {
+    let listener = callers::bind(settings.callers)?;
+    settings.callers = listener.local_addr()?;
+    let readiness = callers::bind(settings.readiness)?;
+    settings.readiness = readiness.local_addr()?;
+    let socket = peers::bind(settings.peers)?;
+    settings.peers = socket.local_addr()?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(HttpServer::bind(address).await?),
+        None => None,
+    };
+    let gateway = Rc::new(Gateway::new(settings));
+    log::info!(
+        event = "gateway_started", vm = gateway.settings.vm.as_str(),
+        callers:% = gateway.settings.callers, version = env!("CARGO_PKG_VERSION");
+        "gateway started"
+    );
+    if let Some(server) = metrics {
+        plain_http::serve_metrics(server, &gateway);
+    }
+    plain_http::serve_readiness(readiness, Rc::clone(&gateway));
+    follow::start(&gateway);
+    peers::start(&gateway, socket);
+    ordering::start(&gateway);
+    granting::start(&gateway);
+    callers::start(&gateway, listener);
+    Ok(gateway)
+}
--- a/crates/chicorystaged/src/gateway/plain_http.rs
+++ b/crates/chicorystaged/src/gateway/plain_http.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use chicorystage_borders::BoxFuture;
-use chicorystage_borders::http::{Handler, HttpServer, ResponseBody, RunningServer};
+use chicorystage_borders::http::{Handler, HttpServer, ResponseBody};
 use chicorystage_platform::READINESS_PATH;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -41,12 +41,17 @@
     });
 }
 
-/// Serves the metrics.
-#[must_use]
-pub fn serve_metrics(server: HttpServer, gateway: &Rc<Gateway>) -> RunningServer {
-    server.start(Arc::new(MetricsPage {
+/// Serves the metrics for as long as the gateway lives.
+pub fn serve_metrics(server: HttpServer, gateway: &Rc<Gateway>) {
+    let page = MetricsPage {
         metrics: Arc::clone(&gateway.metrics),
-    }))
+    };
+    let running = server.start(Arc::new(page));
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        gateway.ending().await;
+        drop(running);
+    });
 }
 
 struct MetricsPage {
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -18,32 +18,16 @@
 const LAST_ANSWER_MS: u64 = 200;
 /// Time between two looks at the requests in progress, in milliseconds.
 const POLL_MS: u64 = 20;
-/// Time between two looks at waiting requests where nothing happens, in milliseconds.
-const GRANT_PERIOD_MS: u64 = 50;
 /// Longest time of giving up the lease, in milliseconds.
 const RELEASE_MS: u64 = 500;
 
-/// Grants waiting requests until the process is told to stop, then stops gracefully.
+/// Waits until the process is told to stop, then leaves gracefully.
 pub async fn run(gateway: &Rc<Gateway>, path: &Path) {
-    let granting = Rc::clone(gateway);
-    tokio::task::spawn_local(async move { grant_loop(&granting).await });
     tokio::select! {
         () = crate::stop::signalled() => {}
         () = reload_loop(path) => {}
     }
-    stop(gateway).await;
-}
-
-async fn grant_loop(gateway: &Rc<Gateway>) {
-    loop {
-        let period = Duration::from_millis(GRANT_PERIOD_MS);
-        // Either the period is over or there may be room.
-        let _elapsed = tokio::time::timeout(period, gateway.room_changed.notified()).await;
-        gateway.grant_waiters();
-        gateway.pool.sweep(gateway.now_ms());
-        let (waiting, in_progress) = gateway.with(|view| (view.waiters.len(), view.in_progress));
-        gateway.metrics.set_held(waiting, in_progress);
-    }
+    leave(gateway).await;
 }
 
 /// The settings name addresses and limits of the process, so a change takes a restart.
@@ -76,7 +60,8 @@
     }
 }
 
-async fn stop(gateway: &Rc<Gateway>) {
+/// Stops gracefully: returns once nothing is in progress, or shortly before the longest stop is over.
+pub async fn leave(gateway: &Rc<Gateway>) {
     gateway.is_stopping.set(true);
     let begun_ms = gateway.now_ms();
     log::info!(event = "gateway_stopping"; "gateway is leaving");
