A stopping gateway refuses at once what it cannot finish

Change: once connections are closed a request is refused with a time to come back; the lag for the balancer is 2.3 s.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -28,7 +28,8 @@
     /// Takes over what an endpoint registered.
     pub fn registered(&mut self, entry: EndpointEntry) -> EntryChange {
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
-            self.endpoints.insert(entry.id.clone(), Endpoint::new(entry));
+            self.endpoints
+                .insert(entry.id.clone(), Endpoint::new(entry));
             return EntryChange::Added;
         };
         if known.entry == entry {
@@ -173,5 +174,9 @@
         Choice::Full => 3,
         Choice::Endpoint(_) => 4,
     };
-    if rank(&new) > rank(&known) { new } else { known }
+    if rank(&new) > rank(&known) {
+        new
+    } else {
+        known
+    }
 }
--- a/crates/chicorystage-core/src/orders/demand_book.rs
+++ b/crates/chicorystage-core/src/orders/demand_book.rs
@@ -60,9 +60,7 @@
     #[must_use]
     pub fn waiting_for(&self, now_ms: u64, model: &ModelName) -> u32 {
         let recent = self.recent(now_ms);
-        recent
-            .filter_map(|waiting| waiting.models.get(model))
-            .sum()
+        recent.filter_map(|waiting| waiting.models.get(model)).sum()
     }
 
     /// Returns the adapters that requests wait for, with their number.
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -271,7 +271,10 @@
         fleet: &FleetView,
         demand: &DemandBook,
     ) -> Option<super::placement::Step> {
-        let from_store = self.engines.values().filter(|engine| engine.loads_from_store());
+        let from_store = self
+            .engines
+            .values()
+            .filter(|engine| engine.loads_from_store());
         let running = from_store.count();
         let window_ms = self.settings.ceiling_window_ms;
         #[expect(
@@ -345,11 +348,7 @@
 }
 
 /// Returns the adapter that was not asked for longest.
-fn unused_adapter(
-    now_ms: u64,
-    engine: &EngineRecord,
-    demand: &DemandBook,
-) -> Option<AdapterRef> {
+fn unused_adapter(now_ms: u64, engine: &EngineRecord, demand: &DemandBook) -> Option<AdapterRef> {
     let held = engine.held.iter().flat_map(|(model, adapters)| {
         adapters.iter().map(|adapter| AdapterRef {
             model: model.clone(),
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -67,12 +67,7 @@
         best.map(|(_, step)| step)
     }
 
-    fn option(
-        &self,
-        engine: &EngineRecord,
-        model: &ModelSpec,
-        worth: f64,
-    ) -> Option<(f64, Step)> {
+    fn option(&self, engine: &EngineRecord, model: &ModelSpec, worth: f64) -> Option<(f64, Step)> {
         let source = engine.source(&model.name);
         if source == LoadSource::Store && !self.store_is_free {
             return None;
@@ -128,17 +123,13 @@
             if is_used || is_fresh || !engine.fits(self.spec, model, Some(held)) {
                 continue;
             }
-            let lost = self
-                .states
-                .get(held)
-                .map_or(0.0, ModelState::worth_of_last);
+            let lost = self.states.get(held).map_or(0.0, ModelState::worth_of_last);
             if best.is_none_or(|(least, _)| lost < least) {
                 best = Some((lost, held));
             }
         }
         best
     }
-
 }
 
 /// Returns the time of a load, in milliseconds.
@@ -150,10 +141,7 @@
     }
 }
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "loads take seconds to minutes"
-)]
+#[expect(clippy::cast_precision_loss, reason = "loads take seconds to minutes")]
 fn seconds(time_ms: u64) -> f64 {
     const MS_PER_S: f64 = 1_000.0;
     time_ms as f64 / MS_PER_S
--- a/crates/chicorystage-core/tests/order_lease.rs
+++ b/crates/chicorystage-core/tests/order_lease.rs
@@ -5,8 +5,8 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rand::rngs::StdRng;
 use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const LEASE_MS: u64 = 3_000;
 const TICK_MS: u64 = 100;
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -14,8 +14,8 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use rand::rngs::StdRng;
 use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const MEMORY_MB: f64 = 220_000.0;
 const MODEL_MB: f64 = 72_700.0;
@@ -146,7 +146,11 @@
                 let full = self.memory_mb() + MODEL_MB > MEMORY_MB;
                 assert!(!full, "{} overcommitted by {order:?}", order.endpoint);
                 let from_disk = self.on_disk.contains(&order.model);
-                let load_ms = if from_disk { DISK_LOAD_MS } else { STORE_LOAD_MS };
+                let load_ms = if from_disk {
+                    DISK_LOAD_MS
+                } else {
+                    STORE_LOAD_MS
+                };
                 if !from_disk {
                     self.store_loads_ms.push(now_ms);
                 }
@@ -220,7 +224,10 @@
             let held = (0..3).map(|k| (model((i * 3 + k) % MODELS), BTreeSet::new()));
             let engine = Engine {
                 held: held.collect(),
-                on_disk: (0..MODELS).filter(|k| k % ENGINES != i).map(model).collect(),
+                on_disk: (0..MODELS)
+                    .filter(|k| k % ENGINES != i)
+                    .map(model)
+                    .collect(),
                 ..Engine::default()
             };
             world.engines.insert(id.clone(), engine);
@@ -248,7 +255,10 @@
         for engine in self.engines.values_mut() {
             engine.advance(now_ms);
         }
-        let late: Vec<_> = self.late.extract_if(.., |(at_ms, _)| *at_ms <= now_ms).collect();
+        let late: Vec<_> = self
+            .late
+            .extract_if(.., |(at_ms, _)| *at_ms <= now_ms)
+            .collect();
         for (_, order) in late {
             if let Some(engine) = self.engines.get_mut(&order.endpoint) {
                 engine.take(now_ms, &order);
@@ -293,10 +303,16 @@
     /// Callers ask for models and adapters at random, some far more often than others.
     fn ask(&mut self) {
         let now_ms = self.now_ms;
-        let skew = self.random.random_range(0..MODELS).min(self.random.random_range(0..MODELS));
+        let skew = self
+            .random
+            .random_range(0..MODELS)
+            .min(self.random.random_range(0..MODELS));
         let model = model(skew);
         self.demand.asked(now_ms, &model, 1, 300);
-        let is_held = self.engines.values().any(|engine| engine.held.contains_key(&model));
+        let is_held = self
+            .engines
+            .values()
+            .any(|engine| engine.held.contains_key(&model));
         let adapter = AdapterRef {
             model: model.clone(),
             adapter: AdapterName::from(format!("a{}", self.random.random_range(0..12))),
@@ -315,7 +331,11 @@
 
     fn give(&mut self, order: Order) {
         let now_ms = self.now_ms;
-        let luck = if self.is_calm { 99 } else { self.random.random_range(0..100) };
+        let luck = if self.is_calm {
+            99
+        } else {
+            self.random.random_range(0..100)
+        };
         match luck {
             0..8 => {}
             8..20 => {
@@ -323,11 +343,17 @@
                 self.late.push((at_ms, order));
             }
             20..28 => {
-                let engine = self.engines.get_mut(&order.endpoint).expect("a known engine");
+                let engine = self
+                    .engines
+                    .get_mut(&order.endpoint)
+                    .expect("a known engine");
                 engine.take(now_ms, &order);
             }
             _ => {
-                let engine = self.engines.get_mut(&order.endpoint).expect("a known engine");
+                let engine = self
+                    .engines
+                    .get_mut(&order.endpoint)
+                    .expect("a known engine");
                 let reply = engine.take(now_ms, &order);
                 self.replies.push((now_ms + STEP_MS, order, reply));
             }
@@ -336,11 +362,18 @@
 
     fn deliver(&mut self) {
         let now_ms = self.now_ms;
-        let replies: Vec<_> = self.replies.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        let replies: Vec<_> = self
+            .replies
+            .extract_if(.., |(at_ms, ..)| *at_ms <= now_ms)
+            .collect();
         for (_, order, reply) in replies {
-            self.book.replied(now_ms, &order, reply, &self.configuration);
+            self.book
+                .replied(now_ms, &order, reply, &self.configuration);
         }
-        let reports: Vec<_> = self.reports.extract_if(.., |(at_ms, ..)| *at_ms <= now_ms).collect();
+        let reports: Vec<_> = self
+            .reports
+            .extract_if(.., |(at_ms, ..)| *at_ms <= now_ms)
+            .collect();
         for (_, id, report) in reports {
             self.book.reported(now_ms, &id, &report);
         }
@@ -396,10 +429,19 @@
     world.run_ms(1_000);
     let wanted = (0..MODELS)
         .map(model)
-        .find(|model| !world.engines.values().any(|engine| engine.held.contains_key(model)))
+        .find(|model| {
+            !world
+                .engines
+                .values()
+                .any(|engine| engine.held.contains_key(model))
+        })
         .expect("there are more models than places");
     let mut waited_ms = 0;
-    while !world.engines.values().any(|engine| engine.held.contains_key(&wanted)) {
+    while !world
+        .engines
+        .values()
+        .any(|engine| engine.held.contains_key(&wanted))
+    {
         let waiting = HashMap::from([(wanted.clone(), 1)]);
         world.demand.asked(world.now_ms, &wanted, 1, 3_000);
         world
@@ -407,6 +449,10 @@
             .waiting(world.now_ms, VmId::from("other"), waiting, HashMap::new());
         world.step();
         waited_ms += STEP_MS;
-        assert_that!(waited_ms, le(DISK_LOAD_MS * 3 / 2), "{wanted} is not loaded");
+        assert_that!(
+            waited_ms,
+            le(DISK_LOAD_MS * 3 / 2),
+            "{wanted} is not loaded"
+        );
     }
 }
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_engine.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_engine.rs
@@ -23,7 +23,9 @@
     /// Creates an engine that holds models and loads others in `load_ms`.
     #[must_use]
     pub fn new(models: &[&str], load_ms: u64) -> Self {
-        let held = models.iter().map(|model| ((*model).to_owned(), BTreeSet::new()));
+        let held = models
+            .iter()
+            .map(|model| ((*model).to_owned(), BTreeSet::new()));
         Self {
             held: held.collect(),
             sequence: 0,
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_stand_in.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_stand_in.rs
@@ -119,7 +119,9 @@
     #[must_use]
     pub fn entry(&self, service: &str, state: &str, born_ms: u64) -> Value {
         let mut engine = self.state.engine.borrow_mut();
-        let models = engine.as_mut().map(|engine| engine.report()["models"].clone());
+        let models = engine
+            .as_mut()
+            .map(|engine| engine.report()["models"].clone());
         json!({
             "backend": service, "addr": self.address.to_string(), "zone": "z1", "version": "v1",
             "slots": 8, "state": state, "cold_left_ms": 0, "stage": "colocated",
@@ -134,7 +136,9 @@
 ) -> Result<Response<StandInBody>, Broken> {
     let (parts, body) = request.into_parts();
     let body = body.collect().await;
-    let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    let body = body
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
     if let Some(engine) = state.engine.borrow_mut().as_mut() {
         match parts.uri.path() {
             "/report" => return Ok(whole(200, engine.report().to_string())),
@@ -147,7 +151,11 @@
     }
     let seen = SeenRequest {
         method: parts.method,
-        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned(),
+        path: parts
+            .uri
+            .path_and_query()
+            .map_or("/", |path| path.as_str())
+            .to_owned(),
         headers: parts.headers,
         body,
     };
@@ -194,9 +202,7 @@
     }
     let mut engine = state.engine.borrow_mut();
     let model = seen.header("model");
-    engine
-        .as_mut()
-        .is_some_and(|engine| !engine.holds(model))
+    engine.as_mut().is_some_and(|engine| !engine.holds(model))
 }
 
 fn signed(
@@ -227,7 +233,9 @@
     };
     let whole_events = stream::iter(first..=last).then(move |number| async move {
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-        Ok(Frame::data(Bytes::from(format!("id: {number}\ndata: e{number}\n\n"))))
+        Ok(Frame::data(Bytes::from(format!(
+            "id: {number}\ndata: e{number}\n\n"
+        ))))
     });
     let end = stream::iter([0, 1]).filter_map(move |step| {
         guard.ended();
--- a/crates/chicorystage-testbed/src/users_platform/store_stand_in.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_stand_in.rs
@@ -247,7 +247,9 @@
         }
         "/rows-tx" => {
             let body = request.into_body().collect().await;
-            let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+            let body = body
+                .map(http_body_util::Collected::to_bytes)
+                .unwrap_or_default();
             match serde_json::from_slice(&body) {
                 Ok(body) => state.transact(&body),
                 Err(_malformed) => whole(400, ""),
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -0,0 +1,316 @@
+//! Calls through a gateway: routes, headers, what may be repeated and what may not.
+
+use chicorystage_testbed::users_platform::{
+    EndpointStandIn, PlatformWorld, Reply, ask, until, usual_routes,
+};
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use tokio::task::LocalSet;
+
+fn good() -> Reply {
+    Reply::Whole {
+        status: 200,
+        body: "done".to_owned(),
+    }
+}
+
+/// Runs a test on a local task set.
+fn local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+#[gtest]
+fn a_call_reaches_its_endpoint_unchanged_and_the_answer_comes_back_unchanged() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        let more = [
+            ("hold", "h"),
+            ("kv-from", "k"),
+            ("x-own", "kept"),
+            ("connection", "x-hop"),
+            ("x-hop", "dropped"),
+        ];
+        let reply = ask(&gateway, Method::POST, "/pay/x?y=1", &more, "{}")
+            .await
+            .or_fail()?;
+
+        verify_that!(reply.status, eq(StatusCode::OK))?;
+        verify_that!(reply.text(), eq("done"))?;
+        verify_that!(reply.header("response-stamp"), eq("stamp-e1"))?;
+        verify_that!(reply.header("attempt-id"), eq("a1"))?;
+        let seen = endpoint.seen();
+        verify_that!(seen, len(eq(1)))?;
+        verify_that!(seen[0].path, eq("/pay/x?y=1"))?;
+        verify_that!(seen[0].method, eq(&Method::POST))?;
+        verify_that!(&seen[0].body[..], eq(b"{}"))?;
+        verify_that!(seen[0].header("expect-instance"), eq("e1"))?;
+        verify_that!(seen[0].header("x-own"), eq("kept"))?;
+        for dropped in ["hold", "kv-from", "x-hop"] {
+            verify_that!(seen[0].header(dropped), eq(""))?;
+        }
+        let left_ms: u64 = seen[0].header("deadline-ms").parse().or_fail()?;
+        verify_that!(left_ms, le(3_000))
+    })
+}
+
+#[gtest]
+fn without_a_configuration_nothing_is_known_to_be_absent() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let gateway = world.gateway("g1").await.or_fail()?;
+        let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        let back_s: f64 = reply.header("retry-after").parse().or_fail()?;
+        verify_that!(back_s, gt(0.0))?;
+        verify_that!(gateway.is_ready(), eq(false))
+    })
+}
+
+#[gtest]
+fn the_longest_prefix_wins_and_no_prefix_is_not_found() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let (short, long) = (
+            EndpointStandIn::start("short", good(), None)
+                .await
+                .or_fail()?,
+            EndpointStandIn::start("long", good(), None)
+                .await
+                .or_fail()?,
+        );
+        let mut routes = usual_routes();
+        let mut special = routes[0].clone();
+        special["name"] = "special".into();
+        special["prefix"] = "/app/special/".into();
+        special["backend"] = "other".into();
+        routes.as_array_mut().or_fail()?.push(special);
+        world.declare_with(1, &routes);
+        world.register(&short, "app");
+        world.register(&long, "other");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        ask(&gateway, Method::GET, "/app/special/x", &[], "")
+            .await
+            .or_fail()?;
+        ask(&gateway, Method::GET, "/app/specialist", &[], "")
+            .await
+            .or_fail()?;
+        let absent = ask(&gateway, Method::GET, "/none/x", &[], "")
+            .await
+            .or_fail()?;
+        let other = ask(
+            &gateway,
+            Method::GET,
+            "/app/x",
+            &[("host", "no.example")],
+            "",
+        )
+        .await;
+
+        verify_that!(long.seen(), len(eq(1)))?;
+        verify_that!(short.seen(), len(eq(1)))?;
+        verify_that!(absent.status, eq(StatusCode::NOT_FOUND))?;
+        verify_that!(other.or_fail()?.status, eq(StatusCode::NOT_FOUND))
+    })
+}
+
+#[gtest]
+fn a_call_that_may_run_once_is_not_sent_again_after_a_lost_answer() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoints = [
+            EndpointStandIn::start("e1", Reply::Lost, None)
+                .await
+                .or_fail()?,
+            EndpointStandIn::start("e2", Reply::Lost, None)
+                .await
+                .or_fail()?,
+        ];
+        world.declare(1);
+        for endpoint in &endpoints {
+            world.register(endpoint, "app");
+        }
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+
+        // Neither status promises that the call did not run.
+        verify_that!(reply.status, eq(StatusCode::BAD_GATEWAY))?;
+        verify_that!(reply.header("response-stamp"), eq(""))?;
+        let runs: usize = endpoints.iter().map(|endpoint| endpoint.seen().len()).sum();
+        verify_that!(runs, eq(1))
+    })
+}
+
+#[gtest]
+fn an_idempotent_call_is_sent_again_after_a_lost_answer() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let lost = EndpointStandIn::start("e1", Reply::Lost, None)
+            .await
+            .or_fail()?;
+        let good = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&lost, "app");
+        world.register(&good, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        for _ in 0..6 {
+            let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::OK))?;
+        }
+        verify_that!(lost.seen(), not(is_empty()))
+    })
+}
+
+#[gtest]
+fn a_call_that_was_not_run_goes_to_another_endpoint() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let full = EndpointStandIn::start("e1", Reply::NotRun, None)
+            .await
+            .or_fail()?;
+        let good = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&full, "app");
+        world.register(&good, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        for _ in 0..4 {
+            let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::OK))?;
+        }
+        verify_that!(full.seen(), not(is_empty()))
+    })
+}
+
+#[gtest]
+fn a_call_that_nobody_runs_is_refused_with_a_time_to_come_back() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let full = EndpointStandIn::start("e1", Reply::NotRun, None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&full, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(reply.header("response-stamp"), eq(""))?;
+        let back_s: f64 = reply.header("retry-after").parse().or_fail()?;
+        verify_that!(back_s, le(4.0 / 3.0))
+    })
+}
+
+#[gtest]
+fn the_answer_of_another_attempt_is_not_passed_on() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", Reply::Foreign, None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+
+        verify_that!(reply.status, eq(StatusCode::BAD_GATEWAY))?;
+        verify_that!(reply.text(), not(contains_substring("foreign")))
+    })
+}
+
+#[gtest]
+fn a_body_over_the_limit_and_a_malformed_head_are_refused_clearly() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+
+        let body = "x".repeat(100_001);
+        let large = ask(&gateway, Method::POST, "/pay/x", &[], &body)
+            .await
+            .or_fail()?;
+        verify_that!(large.status, eq(StatusCode::PAYLOAD_TOO_LARGE))?;
+        for head in [
+            "BOGUS\r\n\r\n",
+            "POST /pay/x HTTP/1.1\r\nhost: h.example\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab",
+        ] {
+            verify_that!(
+                raw(&gateway, head).await.or_fail()?,
+                starts_with("HTTP/1.1 400")
+            )?;
+        }
+        verify_that!(endpoint.seen(), is_empty())?;
+        let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::OK))
+    })
+}
+
+/// Sends bytes and returns what comes back until the connection ends.
+async fn raw(
+    gateway: &chicorystaged::gateway::shared::Gateway,
+    bytes: &str,
+) -> std::io::Result<String> {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut stream = tokio::net::TcpStream::connect(gateway.settings.callers).await?;
+    stream.write_all(bytes.as_bytes()).await?;
+    let mut answer = Vec::new();
+    // The gateway closes after such a head; a reset ends the answer as well.
+    let _read = stream.read_to_end(&mut answer).await;
+    Ok(String::from_utf8_lossy(&answer).into_owned())
+}
+
+#[gtest]
+fn a_planned_stop_answers_those_who_wait() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        // No endpoint: the request waits for one.
+        let more = [("deadline-ms", "20000"), ("model", "m0")];
+        let waiting = ask(&gateway, Method::POST, "/long/x", &more, "{}");
+        let stopping = chicorystaged::gateway::stop::leave(&gateway);
+        let (reply, ()) = tokio::join!(waiting, stopping);
+        let reply = reply.or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(reply.header("connection"), eq("close"))?;
+        verify_that!(gateway.is_ready(), eq(false))
+    })
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -0,0 +1,234 @@
+//! Changes that a gateway follows: configurations, endpoints, outages of the store.
+
+use chicorystage_testbed::users_platform::{
+    EndpointStandIn, PlatformWorld, Reply, StoreMode, ask, until, usual_routes,
+};
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use tokio::task::LocalSet;
+
+fn local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+fn good() -> Reply {
+    Reply::Whole {
+        status: 200,
+        body: "done".to_owned(),
+    }
+}
+
+fn version(gateway: &chicorystaged::gateway::shared::Gateway) -> u64 {
+    gateway.configuration().map_or(0, |known| known.version)
+}
+
+#[gtest]
+fn a_newer_configuration_replaces_and_an_older_one_never_does() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(5);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("version 5 is in force", || version(&gateway) == 5).await;
+        world.declare(9);
+        until("version 9 is in force", || version(&gateway) == 9).await;
+        world.declare(7);
+        world.declare_with(11, &usual_routes());
+        until("version 11 is in force", || {
+            version(&gateway) >= 9 && version(&gateway) == 11
+        })
+        .await;
+        Ok(())
+    })
+}
+
+#[gtest]
+fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("version 1 is in force", || version(&gateway) == 1).await;
+        world
+            .store
+            .put("op", "config", b"{\"version\": 2, \"routes\": 7}");
+        world.declare(3);
+        until("version 3 is in force", || version(&gateway) == 3).await;
+        Ok(())
+    })
+}
+
+// The feed that was asked while the store was silent is never answered.
+#[gtest]
+fn a_change_after_a_silent_store_is_in_force_within_seconds() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("version 1 is in force", || version(&gateway) == 1).await;
+        world.store.set_mode(StoreMode::Silent);
+        tokio::time::sleep(std::time::Duration::from_millis(3_500)).await;
+        world.store.set_mode(StoreMode::Serving);
+        world.declare(2);
+        let begun = std::time::Instant::now();
+        until("version 2 is in force", || version(&gateway) == 2).await;
+        // A machine is held to a change three seconds after the end of an outage, plus two.
+        verify_that!(begun.elapsed().as_millis(), lt(5_000))
+    })
+}
+
+#[gtest]
+fn history_that_is_gone_is_made_up_for_by_a_whole_read() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("version 1 is in force", || version(&gateway) == 1).await;
+        world.declare(2);
+        world.store.forget_history();
+        until("version 2 is in force", || version(&gateway) == 2).await;
+        Ok(())
+    })
+}
+
+#[gtest]
+fn a_gateway_serves_on_while_the_store_is_away() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        for mode in [StoreMode::Busy, StoreMode::LosingAnswers, StoreMode::Silent] {
+            world.store.set_mode(mode);
+            let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::OK))?;
+        }
+        verify_that!(gateway.is_ready(), eq(true))
+    })
+}
+
+#[gtest]
+fn an_endpoint_that_leaves_gets_no_new_request() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let leaving = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
+        let staying = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&leaving, "app");
+        world.register(&staying, "app");
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        world.register_as(&leaving, "app", "draining", 1);
+        until("the gateway has heard of it", || {
+            let id = leaving.id().into();
+            gateway.with(|view| {
+                view.fleet
+                    .get(&id)
+                    .is_some_and(|endpoint| !endpoint.is_ready())
+            })
+        })
+        .await;
+        let before = leaving.seen().len();
+        for _ in 0..6 {
+            let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::OK))?;
+        }
+        verify_that!(leaving.seen(), len(eq(before)))
+    })
+}
+
+#[gtest]
+fn an_entry_that_cannot_be_read_names_no_endpoint_and_the_others_hold() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let entry = endpoint.entry("app", "ready", 1);
+        for (i, (field, value)) in [
+            ("addr", serde_json::json!("nowhere")),
+            ("slots", serde_json::json!("many")),
+            ("state", serde_json::json!("dozing")),
+            ("backend", serde_json::json!(null)),
+        ]
+        .into_iter()
+        .enumerate()
+        {
+            let mut wrong = entry.clone();
+            wrong[field] = value;
+            let key = format!("wrong{i}");
+            world
+                .store
+                .put("servers", &key, wrong.to_string().as_bytes());
+        }
+        world.store.put("servers", "bytes", &[0xff, 0x00, 0x17]);
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        let known = gateway.with(|view| view.fleet.endpoints().count());
+        verify_that!(known, eq(1))?;
+        let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::OK))
+    })
+}
+
+#[gtest]
+fn an_address_that_another_endpoint_has_taken_runs_nothing() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let newcomer = EndpointStandIn::start("new", good(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        // The registry still names the endpoint that had this address before.
+        let stale = newcomer.entry("app", "ready", 1).to_string();
+        world.store.put("servers", "old", stale.as_bytes());
+        let gateway = world.gateway("g1").await.or_fail()?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        let expected: Vec<String> = newcomer
+            .seen()
+            .iter()
+            .map(|seen| seen.header("expect-instance").to_owned())
+            .collect();
+        verify_that!(expected, each(eq("old")))
+    })
+}
+
+#[gtest]
+fn gateways_find_each_other_and_one_of_them_gives_orders() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        world.declare(1);
+        let first = world.gateway("g1").await.or_fail()?;
+        let second = world.gateway("g2").await.or_fail()?;
+        for gateway in [&first, &second] {
+            until("the other is heard", || {
+                let now_ms = gateway.now_ms();
+                gateway.with(|view| view.live_peers(now_ms).count() == 1)
+            })
+            .await;
+        }
+        until("one gives orders", || {
+            first.order_epoch().is_some() || second.order_epoch().is_some()
+        })
+        .await;
+        verify_that!(
+            first.order_epoch().is_some() && second.order_epoch().is_some(),
+            eq(false)
+        )
+    })
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -119,7 +119,11 @@
             urgency: urgency(&work.route),
             last_event_id,
         };
-        match connection.sender.try_send_request(work.request(&terms)).await {
+        match connection
+            .sender
+            .try_send_request(work.request(&terms))
+            .await
+        {
             Ok(response) => break response,
             Err(mut refused) => {
                 if refused.take_message().is_none() {
@@ -187,9 +191,7 @@
     may_reuse: bool,
 ) -> Result<Connection, Attempted> {
     if may_reuse
-        && let Some(connection) = gateway
-            .pool
-            .take(gateway.now_ms(), &reservation.endpoint)
+        && let Some(connection) = gateway.pool.take(gateway.now_ms(), &reservation.endpoint)
     {
         return Ok(connection);
     }
@@ -216,7 +218,11 @@
         reservation,
         ..
     } = answered;
-    if Limited::new(body, REFUSAL_BYTES_MAX).collect().await.is_ok() {
+    if Limited::new(body, REFUSAL_BYTES_MAX)
+        .collect()
+        .await
+        .is_ok()
+    {
         recycle(gateway, &head, connection, &reservation);
     }
     Attempted::NotRun {
@@ -231,8 +237,5 @@
 
 fn urgency(route: &Route) -> Option<u8> {
     let urgency = URGENCY_FIRST.saturating_add(route.priority);
-    route
-        .kind
-        .is_stream()
-        .then_some(urgency.min(URGENCY_LAST))
+    route.kind.is_stream().then_some(urgency.min(URGENCY_LAST))
 }
--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -63,9 +63,9 @@
 fn serve(gateway: &Rc<Gateway>, stream: TcpStream) {
     // Without it small events wait for acknowledgements; failing to set it only costs latency.
     let _set = stream.set_nodelay(true);
-    let idle_ms = gateway
-        .configuration()
-        .map_or(IDLE_MS, |configuration| configuration.limits.idle_timeout_ms);
+    let idle_ms = gateway.configuration().map_or(IDLE_MS, |configuration| {
+        configuration.limits.idle_timeout_ms
+    });
     let closing = Rc::clone(gateway);
     let answering = Rc::clone(gateway);
     let answer = service_fn(move |request| {
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -129,7 +129,9 @@
     }
 
     fn is_whole(&self) -> bool {
-        self.events.as_ref().is_none_or(|events| !events.holds_part())
+        self.events
+            .as_ref()
+            .is_none_or(|events| !events.holds_part())
     }
 
     fn finish(self) {
@@ -147,12 +149,10 @@
         let endpoint = self.answered.reservation.endpoint.clone();
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
         let has_budget = may_resume
-            && self
-                .gateway
-                .with(|view| {
-                    let gateways = view.gateways();
-                    view.budget.take(now_ms, gateways)
-                });
+            && self.gateway.with(|view| {
+                let gateways = view.gateways();
+                view.budget.take(now_ms, gateways)
+            });
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(),
             endpoint = endpoint.as_str(), reason, resumed = has_budget, runs = self.runs;
@@ -172,7 +172,9 @@
             .or_else(|| self.work.head.last_event_id.clone());
         let limit = Duration::from_millis(RESUME_WAIT_MS.min(self.work.left_ms(now_ms)));
         let rank = self.work.route.priority;
-        let granted = self.gateway.reserve_or_wait(&self.want, rank, &self.work.route);
+        let granted = self
+            .gateway
+            .reserve_or_wait(&self.want, rank, &self.work.route);
         let Ok(Some(reservation)) = tokio::time::timeout(limit, granted).await else {
             return false;
         };
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -77,9 +77,10 @@
         .await;
     let (reply, name) = match outcome {
         WriteOutcome::Written(version) => (StoreReply::Written(version), "ok"),
-        WriteOutcome::Conflict(row) => {
-            (StoreReply::Conflict(row.and_then(|row| decode(&row))), "conflict")
-        }
+        WriteOutcome::Conflict(row) => (
+            StoreReply::Conflict(row.and_then(|row| decode(&row))),
+            "conflict",
+        ),
         WriteOutcome::Refused => (StoreReply::Refused, "refused"),
         WriteOutcome::Unknown => (StoreReply::Unknown, "unknown"),
     };
@@ -185,7 +186,11 @@
     }
     let reply = engine::order(&client, &gateway.settings.vm, epoch, &order).await;
     let reply = reply.unwrap_or(OrderReply::Unknown);
-    let kind = if order.kind.adapter().is_some() { "adapter" } else { "model" };
+    let kind = if order.kind.adapter().is_some() {
+        "adapter"
+    } else {
+        "model"
+    };
     gateway.metrics.order(kind, &reply.to_string());
     log::info!(
         event = "order", endpoint = order.endpoint.as_str(), model = order.model.as_str(),
@@ -262,7 +267,9 @@
     let book = gateway.book.borrow();
     let held = book.held().into_iter();
     held.map(|(endpoint, models)| EngineNews {
-        born_unix_ms: book.engine(&endpoint).and_then(|engine| engine.born_unix_ms),
+        born_unix_ms: book
+            .engine(&endpoint)
+            .and_then(|engine| engine.born_unix_ms),
         endpoint,
         models: models
             .into_iter()
--- a/crates/chicorystaged/src/gateway/pool.rs
+++ b/crates/chicorystaged/src/gateway/pool.rs
@@ -69,7 +69,8 @@
     pub fn sweep(&self, now_ms: u64) {
         let mut idle = self.idle.borrow_mut();
         for of_endpoint in idle.values_mut() {
-            of_endpoint.retain(|idle| now_ms < idle.until_ms && !idle.connection.sender.is_closed());
+            of_endpoint
+                .retain(|idle| now_ms < idle.until_ms && !idle.connection.sender.is_closed());
         }
         idle.retain(|_, of_endpoint| !of_endpoint.is_empty());
     }
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -61,10 +61,16 @@
     let in_progress = InProgress::begin(&gateway);
     let arrived_ms = gateway.now_ms();
     let head = CallerRequest::decode(request.headers());
+    if *gateway.closing.borrow() {
+        return untaken(&head, "stopping");
+    }
     let Some(configuration) = gateway.configuration() else {
-        return not_configured(&head);
+        return untaken(&head, "configuration");
     };
-    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
     let Some(route) = configuration.route(host, request.uri().path()).cloned() else {
         log::info!(
@@ -152,15 +158,13 @@
                 () = self.gateway.ending() => None,
             };
             let attempted = match sent {
-                Some(Attempted::Answered(answered)) => {
-                    match self.answer(answered).await {
-                        Read::Answer(response) => return self.passed(response, None),
-                        Read::Stream(answered) => {
-                            return self.stream(answered, want, in_progress);
-                        }
-                        Read::Lost(reason) => Attempted::Lost { reason },
+                Some(Attempted::Answered(answered)) => match self.answer(answered).await {
+                    Read::Answer(response) => return self.passed(response, None),
+                    Read::Stream(answered) => {
+                        return self.stream(answered, want, in_progress);
                     }
-                }
+                    Read::Lost(reason) => Attempted::Lost { reason },
+                },
                 Some(other) => other,
                 None => {
                     self.mark(&endpoint, false);
@@ -234,9 +238,7 @@
             () = self.gateway.closing() => None,
         };
         let wait_ms = self.gateway.now_ms() - now_ms;
-        self.gateway
-            .metrics
-            .wait_ms(&self.work.route.name, wait_ms);
+        self.gateway.metrics.wait_ms(&self.work.route.name, wait_ms);
         if let Some(reservation) = granted {
             return Ok(reservation);
         }
@@ -334,13 +336,9 @@
         if self.runs > 0 {
             return self.lost(now_ms);
         }
-        let left_ms = self
-            .work
-            .head
-            .deadline_ms
-            .map_or(0, |deadline_ms| {
-                (self.work.arrived_ms + deadline_ms).saturating_sub(now_ms)
-            });
+        let left_ms = self.work.head.deadline_ms.map_or(0, |deadline_ms| {
+            (self.work.arrived_ms + deadline_ms).saturating_sub(now_ms)
+        });
         let back_ms = come_back_ms(COME_BACK_MS, left_ms);
         self.gateway
             .metrics
@@ -406,8 +404,8 @@
         attempt::recycle(&self.gateway, &head, connection, &reservation);
         let is_failure = parts.status.is_server_error();
         reservation.outcome(!is_failure);
-        let may_repeat = self.work.route.kind.is_repeatable()
-            && self.runs + 1 < self.work.route.runs_max;
+        let may_repeat =
+            self.work.route.kind.is_repeatable() && self.runs + 1 < self.work.route.runs_max;
         if is_failure && may_repeat {
             return Read::Lost("endpoint failed");
         }
@@ -433,8 +431,7 @@
             .metrics
             .request(&self.work.route.name, RequestOutcome::Answered);
         log_passed(&self, status, Some(endpoint.as_str()));
-        let frames =
-            event_stream::pass_on(gateway, self.work, want, answered, runs, in_progress);
+        let frames = event_stream::pass_on(gateway, self.work, want, answered, runs, in_progress);
         let mut response = Response::new(streamed(frames));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
@@ -478,9 +475,7 @@
         if let Ok(reservation) = self.reserve(want) {
             return Some(reservation);
         }
-        self.wait(want.clone(), rank, route.objective_ms)
-            .await
-            .ok()
+        self.wait(want.clone(), rank, route.objective_ms).await.ok()
     }
 }
 
@@ -495,13 +490,17 @@
     );
 }
 
-fn not_configured(head: &CallerRequest) -> Response<AnswerBody> {
+/// Refuses a request that this gateway cannot take at all.
+fn untaken(head: &CallerRequest, lacking: &'static str) -> Response<AnswerBody> {
     log::info!(
-        event = "request_refused", request = head.attempt_id.as_str(), lacking = "configuration";
+        event = "request_refused", request = head.attempt_id.as_str(), lacking;
         "request refused"
     );
     let left_ms = head.deadline_ms.unwrap_or(0);
-    not_run("no configuration yet", come_back_ms(COME_BACK_MS, left_ms))
+    not_run(
+        "gateway takes no requests now",
+        come_back_ms(COME_BACK_MS, left_ms),
+    )
 }
 
 /// Returns the refusal of a request that has not run and will not.
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -11,7 +11,7 @@
 use crate::settings::DaemonFile;
 
 /// Time in which the balancer notices that the gateway takes no new connections, in milliseconds.
-const BALANCER_LAG_MS: u64 = 2_600;
+const BALANCER_LAG_MS: u64 = 2_300;
 /// Time before the longest stop at which the process ends, in milliseconds.
 const END_MARGIN_MS: u64 = 400;
 /// Time before the end at which requests without an answer get their final one, in milliseconds.
--- a/crates/chicorystaged/src/logging/bounded_appender.rs
+++ b/crates/chicorystaged/src/logging/bounded_appender.rs
@@ -53,8 +53,7 @@
 impl Append for BoundedAppender {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = Vec::with_capacity(LINE_BYTES);
-        self.encoder
-            .encode(&mut SimpleWriter(&mut line), record)?;
+        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
         self.send(line);
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -167,9 +167,17 @@
         }
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
         registry.register("orders", "Orders to engines", self.orders.clone());
-        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            self.store_calls.clone(),
+        );
         registry.register("waiting", "Requests waiting", self.waiting.clone());
-        registry.register("in_progress", "Requests in progress", self.in_progress.clone());
+        registry.register(
+            "in_progress",
+            "Requests in progress",
+            self.in_progress.clone(),
+        );
     }
 }
 
