--- a/crates/chicorystage-core/src/orders/demand_book.rs
+++ b/crates/chicorystage-core/src/orders/demand_book.rs
@@ -13,6 +13,8 @@
     models: HashMap<ModelName, ModelDemand>,
     adapters_asked_ms: HashMap<AdapterRef, u64>,
     waiting: HashMap<VmId, Waiting>,
+    /// Time since which requests have waited for a model without a break, in milliseconds.
+    waiting_since_ms: HashMap<ModelName, u64>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -47,7 +49,20 @@
             models,
             adapters,
         };
+        for model in waiting.models.keys() {
+            self.waiting_since_ms.entry(model.clone()).or_insert(now_ms);
+        }
         self.waiting.insert(router, waiting);
+        let mut since_ms = std::mem::take(&mut self.waiting_since_ms);
+        since_ms.retain(|model, _| self.waiting_for(now_ms, model) > 0);
+        self.waiting_since_ms = since_ms;
+    }
+
+    /// Returns how long requests have waited for a model, in milliseconds.
+    #[must_use]
+    pub fn waited_ms(&self, now_ms: u64, model: &ModelName) -> u64 {
+        let since_ms = self.waiting_since_ms.get(model);
+        since_ms.map_or(0, |since_ms| now_ms.saturating_sub(*since_ms))
     }
 
     /// Returns the demand for a model.
--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -12,6 +12,8 @@
 const REPORT_IDLE_MS: u64 = 4_000;
 /// Time by which a report lags behind the engine, in milliseconds.
 const REPORT_LAG_MS: u64 = 100;
+/// Shortest time of an unload, in milliseconds.
+const UNLOAD_MS: u64 = 50;
 /// Time from the acceptance of an adapter's load to its use, in milliseconds.
 const ADAPTER_LOAD_MS: u64 = 12;
 /// Time for which an accepted adapter counts as held though a report lacks it, in milliseconds.
@@ -155,6 +157,7 @@
             }
             OrderKind::Unload => {
                 self.report_due_ms = now_ms + REPORT_RETRY_MS;
+                self.wait_until_ms = now_ms + UNLOAD_MS;
                 self.underway = Some(Underway::Unloading {
                     model,
                     due_ms: now_ms,
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -294,7 +294,7 @@
             .models
             .values()
             .map(|model| {
-                let state = ModelState::new(now_ms, spec, model, &engines, fleet, demand);
+                let state = ModelState::new(now_ms, model, &engines, fleet, demand);
                 (model.name.clone(), state)
             })
             .collect();
@@ -319,7 +319,10 @@
         wishes
             .into_iter()
             .filter(|(worth, _)| *worth > 0.0)
-            .find_map(|(worth, model)| scene.step(model, worth))
+            .find_map(|(worth, model)| {
+                let waited_ms = demand.waited_ms(now_ms, &model.name);
+                scene.step(model, worth, waited_ms)
+            })
     }
 
     fn send(
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -13,6 +13,8 @@
 const ADVANTAGE: f64 = 1.5;
 /// Worth that every load must exceed beyond what it replaces.
 const LOAD_WORTH: f64 = 0.015;
+/// Longest wait for an engine that has a copy of the weights, in milliseconds.
+const COPY_WAIT_MS: u64 = 2_500;
 /// Time for which a model that was just loaded stays, in milliseconds.
 const FRESH_MS: u64 = 1_500;
 /// Worth of a second of loading, which favours copies that are near.
@@ -49,11 +51,20 @@
 
 impl Scene<'_> {
     /// Returns the best step towards one more replica of a model, if it is worth one.
-    pub(super) fn step(&self, model: &ModelSpec, worth: f64) -> Option<Step> {
+    ///
+    /// A load from the weight store takes several times as long as one from a copy, so a
+    /// copy whose engine is occupied is waited for.
+    pub(super) fn step(&self, model: &ModelSpec, worth: f64, waited_ms: u64) -> Option<Step> {
+        let has_copy = self
+            .engines
+            .iter()
+            .any(|engine| engine.source(&model.name) != LoadSource::Store);
+        let store_may_serve = !has_copy || waited_ms >= COPY_WAIT_MS;
         let options = self.engines.iter().filter(|engine| {
             engine.takes_order(self.now_ms)
                 && engine.reserved().is_none()
                 && !engine.held.contains_key(&model.name)
+                && (store_may_serve || engine.source(&model.name) != LoadSource::Store)
         });
         let mut best: Option<(f64, Step)> = None;
         for engine in options {
--- a/crates/chicorystage-core/src/orders/worth.rs
+++ b/crates/chicorystage-core/src/orders/worth.rs
@@ -1,6 +1,6 @@
 //! What a place in an engine's memory is worth to a model.
 
-use crate::deployment::{EngineSpec, ModelSpec};
+use crate::deployment::ModelSpec;
 use crate::fleet::FleetView;
 use crate::orders::{DemandBook, EngineRecord};
 
@@ -14,10 +14,12 @@
 const UNASKED_ADAPTERS_WORTH: f64 = 0.06;
 /// Worth of a first request that waits, above all that does not.
 const WAITING_WORTH: f64 = 10.0;
-/// Share of the slots in use above which another replica is wanted.
-const CROWDED_SHARE: f64 = 0.5;
-/// Worth of a replica for each request that others cannot carry.
-const CROWDED_WORTH: f64 = 0.5;
+/// Requests in progress at one replica up to which pauses between tokens stay short.
+const EASY_LOAD: f64 = 12.0;
+/// Requests in progress beyond that over which the share of late answers grows to its most.
+const CROWDED_LOAD: f64 = 16.0;
+/// Share of answers that a crowded replica makes late.
+const CROWDED_LATE: f64 = 0.15;
 /// Request rate above which an urgent model has a second replica, a second.
 const SPARE_RATE_PER_S: f64 = 2.0;
 /// Worth of the second replica of an urgent model for each request a second.
@@ -37,13 +39,11 @@
     pub waiting: u32,
     pub in_progress: u32,
     pub has_adapters: bool,
-    pub slots: u32,
 }
 
 impl ModelState {
     pub(super) fn new(
         now_ms: u64,
-        spec: &EngineSpec,
         model: &ModelSpec,
         engines: &[&EngineRecord],
         fleet: &FleetView,
@@ -65,7 +65,6 @@
             waiting: demand.waiting_for(now_ms, &model.name),
             in_progress: in_progress.sum(),
             has_adapters: model.adapters > 0,
-            slots: spec.slots,
         }
     }
 
@@ -97,15 +96,19 @@
         if !self.is_asked {
             return UNASKED_WORTH;
         }
-        self.rate_per_s * if self.is_urgent { URGENT_FACTOR } else { 1.0 }
+        self.rate_per_s * self.weight()
+    }
+
+    fn weight(&self) -> f64 {
+        if self.is_urgent { URGENT_FACTOR } else { 1.0 }
     }
 
     /// Returns what a replica is worth beside `others`, which is at least one.
     fn worth_beyond(&self, others: u32) -> f64 {
         let load = f64::from(self.in_progress + self.waiting);
-        let carried = CROWDED_SHARE * f64::from(self.slots) * f64::from(others);
-        if load > carried {
-            return CROWDED_WORTH * (load - carried);
+        let late = late_share(load / f64::from(others)) - late_share(load / f64::from(others + 1));
+        if late > 0.0 {
+            return self.rate_per_s * self.weight() * late;
         }
         if !self.is_asked {
             return if others == 1 && self.replicas > 1 {
@@ -120,3 +123,8 @@
         0.0
     }
 }
+
+/// Returns the share of answers that come late at a replica with `load` requests in progress.
+fn late_share(load: f64) -> f64 {
+    CROWDED_LATE * ((load - EASY_LOAD) / CROWDED_LOAD).clamp(0.0, 1.0)
+}
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -22,19 +22,34 @@
 /// Longest wait for an endpoint that resumes a stream, in milliseconds.
 const RESUME_WAIT_MS: u64 = 1_500;
 
+/// When the events of an answer came.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timing {
+    /// Time from the request's arrival to its first event, in milliseconds; none before it.
+    first_ms: Option<u64>,
+    /// Time of the last event, in milliseconds.
+    last_ms: u64,
+    /// Longest pause between two events, in milliseconds.
+    pause_max_ms: u64,
+    /// Whether the answer's end was logged.
+    is_logged: bool,
+}
+
 /// An answer that is being passed on.
 struct Passing {
     gateway: Rc<Gateway>,
     work: CallerWork,
     want: Want,
-    answered: Box<Answered>,
+    /// Answer of the endpoint that runs the request; none once it has ended.
+    answered: Option<Box<Answered>>,
     /// Splits events where the stream may be resumed.
     events: Option<EventSplitter>,
     /// Endpoints that have run the request.
     runs: u32,
-    has_sent: bool,
+    timing: Timing,
     /// Counts the request as in progress until the answer ends.
-    _in_progress: InProgress,
+    #[expect(dead_code, reason = "held for what its drop does")]
+    in_progress: InProgress,
 }
 
 /// Returns the frames of an answer.
@@ -53,11 +68,11 @@
         gateway,
         work,
         want,
-        answered,
+        answered: Some(answered),
         events,
         runs,
-        has_sent: false,
-        _in_progress: in_progress,
+        timing: Timing::default(),
+        in_progress,
     };
     Box::pin(stream::unfold(Some(passing), |passing| async {
         passing?.next().await
@@ -70,7 +85,7 @@
     async fn next(mut self) -> Step {
         loop {
             let limit_ms = self.limit_ms();
-            let frame = self.answered.body.frame();
+            let frame = self.answered.as_mut()?.body.frame();
             let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
@@ -87,8 +102,8 @@
                 Ok(Some(Err(_broken))) => "connection broke within an answer",
                 Err(_elapsed) => "endpoint fell silent",
             };
-            self.answered.reservation.outcome(false);
             if !self.resume(reason).await {
+                self.log_end(reason);
                 return Some((Err(AnswerBroken), None));
             }
         }
@@ -102,7 +117,11 @@
         }
         let silence_ms = (PAUSES_BORNE * self.work.route.pause_objective_ms).max(SILENCE_MIN_MS);
         let first_ms = silence_ms.max(self.work.route.objective_ms);
-        left_ms.min(if self.has_sent { silence_ms } else { first_ms })
+        left_ms.min(if self.timing.first_ms.is_some() {
+            silence_ms
+        } else {
+            first_ms
+        })
     }
 
     fn may_resume(&self) -> bool {
@@ -119,13 +138,22 @@
         if bytes.is_empty() {
             return None;
         }
-        if !self.has_sent {
-            self.has_sent = true;
-            let time_ms = self.gateway.now_ms() - self.work.arrived_ms;
+        self.note_event();
+        Some(bytes)
+    }
+
+    fn note_event(&mut self) {
+        let now_ms = self.gateway.now_ms();
+        if self.timing.first_ms.is_none() {
+            let first_ms = now_ms - self.work.arrived_ms;
             let route = &self.work.route.name;
-            self.gateway.metrics.first_byte_ms(route, time_ms);
+            self.gateway.metrics.first_byte_ms(route, first_ms);
+            self.timing.first_ms = Some(first_ms);
+        } else {
+            let pause_ms = now_ms - self.timing.last_ms;
+            self.timing.pause_max_ms = self.timing.pause_max_ms.max(pause_ms);
         }
-        Some(bytes)
+        self.timing.last_ms = now_ms;
     }
 
     fn is_whole(&self) -> bool {
@@ -134,19 +162,44 @@
             .is_none_or(|events| !events.holds_part())
     }
 
-    fn finish(self) {
+    fn finish(mut self) {
         let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
         self.gateway
             .metrics
             .answer_ms(&self.work.route.name, answer_ms);
-        self.answered.reservation.outcome(true);
-        self.answered.recycle(&self.gateway);
+        self.log_end("whole");
+        let Some(answered) = self.answered.take() else {
+            return;
+        };
+        answered.reservation.outcome(true);
+        answered.recycle(&self.gateway);
+    }
+
+    fn log_end(&mut self, end: &'static str) {
+        self.timing.is_logged = true;
+        let endpoint = self.answered.as_ref();
+        let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
+        log::info!(
+            event = "stream_ended", request = self.work.head.attempt_id.as_str(), end,
+            route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
+            model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
+            runs = self.runs, first_ms = self.timing.first_ms.unwrap_or_default(),
+            pause_max_ms = self.timing.pause_max_ms,
+            time_ms = self.gateway.now_ms() - self.work.arrived_ms;
+            "stream ended"
+        );
     }
 
     /// Goes on at another endpoint; returns whether there is one.
     async fn resume(&mut self, reason: &'static str) -> bool {
         let now_ms = self.gateway.now_ms();
-        let endpoint = self.answered.reservation.endpoint.clone();
+        let Some(broken) = self.answered.take() else {
+            return false;
+        };
+        broken.reservation.outcome(false);
+        let endpoint = broken.reservation.endpoint.clone();
+        // Closing the connection ends the work at an endpoint that still runs it.
+        drop(broken);
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
         let has_budget = may_resume
             && self.gateway.with(|view| {
@@ -186,8 +239,16 @@
         if !answered.parts.status.is_success() {
             return false;
         }
-        self.answered = answered;
+        self.answered = Some(answered);
         self.runs += 1;
         true
     }
 }
+
+impl Drop for Passing {
+    fn drop(&mut self) {
+        if !self.timing.is_logged {
+            self.log_end("caller left");
+        }
+    }
+}
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -424,13 +424,11 @@
     ) -> Response<AnswerBody> {
         let status = answered.parts.status;
         let headers = endpoint_answer::passed_on(&answered.parts.headers);
-        let endpoint = answered.reservation.endpoint.clone();
         let runs = self.runs + 1;
         let gateway = Rc::clone(&self.gateway);
         gateway
             .metrics
             .request(&self.work.route.name, RequestOutcome::Answered);
-        log_passed(&self, status, Some(endpoint.as_str()));
         let frames = event_stream::pass_on(gateway, self.work, want, answered, runs, in_progress);
         let mut response = Response::new(streamed(frames));
         *response.status_mut() = status;
