--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -12,6 +12,8 @@
 const ADAPTER_DENIED_MS: u64 = 40;
 /// Time for which an endpoint that took no connection is not tried, in milliseconds.
 const UNREACHABLE_MS: u64 = 800;
+/// Time for which an endpoint that refused a request counts as full, in milliseconds.
+const FULL_MS: u64 = 80;
 /// Share of the failure rate that the newest outcome makes.
 const OUTCOME_WEIGHT: f64 = 0.3;
 /// Time in which the memory of failures falls to 1/e, in milliseconds.
@@ -33,6 +35,7 @@
     unanswered: u32,
     silent_since_ms: u64,
     unreachable_until_ms: u64,
+    full_until_ms: u64,
 }
 
 /// Models as the router that gives orders knows them.
@@ -56,6 +59,7 @@
             unanswered: 0,
             silent_since_ms: 0,
             unreachable_until_ms: 0,
+            full_until_ms: 0,
         }
     }
 
@@ -70,6 +74,17 @@
         self.unreachable_until_ms = now_ms + UNREACHABLE_MS;
     }
 
+    /// Notes that the endpoint refused a request for want of room.
+    pub fn refused(&mut self, now_ms: u64) {
+        self.full_until_ms = now_ms + FULL_MS;
+    }
+
+    /// Returns whether the endpoint has room beside `occupancy` requests, as far as is known.
+    #[must_use]
+    pub fn has_room(&self, now_ms: u64, occupancy: u32) -> bool {
+        now_ms >= self.full_until_ms && occupancy < self.entry.slots
+    }
+
     /// Returns whether the endpoint is worth trying now.
     #[must_use]
     pub fn is_reachable(&self, now_ms: u64) -> bool {
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hash;
 
 use chicorystage_api::name::{EndpointId, ModelName, VmId, ZoneName};
 
@@ -22,6 +23,10 @@
 pub struct FleetView {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     peers: HashMap<VmId, PeerLoad>,
+    /// Requests of the other routers in progress, by endpoint.
+    totals: HashMap<EndpointId, u32>,
+    /// Requests of the other routers in progress, by endpoint and model.
+    model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
 }
 
 impl FleetView {
@@ -73,37 +78,63 @@
 
     /// Takes over what another router has in progress.
     pub fn peer_load(&mut self, peer: VmId, load: PeerLoad) {
+        self.forget_peer(&peer);
+        for ((endpoint, model), count) in &load.in_progress {
+            *self.totals.entry(endpoint.clone()).or_default() += count;
+            let key = (endpoint.clone(), model.clone());
+            *self.model_totals.entry(key).or_default() += count;
+        }
         self.peers.insert(peer, load);
     }
 
+    /// Takes over what all other routers together have in progress, in place of each by itself.
+    pub fn sum_of_peers(&mut self, from: VmId, load: PeerLoad) {
+        let known: Vec<VmId> = self.peers.keys().cloned().collect();
+        for peer in known {
+            self.forget_peer(&peer);
+        }
+        self.peer_load(from, load);
+    }
+
+    /// Drops what routers reported too long ago.
+    pub fn forget_silent_peers(&mut self, now_ms: u64) {
+        let is_silent = |load: &PeerLoad| now_ms >= load.received_ms + PEER_LOAD_KEPT_MS;
+        let silent = self.peers.iter().filter(|(_, load)| is_silent(load));
+        let silent: Vec<VmId> = silent.map(|(peer, _)| peer.clone()).collect();
+        for peer in silent {
+            self.forget_peer(&peer);
+        }
+    }
+
     /// Returns the requests that all routers have in progress at an endpoint.
     #[must_use]
-    pub fn occupancy(&self, now_ms: u64, id: &EndpointId) -> u32 {
+    pub fn occupancy(&self, id: &EndpointId) -> u32 {
         let own: u32 = self
             .endpoints
             .get(id)
             .map_or(0, |endpoint| endpoint.in_progress().map(|(_, n)| n).sum());
-        let others = self.recent_peers(now_ms).flat_map(|load| &load.in_progress);
-        let others: u32 = others
-            .filter(|((endpoint, _), _)| endpoint == id)
-            .map(|(_, count)| *count)
-            .sum();
-        own + others
+        own + self.totals.get(id).copied().unwrap_or(0)
     }
 
-    /// Returns the requests of a model that all routers have in progress at an endpoint.
+    /// Returns the requests that all routers have in progress, by endpoint and model.
     #[must_use]
-    pub fn model_occupancy(&self, now_ms: u64, id: &EndpointId, model: &ModelName) -> u32 {
-        let key = Some(model.clone());
-        let own: u32 = self.endpoints.get(id).map_or(0, |endpoint| {
-            let of_model = endpoint.in_progress().filter(|(held, _)| **held == key);
-            of_model.map(|(_, count)| count).sum()
+    pub fn model_occupancy(&self) -> HashMap<(EndpointId, ModelName), u32> {
+        let own = self.endpoints.iter().flat_map(|(id, endpoint)| {
+            endpoint
+                .in_progress()
+                .map(move |(model, count)| ((id.clone(), model.clone()), count))
         });
-        let key = (id.clone(), key);
         let others = self
-            .recent_peers(now_ms)
-            .filter_map(|load| load.in_progress.get(&key));
-        own + others.sum::<u32>()
+            .model_totals
+            .iter()
+            .map(|(key, count)| (key.clone(), *count));
+        let mut table = HashMap::new();
+        for ((endpoint, model), count) in own.chain(others) {
+            if let Some(model) = model {
+                *table.entry((endpoint, model)).or_default() += count;
+            }
+        }
+        table
     }
 
     /// Chooses the endpoint of a request: the one with the least cost that has room.
@@ -120,8 +151,8 @@
                 reason = better_reason(reason, lacking);
                 continue;
             }
-            let occupancy = self.occupancy(now_ms, id);
-            if occupancy >= endpoint.entry.slots {
+            let occupancy = self.occupancy(id);
+            if !endpoint.has_room(now_ms, occupancy) {
                 reason = better_reason(reason, Choice::Full);
                 continue;
             }
@@ -133,10 +164,25 @@
         best.map_or(reason, |(_, id)| Choice::Endpoint(id.clone()))
     }
 
-    fn recent_peers(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
-        self.peers
-            .values()
-            .filter(move |load| now_ms < load.received_ms + PEER_LOAD_KEPT_MS)
+    fn forget_peer(&mut self, peer: &VmId) {
+        let Some(load) = self.peers.remove(peer) else {
+            return;
+        };
+        for (key, count) in load.in_progress {
+            subtract(&mut self.totals, &key.0, count);
+            subtract(&mut self.model_totals, &key, count);
+        }
+    }
+}
+
+/// Lowers a count, which leaves the table at 0.
+fn subtract<K: Eq + Hash>(table: &mut HashMap<K, u32>, key: &K, count: u32) {
+    let Some(total) = table.get_mut(key) else {
+        return;
+    };
+    *total = total.saturating_sub(count);
+    if *total == 0 {
+        table.remove(key);
     }
 }
 
--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -17,6 +17,8 @@
     lease_ms: u64,
     /// Whether endpoints refuse orders of old epochs.
     endpoints_check_epoch: bool,
+    /// Time that this router leaves to others before it takes a free lease.
+    deference_ms: u64,
     /// Newest row known, with its version.
     known: Option<(LeaseRow, u64)>,
     /// Whether the row was read at all.
@@ -43,6 +45,7 @@
             incarnation,
             lease_ms,
             endpoints_check_epoch,
+            deference_ms: 0,
             known: None,
             is_read: false,
             changed_ms: 0,
@@ -54,11 +57,21 @@
         }
     }
 
+    /// Leaves a free lease to others for a while, as a weak VM should.
+    #[must_use]
+    pub fn with_deference_ms(mut self, deference_ms: u64) -> Self {
+        self.deference_ms = deference_ms;
+        self
+    }
+
     /// Takes over the stored row; `row` is none where the store has none.
     pub fn observed(&mut self, now_ms: u64, row: Option<(LeaseRow, u64)>) {
         let is_first = !self.is_read;
         self.is_read = true;
         let Some((row, version)) = row else {
+            if is_first {
+                self.changed_ms = now_ms;
+            }
             return;
         };
         let is_newer = self
@@ -194,13 +207,19 @@
         })
     }
 
-    /// A released lease is waited for too: orders of two holders keep the lease's length apart.
+    /// A released lease is free at once: its holder gives no more orders, and none of them may
+    /// take effect after the first one under the next epoch.
     fn take_over(&self, now_ms: u64) -> Option<LeaseAction> {
+        let quiet_ms = now_ms.saturating_sub(self.changed_ms);
         let Some((row, version)) = &self.known else {
-            return Some(self.first_row(1, 0));
+            return (quiet_ms >= self.deference_ms).then(|| self.first_row(1, 0));
         };
-        let quiet_ms = now_ms.saturating_sub(self.changed_ms);
-        let free = quiet_ms >= self.lease_ms + TAKE_OVER_MARGIN_MS;
+        let held_ms = if row.released {
+            0
+        } else {
+            self.lease_ms + TAKE_OVER_MARGIN_MS
+        };
+        let free = quiet_ms >= held_ms + self.deference_ms;
         free.then(|| self.first_row(row.epoch.max(self.highest_epoch) + 1, *version))
     }
 
--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -81,7 +81,10 @@
     }
 
     /// Takes over a report, which may be older than the last order.
-    pub fn reported(&mut self, now_ms: u64, report: &EngineReport) {
+    ///
+    /// Returns the expected and the actual time of a load from the weight store that it shows
+    /// to be done, in milliseconds.
+    pub fn reported(&mut self, now_ms: u64, report: &EngineReport) -> Option<(f64, f64)> {
         self.in_memory = report.in_memory.iter().cloned().collect();
         self.on_disk.extend(report.on_disk.iter().cloned());
         self.report_due_ms = now_ms + REPORT_RETRY_MS;
@@ -89,11 +92,11 @@
             .sequence
             .is_some_and(|sequence| report.sequence < sequence);
         if is_old {
-            return;
+            return None;
         }
         self.sequence = Some(report.sequence);
         if self.sent.is_some() {
-            return;
+            return None;
         }
         let Some(underway) = self.underway.clone() else {
             self.take_held(now_ms, report);
@@ -101,7 +104,7 @@
             if !report.is_busy {
                 self.report_due_ms = now_ms + REPORT_IDLE_MS;
             }
-            return;
+            return None;
         };
         let is_held = report
             .models
@@ -121,6 +124,9 @@
             }
             self.report_due_ms = now_ms + REPORT_IDLE_MS;
         }
+        (is_done && is_held)
+            .then(|| underway.store_load_times_ms(now_ms))
+            .flatten()
     }
 
     /// Notes that an order is sent; what it unloads is no longer offered.
@@ -152,6 +158,7 @@
                 self.underway = Some(Underway::Loading {
                     model,
                     source,
+                    begun_ms: now_ms,
                     due_ms,
                 });
             }
@@ -246,18 +253,18 @@
         }
     }
 
-    /// Returns whether a load of a model is asked for or under way.
+    /// Returns the model whose load is wished for, asked for or under way.
     #[must_use]
-    pub fn awaits(&self, model: &ModelName) -> bool {
-        let is_sent = self
-            .sent
-            .as_ref()
-            .is_some_and(|sent| sent.order.kind == OrderKind::Load && sent.order.model == *model);
-        let is_loading = matches!(
-            &self.underway,
-            Some(Underway::Loading { model: loading, .. }) if loading == model
-        );
-        is_sent || is_loading || self.reserved() == Some(model)
+    pub fn awaited(&self) -> Option<&ModelName> {
+        let sent = self.sent.as_ref().map(|sent| &sent.order);
+        let sent = sent.filter(|order| order.kind == OrderKind::Load);
+        let loading = match &self.underway {
+            Some(Underway::Loading { model, .. }) => Some(model),
+            Some(Underway::Unloading { .. }) | None => None,
+        };
+        sent.map(|order| &order.model)
+            .or(loading)
+            .or_else(|| self.reserved())
     }
 
     /// Returns whether an adapter is asked for or arrives.
--- a/crates/chicorystage-core/src/orders/mod.rs
+++ b/crates/chicorystage-core/src/orders/mod.rs
@@ -34,6 +34,7 @@
 mod order_kind;
 mod order_reply;
 mod placement;
+mod plan_table;
 mod sent;
 mod store_pace;
 mod underway;
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -1,11 +1,11 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashSet};
 
 use chicorystage_api::name::{EndpointId, ModelName};
 
 use crate::deployment::{Configuration, EngineSpec, ModelSpec};
 use crate::fleet::{FleetView, HeldModel};
-use crate::orders::placement::{Scene, load_ms};
-use crate::orders::worth::ModelState;
+use crate::orders::placement::{Scene, Step, load_ms};
+use crate::orders::plan_table::PlanTable;
 use crate::orders::{
     AdapterRef, BookSettings, DemandBook, EngineRecord, EngineReport, LoadSource, Order, OrderKind,
     OrderReply, StorePace,
@@ -19,6 +19,7 @@
 const REJECTED_PAUSE_MS: u64 = 2_000;
 /// Loads that one plan starts at most.
 const STEPS_MAX: usize = 6;
+const MS_PER_S: f64 = 1_000.0;
 /// Time within which an adapter was asked for that is not unloaded, in milliseconds.
 const ADAPTER_USED_MS: u64 = 400;
 
@@ -80,8 +81,12 @@
 
     /// Takes over a report of an engine.
     pub fn reported(&mut self, now_ms: u64, id: &EndpointId, report: &EngineReport) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.reported(now_ms, report);
+        let running = self.loads_from_store();
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if let Some((expected_ms, took_ms)) = engine.reported(now_ms, report) {
+            self.pace.ended(running, expected_ms, took_ms);
         }
     }
 
@@ -188,7 +193,7 @@
             let is_settled = self.engines.values().any(|engine| {
                 let adapters = engine.held.get(&adapter.model);
                 let is_held = adapters.is_some_and(|held| held.contains(&adapter.adapter));
-                let has_room = fleet.occupancy(now_ms, &engine.id) < spec.slots;
+                let has_room = fleet.occupancy(&engine.id) < spec.slots;
                 (is_held && has_room) || engine.awaits_adapter(&adapter)
             });
             if is_settled {
@@ -202,7 +207,7 @@
                         .is_some_and(|held| !held.contains(&adapter.adapter))
             });
             let Some(id) = options
-                .min_by_key(|engine| fleet.occupancy(now_ms, &engine.id))
+                .min_by_key(|engine| fleet.occupancy(&engine.id))
                 .map(|engine| engine.id.clone())
             else {
                 continue;
@@ -229,8 +234,9 @@
         orders: &mut Vec<Order>,
     ) {
         self.load_reserved(now_ms, orders);
+        let mut table = PlanTable::new(now_ms, spec, fleet, demand);
         for _ in 0..STEPS_MAX {
-            let Some(step) = self.next_step(now_ms, spec, fleet, demand) else {
+            let Some(step) = self.next_step(now_ms, spec, fleet, demand, &mut table) else {
                 return;
             };
             if step.kind == OrderKind::Load && step.source == LoadSource::Store {
@@ -270,59 +276,60 @@
         spec: &EngineSpec,
         fleet: &FleetView,
         demand: &DemandBook,
-    ) -> Option<super::placement::Step> {
-        let from_store = self
-            .engines
-            .values()
-            .filter(|engine| engine.loads_from_store());
-        let running = from_store.count();
-        let window_ms = self.settings.ceiling_window_ms;
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "a window of seconds is far below the mantissa"
-        )]
-        let limit = spec.loads_per_s * self.settings.ceiling_factor * window_ms as f64 / 1_000.0;
-        let store_is_free = self.pace.allows(now_ms, running, window_ms, limit);
-
+        table: &mut PlanTable,
+    ) -> Option<Step> {
+        let store_is_free = self.store_is_free(now_ms, spec);
         let is_reachable = |engine: &&EngineRecord| {
             fleet
                 .get(&engine.id)
                 .is_some_and(|endpoint| endpoint.is_reachable(now_ms))
         };
         let engines: Vec<&EngineRecord> = self.engines.values().filter(is_reachable).collect();
-        let states: HashMap<ModelName, ModelState> = spec
-            .models
-            .values()
-            .map(|model| {
-                let state = ModelState::new(now_ms, model, &engines, fleet, demand);
-                (model.name.clone(), state)
-            })
-            .collect();
-        let scene = Scene {
+        table.count_replicas(&engines);
+        let mut scene = Scene {
             now_ms,
             spec,
             engines: &engines,
-            states: &states,
+            states: &table.states,
             fleet,
+            in_progress: &table.in_progress,
             store_is_free,
+            cheapest: 0.0,
         };
+        scene.cheapest = scene.cheapest_place();
+        let loading: HashSet<&ModelName> = engines
+            .iter()
+            .filter_map(|engine| engine.awaited())
+            .collect();
         let mut wishes: Vec<(f64, &ModelSpec)> = spec
             .models
             .values()
-            .filter_map(|model| {
-                let state = states.get(&model.name)?;
-                let is_loading = engines.iter().any(|engine| engine.awaits(&model.name));
-                (!is_loading).then(|| (state.worth_of_more(), model))
-            })
+            .filter(|model| !loading.contains(&model.name))
+            .filter_map(|model| Some((table.states.get(&model.name)?.worth_of_more(), model)))
+            .filter(|(worth, _)| scene.is_worth_a_look(*worth))
             .collect();
         wishes.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
-        wishes
-            .into_iter()
-            .filter(|(worth, _)| *worth > 0.0)
-            .find_map(|(worth, model)| {
-                let waited_ms = demand.waited_ms(now_ms, &model.name);
-                scene.step(model, worth, waited_ms)
-            })
+        wishes.into_iter().find_map(|(worth, model)| {
+            let waited_ms = demand.waited_ms(now_ms, &model.name);
+            scene.step(model, worth, waited_ms)
+        })
+    }
+
+    fn loads_from_store(&self) -> u32 {
+        let engines = self.engines.values();
+        let loading = engines.filter(|engine| engine.loads_from_store()).count();
+        u32::try_from(loading).unwrap_or(u32::MAX)
+    }
+
+    fn store_is_free(&mut self, now_ms: u64, spec: &EngineSpec) -> bool {
+        let running = self.loads_from_store();
+        let window_ms = self.settings.ceiling_window_ms;
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a window of seconds is far below the mantissa"
+        )]
+        let limit = spec.loads_per_s * self.settings.ceiling_factor * window_ms as f64 / MS_PER_S;
+        self.pace.allows(now_ms, running, window_ms, limit)
     }
 
     fn send(
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -15,6 +15,8 @@
 const LOAD_WORTH: f64 = 0.015;
 /// Longest wait for an engine that has a copy of the weights, in milliseconds.
 const COPY_WAIT_MS: u64 = 2_500;
+/// Worth from which a further replica is loaded from the weight store.
+const STORE_REPLICA_WORTH: f64 = 5.0;
 /// Time for which a model that was just loaded stays, in milliseconds.
 const FRESH_MS: u64 = 1_500;
 /// Worth of a second of loading, which favours copies that are near.
@@ -45,8 +47,12 @@
     pub engines: &'a [&'a EngineRecord],
     pub states: &'a HashMap<ModelName, ModelState>,
     pub fleet: &'a FleetView,
+    /// Requests in progress by engine and model.
+    pub in_progress: &'a HashMap<(EndpointId, ModelName), u32>,
     /// Whether a load from the weight store may start.
     pub store_is_free: bool,
+    /// Least worth that a place costs.
+    pub cheapest: f64,
 }
 
 impl Scene<'_> {
@@ -55,11 +61,19 @@
     /// A load from the weight store takes several times as long as one from a copy, so a
     /// copy whose engine is occupied is waited for.
     pub(super) fn step(&self, model: &ModelSpec, worth: f64, waited_ms: u64) -> Option<Step> {
-        let has_copy = self
-            .engines
-            .iter()
-            .any(|engine| engine.source(&model.name) != LoadSource::Store);
-        let store_may_serve = !has_copy || waited_ms >= COPY_WAIT_MS;
+        let has_copy = self.engines.iter().any(|engine| {
+            engine.source(&model.name) != LoadSource::Store
+                && !engine.held.contains_key(&model.name)
+        });
+        let is_served = self
+            .states
+            .get(&model.name)
+            .is_some_and(|state| state.replicas > 0);
+        let store_may_serve = if is_served {
+            !has_copy && worth >= STORE_REPLICA_WORTH
+        } else {
+            !has_copy || waited_ms >= COPY_WAIT_MS
+        };
         let options = self.engines.iter().filter(|engine| {
             engine.takes_order(self.now_ms)
                 && engine.reserved().is_none()
@@ -78,13 +92,44 @@
         best.map(|(_, step)| step)
     }
 
+    /// Returns whether any engine could take a model of this worth now.
+    ///
+    /// It spares the look at each engine for the many models that are worth little.
+    pub(super) fn is_worth_a_look(&self, worth: f64) -> bool {
+        worth > self.cheapest * ADVANTAGE + LOAD_WORTH
+    }
+
+    /// Returns the least worth that a place costs over all engines that take orders.
+    pub(super) fn cheapest_place(&self) -> f64 {
+        let smallest_mb = self.smallest_mb();
+        let mut cheapest = f64::INFINITY;
+        for engine in self.engines {
+            if !engine.takes_order(self.now_ms) {
+                continue;
+            }
+            if engine.memory_mb(self.spec) + smallest_mb <= self.spec.memory_mb {
+                return 0.0;
+            }
+            for held in engine.held.keys() {
+                let lost = self.states.get(held).map_or(0.0, ModelState::worth_of_last);
+                cheapest = cheapest.min(lost);
+            }
+        }
+        cheapest
+    }
+
+    fn smallest_mb(&self) -> f64 {
+        let weights = self.spec.models.values().map(|model| model.weights_mb);
+        weights.fold(f64::INFINITY, f64::min)
+    }
+
     fn option(&self, engine: &EngineRecord, model: &ModelSpec, worth: f64) -> Option<(f64, Step)> {
         let source = engine.source(&model.name);
         if source == LoadSource::Store && !self.store_is_free {
             return None;
         }
         let load_s = seconds(load_ms(model, source));
-        let occupancy = self.fleet.occupancy(self.now_ms, &engine.id);
+        let occupancy = self.fleet.occupancy(&engine.id);
         let crowd = f64::from(occupancy) / f64::from(self.spec.slots.max(1));
         let cost = LOAD_SECOND_WORTH * load_s + IDLE_WORTH * crowd + self.adapter_cost(engine);
         if engine.fits(self.spec, model, None) {
@@ -129,7 +174,8 @@
     ) -> Option<(f64, &'b ModelName)> {
         let mut best: Option<(f64, &ModelName)> = None;
         for held in engine.held.keys() {
-            let is_used = self.fleet.model_occupancy(self.now_ms, &engine.id, held) > 0;
+            let key = (engine.id.clone(), held.clone());
+            let is_used = self.in_progress.contains_key(&key);
             let is_fresh = engine.is_fresh(self.now_ms, held, FRESH_MS);
             if is_used || is_fresh || !engine.fits(self.spec, model, Some(held)) {
                 continue;
--- /dev/null
+++ b/crates/chicorystage-core/src/orders/plan_table.rs
@@ -0,0 +1,58 @@
+use std::collections::HashMap;
+
+use chicorystage_api::name::{EndpointId, ModelName};
+
+use crate::deployment::EngineSpec;
+use crate::fleet::FleetView;
+use crate::orders::worth::ModelState;
+use crate::orders::{DemandBook, EngineRecord};
+
+/// What one plan looks up again and again, gathered once.
+#[derive(Clone, Debug)]
+pub(super) struct PlanTable {
+    /// State of each model.
+    pub states: HashMap<ModelName, ModelState>,
+    /// Requests in progress by engine and model.
+    pub in_progress: HashMap<(EndpointId, ModelName), u32>,
+}
+
+impl PlanTable {
+    pub(super) fn new(
+        now_ms: u64,
+        spec: &EngineSpec,
+        fleet: &FleetView,
+        demand: &DemandBook,
+    ) -> Self {
+        let models = spec.models.values();
+        let mut states: HashMap<ModelName, ModelState> = models
+            .map(|model| (model.name.clone(), ModelState::new(now_ms, model, demand)))
+            .collect();
+        let in_progress = fleet.model_occupancy();
+        for ((_, model), count) in &in_progress {
+            if let Some(state) = states.get_mut(model) {
+                state.in_progress += count;
+            }
+        }
+        Self {
+            states,
+            in_progress,
+        }
+    }
+
+    /// Counts the replicas of each model, those that are being loaded included.
+    pub(super) fn count_replicas(&mut self, engines: &[&EngineRecord]) {
+        for state in self.states.values_mut() {
+            state.replicas = 0;
+        }
+        for engine in engines {
+            let awaited = engine
+                .awaited()
+                .filter(|model| !engine.held.contains_key(*model));
+            for model in engine.held.keys().chain(awaited) {
+                if let Some(state) = self.states.get_mut(model) {
+                    state.replicas += 1;
+                }
+            }
+        }
+    }
+}
--- a/crates/chicorystage-core/src/orders/store_pace.rs
+++ b/crates/chicorystage-core/src/orders/store_pace.rs
@@ -1,19 +1,34 @@
 use std::collections::VecDeque;
 
-/// Loads from the weight store that run at once at full speed, until observed otherwise.
-const AT_ONCE_MAX: usize = 4;
+/// Loads from the weight store that run at once, until their times show how many should.
+const AT_ONCE: f64 = 4.0;
+/// Least and most loads that run at once.
+const AT_ONCE_RANGE: (f64, f64) = (1.0, 8.0);
+/// Share of the newest observation in the estimate.
+const OBSERVATION_WEIGHT: f64 = 0.5;
 
 /// Pace of loads from the weight store over all engines.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StorePace {
     started_ms: VecDeque<u64>,
+    /// Loads that run at once at full speed, as estimated.
+    at_once: f64,
+}
+
+impl Default for StorePace {
+    fn default() -> Self {
+        Self {
+            started_ms: VecDeque::new(),
+            at_once: AT_ONCE,
+        }
+    }
 }
 
 impl StorePace {
     /// Returns whether another load may start.
     ///
     /// `running` counts loads under way; `limit` is what a window allows.
-    pub fn allows(&mut self, now_ms: u64, running: usize, window_ms: u64, limit: f64) -> bool {
+    pub fn allows(&mut self, now_ms: u64, running: u32, window_ms: u64, limit: f64) -> bool {
         while let Some(oldest) = self.started_ms.front() {
             if oldest + window_ms > now_ms {
                 break;
@@ -25,11 +40,31 @@
             reason = "loads of a window are far fewer than the mantissa holds"
         )]
         let started = self.started_ms.len() as f64;
-        running < AT_ONCE_MAX && started + 1.0 <= limit
+        f64::from(running) + 1.0 <= self.at_once && started + 1.0 <= limit
     }
 
     /// Notes that a load starts.
     pub fn started(&mut self, now_ms: u64) {
         self.started_ms.push_back(now_ms);
     }
+
+    /// Learns from a load that took `took_ms` where `expected_ms` is full speed.
+    ///
+    /// `running` counts the loads that ran with it, itself included. More loads than run at
+    /// full speed share its speed, so that their number over the slowdown is what does.
+    pub fn ended(&mut self, running: u32, expected_ms: f64, took_ms: f64) {
+        if expected_ms <= 0.0 || took_ms <= 0.0 {
+            return;
+        }
+        let slowdown = (took_ms / expected_ms).max(1.0);
+        let observed = f64::from(running.max(1)) / slowdown;
+        let is_full_speed = slowdown < 1.2;
+        let observed = if is_full_speed {
+            self.at_once.max(observed)
+        } else {
+            observed
+        };
+        let mixed = self.at_once * (1.0 - OBSERVATION_WEIGHT) + observed * OBSERVATION_WEIGHT;
+        self.at_once = mixed.clamp(AT_ONCE_RANGE.0, AT_ONCE_RANGE.1);
+    }
 }
--- a/crates/chicorystage-core/src/orders/underway.rs
+++ b/crates/chicorystage-core/src/orders/underway.rs
@@ -11,6 +11,8 @@
         model: ModelName,
         /// Where the weights come from.
         source: LoadSource,
+        /// Time at which it was ordered, in milliseconds.
+        begun_ms: u64,
         /// Time at which it should be done, in milliseconds.
         due_ms: u64,
     },
@@ -39,4 +41,21 @@
             Self::Loading { due_ms, .. } | Self::Unloading { due_ms, .. } => *due_ms,
         }
     }
+
+    /// Returns the expected and the actual time of a load from the weight store, in milliseconds.
+    #[must_use]
+    pub fn store_load_times_ms(&self, now_ms: u64) -> Option<(f64, f64)> {
+        let Self::Loading {
+            source: LoadSource::Store,
+            begun_ms,
+            due_ms,
+            ..
+        } = self
+        else {
+            return None;
+        };
+        #[expect(clippy::cast_precision_loss, reason = "loads take seconds to minutes")]
+        let time_ms = |until_ms: u64| until_ms.saturating_sub(*begun_ms) as f64;
+        Some((time_ms(*due_ms), time_ms(now_ms)))
+    }
 }
--- a/crates/chicorystage-core/src/orders/worth.rs
+++ b/crates/chicorystage-core/src/orders/worth.rs
@@ -1,8 +1,7 @@
 //! What a place in an engine's memory is worth to a model.
 
 use crate::deployment::ModelSpec;
-use crate::fleet::FleetView;
-use crate::orders::{DemandBook, EngineRecord};
+use crate::orders::DemandBook;
 
 /// Objective below which a caller is gone before a load from disk is done, in milliseconds.
 const URGENT_OBJECTIVE_MS: u64 = 1_000;
@@ -25,7 +24,7 @@
 /// Worth of the second replica of an urgent model for each request a second.
 const SPARE_WORTH: f64 = 0.25;
 /// Worth of a replica beyond the second that nobody has asked for.
-const UNASKED_SPARE_WORTH: f64 = 0.01;
+const UNASKED_SPARE_WORTH: f64 = 0.05;
 /// Worth of a second replica before the first request, when placement shows what is busy.
 const UNASKED_SECOND_WORTH: f64 = 0.5;
 
@@ -42,28 +41,15 @@
 }
 
 impl ModelState {
-    pub(super) fn new(
-        now_ms: u64,
-        model: &ModelSpec,
-        engines: &[&EngineRecord],
-        fleet: &FleetView,
-        demand: &DemandBook,
-    ) -> Self {
-        let has = |engine: &&&EngineRecord| {
-            engine.held.contains_key(&model.name) || engine.awaits(&model.name)
-        };
-        let replicas = engines.iter().filter(has).count();
-        let in_progress = engines
-            .iter()
-            .map(|engine| fleet.model_occupancy(now_ms, &engine.id, &model.name));
+    pub(super) fn new(now_ms: u64, model: &ModelSpec, demand: &DemandBook) -> Self {
         let asked = demand.model(&model.name);
         Self {
-            replicas: u32::try_from(replicas).unwrap_or(u32::MAX),
+            replicas: 0,
             rate_per_s: asked.rate_per_s(now_ms),
             is_asked: asked.asked_ms.is_some(),
             is_urgent: asked.asked_ms.is_some() && asked.objective_ms < URGENT_OBJECTIVE_MS,
             waiting: demand.waiting_for(now_ms, &model.name),
-            in_progress: in_progress.sum(),
+            in_progress: 0,
             has_adapters: model.adapters > 0,
         }
     }
--- a/crates/chicorystage-testbed/src/users_platform/platform_world.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_world.rs
@@ -47,6 +47,7 @@
             metrics: None,
             peers: free,
             store: self.store.address,
+            cpu_share: 1.0,
             store_timeout_ms: 700,
             stop_max_ms: 8_000,
             lease_ms: 3_000,
--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -22,6 +22,14 @@
 const FAILURE_PAUSE_MS: u64 = 150;
 /// Pause between two calls for changes of the endpoints, which come in groups, in milliseconds.
 const ENDPOINTS_PAUSE_MS: u64 = 350;
+/// Longest pause between two calls for changes of the system's own rows, in milliseconds.
+///
+/// Each renewal of the lease is a change, and while its holder is heard of they tell nothing new.
+const OWN_PAUSE_MS: u64 = 2_000;
+/// Time between two looks whether the holder of the lease is still heard of, in milliseconds.
+const OWN_LOOK_MS: u64 = 200;
+/// Silence of the holder after which its lease is looked at, in milliseconds.
+const HOLDER_SILENCE_MS: u64 = 700;
 /// Time after the store's return within which endpoints register again, in milliseconds.
 const RETURN_MS: u64 = 2_300;
 /// Prefix of the keys of gateways in the system's own table.
@@ -74,9 +82,7 @@
                 }
                 after = Some(changes.version);
                 apply(&gateway, table, &changes, is_whole);
-                if table == TableName::Endpoints {
-                    tokio::time::sleep(Duration::from_millis(ENDPOINTS_PAUSE_MS)).await;
-                }
+                pause(&gateway, table).await;
             }
             Ok(None) => {
                 log::info!(event = "history_lost", table:? = table; "store has dropped its history");
@@ -95,6 +101,24 @@
     }
 }
 
+/// Waits a while after an answer, in which further changes gather.
+async fn pause(gateway: &Gateway, table: TableName) {
+    match table {
+        TableName::Operator => {}
+        TableName::Endpoints => {
+            tokio::time::sleep(Duration::from_millis(ENDPOINTS_PAUSE_MS)).await;
+        }
+        TableName::Own => {
+            for _ in 0..OWN_PAUSE_MS / OWN_LOOK_MS {
+                tokio::time::sleep(Duration::from_millis(OWN_LOOK_MS)).await;
+                if !gateway.hears_holder(HOLDER_SILENCE_MS) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
 /// Entries may have lapsed while the store was away; endpoints register again soon.
 fn doubt(gateway: &Gateway) {
     let until_ms = gateway.now_ms() + RETURN_MS;
--- a/crates/chicorystaged/src/gateway/granting.rs
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -19,8 +19,10 @@
         let period = Duration::from_millis(GRANT_PERIOD_MS);
         // Either the period is over or there may be room.
         let _elapsed = tokio::time::timeout(period, gateway.room_changed.notified()).await;
+        let now_ms = gateway.now_ms();
+        gateway.with(|view| view.fleet.forget_silent_peers(now_ms));
         gateway.grant_waiters();
-        gateway.pool.sweep(gateway.now_ms());
+        gateway.pool.sweep(now_ms);
         let (waiting, in_progress) = gateway.with(|view| (view.waiters.len(), view.in_progress));
         gateway.metrics.set_held(waiting, in_progress);
     }
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -21,7 +21,7 @@
 /// Time between two looks at the plan where nothing happens, in milliseconds.
 const PLAN_PERIOD_MS: u64 = 100;
 /// Shortest time between two looks at the plan, in milliseconds.
-const PLAN_GAP_MS: u64 = 8;
+const PLAN_GAP_MS: u64 = 10;
 /// Time between two messages that repeat what all engines hold, in milliseconds.
 const PLACEMENT_PERIOD_MS: u64 = 1_000;
 /// Longest time of a call to an engine, in milliseconds.
@@ -52,6 +52,7 @@
         if let Some(epoch) = gateway.order_epoch() {
             plan(gateway, &clients, epoch);
             tell(gateway, epoch, &mut told).await;
+            peers::tell_sum(gateway, epoch, &mut told.sum_told_ms).await;
         }
         tokio::time::sleep(Duration::from_millis(PLAN_GAP_MS)).await;
     }
@@ -233,6 +234,7 @@
 struct Told {
     engines: HashMap<EndpointId, EngineNews>,
     all_told_ms: Option<u64>,
+    sum_told_ms: Option<u64>,
 }
 
 /// Tells every gateway, this one included, what engines hold.
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -23,6 +23,8 @@
     Load(LoadNews),
     /// What engines hold, from the gateway that gives orders.
     Placement(PlacementNews),
+    /// What all gateways together have in progress, from the gateway that gives orders.
+    Sum(SumNews),
 }
 
 /// What a gateway has in progress and is asked for.
@@ -59,3 +61,12 @@
     /// Models with their adapters.
     pub models: Vec<(ModelName, Vec<AdapterName>)>,
 }
+
+/// What all gateways together have in progress.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SumNews {
+    /// Epoch of the sender's lease.
+    pub epoch: u64,
+    /// Requests in progress by endpoint.
+    pub in_progress: Vec<(EndpointId, u32)>,
+}
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -1,8 +1,12 @@
 //! What the gateways tell each other.
 //!
-//! Every gateway tells the others several times a second what it has in
-//! progress and what waits, and at once when a request begins to wait for a
-//! model or an adapter. The gateway that gives orders tells what engines hold.
+//! Every gateway tells the one that gives orders several times a second what it
+//! has in progress and what waits, and at once when a request begins to wait
+//! for a model or an adapter. The gateway that gives orders adds up what all
+//! have in progress and tells it to each, together with what engines hold. So
+//! messages grow with the number of gateways and not with its square. While
+//! nobody is known to give orders, all gateways tell each other.
+//!
 //! Messages are datagrams: one that is lost is made up for by the next.
 
 use std::collections::HashMap;
@@ -10,18 +14,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_api::name::{AdapterName, ModelName};
+use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
 use chicorystage_core::fleet::{Choice, HeldModel, PeerLoad};
 use chicorystage_core::orders::AdapterRef;
 use chicorystage_platform::store::{StoreClient, WriteOutcome};
 use tokio::net::UdpSocket;
 
 use crate::gateway::follow::{GATEWAY_KEY, GatewayRow};
-use crate::gateway::peer_message::{LoadNews, PeerContent, PeerMessage, PlacementNews};
+use crate::gateway::peer_message::{LoadNews, PeerContent, PeerMessage, PlacementNews, SumNews};
 use crate::gateway::shared::Gateway;
 
-/// Time between two messages to every other gateway, in milliseconds.
+/// Time between two messages where there are few gateways, in milliseconds.
 const LOAD_PERIOD_MS: u64 = 120;
+/// Gateways above which the time between two messages grows with their number.
+const FEW_GATEWAYS: u64 = 8;
 /// Shortest time between two messages, in milliseconds.
 const LOAD_GAP_MS: u64 = 5;
 /// Largest datagram, in bytes.
@@ -88,31 +94,57 @@
 
 async fn send_loop(gateway: &Rc<Gateway>) {
     loop {
-        let period = Duration::from_millis(LOAD_PERIOD_MS);
+        let period = Duration::from_millis(period_ms(gateway));
         // Either the period is over or a request began to wait.
         let _elapsed = tokio::time::timeout(period, gateway.want_changed.notified()).await;
         let news = load_news(gateway);
         take_own_waiting(gateway, &news);
         gateway.plan_changed.notify_one();
-        broadcast(gateway, PeerContent::Load(news)).await;
+        let in_progress = news.in_progress.iter();
+        let sent = in_progress.map(|(endpoint, _, count)| (endpoint.clone(), *count));
+        gateway.with(|view| view.load_sent = sum_by_endpoint(sent));
+        tell_load(gateway, news).await;
         tokio::time::sleep(Duration::from_millis(LOAD_GAP_MS)).await;
     }
 }
 
+/// Returns the time between two messages, in milliseconds.
+fn period_ms(gateway: &Gateway) -> u64 {
+    let gateways = gateway.with(|view| view.gateways());
+    let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
+    LOAD_PERIOD_MS * gateways.div_ceil(FEW_GATEWAYS)
+}
+
+async fn tell_load(gateway: &Rc<Gateway>, news: LoadNews) {
+    let holder = gateway.with(|view| {
+        let holder = view.order_holder.as_ref()?;
+        let is_self = *holder == gateway.settings.vm;
+        Some((is_self, view.peers.get(holder).map(|peer| peer.address)))
+    });
+    match holder {
+        Some((true, _)) => {}
+        Some((false, Some(address))) => send(gateway, &[address], PeerContent::Load(news)).await,
+        Some((false, None)) | None => broadcast(gateway, PeerContent::Load(news)).await,
+    }
+}
+
 /// Sends a message to every other gateway.
 pub async fn broadcast(gateway: &Rc<Gateway>, content: PeerContent) {
-    let (addresses, configuration) = gateway.with(|view| {
-        let addresses: Vec<SocketAddr> = view.peers.values().map(|peer| peer.address).collect();
-        let configuration = view.configuration.as_ref();
-        (addresses, configuration.map_or(0, |known| known.version))
-    });
+    let addresses: Vec<SocketAddr> =
+        gateway.with(|view| view.peers.values().map(|peer| peer.address).collect());
+    send(gateway, &addresses, content).await;
+}
+
+async fn send(gateway: &Rc<Gateway>, addresses: &[SocketAddr], content: PeerContent) {
     let Some(socket) = gateway.peer_socket() else {
         return;
     };
     let message = PeerMessage {
         from: gateway.settings.vm.clone(),
         incarnation: gateway.incarnation,
-        configuration,
+        configuration: gateway
+            .configuration()
+            .map_or(0, |configuration| configuration.version),
         content,
     };
     let Ok(bytes) = serde_json::to_vec(&message) else {
@@ -124,6 +156,32 @@
     }
 }
 
+/// Tells the others what all gateways together have in progress, if that is due.
+pub async fn tell_sum(gateway: &Rc<Gateway>, epoch: u64, told_ms: &mut Option<u64>) {
+    let now_ms = gateway.now_ms();
+    let period_ms = period_ms(gateway);
+    if told_ms.is_some_and(|told_ms| now_ms < told_ms + period_ms) {
+        return;
+    }
+    *told_ms = Some(now_ms);
+    let in_progress = gateway.with(|view| {
+        view.fleet.forget_silent_peers(now_ms);
+        let ids = view.fleet.endpoints().map(|(id, _)| id);
+        let sums = ids.map(|id| (id.clone(), view.fleet.occupancy(id)));
+        sums.filter(|(_, count)| *count > 0).collect()
+    });
+    let news = SumNews { epoch, in_progress };
+    broadcast(gateway, PeerContent::Sum(news)).await;
+}
+
+fn sum_by_endpoint(counts: impl Iterator<Item = (EndpointId, u32)>) -> HashMap<EndpointId, u32> {
+    let mut sums = HashMap::new();
+    for (endpoint, count) in counts {
+        *sums.entry(endpoint).or_default() += count;
+    }
+    sums
+}
+
 async fn receive_loop(gateway: &Rc<Gateway>, socket: &UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
@@ -159,15 +217,31 @@
     match message.content {
         PeerContent::Load(news) => receive_load(gateway, now_ms, message.from, news),
         PeerContent::Placement(news) => receive_placement(gateway, now_ms, news),
+        PeerContent::Sum(news) => receive_sum(gateway, now_ms, message.from, news),
     }
 }
 
-fn receive_load(
-    gateway: &Rc<Gateway>,
-    now_ms: u64,
-    from: chicorystage_api::name::VmId,
-    news: LoadNews,
-) {
+/// The sum counts this gateway's own requests as it told them last.
+fn receive_sum(gateway: &Rc<Gateway>, now_ms: u64, from: VmId, news: SumNews) {
+    if !gateway.epoch_mentioned(news.epoch) {
+        return;
+    }
+    gateway.with(|view| {
+        view.order_holder = Some(from.clone());
+        let others = news.in_progress.into_iter().filter_map(|(endpoint, sum)| {
+            let own = view.load_sent.get(&endpoint).copied().unwrap_or(0);
+            let others = sum.saturating_sub(own);
+            (others > 0).then_some(((endpoint, None), others))
+        });
+        let load = PeerLoad {
+            received_ms: now_ms,
+            in_progress: others.collect(),
+        };
+        view.fleet.sum_of_peers(from, load);
+    });
+}
+
+fn receive_load(gateway: &Rc<Gateway>, now_ms: u64, from: VmId, news: LoadNews) {
     let is_awaited = !news.waiting.is_empty() || !news.waiting_adapters.is_empty();
     gateway.with(|view| {
         let in_progress = news
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicorystage_api::name::EndpointId;
 use chicorystage_core::admission::{come_back_ms, patience_ms};
 use chicorystage_core::deployment::{Configuration, Route, RouteKind};
 use chicorystage_core::fleet::{Choice, Want};
@@ -269,7 +270,7 @@
     async fn after_failure(
         &mut self,
         attempted: Attempted,
-        endpoint: &chicorystage_api::name::EndpointId,
+        endpoint: &EndpointId,
         want: &mut Want,
     ) -> Option<Response<AnswerBody>> {
         let now_ms = self.gateway.now_ms();
@@ -288,6 +289,7 @@
                 if is_misdirected && want.model.is_some() {
                     self.denied(endpoint, want, now_ms);
                 } else {
+                    self.refused(endpoint, now_ms);
                     want.avoid.push(endpoint.clone());
                 }
                 let may_retry = self.attempts < ATTEMPTS_MAX && self.take_retry(now_ms);
@@ -354,7 +356,7 @@
         not_run("no endpoint has room", back_ms)
     }
 
-    fn denied(&self, endpoint: &chicorystage_api::name::EndpointId, want: &Want, now_ms: u64) {
+    fn denied(&self, endpoint: &EndpointId, want: &Want, now_ms: u64) {
         let Some(model) = want.model.clone() else {
             return;
         };
@@ -366,7 +368,15 @@
         self.gateway.want_changed.notify_one();
     }
 
-    fn mark(&self, endpoint: &chicorystage_api::name::EndpointId, is_good: bool) {
+    fn refused(&self, endpoint: &EndpointId, now_ms: u64) {
+        self.gateway.with(|view| {
+            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
+                endpoint.refused(now_ms);
+            }
+        });
+    }
+
+    fn mark(&self, endpoint: &EndpointId, is_good: bool) {
         let now_ms = self.gateway.now_ms();
         self.gateway.with(|view| {
             if let Some(endpoint) = view.fleet.get_mut(endpoint) {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -23,6 +23,11 @@
 use crate::settings::GatewaySettings;
 use crate::timer::{Clock, boot_ms};
 
+/// Share of a core with which a VM gives orders to many engines with ease.
+const ORDERING_CPU_SHARE: f64 = 0.4;
+/// Time that the weakest VM leaves a free lease to others, in milliseconds.
+const DEFERENCE_MS: f64 = 1_200.0;
+
 /// A gateway's parts.
 pub struct Gateway {
     /// Settings that the process started with.
@@ -74,7 +79,8 @@
             incarnation,
             settings.lease_ms,
             settings.endpoints_check_epoch,
-        );
+        )
+        .with_deference_ms(deference_ms(settings.cpu_share));
         let book = OrderBook::new(BookSettings {
             ceiling_window_ms: settings.ceiling_window_ms,
             ceiling_factor: settings.ceiling_factor,
@@ -161,6 +167,18 @@
         !self.is_stopping.get() && view.configuration.is_some() && view.has_endpoints
     }
 
+    /// Returns whether the gateway that gives orders was heard of within `silence_ms`.
+    #[must_use]
+    pub fn hears_holder(&self, silence_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        let view = self.view.borrow();
+        let Some(holder) = &view.order_holder else {
+            return false;
+        };
+        let heard_ms = view.peers.get(holder).and_then(|peer| peer.heard_ms);
+        *holder == self.settings.vm || heard_ms.is_some_and(|at_ms| now_ms < at_ms + silence_ms)
+    }
+
     /// Reserves an endpoint for a request, if one has room now.
     ///
     /// # Errors
@@ -248,3 +266,14 @@
             .finish_non_exhaustive()
     }
 }
+
+/// Returns how long a VM leaves a free lease to stronger ones, in milliseconds.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a constant that is far below the mantissa"
+)]
+fn deference_ms(cpu_share: f64) -> u64 {
+    let lacking = (ORDERING_CPU_SHARE - cpu_share).max(0.0) / ORDERING_CPU_SHARE;
+    (DEFERENCE_MS * lacking) as u64
+}
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use chicorystage_api::name::{AdapterName, ModelName, VmId};
+use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandBook;
@@ -33,6 +33,8 @@
     pub asked: HashMap<ModelName, (u32, u64)>,
     /// Adapters asked for since the last message to the other gateways.
     pub asked_adapters: Vec<(ModelName, AdapterName)>,
+    /// Requests in progress by endpoint, as the other gateways were told last.
+    pub load_sent: HashMap<EndpointId, u32>,
     /// Other gateways that are registered, with the time of their last message.
     pub peers: HashMap<VmId, Peer>,
     /// Gateway that holds the lease on orders, as far as is known.
@@ -67,6 +69,7 @@
             waiters: Vec::new(),
             asked: HashMap::new(),
             asked_adapters: Vec::new(),
+            load_sent: HashMap::new(),
             peers: HashMap::new(),
             order_holder: None,
             registry_doubt_until_ms: 0,
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -32,6 +32,8 @@
     pub peers: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Share of a core that the VM has.
+    pub cpu_share: f64,
     /// Longest time of a short call to the store, in milliseconds.
     pub store_timeout_ms: u64,
     /// Longest graceful stop, in milliseconds.
@@ -79,6 +81,7 @@
     let metrics = reader.optional("gateway", "metrics", ADDRESS);
     let peers = reader.required("gateway", "peers", ADDRESS);
     let store = reader.required("gateway", "store", ADDRESS);
+    let cpu_share = positive(reader, "gateway", "cpu_share", 1.0);
     let store_timeout_ms = reader.number("gateway", "store_timeout_ms", 1_500, 10, 60_000);
     let stop_max_ms = seconds(reader, "gateway", "stop_max_s", 8.0);
     let lease_ms = reader.number("orders", "lease_ms", 3_000, 300, 600_000);
@@ -96,6 +99,7 @@
         metrics,
         peers: peers?,
         store: store?,
+        cpu_share,
         store_timeout_ms,
         stop_max_ms,
         lease_ms,
