Requests that crash endpoints are refused at every gateway after the third break

Change: a connection that breaks under a request counts against its path and body, gateways tell each other, an answer clears it, the third break in a row ends in a refusal for good.

--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -30,6 +30,18 @@
         }
     }
 
+    /// Returns whether nothing is held against any digest.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns how often an endpoint died while it ran a digest.
+    #[must_use]
+    pub fn crashes(&self, digest: &Digest) -> u32 {
+        self.entries.get(digest).map_or(0, |entry| entry.crashes)
+    }
+
     /// Notes that an endpoint died while it ran a digest.
     ///
     /// Returns the entry that the other processes need to know.
--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -314,3 +314,35 @@
         verify_that!(gateway.is_ready(), eq(false))
     })
 }
+
+#[gtest]
+fn a_request_that_breaks_each_endpoint_is_refused_at_every_gateway_after_the_third() -> Result<()> {
+    local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", Reply::Lost, None).await.or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateways = [
+            world.gateway("g1").await.or_fail()?,
+            world.gateway("g2").await.or_fail()?,
+        ];
+        for gateway in &gateways {
+            until("the gateways hear each other", || {
+                let now_ms = gateway.now_ms();
+                gateway.is_ready() && gateway.with(|view| view.live_peers(now_ms).count() == 1)
+            })
+            .await;
+        }
+        for i in 0..8 {
+            let gateway = &gateways[i % 2];
+            let reply = ask(gateway, Method::POST, "/pay/poison", &[], "{poison}").await;
+            verify_that!(reply.or_fail()?.status.is_server_error(), eq(true))?;
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+        verify_that!(endpoint.seen(), len(eq(3)))?;
+        // Another body on the same path is another request.
+        endpoint.script(good());
+        let reply = ask(&gateways[0], Method::POST, "/pay/poison", &[], "{good}").await;
+        verify_that!(reply.or_fail()?.status, eq(StatusCode::OK))
+    })
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -17,6 +17,8 @@
 use crate::gateway::reservation::Reservation;
 use crate::gateway::shared::Gateway;
 
+/// Why an answer is lost whose connection broke before its head.
+pub const CONNECTION_BROKE: &str = "connection broke before an answer";
 /// Largest body of a refusal that is read so that its connection can be kept, in bytes.
 const REFUSAL_BYTES_MAX: usize = 4 << 10;
 /// Urgency of requests whose route goes first.
@@ -129,7 +131,7 @@
                 if refused.take_message().is_none() {
                     reservation.outcome(false);
                     return Attempted::Lost {
-                        reason: "connection broke before an answer",
+                        reason: CONNECTION_BROKE,
                     };
                 }
             }
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::attempt::{self, AnswerBroken, Answered, Attempted, CallerWork};
+use crate::gateway::poison;
 use crate::gateway::request::InProgress;
 use crate::gateway::shared::Gateway;
 
@@ -99,7 +100,10 @@
                     return None;
                 }
                 Ok(None) => "answer ended within an event",
-                Ok(Some(Err(_broken))) => "connection broke within an answer",
+                Ok(Some(Err(_broken))) => {
+                    poison::broke(&self.gateway, &self.work);
+                    "connection broke within an answer"
+                }
                 Err(_elapsed) => "endpoint fell silent",
             };
             if !self.resume(reason).await {
@@ -168,6 +172,7 @@
             .metrics
             .answer_ms(&self.work.route.name, answer_ms);
         self.log_end("whole");
+        poison::answered(&self.gateway, &self.work);
         let Some(answered) = self.answered.take() else {
             return;
         };
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 //!   which finds its route, waits for an endpoint and sends it by [`attempt`].
 //! * [`follow`] keeps the tables of the store in view.
 //! * [`granting`] gives waiting requests the endpoints that have room.
+//! * [`poison`] refuses requests that crash endpoints.
 //! * [`peers`] tells the other gateways what is in progress and asked for.
 //! * [`ordering`] gives orders to engines while this gateway holds the lease.
 //! * [`shared`] is the state that all of them share.
@@ -29,6 +30,7 @@
 pub mod peer_message;
 pub mod peers;
 pub mod plain_http;
+pub mod poison;
 pub mod pool;
 pub mod request;
 pub mod reservation;
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways.
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
+use chicorystage_api::peer::QuarantineEntry;
 use serde::{Deserialize, Serialize};
 
 /// A datagram from one gateway to another.
@@ -25,6 +26,8 @@
     Placement(PlacementNews),
     /// What all gateways together have in progress, from the gateway that gives orders.
     Sum(SumNews),
+    /// A request under which a connection broke.
+    Suspect(QuarantineEntry),
 }
 
 /// What a gateway has in progress and is asked for.
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -22,6 +22,7 @@
 
 use crate::gateway::follow::{GATEWAY_KEY, GatewayRow};
 use crate::gateway::peer_message::{LoadNews, PeerContent, PeerMessage, PlacementNews, SumNews};
+use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
 
 /// Time between two messages where there are few gateways, in milliseconds.
@@ -218,6 +219,7 @@
         PeerContent::Load(news) => receive_load(gateway, now_ms, message.from, news),
         PeerContent::Placement(news) => receive_placement(gateway, now_ms, news),
         PeerContent::Sum(news) => receive_sum(gateway, now_ms, message.from, news),
+        PeerContent::Suspect(entry) => poison::learn(gateway, entry),
     }
 }
 
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -20,6 +20,7 @@
 use crate::gateway::answer_body::{AnswerBody, streamed, whole};
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
 use crate::gateway::event_stream;
+use crate::gateway::poison;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
@@ -144,6 +145,14 @@
         let Some(mut want) = self.want(configuration) else {
             return plain(StatusCode::NOT_FOUND, "no such model");
         };
+        if poison::is_quarantined(&self.gateway, &self.work) {
+            log::info!(
+                event = "request_refused", request = self.work.head.attempt_id.as_str(),
+                lacking = "quarantine";
+                "request refused"
+            );
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "request breaks endpoints");
+        }
         self.count(&want);
         loop {
             let reservation = match self.reservation(&want).await {
@@ -303,6 +312,9 @@
             }
             Attempted::Lost { reason } => {
                 self.runs += 1;
+                if reason == attempt::CONNECTION_BROKE {
+                    poison::broke(&self.gateway, &self.work);
+                }
                 self.gateway.metrics.attempt("lost");
                 want.avoid.push(endpoint.clone());
                 let may_repeat = self.work.route.kind.is_repeatable()
@@ -457,6 +469,7 @@
             .metrics
             .request(route, RequestOutcome::Answered);
         self.gateway.metrics.answer_ms(route, answer_ms);
+        poison::answered(&self.gateway, &self.work);
         log_passed(self, response.status(), endpoint);
         response
     }
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -8,6 +8,7 @@
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandBook;
 use chicorystage_core::retry::SharedBudget;
+use chicorystage_core::suspects::SuspectList;
 
 use crate::gateway::waiter::Waiter;
 
@@ -27,6 +28,8 @@
     pub demand: DemandBook,
     /// Retries that this gateway may still make.
     pub budget: SharedBudget,
+    /// Requests under which connections broke.
+    pub suspects: SuspectList,
     /// Requests that wait for an endpoint.
     pub waiters: Vec<Waiter>,
     /// Requests since the last message to the other gateways, by model.
@@ -66,6 +69,7 @@
             fleet: FleetView::default(),
             demand: DemandBook::default(),
             budget,
+            suspects: SuspectList::default(),
             waiters: Vec::new(),
             asked: HashMap::new(),
             asked_adapters: Vec::new(),
