--- a/crates/chicorystage-core/src/events/event_splitter.rs
+++ b/crates/chicorystage-core/src/events/event_splitter.rs
@@ -49,6 +49,6 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let text = String::from_utf8_lossy(events);
-    let ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
-    ids.last().map(|id| id.trim().to_owned())
+    let mut ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
+    ids.next_back().map(|id| id.trim().to_owned())
 }
--- /dev/null
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -0,0 +1,153 @@
+//! Which endpoint takes a request, and how belief about endpoints changes.
+
+use std::collections::HashMap;
+
+use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName, VmId, ZoneName};
+use chicorystage_core::fleet::{
+    Choice, EndpointEntry, EndpointState, EntryChange, FleetView, HeldModel, PeerLoad, Want,
+};
+use googletest::prelude::*;
+
+fn entry(id: &str, zone: &str, models: &[&str]) -> EndpointEntry {
+    let models = models.iter().map(|model| HeldModel {
+        model: ModelName::from(*model),
+        adapters: Vec::new(),
+    });
+    EndpointEntry {
+        id: EndpointId::from(id),
+        service: ServiceName::from("llm"),
+        address: ([127, 0, 0, 1], 9_000).into(),
+        zone: ZoneName::from(zone),
+        slots: 4,
+        state: EndpointState::Ready,
+        born_unix_ms: Some(1),
+        models: models.collect(),
+    }
+}
+
+fn want(model: &str) -> Want {
+    Want {
+        service: ServiceName::from("llm"),
+        model: Some(ModelName::from(model)),
+        adapter: None,
+        avoid: Vec::new(),
+    }
+}
+
+fn fleet(entries: &[EndpointEntry]) -> FleetView {
+    let mut fleet = FleetView::default();
+    for entry in entries {
+        fleet.registered(entry.clone());
+    }
+    fleet
+}
+
+fn choose(fleet: &FleetView, now_ms: u64, want: &Want) -> Choice {
+    fleet.choose(now_ms, &ZoneName::from("here"), want)
+}
+
+fn at(id: &str) -> Choice {
+    Choice::Endpoint(EndpointId::from(id))
+}
+
+#[test]
+fn between_equals_the_own_zone_wins() {
+    let fleet = fleet(&[entry("a", "there", &["m"]), entry("b", "here", &["m"])]);
+    assert_that!(choose(&fleet, 0, &want("m")), eq(&at("b")));
+}
+
+#[test]
+fn requests_of_all_routers_count() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "there", &["m"])]);
+    let in_progress = HashMap::from([((EndpointId::from("a"), None), 2)]);
+    let load = PeerLoad {
+        received_ms: 0,
+        in_progress,
+    };
+    fleet.peer_load(VmId::from("other"), load);
+    assert_that!(choose(&fleet, 0, &want("m")), eq(&at("b")));
+    // What a router said too long ago no longer counts.
+    fleet.forget_silent_peers(10_000);
+    assert_that!(choose(&fleet, 10_000, &want("m")), eq(&at("a")));
+}
+
+#[test]
+fn a_sum_takes_the_place_of_what_each_router_said() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"])]);
+    let id = EndpointId::from("a");
+    let load = |count| PeerLoad {
+        received_ms: 0,
+        in_progress: HashMap::from([((id.clone(), None), count)]),
+    };
+    fleet.peer_load(VmId::from("x"), load(2));
+    fleet.peer_load(VmId::from("y"), load(1));
+    assert_that!(fleet.occupancy(&id), eq(3));
+    fleet.peer_load(VmId::from("x"), load(1));
+    assert_that!(fleet.occupancy(&id), eq(2));
+    fleet.sum_of_peers(VmId::from("x"), load(4));
+    assert_that!(fleet.occupancy(&id), eq(4));
+}
+
+#[test]
+fn the_reason_is_the_one_nearest_to_being_served() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "here", &["n"])]);
+    assert_that!(choose(&fleet, 0, &want("x")), eq(&Choice::NoModel));
+    let adapter = Want {
+        adapter: Some(AdapterName::from("a1")),
+        ..want("m")
+    };
+    assert_that!(choose(&fleet, 0, &adapter), eq(&Choice::NoAdapter));
+    let model = ModelName::from("m");
+    for _ in 0..4 {
+        let endpoint = fleet.get_mut(&EndpointId::from("a")).expect("known");
+        endpoint.started(0, Some(&model));
+    }
+    assert_that!(choose(&fleet, 0, &want("m")), eq(&Choice::Full));
+    let other = Want {
+        service: ServiceName::from("none"),
+        ..want("m")
+    };
+    assert_that!(choose(&fleet, 0, &other), eq(&Choice::NoEndpoint));
+}
+
+#[test]
+fn failures_and_silence_are_avoided_for_a_while() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "there", &["m"])]);
+    let id = EndpointId::from("a");
+    fleet.get_mut(&id).expect("known").outcome(0, false);
+    assert_that!(choose(&fleet, 0, &want("m")), eq(&at("b")));
+    assert_that!(choose(&fleet, 60_000, &want("m")), eq(&at("a")));
+    // One request without any answer, and nothing else for a second.
+    fleet
+        .get_mut(&id)
+        .expect("known")
+        .started(60_000, Some(&ModelName::from("m")));
+    assert_that!(choose(&fleet, 61_000, &want("m")), eq(&at("b")));
+}
+
+#[test]
+fn an_endpoint_without_connections_is_passed_over_even_alone() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"])]);
+    fleet
+        .get_mut(&EndpointId::from("a"))
+        .expect("known")
+        .unreachable(0);
+    assert_that!(choose(&fleet, 100, &want("m")), eq(&Choice::NoEndpoint));
+    assert_that!(choose(&fleet, 1_000, &want("m")), eq(&at("a")));
+}
+
+#[test]
+fn an_endpoint_that_started_anew_under_its_id_holds_nothing_of_before() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"])]);
+    let id = EndpointId::from("a");
+    let placed = vec![HeldModel {
+        model: ModelName::from("n"),
+        adapters: Vec::new(),
+    }];
+    fleet.get_mut(&id).expect("known").placed(0, placed);
+    assert_that!(choose(&fleet, 0, &want("n")), eq(&at("a")));
+    let mut anew = entry("a", "here", &[]);
+    anew.born_unix_ms = Some(2);
+    assert_that!(fleet.registered(anew), eq(EntryChange::Restarted));
+    assert_that!(choose(&fleet, 0, &want("n")), eq(&Choice::NoModel));
+}
--- /dev/null
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -0,0 +1,66 @@
+//! A retry budget that all routers share keeps its bound in every window.
+
+use chicorystage_core::retry::SharedBudget;
+use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const RATIO: f64 = 0.2;
+const ALLOWANCE: f64 = 54.0;
+const WINDOW_MS: u64 = 10_000;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(100)
+    })]
+
+    // Each step is a request at one of the routers, which then asks for as many retries as it gets.
+    #[test]
+    fn routers_together_stay_under_the_bound(
+        routers in 1_usize..40,
+        steps in prop::collection::vec((any::<usize>(), 0_u64..40, any::<bool>()), 0..3_000),
+    ) {
+        let mut budgets = vec![SharedBudget::new(RATIO, ALLOWANCE, WINDOW_MS); routers];
+        let (mut now_ms, mut tries, mut retries) = (0, Vec::new(), Vec::new());
+        for (router, pause_ms, is_try) in steps {
+            now_ms += pause_ms;
+            let budget = &mut budgets[router % routers];
+            if is_try {
+                budget.first_try(now_ms);
+                tries.push(now_ms);
+            }
+            while budget.take(now_ms, routers) {
+                retries.push(now_ms);
+            }
+        }
+        for end_ms in (WINDOW_MS..now_ms + WINDOW_MS).step_by(250) {
+            let within = |times: &[u64]| {
+                let count = times.iter().filter(|at_ms| (end_ms - WINDOW_MS..end_ms).contains(*at_ms)).count();
+                f64::from(u32::try_from(count).expect("a small number"))
+            };
+            let before = |times: &[u64]| {
+                let from_ms = end_ms.saturating_sub(2 * WINDOW_MS);
+                let count = times.iter().filter(|at_ms| (from_ms..end_ms - WINDOW_MS).contains(*at_ms)).count();
+                f64::from(u32::try_from(count).expect("a small number"))
+            };
+            // The platform counts first tries of the window or the one before it, whichever has more.
+            let bound = RATIO * within(&tries).max(before(&tries)) + ALLOWANCE;
+            prop_assert!(within(&retries) <= bound, "{} of {bound} until {end_ms}", within(&retries));
+        }
+    }
+}
+
+#[test]
+fn a_lone_router_may_retry_at_once() {
+    let mut budget = SharedBudget::new(RATIO, ALLOWANCE, WINDOW_MS);
+    budget.first_try(0);
+    assert_that!(budget.take(0, 1), eq(true));
+}
+
+#[test]
+fn many_routers_have_nothing_to_spend_before_they_are_asked() {
+    let mut budget = SharedBudget::new(RATIO, ALLOWANCE, WINDOW_MS);
+    assert_that!(budget.take(0, 60), eq(false));
+}
--- a/crates/chicorystage-testbed/src/demo/mod.rs
+++ b/crates/chicorystage-testbed/src/demo/mod.rs
@@ -1,6 +1,7 @@
 //! The demo: a deployment, a user's inventory, and some requests of its callers.
 
 mod exchange;
+mod platform_path;
 mod sample;
 mod show;
 
@@ -51,6 +52,7 @@
         exchanges.push(exchange);
     }
     show::table(&exchanges);
+    platform_path::run().await?;
     if !options.once {
         show::addresses(&deployment, &sample);
         tokio::signal::ctrl_c().await?;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/demo/platform_path.rs
@@ -0,0 +1,129 @@
+//! The path on the users' platform: gateways before endpoints, on the stand-ins.
+
+use std::time::Instant;
+
+use anyhow::ensure;
+use http::{Method, StatusCode};
+use tokio::task::LocalSet;
+
+use crate::users_platform::{
+    CallerReply, EndpointEngine, EndpointStandIn, PlatformWorld, Reply, ask, until,
+};
+
+/// Time of a load in the demo, in milliseconds.
+const LOAD_MS: u64 = 300;
+
+/// One request of the demo.
+struct Step {
+    name: &'static str,
+    path: &'static str,
+    model: &'static str,
+    expected: StatusCode,
+}
+
+const STEPS: [Step; 5] = [
+    Step {
+        name: "balance",
+        path: "/app/balance",
+        model: "",
+        expected: StatusCode::OK,
+    },
+    Step {
+        name: "payout, answer lost",
+        path: "/pay/post",
+        model: "",
+        expected: StatusCode::BAD_GATEWAY,
+    },
+    Step {
+        name: "warm stream",
+        path: "/chat/check",
+        model: "m0",
+        expected: StatusCode::OK,
+    },
+    Step {
+        name: "cold stream",
+        path: "/long/dossier",
+        model: "m2",
+        expected: StatusCode::OK,
+    },
+    Step {
+        name: "adapter",
+        path: "/chat/check",
+        model: "m2/a1",
+        expected: StatusCode::OK,
+    },
+];
+
+/// Sends the demo's requests through two gateways in this process and prints what came of them.
+///
+/// # Errors
+///
+/// Fails where an outcome is not as it must be.
+pub(super) async fn run() -> anyhow::Result<()> {
+    LocalSet::new().run_until(steps()).await
+}
+
+async fn steps() -> anyhow::Result<()> {
+    let world = PlatformWorld::start().await?;
+    let engine = EndpointEngine::new(&["m0", "m1"], LOAD_MS);
+    let events = Reply::Events {
+        first: 1,
+        last: 5,
+        pause_ms: 5,
+    };
+    let llm = EndpointStandIn::start("engine-1", events, Some(engine)).await?;
+    let done = Reply::Whole {
+        status: 200,
+        body: "done".to_owned(),
+    };
+    let app = EndpointStandIn::start("app-1", done.clone(), None).await?;
+    app.script(done);
+    app.script(Reply::Lost);
+    world.declare(1);
+    world.register(&llm, "llm");
+    world.register(&app, "app");
+    let gateways = [
+        world.gateway("gateway-1").await?,
+        world.gateway("gateway-2").await?,
+    ];
+    for gateway in &gateways {
+        until("the gateways are ready", || gateway.is_ready()).await;
+    }
+    println!(
+        "\non the users' platform, with {} gateways:",
+        gateways.len()
+    );
+    for (i, step) in STEPS.iter().enumerate() {
+        let gateway = &gateways[i % gateways.len()];
+        let begun = Instant::now();
+        let headers = [("model", step.model)];
+        let reply = ask(gateway, Method::POST, step.path, &headers, "{}").await?;
+        show(step, &reply, begun.elapsed().as_millis());
+        ensure!(
+            reply.status == step.expected && reply.is_whole,
+            "{}: {} instead of {}",
+            step.name,
+            reply.status,
+            step.expected
+        );
+    }
+    let payouts = app
+        .seen()
+        .iter()
+        .filter(|seen| seen.path == "/pay/post")
+        .count();
+    ensure!(payouts == 1, "the payout ran {payouts} times");
+    Ok(())
+}
+
+fn show(step: &Step, reply: &CallerReply, time_ms: u128) {
+    let events = reply.text().matches("\n\n").count();
+    println!(
+        "  {:<20} {:<16} {:>6} ms  {} events, signed by {:?}",
+        step.name,
+        reply.status.to_string(),
+        time_ms,
+        events,
+        reply.header("response-stamp")
+    );
+}
--- a/crates/chicorystage-testbed/src/users_platform/store_stand_in.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_stand_in.rs
@@ -15,6 +15,9 @@
 use crate::users_platform::StoreMode;
 use crate::users_platform::local_http::{self, Broken, StandInBody, whole};
 
+/// Values and versions of rows, by table and key.
+type Rows = BTreeMap<(String, String), (Vec<u8>, u64)>;
+
 /// The platform's store: rows, transactions and feeds.
 #[derive(Debug)]
 pub struct StoreStandIn {
@@ -26,7 +29,7 @@
 #[derive(Debug, Default)]
 struct State {
     mode: Cell<StoreMode>,
-    rows: RefCell<BTreeMap<(String, String), (Vec<u8>, u64)>>,
+    rows: RefCell<Rows>,
     history: RefCell<Vec<Change>>,
     history_from: Cell<u64>,
     calls: Cell<u64>,
--- a/crates/chicorystage-testbed/tests/demo.rs
+++ b/crates/chicorystage-testbed/tests/demo.rs
@@ -18,6 +18,8 @@
     let (succeeded, text) = demo("altiplano");
     expect_that!(succeeded, is_true(), "{text}");
     expect_that!(text, contains_substring("payout again"));
+    expect_that!(text, contains_substring("payout, answer lost"));
+    expect_that!(text, contains_substring("cold stream"));
 }
 
 #[gtest]
--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -52,7 +52,7 @@
         verify_that!(seen, len(eq(1)))?;
         verify_that!(seen[0].path, eq("/pay/x?y=1"))?;
         verify_that!(seen[0].method, eq(&Method::POST))?;
-        verify_that!(&seen[0].body[..], eq(b"{}"))?;
+        verify_that!(&*seen[0].body, eq(b"{}"))?;
         verify_that!(seen[0].header("expect-instance"), eq("e1"))?;
         verify_that!(seen[0].header("x-own"), eq("kept"))?;
         for dropped in ["hold", "kv-from", "x-hop"] {
@@ -319,7 +319,9 @@
 fn a_request_that_breaks_each_endpoint_is_refused_at_every_gateway_after_the_third() -> Result<()> {
     local(async {
         let world = PlatformWorld::start().await.or_fail()?;
-        let endpoint = EndpointStandIn::start("e1", Reply::Lost, None).await.or_fail()?;
+        let endpoint = EndpointStandIn::start("e1", Reply::Lost, None)
+            .await
+            .or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
         let gateways = [
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use chicorystage_core::deployment::Route;
 use chicorystage_platform::caller_request::CallerRequest;
-use chicorystage_platform::endpoint_answer::EndpointAnswer;
+use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
 use chicorystage_platform::endpoint_request::{self, EndpointTerms};
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Uri, response};
@@ -158,7 +158,7 @@
         connection,
         reservation,
     };
-    if answered.head.is_not_run {
+    if answered.head.execution != Execution::Possible {
         return refused(gateway, answered).await;
     }
     Attempted::Answered(Box::new(answered))
@@ -212,7 +212,7 @@
 }
 
 async fn refused(gateway: &Rc<Gateway>, answered: Answered) -> Attempted {
-    let is_misdirected = answered.head.is_misdirected;
+    let is_misdirected = answered.head.execution == Execution::Misdirected;
     let Answered {
         head,
         body,
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -10,7 +10,7 @@
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::Standing;
-use sha2::{Digest as _, Sha256};
+use chicorystage_core::token::sha256_of_parts;
 
 use crate::gateway::attempt::CallerWork;
 use crate::gateway::peer_message::PeerContent;
@@ -76,10 +76,6 @@
     if work.body.is_empty() {
         return None;
     }
-    let mut hash = Sha256::new();
-    hash.update(work.uri.to_string());
-    hash.update([0]);
-    hash.update(&work.body);
-    let hex: String = hash.finalize().iter().map(|byte| format!("{byte:02x}")).collect();
-    Some(Digest::from(hex))
+    let uri = work.uri.to_string();
+    Some(sha256_of_parts(&[uri.as_bytes(), &work.body]))
 }
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -151,7 +151,10 @@
                 lacking = "quarantine";
                 "request refused"
             );
-            return plain(StatusCode::INTERNAL_SERVER_ERROR, "request breaks endpoints");
+            return plain(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "request breaks endpoints",
+            );
         }
         self.count(&want);
         loop {
@@ -531,9 +534,9 @@
         clippy::cast_precision_loss,
         reason = "delays are far below the mantissa"
     )]
-    let back_s = format!("{:.3}", back_ms as f64 / MS_PER_S);
-    if let Ok(back_s) = HeaderValue::from_str(&back_s) {
-        response.headers_mut().insert(RETRY_AFTER, back_s);
+    let seconds = format!("{:.3}", back_ms as f64 / MS_PER_S);
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
     }
     response
 }
