The lease on orders stays with a gateway that leaves until its end

The holder released at SIGTERM, its release conflicted with a renewal on its way and was given up; the others were leaving too, or had just started and waited the lease out.

--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -214,15 +214,29 @@
         let Some((row, version)) = &self.known else {
             return (quiet_ms >= self.deference_ms).then(|| self.first_row(1, 0));
         };
-        let held_ms = if row.released {
+        let is_predecessors = self.is_predecessors(row);
+        let is_ended = row.released || is_predecessors;
+        let held_ms = if is_ended {
             0
         } else {
             self.lease_ms + TAKE_OVER_MARGIN_MS
         };
-        let free = quiet_ms >= held_ms + self.deference_ms;
+        let deference_ms = if is_predecessors {
+            0
+        } else {
+            self.deference_ms
+        };
+        let free = quiet_ms >= held_ms + deference_ms;
         free.then(|| self.first_row(row.epoch.max(self.highest_epoch) + 1, *version))
     }
 
+    /// Returns whether the holder is an earlier process of this VM, which runs one at a time.
+    fn is_predecessors(&self, row: &LeaseRow) -> bool {
+        row.holder == self.vm
+            && row.incarnation != self.incarnation
+            && row.epoch >= self.highest_epoch
+    }
+
     fn first_row(&self, epoch: u64, expected_version: u64) -> LeaseAction {
         LeaseAction {
             row: LeaseRow {
--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -42,6 +42,13 @@
         self.entries.get(digest).map_or(0, |entry| entry.crashes)
     }
 
+    /// Returns the most crashes that are held against any digest.
+    #[must_use]
+    pub fn crashes_most(&self) -> u32 {
+        let crashes = self.entries.values().map(|entry| entry.crashes);
+        crashes.max().unwrap_or(0)
+    }
+
     /// Notes that an endpoint died while it ran a digest.
     ///
     /// Returns the entry that the other processes need to know.
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -101,7 +101,8 @@
                 }
                 Ok(None) => "answer ended within an event",
                 Ok(Some(Err(_broken))) => {
-                    poison::broke(&self.gateway, &self.work);
+                    let answered = self.answered.as_ref()?;
+                    poison::broke(&self.gateway, &self.work, answered.reservation.address);
                     "connection broke within an answer"
                 }
                 Err(_elapsed) => "endpoint fell silent",
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -58,19 +58,26 @@
     }
 }
 
+/// A gateway that is leaving keeps the lease to its end and takes none.
 fn tick_lease(gateway: &Rc<Gateway>) {
+    let holds = gateway.order_epoch().is_some();
+    if gateway.has_released.get() || (gateway.is_stopping.get() && !holds) {
+        return;
+    }
     let Some(action) = gateway.lease(|lease| lease.tick(boot_ms())) else {
         return;
     };
     let gateway = Rc::clone(gateway);
-    tokio::task::spawn_local(async move { write_lease(&gateway, action).await });
+    tokio::task::spawn_local(async move {
+        write_lease(&gateway, action).await;
+    });
 }
 
-/// Writes the lease and takes over the store's answer.
-pub async fn write_lease(gateway: &Rc<Gateway>, action: LeaseAction) {
+/// Writes the lease and takes over the store's answer; returns whether it was written.
+pub async fn write_lease(gateway: &Rc<Gateway>, action: LeaseAction) -> bool {
     let sent_ms = boot_ms();
     let Ok(value) = serde_json::to_vec(&action.row) else {
-        return;
+        return false;
     };
     let outcome = gateway
         .store
@@ -94,8 +101,10 @@
             "lease written"
         );
     }
+    let is_written = matches!(reply, StoreReply::Written(_));
     gateway.lease(|lease| lease.replied(boot_ms(), sent_ms, action, reply));
     gateway.plan_changed.notify_one();
+    is_written
 }
 
 fn decode(row: &Row) -> Option<(LeaseRow, u64)> {
@@ -132,7 +141,7 @@
     /// Returns the epoch under which orders may be given now.
     #[must_use]
     pub fn order_epoch(&self) -> Option<u64> {
-        if self.is_stopping.get() {
+        if self.has_released.get() {
             return None;
         }
         self.lease(|lease| lease.epoch(boot_ms()))
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -315,8 +315,10 @@
             }
             Attempted::Lost { reason } => {
                 self.runs += 1;
-                if reason == attempt::CONNECTION_BROKE {
-                    poison::broke(&self.gateway, &self.work);
+                if let (attempt::CONNECTION_BROKE, Some(address)) =
+                    (reason, self.gateway.address_of(endpoint))
+                {
+                    poison::broke(&self.gateway, &self.work, address);
                 }
                 self.gateway.metrics.attempt("lost");
                 want.avoid.push(endpoint.clone());
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -48,6 +48,8 @@
     pub newer_configuration: Notify,
     /// Whether the gateway has begun to stop.
     pub is_stopping: Cell<bool>,
+    /// Whether the lease on orders has been given up for good.
+    pub has_released: Cell<bool>,
     /// Becomes true when callers' connections are to be closed.
     pub closing: watch::Sender<bool>,
     /// Becomes true when requests without an answer get their final one.
@@ -90,6 +92,7 @@
             plan_changed: Notify::new(),
             newer_configuration: Notify::new(),
             ending: watch::Sender::new(false),
+            has_released: Cell::new(false),
             closing: watch::Sender::new(false),
             own_row_version: Cell::new(0),
             store: StoreClient::new(settings.store, settings.store_timeout_ms),
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -19,7 +19,7 @@
 /// Time between two looks at the requests in progress, in milliseconds.
 const POLL_MS: u64 = 20;
 /// Longest time of giving up the lease, in milliseconds.
-const RELEASE_MS: u64 = 500;
+const RELEASE_MS: u64 = 300;
 
 /// Waits until the process is told to stop, then leaves gracefully.
 pub async fn run(gateway: &Rc<Gateway>, path: &Path) {
@@ -65,14 +65,7 @@
     gateway.is_stopping.set(true);
     let begun_ms = gateway.now_ms();
     log::info!(event = "gateway_stopping"; "gateway is leaving");
-    if let Some(action) = gateway.lease(chicorystage_core::lease::OrderLease::release) {
-        let limit = Duration::from_millis(RELEASE_MS);
-        // Without an answer the lease runs out by itself.
-        let _released = tokio::time::timeout(limit, ordering::write_lease(gateway, action)).await;
-    }
-    let spent_ms = gateway.now_ms() - begun_ms;
-    let lag_ms = BALANCER_LAG_MS.saturating_sub(spent_ms);
-    tokio::time::sleep(Duration::from_millis(lag_ms)).await;
+    tokio::time::sleep(Duration::from_millis(BALANCER_LAG_MS)).await;
     gateway.closing.send_replace(true);
     let end_ms = begun_ms + gateway.settings.stop_max_ms.saturating_sub(END_MARGIN_MS);
     while gateway.now_ms() < end_ms && gateway.with(|view| view.in_progress) > 0 {
@@ -81,8 +74,23 @@
         }
         tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
     }
+    let limit = Duration::from_millis(RELEASE_MS);
+    // Without an answer the lease runs out by itself.
+    let _released = tokio::time::timeout(limit, release(gateway)).await;
     let cut = gateway.with(|view| view.in_progress);
     log::info!(event = "gateway_stopped", cut; "gateway stopped");
     // The writer of the log gets a moment for its last lines.
     tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
 }
+
+/// Gives up the lease on orders; a renewal that was on its way makes the first try conflict.
+async fn release(gateway: &Rc<Gateway>) {
+    gateway.has_released.set(true);
+    while let Some(action) = gateway.lease(chicorystage_core::lease::OrderLease::release) {
+        let is_written = ordering::write_lease(gateway, action).await;
+        if is_written {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
+}
