The service of a request in files of one job each

Cause: request.rs had grown to 550 lines with six jobs; a parameter and a function had no user. Change: request, serving, in_progress and own_answers; the endpoint is in request_answered. No behaviour changed.

--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -7,7 +7,7 @@
 use chicorystage_core::deployment::{
     CallerLimits, Configuration, EngineSpec, ModelSpec, ServiceSpec,
 };
-use chicorystage_core::fleet::{EndpointEntry, EndpointState, FleetView, HeldModel};
+use chicorystage_core::fleet::{EndpointEntry, EndpointState, FleetView, HeldModel, PeerLoad};
 use chicorystage_core::orders::{
     AdapterRef, BookSettings, DemandBook, EngineReport, Order, OrderBook, OrderKind, OrderReply,
 };
@@ -470,3 +470,64 @@
         );
     }
 }
+
+/// Requests of a model that many callers ask for, in progress at its engines.
+fn crowd(world: &mut World, model: &ModelName, count: u32) {
+    let holders: Vec<EndpointId> = world
+        .engines
+        .iter()
+        .filter(|(_, engine)| engine.held.contains_key(model))
+        .map(|(id, _)| id.clone())
+        .collect();
+    let share = count / u32::try_from(holders.len()).expect("a small number");
+    let in_progress = holders
+        .into_iter()
+        .map(|id| ((id, Some(model.clone())), share));
+    let load = PeerLoad {
+        received_ms: world.now_ms,
+        in_progress: in_progress.collect(),
+    };
+    world.fleet.peer_load(VmId::from("gateway"), load);
+}
+
+// The load of a guild's quiet day: sixty short requests at once for one model at one engine,
+// whose answers have pauses above their objective beyond about a dozen an engine.
+#[test]
+fn a_crowded_model_gets_replicas_within_seconds() {
+    let mut world = World::new(5);
+    world.is_calm = true;
+    world.run_ms(1_000);
+    let busy = model(0);
+    for _ in 0..6_000 / STEP_MS {
+        world.demand.asked(world.now_ms, &busy, 1, 300);
+        crowd(&mut world, &busy, 60);
+        world.step();
+    }
+    let replicas = world
+        .engines
+        .values()
+        .filter(|engine| engine.held.contains_key(&busy))
+        .count();
+    assert_that!(replicas, eq(4));
+}
+
+// Without a crowd a second replica would only take a place from another model.
+#[test]
+fn a_model_that_few_ask_for_keeps_one_replica() {
+    let mut world = World::new(5);
+    world.is_calm = true;
+    world.run_ms(1_000);
+    let rare = model(1);
+    for i in 0..6_000 / STEP_MS {
+        if i % 50 == 0 {
+            world.demand.asked(world.now_ms, &rare, 1, 3_000);
+        }
+        world.step();
+    }
+    let replicas = world
+        .engines
+        .values()
+        .filter(|engine| engine.held.contains_key(&rare))
+        .count();
+    assert_that!(replicas, eq(1));
+}
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -12,8 +12,8 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::attempt::{self, AnswerBroken, Answered, Attempted, CallerWork};
+use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
-use crate::gateway::request::InProgress;
 use crate::gateway::shared::Gateway;
 
 /// Pauses of the route's objective after which a stream is resumed elsewhere.
@@ -231,9 +231,7 @@
             .or_else(|| self.work.head.last_event_id.clone());
         let limit = Duration::from_millis(RESUME_WAIT_MS.min(self.work.left_ms(now_ms)));
         let rank = self.work.route.priority;
-        let granted = self
-            .gateway
-            .reserve_or_wait(&self.want, rank, &self.work.route);
+        let granted = self.gateway.reserve_or_wait(&self.want, rank);
         let Ok(Some(reservation)) = tokio::time::timeout(limit, granted).await else {
             return false;
         };
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/in_progress.rs
@@ -0,0 +1,28 @@
+//! The count of requests in progress.
+
+use std::rc::Rc;
+
+use crate::gateway::shared::Gateway;
+
+/// Counts a request as in progress until it is dropped.
+#[derive(Debug)]
+pub struct InProgress {
+    gateway: Rc<Gateway>,
+}
+
+impl InProgress {
+    /// Counts a request.
+    #[must_use]
+    pub fn begin(gateway: &Rc<Gateway>) -> Self {
+        gateway.with(|view| view.in_progress += 1);
+        Self {
+            gateway: Rc::clone(gateway),
+        }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.gateway.with(|view| view.in_progress -= 1);
+    }
+}
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -7,8 +7,8 @@
 //!
 //! # Parts
 //!
-//! * [`callers`] accepts connections and hands each request to [`request`],
-//!   which finds its route, waits for an endpoint and sends it by [`attempt`].
+//! * [`callers`] accepts connections and hands each request to [`request`], which
+//!   finds its route; [`serving`] waits for an endpoint and sends it by [`attempt`].
 //! * [`follow`] keeps the tables of the store in view.
 //! * [`granting`] gives waiting requests the endpoints that have room.
 //! * [`poison`] refuses requests that crash endpoints.
@@ -26,7 +26,9 @@
 pub mod event_stream;
 pub mod follow;
 pub mod granting;
+pub mod in_progress;
 pub mod ordering;
+pub mod own_answers;
 pub mod peer_message;
 pub mod peers;
 pub mod plain_http;
@@ -34,6 +36,7 @@
 pub mod pool;
 pub mod request;
 pub mod reservation;
+pub mod serving;
 pub mod shared;
 pub mod stop;
 pub mod view;
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/own_answers.rs
@@ -0,0 +1,50 @@
+//! Answers that a gateway gives by itself.
+
+use bytes::Bytes;
+use chicorystage_core::admission::come_back_ms;
+use chicorystage_platform::caller_request::CallerRequest;
+use http::header::RETRY_AFTER;
+use http::{HeaderValue, Response, StatusCode};
+
+use crate::gateway::answer_body::{AnswerBody, whole};
+
+/// Time after which a caller comes back where nothing better is known, in milliseconds.
+pub const COME_BACK_MS: u64 = 500;
+const MS_PER_S: f64 = 1_000.0;
+
+/// Refuses a request that this gateway cannot take at all.
+#[must_use]
+pub fn untaken(head: &CallerRequest, lacking: &'static str) -> Response<AnswerBody> {
+    log::info!(
+        event = "request_refused", request = head.attempt_id.as_str(), lacking;
+        "request refused"
+    );
+    let left_ms = head.deadline_ms.unwrap_or(0);
+    not_run(
+        "gateway takes no requests now",
+        come_back_ms(COME_BACK_MS, left_ms),
+    )
+}
+
+/// Returns the refusal of a request that has not run and will not.
+#[must_use]
+pub fn not_run(reason: &'static str, back_ms: u64) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "delays are far below the mantissa"
+    )]
+    let seconds = format!("{:.3}", back_ms as f64 / MS_PER_S);
+    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+    }
+    response
+}
+
+/// Returns an answer of this gateway's own, without an endpoint's signature.
+#[must_use]
+pub fn plain(status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(whole(Bytes::from_static(reason.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/serving.rs
@@ -0,0 +1,417 @@
+//! The service of one request: waiting for an endpoint, sending, and what follows a failure.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_api::name::EndpointId;
+use chicorystage_core::admission::{come_back_ms, patience_ms};
+use chicorystage_core::deployment::{Configuration, RouteKind};
+use chicorystage_core::fleet::{Choice, Want};
+use chicorystage_core::orders::AdapterRef;
+use chicorystage_platform::endpoint_answer;
+use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+
+use crate::gateway::answer_body::{AnswerBody, streamed, whole};
+use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
+use crate::gateway::event_stream;
+use crate::gateway::in_progress::InProgress;
+use crate::gateway::own_answers::{COME_BACK_MS, not_run, plain};
+use crate::gateway::poison;
+use crate::gateway::reservation::Reservation;
+use crate::gateway::shared::Gateway;
+use crate::metrics::RequestOutcome;
+
+/// Attempts at endpoints that one request makes at most, refused ones included.
+const ATTEMPTS_MAX: u32 = 4;
+/// Largest answer that is read whole before it is passed on, in bytes.
+const WHOLE_BYTES_MAX: u64 = 64 << 10;
+/// Pause before an endpoint is asked again that lacked an adapter, in milliseconds.
+const ADAPTER_PAUSE_MS: u64 = 10;
+/// Part of the time left that one of several runs may take.
+const RUN_TIME_PART: f64 = 0.45;
+
+/// A request on its way through endpoints.
+#[derive(Debug)]
+pub struct Serving {
+    gateway: Rc<Gateway>,
+    work: CallerWork,
+    /// Endpoints that may have run the request.
+    runs: u32,
+    /// Endpoints that were tried.
+    attempts: u32,
+}
+
+impl Serving {
+    /// Creates the service of a request that was not sent yet.
+    #[must_use]
+    pub fn new(gateway: Rc<Gateway>, work: CallerWork) -> Self {
+        Self {
+            gateway,
+            work,
+            runs: 0,
+            attempts: 0,
+        }
+    }
+
+    /// Sends the request to endpoints until one answers it or it is given up.
+    pub async fn run(
+        mut self,
+        configuration: &Configuration,
+        in_progress: InProgress,
+    ) -> Response<AnswerBody> {
+        let Some(mut want) = self.want(configuration) else {
+            return plain(StatusCode::NOT_FOUND, "no such model");
+        };
+        if poison::is_quarantined(&self.gateway, &self.work) {
+            log::info!(
+                event = "request_refused", request = self.work.head.attempt_id.as_str(),
+                lacking = "quarantine";
+                "request refused"
+            );
+            return plain(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "request breaks endpoints",
+            );
+        }
+        self.count(&want);
+        loop {
+            let reservation = match self.reservation(&want).await {
+                Ok(reservation) => reservation,
+                Err(lacking) => return self.give_up(&lacking),
+            };
+            self.attempts += 1;
+            let endpoint = reservation.endpoint.clone();
+            let limit = Duration::from_millis(self.run_limit_ms());
+            let sent = attempt::send(&self.gateway, reservation, &self.work, None);
+            let sent = tokio::select! {
+                sent = tokio::time::timeout(limit, sent) => sent.ok(),
+                () = self.gateway.ending() => None,
+            };
+            let attempted = match sent {
+                Some(Attempted::Answered(answered)) => match self.answer(answered).await {
+                    Read::Answer(response) => return self.passed(response, &endpoint),
+                    Read::Stream(answered) => {
+                        return self.stream(answered, want, in_progress);
+                    }
+                    Read::Lost(reason) => Attempted::Lost { reason },
+                },
+                Some(other) => other,
+                None => {
+                    self.mark(&endpoint, false);
+                    Attempted::Lost {
+                        reason: "no answer in time",
+                    }
+                }
+            };
+            if let Some(response) = self.after_failure(attempted, &endpoint, &mut want).await {
+                return response;
+            }
+        }
+    }
+
+    /// Returns what the request needs; none where its model is not served.
+    fn want(&self, configuration: &Configuration) -> Option<Want> {
+        let service = self.work.route.service(rand::random::<u64>())?.clone();
+        let engine = configuration
+            .service(&service)
+            .and_then(|service| service.engine.clone());
+        let head = &self.work.head;
+        let (model, adapter) = match engine {
+            Some(engine) => {
+                let model = head.model.clone()?;
+                engine.models.get(&model)?;
+                (Some(model), head.adapter.clone())
+            }
+            None => (None, None),
+        };
+        Some(Want {
+            service,
+            model,
+            adapter,
+            avoid: Vec::new(),
+        })
+    }
+
+    fn count(&self, want: &Want) {
+        let now_ms = self.work.arrived_ms;
+        let objective_ms = self.work.route.objective_ms;
+        self.gateway.with(|view| {
+            view.budget.first_try(now_ms);
+            let Some(model) = &want.model else {
+                return;
+            };
+            view.demand.asked(now_ms, model, 1, objective_ms);
+            let asked = view.asked.entry(model.clone()).or_insert((0, objective_ms));
+            asked.0 += 1;
+            asked.1 = asked.1.min(objective_ms);
+            if let Some(adapter) = &want.adapter {
+                let adapter = AdapterRef {
+                    model: model.clone(),
+                    adapter: adapter.clone(),
+                };
+                view.demand.adapter_asked(now_ms, &adapter);
+                view.asked_adapters.push((adapter.model, adapter.adapter));
+            }
+        });
+    }
+
+    /// Waits for an endpoint as long as the caller is likely to wait.
+    async fn reservation(&self, want: &Want) -> Result<Reservation, Choice> {
+        let now_ms = self.gateway.now_ms();
+        let allowed_ms = self.work.ends_ms - self.work.arrived_ms;
+        let until_ms = self.work.arrived_ms + patience_ms(&self.work.route, allowed_ms);
+        let limit = Duration::from_millis(until_ms.saturating_sub(now_ms));
+        let rank = self.work.route.priority;
+        let granted = self.gateway.reserve_or_wait(want, rank);
+        let granted = tokio::select! {
+            granted = tokio::time::timeout(limit, granted) => granted.ok().flatten(),
+            () = self.gateway.closing() => None,
+        };
+        let wait_ms = self.gateway.now_ms() - now_ms;
+        self.gateway.metrics.wait_ms(&self.work.route.name, wait_ms);
+        if let Some(reservation) = granted {
+            return Ok(reservation);
+        }
+        match self.gateway.reserve(want) {
+            Ok(reservation) => Ok(reservation),
+            Err(lacking) => Err(lacking),
+        }
+    }
+
+    /// Returns the time that this run may take until its head arrives, in milliseconds.
+    fn run_limit_ms(&self) -> u64 {
+        let left_ms = self.work.left_ms(self.gateway.now_ms());
+        let is_last = self.runs + 1 >= self.work.route.runs_max;
+        if self.work.route.kind != RouteKind::Idempotent || is_last {
+            return left_ms;
+        }
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part of a time left that is far below the mantissa"
+        )]
+        let part_ms = (left_ms as f64 * RUN_TIME_PART) as u64;
+        part_ms
+    }
+
+    /// Decides what follows a failed attempt; none to try again.
+    async fn after_failure(
+        &mut self,
+        attempted: Attempted,
+        endpoint: &EndpointId,
+        want: &mut Want,
+    ) -> Option<Response<AnswerBody>> {
+        let now_ms = self.gateway.now_ms();
+        match attempted {
+            Attempted::Answered(_) => None,
+            Attempted::NotRun {
+                reason,
+                is_misdirected,
+            } => {
+                self.gateway.metrics.attempt("not_run");
+                log::info!(
+                    event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
+                    endpoint = endpoint.as_str(), reason, attempts = self.attempts;
+                    "endpoint did not run the request"
+                );
+                if is_misdirected && want.model.is_some() {
+                    self.denied(endpoint, want, now_ms);
+                } else {
+                    self.refused(endpoint, now_ms);
+                    want.avoid.push(endpoint.clone());
+                }
+                let may_retry = self.attempts < ATTEMPTS_MAX && self.take_retry(now_ms);
+                if !may_retry {
+                    return Some(self.give_up(&Choice::Full));
+                }
+                if is_misdirected {
+                    tokio::time::sleep(Duration::from_millis(ADAPTER_PAUSE_MS)).await;
+                }
+                None
+            }
+            Attempted::Lost { reason } => {
+                self.runs += 1;
+                if let (attempt::CONNECTION_BROKE, Some(address)) =
+                    (reason, self.gateway.address_of(endpoint))
+                {
+                    poison::broke(&self.gateway, &self.work, address);
+                }
+                self.gateway.metrics.attempt("lost");
+                want.avoid.push(endpoint.clone());
+                let may_repeat = self.work.route.kind.is_repeatable()
+                    && self.runs < self.work.route.runs_max
+                    && self.work.left_ms(now_ms) > 0
+                    && !*self.gateway.ending.borrow()
+                    && self.take_retry(now_ms);
+                log::warn!(
+                    event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
+                    endpoint = endpoint.as_str(), reason, repeated = may_repeat, runs = self.runs;
+                    "an endpoint's answer is lost"
+                );
+                (!may_repeat).then(|| self.lost(now_ms))
+            }
+        }
+    }
+
+    fn lost(&self, now_ms: u64) -> Response<AnswerBody> {
+        let route = &self.work.route.name;
+        if self.work.left_ms(now_ms) == 0 {
+            self.gateway
+                .metrics
+                .request(route, RequestOutcome::TimedOut);
+            return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+        }
+        self.gateway.metrics.request(route, RequestOutcome::Lost);
+        plain(StatusCode::BAD_GATEWAY, "answer lost")
+    }
+
+    /// Refuses a request that no endpoint has run.
+    fn give_up(&self, lacking: &Choice) -> Response<AnswerBody> {
+        let now_ms = self.gateway.now_ms();
+        if self.runs > 0 {
+            return self.lost(now_ms);
+        }
+        let left_ms = self.work.head.deadline_ms.map_or(0, |deadline_ms| {
+            (self.work.arrived_ms + deadline_ms).saturating_sub(now_ms)
+        });
+        let back_ms = come_back_ms(COME_BACK_MS, left_ms);
+        self.gateway
+            .metrics
+            .request(&self.work.route.name, RequestOutcome::Refused);
+        log::info!(
+            event = "request_refused", request = self.work.head.attempt_id.as_str(),
+            route = self.work.route.name.as_ref(), lacking:? = lacking,
+            model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
+            adapter = self.work.head.adapter.as_ref().map_or("", |adapter| adapter.as_str()),
+            attempts = self.attempts, waited_ms = now_ms - self.work.arrived_ms, back_ms;
+            "request refused"
+        );
+        not_run("no endpoint has room", back_ms)
+    }
+
+    fn denied(&self, endpoint: &EndpointId, want: &Want, now_ms: u64) {
+        let Some(model) = want.model.clone() else {
+            return;
+        };
+        self.gateway.with(|view| {
+            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
+                endpoint.denied(now_ms, model, want.adapter.clone());
+            }
+        });
+        self.gateway.want_changed.notify_one();
+    }
+
+    fn refused(&self, endpoint: &EndpointId, now_ms: u64) {
+        self.gateway.with(|view| {
+            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
+                endpoint.refused(now_ms);
+            }
+        });
+    }
+
+    fn mark(&self, endpoint: &EndpointId, is_good: bool) {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.with(|view| {
+            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
+                endpoint.outcome(now_ms, is_good);
+            }
+        });
+    }
+
+    fn take_retry(&self, now_ms: u64) -> bool {
+        self.gateway.with(|view| {
+            let gateways = view.gateways();
+            view.budget.take(now_ms, gateways)
+        })
+    }
+
+    /// Reads a short answer whole; leaves streams and long answers to be passed on.
+    async fn answer(&self, answered: Box<Answered>) -> Read {
+        let is_stream = self.work.route.kind.is_stream() && answered.parts.status.is_success();
+        let length = answered.body.size_hint().exact();
+        if is_stream || length.is_none_or(|length| length > WHOLE_BYTES_MAX) {
+            return Read::Stream(answered);
+        }
+        let Answered {
+            parts,
+            head,
+            body,
+            connection,
+            reservation,
+        } = *answered;
+        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
+        let Ok(Ok(body)) = tokio::time::timeout(limit, body.collect()).await else {
+            reservation.outcome(false);
+            return Read::Lost("answer broke off");
+        };
+        attempt::recycle(&self.gateway, &head, connection, &reservation);
+        let is_failure = parts.status.is_server_error();
+        reservation.outcome(!is_failure);
+        let may_repeat =
+            self.work.route.kind.is_repeatable() && self.runs + 1 < self.work.route.runs_max;
+        if is_failure && may_repeat {
+            return Read::Lost("endpoint failed");
+        }
+        let mut response = Response::new(whole(body.to_bytes()));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = endpoint_answer::passed_on(&parts.headers);
+        response.headers_mut().remove(CONTENT_LENGTH);
+        Read::Answer(response)
+    }
+
+    fn stream(
+        self,
+        answered: Box<Answered>,
+        want: Want,
+        in_progress: InProgress,
+    ) -> Response<AnswerBody> {
+        let status = answered.parts.status;
+        let headers = endpoint_answer::passed_on(&answered.parts.headers);
+        let runs = self.runs + 1;
+        let gateway = Rc::clone(&self.gateway);
+        gateway
+            .metrics
+            .request(&self.work.route.name, RequestOutcome::Answered);
+        let frames = event_stream::pass_on(gateway, self.work, want, answered, runs, in_progress);
+        let mut response = Response::new(streamed(frames));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    fn passed(
+        &self,
+        response: Response<AnswerBody>,
+        endpoint: &EndpointId,
+    ) -> Response<AnswerBody> {
+        let route = &self.work.route.name;
+        let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
+        self.gateway
+            .metrics
+            .request(route, RequestOutcome::Answered);
+        self.gateway.metrics.answer_ms(route, answer_ms);
+        poison::answered(&self.gateway, &self.work);
+        log::info!(
+            event = "request_answered", request = self.work.head.attempt_id.as_str(),
+            route = route.as_ref(), status = response.status().as_u16(),
+            endpoint = endpoint.as_str(), attempts = self.attempts, runs = self.runs,
+            time_ms = answer_ms;
+            "request answered"
+        );
+        response
+    }
+}
+
+/// An answer as far as it was read.
+enum Read {
+    /// The answer is whole.
+    Answer(Response<AnswerBody>),
+    /// The answer is to be passed on as it arrives.
+    Stream(Box<Answered>),
+    /// The answer is lost or not good enough.
+    Lost(&'static str),
+}
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -209,8 +209,16 @@
         ))
     }
 
+    /// Reserves an endpoint, waiting for one as long as the future is polled.
+    pub async fn reserve_or_wait(self: &Rc<Self>, want: &Want, rank: u8) -> Option<Reservation> {
+        if let Ok(reservation) = self.reserve(want) {
+            return Some(reservation);
+        }
+        self.wait(want.clone(), rank).await.ok()
+    }
+
     /// Lets a request wait for an endpoint; the receiver gets the reservation.
-    pub fn wait(&self, want: Want, rank: u8, objective_ms: u64) -> oneshot::Receiver<Reservation> {
+    pub fn wait(&self, want: Want, rank: u8) -> oneshot::Receiver<Reservation> {
         let (grant, granted) = oneshot::channel();
         self.with(|view| {
             let number = view.next_number;
@@ -219,7 +227,6 @@
                 want,
                 rank,
                 number,
-                objective_ms,
                 grant,
             });
         });
--- a/crates/chicorystaged/src/gateway/waiter.rs
+++ b/crates/chicorystaged/src/gateway/waiter.rs
@@ -14,8 +14,6 @@
     pub rank: u8,
     /// Order of arrival.
     pub number: u64,
-    /// Latency objective, in milliseconds.
-    pub objective_ms: u64,
     /// Takes the reservation.
     pub grant: oneshot::Sender<Reservation>,
 }
