A replica is worth something however large the crowd

Ruled out: nobody giving orders (lease lines), engines busy with loads (4 a second). Change: the share grows on with the crowd. Test red first: 2 replicas of 4.

--- a/crates/chicorystage-core/src/orders/worth.rs
+++ b/crates/chicorystage-core/src/orders/worth.rs
@@ -15,9 +15,10 @@
 const WAITING_WORTH: f64 = 10.0;
 /// Requests in progress at one replica up to which pauses between tokens stay short.
 const EASY_LOAD: f64 = 12.0;
-/// Requests in progress beyond that over which the share of late answers grows to its most.
+/// Requests in progress beyond that by which a replica is crowded.
 const CROWDED_LOAD: f64 = 16.0;
-/// Share of answers that a crowded replica makes late.
+/// Share of answers that a crowded replica makes late; it grows on with the crowd, so that a
+/// further replica is worth something however large the crowd is.
 const CROWDED_LATE: f64 = 0.15;
 /// Request rate above which an urgent model has a second replica, a second.
 const SPARE_RATE_PER_S: f64 = 2.0;
@@ -110,7 +111,7 @@
     }
 }
 
-/// Returns the share of answers that come late at a replica with `load` requests in progress.
+/// Returns how late answers come at a replica with `load` requests in progress, as a share.
 fn late_share(load: f64) -> f64 {
-    CROWDED_LATE * ((load - EASY_LOAD) / CROWDED_LOAD).clamp(0.0, 1.0)
+    CROWDED_LATE * ((load - EASY_LOAD) / CROWDED_LOAD).max(0.0)
 }
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -531,3 +531,24 @@
         .count();
     assert_that!(replicas, eq(1));
 }
+
+// The load of a guild's heavy day after a restart of everything: far more requests for one
+// model than its two engines carry.
+#[test]
+fn a_model_crowded_far_beyond_its_engines_gets_replicas_too() {
+    let mut world = World::new(5);
+    world.is_calm = true;
+    world.run_ms(1_000);
+    let busy = model(0);
+    for _ in 0..6_000 / STEP_MS {
+        world.demand.asked(world.now_ms, &busy, 1, 300);
+        crowd(&mut world, &busy, 400);
+        world.step();
+    }
+    let replicas = world
+        .engines
+        .values()
+        .filter(|engine| engine.held.contains_key(&busy))
+        .count();
+    assert_that!(replicas, eq(4));
+}
