--- a/crates/chicorystage-testbed/src/users_platform/mod.rs
+++ b/crates/chicorystage-testbed/src/users_platform/mod.rs
@@ -19,7 +19,7 @@
 pub use caller::{CallerReply, call, call_on};
 pub use endpoint_engine::EndpointEngine;
 pub use endpoint_stand_in::EndpointStandIn;
-pub use platform_world::{PlatformWorld, ask, until, usual_routes};
+pub use platform_world::{PlatformWorld, ask, run_local, until, usual_routes};
 pub use reply::Reply;
 pub use seen_request::SeenRequest;
 pub use store_mode::StoreMode;
--- a/crates/chicorystage-testbed/src/users_platform/platform_world.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_world.rs
@@ -6,6 +6,7 @@
 use chicorystaged::settings::GatewaySettings;
 use http::Method;
 use serde_json::{Value, json};
+use tokio::task::LocalSet;
 
 use crate::users_platform::{CallerReply, EndpointStandIn, StoreStandIn, call};
 
@@ -61,6 +62,17 @@
         .await
     }
 
+    /// Starts a gateway and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub async fn ready_gateway(&self, vm: &str) -> anyhow::Result<Rc<Gateway>> {
+        let gateway = self.gateway(vm).await?;
+        until("the gateway is ready", || gateway.is_ready()).await;
+        Ok(gateway)
+    }
+
     /// Declares the usual routes: `/app/` idempotent, `/pay/` once, `/chat/` a stream and
     /// `/long/` a stream that may be resumed, the latter two at the service `llm`.
     pub fn declare(&self, version: u64) {
@@ -166,3 +178,16 @@
     }
     panic!("waited in vain until {what}");
 }
+
+/// Runs a test of gateways, whose tasks stay on one thread.
+///
+/// # Panics
+///
+/// Panics where no runtime can be started.
+pub fn run_local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    LocalSet::new().block_on(&runtime, test)
+}
--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -1,11 +1,10 @@
 //! Calls through a gateway: routes, headers, what may be repeated and what may not.
 
 use chicorystage_testbed::users_platform::{
-    EndpointStandIn, PlatformWorld, Reply, ask, until, usual_routes,
+    EndpointStandIn, PlatformWorld, Reply, ask, run_local, until, usual_routes,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
-use tokio::task::LocalSet;
 
 fn good() -> Reply {
     Reply::Whole {
@@ -14,24 +13,14 @@
     }
 }
 
-/// Runs a test on a local task set.
-fn local<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    LocalSet::new().block_on(&runtime, test)
-}
-
 #[gtest]
 fn a_call_reaches_its_endpoint_unchanged_and_the_answer_comes_back_unchanged() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let more = [
             ("hold", "h"),
@@ -65,7 +54,7 @@
 
 #[gtest]
 fn without_a_configuration_nothing_is_known_to_be_absent() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let gateway = world.gateway("g1").await.or_fail()?;
         let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
@@ -80,7 +69,7 @@
 
 #[gtest]
 fn the_longest_prefix_wins_and_no_prefix_is_not_found() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let (short, long) = (
             EndpointStandIn::start("short", good(), None)
@@ -99,8 +88,7 @@
         world.declare_with(1, &routes);
         world.register(&short, "app");
         world.register(&long, "other");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         ask(&gateway, Method::GET, "/app/special/x", &[], "")
             .await
@@ -129,7 +117,7 @@
 
 #[gtest]
 fn a_call_that_may_run_once_is_not_sent_again_after_a_lost_answer() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoints = [
             EndpointStandIn::start("e1", Reply::Lost, None)
@@ -143,8 +131,7 @@
         for endpoint in &endpoints {
             world.register(endpoint, "app");
         }
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
             .await
@@ -160,7 +147,7 @@
 
 #[gtest]
 fn an_idempotent_call_is_sent_again_after_a_lost_answer() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let lost = EndpointStandIn::start("e1", Reply::Lost, None)
             .await
@@ -169,8 +156,7 @@
         world.declare(1);
         world.register(&lost, "app");
         world.register(&good, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         for _ in 0..6 {
             let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
@@ -184,7 +170,7 @@
 
 #[gtest]
 fn a_call_that_was_not_run_goes_to_another_endpoint() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let full = EndpointStandIn::start("e1", Reply::NotRun, None)
             .await
@@ -193,8 +179,7 @@
         world.declare(1);
         world.register(&full, "app");
         world.register(&good, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         for _ in 0..4 {
             let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
@@ -208,15 +193,14 @@
 
 #[gtest]
 fn a_call_that_nobody_runs_is_refused_with_a_time_to_come_back() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let full = EndpointStandIn::start("e1", Reply::NotRun, None)
             .await
             .or_fail()?;
         world.declare(1);
         world.register(&full, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
             .await
@@ -231,15 +215,14 @@
 
 #[gtest]
 fn the_answer_of_another_attempt_is_not_passed_on() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", Reply::Foreign, None)
             .await
             .or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
             .await
@@ -252,13 +235,12 @@
 
 #[gtest]
 fn a_body_over_the_limit_and_a_malformed_head_are_refused_clearly() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let body = "x".repeat(100_001);
         let large = ask(&gateway, Method::POST, "/pay/x", &[], &body)
@@ -298,11 +280,10 @@
 
 #[gtest]
 fn a_planned_stop_answers_those_who_wait() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(1);
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         // No endpoint: the request waits for one.
         let more = [("deadline-ms", "20000"), ("model", "m0")];
         let waiting = ask(&gateway, Method::POST, "/long/x", &more, "{}");
@@ -334,7 +315,7 @@
 #[gtest]
 fn a_request_that_crashes_its_endpoints_is_refused_at_every_gateway_after_the_third() -> Result<()>
 {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let sound = EndpointStandIn::start("z", good(), None).await.or_fail()?;
         world.declare(1);
@@ -384,15 +365,14 @@
 
 #[gtest]
 fn a_request_whose_answers_are_only_lost_is_never_held_for_poison() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", Reply::Lost, None)
             .await
             .or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         for _ in 0..5 {
             let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{same}").await;
             verify_that!(reply.or_fail()?.status, eq(StatusCode::BAD_GATEWAY))?;
--- a/crates/chicorystage-testbed/tests/gateway_changes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -1,19 +1,10 @@
 //! Changes that a gateway follows: configurations, endpoints, outages of the store.
 
 use chicorystage_testbed::users_platform::{
-    EndpointStandIn, PlatformWorld, Reply, StoreMode, ask, until, usual_routes,
+    EndpointStandIn, PlatformWorld, Reply, StoreMode, ask, run_local, until, usual_routes,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
-use tokio::task::LocalSet;
-
-fn local<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    LocalSet::new().block_on(&runtime, test)
-}
 
 fn good() -> Reply {
     Reply::Whole {
@@ -28,7 +19,7 @@
 
 #[gtest]
 fn a_newer_configuration_replaces_and_an_older_one_never_does() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(5);
         let gateway = world.gateway("g1").await.or_fail()?;
@@ -47,7 +38,7 @@
 
 #[gtest]
 fn a_configuration_that_cannot_be_read_leaves_the_one_in_force() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(1);
         let gateway = world.gateway("g1").await.or_fail()?;
@@ -64,7 +55,7 @@
 // The feed that was asked while the store was silent is never answered.
 #[gtest]
 fn a_change_after_a_silent_store_is_in_force_within_seconds() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(1);
         let gateway = world.gateway("g1").await.or_fail()?;
@@ -82,7 +73,7 @@
 
 #[gtest]
 fn history_that_is_gone_is_made_up_for_by_a_whole_read() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(1);
         let gateway = world.gateway("g1").await.or_fail()?;
@@ -96,13 +87,12 @@
 
 #[gtest]
 fn a_gateway_serves_on_while_the_store_is_away() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         for mode in [StoreMode::Busy, StoreMode::LosingAnswers, StoreMode::Silent] {
             world.store.set_mode(mode);
             let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
@@ -116,15 +106,14 @@
 
 #[gtest]
 fn an_endpoint_that_leaves_gets_no_new_request() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let leaving = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
         let staying = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
         world.declare(1);
         world.register(&leaving, "app");
         world.register(&staying, "app");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         world.register_as(&leaving, "app", "draining", 1);
         until("the gateway has heard of it", || {
             let id = leaving.id().into();
@@ -148,7 +137,7 @@
 
 #[gtest]
 fn an_entry_that_cannot_be_read_names_no_endpoint_and_the_others_hold() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = EndpointStandIn::start("e1", good(), None).await.or_fail()?;
         world.declare(1);
@@ -171,8 +160,7 @@
                 .put("servers", &key, wrong.to_string().as_bytes());
         }
         world.store.put("servers", "bytes", &[0xff, 0x00, 0x17]);
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         let known = gateway.with(|view| view.fleet.endpoints().count());
         verify_that!(known, eq(1))?;
         let reply = ask(&gateway, Method::GET, "/app/x", &[], "")
@@ -184,7 +172,7 @@
 
 #[gtest]
 fn an_address_that_another_endpoint_has_taken_runs_nothing() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let newcomer = EndpointStandIn::start("new", good(), None)
             .await
@@ -193,8 +181,7 @@
         // The registry still names the endpoint that had this address before.
         let stale = newcomer.entry("app", "ready", 1).to_string();
         world.store.put("servers", "old", stale.as_bytes());
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         let reply = ask(&gateway, Method::POST, "/pay/x", &[], "{}")
             .await
             .or_fail()?;
@@ -210,7 +197,7 @@
 
 #[gtest]
 fn gateways_find_each_other_and_one_of_them_gives_orders() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         world.declare(1);
         let first = world.gateway("g1").await.or_fail()?;
--- a/crates/chicorystage-testbed/tests/gateway_streams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_streams.rs
@@ -1,22 +1,13 @@
 //! Streams through a gateway: whole events, resumption, broken and abandoned streams.
 
 use chicorystage_testbed::users_platform::{
-    EndpointEngine, EndpointStandIn, PlatformWorld, Reply, ask, until,
+    EndpointEngine, EndpointStandIn, PlatformWorld, Reply, ask, run_local, until,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
-use tokio::task::LocalSet;
 
 const MODEL: (&str, &str) = ("model", "m0");
 
-fn local<T>(test: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    LocalSet::new().block_on(&runtime, test)
-}
-
 fn events(first: u32, last: u32) -> Reply {
     Reply::Events {
         first,
@@ -36,13 +27,12 @@
 
 #[gtest]
 fn events_arrive_whole_and_in_order() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = endpoint("e1", events(1, 20), &["m0"]).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         for path in ["/chat/x", "/long/x"] {
             let reply = ask(&gateway, Method::POST, path, &[MODEL], "{}")
                 .await
@@ -58,7 +48,7 @@
 
 #[gtest]
 fn a_stream_that_may_be_resumed_goes_on_after_its_last_whole_event() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         // Between equals the first is chosen.
         let broken = Reply::BrokenEvents { first: 1, last: 5 };
@@ -70,8 +60,7 @@
         for endpoint in &endpoints {
             world.register(endpoint, "llm");
         }
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let first = ask(&gateway, Method::POST, "/long/x", &[MODEL], "{}")
             .await
@@ -90,14 +79,13 @@
 
 #[gtest]
 fn a_stream_that_may_not_be_resumed_breaks_where_its_endpoint_broke() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let broken = Reply::BrokenEvents { first: 1, last: 3 };
         let endpoint = endpoint("e1", broken, &["m0"]).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let reply = ask(&gateway, Method::POST, "/chat/x", &[MODEL], "{}")
             .await
@@ -110,13 +98,12 @@
 
 #[gtest]
 fn a_caller_that_leaves_ends_the_work_at_its_endpoint() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = endpoint("e1", Reply::Silent, &["m0"]).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         let asking = ask(&gateway, Method::POST, "/chat/x", &[MODEL], "{}");
         let arrived = until("the request arrived", || endpoint.seen().len() == 1);
@@ -136,15 +123,14 @@
 
 #[gtest]
 fn a_model_that_no_engine_holds_is_loaded_for_the_request_that_waits() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = endpoint("e1", events(1, 2), &["m0", "m1"])
             .await
             .or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         for model in ["m2", "m2/a1", "m3"] {
             let more = [("model", model)];
@@ -173,13 +159,12 @@
 
 #[gtest]
 fn a_request_for_a_model_that_is_not_declared_is_not_found() -> Result<()> {
-    local(async {
+    run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
         let endpoint = endpoint("e1", events(1, 2), &["m0"]).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
-        let gateway = world.gateway("g1").await.or_fail()?;
-        until("the gateway is ready", || gateway.is_ready()).await;
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
         let more = [("model", "unheard")];
         let reply = ask(&gateway, Method::POST, "/long/x", &more, "{}")
             .await
