Two tests of gateways bite: a swallowed feed, a stop with a waiting request

Cause: with their guard taken out both stayed green. The stand-in answered the feed that had been asked before the silence; the waiting request was answered after the stop had returned, when a process would have ended. Change: the change that is told during the silence is swallowed, and the next one must be in force within the bound, which stays; the answer must come before the stop returns.

--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -286,9 +286,18 @@
         let gateway = world.ready_gateway("g1").await.or_fail()?;
         // No endpoint: the request waits for one.
         let more = [("deadline-ms", "20000"), ("model", "m0")];
-        let waiting = ask(&gateway, Method::POST, "/long/x", &more, "{}");
-        let stopping = chicorystaged::gateway::stop::leave(&gateway);
-        let (reply, ()) = tokio::join!(waiting, stopping);
+        // The process would end when the stop returns.
+        let has_ended = std::cell::Cell::new(false);
+        let waiting = async {
+            let reply = ask(&gateway, Method::POST, "/long/x", &more, "{}").await;
+            (reply, has_ended.get())
+        };
+        let stopping = async {
+            chicorystaged::gateway::stop::leave(&gateway).await;
+            has_ended.set(true);
+        };
+        let ((reply, came_late), ()) = tokio::join!(waiting, stopping);
+        verify_that!(came_late, eq(false))?;
         let reply = reply.or_fail()?;
         verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
         verify_that!(reply.header("connection"), eq("close"))?;
--- a/crates/chicorystage-testbed/tests/gateway_changes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -61,11 +61,13 @@
         let gateway = world.gateway("g1").await.or_fail()?;
         until("version 1 is in force", || version(&gateway) == 1).await;
         world.store.set_mode(StoreMode::Silent);
-        tokio::time::sleep(std::time::Duration::from_millis(3_500)).await;
-        world.store.set_mode(StoreMode::Serving);
+        // The answer that tells of this change is swallowed, and nothing more comes of its call.
         world.declare(2);
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        world.store.set_mode(StoreMode::Serving);
+        world.declare(3);
         let begun = std::time::Instant::now();
-        until("version 2 is in force", || version(&gateway) == 2).await;
+        until("version 3 is in force", || version(&gateway) == 3).await;
         // A machine is held to a change three seconds after the end of an outage, plus two.
         verify_that!(begun.elapsed().as_millis(), lt(5_000))
     })
