Gateways: one piece for changes of an endpoint, retries and placement

Cause: read as a newcomer, the change wrote three things several times: the look-up of an endpoint before a change of it (seven places), the take of a retry from the shared budget (two), and the take-over of what engines hold (the holder's own and the others'). Change: Gateway::with_endpoint, Gateway::take_retry and peers::take_placement serve all of them. The holder's own take-over now passes over an engine that has started anew since, as the others' did; nothing else changes. A match that gave back its argument is gone.

--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -207,11 +207,7 @@
         // Closing the connection ends the work at an endpoint that still runs it.
         drop(broken);
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
-        let has_budget = may_resume
-            && self.gateway.with(|view| {
-                let gateways = view.gateways();
-                view.budget.take(now_ms, gateways)
-            });
+        let has_budget = may_resume && self.gateway.take_retry(now_ms);
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(),
             endpoint = endpoint.as_str(), reason, resumed = has_budget, runs = self.runs;
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -264,7 +264,9 @@
     for engine in &changed {
         told.engines.insert(engine.endpoint.clone(), engine.clone());
     }
-    take_own_placement(gateway, now_ms, &changed);
+    if !changed.is_empty() {
+        peers::take_placement(gateway, now_ms, changed.clone());
+    }
     for engines in changed.chunks(ENGINES_PER_MESSAGE) {
         let news = PlacementNews {
             epoch,
@@ -289,21 +291,3 @@
     })
     .collect()
 }
-
-fn take_own_placement(gateway: &Gateway, now_ms: u64, engines: &[EngineNews]) {
-    if engines.is_empty() {
-        return;
-    }
-    gateway.with(|view| {
-        for engine in engines {
-            let Some(endpoint) = view.fleet.get_mut(&engine.endpoint) else {
-                continue;
-            };
-            let models = engine.models.iter().cloned();
-            let models = models
-                .map(|(model, adapters)| chicorystage_core::fleet::HeldModel { model, adapters });
-            endpoint.placed(now_ms, models.collect());
-        }
-    });
-    gateway.room_changed.notify_one();
-}
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -21,7 +21,9 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::follow::{GATEWAY_KEY, GatewayRow};
-use crate::gateway::peer_message::{LoadNews, PeerContent, PeerMessage, PlacementNews, SumNews};
+use crate::gateway::peer_message::{
+    EngineNews, LoadNews, PeerContent, PeerMessage, PlacementNews, SumNews,
+};
 use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
 
@@ -275,19 +277,20 @@
     if !gateway.epoch_mentioned(news.epoch) {
         return;
     }
-    gateway.with(|view| {
-        for engine in news.engines {
-            let Some(endpoint) = view.fleet.get_mut(&engine.endpoint) else {
-                continue;
-            };
-            if endpoint.entry.born_unix_ms != engine.born_unix_ms {
-                continue;
+    take_placement(gateway, now_ms, news.engines);
+}
+
+/// Takes over what engines hold; an engine that has started anew since holds nothing of it.
+pub fn take_placement(gateway: &Gateway, now_ms: u64, engines: Vec<EngineNews>) {
+    for engine in engines {
+        gateway.with_endpoint(&engine.endpoint, |endpoint| {
+            if endpoint.entry.born_unix_ms == engine.born_unix_ms {
+                let models = engine.models.into_iter();
+                let models = models.map(|(model, adapters)| HeldModel { model, adapters });
+                endpoint.placed(now_ms, models.collect());
             }
-            let models = engine.models.into_iter();
-            let models = models.map(|(model, adapters)| HeldModel { model, adapters });
-            endpoint.placed(now_ms, models.collect());
-        }
-    });
+        });
+    }
     gateway.room_changed.notify_one();
 }
 
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -44,31 +44,25 @@
         }
         self.is_answered = true;
         let now_ms = self.gateway.now_ms();
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(&self.endpoint) {
-                endpoint.answered(now_ms);
-            }
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            endpoint.answered(now_ms);
         });
     }
 
     /// Notes that the endpoint took no connection.
     pub fn unreachable(&self) {
         let now_ms = self.gateway.now_ms();
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(&self.endpoint) {
-                endpoint.unreachable(now_ms);
-                endpoint.outcome(now_ms, false);
-            }
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            endpoint.unreachable(now_ms);
+            endpoint.outcome(now_ms, false);
         });
     }
 
     /// Notes whether the endpoint served the request well.
     pub fn outcome(&self, is_good: bool) {
         let now_ms = self.gateway.now_ms();
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(&self.endpoint) {
-                endpoint.outcome(now_ms, is_good);
-            }
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            endpoint.outcome(now_ms, is_good);
         });
     }
 }
@@ -76,10 +70,8 @@
 impl Drop for Reservation {
     fn drop(&mut self) {
         self.answered();
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(&self.endpoint) {
-                endpoint.ended(self.model.as_ref());
-            }
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            endpoint.ended(self.model.as_ref());
         });
         self.gateway.room_changed.notify_one();
     }
--- a/crates/chicorystaged/src/gateway/serving.rs
+++ b/crates/chicorystaged/src/gateway/serving.rs
@@ -175,10 +175,7 @@
         if let Some(reservation) = granted {
             return Ok(reservation);
         }
-        match self.gateway.reserve(want) {
-            Ok(reservation) => Ok(reservation),
-            Err(lacking) => Err(lacking),
-        }
+        self.gateway.reserve(want)
     }
 
     /// Returns the time that this run may take until its head arrives, in milliseconds.
@@ -224,7 +221,7 @@
                     self.refused(endpoint, now_ms);
                     want.avoid.push(endpoint.clone());
                 }
-                let may_retry = self.attempts < ATTEMPTS_MAX && self.take_retry(now_ms);
+                let may_retry = self.attempts < ATTEMPTS_MAX && self.gateway.take_retry(now_ms);
                 if !may_retry {
                     return Some(self.give_up(&Choice::Full));
                 }
@@ -246,7 +243,7 @@
                     && self.runs < self.work.route.runs_max
                     && self.work.left_ms(now_ms) > 0
                     && !*self.gateway.ending.borrow()
-                    && self.take_retry(now_ms);
+                    && self.gateway.take_retry(now_ms);
                 log::warn!(
                     event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
                     endpoint = endpoint.as_str(), reason, repeated = may_repeat, runs = self.runs;
@@ -297,38 +294,25 @@
         let Some(model) = want.model.clone() else {
             return;
         };
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
-                endpoint.denied(now_ms, model, want.adapter.clone());
-            }
+        self.gateway.with_endpoint(endpoint, |endpoint| {
+            endpoint.denied(now_ms, model, want.adapter.clone());
         });
         self.gateway.want_changed.notify_one();
     }
 
     fn refused(&self, endpoint: &EndpointId, now_ms: u64) {
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
-                endpoint.refused(now_ms);
-            }
+        self.gateway.with_endpoint(endpoint, |endpoint| {
+            endpoint.refused(now_ms);
         });
     }
 
     fn mark(&self, endpoint: &EndpointId, is_good: bool) {
         let now_ms = self.gateway.now_ms();
-        self.gateway.with(|view| {
-            if let Some(endpoint) = view.fleet.get_mut(endpoint) {
-                endpoint.outcome(now_ms, is_good);
-            }
+        self.gateway.with_endpoint(endpoint, |endpoint| {
+            endpoint.outcome(now_ms, is_good);
         });
     }
 
-    fn take_retry(&self, now_ms: u64) -> bool {
-        self.gateway.with(|view| {
-            let gateways = view.gateways();
-            view.budget.take(now_ms, gateways)
-        })
-    }
-
     /// Reads a short answer whole; leaves streams and long answers to be passed on.
     async fn answer(&self, answered: Box<Answered>) -> Read {
         let is_stream = self.work.route.kind.is_stream() && answered.parts.status.is_success();
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 
 use chicorystage_api::name::EndpointId;
 use chicorystage_core::deployment::Configuration;
-use chicorystage_core::fleet::{Choice, Want};
+use chicorystage_core::fleet::{Choice, Endpoint, Want};
 use chicorystage_core::lease::OrderLease;
 use chicorystage_core::orders::{BookSettings, OrderBook};
 use chicorystage_core::retry::SharedBudget;
@@ -127,6 +127,23 @@
         decide(&mut self.view.borrow_mut())
     }
 
+    /// Changes what is known of an endpoint, if it is still there.
+    pub fn with_endpoint(&self, id: &EndpointId, change: impl FnOnce(&mut Endpoint)) {
+        let mut view = self.view.borrow_mut();
+        if let Some(endpoint) = view.fleet.get_mut(id) {
+            change(endpoint);
+        }
+    }
+
+    /// Takes one retry from the budget that the gateways share; returns whether there was one.
+    #[must_use]
+    pub fn take_retry(&self, now_ms: u64) -> bool {
+        self.with(|view| {
+            let gateways = view.gateways();
+            view.budget.take(now_ms, gateways)
+        })
+    }
+
     /// Makes one decision on the lease.
     pub fn lease<T>(&self, decide: impl FnOnce(&mut OrderLease) -> T) -> T {
         decide(&mut self.lease.borrow_mut())
