Space prompts, so that clusters of them stall no answers

The pauses came at ten moments, each in all of the 20 to 33 answers of one engine, right after about eight prompts had reached it within 0.1 to 0.2 s: an engine reads them between the tokens of all that it runs, up to 54 ms a step. Ruled out: the gateways' processor (0.005 of a core), loads and orders at that engine (none in these moments), full key-value memory. Change: core::fleet::PromptPace. Each gateway has its share of what an engine reads easily; an engine whose share is used up is passed over, or the request is held back for a third of its objective at most. Holding back is no want of a model and is not told to the other gateways. stream_ended says how long the request waited and when its longest pause ended, which showed the cause.

--- a/crates/chicorystage-core/src/fleet/choice.rs
+++ b/crates/chicorystage-core/src/fleet/choice.rs
@@ -7,6 +7,8 @@
     Endpoint(EndpointId),
     /// Endpoints hold what is needed, and all of them are full.
     Full,
+    /// Endpoints have room, and all of them were given prompts a moment ago.
+    Reading,
     /// No endpoint holds the model.
     NoModel,
     /// Endpoints hold the model, and none of them the adapter.
--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -2,7 +2,7 @@
 
 use chicorystage_api::name::{AdapterName, ModelName};
 
-use crate::fleet::{EndpointEntry, EndpointState, HeldModel};
+use crate::fleet::{EndpointEntry, EndpointState, HeldModel, PromptPace};
 
 /// Time for which the word of the router that gives orders goes before the registry, in milliseconds.
 const PLACEMENT_KEPT_MS: u64 = 3_000;
@@ -36,6 +36,8 @@
     silent_since_ms: u64,
     unreachable_until_ms: u64,
     full_until_ms: u64,
+    /// Spacing of the prompts that this router sends.
+    pub pace: PromptPace,
 }
 
 /// Models as the router that gives orders knows them.
@@ -60,6 +62,7 @@
             silent_since_ms: 0,
             unreachable_until_ms: 0,
             full_until_ms: 0,
+            pace: PromptPace::default(),
         }
     }
 
@@ -141,6 +144,7 @@
         self.failure_rate = 0.0;
         self.unanswered = 0;
         self.unreachable_until_ms = 0;
+        self.pace = PromptPace::default();
     }
 
     /// Notes that a request was sent.
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -9,6 +9,8 @@
 const PEER_LOAD_KEPT_MS: u64 = 1_500;
 /// Cost of a full batch, in the unit of all costs.
 const FULL_BATCH_COST: f64 = 100.0;
+/// Cost of each millisecond for which a prompt should be held back.
+const HOLD_COST_PER_MS: f64 = 0.3;
 /// Cost of another availability zone.
 const OTHER_ZONE_COST: f64 = 4.0;
 /// Cost of an endpoint whose recent requests all failed.
@@ -156,6 +158,11 @@
                 reason = better_reason(reason, Choice::Full);
                 continue;
             }
+            let hold_ms = endpoint.pace.hold_ms(now_ms);
+            if hold_ms > 0.0 && now_ms < want.prompt.hold_until_ms {
+                reason = better_reason(reason, Choice::Reading);
+                continue;
+            }
             let cost = cost(now_ms, zone, endpoint, occupancy, want.avoid.contains(id));
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, id));
@@ -198,6 +205,7 @@
 
 fn cost(now_ms: u64, zone: &ZoneName, endpoint: &Endpoint, occupancy: u32, failed: bool) -> f64 {
     let mut cost = FULL_BATCH_COST * f64::from(occupancy) / f64::from(endpoint.entry.slots.max(1));
+    cost += HOLD_COST_PER_MS * endpoint.pace.hold_ms(now_ms);
     cost += FAILURE_COST * endpoint.failure_rate(now_ms);
     if endpoint.entry.zone != *zone {
         cost += OTHER_ZONE_COST;
@@ -218,7 +226,8 @@
         Choice::NoModel => 1,
         Choice::NoAdapter => 2,
         Choice::Full => 3,
-        Choice::Endpoint(_) => 4,
+        Choice::Reading => 4,
+        Choice::Endpoint(_) => 5,
     };
     if rank(&new) > rank(&known) {
         new
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -6,6 +6,9 @@
 //! recent. Requests in progress are counted here for this router's own
 //! and learned from the other routers for theirs.
 //!
+//! Prompts are spaced: an engine that has just been given some is passed over for a moment,
+//! as long as the request can bear it (see [`PromptPace`]).
+//!
 //! Belief about an endpoint's health comes from the answers to requests:
 //! failures and silence raise the cost of a choice and fade with time and with
 //! answers.
@@ -18,6 +21,8 @@
 mod fleet_view;
 mod held_model;
 mod peer_load;
+mod prompt;
+mod prompt_pace;
 mod want;
 
 pub use choice::Choice;
@@ -28,4 +33,6 @@
 pub use fleet_view::FleetView;
 pub use held_model::HeldModel;
 pub use peer_load::PeerLoad;
+pub use prompt::Prompt;
+pub use prompt_pace::PromptPace;
 pub use want::Want;
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -4,7 +4,7 @@
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName, VmId, ZoneName};
 use chicorystage_core::fleet::{
-    Choice, EndpointEntry, EndpointState, EntryChange, FleetView, HeldModel, PeerLoad, Want,
+    Choice, EndpointEntry, EndpointState, EntryChange, FleetView, HeldModel, PeerLoad, Prompt, Want,
 };
 use googletest::prelude::*;
 
@@ -30,6 +30,7 @@
         service: ServiceName::from("llm"),
         model: Some(ModelName::from(model)),
         adapter: None,
+        prompt: Prompt::default(),
         avoid: Vec::new(),
     }
 }
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -51,6 +52,8 @@
     pub arrived_ms: u64,
     /// Time of the final answer at the latest, in milliseconds.
     pub ends_ms: u64,
+    /// Time spent waiting for an endpoint, in milliseconds.
+    pub wait_ms: Cell<u64>,
 }
 
 /// What became of an attempt.
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -32,6 +32,8 @@
     last_ms: u64,
     /// Longest pause between two events, in milliseconds.
     pause_max_ms: u64,
+    /// End of that pause, in milliseconds from the request's arrival.
+    pause_max_at_ms: u64,
     /// Whether the answer's end was logged.
     is_logged: bool,
 }
@@ -156,7 +158,10 @@
             self.timing.first_ms = Some(first_ms);
         } else {
             let pause_ms = now_ms - self.timing.last_ms;
-            self.timing.pause_max_ms = self.timing.pause_max_ms.max(pause_ms);
+            if pause_ms > self.timing.pause_max_ms {
+                self.timing.pause_max_ms = pause_ms;
+                self.timing.pause_max_at_ms = now_ms - self.work.arrived_ms;
+            }
         }
         self.timing.last_ms = now_ms;
     }
@@ -191,6 +196,8 @@
             model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
             runs = self.runs, first_ms = self.timing.first_ms.unwrap_or_default(),
             pause_max_ms = self.timing.pause_max_ms,
+            pause_max_at_ms = self.timing.pause_max_at_ms,
+            wait_ms = self.work.wait_ms.get(),
             time_ms = self.gateway.now_ms() - self.work.arrived_ms;
             "stream ended"
         );
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -313,7 +313,7 @@
                         .entry((model.clone(), adapter.clone()))
                         .or_default() += 1;
                 }
-                (Choice::Endpoint(_), _) => {}
+                (Choice::Endpoint(_) | Choice::Reading, _) => {}
                 _ => *waiting.entry(model.clone()).or_default() += 1,
             }
         }
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from its head to the start of its service.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -60,6 +61,7 @@
         route,
         arrived_ms,
         ends_ms,
+        wait_ms: Cell::new(0),
     };
     Serving::new(gateway, work)
         .run(&configuration, in_progress)
--- a/crates/chicorystaged/src/gateway/serving.rs
+++ b/crates/chicorystaged/src/gateway/serving.rs
@@ -6,7 +6,7 @@
 use chicorystage_api::name::EndpointId;
 use chicorystage_core::admission::{come_back_ms, patience_ms};
 use chicorystage_core::deployment::{Configuration, RouteKind};
-use chicorystage_core::fleet::{Choice, Want};
+use chicorystage_core::fleet::{Choice, Prompt, Want};
 use chicorystage_core::orders::AdapterRef;
 use chicorystage_platform::endpoint_answer;
 use http::header::CONTENT_LENGTH;
@@ -28,6 +28,8 @@
 const ATTEMPTS_MAX: u32 = 4;
 /// Largest answer that is read whole before it is passed on, in bytes.
 const WHOLE_BYTES_MAX: u64 = 64 << 10;
+/// Part of the latency objective for which a request is held back to space prompts.
+const HOLD_PART: u64 = 3;
 /// Pause before an endpoint is asked again that lacked an adapter, in milliseconds.
 const ADAPTER_PAUSE_MS: u64 = 10;
 /// Part of the time left that one of several runs may take.
@@ -131,6 +133,10 @@
             service,
             model,
             adapter,
+            prompt: Prompt {
+                tokens: head.prompt_tokens,
+                hold_until_ms: self.work.arrived_ms + self.work.route.objective_ms / HOLD_PART,
+            },
             avoid: Vec::new(),
         })
     }
@@ -171,6 +177,7 @@
             () = self.gateway.closing() => None,
         };
         let wait_ms = self.gateway.now_ms() - now_ms;
+        self.work.wait_ms.set(self.work.wait_ms.get() + wait_ms);
         self.gateway.metrics.wait_ms(&self.work.route.name, wait_ms);
         if let Some(reservation) = granted {
             return Ok(reservation);
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -211,10 +211,14 @@
             let Choice::Endpoint(id) = choice else {
                 return Err(choice);
             };
+            let gateways = view.gateways();
             let Some(endpoint) = view.fleet.get_mut(&id) else {
                 return Err(Choice::NoEndpoint);
             };
             endpoint.started(now_ms, want.model.as_ref());
+            if want.model.is_some() {
+                endpoint.pace.sent(now_ms, want.prompt.tokens, gateways);
+            }
             Ok((id, endpoint.entry.address))
         });
         let (id, address) = chosen?;
@@ -228,14 +232,19 @@
 
     /// Reserves an endpoint, waiting for one as long as the future is polled.
     pub async fn reserve_or_wait(self: &Rc<Self>, want: &Want, rank: u8) -> Option<Reservation> {
-        if let Ok(reservation) = self.reserve(want) {
-            return Some(reservation);
+        let lacking = match self.reserve(want) {
+            Ok(reservation) => return Some(reservation),
+            Err(lacking) => lacking,
+        };
+        let granted = self.wait(want.clone(), rank);
+        if lacking != Choice::Reading {
+            self.want_changed.notify_one();
         }
-        self.wait(want.clone(), rank).await.ok()
+        granted.await.ok()
     }
 
     /// Lets a request wait for an endpoint; the receiver gets the reservation.
-    pub fn wait(&self, want: Want, rank: u8) -> oneshot::Receiver<Reservation> {
+    fn wait(&self, want: Want, rank: u8) -> oneshot::Receiver<Reservation> {
         let (grant, granted) = oneshot::channel();
         self.with(|view| {
             let number = view.next_number;
@@ -247,19 +256,21 @@
                 grant,
             });
         });
-        self.want_changed.notify_one();
         granted
     }
 
     /// Gives reservations to the waiting requests that find an endpoint, first ranks first.
-    pub fn grant_waiters(self: &Rc<Self>) {
+    ///
+    /// Returns whether some are only held back to space their prompts.
+    pub fn grant_waiters(self: &Rc<Self>) -> bool {
         let mut waiters = self.with(|view| std::mem::take(&mut view.waiters));
         waiters.retain(|waiter| !waiter.grant.is_closed());
         waiters.sort_by_key(|waiter| (waiter.rank, waiter.number));
         let mut in_vain: Vec<Want> = Vec::new();
+        let mut holds_back = false;
         let mut left = Vec::new();
         for waiter in waiters {
-            if in_vain.contains(&waiter.want) {
+            if in_vain.iter().any(|want| want.needs_same(&waiter.want)) {
                 left.push(waiter);
                 continue;
             }
@@ -268,6 +279,10 @@
                     // A request that has just ended gives its reservation back by dropping it.
                     let _granted = waiter.grant.send(reservation);
                 }
+                Err(Choice::Reading) => {
+                    holds_back = true;
+                    left.push(waiter);
+                }
                 Err(_lacking) => {
                     in_vain.push(waiter.want.clone());
                     left.push(waiter);
@@ -275,6 +290,7 @@
             }
         }
         self.with(|view| view.waiters.append(&mut left));
+        holds_back
     }
 
     /// Returns the address of an endpoint.
