--- a/crates/chicorystage/src/cli/explain.rs
+++ b/crates/chicorystage/src/cli/explain.rs
@@ -1,11 +1,21 @@
-//! `explain REQUEST_ID`.
+//! `explain REQUEST_ID [--logs FILE]`.
 
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufReader};
+use std::path::Path;
+
+use serde::Serialize;
 use serde_json::Value;
 
 use crate::ToolError;
 use crate::admin_client::encode;
 use crate::cli::context::Context;
 use crate::cli::options::ExplainOptions;
+use crate::logs::{Cause, History, LogLine};
+
+/// Name of standard input on the command line.
+const STANDARD_INPUT: &str = "-";
 
 pub(crate) async fn run(context: &Context, options: &ExplainOptions) -> Result<(), ToolError> {
     let path = format!("explain/{}", encode(&options.request_id));
@@ -17,6 +27,72 @@
     })
 }
 
+/// Explains a request from log files alone.
+pub(crate) fn from_logs(context: &Context, options: &ExplainOptions) -> Result<(), ToolError> {
+    let mut history = History::new(&options.request_id);
+    for path in &options.logs {
+        read_log(&mut history, path)?;
+    }
+    history.sort();
+    if history.unreadable_lines > 0 {
+        eprintln!(
+            "chicorystage: {} of {} lines are not lines of a gateway",
+            history.unreadable_lines, history.lines
+        );
+    }
+    if history.own.is_empty() {
+        return Err(ToolError::Failed(format!(
+            "no line of request {} among {} lines",
+            options.request_id, history.lines
+        )));
+    }
+    let texts = |lines: Vec<&LogLine>| -> Vec<String> {
+        lines.into_iter().map(ToString::to_string).collect()
+    };
+    let cause = Cause::of(&history).map(|cause| cause.to_string());
+    let explanation = Explanation {
+        request: &options.request_id,
+        lines: texts(history.own.iter().collect()),
+        around: texts(history.around().collect()),
+        cause: cause.unwrap_or_else(|| "the lines do not tell".to_owned()),
+    };
+    context.print(&explanation, ToString::to_string)
+}
+
+/// What log lines tell about a request.
+#[derive(Debug, Serialize)]
+struct Explanation<'a> {
+    request: &'a str,
+    lines: Vec<String>,
+    around: Vec<String>,
+    cause: String,
+}
+
+impl fmt::Display for Explanation<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "request {}", self.request)?;
+        for line in &self.lines {
+            writeln!(f, "  {line}")?;
+        }
+        writeln!(f, "around it")?;
+        for line in &self.around {
+            writeln!(f, "  {line}")?;
+        }
+        writeln!(f, "cause: {}", self.cause)
+    }
+}
+
+fn read_log(history: &mut History, path: &Path) -> Result<(), ToolError> {
+    let name = path.display().to_string();
+    let read = if name == STANDARD_INPUT {
+        history.read("stdin", io::stdin().lock())
+    } else {
+        let source = path.file_stem().unwrap_or_default().to_string_lossy();
+        File::open(path).and_then(|file| history.read(&source, BufReader::new(file)))
+    };
+    read.map_err(|error| ToolError::Failed(format!("{name}: {error}")))
+}
+
 /// Writes a document as indented lines of names and values.
 fn describe(value: &Value, depth: usize, text: &mut String) {
     let indent = "  ".repeat(depth);
--- a/crates/chicorystage/src/cli/mod.rs
+++ b/crates/chicorystage/src/cli/mod.rs
@@ -70,6 +70,9 @@
     match command {
         Command::CheckSettings(options) => check_settings::run(&context, &options),
         Command::Validate(options) => apply::validate(&context, &options),
+        Command::Explain(options) if !options.logs.is_empty() => {
+            explain::from_logs(&context, &options)
+        }
         command => block_on(execute_remote(context, command)),
     }
 }
--- a/crates/chicorystage/src/cli/options.rs
+++ b/crates/chicorystage/src/cli/options.rs
@@ -160,9 +160,12 @@
 pub(crate) struct ExplainOptions {
     /// Print this help.
     pub help: bool,
-    /// Identity from the answer's X-Request-Id.
+    /// Identity of the request: of the attempt for gateways, from X-Request-Id for routers.
     #[options(free, required)]
     pub request_id: String,
+    /// Log file of a gateway, or - for standard input; may be given again.
+    #[options(meta = "FILE")]
+    pub logs: Vec<PathBuf>,
 }
 
 /// Lists or lifts quarantines.
--- a/crates/chicorystage/src/lib.rs
+++ b/crates/chicorystage/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`cli`]: the command line, one module a command.
 //! * [`file`]: inventory files, read with findings and written back.
 //! * [`admin_client`]: the administration API as seen by an operator.
+//! * [`logs`]: log lines of gateways, and what they tell about one request.
 //! * [`table`]: tables for people.
 //!
 //! # Exit status
@@ -18,6 +19,7 @@
 pub mod admin_client;
 pub mod cli;
 pub mod file;
+pub mod logs;
 pub mod table;
 
 mod tool_error;
