Store calls no longer grow with the number of gateways

Ruled out: the lease (one renewal a second) and the system's own table (asked every 2 s while the holder is heard). Change: a gateway that hears the lease's holder asks the less often the more gateways there are. Since it then learns later that an engine leaves, the holder tells once that a gone or leaving engine holds nothing. Test: gateway_news: what is told once, and calls by number of gateways.

--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -22,6 +22,8 @@
 const FAILURE_PAUSE_MS: u64 = 150;
 /// Pause between two calls for changes of the endpoints, which come in groups, in milliseconds.
 const ENDPOINTS_PAUSE_MS: u64 = 350;
+/// Gateways up to which all of them follow the endpoints equally closely.
+const FEW_GATEWAYS: u64 = 8;
 /// Longest pause between two calls for changes of the system's own rows, in milliseconds.
 ///
 /// Each renewal of the lease is a change, and while its holder is heard of they tell nothing new.
@@ -106,7 +108,11 @@
     match table {
         TableName::Operator => {}
         TableName::Endpoints => {
-            tokio::time::sleep(Duration::from_millis(ENDPOINTS_PAUSE_MS)).await;
+            let pause_ms = endpoints_pause_ms(
+                gateway.with(|view| view.gateways()),
+                gateway.order_epoch().is_none() && gateway.hears_holder(HOLDER_SILENCE_MS),
+            );
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
         TableName::Own => {
             for _ in 0..OWN_PAUSE_MS / OWN_LOOK_MS {
@@ -119,6 +125,21 @@
     }
 }
 
+/// Returns the pause between two calls for changes of the endpoints, in milliseconds.
+///
+/// A gateway that is told by the holder of the lease which engines are gone follows the
+/// others' entries less closely the more gateways there are, so that the store's load
+/// does not grow with their number.
+#[must_use]
+pub fn endpoints_pause_ms(gateways: usize, is_told: bool) -> u64 {
+    let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
+    if is_told {
+        ENDPOINTS_PAUSE_MS * gateways.div_ceil(FEW_GATEWAYS)
+    } else {
+        ENDPOINTS_PAUSE_MS
+    }
+}
+
 /// Entries may have lapsed while the store was away; endpoints register again soon.
 fn doubt(gateway: &Gateway) {
     let until_ms = gateway.now_ms() + RETURN_MS;
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 pub mod own_answers;
 pub mod peer_message;
 pub mod peers;
+pub mod placement_told;
 pub mod plain_http;
 pub mod poison;
 pub mod pool;
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -15,6 +15,7 @@
 use crate::gateway::follow::LEASE_KEY;
 use crate::gateway::peer_message::{EngineNews, PeerContent, PlacementNews};
 use crate::gateway::peers;
+use crate::gateway::placement_told::PlacementTold;
 use crate::gateway::shared::Gateway;
 use crate::timer::boot_ms;
 
@@ -22,8 +23,6 @@
 const PLAN_PERIOD_MS: u64 = 100;
 /// Shortest time between two looks at the plan, in milliseconds.
 const PLAN_GAP_MS: u64 = 10;
-/// Time between two messages that repeat what all engines hold, in milliseconds.
-const PLACEMENT_PERIOD_MS: u64 = 1_000;
 /// Longest time of a call to an engine, in milliseconds.
 const ENGINE_TIMEOUT_MS: u64 = 600;
 /// Engines in one message.
@@ -241,29 +240,14 @@
 /// What the other gateways were told last.
 #[derive(Debug, Default)]
 struct Told {
-    engines: HashMap<EndpointId, EngineNews>,
-    all_told_ms: Option<u64>,
+    placement: PlacementTold,
     sum_told_ms: Option<u64>,
 }
 
 /// Tells every gateway, this one included, what engines hold.
 async fn tell(gateway: &Rc<Gateway>, epoch: u64, told: &mut Told) {
     let now_ms = gateway.now_ms();
-    let is_due = told
-        .all_told_ms
-        .is_none_or(|told_ms| now_ms >= told_ms + PLACEMENT_PERIOD_MS);
-    let news = engine_news(gateway);
-    let changed: Vec<EngineNews> = news
-        .into_iter()
-        .filter(|engine| is_due || told.engines.get(&engine.endpoint) != Some(engine))
-        .collect();
-    if is_due {
-        told.all_told_ms = Some(now_ms);
-        told.engines.clear();
-    }
-    for engine in &changed {
-        told.engines.insert(engine.endpoint.clone(), engine.clone());
-    }
+    let changed = told.placement.due(now_ms, engine_news(gateway));
     if !changed.is_empty() {
         peers::take_placement(gateway, now_ms, changed.clone());
     }
--- /dev/null
+++ b/crates/chicorystaged/tests/gateway_news.rs
@@ -0,0 +1,62 @@
+//! What the holder of the lease tells the other gateways, and what these ask the store for.
+
+use chicorystage_api::name::{EndpointId, ModelName};
+use chicorystaged::gateway::follow::endpoints_pause_ms;
+use chicorystaged::gateway::peer_message::EngineNews;
+use chicorystaged::gateway::placement_told::PlacementTold;
+use googletest::prelude::*;
+
+fn engine(id: &str, models: &[&str]) -> EngineNews {
+    let models = models
+        .iter()
+        .map(|model| (ModelName::from(*model), Vec::new()));
+    EngineNews {
+        endpoint: EndpointId::from(id),
+        born_unix_ms: Some(1),
+        models: models.collect(),
+    }
+}
+
+#[gtest]
+fn only_changes_are_told_between_repeats() {
+    let mut told = PlacementTold::default();
+    let (a, b) = (engine("a", &["m"]), engine("b", &["n"]));
+    let both = vec![a.clone(), b.clone()];
+    expect_that!(told.due(0, both.clone()), eq(&both));
+    expect_that!(told.due(100, both.clone()), is_empty());
+    let changed = engine("b", &["n", "o"]);
+    let now = vec![a.clone(), changed.clone()];
+    expect_that!(told.due(200, now.clone()), elements_are![eq(&changed)]);
+    expect_that!(told.due(1_000, now.clone()), eq(&now));
+}
+
+#[gtest]
+fn an_engine_that_is_gone_is_told_once_as_one_that_holds_nothing() {
+    let mut told = PlacementTold::default();
+    let (a, b) = (engine("a", &["m"]), engine("b", &["n"]));
+    told.due(0, vec![a.clone(), b]);
+    let without = told.due(100, vec![a.clone()]);
+    expect_that!(without, elements_are![eq(&engine("b", &[]))]);
+    expect_that!(told.due(200, vec![a]), is_empty());
+}
+
+#[gtest]
+fn calls_for_endpoints_do_not_grow_with_the_number_of_gateways() {
+    let calls_per_minute = |gateways: usize| {
+        let gateway_count = u64::try_from(gateways).expect("a small number");
+        60_000 / endpoints_pause_ms(gateways, true) * gateway_count
+    };
+    expect_that!(calls_per_minute(4), lt(720));
+    for gateways in [8, 31, 300] {
+        expect_that!(
+            calls_per_minute(gateways),
+            le(calls_per_minute(8)),
+            "{gateways}"
+        );
+    }
+    // Without word from the holder the registry is all there is.
+    expect_that!(
+        endpoints_pause_ms(300, false),
+        eq(endpoints_pause_ms(1, true))
+    );
+}
