Begin with two loads from the weight store, and learn from overdue ones

The pace began with four loads at once and learned only at their end. Ruled out: no engine with an idle place (engines were emptied and loaded from disk all the while), demand unknown to the lease's holder, a stuck record (other orders went to every live engine). Change: StorePace begins with two, adds one after a load at full speed, a quarter once loads were ever slow, and takes a load that is overdue as the sign that too many run, before it ends. Test: store_pace plays six loads on a store of one at a time and fourteen on a store of four; an overdue load stops further ones.

--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -323,6 +323,13 @@
 
     fn store_is_free(&mut self, now_ms: u64, spec: &EngineSpec) -> bool {
         let running = self.loads_from_store();
+        let underway = self
+            .engines
+            .values()
+            .filter_map(|engine| engine.underway.as_ref());
+        for (expected_ms, elapsed_ms) in underway.filter_map(|it| it.store_load_times_ms(now_ms)) {
+            self.pace.runs(running, expected_ms, elapsed_ms);
+        }
         let window_ms = self.settings.ceiling_window_ms;
         #[expect(
             clippy::cast_precision_loss,
--- a/crates/chicorystage-core/src/orders/store_pace.rs
+++ b/crates/chicorystage-core/src/orders/store_pace.rs
@@ -1,9 +1,15 @@
 use std::collections::VecDeque;
 
 /// Loads from the weight store that run at once, until their times show how many should.
-const AT_ONCE: f64 = 4.0;
+const AT_ONCE: f64 = 2.0;
 /// Least and most loads that run at once.
 const AT_ONCE_RANGE: (f64, f64) = (1.0, 8.0);
+/// Slowdown below which a load counts as one at full speed.
+const FULL_SPEED: f64 = 1.2;
+/// Loads by which their number grows after one at full speed.
+const GROWTH: f64 = 1.0;
+/// The same once loads were slower than that.
+const CAREFUL_GROWTH: f64 = 0.25;
 /// Share of the newest observation in the estimate.
 const OBSERVATION_WEIGHT: f64 = 0.5;
 
@@ -13,6 +19,8 @@
     started_ms: VecDeque<u64>,
     /// Loads that run at once at full speed, as estimated.
     at_once: f64,
+    /// Whether loads were ever slower than at full speed.
+    has_slowed: bool,
 }
 
 impl Default for StorePace {
@@ -20,6 +28,7 @@
         Self {
             started_ms: VecDeque::new(),
             at_once: AT_ONCE,
+            has_slowed: false,
         }
     }
 }
@@ -48,6 +57,19 @@
         self.started_ms.push_back(now_ms);
     }
 
+    /// Learns from a load that is under way for `elapsed_ms` where `expected_ms` is full speed.
+    ///
+    /// A load that should have ended shows at once that too many run, and may take several
+    /// times as long to its end.
+    pub fn runs(&mut self, running: u32, expected_ms: f64, elapsed_ms: f64) {
+        let slowdown = elapsed_ms / expected_ms.max(1.0);
+        if slowdown >= FULL_SPEED {
+            let at_most = f64::from(running.max(1)) / slowdown;
+            self.has_slowed = true;
+            self.at_once = self.at_once.min(at_most).max(AT_ONCE_RANGE.0);
+        }
+    }
+
     /// Learns from a load that took `took_ms` where `expected_ms` is full speed.
     ///
     /// `running` counts the loads that ran with it, itself included. More loads than run at
@@ -58,13 +80,17 @@
         }
         let slowdown = (took_ms / expected_ms).max(1.0);
         let observed = f64::from(running.max(1)) / slowdown;
-        let is_full_speed = slowdown < 1.2;
-        let observed = if is_full_speed {
-            self.at_once.max(observed)
+        let next = if slowdown < FULL_SPEED {
+            let more = if self.has_slowed {
+                CAREFUL_GROWTH
+            } else {
+                GROWTH
+            };
+            self.at_once.max(observed + more)
         } else {
-            observed
+            self.has_slowed = true;
+            self.at_once * (1.0 - OBSERVATION_WEIGHT) + observed * OBSERVATION_WEIGHT
         };
-        let mixed = self.at_once * (1.0 - OBSERVATION_WEIGHT) + observed * OBSERVATION_WEIGHT;
-        self.at_once = mixed.clamp(AT_ONCE_RANGE.0, AT_ONCE_RANGE.1);
+        self.at_once = next.clamp(AT_ONCE_RANGE.0, AT_ONCE_RANGE.1);
     }
 }
--- /dev/null
+++ b/crates/chicorystage-core/tests/store_pace.rs
@@ -0,0 +1,91 @@
+//! How many loads from the weight store run at once, learned from their times.
+
+use chicorystage_core::orders::StorePace;
+use googletest::prelude::*;
+
+const WINDOW_MS: u64 = 5_000;
+const LIMIT: f64 = 100.0;
+const LOAD_MS: f64 = 13_200.0;
+const STEP_MS: u32 = 100;
+
+/// A load under way.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    begun_ms: u32,
+    left_ms: f64,
+}
+
+/// Returns when each of `loads` models is loaded that are all wanted at once, in milliseconds,
+/// from a store that gives full speed to `at_full_speed` loads.
+fn ends_ms(loads: usize, at_full_speed: f64) -> Vec<u32> {
+    let mut pace = StorePace::default();
+    let mut running: Vec<Load> = Vec::new();
+    let mut ends_ms = Vec::new();
+    let mut now_ms = 0;
+    while ends_ms.len() < loads {
+        let count = u32::try_from(running.len()).expect("a few loads");
+        for load in &running {
+            pace.runs(count, LOAD_MS, f64::from(now_ms - load.begun_ms));
+        }
+        let is_wanted = ends_ms.len() + running.len() < loads;
+        if is_wanted && pace.allows(u64::from(now_ms), count, WINDOW_MS, LIMIT) {
+            pace.started(u64::from(now_ms));
+            running.push(Load {
+                begun_ms: now_ms,
+                left_ms: LOAD_MS,
+            });
+        }
+        let speed = (at_full_speed / f64::from(count.max(1))).min(1.0);
+        for load in &mut running {
+            load.left_ms -= f64::from(STEP_MS) * speed;
+        }
+        now_ms += STEP_MS;
+        for load in running.extract_if(.., |load| load.left_ms <= 0.0) {
+            pace.ended(count, LOAD_MS, f64::from(now_ms - load.begun_ms));
+            ends_ms.push(now_ms);
+        }
+    }
+    ends_ms
+}
+
+#[test]
+fn a_store_that_serves_one_load_at_a_time_soon_gets_one_at_a_time() {
+    let ends_ms = ends_ms(6, 1.0);
+    println!("one at full speed: {ends_ms:?}");
+    // Two loads share its speed before their times tell; from then on each is done in turn.
+    assert_that!(ends_ms[0], le(27_000));
+    assert_that!(ends_ms[2], le(41_000));
+    assert_that!(ends_ms[5], le(81_000));
+}
+
+#[test]
+fn a_store_that_serves_four_loads_soon_gets_four() {
+    let ends_ms = ends_ms(14, 4.0);
+    println!("four at full speed: {ends_ms:?}");
+    // Two, three or four at a time, each group at full speed.
+    assert_that!(ends_ms[1], le(14_000));
+    assert_that!(ends_ms[4], le(28_000));
+    assert_that!(ends_ms[13], le(70_000));
+}
+
+#[test]
+fn a_load_that_is_overdue_stops_further_ones_before_its_end() {
+    let mut pace = StorePace::default();
+    assert_that!(pace.allows(0, 1, WINDOW_MS, LIMIT), eq(true));
+    pace.runs(2, LOAD_MS, LOAD_MS);
+    assert_that!(pace.allows(20_000, 1, WINDOW_MS, LIMIT), eq(true));
+    pace.runs(2, LOAD_MS, LOAD_MS * 1.3);
+    assert_that!(pace.allows(20_000, 1, WINDOW_MS, LIMIT), eq(false));
+    assert_that!(pace.allows(20_000, 0, WINDOW_MS, LIMIT), eq(true));
+}
+
+#[test]
+fn no_more_loads_start_in_a_window_than_the_store_allows() {
+    let mut pace = StorePace::default();
+    for at_ms in [0, 1_000, 2_000] {
+        assert_that!(pace.allows(at_ms, 0, WINDOW_MS, 3.0), eq(true));
+        pace.started(at_ms);
+    }
+    assert_that!(pace.allows(4_000, 0, WINDOW_MS, 3.0), eq(false));
+    assert_that!(pace.allows(5_000, 0, WINDOW_MS, 3.0), eq(true));
+}
