Keep the weight store for models that somebody asked for

Change: a place kept for a load from the store counts as such a load; a model is loaded from the store only once somebody has asked for it. Test: two in order_schedules, both red before: nothing is loaded from the store before somebody asks; of six models that wait, two loads begin.

--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -278,7 +278,7 @@
         is_sent || self.arriving.iter().any(|(coming, _)| coming == adapter)
     }
 
-    /// Returns whether a load from the weight store is under way or may be.
+    /// Returns whether a load from the weight store is under way, may be, or follows an unload.
     #[must_use]
     pub fn loads_from_store(&self) -> bool {
         let is_sent = self.sent.as_ref().is_some_and(|sent| {
@@ -292,7 +292,10 @@
                 ..
             })
         );
-        is_sent || is_loading
+        let is_reserved = self
+            .reserved()
+            .is_some_and(|model| self.source(model) == LoadSource::Store);
+        is_sent || is_loading || is_reserved
     }
 
     /// Returns whether an order may be given; an engine refuses all while one is under way.
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -58,21 +58,21 @@
 impl Scene<'_> {
     /// Returns the best step towards one more replica of a model, if it is worth one.
     ///
-    /// A load from the weight store takes several times as long as one from a copy, so a
-    /// copy whose engine is occupied is waited for.
+    /// A model that nobody has asked for is not loaded from the weight store, which others
+    /// may need soon. A load from the weight store takes several times as long as one from
+    /// a copy, so a copy whose engine is occupied is waited for.
     pub(super) fn step(&self, model: &ModelSpec, worth: f64, waited_ms: u64) -> Option<Step> {
         let has_copy = self.engines.iter().any(|engine| {
             engine.source(&model.name) != LoadSource::Store
                 && !engine.held.contains_key(&model.name)
         });
-        let is_served = self
-            .states
-            .get(&model.name)
-            .is_some_and(|state| state.replicas > 0);
+        let state = self.states.get(&model.name);
+        let is_served = state.is_some_and(|state| state.replicas > 0);
+        let is_asked = state.is_some_and(|state| state.is_asked);
         let store_may_serve = if is_served {
             !has_copy && worth >= STORE_REPLICA_WORTH
         } else {
-            !has_copy || waited_ms >= COPY_WAIT_MS
+            is_asked && (!has_copy || waited_ms >= COPY_WAIT_MS)
         };
         let options = self.engines.iter().filter(|engine| {
             engine.takes_order(self.now_ms)
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -37,12 +37,17 @@
 }
 
 fn configuration(store_load_ms: u64, loads_per_s: f64) -> Configuration {
+    configuration_with_plain(store_load_ms, loads_per_s, 0)
+}
+
+/// The first `plain` models have no adapters.
+fn configuration_with_plain(store_load_ms: u64, loads_per_s: f64, plain: u32) -> Configuration {
     let models = (0..MODELS).map(|i| {
         let spec = ModelSpec {
             name: model(i),
             weights_mb: MODEL_MB,
             adapter_mb: ADAPTER_MB,
-            adapters: 12,
+            adapters: if i < plain { 0 } else { 12 },
             store_load_ms,
             disk_load_ms: DISK_LOAD_MS,
             memory_load_ms: 400,
@@ -552,3 +557,52 @@
         .count();
     assert_that!(replicas, eq(4));
 }
+
+/// Engines that all hold the same models and have no copies of others.
+fn world_without_copies(seed: u64) -> World {
+    let mut world = World::new(seed);
+    world.is_calm = true;
+    world.is_forgetful = true;
+    for engine in world.engines.values_mut() {
+        let held = (0..3).map(|i| (model(i), BTreeSet::new()));
+        engine.held = held.collect();
+    }
+    world
+}
+
+fn store_loads(world: &World) -> usize {
+    let engines = world.engines.values();
+    engines.map(|engine| engine.store_loads_ms.len()).sum()
+}
+
+// The start of a grown guild's heavy day: loads made before anybody asked kept the weight
+// store, which serves one load at a time there, from a busy model for half a minute.
+#[test]
+fn nothing_is_loaded_from_the_store_before_somebody_asks() {
+    let mut world = World::new(7);
+    world.is_calm = true;
+    world.is_forgetful = true;
+    // Of models that nobody has asked for, those with adapters go before all that are held.
+    world.configuration = configuration_with_plain(STORE_LOAD_MS, LOADS_PER_S, MODELS - 2);
+    world.run_ms(10_000);
+    assert_that!(store_loads(&world), eq(0));
+}
+
+// Each engine first unloads something, so that its load from the store is still to begin.
+#[test]
+fn loads_that_follow_an_unload_count_among_those_from_the_store() {
+    let mut world = world_without_copies(7);
+    world.run_ms(1_000);
+    for _ in 0..3_000 / STEP_MS {
+        let waiting: HashMap<ModelName, u32> = (6..12).map(|i| (model(i), 1)).collect();
+        for model in waiting.keys() {
+            world.demand.asked(world.now_ms, model, 1, 300);
+        }
+        let router = VmId::from("other");
+        world
+            .demand
+            .waiting(world.now_ms, router, waiting, HashMap::new());
+        world.step();
+    }
+    assert_that!(store_loads(&world), eq(2));
+}
