Refuse a request at once whose model is known to come too late

Ruled out: refusing whatever has no load under way; such requests are often served within their patience once a place is free. Change: the lease's holder tells which model an engine loads and when it should be there. A request whose wait would end before is refused at once, and one that waits already when the news comes; Retry-After says when the model should be there, within a third of the caller's time.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -2,7 +2,7 @@
 
 use chicorystage_api::name::{AdapterName, ModelName};
 
-use crate::fleet::{EndpointEntry, EndpointState, HeldModel, PromptPace};
+use crate::fleet::{ComingModel, EndpointEntry, EndpointState, HeldModel, PromptPace};
 
 /// Time for which the word of the router that gives orders goes before the registry, in milliseconds.
 const PLACEMENT_KEPT_MS: u64 = 3_000;
@@ -44,6 +44,7 @@
 #[derive(Clone, Debug)]
 struct Placed {
     models: Vec<HeldModel>,
+    coming: Option<ComingModel>,
     received_ms: u64,
 }
 
@@ -103,6 +104,14 @@
         }
     }
 
+    /// Returns the model that the endpoint is believed to be loading.
+    #[must_use]
+    pub fn coming(&self, now_ms: u64) -> Option<&ComingModel> {
+        let placed = self.placed.as_ref()?;
+        let is_recent = now_ms < placed.received_ms + PLACEMENT_KEPT_MS;
+        placed.coming.as_ref().filter(|_| is_recent)
+    }
+
     /// Returns whether the endpoint is believed to hold a model.
     #[must_use]
     pub fn holds(&self, now_ms: u64, model: &ModelName) -> bool {
@@ -119,9 +128,10 @@
     }
 
     /// Takes over the models as the router that gives orders knows them.
-    pub fn placed(&mut self, now_ms: u64, models: Vec<HeldModel>) {
+    pub fn placed(&mut self, now_ms: u64, models: Vec<HeldModel>, coming: Option<ComingModel>) {
         self.placed = Some(Placed {
             models,
+            coming,
             received_ms: now_ms,
         });
         self.denied.clear();
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -139,6 +139,28 @@
         table
     }
 
+    /// Returns when the first endpoint that loads a model should hold it, in milliseconds.
+    #[must_use]
+    pub fn due_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
+        let usable = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.is_ready());
+        let coming = usable.filter_map(|endpoint| endpoint.coming(now_ms));
+        let coming = coming.filter(|coming| coming.model == *model);
+        coming.map(|coming| coming.due_ms).min()
+    }
+
+    /// Returns when a request could find its model if it began to wait now, in milliseconds.
+    ///
+    /// There is none where an endpoint holds the model, or nothing is known to come.
+    #[must_use]
+    pub fn ready_ms(&self, now_ms: u64, want: &Want, lacking: &Choice) -> Option<u64> {
+        let model = want.model.as_ref()?;
+        let is_awaited = *lacking == Choice::NoModel;
+        is_awaited.then(|| self.due_ms(now_ms, model)).flatten()
+    }
+
     /// Chooses the endpoint of a request: the one with the least cost that has room.
     #[must_use]
     pub fn choose(&self, now_ms: u64, zone: &ZoneName, want: &Want) -> Choice {
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 //! answers.
 
 mod choice;
+mod coming_model;
 mod endpoint;
 mod endpoint_entry;
 mod endpoint_state;
@@ -26,6 +27,7 @@
 mod want;
 
 pub use choice::Choice;
+pub use coming_model::ComingModel;
 pub use endpoint::Endpoint;
 pub use endpoint_entry::EndpointEntry;
 pub use endpoint_state::EndpointState;
--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName};
 
 use crate::deployment::{EngineSpec, ModelSpec};
-use crate::fleet::HeldModel;
+use crate::fleet::{ComingModel, HeldModel};
 use crate::orders::{AdapterRef, EngineReport, LoadSource, Order, OrderKind, Sent, Underway};
 
 /// Time between two reports that are waited for, in milliseconds.
@@ -242,6 +242,18 @@
             .collect()
     }
 
+    /// Returns the model that is being loaded.
+    #[must_use]
+    pub fn coming(&self) -> Option<ComingModel> {
+        let Some(Underway::Loading { model, due_ms, .. }) = &self.underway else {
+            return None;
+        };
+        Some(ComingModel {
+            model: model.clone(),
+            due_ms: *due_ms,
+        })
+    }
+
     /// Returns where the weights of a model would come from.
     #[must_use]
     pub fn source(&self, model: &ModelName) -> LoadSource {
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -4,7 +4,8 @@
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName, VmId, ZoneName};
 use chicorystage_core::fleet::{
-    Choice, EndpointEntry, EndpointState, EntryChange, FleetView, HeldModel, PeerLoad, Prompt, Want,
+    Choice, ComingModel, EndpointEntry, EndpointState, EntryChange, FleetView, HeldModel, PeerLoad,
+    Prompt, Want,
 };
 use googletest::prelude::*;
 
@@ -145,10 +146,31 @@
         model: ModelName::from("n"),
         adapters: Vec::new(),
     }];
-    fleet.get_mut(&id).expect("known").placed(0, placed);
+    fleet.get_mut(&id).expect("known").placed(0, placed, None);
     assert_that!(choose(&fleet, 0, &want("n")), eq(&at("a")));
     let mut anew = entry("a", "here", &[]);
     anew.born_unix_ms = Some(2);
     assert_that!(fleet.registered(anew), eq(EntryChange::Restarted));
     assert_that!(choose(&fleet, 0, &want("n")), eq(&Choice::NoModel));
 }
+
+#[test]
+fn a_model_that_is_coming_says_when_a_wait_for_it_can_end() {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "here", &["n"])]);
+    let model = ModelName::from("x");
+    let coming = |due_ms| {
+        let model = model.clone();
+        Some(ComingModel { model, due_ms })
+    };
+    assert_that!(fleet.ready_ms(0, &want("x"), &Choice::NoModel), none());
+    for (id, due_ms) in [("a", 9_000), ("b", 4_000)] {
+        let endpoint = fleet.get_mut(&EndpointId::from(id)).expect("known");
+        endpoint.placed(0, Vec::new(), coming(due_ms));
+    }
+    let ready_ms = |now_ms, want: &Want, lacking| fleet.ready_ms(now_ms, want, &lacking);
+    assert_that!(ready_ms(0, &want("x"), Choice::NoModel), some(eq(4_000)));
+    assert_that!(ready_ms(0, &want("x"), Choice::Full), none());
+    assert_that!(ready_ms(0, &want("y"), Choice::NoModel), none());
+    // What was told too long ago no longer counts.
+    assert_that!(ready_ms(3_500, &want("x"), Choice::NoModel), none());
+}
--- a/crates/chicorystage-testbed/src/users_platform/platform_world.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_world.rs
@@ -81,11 +81,16 @@
 
     /// Declares routes.
     pub fn declare_with(&self, version: u64, routes: &Value) {
+        self.declare_loads(version, routes, 0.1);
+    }
+
+    /// Declares routes, and models whose load takes `load_s` wherever it comes from.
+    pub fn declare_loads(&self, version: u64, routes: &Value, load_s: f64) {
         let models: Vec<Value> = (0..4)
             .map(|i| {
                 json!({
-                    "name": format!("m{i}"), "model_size": 70_000.0, "load_s": 0.3, "disk_s": 0.1,
-                    "warm_s": 0.1, "adapters": 4, "adapter_mb": 60.0,
+                    "name": format!("m{i}"), "model_size": 70_000.0, "load_s": load_s, "disk_s": load_s,
+                    "warm_s": load_s, "adapters": 4, "adapter_mb": 60.0,
                 })
             })
             .collect();
--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -1,11 +1,14 @@
 //! Calls through a gateway: routes, headers, what may be repeated and what may not.
 
 use chicorystage_testbed::users_platform::{
-    EndpointStandIn, PlatformWorld, Reply, ask, run_local, until, usual_routes,
+    EndpointEngine, EndpointStandIn, PlatformWorld, Reply, ask, run_local, until, usual_routes,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 
+/// Time that a caller of `/chat/` waits for a silent stream, in milliseconds.
+const PATIENCE_MS: u128 = 1_850;
+
 fn good() -> Reply {
     Reply::Whole {
         status: 200,
@@ -390,3 +393,32 @@
         verify_that!(endpoint.seen(), len(eq(5)))
     })
 }
+
+// A busy model of a grown guild was loading for twenty seconds, and each caller waited nearly
+// two in vain.
+#[gtest]
+fn a_request_whose_model_comes_too_late_is_refused_at_once() -> Result<()> {
+    run_local(async {
+        let world = PlatformWorld::start().await.or_fail()?;
+        let engine = EndpointEngine::new(&["m0"], 20_000);
+        let endpoint = EndpointStandIn::start("e1", good(), Some(engine))
+            .await
+            .or_fail()?;
+        world.declare_loads(1, &usual_routes(), 20.0);
+        world.register(&endpoint, "llm");
+        let gateway = world.ready_gateway("g1").await.or_fail()?;
+        // The first request makes the load begin.
+        for _ in 0..2 {
+            let begun = tokio::time::Instant::now();
+            let model = ("model", "m1");
+            let reply = ask(&gateway, Method::POST, "/chat/x", &[model], "{}")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+            let back_s: f64 = reply.header("retry-after").parse().or_fail()?;
+            verify_that!(back_s, gt(0.5))?;
+            verify_that!(begun.elapsed().as_millis(), lt(PATIENCE_MS))?;
+        }
+        verify_that!(endpoint.seen(), is_empty())
+    })
+}
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -232,10 +232,10 @@
             .last_id()
             .map(str::to_owned)
             .or_else(|| self.work.head.last_event_id.clone());
-        let limit = Duration::from_millis(RESUME_WAIT_MS.min(self.work.left_ms(now_ms)));
         let rank = self.work.route.priority;
-        let granted = self.gateway.reserve_or_wait(&self.want, rank);
-        let Ok(Some(reservation)) = tokio::time::timeout(limit, granted).await else {
+        let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
+        let granted = self.gateway.reserve_or_wait(&self.want, rank, until_ms);
+        let Some(reservation) = granted.await else {
             return false;
         };
         let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -8,7 +8,7 @@
 use chicorystage_api::name::EndpointId;
 use chicorystage_borders::http::HttpClient;
 use chicorystage_core::lease::{LeaseAction, LeaseRow, StoreReply};
-use chicorystage_core::orders::{Order, OrderReply};
+use chicorystage_core::orders::{EngineRecord, Order, OrderReply};
 use chicorystage_platform::engine;
 use chicorystage_platform::store::{Row, WriteOutcome};
 
@@ -247,7 +247,7 @@
 /// Tells every gateway, this one included, what engines hold.
 async fn tell(gateway: &Rc<Gateway>, epoch: u64, told: &mut Told) {
     let now_ms = gateway.now_ms();
-    let changed = told.placement.due(now_ms, engine_news(gateway));
+    let changed = told.placement.due(now_ms, engine_news(gateway, now_ms));
     if !changed.is_empty() {
         peers::take_placement(gateway, now_ms, changed.clone());
     }
@@ -260,18 +260,19 @@
     }
 }
 
-fn engine_news(gateway: &Gateway) -> Vec<EngineNews> {
+fn engine_news(gateway: &Gateway, now_ms: u64) -> Vec<EngineNews> {
     let book = gateway.book.borrow();
     let held = book.held().into_iter();
-    held.map(|(endpoint, models)| EngineNews {
-        born_unix_ms: book
-            .engine(&endpoint)
-            .and_then(|engine| engine.born_unix_ms),
-        endpoint,
-        models: models
-            .into_iter()
-            .map(|held| (held.model, held.adapters))
-            .collect(),
+    held.map(|(endpoint, models)| {
+        let engine = book.engine(&endpoint);
+        let coming = engine.and_then(EngineRecord::coming);
+        let models = models.into_iter();
+        EngineNews {
+            born_unix_ms: engine.and_then(|engine| engine.born_unix_ms),
+            endpoint,
+            models: models.map(|held| (held.model, held.adapters)).collect(),
+            coming: coming.map(|it| (it.model, it.due_ms.saturating_sub(now_ms))),
+        }
     })
     .collect()
 }
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -63,6 +63,21 @@
     pub born_unix_ms: Option<u64>,
     /// Models with their adapters.
     pub models: Vec<(ModelName, Vec<AdapterName>)>,
+    /// Model that is being loaded, and the time until it should be, in milliseconds.
+    #[serde(default)]
+    pub coming: Option<(ModelName, u64)>,
+}
+
+impl EngineNews {
+    /// Returns whether two messages say the same but for the time until a load is done.
+    #[must_use]
+    pub fn says_same(&self, other: &Self) -> bool {
+        let coming = |news: &Self| news.coming.as_ref().map(|(model, _)| model.clone());
+        self.endpoint == other.endpoint
+            && self.born_unix_ms == other.born_unix_ms
+            && self.models == other.models
+            && coming(self) == coming(other)
+    }
 }
 
 /// What all gateways together have in progress.
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
-use chicorystage_core::fleet::{Choice, HeldModel, PeerLoad};
+use chicorystage_core::fleet::{Choice, ComingModel, HeldModel, PeerLoad};
 use chicorystage_core::orders::AdapterRef;
 use chicorystage_platform::store::{StoreClient, WriteOutcome};
 use tokio::net::UdpSocket;
@@ -287,7 +287,11 @@
             if endpoint.entry.born_unix_ms == engine.born_unix_ms {
                 let models = engine.models.into_iter();
                 let models = models.map(|(model, adapters)| HeldModel { model, adapters });
-                endpoint.placed(now_ms, models.collect());
+                let coming = engine.coming.map(|(model, due_in_ms)| ComingModel {
+                    model,
+                    due_ms: now_ms + due_in_ms,
+                });
+                endpoint.placed(now_ms, models.collect(), coming);
             }
         });
     }
--- a/crates/chicorystaged/src/gateway/placement_told.rs
+++ b/crates/chicorystaged/src/gateway/placement_told.rs
@@ -31,7 +31,8 @@
         let mut before = std::mem::take(&mut self.engines);
         let mut due = Vec::new();
         for engine in news {
-            let is_known = before.remove(&engine.endpoint).as_ref() == Some(&engine);
+            let known = before.remove(&engine.endpoint);
+            let is_known = known.is_some_and(|known| known.says_same(&engine));
             self.engines.insert(engine.endpoint.clone(), engine.clone());
             if repeats || !is_known {
                 due.push(engine);
@@ -39,6 +40,7 @@
         }
         let gone = before.into_values().map(|engine| EngineNews {
             models: Vec::new(),
+            coming: None,
             ..engine
         });
         due.extend(gone);
--- a/crates/chicorystaged/src/gateway/serving.rs
+++ b/crates/chicorystaged/src/gateway/serving.rs
@@ -82,7 +82,7 @@
         loop {
             let reservation = match self.reservation(&want).await {
                 Ok(reservation) => reservation,
-                Err(lacking) => return self.give_up(&lacking),
+                Err(lacking) => return self.give_up(&want, &lacking),
             };
             self.attempts += 1;
             let endpoint = reservation.endpoint.clone();
@@ -169,11 +169,10 @@
         let now_ms = self.gateway.now_ms();
         let allowed_ms = self.work.ends_ms - self.work.arrived_ms;
         let until_ms = self.work.arrived_ms + patience_ms(&self.work.route, allowed_ms);
-        let limit = Duration::from_millis(until_ms.saturating_sub(now_ms));
         let rank = self.work.route.priority;
-        let granted = self.gateway.reserve_or_wait(want, rank);
+        let granted = self.gateway.reserve_or_wait(want, rank, until_ms);
         let granted = tokio::select! {
-            granted = tokio::time::timeout(limit, granted) => granted.ok().flatten(),
+            granted = granted => granted,
             () = self.gateway.closing() => None,
         };
         let wait_ms = self.gateway.now_ms() - now_ms;
@@ -230,7 +229,7 @@
                 }
                 let may_retry = self.attempts < ATTEMPTS_MAX && self.gateway.take_retry(now_ms);
                 if !may_retry {
-                    return Some(self.give_up(&Choice::Full));
+                    return Some(self.give_up(want, &Choice::Full));
                 }
                 if is_misdirected {
                     tokio::time::sleep(Duration::from_millis(ADAPTER_PAUSE_MS)).await;
@@ -274,7 +273,7 @@
     }
 
     /// Refuses a request that no endpoint has run.
-    fn give_up(&self, lacking: &Choice) -> Response<AnswerBody> {
+    fn give_up(&self, want: &Want, lacking: &Choice) -> Response<AnswerBody> {
         let now_ms = self.gateway.now_ms();
         if self.runs > 0 {
             return self.lost(now_ms);
@@ -282,7 +281,8 @@
         let left_ms = self.work.head.deadline_ms.map_or(0, |deadline_ms| {
             (self.work.arrived_ms + deadline_ms).saturating_sub(now_ms)
         });
-        let back_ms = come_back_ms(COME_BACK_MS, left_ms);
+        let ready_in_ms = self.gateway.ready_in_ms(want, lacking);
+        let back_ms = come_back_ms(ready_in_ms.unwrap_or(COME_BACK_MS), left_ms);
         self.gateway
             .metrics
             .request(&self.work.route.name, RequestOutcome::Refused);
--- a/crates/chicorystaged/src/gateway/waiter.rs
+++ b/crates/chicorystaged/src/gateway/waiter.rs
@@ -14,6 +14,8 @@
     pub rank: u8,
     /// Order of arrival.
     pub number: u64,
+    /// Time until which it waits, in milliseconds.
+    pub until_ms: u64,
     /// Takes the reservation.
     pub grant: oneshot::Sender<Reservation>,
 }
--- a/crates/chicorystaged/tests/gateway_news.rs
+++ b/crates/chicorystaged/tests/gateway_news.rs
@@ -14,6 +14,7 @@
         endpoint: EndpointId::from(id),
         born_unix_ms: Some(1),
         models: models.collect(),
+        coming: None,
     }
 }
 
@@ -60,3 +61,15 @@
         eq(endpoints_pause_ms(1, true))
     );
 }
+
+#[gtest]
+fn a_load_is_told_when_it_begins_and_not_as_its_time_runs_down() {
+    let mut told = PlacementTold::default();
+    let loading = |left_ms| EngineNews {
+        coming: Some((ModelName::from("n"), left_ms)),
+        ..engine("a", &["m"])
+    };
+    told.due(0, vec![engine("a", &["m"])]);
+    expect_that!(told.due(100, vec![loading(900)]), len(eq(1)));
+    expect_that!(told.due(200, vec![loading(800)]), is_empty());
+}
