Begin with one load from the weight store at a time

Ruled out: a stuck record (the load ended when its doubled time was over). Change: StorePace begins with one; it still adds one after each load at full speed.

--- a/crates/chicorystage-core/src/orders/store_pace.rs
+++ b/crates/chicorystage-core/src/orders/store_pace.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 
 /// Loads from the weight store that run at once, until their times show how many should.
-const AT_ONCE: f64 = 2.0;
+const AT_ONCE: f64 = 1.0;
 /// Least and most loads that run at once.
 const AT_ONCE_RANGE: (f64, f64) = (1.0, 8.0);
 /// Slowdown below which a load counts as one at full speed.
