--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::attempt::{self, AnswerBroken, Answered, Attempted, CallerWork};
+use crate::gateway::event_timing::EventTiming;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
@@ -23,21 +24,6 @@
 /// Longest wait for an endpoint that resumes a stream, in milliseconds.
 const RESUME_WAIT_MS: u64 = 1_500;
 
-/// When the events of an answer came.
-#[derive(Clone, Copy, Debug, Default)]
-struct Timing {
-    /// Time from the request's arrival to its first event, in milliseconds; none before it.
-    first_ms: Option<u64>,
-    /// Time of the last event, in milliseconds.
-    last_ms: u64,
-    /// Longest pause between two events, in milliseconds.
-    pause_max_ms: u64,
-    /// End of that pause, in milliseconds from the request's arrival.
-    pause_max_at_ms: u64,
-    /// Whether the answer's end was logged.
-    is_logged: bool,
-}
-
 /// An answer that is being passed on.
 struct Passing {
     gateway: Rc<Gateway>,
@@ -49,7 +35,9 @@
     events: Option<EventSplitter>,
     /// Endpoints that have run the request.
     runs: u32,
-    timing: Timing,
+    timing: EventTiming,
+    /// Whether the answer's end was logged.
+    is_logged: bool,
     /// Counts the request as in progress until the answer ends.
     #[expect(dead_code, reason = "held for what its drop does")]
     in_progress: InProgress,
@@ -74,7 +62,8 @@
         answered: Some(answered),
         events,
         runs,
-        timing: Timing::default(),
+        timing: EventTiming::default(),
+        is_logged: false,
         in_progress,
     };
     Box::pin(stream::unfold(Some(passing), |passing| async {
@@ -151,19 +140,10 @@
 
     fn note_event(&mut self) {
         let now_ms = self.gateway.now_ms();
-        if self.timing.first_ms.is_none() {
-            let first_ms = now_ms - self.work.arrived_ms;
+        if let Some(first_ms) = self.timing.event(now_ms, self.work.arrived_ms) {
             let route = &self.work.route.name;
             self.gateway.metrics.first_byte_ms(route, first_ms);
-            self.timing.first_ms = Some(first_ms);
-        } else {
-            let pause_ms = now_ms - self.timing.last_ms;
-            if pause_ms > self.timing.pause_max_ms {
-                self.timing.pause_max_ms = pause_ms;
-                self.timing.pause_max_at_ms = now_ms - self.work.arrived_ms;
-            }
         }
-        self.timing.last_ms = now_ms;
     }
 
     fn is_whole(&self) -> bool {
@@ -187,7 +167,7 @@
     }
 
     fn log_end(&mut self, end: &'static str) {
-        self.timing.is_logged = true;
+        self.is_logged = true;
         let endpoint = self.answered.as_ref();
         let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
         log::info!(
@@ -254,7 +234,7 @@
 
 impl Drop for Passing {
     fn drop(&mut self) {
-        if !self.timing.is_logged {
+        if !self.is_logged {
             self.log_end("caller left");
         }
     }
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/event_timing.rs
@@ -0,0 +1,33 @@
+//! When the events of an answer came.
+
+/// When the events of an answer came.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EventTiming {
+    /// Time from the request's arrival to its first event, in milliseconds; none before it.
+    pub first_ms: Option<u64>,
+    /// Longest pause between two events, in milliseconds.
+    pub pause_max_ms: u64,
+    /// End of that pause, in milliseconds from the request's arrival.
+    pub pause_max_at_ms: u64,
+    /// Time of the last event, in milliseconds.
+    last_ms: u64,
+}
+
+impl EventTiming {
+    /// Notes an event; returns the time from the request's arrival if it is the first.
+    pub fn event(&mut self, now_ms: u64, arrived_ms: u64) -> Option<u64> {
+        let is_first = self.first_ms.is_none();
+        let since_arrival_ms = now_ms - arrived_ms;
+        let pause_ms = now_ms - self.last_ms;
+        self.last_ms = now_ms;
+        if is_first {
+            self.first_ms = Some(since_arrival_ms);
+            return self.first_ms;
+        }
+        if pause_ms > self.pause_max_ms {
+            self.pause_max_ms = pause_ms;
+            self.pause_max_at_ms = since_arrival_ms;
+        }
+        None
+    }
+}
--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -22,6 +22,10 @@
 const FAILURE_PAUSE_MS: u64 = 150;
 /// Pause between two calls for changes of the endpoints, which come in groups, in milliseconds.
 const ENDPOINTS_PAUSE_MS: u64 = 350;
+/// Longest pause between two calls for changes of the endpoints, in milliseconds.
+///
+/// No request may reach an endpoint two seconds after it began to leave.
+const ENDPOINTS_PAUSE_MAX_MS: u64 = 1_400;
 /// Gateways up to which all of them follow the endpoints equally closely.
 const FEW_GATEWAYS: u64 = 8;
 /// Longest pause between two calls for changes of the system's own rows, in milliseconds.
@@ -129,12 +133,13 @@
 ///
 /// A gateway that is told by the holder of the lease which engines are gone follows the
 /// others' entries less closely the more gateways there are, so that the store's load
-/// does not grow with their number.
+/// grows little with their number.
 #[must_use]
 pub fn endpoints_pause_ms(gateways: usize, is_told: bool) -> u64 {
     let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
     if is_told {
-        ENDPOINTS_PAUSE_MS * gateways.div_ceil(FEW_GATEWAYS)
+        let pause_ms = ENDPOINTS_PAUSE_MS * gateways.div_ceil(FEW_GATEWAYS);
+        pause_ms.min(ENDPOINTS_PAUSE_MAX_MS)
     } else {
         ENDPOINTS_PAUSE_MS
     }
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod callers;
 pub mod connection;
 pub mod event_stream;
+pub mod event_timing;
 pub mod follow;
 pub mod granting;
 pub mod in_progress;
@@ -42,6 +43,7 @@
 pub mod stop;
 pub mod view;
 pub mod waiter;
+pub mod waiting;
 
 use std::path::Path;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/waiting.rs
@@ -0,0 +1,143 @@
+//! Endpoints for requests: reserved at once, waited for, or known to be out of reach.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_core::fleet::{Choice, Want};
+use tokio::sync::oneshot;
+
+use crate::gateway::reservation::Reservation;
+use crate::gateway::shared::Gateway;
+use crate::gateway::waiter::Waiter;
+
+impl Gateway {
+    /// Reserves an endpoint for a request, if one has room now.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    pub fn reserve(self: &Rc<Self>, want: &Want) -> Result<Reservation, Choice> {
+        let now_ms = self.now_ms();
+        let chosen = self.with(|view| {
+            let choice = view.fleet.choose(now_ms, &self.settings.zone, want);
+            let Choice::Endpoint(id) = choice else {
+                return Err(choice);
+            };
+            let gateways = view.gateways();
+            let Some(endpoint) = view.fleet.get_mut(&id) else {
+                return Err(Choice::NoEndpoint);
+            };
+            endpoint.started(now_ms, want.model.as_ref());
+            if want.model.is_some() {
+                endpoint.pace.sent(now_ms, want.prompt.tokens, gateways);
+            }
+            Ok((id, endpoint.entry.address))
+        });
+        let (id, address) = chosen?;
+        Ok(Reservation::new(
+            Rc::clone(self),
+            id,
+            address,
+            want.model.clone(),
+        ))
+    }
+
+    /// Reserves an endpoint, waiting for one until a time.
+    ///
+    /// There is none once it is known that the wait would be in vain.
+    pub async fn reserve_or_wait(
+        self: &Rc<Self>,
+        want: &Want,
+        rank: u8,
+        until_ms: u64,
+    ) -> Option<Reservation> {
+        let lacking = match self.reserve(want) {
+            Ok(reservation) => return Some(reservation),
+            Err(lacking) => lacking,
+        };
+        if self.is_in_vain(want, &lacking, until_ms) {
+            return None;
+        }
+        let granted = self.wait(want.clone(), rank, until_ms);
+        if lacking != Choice::Reading {
+            self.want_changed.notify_one();
+        }
+        let limit = Duration::from_millis(until_ms.saturating_sub(self.now_ms()));
+        tokio::time::timeout(limit, granted).await.ok()?.ok()
+    }
+
+    /// Returns whether a request's model is known to be loaded only after its wait.
+    fn is_in_vain(&self, want: &Want, lacking: &Choice, until_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        let ready_ms = self.with(|view| view.fleet.ready_ms(now_ms, want, lacking));
+        ready_ms.is_some_and(|ready_ms| ready_ms > until_ms)
+    }
+
+    /// Returns how long it takes until what a request lacks should be there, if that is known,
+    /// in milliseconds.
+    #[must_use]
+    pub fn ready_in_ms(&self, want: &Want, lacking: &Choice) -> Option<u64> {
+        let now_ms = self.now_ms();
+        let ready_ms = self.with(|view| view.fleet.ready_ms(now_ms, want, lacking))?;
+        Some(ready_ms.saturating_sub(now_ms))
+    }
+
+    /// Lets a request wait for an endpoint; the receiver gets the reservation.
+    fn wait(&self, want: Want, rank: u8, until_ms: u64) -> oneshot::Receiver<Reservation> {
+        let (grant, granted) = oneshot::channel();
+        self.with(|view| {
+            let number = view.next_number;
+            view.next_number += 1;
+            view.waiters.push(Waiter {
+                want,
+                rank,
+                number,
+                until_ms,
+                grant,
+            });
+        });
+        granted
+    }
+
+    /// Gives reservations to the waiting requests that find an endpoint, first ranks first.
+    ///
+    /// Returns whether some are only held back to space their prompts.
+    pub fn grant_waiters(self: &Rc<Self>) -> bool {
+        let mut waiters = self.with(|view| std::mem::take(&mut view.waiters));
+        waiters.retain(|waiter| !waiter.grant.is_closed());
+        waiters.sort_by_key(|waiter| (waiter.rank, waiter.number));
+        let mut unserved: Vec<(Want, Choice)> = Vec::new();
+        let mut holds_back = false;
+        let mut left = Vec::new();
+        for waiter in waiters {
+            let known = unserved
+                .iter()
+                .find(|(want, _)| want.needs_same(&waiter.want));
+            let lacking = match known {
+                Some((_, lacking)) => lacking.clone(),
+                None => match self.reserve(&waiter.want) {
+                    Ok(reservation) => {
+                        // A request that has just ended gives its reservation back by dropping it.
+                        let _granted = waiter.grant.send(reservation);
+                        continue;
+                    }
+                    Err(Choice::Reading) => {
+                        holds_back = true;
+                        left.push(waiter);
+                        continue;
+                    }
+                    Err(lacking) => {
+                        unserved.push((waiter.want.clone(), lacking.clone()));
+                        lacking
+                    }
+                },
+            };
+            // Dropping the waiter ends its wait.
+            if !self.is_in_vain(&waiter.want, &lacking, waiter.until_ms) {
+                left.push(waiter);
+            }
+        }
+        self.with(|view| view.waiters.append(&mut left));
+        holds_back
+    }
+}
