An engine in doubt is not told as one that is gone

After a conflict the book waits for a report before it says what an engine holds, and leaves the engine out meanwhile. Change: what is gone is asked of the book, not concluded from a gap. What was told of an engine in doubt stands. An engine that is told unchanged is no longer copied on every look at the plan. Test: gateway_news::an_engine_that_is_in_doubt_is_not_told_as_one_that_is_gone, red before. The other tests name who is there and keep their assertions.

--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -247,7 +247,10 @@
 /// Tells every gateway, this one included, what engines hold.
 async fn tell(gateway: &Rc<Gateway>, epoch: u64, told: &mut Told) {
     let now_ms = gateway.now_ms();
-    let changed = told.placement.due(now_ms, engine_news(gateway, now_ms));
+    let news = engine_news(gateway, now_ms);
+    let changed = told
+        .placement
+        .due(now_ms, news, |engine| is_there(gateway, engine));
     if !changed.is_empty() {
         peers::take_placement(gateway, now_ms, changed.clone());
     }
@@ -260,6 +263,13 @@
     }
 }
 
+/// Returns whether an engine takes orders, even if what it holds is in doubt.
+fn is_there(gateway: &Gateway, told: &EngineNews) -> bool {
+    let book = gateway.book.borrow();
+    let engine = book.engine(&told.endpoint);
+    engine.is_some_and(|engine| engine.born_unix_ms == told.born_unix_ms)
+}
+
 fn engine_news(gateway: &Gateway, now_ms: u64) -> Vec<EngineNews> {
     let book = gateway.book.borrow();
     let held = book.held().into_iter();
--- a/crates/chicorystaged/src/gateway/placement_told.rs
+++ b/crates/chicorystaged/src/gateway/placement_told.rs
@@ -19,9 +19,15 @@
 impl PlacementTold {
     /// Returns what to tell now: what has changed, and everything once in a while.
     ///
-    /// An engine that is gone or leaving is told once more as one that holds nothing, so that
-    /// gateways stop sending to it before the registry tells them why.
-    pub fn due(&mut self, now_ms: u64, news: Vec<EngineNews>) -> Vec<EngineNews> {
+    /// An engine that is no longer there is told once more as one that holds nothing, so that
+    /// gateways stop sending to it before the registry tells them why. One that is missing in
+    /// `news` and still there is in doubt; what was told of it stands.
+    pub fn due(
+        &mut self,
+        now_ms: u64,
+        news: Vec<EngineNews>,
+        is_there: impl Fn(&EngineNews) -> bool,
+    ) -> Vec<EngineNews> {
         let repeats = self
             .all_told_ms
             .is_none_or(|told_ms| now_ms >= told_ms + REPEAT_MS);
@@ -32,18 +38,29 @@
         let mut due = Vec::new();
         for engine in news {
             let known = before.remove(&engine.endpoint);
-            let is_known = known.is_some_and(|known| known.says_same(&engine));
-            self.engines.insert(engine.endpoint.clone(), engine.clone());
-            if repeats || !is_known {
-                due.push(engine);
+            match known.filter(|known| !repeats && known.says_same(&engine)) {
+                Some(known) => self.remember(known),
+                None => {
+                    self.remember(engine.clone());
+                    due.push(engine);
+                }
+            }
+        }
+        for engine in before.into_values() {
+            if is_there(&engine) {
+                self.remember(engine);
+            } else {
+                due.push(EngineNews {
+                    models: Vec::new(),
+                    coming: None,
+                    ..engine
+                });
             }
         }
-        let gone = before.into_values().map(|engine| EngineNews {
-            models: Vec::new(),
-            coming: None,
-            ..engine
-        });
-        due.extend(gone);
         due
     }
+
+    fn remember(&mut self, engine: EngineNews) {
+        self.engines.insert(engine.endpoint.clone(), engine);
+    }
 }
--- a/crates/chicorystaged/tests/gateway_news.rs
+++ b/crates/chicorystaged/tests/gateway_news.rs
@@ -23,22 +23,40 @@
     let mut told = PlacementTold::default();
     let (a, b) = (engine("a", &["m"]), engine("b", &["n"]));
     let both = vec![a.clone(), b.clone()];
-    expect_that!(told.due(0, both.clone()), eq(&both));
-    expect_that!(told.due(100, both.clone()), is_empty());
+    expect_that!(told.due(0, both.clone(), |_| true), eq(&both));
+    expect_that!(told.due(100, both.clone(), |_| true), is_empty());
     let changed = engine("b", &["n", "o"]);
     let now = vec![a.clone(), changed.clone()];
-    expect_that!(told.due(200, now.clone()), elements_are![eq(&changed)]);
-    expect_that!(told.due(1_000, now.clone()), eq(&now));
+    expect_that!(
+        told.due(200, now.clone(), |_| true),
+        elements_are![eq(&changed)]
+    );
+    expect_that!(told.due(1_000, now.clone(), |_| true), eq(&now));
 }
 
 #[gtest]
 fn an_engine_that_is_gone_is_told_once_as_one_that_holds_nothing() {
     let mut told = PlacementTold::default();
     let (a, b) = (engine("a", &["m"]), engine("b", &["n"]));
-    told.due(0, vec![a.clone(), b]);
-    let without = told.due(100, vec![a.clone()]);
+    told.due(0, vec![a.clone(), b], |_| true);
+    let without = told.due(100, vec![a.clone()], |engine| {
+        engine.endpoint.as_str() == "a"
+    });
     expect_that!(without, elements_are![eq(&engine("b", &[]))]);
-    expect_that!(told.due(200, vec![a]), is_empty());
+    expect_that!(
+        told.due(200, vec![a], |engine| engine.endpoint.as_str() == "a"),
+        is_empty()
+    );
+}
+
+// After a conflict the holder waits for a report before it says what the engine holds.
+#[gtest]
+fn an_engine_that_is_in_doubt_is_not_told_as_one_that_is_gone() {
+    let mut told = PlacementTold::default();
+    let (a, b) = (engine("a", &["m"]), engine("b", &["n"]));
+    told.due(0, vec![a.clone(), b.clone()], |_| true);
+    expect_that!(told.due(100, vec![a.clone()], |_| true), is_empty());
+    expect_that!(told.due(200, vec![a, b], |_| true), is_empty());
 }
 
 #[gtest]
@@ -79,7 +97,7 @@
         coming: Some((ModelName::from("n"), left_ms)),
         ..engine("a", &["m"])
     };
-    told.due(0, vec![engine("a", &["m"])]);
-    expect_that!(told.due(100, vec![loading(900)]), len(eq(1)));
-    expect_that!(told.due(200, vec![loading(800)]), is_empty());
+    told.due(0, vec![engine("a", &["m"])], |_| true);
+    expect_that!(told.due(100, vec![loading(900)], |_| true), len(eq(1)));
+    expect_that!(told.due(200, vec![loading(800)], |_| true), is_empty());
 }
