--- a/crates/chicorystage-borders/src/http/body.rs
+++ b/crates/chicorystage-borders/src/http/body.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use http_body_util::channel::{Channel, Sender};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::{BodyExt, Collected, Empty, Full};
+use hyper::body::Incoming;
 
 /// Body of a response.
 pub type ResponseBody = UnsyncBoxBody<Bytes, Infallible>;
@@ -20,6 +21,12 @@
     Full::new(content.into()).boxed_unsync()
 }
 
+/// Reads a body as text for an error's detail; one that breaks off is empty.
+pub(crate) async fn body_text(body: Incoming) -> String {
+    let bytes = body.collect().await.map(Collected::to_bytes);
+    String::from_utf8_lossy(&bytes.unwrap_or_default()).into_owned()
+}
+
 /// Returns a body that is written piece by piece; dropping the sender ends it.
 #[must_use]
 pub fn channel_body(pieces_buffered_max: usize) -> (Sender<Bytes, Infallible>, ResponseBody) {
--- a/crates/chicorystage-borders/src/http/http_engine.rs
+++ b/crates/chicorystage-borders/src/http/http_engine.rs
@@ -2,13 +2,14 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use serde::Serialize;
 use tokio::sync::mpsc;
 
 use crate::engine::{
     CacheEvent, CompletionStart, Engine, EngineStatus, EngineStream, LoadReport, Order,
 };
+use crate::http::body::body_text;
 use crate::http::http_table::encode;
 use crate::http::stream_client::send_on_fresh_connection;
 use crate::http::{HttpClient, JsonLines};
@@ -88,15 +89,8 @@
             if status.is_success() {
                 return Ok(());
             }
-            let text = response
-                .into_body()
-                .collect()
-                .await
-                .map(http_body_util::Collected::to_bytes);
-            let detail = format!(
-                "order: status {status}: {}",
-                String::from_utf8_lossy(&text.unwrap_or_default())
-            );
+            let text = body_text(response.into_body()).await;
+            let detail = format!("order: status {status}: {text}");
             let kind = if status.is_client_error() {
                 BorderErrorKind::Rejected
             } else {
--- a/crates/chicorystage-borders/src/http/rpc_agent_link.rs
+++ b/crates/chicorystage-borders/src/http/rpc_agent_link.rs
@@ -7,10 +7,11 @@
 };
 use chicorystage_api::work::{ATTEMPTS_PATH, AttemptRequest};
 use http::{Method, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use tokio::sync::mpsc;
 
 use crate::http::JsonLines;
+use crate::http::body::body_text;
 use crate::http::http_table::encode;
 use crate::http::rpc_clients::{RpcClients, call};
 use crate::http::stream_client::send_on_fresh_connection;
@@ -128,15 +129,8 @@
     let response = send_on_fresh_connection(agent, request, HEAD_TIMEOUT_MS).await?;
     let status = response.status();
     if status != StatusCode::OK {
-        let text = response
-            .into_body()
-            .collect()
-            .await
-            .map(http_body_util::Collected::to_bytes);
-        let detail = format!(
-            "{agent}: status {status}: {}",
-            String::from_utf8_lossy(&text.unwrap_or_default())
-        );
+        let text = body_text(response.into_body()).await;
+        let detail = format!("{agent}: status {status}: {text}");
         return Err(BorderError::new(BorderErrorKind::Rejected, detail));
     }
     let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -140,8 +140,7 @@
     }
 
     /// Returns when the first endpoint that loads a model should hold it, in milliseconds.
-    #[must_use]
-    pub fn due_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
+    fn due_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
         let usable = self
             .endpoints
             .values()
--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName};
 
 use crate::deployment::{EngineSpec, ModelSpec};
-use crate::fleet::{ComingModel, HeldModel};
+use crate::fleet::ComingModel;
 use crate::orders::{AdapterRef, EngineReport, LoadSource, Order, OrderKind, Sent, Underway};
 
 /// Time between two reports that are waited for, in milliseconds.
@@ -230,18 +230,6 @@
         self.reserved.as_ref().map(|(model, _)| model)
     }
 
-    /// Returns what the engine holds, as the routers need it.
-    #[must_use]
-    pub fn held_models(&self) -> Vec<HeldModel> {
-        self.held
-            .iter()
-            .map(|(model, adapters)| HeldModel {
-                model: model.clone(),
-                adapters: adapters.iter().cloned().collect(),
-            })
-            .collect()
-    }
-
     /// Returns the model that is being loaded.
     #[must_use]
     pub fn coming(&self) -> Option<ComingModel> {
--- a/crates/chicorystage-core/src/orders/order_book.rs
+++ b/crates/chicorystage-core/src/orders/order_book.rs
@@ -3,7 +3,7 @@
 use chicorystage_api::name::{EndpointId, ModelName};
 
 use crate::deployment::{Configuration, EngineSpec, ModelSpec};
-use crate::fleet::{FleetView, HeldModel};
+use crate::fleet::FleetView;
 use crate::orders::placement::{Scene, Step, load_ms};
 use crate::orders::plan_table::PlanTable;
 use crate::orders::{
@@ -90,14 +90,10 @@
         }
     }
 
-    /// Returns what each engine holds whose first report has arrived.
-    #[must_use]
-    pub fn held(&self) -> Vec<(EndpointId, Vec<HeldModel>)> {
-        self.engines
-            .iter()
-            .filter(|(_, engine)| engine.sequence.is_some())
-            .map(|(id, engine)| (id.clone(), engine.held_models()))
-            .collect()
+    /// Returns the engines of which it is known what they hold.
+    pub fn known_engines(&self) -> impl Iterator<Item = &EngineRecord> {
+        let engines = self.engines.values();
+        engines.filter(|engine| engine.sequence.is_some())
     }
 
     /// Takes over the answer to an order.
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -476,6 +476,32 @@
     }
 }
 
+/// A world without faults after its first second.
+fn calm_world() -> World {
+    let mut world = World::new(5);
+    world.is_calm = true;
+    world.run_ms(1_000);
+    world
+}
+
+fn replicas(world: &World, model: &ModelName) -> usize {
+    let engines = world.engines.values();
+    let holders = engines.filter(|engine| engine.held.contains_key(model));
+    holders.count()
+}
+
+/// Returns the replicas of a model after six seconds with `count` requests in progress.
+fn replicas_for_a_crowd(count: u32) -> usize {
+    let mut world = calm_world();
+    let busy = model(0);
+    for _ in 0..6_000 / STEP_MS {
+        world.demand.asked(world.now_ms, &busy, 1, 300);
+        crowd(&mut world, &busy, count);
+        world.step();
+    }
+    replicas(&world, &busy)
+}
+
 /// Requests of a model that many callers ask for, in progress at its engines.
 fn crowd(world: &mut World, model: &ModelName, count: u32) {
     let holders: Vec<EndpointId> = world
@@ -499,29 +525,13 @@
 // whose answers have pauses above their objective beyond about a dozen an engine.
 #[test]
 fn a_crowded_model_gets_replicas_within_seconds() {
-    let mut world = World::new(5);
-    world.is_calm = true;
-    world.run_ms(1_000);
-    let busy = model(0);
-    for _ in 0..6_000 / STEP_MS {
-        world.demand.asked(world.now_ms, &busy, 1, 300);
-        crowd(&mut world, &busy, 60);
-        world.step();
-    }
-    let replicas = world
-        .engines
-        .values()
-        .filter(|engine| engine.held.contains_key(&busy))
-        .count();
-    assert_that!(replicas, eq(4));
+    assert_that!(replicas_for_a_crowd(60), eq(4));
 }
 
 // Without a crowd a second replica would only take a place from another model.
 #[test]
 fn a_model_that_few_ask_for_keeps_one_replica() {
-    let mut world = World::new(5);
-    world.is_calm = true;
-    world.run_ms(1_000);
+    let mut world = calm_world();
     let rare = model(1);
     for i in 0..6_000 / STEP_MS {
         if i % 50 == 0 {
@@ -529,33 +539,14 @@
         }
         world.step();
     }
-    let replicas = world
-        .engines
-        .values()
-        .filter(|engine| engine.held.contains_key(&rare))
-        .count();
-    assert_that!(replicas, eq(1));
+    assert_that!(replicas(&world, &rare), eq(1));
 }
 
 // The load of a guild's heavy day after a restart of everything: far more requests for one
 // model than its two engines carry.
 #[test]
 fn a_model_crowded_far_beyond_its_engines_gets_replicas_too() {
-    let mut world = World::new(5);
-    world.is_calm = true;
-    world.run_ms(1_000);
-    let busy = model(0);
-    for _ in 0..6_000 / STEP_MS {
-        world.demand.asked(world.now_ms, &busy, 1, 300);
-        crowd(&mut world, &busy, 400);
-        world.step();
-    }
-    let replicas = world
-        .engines
-        .values()
-        .filter(|engine| engine.held.contains_key(&busy))
-        .count();
-    assert_that!(replicas, eq(4));
+    assert_that!(replicas_for_a_crowd(400), eq(4));
 }
 
 /// Engines that all hold the same models and have no copies of others.
--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -16,6 +16,19 @@
     }
 }
 
+/// Registers an endpoint that answers badly and one that answers well.
+async fn bad_and_good(world: &PlatformWorld, bad: Reply) -> Result<[EndpointStandIn; 2]> {
+    let endpoints = [
+        EndpointStandIn::start("e1", bad, None).await.or_fail()?,
+        EndpointStandIn::start("e2", good(), None).await.or_fail()?,
+    ];
+    world.declare(1);
+    for endpoint in &endpoints {
+        world.register(endpoint, "app");
+    }
+    Ok(endpoints)
+}
+
 #[gtest]
 fn a_call_reaches_its_endpoint_unchanged_and_the_answer_comes_back_unchanged() -> Result<()> {
     run_local(async {
@@ -152,13 +165,7 @@
 fn an_idempotent_call_is_sent_again_after_a_lost_answer() -> Result<()> {
     run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
-        let lost = EndpointStandIn::start("e1", Reply::Lost, None)
-            .await
-            .or_fail()?;
-        let good = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
-        world.declare(1);
-        world.register(&lost, "app");
-        world.register(&good, "app");
+        let [lost, _good] = bad_and_good(&world, Reply::Lost).await?;
         let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         for _ in 0..6 {
@@ -175,13 +182,7 @@
 fn a_call_that_was_not_run_goes_to_another_endpoint() -> Result<()> {
     run_local(async {
         let world = PlatformWorld::start().await.or_fail()?;
-        let full = EndpointStandIn::start("e1", Reply::NotRun, None)
-            .await
-            .or_fail()?;
-        let good = EndpointStandIn::start("e2", good(), None).await.or_fail()?;
-        world.declare(1);
-        world.register(&full, "app");
-        world.register(&good, "app");
+        let [full, _good] = bad_and_good(&world, Reply::NotRun).await?;
         let gateway = world.ready_gateway("g1").await.or_fail()?;
 
         for _ in 0..4 {
--- a/crates/chicorystage/src/logs/cause.rs
+++ b/crates/chicorystage/src/logs/cause.rs
@@ -79,31 +79,23 @@
     /// Returns what a request's lines say about its end; none where they do not tell.
     #[must_use]
     pub fn of(history: &History) -> Option<Self> {
-        let last = history.own.iter().rev();
-        let last = last.into_iter().find(|line| is_end(&line.event))?;
-        match last.event.as_str() {
-            "request_refused" => Some(refused(history, last)),
-            "no_route" => Some(Self::NoRoute {
-                version: last.field("version").to_owned(),
-            }),
-            "attempt_lost" | "answer_broken" => Some(lost(history, last)),
-            "stream_ended" => Some(ended(history, last)),
-            "request_answered" => Some(Self::Answered),
-            _ => None,
-        }
+        let mut latest_first = history.own.iter().rev();
+        latest_first.find_map(|line| at_end(history, line))
     }
 }
 
-fn is_end(event: &str) -> bool {
-    matches!(
-        event,
-        "request_refused"
-            | "no_route"
-            | "attempt_lost"
-            | "answer_broken"
-            | "stream_ended"
-            | "request_answered"
-    )
+/// Returns the cause that a line tells which ends a request; none for any other line.
+fn at_end(history: &History, line: &LogLine) -> Option<Cause> {
+    match line.event.as_str() {
+        "request_refused" => Some(refused(history, line)),
+        "no_route" => Some(Cause::NoRoute {
+            version: line.field("version").to_owned(),
+        }),
+        "attempt_lost" | "answer_broken" => Some(lost(history, line)),
+        "stream_ended" => Some(ended(history, line)),
+        "request_answered" => Some(Cause::Answered),
+        _ => None,
+    }
 }
 
 fn refused(history: &History, line: &LogLine) -> Cause {
@@ -166,10 +158,8 @@
         "whole" => held_up(history, line),
         "caller left" => Cause::CallerLeft,
         _ => {
-            let broken = history.own.iter().rev();
-            let broken = broken
-                .into_iter()
-                .find(|line| line.event == "answer_broken");
+            let mut latest_first = history.own.iter().rev();
+            let broken = latest_first.find(|line| line.event == "answer_broken");
             lost(history, broken.unwrap_or(line))
         }
     }
--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::shared::Gateway;
-use crate::gateway::view::Peer;
+use crate::gateway::view::{Peer, shared_period_ms};
 
 /// Longest wait of one call for changes, in milliseconds.
 const FEED_WAIT_MS: u64 = 2_400;
@@ -26,8 +26,6 @@
 ///
 /// No request may reach an endpoint two seconds after it began to leave.
 const ENDPOINTS_PAUSE_MAX_MS: u64 = 1_400;
-/// Gateways up to which all of them follow the endpoints equally closely.
-const FEW_GATEWAYS: u64 = 8;
 /// Longest pause between two calls for changes of the system's own rows, in milliseconds.
 ///
 /// Each renewal of the lease is a change, and while its holder is heard of they tell nothing new.
@@ -136,10 +134,8 @@
 /// grows little with their number.
 #[must_use]
 pub fn endpoints_pause_ms(gateways: usize, is_told: bool) -> u64 {
-    let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
     if is_told {
-        let pause_ms = ENDPOINTS_PAUSE_MS * gateways.div_ceil(FEW_GATEWAYS);
-        pause_ms.min(ENDPOINTS_PAUSE_MAX_MS)
+        shared_period_ms(ENDPOINTS_PAUSE_MS, gateways).min(ENDPOINTS_PAUSE_MAX_MS)
     } else {
         ENDPOINTS_PAUSE_MS
     }
--- a/crates/chicorystaged/src/gateway/ordering.rs
+++ b/crates/chicorystaged/src/gateway/ordering.rs
@@ -8,7 +8,7 @@
 use chicorystage_api::name::EndpointId;
 use chicorystage_borders::http::HttpClient;
 use chicorystage_core::lease::{LeaseAction, LeaseRow, StoreReply};
-use chicorystage_core::orders::{EngineRecord, Order, OrderReply};
+use chicorystage_core::orders::{Order, OrderReply};
 use chicorystage_platform::engine;
 use chicorystage_platform::store::{Row, WriteOutcome};
 
@@ -272,17 +272,19 @@
 
 fn engine_news(gateway: &Gateway, now_ms: u64) -> Vec<EngineNews> {
     let book = gateway.book.borrow();
-    let held = book.held().into_iter();
-    held.map(|(endpoint, models)| {
-        let engine = book.engine(&endpoint);
-        let coming = engine.and_then(EngineRecord::coming);
-        let models = models.into_iter();
+    let news = book.known_engines().map(|engine| {
+        let held = engine.held.iter();
+        let held = held.map(|(model, adapters)| {
+            let adapters = adapters.iter().cloned().collect();
+            (model.clone(), adapters)
+        });
+        let coming = engine.coming();
         EngineNews {
-            born_unix_ms: engine.and_then(|engine| engine.born_unix_ms),
-            endpoint,
-            models: models.map(|held| (held.model, held.adapters)).collect(),
+            endpoint: engine.id.clone(),
+            born_unix_ms: engine.born_unix_ms,
+            models: held.collect(),
             coming: coming.map(|it| (it.model, it.due_ms.saturating_sub(now_ms))),
         }
-    })
-    .collect()
+    });
+    news.collect()
 }
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -72,11 +72,12 @@
     /// Returns whether two messages say the same but for the time until a load is done.
     #[must_use]
     pub fn says_same(&self, other: &Self) -> bool {
-        let coming = |news: &Self| news.coming.as_ref().map(|(model, _)| model.clone());
+        let coming = self.coming.as_ref().map(|(model, _)| model);
+        let other_coming = other.coming.as_ref().map(|(model, _)| model);
         self.endpoint == other.endpoint
             && self.born_unix_ms == other.born_unix_ms
             && self.models == other.models
-            && coming(self) == coming(other)
+            && coming == other_coming
     }
 }
 
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -26,11 +26,10 @@
 };
 use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
+use crate::gateway::view::shared_period_ms;
 
 /// Time between two messages where there are few gateways, in milliseconds.
 const LOAD_PERIOD_MS: u64 = 120;
-/// Gateways above which the time between two messages grows with their number.
-const FEW_GATEWAYS: u64 = 8;
 /// Shortest time between two messages, in milliseconds.
 const LOAD_GAP_MS: u64 = 5;
 /// Largest datagram, in bytes.
@@ -113,9 +112,7 @@
 
 /// Returns the time between two messages, in milliseconds.
 fn period_ms(gateway: &Gateway) -> u64 {
-    let gateways = gateway.with(|view| view.gateways());
-    let gateways = u64::try_from(gateways).unwrap_or(u64::MAX);
-    LOAD_PERIOD_MS * gateways.div_ceil(FEW_GATEWAYS)
+    shared_period_ms(LOAD_PERIOD_MS, gateway.with(|view| view.gateways()))
 }
 
 async fn tell_load(gateway: &Rc<Gateway>, news: LoadNews) {
--- a/crates/chicorystaged/src/gateway/placement_told.rs
+++ b/crates/chicorystaged/src/gateway/placement_told.rs
@@ -38,13 +38,12 @@
         let mut due = Vec::new();
         for engine in news {
             let known = before.remove(&engine.endpoint);
-            match known.filter(|known| !repeats && known.says_same(&engine)) {
-                Some(known) => self.remember(known),
-                None => {
-                    self.remember(engine.clone());
-                    due.push(engine);
-                }
+            if let Some(known) = known.filter(|known| !repeats && known.says_same(&engine)) {
+                self.remember(known);
+                continue;
             }
+            self.remember(engine.clone());
+            due.push(engine);
         }
         for engine in before.into_values() {
             if is_there(&engine) {
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -15,6 +15,9 @@
 /// Time after which a silent gateway no longer counts as alive, in milliseconds.
 const PEER_ALIVE_MS: u64 = 3_000;
 
+/// Gateways up to which periods keep their shortest length.
+const FEW_GATEWAYS: usize = 8;
+
 /// What a gateway knows and has in progress.
 #[derive(Debug)]
 pub struct View {
@@ -59,6 +62,13 @@
     pub heard_ms: Option<u64>,
 }
 
+/// Returns a period that grows with the number of gateways beyond a few.
+#[must_use]
+pub fn shared_period_ms(shortest_ms: u64, gateways: usize) -> u64 {
+    let factor = gateways.div_ceil(FEW_GATEWAYS);
+    shortest_ms * u64::try_from(factor).unwrap_or(u64::MAX)
+}
+
 impl View {
     /// Creates the view of a gateway that knows nothing.
     #[must_use]
--- a/crates/chicorystaged/src/gateway/waiting.rs
+++ b/crates/chicorystaged/src/gateway/waiting.rs
@@ -55,7 +55,8 @@
             Ok(reservation) => return Some(reservation),
             Err(lacking) => lacking,
         };
-        if self.is_in_vain(want, &lacking, until_ms) {
+        let ready_ms = self.ready_ms(want, &lacking);
+        if is_in_vain(ready_ms, until_ms) {
             return None;
         }
         let granted = self.wait(want.clone(), rank, until_ms);
@@ -66,20 +67,18 @@
         tokio::time::timeout(limit, granted).await.ok()?.ok()
     }
 
-    /// Returns whether a request's model is known to be loaded only after its wait.
-    fn is_in_vain(&self, want: &Want, lacking: &Choice, until_ms: u64) -> bool {
+    /// Returns when what a request lacks should be there, if that is known, in milliseconds.
+    fn ready_ms(&self, want: &Want, lacking: &Choice) -> Option<u64> {
         let now_ms = self.now_ms();
-        let ready_ms = self.with(|view| view.fleet.ready_ms(now_ms, want, lacking));
-        ready_ms.is_some_and(|ready_ms| ready_ms > until_ms)
+        self.with(|view| view.fleet.ready_ms(now_ms, want, lacking))
     }
 
     /// Returns how long it takes until what a request lacks should be there, if that is known,
     /// in milliseconds.
     #[must_use]
     pub fn ready_in_ms(&self, want: &Want, lacking: &Choice) -> Option<u64> {
-        let now_ms = self.now_ms();
-        let ready_ms = self.with(|view| view.fleet.ready_ms(now_ms, want, lacking))?;
-        Some(ready_ms.saturating_sub(now_ms))
+        let ready_ms = self.ready_ms(want, lacking)?;
+        Some(ready_ms.saturating_sub(self.now_ms()))
     }
 
     /// Lets a request wait for an endpoint; the receiver gets the reservation.
@@ -106,15 +105,16 @@
         let mut waiters = self.with(|view| std::mem::take(&mut view.waiters));
         waiters.retain(|waiter| !waiter.grant.is_closed());
         waiters.sort_by_key(|waiter| (waiter.rank, waiter.number));
-        let mut unserved: Vec<(Want, Choice)> = Vec::new();
+        // What cannot be served now, with the time at which that should change.
+        let mut unserved: Vec<(Want, Option<u64>)> = Vec::new();
         let mut holds_back = false;
         let mut left = Vec::new();
         for waiter in waiters {
             let known = unserved
                 .iter()
                 .find(|(want, _)| want.needs_same(&waiter.want));
-            let lacking = match known {
-                Some((_, lacking)) => lacking.clone(),
+            let ready_ms = match known {
+                Some((_, ready_ms)) => *ready_ms,
                 None => match self.reserve(&waiter.want) {
                     Ok(reservation) => {
                         // A request that has just ended gives its reservation back by dropping it.
@@ -127,13 +127,14 @@
                         continue;
                     }
                     Err(lacking) => {
-                        unserved.push((waiter.want.clone(), lacking.clone()));
-                        lacking
+                        let ready_ms = self.ready_ms(&waiter.want, &lacking);
+                        unserved.push((waiter.want.clone(), ready_ms));
+                        ready_ms
                     }
                 },
             };
             // Dropping the waiter ends its wait.
-            if !self.is_in_vain(&waiter.want, &lacking, waiter.until_ms) {
+            if !is_in_vain(ready_ms, waiter.until_ms) {
                 left.push(waiter);
             }
         }
@@ -141,3 +142,8 @@
         holds_back
     }
 }
+
+/// Returns whether a wait ends before what it is for should be there.
+fn is_in_vain(ready_ms: Option<u64>, until_ms: u64) -> bool {
+    ready_ms.is_some_and(|ready_ms| ready_ms > until_ms)
+}
