--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -78,7 +78,7 @@
     let poll_client = StoreClient::new(gateway.settings.store, timeout_ms);
     let read_client = StoreClient::new(gateway.settings.store, gateway.settings.store_timeout_ms);
     let mut after: Option<u64> = None;
-    let mut is_store_unavailable = false;
+    let mut lost_ms: Option<u64> = None;
     loop {
         let changes = match after {
             None => read_client
@@ -97,10 +97,10 @@
         match changes {
             Ok(Some((changes, is_whole))) => {
                 gateway.metrics.count_store_call("follow", "ok");
-                if is_store_unavailable {
-                    is_store_unavailable = false;
-                    log::info!(event = "store_regained", table:? = table; "store answers again");
-                    defer_removals(&gateway);
+                if let Some(lost_ms) = lost_ms.take() {
+                    let away_ms = gateway.now_ms() - lost_ms;
+                    log::info!(event = "store_regained", table:? = table, away_ms; "store answers again");
+                    defer_removals(&gateway, table, "store_regained");
                 }
                 after = Some(changes.version);
                 apply(&gateway, table, &changes, is_whole);
@@ -112,11 +112,11 @@
             }
             Err(error) => {
                 gateway.metrics.count_store_call("follow", "failed");
-                if !is_store_unavailable {
-                    is_store_unavailable = true;
+                if lost_ms.is_none() {
+                    lost_ms = Some(gateway.now_ms());
                     log::warn!(event = "store_lost", table:? = table, error:%; "store does not answer");
                 }
-                defer_removals(&gateway);
+                defer_removals(&gateway, table, "store_lost");
                 tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
             }
         }
@@ -165,9 +165,10 @@
 /// [`REREGISTRATION_MS`].
 ///
 /// Entries may have expired while the store was unavailable; their endpoints register again soon.
-fn defer_removals(gateway: &Gateway) {
+fn defer_removals(gateway: &Gateway, table: TableName, reason: &str) {
     let until_ms = gateway.now_ms() + REREGISTRATION_MS;
     gateway.with(|view| view.defer_removals_until_ms = until_ms);
+    log::info!(event = "removals_deferred", table:? = table, reason, defer_ms = REREGISTRATION_MS; "endpoints that vanish from the registry are kept for now");
 }
 
 /// Applies changed rows to the view; `is_whole` marks a read of the whole table.
@@ -271,6 +272,7 @@
         return;
     }
     let entry = gateway.with(|view| view.fleet.get(&id).map(|known| known.entry.clone()));
+    log::info!(event = "endpoint", endpoint = id.as_str(), change = "absent", defer_ms = until_ms - now_ms; "endpoint is not in the registry; kept until the end of the deferral");
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(until_ms - now_ms)).await;
