--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -34,6 +34,8 @@
     history_from: Cell<u64>,
     calls: Cell<u64>,
     version: watch::Sender<u64>,
+    /// Number of resets of feed connections so far, by table.
+    feed_resets: watch::Sender<BTreeMap<String, u64>>,
 }
 
 #[derive(Clone, Debug)]
@@ -75,6 +77,13 @@
         self.state.history_from.set(*self.state.version.borrow());
     }
 
+    /// Breaks the connections on which a feed of the table waits; new calls are served.
+    pub fn reset_feeds(&self, table: &str) {
+        self.state.feed_resets.send_modify(|resets| {
+            *resets.entry(table.to_owned()).or_default() += 1;
+        });
+    }
+
     /// Writes a row without a version check, on behalf of an operator or an endpoint.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.state.write(table, key, Some(value.to_vec()));
@@ -222,12 +231,16 @@
     request: Request<Incoming>,
 ) -> Result<Response<EmulatorBody>, ConnectionFault> {
     state.calls.set(state.calls.get() + 1);
+    let feed_table = feed_table(&request);
     match state.mode.get() {
         StoreMode::Busy => return Ok(full_response(503, "")),
         StoreMode::Silent => std::future::pending().await,
         StoreMode::Serving | StoreMode::LosingResponses => {}
     }
-    let response = handle_call(state, request).await;
+    let response = tokio::select! {
+        response = handle_call(state, request) => response,
+        () = feed_reset(state, feed_table) => return Err(ConnectionFault::Injected),
+    };
     match state.mode.get() {
         StoreMode::Serving | StoreMode::Busy => Ok(response),
         StoreMode::Silent => std::future::pending().await,
@@ -235,6 +248,30 @@
     }
 }
 
+/// Returns the table of a call for its feed; `None` for any other call.
+fn feed_table(request: &Request<Incoming>) -> Option<String> {
+    let uri = request.uri();
+    let mut pairs = uri
+        .query()?
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    let (_, table) = pairs.find(|(name, _)| *name == "table")?;
+    (uri.path() == "/rows-feed").then(|| table.to_owned())
+}
+
+/// Waits for a reset of the table's feeds; forever where there is no table.
+async fn feed_reset(state: &Rc<State>, table: Option<String>) {
+    let Some(table) = table else {
+        return std::future::pending().await;
+    };
+    let mut resets = state.feed_resets.subscribe();
+    let before = resets.borrow_and_update().get(&table).copied();
+    // The sender lives as long as the emulator.
+    let _reset = resets
+        .wait_for(|resets| resets.get(&table).copied() != before)
+        .await;
+}
+
 async fn handle_call(state: &Rc<State>, request: Request<Incoming>) -> Response<EmulatorBody> {
     let query: HashMap<String, String> = request
         .uri()
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -0,0 +1,49 @@
+//! How long a gateway sends requests to endpoints that vanish from the registry.
+
+use std::time::Duration;
+
+use chicorystage_testbed::users_platform::{
+    EndpointEmulator, PlatformFixture, Reply, run_local, send_request,
+};
+use googletest::prelude::*;
+use http::Method;
+
+/// Time after which an endpoint that left gets no request, in milliseconds.
+const DRAIN_MS: u64 = 2_000;
+/// Time from a reset poll until the next poll has been answered, in milliseconds.
+const NEXT_POLL_ANSWERED_MS: u64 = 2_700;
+
+fn success_reply() -> Reply {
+    Reply::Complete {
+        status: 200,
+        body: "done".to_owned(),
+    }
+}
+
+async fn sleep_ms(time_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(time_ms)).await;
+}
+
+// One reset poll of another table was taken for an outage of the store, which deferred removals.
+#[gtest]
+fn endpoint_that_left_after_a_reset_poll_gets_no_request_past_the_drain_bound() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", success_reply(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        // Lets the gateway begin its polls.
+        sleep_ms(200).await;
+        world.store.reset_feeds("op");
+        sleep_ms(NEXT_POLL_ANSWERED_MS).await;
+        world.store.remove("servers", endpoint.id());
+        sleep_ms(DRAIN_MS).await;
+        send_request(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+        verify_that!(endpoint.received_requests(), len(eq(0)))
+    })
+}
