Keep an endpoint that registers again unchanged after a store outage

What callers saw: after an outage in which entries expire, an endpoint that was back in the registry within a second was dropped at the end of the deferral and got no request until its entry changed; with the only endpoint of a service, 503.

Cause: the deferred removal compared the entry with the one from before. An endpoint that registers again after an outage writes the same entry, so equal entries do not tell that it is still absent.

Change: the view keeps the set of absent endpoints; an entry takes its endpoint out of it, and only what is still in it at the end is removed.

Test endpoint_that_registers_again_unchanged_after_an_outage_is_kept, before: expected 200, actual 503; now passes. It fails by the old comparison whatever the timing, since the entry is the same to the byte.

--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -3,15 +3,21 @@
 use std::time::Duration;
 
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, PlatformFixture, Reply, run_local, send_request,
+    EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request,
 };
 use googletest::prelude::*;
-use http::Method;
+use http::{Method, StatusCode};
 
 /// Time after which an endpoint that left gets no request, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
 /// Time from a reset poll until the next poll has been answered, in milliseconds.
 const NEXT_POLL_ANSWERED_MS: u64 = 2_700;
+/// Length of an outage in which entries expire, in milliseconds.
+const OUTAGE_MS: u64 = 3_600;
+/// Time from the return of the store until an endpoint registers again, in milliseconds.
+const REGISTERED_AGAIN_MS: u64 = 1_000;
+/// Time after which an endpoint that has not registered again counts as gone, in milliseconds.
+const REREGISTRATION_MS: u64 = 2_500;
 
 fn success_reply() -> Reply {
     Reply::Complete {
@@ -47,3 +53,31 @@
         verify_that!(endpoint.received_requests(), len(eq(0)))
     })
 }
+
+// The endpoint's new entry equals its old one, so that comparing entries does not tell that it is
+// back.
+#[gtest]
+fn endpoint_that_registers_again_unchanged_after_an_outage_is_kept() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", success_reply(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_mode(StoreMode::Busy);
+        // Also refuses the next calls of polls that wait.
+        world.store.reset_feeds("servers");
+        sleep_ms(OUTAGE_MS).await;
+        world.store.remove("servers", endpoint.id());
+        world.store.set_mode(StoreMode::Serving);
+        sleep_ms(REGISTERED_AGAIN_MS).await;
+        world.register(&endpoint, "app");
+        sleep_ms(REREGISTRATION_MS).await;
+        let reply = send_request(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::OK))
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow.rs
+++ b/crates/chicorystaged/src/gateway/follow.rs
@@ -249,7 +249,10 @@
         }
     };
     let state = entry.state;
-    let change = gateway.with(|view| view.fleet.registered(entry));
+    let change = gateway.with(|view| {
+        view.absent.remove(id);
+        view.fleet.registered(entry)
+    });
     if matches!(
         change,
         EntryChange::Added | EntryChange::Restarted | EntryChange::Leaving
@@ -260,8 +263,8 @@
 
 /// Removes an endpoint that vanished from the registry, at once or after a delay.
 ///
-/// While removals are deferred, the endpoint is removed only if its entry is still the same at the
-/// end of the delay, so that one that has registered anew stays.
+/// While removals are deferred, the endpoint is removed only if it is still absent at the end of
+/// the delay.
 fn remove_absent(gateway: &Rc<Gateway>, id: EndpointId) {
     let now_ms = gateway.now_ms();
     let until_ms = gateway.with(|view| view.defer_removals_until_ms);
@@ -271,15 +274,12 @@
         }
         return;
     }
-    let entry = gateway.with(|view| view.fleet.get(&id).map(|known| known.entry.clone()));
+    gateway.with(|view| view.absent.insert(id.clone()));
     log::info!(event = "endpoint", endpoint = id.as_str(), change = "absent", defer_ms = until_ms - now_ms; "endpoint is not in the registry; kept until the end of the deferral");
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(until_ms - now_ms)).await;
-        let is_gone = gateway.with(|view| {
-            let known = view.fleet.get(&id).map(|known| known.entry.clone());
-            known.is_some() && known == entry && view.fleet.removed(&id)
-        });
+        let is_gone = gateway.with(|view| view.absent.remove(&id) && view.fleet.removed(&id));
         if is_gone {
             log::info!(event = "endpoint", endpoint = id.as_str(), change = "not back"; "endpoint has not registered again");
         }
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -1,6 +1,6 @@
 //! A gateway's view of configuration, endpoints, other gateways and its own requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
@@ -50,6 +50,8 @@
     pub lease_holder: Option<VmId>,
     /// Time until which endpoints that vanish from the registry are kept, in milliseconds.
     pub defer_removals_until_ms: u64,
+    /// Endpoints that have vanished from the registry and are kept for now.
+    pub absent: HashSet<EndpointId>,
     /// Number of requests in progress at this gateway, waiting ones included.
     pub in_progress: u32,
     /// Arrival number that the next waiting request gets.
@@ -93,6 +95,7 @@
             peers: HashMap::new(),
             lease_holder: None,
             defer_removals_until_ms: 0,
+            absent: HashSet::new(),
             in_progress: 0,
             next_number: 0,
         }
