Show that news of a configuration cuts off its own transfer

Value of: configuration_version(&gateway) Expected: is equal to 2 Actual: 1

A datagram that reports a newer version ends the poll that is transferring this version and begins a read, whose timeout is shorter; the next datagram does the same again, for as long as a transfer takes longer than a read may.

--- a/crates/chicorystage-testbed/src/users_platform/local_http.rs
+++ b/crates/chicorystage-testbed/src/users_platform/local_http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -55,3 +56,14 @@
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
     response
 }
+
+/// Returns a response with status 200 whose body arrives `transfer_ms` after its head.
+pub(super) fn slow_response(body: impl Into<Bytes>, transfer_ms: u64) -> Response<EmulatorBody> {
+    let body = body.into();
+    let frames = futures_util::stream::once(async move {
+        tokio::time::sleep(Duration::from_millis(transfer_ms)).await;
+        Ok(Frame::data(body))
+    });
+    let frames: Frames = Box::pin(frames);
+    Response::new(Either::Right(StreamBody::new(frames)))
+}
--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -13,7 +13,9 @@
 use tokio::sync::watch;
 
 use crate::users_platform::StoreMode;
-use crate::users_platform::local_http::{self, ConnectionFault, EmulatorBody, full_response};
+use crate::users_platform::local_http::{
+    self, ConnectionFault, EmulatorBody, full_response, slow_response,
+};
 
 /// Values and versions of rows, by table and key.
 type Rows = BTreeMap<(String, String), (Vec<u8>, u64)>;
@@ -34,6 +36,8 @@
     history_from: Cell<u64>,
     calls: Cell<u64>,
     version: watch::Sender<u64>,
+    /// Time that the transfer of a response with rows takes, by table, in milliseconds.
+    transfer_ms: RefCell<HashMap<String, u64>>,
     /// Number of resets of feed connections so far, by table.
     feed_resets: watch::Sender<BTreeMap<String, u64>>,
 }
@@ -84,6 +88,12 @@
         });
     }
 
+    /// Delays the body of each later response that has rows of the table, but not its head.
+    pub fn set_transfer_ms(&self, table: &str, time_ms: u64) {
+        let mut transfers = self.state.transfer_ms.borrow_mut();
+        transfers.insert(table.to_owned(), time_ms);
+    }
+
     /// Writes a row without a version check, on behalf of an operator or an endpoint.
     pub fn put(&self, table: &str, key: &str, value: &[u8]) {
         self.state.write(table, key, Some(value.to_vec()));
@@ -185,6 +195,17 @@
             .collect()
     }
 
+    /// Returns rows as a response whose body takes the table's transfer time, if it has rows.
+    fn response(&self, table: &str, rows: &Value) -> Response<EmulatorBody> {
+        let text = rows.to_string();
+        let has_rows = rows["rows"].as_array().is_some_and(|rows| !rows.is_empty());
+        let transfer_ms = self.transfer_ms.borrow().get(table).copied();
+        match transfer_ms {
+            Some(transfer_ms) if has_rows => slow_response(text, transfer_ms),
+            _ => full_response(200, text),
+        }
+    }
+
     /// Checks the expected versions and then writes all rows; on a mismatch writes nothing.
     fn transact(&self, body: &Value) -> Response<EmulatorBody> {
         let empty = Vec::new();
@@ -284,11 +305,11 @@
     let number = |name: &str| query.get(name).and_then(|text| text.parse().ok());
     let table = query.get("table").map_or("", String::as_str).to_owned();
     match request.uri().path() {
-        "/rows-get" => full_response(200, state.read(&table).to_string()),
+        "/rows-get" => state.response(&table, &state.read(&table)),
         "/rows-feed" => {
             let (after, wait_ms) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
             match state.feed(&table, after, wait_ms).await {
-                Some(changes) => full_response(200, changes.to_string()),
+                Some(changes) => state.response(&table, &changes),
                 None => full_response(410, ""),
             }
         }
--- a/crates/chicorystage-testbed/tests/gateway_changes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -1,11 +1,19 @@
 //! How a gateway reacts to new configurations, endpoint changes, store outages and other gateways.
 
+use std::time::{Duration, Instant};
+
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, PlatformFixture, Reply, StoreMode, default_routes, run_local, send_request,
     wait_until,
 };
+use chicorystaged::gateway::peer_message::LoadUpdate;
 use googletest::prelude::*;
 use http::{Method, StatusCode};
+use serde_json::json;
+use tokio::net::UdpSocket;
+
+/// Time from the acknowledgement of a version until it is in force, in milliseconds.
+const APPLY_MS: u128 = 2_000;
 
 fn success_reply() -> Reply {
     Reply::Complete {
@@ -82,10 +90,10 @@
         world.store.set_mode(StoreMode::Silent);
         // The store drops the response that reports this change and never answers that request.
         world.declare(2);
-        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
         world.store.set_mode(StoreMode::Serving);
         world.declare(3);
-        let start = std::time::Instant::now();
+        let start = Instant::now();
         wait_until("version 3 is in force", || {
             configuration_version(&gateway) == 3
         })
@@ -186,10 +194,10 @@
         world.register(&endpoint, "app");
         let entry = endpoint.registry_entry("app", "ready", 1);
         for (i, (field, value)) in [
-            ("addr", serde_json::json!("nowhere")),
-            ("slots", serde_json::json!("many")),
-            ("state", serde_json::json!("dozing")),
-            ("backend", serde_json::json!(null)),
+            ("addr", json!("nowhere")),
+            ("slots", json!("many")),
+            ("state", json!("dozing")),
+            ("backend", json!(null)),
         ]
         .into_iter()
         .enumerate()
@@ -261,3 +269,29 @@
         )
     })
 }
+
+// News of the version from other gateways ended the poll that was transferring it.
+#[gtest]
+fn configuration_in_slow_transfer_is_in_force_in_time_while_others_report_it() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        // Longer than the store's timeout for reads, shorter than that of a poll.
+        world.store.set_transfer_ms("op", 1_000);
+        world.declare(2);
+        let start = Instant::now();
+        let socket = UdpSocket::bind("127.0.0.1:0").await.or_fail()?;
+        let news = json!({
+            "from": "g2", "incarnation": 1, "configuration": 2,
+            "content": {"Load": LoadUpdate::default()},
+        });
+        while configuration_version(&gateway) < 2 && start.elapsed().as_millis() < APPLY_MS {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let bytes = news.to_string();
+            let address = gateway.settings.peers;
+            socket.send_to(bytes.as_bytes(), address).await.or_fail()?;
+        }
+        verify_that!(configuration_version(&gateway), eq(2))
+    })
+}
