--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -38,8 +38,17 @@
     version: watch::Sender<u64>,
     /// Time that the transfer of a response with rows takes, by table, in milliseconds.
     transfer_ms: RefCell<HashMap<String, u64>>,
-    /// Number of resets of feed connections so far, by table.
-    feed_resets: watch::Sender<BTreeMap<String, u64>>,
+    /// Number of faults of waiting feeds so far and the last one, by table.
+    feed_faults: watch::Sender<BTreeMap<String, (u64, FeedFault)>>,
+}
+
+/// Fault of the feeds that wait on a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FeedFault {
+    /// Their connections break.
+    Reset,
+    /// They are never answered.
+    Silence,
 }
 
 #[derive(Clone, Debug)]
@@ -83,9 +92,12 @@
 
     /// Breaks the connections on which a feed of the table waits; new calls are served.
     pub fn reset_feeds(&self, table: &str) {
-        self.state.feed_resets.send_modify(|resets| {
-            *resets.entry(table.to_owned()).or_default() += 1;
-        });
+        self.state.fault_feeds(table, FeedFault::Reset);
+    }
+
+    /// Never answers the feeds of the table that wait now; new calls are served.
+    pub fn silence_feeds(&self, table: &str) {
+        self.state.fault_feeds(table, FeedFault::Silence);
     }
 
     /// Delays the body of each later response that has rows of the table, but not its head.
@@ -120,6 +132,13 @@
 }
 
 impl State {
+    fn fault_feeds(&self, table: &str, fault: FeedFault) {
+        self.feed_faults.send_modify(|faults| {
+            let known = faults.get(table).map_or(0, |(count, _)| *count);
+            faults.insert(table.to_owned(), (known + 1, fault));
+        });
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
         let version = *self.version.borrow() + 1;
         let row_key = (table.to_owned(), key.to_owned());
@@ -260,7 +279,10 @@
     }
     let response = tokio::select! {
         response = handle_call(state, request) => response,
-        () = feed_reset(state, feed_table) => return Err(ConnectionFault::Injected),
+        fault = feed_fault(state, feed_table) => match fault {
+            FeedFault::Reset => return Err(ConnectionFault::Injected),
+            FeedFault::Silence => std::future::pending().await,
+        },
     };
     match state.mode.get() {
         StoreMode::Serving | StoreMode::Busy => Ok(response),
@@ -280,17 +302,18 @@
     (uri.path() == "/rows-feed").then(|| table.to_owned())
 }
 
-/// Waits for a reset of the table's feeds; forever where there is no table.
-async fn feed_reset(state: &Rc<State>, table: Option<String>) {
+/// Waits for a fault of the table's feeds; forever where there is no table.
+async fn feed_fault(state: &Rc<State>, table: Option<String>) -> FeedFault {
     let Some(table) = table else {
         return std::future::pending().await;
     };
-    let mut resets = state.feed_resets.subscribe();
-    let before = resets.borrow_and_update().get(&table).copied();
-    // The sender lives as long as the emulator.
-    let _reset = resets
-        .wait_for(|resets| resets.get(&table).copied() != before)
-        .await;
+    let mut faults = state.feed_faults.subscribe();
+    let before = faults.borrow_and_update().get(&table).copied();
+    let changed = faults.wait_for(|faults| faults.get(&table).copied() != before);
+    let fault = changed.await.ok();
+    let fault = fault.and_then(|faults| faults.get(&table).copied());
+    // The sender lives as long as the emulator, and a changed entry exists.
+    fault.map_or(FeedFault::Reset, |(_, fault)| fault)
 }
 
 async fn handle_call(state: &Rc<State>, request: Request<Incoming>) -> Response<EmulatorBody> {
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -14,6 +14,8 @@
 const NEXT_POLL_ANSWERED_MS: u64 = 2_700;
 /// Length of an outage in which entries expire, in milliseconds.
 const OUTAGE_MS: u64 = 3_600;
+/// Time from the end of an outage until the bounds hold again, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
 /// Time from the return of the store until an endpoint registers again, in milliseconds.
 const REGISTERED_AGAIN_MS: u64 = 1_000;
 /// Time after which an endpoint that has not registered again counts as gone, in milliseconds.
@@ -81,3 +83,50 @@
         verify_that!(reply.status, eq(StatusCode::OK))
     })
 }
+
+// A poll sent shortly before the store's return stayed unanswered, and the deferral began after it.
+#[gtest]
+fn endpoint_that_left_during_an_outage_gets_no_request_once_contact_is_restored() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", success_reply(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_mode(StoreMode::Silent);
+        sleep_ms(OUTAGE_MS).await;
+        world.store.remove("servers", endpoint.id());
+        world.store.set_mode(StoreMode::Serving);
+        sleep_ms(CONTACT_MS).await;
+        send_request(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+        verify_that!(endpoint.received_requests(), len(eq(0)))
+    })
+}
+
+// A poll on a connection that fell silent was taken for an outage of the store.
+#[gtest]
+fn endpoint_that_left_while_a_poll_was_silent_gets_no_request_once_contact_is_restored()
+-> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", success_reply(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        // Longer than the pause between two polls.
+        sleep_ms(500).await;
+        world.store.silence_feeds("servers");
+        world.store.remove("servers", endpoint.id());
+        sleep_ms(CONTACT_MS).await;
+        send_request(&gateway, Method::POST, "/pay/x", &[], "{}")
+            .await
+            .or_fail()?;
+        verify_that!(endpoint.received_requests(), len(eq(0)))
+    })
+}
