Keep an absent endpoint only after an outage that was observed, and not for longer

Cause: each failed call on any table deferred the removal of endpoints by 2.3 s, and the next answer on that table did so again. A single reset connection therefore counted as an outage of the store; its end was noticed when the next long poll ended, 2.4 s later. Ruled out: a late read alone (at most 1.4 s), a request that was assigned before the removal.

Class: a belief that is fed by the store is held back by evidence that does not bear on it and is itself late. So the evidence is now bound to the belief:

- core::registry::AbsenceTracker decides, without I/O.
Only calls on the endpoints' table count; a call that fails alone is no outage, however long it had waited (it must still fail on a fresh call 0.4 s later); neither is an outage shorter than an entry lives without heartbeats (setting heartbeat_ms).
- What is absent at the end of an outage is kept for 2.1 s after the end, and later failures do not prolong that.
- The end is noticed within half a second: after a failure the endpoints' table is probed every 0.5 s beside the calls in flight, and its first answer makes the other feeds call again.
The first call after a failure is made at once.
- While something is absent, the endpoints' table is polled at the short pause.

--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -28,6 +28,7 @@
 //! * [`placement`]: which VMs may load a model, and how slots move between VMs.
 //! * [`planner`]: one placement decision, from the read of its row to the write.
 //! * [`queue`]: the queue of attempts, ordered by class, fairness and deadline.
+//! * [`registry`]: when an endpoint that is missing from the registry counts as gone.
 //! * [`rendezvous`]: rendezvous hashing of keys to VMs.
 //! * [`replicas`]: loaded, loading and unloading replicas of one endpoint.
 //! * [`retry`]: retry budgets and backoff.
@@ -62,6 +63,7 @@
 pub mod placement;
 pub mod planner;
 pub mod queue;
+pub mod registry;
 pub mod rendezvous;
 pub mod replicas;
 pub mod retry;
--- /dev/null
+++ b/crates/chicorystage-core/src/registry/mod.rs
@@ -0,0 +1,20 @@
+//! Decides when an endpoint that is missing from the registry counts as gone.
+//!
+//! Endpoints renew their registry entries by heartbeat, and an entry without heartbeats expires.
+//! So an entry goes missing for one of two reasons:
+//!
+//! * The endpoint has left or is dead. It must get no further request.
+//! * The store was unavailable for so long that a live endpoint could not renew its entry. It
+//!   registers again soon after the store has returned.
+//!
+//! Only an outage that was observed on the endpoints' table itself, and that was long enough for
+//! entries to expire, is evidence for the second reason. A call that fails alone is not: its
+//! connection may have been reset or have fallen silent while the store served others.
+
+mod absence;
+mod absence_tracker;
+mod contact;
+
+pub use absence::Absence;
+pub use absence_tracker::{AbsenceTracker, outage_min_ms};
+pub use contact::Contact;
--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -50,6 +50,7 @@
             store: self.store.address,
             cpu_share: 1.0,
             store_timeout_ms: 700,
+            heartbeat_ms: 1_200,
             stop_max_ms: 8_000,
             lease_ms: 3_000,
             endpoints_check_epoch: true,
--- a/crates/chicorystaged/src/gateway/follow/endpoints.rs
+++ b/crates/chicorystaged/src/gateway/follow/endpoints.rs
@@ -1,8 +1,7 @@
 //! Applies the registry of endpoints to the gateway's view.
 //!
-//! While the store does not answer and for a time after its return, endpoints that have vanished
-//! from the registry are not removed at once. Their entries may have expired only because they
-//! could not be renewed.
+//! An endpoint without an entry is removed at once, or after an outage of the store once it could
+//! have registered again (see [`chicorystage_core::registry`]).
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -10,30 +9,46 @@
 
 use chicorystage_api::name::EndpointId;
 use chicorystage_core::fleet::EntryChange;
+use chicorystage_core::registry::Absence;
 use chicorystage_platform::endpoint_entry;
-use chicorystage_platform::store::{Changes, TableName};
+use chicorystage_platform::store::Changes;
 
 use crate::gateway::shared::Gateway;
 
-/// Time within which endpoints register again after the store has returned, in milliseconds.
-const REREGISTRATION_MS: u64 = 2_300;
-/// Defers the removal of endpoints that vanish from the registry within the next
-/// [`REREGISTRATION_MS`].
-///
-/// Entries may have expired while the store was unavailable; their endpoints register again soon.
-pub(super) fn defer_removals(gateway: &Gateway, table: TableName, reason: &str) {
-    let until_ms = gateway.now_ms() + REREGISTRATION_MS;
-    gateway.with(|view| view.defer_removals_until_ms = until_ms);
-    log::info!(event = "removals_deferred", table:? = table, reason, defer_ms = REREGISTRATION_MS; "endpoints that vanish from the registry are kept for now");
+/// Starts the task that removes endpoints that have not registered again.
+pub(super) fn start_removals(gateway: &Rc<Gateway>) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { remove_overdue(&gateway).await });
+}
+
+/// Records that a call on the endpoints' table, sent at `started_ms`, has failed.
+pub(super) fn record_failure(gateway: &Gateway, started_ms: u64) {
+    let now_ms = gateway.now_ms();
+    gateway.with(|view| view.absences.call_failed(started_ms, now_ms));
+    gateway.absences_changed.notify_one();
 }
 
-/// Applies changed endpoint rows; after a whole read, endpoints without a row are removed too.
-pub(super) fn apply_endpoints(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
+/// Records that a call on the endpoints' table was answered.
+pub(super) fn record_answer(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let contact = gateway.with(|view| view.absences.call_answered(now_ms));
+    let Some(contact) = contact else {
+        return;
+    };
+    log::info!(
+        event = "registry_contact", away_ms = contact.away_ms, is_outage = contact.is_outage;
+        "endpoints' table is read again; after an outage, endpoints without an entry are kept for a time"
+    );
+    gateway.absences_changed.notify_one();
+}
+
+/// Applies changed endpoint rows; after a whole read, endpoints without a row are absent too.
+pub(super) fn apply_endpoints(gateway: &Gateway, changes: &Changes, is_whole: bool) {
     for row in &changes.rows {
         let id = EndpointId::from(row.key.as_str());
         match &row.value {
             Some(value) => apply_entry(gateway, &id, value),
-            None => remove_absent(gateway, id),
+            None => apply_absence(gateway, &id),
         }
     }
     if is_whole {
@@ -44,8 +59,8 @@
                 .cloned()
                 .collect()
         });
-        for id in absent {
-            remove_absent(gateway, id);
+        for id in &absent {
+            apply_absence(gateway, id);
         }
     }
     gateway.with(|view| view.has_endpoints = true);
@@ -53,6 +68,7 @@
 
 /// Adds or updates an endpoint; an entry that cannot be decoded removes it.
 fn apply_entry(gateway: &Gateway, id: &EndpointId, value: &[u8]) {
+    gateway.with(|view| view.absences.endpoint_present(id));
     let entry = match endpoint_entry::decode(id.as_str(), value) {
         Ok(entry) => entry,
         Err(error) => {
@@ -62,10 +78,7 @@
         }
     };
     let state = entry.state;
-    let change = gateway.with(|view| {
-        view.absent.remove(id);
-        view.fleet.registered(entry)
-    });
+    let change = gateway.with(|view| view.fleet.registered(entry));
     if matches!(
         change,
         EntryChange::Added | EntryChange::Restarted | EntryChange::Leaving
@@ -74,27 +87,47 @@
     }
 }
 
-/// Removes an endpoint that vanished from the registry, at once or after a delay.
-///
-/// While removals are deferred, the endpoint is removed only if it is still absent at the end of
-/// the delay.
-fn remove_absent(gateway: &Rc<Gateway>, id: EndpointId) {
+/// Removes an endpoint without an entry, or keeps it for now.
+fn apply_absence(gateway: &Gateway, id: &EndpointId) {
     let now_ms = gateway.now_ms();
-    let until_ms = gateway.with(|view| view.defer_removals_until_ms);
-    if now_ms >= until_ms {
-        if gateway.with(|view| view.fleet.removed(&id)) {
+    let is_known = gateway.with(|view| view.fleet.get(id).is_some());
+    if !is_known {
+        return;
+    }
+    match gateway.with(|view| view.absences.endpoint_absent(now_ms, id)) {
+        Absence::Gone => {
+            gateway.with(|view| view.fleet.removed(id));
             log::info!(event = "endpoint", endpoint = id.as_str(), change = "gone"; "endpoint is gone");
         }
-        return;
+        Absence::Kept { until_ms } => {
+            let defer_ms = until_ms - now_ms;
+            log::info!(event = "endpoint", endpoint = id.as_str(), change = "absent", defer_ms; "endpoint may register again after an outage; kept until then");
+            gateway.absences_changed.notify_one();
+        }
     }
-    gateway.with(|view| view.absent.insert(id.clone()));
-    log::info!(event = "endpoint", endpoint = id.as_str(), change = "absent", defer_ms = until_ms - now_ms; "endpoint is not in the registry; kept until the end of the deferral");
-    let gateway = Rc::clone(gateway);
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(Duration::from_millis(until_ms - now_ms)).await;
-        let is_gone = gateway.with(|view| view.absent.remove(&id) && view.fleet.removed(&id));
-        if is_gone {
+}
+
+/// Removes absent endpoints that have not registered again in time.
+async fn remove_overdue(gateway: &Rc<Gateway>) {
+    loop {
+        let due_ms = gateway.with(|view| view.absences.due_ms());
+        tokio::select! {
+            () = sleep_until(gateway, due_ms) => {}
+            () = gateway.absences_changed.notified() => continue,
+        }
+        let now_ms = gateway.now_ms();
+        for id in gateway.with(|view| view.absences.take_gone(now_ms)) {
+            gateway.with(|view| view.fleet.removed(&id));
             log::info!(event = "endpoint", endpoint = id.as_str(), change = "not back"; "endpoint has not registered again");
         }
-    });
+    }
+}
+
+/// Sleeps until a time on the gateway's clock, in milliseconds; forever if there is none.
+async fn sleep_until(gateway: &Gateway, time_ms: Option<u64>) {
+    let Some(time_ms) = time_ms else {
+        return std::future::pending().await;
+    };
+    let left_ms = time_ms.saturating_sub(gateway.now_ms());
+    tokio::time::sleep(Duration::from_millis(left_ms)).await;
 }
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -8,23 +8,22 @@
 mod configuration;
 mod endpoints;
 mod own_table;
+mod table_feed;
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_platform::store::{Changes, StoreClient, TableName};
+use chicorystage_borders::BorderErrorKind;
+use chicorystage_platform::store::{Changes, TableName};
 
 use self::configuration::apply_configuration;
-use self::endpoints::{apply_endpoints, defer_removals};
+use self::endpoints::apply_endpoints;
 use self::own_table::apply_own;
 pub(crate) use self::own_table::{GATEWAY_KEY, GatewayRow, LEASE_KEY};
+use self::table_feed::{FeedAnswer, TableFeed};
 use crate::gateway::shared::Gateway;
 use crate::gateway::view::shared_period_ms;
 
-/// Longest time for which the store delays the reply to one poll for changes, in milliseconds.
-const POLL_WAIT_MS: u64 = 2_400;
-/// Time allowed for a poll's reply beyond the requested wait, in milliseconds.
-const POLL_SLACK_MS: u64 = 500;
 /// Pause after a failed call to the store, in milliseconds.
 const FAILURE_PAUSE_MS: u64 = 150;
 /// Pause between two polls of the endpoints' table, in milliseconds.
@@ -44,63 +43,44 @@
 const OWN_CHECK_INTERVAL_MS: u64 = 200;
 /// Silence of the lease holder after which its lease is read from the store, in milliseconds.
 const HOLDER_SILENCE_MS: u64 = 700;
+
 /// Starts one task for each table of the store.
 pub fn start(gateway: &Rc<Gateway>) {
     for table in [TableName::Operator, TableName::Endpoints, TableName::Own] {
         let gateway = Rc::clone(gateway);
-        tokio::task::spawn_local(async move { follow(gateway, table).await });
+        tokio::task::spawn_local(async move { follow(&gateway, table).await });
     }
+    endpoints::start_removals(gateway);
 }
 
-/// Reads a table whole, then polls for its changes for as long as the gateway runs.
-///
-/// The configuration is read again without waiting when another gateway has a newer one.
-async fn follow(gateway: Rc<Gateway>, table: TableName) {
-    let timeout_ms = POLL_WAIT_MS + POLL_SLACK_MS;
-    let poll_client = StoreClient::new(gateway.settings.store, timeout_ms);
-    let read_client = StoreClient::new(gateway.settings.store, gateway.settings.store_timeout_ms);
-    let mut after: Option<u64> = None;
-    let mut lost_ms: Option<u64> = None;
+/// Applies a table's rows and their changes to the view for as long as the gateway runs.
+async fn follow(gateway: &Rc<Gateway>, table: TableName) {
+    let mut feed = TableFeed::new(gateway, table);
     loop {
-        let changes = match after {
-            None => read_client
-                .read(table)
-                .await
-                .map(|changes| Some((changes, true))),
-            Some(version) => tokio::select! {
-                changes = poll_client.changes(table, version, POLL_WAIT_MS) => {
-                    changes.map(|changes| changes.map(|changes| (changes, false)))
-                }
-                () = gateway.newer_configuration.notified(), if table == TableName::Operator => {
-                    read_client.read(table).await.map(|changes| Some((changes, true)))
-                }
-            },
-        };
-        match changes {
-            Ok(Some((changes, is_whole))) => {
-                gateway.metrics.count_store_call("follow", "ok");
-                if let Some(lost_ms) = lost_ms.take() {
-                    let away_ms = gateway.now_ms() - lost_ms;
-                    log::info!(event = "store_regained", table:? = table, away_ms; "store answers again");
-                    defer_removals(&gateway, table, "store_regained");
-                }
-                after = Some(changes.version);
-                apply(&gateway, table, &changes, is_whole);
-                pause(&gateway, table).await;
+        let started_ms = gateway.now_ms();
+        let was_lost = feed.is_lost();
+        let answer = feed.next().await;
+        if table == TableName::Endpoints {
+            match &answer {
+                Ok(_) => endpoints::record_answer(gateway),
+                Err(_) => endpoints::record_failure(gateway, started_ms),
             }
-            Ok(None) => {
-                log::info!(event = "history_lost", table:? = table; "store has discarded the changes since the last poll; reading the whole table");
-                after = None;
+        }
+        match answer {
+            Ok(FeedAnswer::Changed(changes)) => {
+                apply(gateway, table, &changes, false);
+                pause(gateway, table).await;
             }
-            Err(error) => {
-                gateway.metrics.count_store_call("follow", "failed");
-                if lost_ms.is_none() {
-                    lost_ms = Some(gateway.now_ms());
-                    log::warn!(event = "store_lost", table:? = table, error:%; "store does not answer");
-                }
-                defer_removals(&gateway, table, "store_lost");
-                tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await;
+            Ok(FeedAnswer::Whole(rows)) => {
+                apply(gateway, table, &rows, true);
+                pause(gateway, table).await;
+            }
+            Ok(FeedAnswer::HistoryLost) => {
+                log::info!(event = "history_lost", table:? = table; "store has discarded the changes since the last poll; reading the whole table");
             }
+            // The connection may have broken alone, so the first failure is followed by a call.
+            Err(error) if !was_lost && error.kind() == BorderErrorKind::Unknown => {}
+            Err(_failure) => tokio::time::sleep(Duration::from_millis(FAILURE_PAUSE_MS)).await,
         }
     }
 }
@@ -112,10 +92,11 @@
     match table {
         TableName::Operator => {}
         TableName::Endpoints => {
-            let pause_ms = endpoints_pause_ms(
-                gateway.with(|view| view.gateways()),
-                gateway.order_epoch().is_none() && gateway.has_recent_holder(HOLDER_SILENCE_MS),
-            );
+            let has_holder_updates =
+                gateway.order_epoch().is_none() && gateway.has_recent_holder(HOLDER_SILENCE_MS);
+            let (gateways, has_absent) =
+                gateway.with(|view| (view.gateways(), view.absences.has_absent()));
+            let pause_ms = endpoints_pause_ms(gateways, has_holder_updates && !has_absent);
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
         TableName::Own => {
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -0,0 +1,195 @@
+//! Calls that keep one table up to date.
+//!
+//! A call may hang although the store serves others: its connection has fallen silent, or the call
+//! was sent during an outage and is never answered. So further calls are sent beside it when there
+//! is reason to expect an answer, and the first answer counts.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_borders::BorderError;
+use chicorystage_core::registry::outage_min_ms;
+use chicorystage_platform::store::{Changes, StoreClient, TableName};
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+
+use crate::gateway::shared::Gateway;
+
+/// Longest time for which the store delays the reply to one poll for changes, in milliseconds.
+const POLL_WAIT_MAX_MS: u64 = 2_400;
+/// Shortest time for which the store delays the reply to one poll for changes, in milliseconds.
+const POLL_WAIT_MIN_MS: u64 = 500;
+/// Time by which a poll's wait stays below the shortest outage in which entries expire, in
+/// milliseconds.
+///
+/// The wait of a poll that fails alone must not look like such an outage.
+const POLL_WAIT_MARGIN_MS: u64 = 100;
+/// Time allowed for a poll's reply beyond the requested wait, in milliseconds.
+const POLL_SLACK_MS: u64 = 500;
+/// Interval between calls on the endpoints' table while the store does not answer, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 500;
+/// Largest number of calls in flight on one table.
+const CALLS_MAX: usize = 6;
+
+type Calls<'a> = FuturesUnordered<LocalBoxFuture<'a, Result<FeedAnswer, BorderError>>>;
+
+/// Answer of the store to a call on a table.
+#[derive(Debug)]
+pub(super) enum FeedAnswer {
+    /// Changes since the known version.
+    Changed(Changes),
+    /// All rows.
+    Whole(Changes),
+    /// The store has discarded the changes since the known version.
+    HistoryLost,
+}
+
+/// Reads one table and polls for its changes.
+#[derive(Debug)]
+pub(super) struct TableFeed {
+    gateway: Rc<Gateway>,
+    table: TableName,
+    poll_wait_ms: u64,
+    poll_client: StoreClient,
+    read_client: StoreClient,
+    /// Version up to which the table is known; `None` where it must be read whole.
+    known_version: Option<u64>,
+    /// Time of the first failed call since the last answer, in milliseconds.
+    lost_ms: Option<u64>,
+}
+
+impl TableFeed {
+    pub(super) fn new(gateway: &Rc<Gateway>, table: TableName) -> Self {
+        let settings = &gateway.settings;
+        let poll_wait_ms = poll_wait_ms(settings.heartbeat_ms);
+        Self {
+            gateway: Rc::clone(gateway),
+            table,
+            poll_wait_ms,
+            poll_client: StoreClient::new(settings.store, poll_wait_ms + POLL_SLACK_MS),
+            read_client: StoreClient::new(settings.store, settings.store_timeout_ms),
+            known_version: None,
+            lost_ms: None,
+        }
+    }
+
+    /// Returns whether the last call failed.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost_ms.is_some()
+    }
+
+    /// Waits for the store's next answer: the whole table at first, its changes later.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last error if all calls fail.
+    pub(super) async fn next(&mut self) -> Result<FeedAnswer, BorderError> {
+        let result = self.first_answer().await;
+        match &result {
+            Ok(answer) => {
+                self.known_version = answer.version();
+                self.record_answer();
+            }
+            Err(error) => self.record_failure(error),
+        }
+        result
+    }
+
+    /// Sends calls until one of them is answered or all have failed.
+    async fn first_answer(&self) -> Result<FeedAnswer, BorderError> {
+        let wait_ms = if self.is_lost() { 0 } else { self.poll_wait_ms };
+        let mut calls = Calls::new();
+        calls.push(Box::pin(self.call(wait_ms)));
+        loop {
+            let has_room = calls.len() < CALLS_MAX;
+            tokio::select! {
+                Some(result) = calls.next() => match result {
+                    Ok(answer) => return Ok(answer),
+                    Err(error) if calls.is_empty() => return Err(error),
+                    Err(error) => {
+                        self.gateway.metrics.count_store_call("follow", "failed");
+                        log::debug!(event = "store_call_failed", table:? = self.table, error:%; "one of several calls failed");
+                    }
+                },
+                () = self.probe_due(), if has_room => calls.push(Box::pin(self.call(0))),
+                () = self.newer_configuration() => {
+                    calls.clear();
+                    calls.push(Box::pin(self.read()));
+                }
+            }
+        }
+    }
+
+    /// Reads the whole table, or waits up to `wait_ms` for its changes.
+    async fn call(&self, wait_ms: u64) -> Result<FeedAnswer, BorderError> {
+        let Some(version) = self.known_version else {
+            return self.read().await;
+        };
+        let changes = self.poll_client.changes(self.table, version, wait_ms);
+        let changes = changes.await?;
+        Ok(changes.map_or(FeedAnswer::HistoryLost, FeedAnswer::Changed))
+    }
+
+    async fn read(&self) -> Result<FeedAnswer, BorderError> {
+        let rows = self.read_client.read(self.table).await?;
+        Ok(FeedAnswer::Whole(rows))
+    }
+
+    /// Waits until another call may be answered sooner than those in flight.
+    ///
+    /// The feed of the endpoints' table probes a store that does not answer; the other feeds wait
+    /// for its success.
+    async fn probe_due(&self) {
+        match self.table {
+            TableName::Endpoints if self.is_lost() => {
+                tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
+            }
+            TableName::Endpoints => std::future::pending().await,
+            TableName::Operator | TableName::Own => self.gateway.store_regained.notified().await,
+        }
+    }
+
+    /// Waits until another gateway reports a newer configuration.
+    async fn newer_configuration(&self) {
+        match self.table {
+            TableName::Operator => self.gateway.newer_configuration.notified().await,
+            TableName::Endpoints | TableName::Own => std::future::pending().await,
+        }
+    }
+
+    fn record_answer(&mut self) {
+        self.gateway.metrics.count_store_call("follow", "ok");
+        let Some(lost_ms) = self.lost_ms.take() else {
+            return;
+        };
+        let away_ms = self.gateway.now_ms() - lost_ms;
+        log::info!(event = "store_regained", table:? = self.table, away_ms; "store answers again");
+        if self.table == TableName::Endpoints {
+            self.gateway.store_regained.notify_waiters();
+        }
+    }
+
+    fn record_failure(&mut self, error: &BorderError) {
+        self.gateway.metrics.count_store_call("follow", "failed");
+        if self.lost_ms.is_none() {
+            self.lost_ms = Some(self.gateway.now_ms());
+            log::warn!(event = "store_lost", table:? = self.table, error:%; "store does not answer");
+        }
+    }
+}
+
+impl FeedAnswer {
+    fn version(&self) -> Option<u64> {
+        match self {
+            Self::Changed(changes) | Self::Whole(changes) => Some(changes.version),
+            Self::HistoryLost => None,
+        }
+    }
+}
+
+/// Returns for how long the store should delay the reply to a poll, in milliseconds.
+fn poll_wait_ms(heartbeat_ms: u64) -> u64 {
+    let longest_ms = outage_min_ms(heartbeat_ms).saturating_sub(POLL_WAIT_MARGIN_MS);
+    longest_ms.clamp(POLL_WAIT_MIN_MS, POLL_WAIT_MAX_MS)
+}
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -47,6 +47,10 @@
     pub plan_changed: Notify,
     /// Notified when another gateway has a newer configuration in force.
     pub newer_configuration: Notify,
+    /// Notified when the endpoints' table is read again after failed calls.
+    pub store_regained: Notify,
+    /// Notified when endpoints without a registry entry may have to be removed at another time.
+    pub absences_changed: Notify,
     /// Whether the gateway has begun to stop.
     pub is_stopping: Cell<bool>,
     /// Whether this gateway has released the lease on orders for good.
@@ -92,6 +96,8 @@
             incarnation,
             plan_changed: Notify::new(),
             newer_configuration: Notify::new(),
+            store_regained: Notify::new(),
+            absences_changed: Notify::new(),
             aborting: watch::Sender::new(false),
             has_released_lease: Cell::new(false),
             closing: watch::Sender::new(false),
@@ -106,7 +112,7 @@
             demand_changed: Notify::new(),
             is_stopping: Cell::new(false),
             clock: Clock::start(),
-            view: RefCell::new(View::new(budget)),
+            view: RefCell::new(View::new(budget, settings.heartbeat_ms)),
             settings,
         }
     }
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -1,12 +1,13 @@
 //! A gateway's view of configuration, endpoints, other gateways and its own requests.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandTracker;
+use chicorystage_core::registry::AbsenceTracker;
 use chicorystage_core::retry::SharedRetryBudget;
 use chicorystage_core::suspects::SuspectList;
 
@@ -48,10 +49,8 @@
     pub peers: HashMap<VmId, Peer>,
     /// Gateway that holds the lease on orders; `None` where none is known.
     pub lease_holder: Option<VmId>,
-    /// Time until which endpoints that vanish from the registry are kept, in milliseconds.
-    pub defer_removals_until_ms: u64,
-    /// Endpoints that have vanished from the registry and are kept for now.
-    pub absent: HashSet<EndpointId>,
+    /// Endpoints without a registry entry that may register again.
+    pub absences: AbsenceTracker,
     /// Number of requests in progress at this gateway, waiting ones included.
     pub in_progress: u32,
     /// Arrival number that the next waiting request gets.
@@ -79,8 +78,10 @@
 
 impl View {
     /// Creates an empty view, as before the first read of the store.
+    ///
+    /// Endpoints renew their registry entries every `heartbeat_ms`.
     #[must_use]
-    pub fn new(budget: SharedRetryBudget) -> Self {
+    pub fn new(budget: SharedRetryBudget, heartbeat_ms: u64) -> Self {
         Self {
             configuration: None,
             has_endpoints: false,
@@ -94,8 +95,7 @@
             load_sent: HashMap::new(),
             peers: HashMap::new(),
             lease_holder: None,
-            defer_removals_until_ms: 0,
-            absent: HashSet::new(),
+            absences: AbsenceTracker::new(heartbeat_ms),
             in_progress: 0,
             next_number: 0,
         }
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -36,6 +36,8 @@
     pub cpu_share: f64,
     /// Longest duration of a call to the store that does not wait for changes, in milliseconds.
     pub store_timeout_ms: u64,
+    /// Interval at which endpoints renew their registry entries, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Longest duration of a graceful stop, in milliseconds.
     pub stop_max_ms: u64,
     /// Duration of the lease whose holder alone sends orders to engines, in milliseconds.
@@ -84,6 +86,7 @@
     let store = reader.required("gateway", "store", ADDRESS);
     let cpu_share = read_non_negative(reader, "gateway", "cpu_share", 1.0);
     let store_timeout_ms = reader.number("gateway", "store_timeout_ms", 1_500, 10, 60_000);
+    let heartbeat_ms = reader.number("gateway", "heartbeat_ms", 1_200, 10, 600_000);
     let stop_max_ms = read_seconds(reader, "gateway", "stop_max_s", 8.0);
     let lease_ms = reader.number("orders", "lease_ms", 3_000, 300, 600_000);
     let endpoints_check_epoch = read_flag(reader, "orders", "endpoints_check_epoch");
@@ -102,6 +105,7 @@
         store: store?,
         cpu_share,
         store_timeout_ms,
+        heartbeat_ms,
         stop_max_ms,
         lease_ms,
         endpoints_check_epoch,
