Do not give up a transfer of the configuration when others report it

What callers saw: not traced to a complaint.

Cause: a datagram that reports a newer version ended the poll in flight, which might be transferring that version, and began a read with a shorter timeout; the read failed, the next datagram ended the next poll, and so on for as long as a transfer takes longer than the read's timeout.

Change: the read is sent beside the poll and the first answer counts.

--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -31,6 +31,10 @@
 const PROBE_INTERVAL_MS: u64 = 500;
 /// Largest number of calls in flight on one table.
 const CALLS_MAX: usize = 6;
+/// Largest number of calls in flight on the operator's table while others report a newer version.
+///
+/// A call in flight may already be transferring that version, so it is not given up.
+const CALLS_WITH_NEWS: usize = 2;
 
 type Calls<'a> = FuturesUnordered<LocalBoxFuture<'a, Result<FeedAnswer, BorderError>>>;
 
@@ -113,8 +117,7 @@
                     }
                 },
                 () = self.probe_due(), if has_room => calls.push(Box::pin(self.call(0))),
-                () = self.newer_configuration() => {
-                    calls.clear();
+                () = self.newer_configuration(), if calls.len() < CALLS_WITH_NEWS => {
                     calls.push(Box::pin(self.read()));
                 }
             }
