Send no request to a reserved endpoint that has left meanwhile

The belief is now looked at again before the request is written; the request has not run then, so it may go elsewhere.

Test reserved_endpoint_that_leaves_before_the_request_is_sent_gets_no_request: before, Attempted::Answered where NotRun is expected; now passes.

--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -1,12 +1,19 @@
 //! How long a gateway sends requests to endpoints that vanish from the registry.
 
+use std::cell::Cell;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use chicorystage_core::fleet::{Prompt, Requirements};
+use chicorystage_platform::caller_request::CallerRequest;
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request,
+    EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request, wait_until,
 };
+use chicorystaged::gateway::attempt::{self, Attempted, CallerWork};
+use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode, Uri};
 
 /// Time after which an endpoint that left gets no request, in milliseconds.
 const DRAIN_MS: u64 = 2_000;
@@ -130,3 +137,58 @@
         verify_that!(endpoint.received_requests(), len(eq(0)))
     })
 }
+
+// Opening a connection takes up to 0.7 s, in which the endpoint may leave.
+#[gtest]
+fn reserved_endpoint_that_leaves_before_the_request_is_sent_gets_no_request() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", success_reply(), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        let reservation = gateway.reserve(&requirements()).ok().or_fail()?;
+        world.register_as(&endpoint, "app", "draining", 1);
+        let id = endpoint.id().into();
+        wait_until("the gateway sees the endpoint as leaving", || {
+            gateway.with(|view| view.fleet.get(&id).is_some_and(|known| !known.is_ready()))
+        })
+        .await;
+        let work = caller_work(&gateway).or_fail()?;
+        let attempted = attempt::send(&gateway, reservation, &work, None).await;
+        expect_that!(attempted, matches_pattern!(Attempted::NotRun { .. }));
+        verify_that!(endpoint.received_requests(), len(eq(0)))
+    })
+}
+
+fn requirements() -> Requirements {
+    Requirements {
+        service: "app".into(),
+        model: None,
+        adapter: None,
+        prompt: Prompt {
+            tokens: 0,
+            defer_until_ms: 0,
+        },
+        avoid: Vec::new(),
+    }
+}
+
+fn caller_work(gateway: &Gateway) -> Option<CallerWork> {
+    let configuration = gateway.configuration()?;
+    let route = configuration.route("h.example", "/pay/x")?;
+    let now_ms = gateway.now_ms();
+    Some(CallerWork {
+        method: Method::POST,
+        uri: Uri::from_static("/pay/x"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        head: CallerRequest::default(),
+        route: Arc::clone(route),
+        arrived_ms: now_ms,
+        ends_ms: now_ms + 3_000,
+        wait_ms: Cell::new(0),
+    })
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -128,6 +128,12 @@
         Err(not_run) => return not_run,
     };
     let response = loop {
+        if !reservation.is_valid() {
+            return Attempted::NotRun {
+                reason: "endpoint left before the request was sent",
+                is_misdirected: false,
+            };
+        }
         let terms = EndpointTerms {
             endpoint: &reservation.endpoint,
             time_left_ms: work.left_ms(gateway.now_ms()),
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -37,6 +37,15 @@
         }
     }
 
+    /// Returns whether the endpoint still accepts new requests at the reserved address.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        self.gateway.with(|view| {
+            let known = view.fleet.get(&self.endpoint);
+            known.is_some_and(|known| known.is_ready() && known.entry.address == self.address)
+        })
+    }
+
     /// Records that the endpoint has begun to answer; later calls do nothing.
     pub fn answered(&mut self) {
         if self.is_answered {
