Keep a retry budget for each service, and share it by construction

Cause: one budget stood for all services. The ratio of all first attempts, of which nine tenths go to engines, could be spent on the five application endpoints. Ruled out: sends that nobody counts, and late news of what others use, since the shares need none.

Also not held by construction, found by tests of the pure decision: - a gateway that starts anew forgot what its predecessor had spent, - one that does not know the others yet took the whole allowance, - first attempts that fall into two windows of the bound counted for one.

Change: core::retry::ServiceRetryBudgets. Half of the ratio is used, since the bound counts the better of two adjacent windows; 0.7 of the allowance, and in the first window after a restart 0.3 (none if the predecessor was as young). A gateway has a part of the allowance once it is registered and has read the others. What is not covered is refused at once with a time to come back.

--- a/crates/chicorystage-core/src/retry/mod.rs
+++ b/crates/chicorystage-core/src/retry/mod.rs
@@ -7,12 +7,21 @@
 //! not retried together.
 //!
 //! [`RetryBudget`] limits one router on its own; [`SharedRetryBudget`] keeps a limit
-//! that holds for all routers of a deployment together.
+//! that holds for all routers of a deployment together, and [`ServiceRetryBudgets`] has one of
+//! them for each service.
 
 mod backoff;
+mod budget_share;
+mod predecessor;
 mod retry_budget;
+mod retry_budget_settings;
+mod service_retry_budgets;
 mod shared_retry_budget;
 
 pub use backoff::backoff_ms;
+pub use budget_share::BudgetShare;
+pub use predecessor::Predecessor;
 pub use retry_budget::RetryBudget;
+pub use retry_budget_settings::RetryBudgetSettings;
+pub use service_retry_budgets::ServiceRetryBudgets;
 pub use shared_retry_budget::SharedRetryBudget;
--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -1,7 +1,18 @@
 use std::collections::VecDeque;
 
-/// Share of the deployment's limit that is used; the rest covers miscounts of the routers.
-const USABLE_SHARE: f64 = 0.7;
+use crate::retry::{BudgetShare, Predecessor, RetryBudgetSettings};
+
+/// Share of the ratio that is used.
+///
+/// First attempts of one window may fall into two adjacent windows of the deployment's bound, which
+/// counts only the one that has more of them.
+const RATIO_SHARE: f64 = 0.5;
+/// Share of the allowance that is used; the rest covers routers that are not known yet, or what a
+/// predecessor has spent.
+const ALLOWANCE_SHARE: f64 = 0.7;
+/// Share of the allowance that is used in the first window after a settled predecessor, which may
+/// have spent [`ALLOWANCE_SHARE`] in the same window.
+const FIRST_ALLOWANCE_SHARE: f64 = 1.0 - ALLOWANCE_SHARE;
 /// Buckets into which a window is divided.
 const BUCKETS: u64 = 20;
 
@@ -13,8 +24,8 @@
 /// allowance, so that the routers need not exchange messages.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
-    ratio: f64,
-    allowance: f64,
+    settings: RetryBudgetSettings,
+    started_ms: u64,
     bucket_ms: u64,
     /// First attempts and retries of the last window, oldest bucket first.
     buckets: VecDeque<Bucket>,
@@ -28,13 +39,13 @@
 }
 
 impl SharedRetryBudget {
-    /// Creates a budget of `ratio` retries per first attempt plus `allowance` retries in each window.
+    /// Creates the budget of a router that starts at `started_ms`.
     #[must_use]
-    pub fn new(ratio: f64, allowance: f64, window_ms: u64) -> Self {
+    pub fn new(settings: RetryBudgetSettings, started_ms: u64) -> Self {
         Self {
-            ratio,
-            allowance,
-            bucket_ms: (window_ms / BUCKETS).max(1),
+            settings,
+            started_ms,
+            bucket_ms: (settings.window_ms / BUCKETS).max(1),
             buckets: VecDeque::new(),
         }
     }
@@ -46,8 +57,9 @@
 
     /// Takes one retry from the budget; returns false, and takes nothing, if none is left.
     ///
-    /// `routers` is the number of routers known to share the budget; 0 counts as 1.
-    pub fn try_take(&mut self, now_ms: u64, routers: usize) -> bool {
+    /// `share` is `None` if the other routers do not know this one yet; then it has no part of the
+    /// allowance.
+    pub fn try_take(&mut self, now_ms: u64, share: Option<BudgetShare>) -> bool {
         self.current_bucket(now_ms);
         let first_attempts: u32 = self
             .buckets
@@ -55,12 +67,8 @@
             .map(|bucket| bucket.first_attempts)
             .sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        #[expect(
-            clippy::cast_precision_loss,
-            reason = "routers are far fewer than the mantissa holds"
-        )]
-        let allowance_share = self.allowance / routers.max(1) as f64;
-        let limit = USABLE_SHARE * (self.ratio * f64::from(first_attempts) + allowance_share);
+        let limit = RATIO_SHARE * self.settings.ratio * f64::from(first_attempts)
+            + share.map_or(0.0, |share| self.own_allowance(now_ms, share));
         if f64::from(retries + 1) > limit {
             return false;
         }
@@ -68,6 +76,22 @@
         true
     }
 
+    /// Returns this router's part of the allowance.
+    fn own_allowance(&self, now_ms: u64, share: BudgetShare) -> f64 {
+        let is_first_window = now_ms < self.started_ms + self.settings.window_ms;
+        let part = match share.predecessor {
+            Predecessor::Settled if is_first_window => FIRST_ALLOWANCE_SHARE,
+            Predecessor::Recent if is_first_window => 0.0,
+            _ => ALLOWANCE_SHARE,
+        };
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "routers are far fewer than the mantissa holds"
+        )]
+        let routers = share.routers.max(1) as f64;
+        part * self.settings.allowance / routers
+    }
+
     fn current_bucket(&mut self, now_ms: u64) -> &mut Bucket {
         let number = now_ms / self.bucket_ms;
         while let Some(oldest) = self.buckets.front() {
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -215,7 +215,8 @@
         // Closing the connection cancels the request at an endpoint that still runs it.
         drop(broken);
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
-        let has_budget = may_resume && self.gateway.take_retry(now_ms);
+        let service = &self.requirements.service;
+        let has_budget = may_resume && self.gateway.take_retry(now_ms, service);
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(),
             endpoint = endpoint.as_str(), reason, resumed = has_budget, runs = self.runs;
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use chicorystage_api::name::VmId;
+use chicorystage_core::retry::Predecessor;
 use chicorystage_platform::store::{Changes, Row};
 use serde::{Deserialize, Serialize};
 
@@ -37,19 +38,45 @@
     if is_whole && !has_lease {
         gateway.observe_missing_lease();
     }
+    gateway.with(|view| view.has_peers = true);
 }
 
-/// Adds, updates or removes another gateway; of this gateway's own row only the version is kept.
+impl Gateway {
+    /// Records this gateway's own row as stored: its version, and whether an earlier process
+    /// wrote it; `None` if there is no row.
+    pub(crate) fn observe_own_row(&self, row: Option<&Row>) {
+        self.own_row_version.set(row.map_or(0, |row| row.version));
+        let Some(stored) = row.and_then(decode_gateway) else {
+            return;
+        };
+        if stored.incarnation != self.incarnation {
+            self.previous_incarnation.set(Some(stored.incarnation));
+        }
+    }
+
+    /// Records that this gateway's own row is written.
+    pub(crate) fn observe_registration(&self) {
+        let previous_ms = self.previous_incarnation.get();
+        let window_ms = self.settings.retry_window_ms;
+        let predecessor = Predecessor::of(previous_ms, self.incarnation, window_ms);
+        self.predecessor.set(Some(predecessor));
+        log::info!(event = "registered", predecessor:? = predecessor; "gateway registered");
+    }
+}
+
+/// Returns a gateway's row; `None` if it is removed or cannot be decoded.
+fn decode_gateway(row: &Row) -> Option<GatewayRow> {
+    serde_json::from_slice(row.value.as_ref()?).ok()
+}
+
+/// Adds, updates or removes another gateway, or records this gateway's own row.
 fn apply_gateway(gateway: &Gateway, vm: &str, row: &Row) {
     if vm == gateway.settings.vm.as_str() {
-        gateway.own_row_version.set(row.version);
+        gateway.observe_own_row(Some(row));
         return;
     }
     let vm = VmId::from(vm);
-    let decoded: Option<GatewayRow> = row
-        .value
-        .as_ref()
-        .and_then(|value| serde_json::from_slice(value).ok());
+    let decoded = decode_gateway(row);
     gateway.with(|view| {
         let Some(decoded) = decoded else {
             view.peers.remove(&vm);
--- a/crates/chicorystaged/src/gateway/peers.rs
+++ b/crates/chicorystaged/src/gateway/peers.rs
@@ -82,13 +82,10 @@
         match store.write(&key, &value, expected).await {
             WriteOutcome::Written(_version) => {
                 gateway.metrics.count_store_call("register", "ok");
+                gateway.observe_registration();
                 return;
             }
-            WriteOutcome::Conflict(row) => {
-                gateway
-                    .own_row_version
-                    .set(row.map_or(0, |row| row.version));
-            }
+            WriteOutcome::Conflict(row) => gateway.observe_own_row(row.as_ref()),
             WriteOutcome::Refused | WriteOutcome::Unknown => {
                 gateway.metrics.count_store_call("register", "failed");
                 tokio::time::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -53,7 +53,8 @@
                     self.record_refusal(endpoint, now_ms);
                     requirements.avoid.push(endpoint.clone());
                 }
-                let may_retry = self.attempts < ATTEMPTS_MAX && self.gateway.take_retry(now_ms);
+                let may_retry = self.attempts < ATTEMPTS_MAX
+                    && self.gateway.take_retry(now_ms, &requirements.service);
                 if !may_retry {
                     return Some(self.final_refusal(requirements, &Choice::Full));
                 }
@@ -75,7 +76,7 @@
                     && self.runs < self.work.route.endpoints_per_attempt_max
                     && self.work.left_ms(now_ms) > 0
                     && !*self.gateway.aborting.borrow()
-                    && self.gateway.take_retry(now_ms);
+                    && self.gateway.take_retry(now_ms, &requirements.service);
                 log::warn!(
                     event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
                     endpoint = endpoint.as_str(), reason, repeated = may_repeat, runs = self.runs;
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -159,7 +159,8 @@
         let now_ms = self.work.arrived_ms;
         let objective_ms = self.work.route.objective_ms;
         self.gateway.with(|view| {
-            view.budget.record_first_attempt(now_ms);
+            view.retries
+                .record_first_attempt(now_ms, &requirements.service);
             let Some(model) = &requirements.model else {
                 return;
             };
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -5,12 +5,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use chicorystage_api::name::EndpointId;
+use chicorystage_api::name::{EndpointId, ServiceName};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::Endpoint;
 use chicorystage_core::lease::OrderLease;
 use chicorystage_core::orders::{OrderTracker, OrderTrackerSettings};
-use chicorystage_core::retry::SharedRetryBudget;
+use chicorystage_core::retry::{
+    BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
+};
 use chicorystage_platform::store::StoreClient;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
@@ -61,6 +63,11 @@
     pub aborting: watch::Sender<bool>,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
+    /// Start of an earlier gateway process on this VM, on the VM's boot clock, in milliseconds;
+    /// `None` if no row of one was seen.
+    pub previous_incarnation: Cell<Option<u64>>,
+    /// Earlier gateway process on this VM; `None` until this process is registered.
+    pub predecessor: Cell<Option<Predecessor>>,
     /// Client of the store for calls that do not wait for changes.
     pub store: StoreClient,
     /// State of engines and of the orders sent to them, used while this gateway holds the lease.
@@ -75,11 +82,13 @@
     /// Creates the state of a gateway that has not read the store yet.
     #[must_use]
     pub fn new(settings: GatewaySettings) -> Self {
-        let budget = SharedRetryBudget::new(
-            settings.retry_ratio,
-            settings.retry_allowance,
-            settings.retry_window_ms,
-        );
+        let clock = Clock::start();
+        let budget = RetryBudgetSettings {
+            ratio: settings.retry_ratio,
+            allowance: settings.retry_allowance,
+            window_ms: settings.retry_window_ms,
+        };
+        let retries = ServiceRetryBudgets::new(budget, clock.now_ms());
         let incarnation = boot_ms();
         let lease = OrderLease::new(
             settings.vm.clone(),
@@ -102,6 +111,8 @@
             has_released_lease: Cell::new(false),
             closing: watch::Sender::new(false),
             own_row_version: Cell::new(0),
+            previous_incarnation: Cell::new(None),
+            predecessor: Cell::new(None),
             store: StoreClient::new(settings.store, settings.store_timeout_ms),
             engine_tracker: RefCell::new(engine_tracker),
             lease: RefCell::new(lease),
@@ -111,8 +122,8 @@
             capacity_changed: Notify::new(),
             demand_changed: Notify::new(),
             is_stopping: Cell::new(false),
-            clock: Clock::start(),
-            view: RefCell::new(View::new(budget, settings.heartbeat_ms)),
+            clock,
+            view: RefCell::new(View::new(retries, settings.heartbeat_ms)),
             settings,
         }
     }
@@ -142,12 +153,20 @@
         }
     }
 
-    /// Takes one retry from the budget that all gateways share; returns whether one was left.
+    /// Takes one retry from the budget of a service that all gateways share; returns whether one
+    /// was left.
+    ///
+    /// The others count this gateway only once it is registered, and it must know them.
     #[must_use]
-    pub fn take_retry(&self, now_ms: u64) -> bool {
+    pub fn take_retry(&self, now_ms: u64, service: &ServiceName) -> bool {
+        let predecessor = self.predecessor.get();
         self.with(|view| {
-            let gateways = view.gateways();
-            view.budget.try_take(now_ms, gateways)
+            let predecessor = predecessor.filter(|_| view.has_peers);
+            let share = predecessor.map(|predecessor| BudgetShare {
+                routers: view.gateways(),
+                predecessor,
+            });
+            view.retries.try_take(now_ms, service, share)
         })
     }
 
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -8,7 +8,7 @@
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandTracker;
 use chicorystage_core::registry::AbsenceTracker;
-use chicorystage_core::retry::SharedRetryBudget;
+use chicorystage_core::retry::ServiceRetryBudgets;
 use chicorystage_core::suspects::SuspectList;
 
 use crate::gateway::waiter::Waiter;
@@ -32,8 +32,8 @@
     pub fleet: FleetView,
     /// Demand for models and adapters at all gateways.
     pub demand: DemandTracker,
-    /// This gateway's part of the retry budget that all gateways share.
-    pub budget: SharedRetryBudget,
+    /// This gateway's part of the retry budgets that all gateways share.
+    pub retries: ServiceRetryBudgets,
     /// Requests suspected or known to crash endpoints.
     pub suspects: SuspectList,
     /// Wait queue of requests without an endpoint, in no particular order.
@@ -45,6 +45,8 @@
     pub requested_adapters: Vec<(ModelName, AdapterName)>,
     /// Requests in progress by endpoint in this gateway's last load update.
     pub load_sent: HashMap<EndpointId, u32>,
+    /// Whether the table of gateways has been read at least once.
+    pub has_peers: bool,
     /// Other registered gateways.
     pub peers: HashMap<VmId, Peer>,
     /// Gateway that holds the lease on orders; `None` where none is known.
@@ -81,18 +83,19 @@
     ///
     /// Endpoints renew their registry entries every `heartbeat_ms`.
     #[must_use]
-    pub fn new(budget: SharedRetryBudget, heartbeat_ms: u64) -> Self {
+    pub fn new(retries: ServiceRetryBudgets, heartbeat_ms: u64) -> Self {
         Self {
             configuration: None,
             has_endpoints: false,
             fleet: FleetView::default(),
             demand: DemandTracker::default(),
-            budget,
+            retries,
             suspects: SuspectList::default(),
             waiters: Vec::new(),
             requested: HashMap::new(),
             requested_adapters: Vec::new(),
             load_sent: HashMap::new(),
+            has_peers: false,
             peers: HashMap::new(),
             lease_holder: None,
             absences: AbsenceTracker::new(heartbeat_ms),
