Send no second request to an endpoint at whose address another one answers

Cause: a refusal of that kind was taken for lack of capacity, which excludes an endpoint for 80 ms. But it contradicts the registry entry itself, which stays until it expires. Now the endpoint is passed over for 3 s, the time in which an entry expires, or until its entry is written again.

Weighed and left out: to pass over the elder of two entries at one address by the time of their start, which a stepped clock on an endpoint would turn round.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -16,6 +16,9 @@
 /// Time for which no request goes to an endpoint after a failed connection attempt, in
 /// milliseconds.
 const UNREACHABLE_MS: u64 = 800;
+/// Time for which no request goes to an endpoint at whose address another one answered, in
+/// milliseconds; by then its registry entry has expired unless it lives.
+const IDENTITY_REFUSED_MS: u64 = 3_000;
 /// Time for which an endpoint counts as full after it refused a request, in milliseconds.
 const FULL_MS: u64 = 80;
 /// Weight of the newest outcome in the exponentially weighted average of failures.
@@ -43,6 +46,7 @@
     unanswered: u32,
     silent_since_ms: u64,
     unreachable_until_ms: u64,
+    identity_refused_until_ms: u64,
     full_until_ms: u64,
     /// Pacing of the prompts that this process sends to the endpoint.
     pub pace: PromptPace,
@@ -71,6 +75,7 @@
             unanswered: 0,
             silent_since_ms: 0,
             unreachable_until_ms: 0,
+            identity_refused_until_ms: 0,
             full_until_ms: 0,
             pace: PromptPace::default(),
         }
@@ -87,6 +92,23 @@
         self.unreachable_until_ms = now_ms + UNREACHABLE_MS;
     }
 
+    /// Records that another endpoint answered at this one's address, which excludes this one for 3
+    /// seconds or until its entry is written again.
+    pub fn identity_refused(&mut self, now_ms: u64) {
+        self.identity_refused_until_ms = now_ms + IDENTITY_REFUSED_MS;
+    }
+
+    /// Records that the endpoint has written its registry entry.
+    pub(super) fn entry_written(&mut self) {
+        self.identity_refused_until_ms = 0;
+    }
+
+    /// Returns whether new requests may go to the endpoint.
+    #[must_use]
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        self.is_ready() && self.is_reachable(now_ms) && now_ms >= self.identity_refused_until_ms
+    }
+
     /// Records that the endpoint refused a request for lack of capacity.
     ///
     /// The endpoint counts as full for 80 ms.
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -43,6 +43,7 @@
                 .insert(entry.id.clone(), Endpoint::new(entry));
             return EntryChange::Added;
         };
+        known.entry_written();
         if known.entry == entry {
             return EntryChange::Same;
         }
@@ -184,8 +185,7 @@
         let mut reason = Choice::NoEndpoint;
         let mut best: Option<(f64, &EndpointId)> = None;
         for (id, endpoint) in &self.endpoints {
-            let is_usable = endpoint.is_ready() && endpoint.is_reachable(now_ms);
-            if endpoint.entry.service != requirements.service || !is_usable {
+            if endpoint.entry.service != requirements.service || !endpoint.is_usable(now_ms) {
                 continue;
             }
             if let Some(missing) = missing_requirement(now_ms, endpoint, requirements) {
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -187,3 +187,19 @@
     // A due time that was reported too long ago no longer counts.
     assert_that!(ready_ms(3_500, &requirements("x"), Choice::NoModel), none());
 }
+
+// An endpoint that started again under another identity stays listed under its old one until that
+// entry expires; a request to it is always refused.
+#[test]
+fn endpoint_that_says_it_is_another_one_is_not_chosen_until_its_entry_is_written_again() {
+    let stale = entry("a", "here", &["m"]);
+    let mut fleet = fleet(std::slice::from_ref(&stale));
+    let known = fleet.get_mut(&stale.id).expect("it is registered");
+    known.identity_refused(10_000);
+    assert_that!(
+        choose(&fleet, 12_000, &requirements("m")),
+        eq(&Choice::NoEndpoint)
+    );
+    fleet.registered(stale);
+    assert_that!(choose(&fleet, 12_000, &requirements("m")), eq(&at("a")));
+}
--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -1,10 +1,12 @@
 //! How many retries a gateway sends to the endpoints of one service.
 
+use std::time::Duration;
+
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, PlatformFixture, Reply, run_local, send_request,
 };
 use googletest::prelude::*;
-use http::Method;
+use http::{Method, StatusCode};
 use serde_json::json;
 
 /// Retries allowed per request to a service, over all gateways.
@@ -62,3 +64,33 @@
         verify_that!(retries, le(bound))
     })
 }
+
+// Each request to an endpoint whose address another one has is refused, and spends a retry.
+#[gtest]
+fn endpoint_at_whose_address_another_one_answers_gets_no_second_request() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let current = EndpointEmulator::start("new", reply(200), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&current, "app");
+        // The registry still lists the endpoint that had this address before.
+        let stale_entry = current.registry_entry("app", "ready", 1).to_string();
+        world.store.put("servers", "a-old", stale_entry.as_bytes());
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        for _ in 0..10 {
+            // Longer than a refusal for lack of capacity counts.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            let reply = send_request(&gateway, Method::GET, "/app/x", &[], "")
+                .await
+                .or_fail()?;
+            verify_that!(reply.status, eq(StatusCode::OK))?;
+        }
+        let received = current.received_requests();
+        let to_old = received
+            .iter()
+            .filter(|received| received.header("expect-instance") == "a-old");
+        verify_that!(to_old.count(), le(1))
+    })
+}
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -50,7 +50,7 @@
                 if is_misdirected && requirements.model.is_some() {
                     self.record_missing_model(endpoint, requirements, now_ms);
                 } else {
-                    self.record_refusal(endpoint, now_ms);
+                    self.record_refusal(endpoint, now_ms, is_misdirected);
                     requirements.avoid.push(endpoint.clone());
                 }
                 let may_retry = self.attempts < ATTEMPTS_MAX
@@ -152,9 +152,15 @@
     }
 
     /// Records that an endpoint refused the request or accepted no connection.
-    fn record_refusal(&self, endpoint: &EndpointId, now_ms: u64) {
+    ///
+    /// `is_misdirected` is whether another endpoint answered at its address.
+    fn record_refusal(&self, endpoint: &EndpointId, now_ms: u64, is_misdirected: bool) {
         self.gateway.with_endpoint(endpoint, |endpoint| {
-            endpoint.refused(now_ms);
+            if is_misdirected {
+                endpoint.identity_refused(now_ms);
+            } else {
+                endpoint.refused(now_ms);
+            }
         });
     }
 }
