Spend no retry on an attempt that reached no endpoint

The budget bounds arrivals beyond the first.

Test gateway_retries::refused_connections_spend_no_retries: 502 with the draw, 200 without.

--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, PlatformFixture, Reply, run_local, send_request,
+    EndpointEmulator, PlatformFixture, Reply, run_local, send_request, wait_until,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
@@ -18,6 +18,9 @@
 /// Requests to another service in the same window.
 const OTHER_REQUESTS: u32 = 600;
 
+/// Endpoints that take no connection, more than one window's retries.
+const DEAD_ENDPOINTS: u32 = 60;
+
 fn reply(status: u16) -> Reply {
     Reply::Complete {
         status,
@@ -94,3 +97,49 @@
         verify_that!(to_old.count(), le(1))
     })
 }
+
+// Nothing arrived at the endpoints that took no connection, so no retry was spent on them.
+#[gtest]
+fn refused_connections_spend_no_retries() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let failing = EndpointEmulator::start("y", reply(500), None)
+            .await
+            .or_fail()?;
+        let healthy = EndpointEmulator::start("z", reply(200), None)
+            .await
+            .or_fail()?;
+        for i in 0..DEAD_ENDPOINTS {
+            let mut entry = healthy.registry_entry("app", "ready", 1);
+            entry["addr"] = json!(closed_address().or_fail()?);
+            let key = format!("a{i}");
+            world
+                .store
+                .put("servers", &key, entry.to_string().as_bytes());
+        }
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        // Each request tries several of them.
+        for _ in 0..DEAD_ENDPOINTS {
+            send_request(&gateway, Method::POST, "/pay/x", &[], "{}")
+                .await
+                .or_fail()?;
+        }
+        world.register(&failing, "app");
+        world.register(&healthy, "app");
+        wait_until("all endpoints are known", || {
+            gateway.with(|view| view.fleet.get(&"z".into()).is_some())
+        })
+        .await;
+        let reply = send_request(&gateway, Method::GET, "/app/x", &[], "")
+            .await
+            .or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::OK))
+    })
+}
+
+/// Returns a loopback address at which nothing listens.
+fn closed_address() -> std::io::Result<String> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    Ok(listener.local_addr()?.to_string())
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -71,6 +71,8 @@
         /// Whether the endpoint is a different one than addressed, or is missing the model or
         /// adapter.
         is_misdirected: bool,
+        /// Whether the endpoint received the request; then another attempt is a retry.
+        has_arrived: bool,
     },
     /// The request may have run and its answer is lost.
     Lost {
@@ -132,6 +134,7 @@
             return Attempted::NotRun {
                 reason: "endpoint left before the request was sent",
                 is_misdirected: false,
+                has_arrived: false,
             };
         }
         let terms = EndpointTerms {
@@ -222,6 +225,7 @@
     let not_run = Attempted::NotRun {
         reason: "endpoint takes no connection",
         is_misdirected: false,
+        has_arrived: false,
     };
     let opened = Connection::open(reservation.address).await;
     if let Ok(mut connection) = opened
@@ -259,6 +263,7 @@
             "endpoint refused"
         },
         is_misdirected,
+        has_arrived: true,
     }
 }
 
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -2,7 +2,7 @@
 //!
 //! An attempt that an endpoint refused did not run and may be retried on any route. An attempt
 //! whose answer is lost may have run; it is retried only where the route allows repeated runs. Both
-//! kinds draw on the shared retry budget.
+//! kinds draw on the shared retry budget, unless the request never reached the endpoint.
 
 use std::time::Duration;
 
@@ -40,6 +40,7 @@
             Attempted::NotRun {
                 reason,
                 is_misdirected,
+                has_arrived,
             } => {
                 self.gateway.metrics.count_attempt("not_run");
                 log::info!(
@@ -54,7 +55,7 @@
                     requirements.avoid.push(endpoint.clone());
                 }
                 let may_retry = self.attempts < ATTEMPTS_MAX
-                    && self.gateway.take_retry(now_ms, &requirements.service);
+                    && (!has_arrived || self.gateway.take_retry(now_ms, &requirements.service));
                 if !may_retry {
                     return Some(self.final_refusal(requirements, &Choice::Full));
                 }
