Split the gateway's messages, lease writes and the emulator's feed faults

Code moved only, but for a constant of the receiving loop, whose pause after a failure had the load interval's name and keeps its 5 ms.

--- a/crates/chicorystage-testbed/src/users_platform/mod.rs
+++ b/crates/chicorystage-testbed/src/users_platform/mod.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod endpoint_emulator;
 mod endpoint_engine;
+mod feed_faults;
 mod local_http;
 mod platform_fixture;
 mod received_request;
--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::users_platform::StoreMode;
+use crate::users_platform::feed_faults::{FeedFault, FeedFaults, feed_table};
 use crate::users_platform::local_http::{
     self, ConnectionFault, EmulatorBody, full_response, slow_response,
 };
@@ -40,17 +41,7 @@
     reads: RefCell<HashMap<String, u64>>,
     /// Time that the transfer of a response with rows takes, by table, in milliseconds.
     transfer_ms: RefCell<HashMap<String, u64>>,
-    /// Number of faults of waiting feeds so far and the last one, by table.
-    feed_faults: watch::Sender<BTreeMap<String, (u64, FeedFault)>>,
-}
-
-/// Fault of the feeds that wait on a table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum FeedFault {
-    /// Their connections break.
-    Reset,
-    /// They are never answered.
-    Silence,
+    feed_faults: FeedFaults,
 }
 
 #[derive(Clone, Debug)]
@@ -94,12 +85,12 @@
 
     /// Breaks the connections on which a feed of the table waits; new calls are served.
     pub fn reset_feeds(&self, table: &str) {
-        self.state.fault_feeds(table, FeedFault::Reset);
+        self.state.feed_faults.inject(table, FeedFault::Reset);
     }
 
     /// Never answers the feeds of the table that wait now; new calls are served.
     pub fn silence_feeds(&self, table: &str) {
-        self.state.fault_feeds(table, FeedFault::Silence);
+        self.state.feed_faults.inject(table, FeedFault::Silence);
     }
 
     /// Delays the body of each later response that has rows of the table, but not its head.
@@ -140,13 +131,6 @@
 }
 
 impl State {
-    fn fault_feeds(&self, table: &str, fault: FeedFault) {
-        self.feed_faults.send_modify(|faults| {
-            let known = faults.get(table).map_or(0, |(count, _)| *count);
-            faults.insert(table.to_owned(), (known + 1, fault));
-        });
-    }
-
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
         let version = *self.version.borrow() + 1;
         let row_key = (table.to_owned(), key.to_owned());
@@ -287,7 +271,7 @@
     }
     let response = tokio::select! {
         response = handle_call(state, request) => response,
-        fault = feed_fault(state, feed_table) => match fault {
+        fault = state.feed_faults.next(feed_table) => match fault {
             FeedFault::Reset => return Err(ConnectionFault::Injected),
             FeedFault::Silence => std::future::pending().await,
         },
@@ -299,31 +283,6 @@
     }
 }
 
-/// Returns the table of a call for its feed; `None` for any other call.
-fn feed_table(request: &Request<Incoming>) -> Option<String> {
-    let uri = request.uri();
-    let mut pairs = uri
-        .query()?
-        .split('&')
-        .filter_map(|pair| pair.split_once('='));
-    let (_, table) = pairs.find(|(name, _)| *name == "table")?;
-    (uri.path() == "/rows-feed").then(|| table.to_owned())
-}
-
-/// Waits for a fault of the table's feeds; forever where there is no table.
-async fn feed_fault(state: &Rc<State>, table: Option<String>) -> FeedFault {
-    let Some(table) = table else {
-        return std::future::pending().await;
-    };
-    let mut faults = state.feed_faults.subscribe();
-    let before = faults.borrow_and_update().get(&table).copied();
-    let changed = faults.wait_for(|faults| faults.get(&table).copied() != before);
-    let fault = changed.await.ok();
-    let fault = fault.and_then(|faults| faults.get(&table).copied());
-    // The sender lives as long as the emulator, and a changed entry exists.
-    fault.map_or(FeedFault::Reset, |(_, fault)| fault)
-}
-
 async fn handle_call(state: &Rc<State>, request: Request<Incoming>) -> Response<EmulatorBody> {
     let query: HashMap<String, String> = request
         .uri()
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! * [`granting`] grants reservations to waiting requests when endpoints have capacity.
 //! * [`poison`] refuses requests that crash endpoints.
 //! * [`peers`] exchanges load, demand and placement with the other gateways.
+//! * [`lease_writes`] acquires and renews the lease on orders.
 //! * [`engine_orders`] sends orders to engines while this gateway holds the lease.
 //! * [`shared`] is the state that all tasks share.
 //!
@@ -29,6 +30,7 @@
 pub mod follow;
 pub mod granting;
 pub mod in_progress;
+pub mod lease_writes;
 pub mod own_responses;
 pub mod peer_message;
 pub mod peers;
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -0,0 +1,112 @@
+//! Sends messages to the other gateways.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_api::name::EndpointId;
+
+use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
+use crate::gateway::peers::load_update::{collect_load_update, record_own_waiting};
+use crate::gateway::shared::Gateway;
+use crate::gateway::view::shared_period_ms;
+
+/// Interval between two load updates where there are few gateways, in milliseconds.
+const LOAD_PERIOD_MS: u64 = 120;
+/// Shortest interval between two load updates, in milliseconds.
+const LOAD_INTERVAL_MIN_MS: u64 = 5;
+
+/// Sends load updates, each after a period or as soon as a request begins to wait.
+pub(super) async fn send_loop(gateway: &Rc<Gateway>) {
+    loop {
+        let period = Duration::from_millis(period_ms(gateway));
+        // Both the end of the period and a request that begins to wait start the next update.
+        let _elapsed = tokio::time::timeout(period, gateway.demand_changed.notified()).await;
+        let update = collect_load_update(gateway);
+        record_own_waiting(gateway, &update);
+        gateway.plan_changed.notify_one();
+        let in_progress = update.in_progress.iter();
+        let sent = in_progress.map(|(endpoint, _, count)| (endpoint.clone(), *count));
+        gateway.with(|view| view.load_sent = sum_by_endpoint(sent));
+        send_load(gateway, update).await;
+        tokio::time::sleep(Duration::from_millis(LOAD_INTERVAL_MIN_MS)).await;
+    }
+}
+
+/// Returns the interval between two load updates, in milliseconds.
+fn period_ms(gateway: &Gateway) -> u64 {
+    shared_period_ms(LOAD_PERIOD_MS, gateway.with(|view| view.gateways()))
+}
+
+/// Sends a load update to the lease holder, or to all gateways while its address is not known.
+async fn send_load(gateway: &Rc<Gateway>, update: LoadUpdate) {
+    let holder = gateway.with(|view| {
+        let holder = view.lease_holder.as_ref()?;
+        let is_self = *holder == gateway.settings.vm;
+        Some((is_self, view.peers.get(holder).map(|peer| peer.address)))
+    });
+    match holder {
+        Some((true, _)) => {}
+        Some((false, Some(address))) => send(gateway, &[address], PeerContent::Load(update)).await,
+        Some((false, None)) | None => broadcast(gateway, PeerContent::Load(update)).await,
+    }
+}
+
+/// Sends a message to every other gateway.
+pub async fn broadcast(gateway: &Rc<Gateway>, content: PeerContent) {
+    let addresses: Vec<SocketAddr> =
+        gateway.with(|view| view.peers.values().map(|peer| peer.address).collect());
+    send(gateway, &addresses, content).await;
+}
+
+/// Sends a message to each address; failures are ignored.
+async fn send(gateway: &Rc<Gateway>, addresses: &[SocketAddr], content: PeerContent) {
+    let Some(socket) = gateway.peer_socket() else {
+        return;
+    };
+    let message = PeerMessage {
+        from: gateway.settings.vm.clone(),
+        incarnation: gateway.incarnation,
+        configuration: gateway
+            .configuration()
+            .map_or(0, |configuration| configuration.version),
+        content,
+    };
+    let Ok(bytes) = serde_json::to_vec(&message) else {
+        return;
+    };
+    for address in addresses {
+        // A gateway that is gone is removed with its row; the next update replaces a lost one.
+        let _sent = socket.send_to(&bytes, address).await;
+    }
+}
+
+/// Broadcasts the load of all gateways together, if that is due.
+///
+/// `published_ms` is the time of the last broadcast, and is updated.
+pub async fn publish_total_load(gateway: &Rc<Gateway>, epoch: u64, published_ms: &mut Option<u64>) {
+    let now_ms = gateway.now_ms();
+    let period_ms = period_ms(gateway);
+    if published_ms.is_some_and(|published_ms| now_ms < published_ms + period_ms) {
+        return;
+    }
+    *published_ms = Some(now_ms);
+    let in_progress = gateway.with(|view| {
+        view.fleet.forget_silent_peers(now_ms);
+        let ids = view.fleet.endpoints().map(|(id, _)| id);
+        let sums = ids.map(|id| (id.clone(), view.fleet.occupancy(id)));
+        sums.filter(|(_, count)| *count > 0).collect()
+    });
+    let update = TotalLoadUpdate { epoch, in_progress };
+    broadcast(gateway, PeerContent::Sum(update)).await;
+}
+
+/// Adds up counts by endpoint.
+fn sum_by_endpoint(counts: impl Iterator<Item = (EndpointId, u32)>) -> HashMap<EndpointId, u32> {
+    let mut sums = HashMap::new();
+    for (endpoint, count) in counts {
+        *sums.entry(endpoint).or_default() += count;
+    }
+    sums
+}
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -11,7 +11,7 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::gateway::engine_orders;
+use crate::gateway::lease_writes;
 use crate::gateway::shared::Gateway;
 use crate::settings::DaemonFile;
 
@@ -103,7 +103,7 @@
 async fn release_lease(gateway: &Rc<Gateway>) {
     gateway.has_released_lease.set(true);
     while let Some(action) = gateway.lease(chicorystage_core::lease::OrderLease::release) {
-        let is_written = engine_orders::write_lease(gateway, action).await;
+        let is_written = lease_writes::write_lease(gateway, action).await;
         if is_written {
             return;
         }
