Confirm the lease on orders when the store returns from a copy

After a drill the row of the lease may be an older one or missing, while its holder goes on under the newest epoch.

Cause: versions that the store gives out again were compared with those from before, so an older row was ignored until a write conflicted; and a missing row was acquired at once with epoch 1, which engines that check epochs refuse and others take from two holders.

Change: OrderLease::store_restored forgets row and version and keeps the highest epoch. The holder sends no order before the restored row is confirmed; if it is lost or another's, it acquires with a higher epoch at once, as no other router can hold the lease. Others wait for the lease's length and a margin, and raise the epoch. An own acquisition now counts for the highest epoch.

--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -35,6 +35,9 @@
     needs_confirmation: bool,
     /// Highest epoch observed in the store, at an endpoint or at another router.
     highest_epoch: u64,
+    /// Epoch under which this router held the lease when the store returned from an older copy;
+    /// `None` if it did not, or has the lease again.
+    epoch_before_restore: Option<u64>,
 }
 
 impl OrderLease {
@@ -55,6 +58,7 @@
             ticked_ms: None,
             needs_confirmation: false,
             highest_epoch: 0,
+            epoch_before_restore: None,
         }
     }
 
@@ -90,6 +94,20 @@
         self.known = Some((row, version));
     }
 
+    /// Records that the store has returned from an older copy.
+    ///
+    /// Rows and versions known from before may be lost. The row is read again, and the holder
+    /// confirms or acquires the lease before its next order.
+    pub fn store_restored(&mut self) {
+        if self.is_holder() {
+            self.epoch_before_restore = self.own_row().map(|row| row.epoch);
+        }
+        self.known = None;
+        self.is_read = false;
+        self.renewed_ms = None;
+        self.write_sent_ms = None;
+    }
+
     /// Records an epoch observed at an endpoint or another router.
     ///
     /// An epoch above the own one ends this router's use of the lease.
@@ -152,10 +170,12 @@
                 if !is_newest {
                     return;
                 }
+                self.highest_epoch = self.highest_epoch.max(action.row.epoch);
                 self.known = Some((action.row, version));
                 self.changed_ms = now_ms;
                 self.renewed_ms = Some(sent_ms);
                 self.needs_confirmation = false;
+                self.epoch_before_restore = None;
             }
             StoreReply::Conflict(row) => {
                 self.known = None;
@@ -232,14 +252,22 @@
     fn take_over_if_free(&self, now_ms: u64) -> Option<LeaseAction> {
         let unchanged_ms = now_ms.saturating_sub(self.changed_ms);
         let Some((row, version)) = &self.known else {
-            return (unchanged_ms >= self.acquisition_delay_ms).then(|| self.acquisition(1, 0));
+            // A holder whose row was lost may still send orders under the highest epoch.
+            let may_be_held = self.highest_epoch > 0 && !self.is_holder_of_lost_row();
+            let lease_wait_ms = if may_be_held {
+                self.take_over_wait_ms()
+            } else {
+                0
+            };
+            let is_free = unchanged_ms >= lease_wait_ms + self.acquisition_delay_ms;
+            return is_free.then(|| self.acquisition(self.highest_epoch + 1, 0));
         };
         let is_from_earlier_process = self.is_from_earlier_process(row);
-        let is_ended = row.released || is_from_earlier_process;
+        let is_ended = row.released || is_from_earlier_process || self.is_holder_of_lost_row();
         let lease_wait_ms = if is_ended {
             0
         } else {
-            self.lease_ms + TAKE_OVER_MARGIN_MS
+            self.take_over_wait_ms()
         };
         let delay_ms = if is_from_earlier_process {
             0
@@ -270,6 +298,18 @@
         }
     }
 
+    /// Returns whether this router held the lease under the highest epoch when the store returned
+    /// from an older copy, so that no other one can hold it.
+    fn is_holder_of_lost_row(&self) -> bool {
+        self.epoch_before_restore
+            .is_some_and(|epoch| epoch == self.highest_epoch)
+    }
+
+    /// Returns for how long a lease must not have changed before another router takes it over.
+    fn take_over_wait_ms(&self) -> u64 {
+        self.lease_ms + TAKE_OVER_MARGIN_MS
+    }
+
     fn renewal_ms(&self) -> u64 {
         self.lease_ms / RENEWALS_PER_LEASE
     }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use chicorystage_api::name::VmId;
+use chicorystage_core::lease::OrderLease;
 use chicorystage_core::retry::Predecessor;
 use chicorystage_platform::store::{Changes, Row};
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,7 @@
 ///
 /// What this gateway wrote after the copy was taken is lost, so it registers again.
 pub(super) fn apply_restored(gateway: &Rc<Gateway>, rows: &Changes) {
+    gateway.lease(OrderLease::store_restored);
     gateway.own_row_version.set(0);
     apply_own(gateway, rows, true);
     peers::register_again(gateway);
