Give each era of the store its own epochs, and trust no restored row

Change: a claim is kept over a return only until the lease would have expired; any other restored row is waited out, also one that names this gateway. A write whose answer is of another era claims nothing. Each era has a range of epochs, and a row of version v is replaced under an epoch above v, so that no memory of the highest epoch is needed. A store without eras sees the epochs it saw before.

--- a/crates/chicorystage-core/src/lease/mod.rs
+++ b/crates/chicorystage-core/src/lease/mod.rs
@@ -16,6 +16,7 @@
 //! first order of a new holder fences it off. A holder whose process was paused
 //! must confirm the lease before its next order.
 
+mod claim_after_restore;
 mod lease_action;
 mod lease_row;
 mod order_lease;
--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -1,5 +1,6 @@
 use chicorystage_api::name::VmId;
 
+use crate::lease::claim_after_restore::ClaimAfterRestore;
 use crate::lease::{LeaseAction, LeaseRow, StoreReply};
 
 /// Number of renewals within the duration of the lease.
@@ -9,6 +10,9 @@
 /// Additional wait of a take-over after the duration of the lease, in milliseconds.
 const TAKE_OVER_MARGIN_MS: u64 = 300;
 
+/// Number of epochs reserved for each era of the store; more than it gives out versions.
+const EPOCHS_PER_ERA: u64 = 1 << 32;
+
 /// One router's view of the lease, which decides when to acquire, renew and use it.
 #[derive(Clone, Debug)]
 pub struct OrderLease {
@@ -35,9 +39,9 @@
     needs_confirmation: bool,
     /// Highest epoch observed in the store, at an endpoint or at another router.
     highest_epoch: u64,
-    /// Epoch under which this router held the lease when the store returned from an older copy;
-    /// `None` if it did not, or has the lease again.
-    epoch_before_restore: Option<u64>,
+    claim: ClaimAfterRestore,
+    /// Newest known era of the store; 0 if it states none.
+    store_era: u64,
 }
 
 impl OrderLease {
@@ -58,7 +62,8 @@
             ticked_ms: None,
             needs_confirmation: false,
             highest_epoch: 0,
-            epoch_before_restore: None,
+            claim: ClaimAfterRestore::Normal,
+            store_era: 0,
         }
     }
 
@@ -90,18 +95,25 @@
         self.changed_ms = now_ms;
         if !self.is_own(&row) {
             self.renewed_ms = None;
+            if !is_first {
+                // Another router writes the restored row, so it tells who holds the lease.
+                self.claim = ClaimAfterRestore::Normal;
+            }
         }
         self.known = Some((row, version));
     }
 
+    /// Records the store's era, before the first row of that era.
+    pub fn observe_era(&mut self, era: u64) {
+        self.store_era = self.store_era.max(era);
+    }
+
     /// Records that the store has returned from an older copy.
     ///
     /// Rows and versions known from before may be lost. The row is read again, and the holder
     /// confirms or acquires the lease before its next order.
-    pub fn store_restored(&mut self) {
-        if self.is_holder() {
-            self.epoch_before_restore = self.own_row().map(|row| row.epoch);
-        }
+    pub fn store_restored(&mut self, now_ms: u64) {
+        self.claim = self.claim_after_restore(now_ms);
         self.known = None;
         self.is_read = false;
         self.renewed_ms = None;
@@ -175,7 +187,7 @@
                 self.changed_ms = now_ms;
                 self.renewed_ms = Some(sent_ms);
                 self.needs_confirmation = false;
-                self.epoch_before_restore = None;
+                self.claim = ClaimAfterRestore::Normal;
             }
             StoreReply::Conflict(row) => {
                 self.known = None;
@@ -251,31 +263,36 @@
     /// must not take effect after the first order of the next epoch.
     fn take_over_if_free(&self, now_ms: u64) -> Option<LeaseAction> {
         let unchanged_ms = now_ms.saturating_sub(self.changed_ms);
-        let Some((row, version)) = &self.known else {
-            // A holder whose row was lost may still send orders under the highest epoch.
-            let may_be_held = self.highest_epoch > 0 && !self.is_holder_of_lost_row();
-            let lease_wait_ms = if may_be_held {
-                self.take_over_wait_ms()
-            } else {
-                0
-            };
-            let is_free = unchanged_ms >= lease_wait_ms + self.acquisition_delay_ms;
-            return is_free.then(|| self.acquisition(self.highest_epoch + 1, 0));
-        };
-        let is_from_earlier_process = self.is_from_earlier_process(row);
-        let is_ended = row.released || is_from_earlier_process || self.is_holder_of_lost_row();
-        let lease_wait_ms = if is_ended {
-            0
-        } else {
-            self.take_over_wait_ms()
+        if unchanged_ms < self.wait_before_acquisition_ms(now_ms) {
+            return None;
+        }
+        let (epoch, version) = self
+            .known
+            .as_ref()
+            .map_or((0, 0), |(row, version)| (row.epoch, *version));
+        Some(self.acquisition(epoch.max(self.highest_epoch) + 1, version))
+    }
+
+    /// Returns for how long the row must not have changed before this router acquires the lease.
+    fn wait_before_acquisition_ms(&self, now_ms: u64) -> u64 {
+        let row = self.known.as_ref().map(|(row, _)| row);
+        let is_own_vm = row.is_some_and(|row| self.is_from_earlier_process(row));
+        let is_free = match self.claim {
+            ClaimAfterRestore::Kept { .. } | ClaimAfterRestore::Suspended => false,
+            // Without a row, a holder whose row was lost may still send orders.
+            ClaimAfterRestore::Normal => {
+                row.map_or(self.highest_epoch == 0, |row| row.released || is_own_vm)
+            }
         };
-        let delay_ms = if is_from_earlier_process {
+        let delay_ms = if is_own_vm {
             0
         } else {
             self.acquisition_delay_ms
         };
-        let is_free = unchanged_ms >= lease_wait_ms + delay_ms;
-        is_free.then(|| self.acquisition(row.epoch.max(self.highest_epoch) + 1, *version))
+        if is_free || self.is_claim_kept(now_ms) {
+            return delay_ms;
+        }
+        self.lease_ms + TAKE_OVER_MARGIN_MS + delay_ms
     }
 
     /// Returns whether the holder is an earlier process of this VM, which runs one at a time.
@@ -290,7 +307,7 @@
             row: LeaseRow {
                 holder: self.vm.clone(),
                 incarnation: self.incarnation,
-                epoch,
+                epoch: epoch.max(self.least_epoch(expected_version)),
                 renewals: 0,
                 released: false,
             },
@@ -298,16 +315,44 @@
         }
     }
 
-    /// Returns whether this router held the lease under the highest epoch when the store returned
-    /// from an older copy, so that no other one can hold it.
-    fn is_holder_of_lost_row(&self) -> bool {
-        self.epoch_before_restore
-            .is_some_and(|epoch| epoch == self.highest_epoch)
+    /// Returns the least epoch under which a row of this version may be replaced.
+    ///
+    /// Once the store has returned from an older copy, nobody may remember the highest epoch. Each
+    /// version is replaced once in an era, so epochs above it have not been used.
+    fn least_epoch(&self, expected_version: u64) -> u64 {
+        if self.store_era == 0 {
+            return 1;
+        }
+        self.store_era * EPOCHS_PER_ERA + expected_version + 1
+    }
+
+    fn claim_after_restore(&self, now_ms: u64) -> ClaimAfterRestore {
+        if let ClaimAfterRestore::Kept { until_ms, .. } = self.claim
+            && now_ms < until_ms
+        {
+            return self.claim;
+        }
+        let own_epoch = self.own_row().map(|row| row.epoch);
+        match (own_epoch, self.renewed_ms) {
+            (Some(epoch), Some(renewed_ms))
+                if self.is_holder() && now_ms < renewed_ms + self.lease_ms =>
+            {
+                ClaimAfterRestore::Kept {
+                    epoch,
+                    until_ms: renewed_ms + self.lease_ms,
+                }
+            }
+            _ => ClaimAfterRestore::Suspended,
+        }
     }
 
-    /// Returns for how long a lease must not have changed before another router takes it over.
-    fn take_over_wait_ms(&self) -> u64 {
-        self.lease_ms + TAKE_OVER_MARGIN_MS
+    /// Returns whether no other router can hold the lease, although its row may be lost.
+    fn is_claim_kept(&self, now_ms: u64) -> bool {
+        matches!(
+            self.claim,
+            ClaimAfterRestore::Kept { epoch, until_ms }
+                if epoch == self.highest_epoch && now_ms < until_ms
+        )
     }
 
     fn renewal_ms(&self) -> u64 {
@@ -315,8 +360,15 @@
     }
 
     fn is_holder(&self) -> bool {
-        self.own_row()
-            .is_some_and(|row| !row.released && row.epoch >= self.highest_epoch)
+        let Some(row) = self.own_row() else {
+            return false;
+        };
+        let may_claim = match self.claim {
+            ClaimAfterRestore::Normal => true,
+            ClaimAfterRestore::Kept { epoch, .. } => epoch == row.epoch,
+            ClaimAfterRestore::Suspended => false,
+        };
+        may_claim && !row.released && row.epoch >= self.highest_epoch
     }
 
     fn own_row(&self) -> Option<&LeaseRow> {
--- a/crates/chicorystage-core/tests/order_lease_restore.rs
+++ b/crates/chicorystage-core/tests/order_lease_restore.rs
@@ -1,8 +1,14 @@
 //! The order lease after the store has returned from an older copy.
 
+use std::collections::HashMap;
+
 use chicorystage_api::name::VmId;
 use chicorystage_core::lease::{LeaseAction, LeaseRow, OrderLease, StoreReply};
 use googletest::prelude::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 
 const LEASE_MS: u64 = 3_000;
 
@@ -44,7 +50,7 @@
 fn holder_sends_no_order_before_the_restored_row_is_confirmed() {
     let mut lease = holder_of_epoch_5();
     expect_that!(lease.epoch(1_000), some(eq(5)));
-    lease.store_restored();
+    lease.store_restored(1_100);
     expect_that!(lease.epoch(1_100), none());
     lease.apply_row(1_100, Some((row("a", 5), 30)));
     expect_that!(lease.epoch(1_100), none());
@@ -58,7 +64,7 @@
 fn holder_whose_row_is_lost_acquires_at_once_with_a_higher_epoch() {
     for restored in [None, Some((row("b", 3), 20))] {
         let mut lease = holder_of_epoch_5();
-        lease.store_restored();
+        lease.store_restored(1_100);
         lease.apply_row(1_100, restored);
         let write = first_write(&mut lease, 1_100, 1_300);
         let (_, action) = write.expect("no other router can hold the lease");
@@ -73,7 +79,7 @@
         let mut lease = lease("c");
         lease.apply_row(0, Some((row("a", 5), 50)));
         lease.tick(1_000);
-        lease.store_restored();
+        lease.store_restored(1_100);
         lease.apply_row(1_100, restored);
         let write = first_write(&mut lease, 1_100, 9_000);
         let (now_ms, action) = write.expect("the lease is free in the end");
@@ -86,7 +92,7 @@
 #[gtest]
 fn former_holder_that_hears_of_a_higher_epoch_waits_like_the_others() {
     let mut lease = holder_of_epoch_5();
-    lease.store_restored();
+    lease.store_restored(1_100);
     lease.apply_row(1_100, None);
     lease.observe_epoch(6);
     let write = first_write(&mut lease, 1_100, 9_000);
@@ -94,3 +100,219 @@
     expect_that!(now_ms, gt(1_100 + LEASE_MS));
     expect_that!(action.row.epoch, eq(7));
 }
+
+const TICK_MS: u64 = 100;
+const GATEWAYS: usize = 3;
+
+/// A store with the lease row that can return to what it was.
+#[derive(Debug, Default)]
+struct Store {
+    row: Option<(LeaseRow, u64)>,
+    counter: u64,
+    era: u64,
+    /// Row and counter at each tick.
+    past: Vec<(Option<(LeaseRow, u64)>, u64)>,
+}
+
+impl Store {
+    fn write(&mut self, action: &LeaseAction) -> StoreReply {
+        let version = self.row.as_ref().map_or(0, |(_, version)| *version);
+        if version != action.expected_version {
+            return StoreReply::Conflict(self.row.clone());
+        }
+        self.counter += 1;
+        self.row = Some((action.row.clone(), self.counter));
+        StoreReply::Written(self.counter)
+    }
+
+    fn keep_copy(&mut self) {
+        self.past.push((self.row.clone(), self.counter));
+    }
+
+    fn restore(&mut self, age_ticks: usize) {
+        let kept = self.past.len().saturating_sub(age_ticks).max(1);
+        self.past.truncate(kept);
+        if let Some((row, counter)) = self.past.last().cloned() {
+            (self.row, self.counter) = (row, counter);
+            self.era += 1;
+        }
+    }
+}
+
+/// One gateway of the simulation.
+#[derive(Debug)]
+struct Gateway {
+    lease: OrderLease,
+    seen_era: u64,
+    paused_until_ms: u64,
+    disconnected_until_ms: u64,
+}
+
+impl Gateway {
+    /// Starts a process of the gateway, which knows nothing.
+    fn start(i: usize, endpoints_check_epoch: bool, now_ms: u64) -> Self {
+        let vm = VmId::from(format!("g{i}"));
+        Self {
+            lease: OrderLease::new(vm, now_ms + 1, LEASE_MS, endpoints_check_epoch),
+            seen_era: 0,
+            paused_until_ms: 0,
+            disconnected_until_ms: 0,
+        }
+    }
+}
+
+/// Simulates gateways whose store returns from older copies, beside pauses, restarts, partial
+/// outages, lost answers and late writes; returns holder and epoch of each order.
+fn simulate_drills(seed: u64, endpoints_check_epoch: bool) -> Vec<(usize, u64)> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut store = Store::default();
+    let mut gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|i| Gateway::start(i, endpoints_check_epoch, 0))
+        .collect();
+    let mut late_writes: Vec<(u64, u64, LeaseAction)> = Vec::new();
+    let mut orders = Vec::new();
+    for tick in 0..600 {
+        let now_ms = tick * TICK_MS;
+        store.keep_copy();
+        if random.random_range(0..120) == 0 {
+            store.restore(random.random_range(1..200));
+        }
+        let due: Vec<_> = late_writes
+            .extract_if(.., |(at_ms, _, _)| *at_ms <= now_ms)
+            .collect();
+        for (_, era, action) in due {
+            // What was in flight at the return is lost with the old era.
+            if era == store.era {
+                store.write(&action);
+            }
+        }
+        for i in 0..GATEWAYS {
+            let gateway = &mut gateways[i];
+            if now_ms < gateway.paused_until_ms {
+                continue;
+            }
+            match random.random_range(0..400) {
+                0 => gateway.paused_until_ms = now_ms + random.random_range(500..8_000),
+                1 => gateway.disconnected_until_ms = now_ms + random.random_range(500..9_000),
+                2 => *gateway = Gateway::start(i, endpoints_check_epoch, now_ms),
+                _ => {}
+            }
+            let is_disconnected = now_ms < gateway.disconnected_until_ms;
+            let reads = !is_disconnected && random.random_range(0..10) < 7;
+            if reads {
+                if gateway.seen_era != store.era {
+                    gateway.seen_era = store.era;
+                    gateway.lease.observe_era(store.era);
+                    gateway.lease.store_restored(now_ms);
+                }
+                gateway.lease.apply_row(now_ms, store.row.clone());
+            }
+            if let Some(action) = gateway.lease.tick(now_ms) {
+                let is_other_era = gateway.seen_era != store.era;
+                let reply = match random.random_range(0..10) {
+                    _ if is_disconnected => StoreReply::Unknown,
+                    _ if is_other_era => {
+                        // The answer's era tells that the write may have hit another row.
+                        store.write(&action);
+                        gateway.seen_era = store.era;
+                        gateway.lease.observe_era(store.era);
+                        gateway.lease.store_restored(now_ms);
+                        StoreReply::Refused
+                    }
+                    0 => {
+                        store.write(&action);
+                        StoreReply::Unknown
+                    }
+                    1 => {
+                        let at_ms = now_ms + random.random_range(500..6_000);
+                        late_writes.push((at_ms, store.era, action.clone()));
+                        StoreReply::Unknown
+                    }
+                    2 => StoreReply::Refused,
+                    _ => store.write(&action),
+                };
+                gateway.lease.apply_reply(now_ms, now_ms, action, reply);
+            }
+            let Some(epoch) = gateway.lease.epoch(now_ms) else {
+                continue;
+            };
+            orders.push((i, epoch));
+            // The holder broadcasts its epoch to the gateways that run.
+            for other in gateways
+                .iter_mut()
+                .filter(|other| now_ms >= other.paused_until_ms)
+            {
+                other.lease.observe_epoch(epoch);
+            }
+        }
+    }
+    orders
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(300)
+    })]
+
+    #[test]
+    fn no_two_holders_share_an_epoch_over_returns_from_older_copies(
+        seed in any::<u64>(),
+        endpoints_check_epoch in any::<bool>(),
+    ) {
+        let orders = simulate_drills(seed, endpoints_check_epoch);
+        let mut holders = HashMap::new();
+        for (holder, epoch) in orders {
+            let known = *holders.entry(epoch).or_insert(holder);
+            prop_assert_eq!(known, holder, "epoch {}", epoch);
+        }
+    }
+
+    #[test]
+    fn orders_go_on_over_returns_from_older_copies(seed in any::<u64>()) {
+        let orders = simulate_drills(seed, true);
+        prop_assert!(orders.len() > 150, "{} orders in 600 ticks", orders.len());
+    }
+}
+
+// The router was paused while another one took over; the copy names it as the holder.
+#[gtest]
+fn former_holder_named_by_the_copy_waits_like_the_others() {
+    let mut lease = holder_of_epoch_5();
+    let now_ms = 1_000 + 2 * LEASE_MS;
+    lease.store_restored(now_ms);
+    lease.apply_row(now_ms, Some((row("a", 5), 30)));
+    let write = first_write(&mut lease, now_ms, now_ms + 9_000);
+    let (write_ms, action) = write.expect("the lease is free in the end");
+    expect_that!(write_ms, gt(now_ms + LEASE_MS));
+    expect_that!(action.row.epoch, eq(6));
+}
+
+// A router that starts after the return knows no epoch from before.
+#[gtest]
+fn epochs_of_a_new_era_are_above_all_earlier_ones() {
+    let mut lease = lease("c");
+    lease.observe_era(2);
+    lease.apply_row(0, None);
+    let (_, action) = first_write(&mut lease, 0, 1_000).expect("the lease is free");
+    let mut other = holder_of_epoch_5();
+    other.observe_epoch(action.row.epoch);
+    expect_that!(action.row.epoch, gt(2 << 32));
+    expect_that!(other.epoch(1_100), none());
+}
+
+#[gtest]
+fn released_row_of_a_copy_is_not_acquired_at_once() {
+    let mut lease = lease("c");
+    lease.apply_row(0, Some((row("a", 5), 50)));
+    lease.store_restored(1_100);
+    let released = LeaseRow {
+        released: true,
+        ..row("b", 4)
+    };
+    lease.apply_row(1_100, Some((released, 20)));
+    let write = first_write(&mut lease, 1_100, 9_000);
+    let (now_ms, _) = write.expect("the lease is free in the end");
+    expect_that!(now_ms, gt(1_100 + LEASE_MS));
+}
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use chicorystage_api::name::VmId;
-use chicorystage_core::lease::OrderLease;
 use chicorystage_core::retry::Predecessor;
 use chicorystage_platform::store::{Changes, Row};
 use serde::{Deserialize, Serialize};
@@ -28,6 +27,7 @@
 
 /// Applies rows of the system's own table: the lease and other gateways' addresses.
 pub(super) fn apply_own(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
+    gateway.lease(|lease| lease.observe_era(changes.position.era));
     let mut has_lease = false;
     for row in &changes.rows {
         if row.key == LEASE_KEY {
@@ -47,7 +47,7 @@
 ///
 /// What this gateway wrote after the copy was taken is lost, so it registers again.
 pub(super) fn apply_restored(gateway: &Rc<Gateway>, rows: &Changes) {
-    gateway.lease(OrderLease::store_restored);
+    gateway.observe_restore(rows.position.era);
     gateway.own_row_version.set(0);
     apply_own(gateway, rows, true);
     peers::register_again(gateway);
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -120,8 +120,7 @@
             return answer;
         };
         let previous = self.era.replace(era);
-        let known_era = &self.gateway.store_era;
-        known_era.set(known_era.get().max(era));
+        self.gateway.observe_era(era);
         let FeedAnswer::Whole(rows) = answer else {
             return answer;
         };
--- a/crates/chicorystaged/src/gateway/peers/registration.rs
+++ b/crates/chicorystaged/src/gateway/peers/registration.rs
@@ -25,7 +25,7 @@
         return;
     };
     loop {
-        let expected = gateway.own_row_version.get();
+        let expected = gateway.position(gateway.own_row_version.get());
         match store.write(&key, &value, expected).await {
             WriteOutcome::Written(_version) => {
                 gateway.metrics.count_store_call("register", "ok");
@@ -33,6 +33,10 @@
                 return;
             }
             WriteOutcome::Conflict(row) => gateway.observe_own_row(row.as_ref()),
+            WriteOutcome::OtherEra(era) => {
+                gateway.observe_era(era);
+                gateway.own_row_version.set(0);
+            }
             WriteOutcome::Refused | WriteOutcome::Unknown => {
                 gateway.metrics.count_store_call("register", "failed");
                 tokio::time::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -13,7 +13,7 @@
 use chicorystage_core::retry::{
     BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
 };
-use chicorystage_platform::store::StoreClient;
+use chicorystage_platform::store::{StoreClient, StorePosition};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
@@ -173,6 +173,20 @@
         })
     }
 
+    /// Records an era of the store that was seen in an answer.
+    pub fn observe_era(&self, era: u64) {
+        self.store_era.set(self.store_era.get().max(era));
+    }
+
+    /// Returns the position of a version in the newest known era of the store.
+    #[must_use]
+    pub fn position(&self, version: u64) -> StorePosition {
+        StorePosition {
+            era: self.store_era.get(),
+            version,
+        }
+    }
+
     /// Calls `decide` with exclusive access to the lease.
     pub fn lease<T>(&self, decide: impl FnOnce(&mut OrderLease) -> T) -> T {
         decide(&mut self.lease.borrow_mut())
