Send no second whole read beside one whose response is arriving

Found while reading the diff: a whole read did not tell when its response had begun, so a store taken for lost would have been asked for the whole table up to six times at once over a slow link. And a transfer that broke off kept further calls back until the others had timed out.

--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -39,6 +39,7 @@
     needs_confirmation: bool,
     /// Highest epoch observed in the store, at an endpoint or at another router.
     highest_epoch: u64,
+    /// What this router may claim of a row that the store has restored.
     claim: ClaimAfterRestore,
     /// Newest known era of the store; 0 if it states none.
     store_era: u64,
@@ -96,7 +97,7 @@
         if !self.is_own(&row) {
             self.renewed_ms = None;
             if !is_first {
-                // Another router writes the restored row, so it tells who holds the lease.
+                // Another router writes the restored row, so the row tells who holds the lease.
                 self.claim = ClaimAfterRestore::Normal;
             }
         }
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -36,6 +36,7 @@
 const REREAD_MARGIN_MS: u64 = 500;
 /// Largest number of calls in flight on one table.
 const CALLS_MAX: usize = 6;
+
 type Calls<'a> = FuturesUnordered<LocalBoxFuture<'a, Result<FeedAnswer, BorderError>>>;
 
 /// Answer of the store to a call on a table.
@@ -151,12 +152,13 @@
                     Ok(answer) => return Ok(answer),
                     Err(error) if calls.is_empty() => return Err(error),
                     Err(error) => {
+                        has_head.store(false, Ordering::Relaxed);
                         self.record_failed_call(&error);
                         continue;
                     }
                 },
                 () = self.probe_due(), if has_room => Box::pin(self.call(0, &has_head)),
-                () = self.newer_configuration(), if has_room => Box::pin(self.read()),
+                () = self.newer_configuration(), if has_room => Box::pin(self.read(&has_head)),
             };
             // A transfer in progress would only be slowed down by another one.
             if !has_head.load(Ordering::Relaxed) {
@@ -168,7 +170,7 @@
     /// Reads the whole table, or waits up to `wait_ms` for its changes.
     async fn call(&self, wait_ms: u64, has_head: &AtomicBool) -> Result<FeedAnswer, BorderError> {
         let Some(known) = self.known else {
-            return self.read().await;
+            return self.read(has_head).await;
         };
         let changes = self
             .poll_client
@@ -177,8 +179,8 @@
         Ok(changes.map_or(FeedAnswer::HistoryLost, FeedAnswer::Changed))
     }
 
-    async fn read(&self) -> Result<FeedAnswer, BorderError> {
-        let rows = self.read_client.read(self.table).await?;
+    async fn read(&self, has_head: &AtomicBool) -> Result<FeedAnswer, BorderError> {
+        let rows = self.read_client.read(self.table, has_head).await?;
         Ok(FeedAnswer::Whole(rows))
     }
 
