Forget an endpoint's departure when it serves again

Found while reading the diff: an endpoint that had gone missing and registered again with the same start was still counted as departed. After the store's return from an older copy its entry was passed over, and it was dropped from 2.1 s until the table was read once more, about two seconds later.

Test endpoint_that_has_registered_again_before_the_copy_was_taken_is_kept: expected true, actual false without the change; now passes. Only reached after an era of the store has ended.

--- a/crates/chicorystage-core/src/registry/departures.rs
+++ b/crates/chicorystage-core/src/registry/departures.rs
@@ -29,6 +29,11 @@
         self.by_endpoint.insert(id, departure);
     }
 
+    /// Records that an endpoint serves again.
+    pub fn forget(&mut self, id: &EndpointId) {
+        self.by_endpoint.remove(id);
+    }
+
     /// Returns whether the endpoint that started at `born_unix_ms` has left.
     #[must_use]
     pub fn contains(&self, id: &EndpointId, born_unix_ms: Option<u64>) -> bool {
--- a/crates/chicorystage-testbed/tests/gateway_store_restore.rs
+++ b/crates/chicorystage-testbed/tests/gateway_store_restore.rs
@@ -136,3 +136,26 @@
         Ok(())
     })
 }
+
+#[gtest]
+fn endpoint_that_has_registered_again_before_the_copy_was_taken_is_kept() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let returned = endpoint("e1").await?;
+        world.register(&returned, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.remove("servers", "e1");
+        wait_until("e1 is gone", || !knows(&gateway, "e1")).await;
+        world.register(&returned, "app");
+        wait_until("e1 is back", || knows(&gateway, "e1")).await;
+        restore(&world, world.store.copy(), || {}).await;
+        wait_until("the restored table is read", || gateway.store_era.get() > 0).await;
+        // Covers a poll that is never answered, and the time for registering again after it.
+        for _ in 0..60 {
+            sleep_ms(100).await;
+            verify_that!(knows(&gateway, "e1"), eq(true))?;
+        }
+        Ok(())
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/endpoints.rs
+++ b/crates/chicorystaged/src/gateway/follow/endpoints.rs
@@ -105,6 +105,9 @@
     };
     let state = entry.state;
     let born_unix_ms = entry.born_unix_ms;
+    if state == EndpointState::Ready {
+        gateway.with(|view| view.departures.forget(id));
+    }
     let change = gateway.with(|view| view.fleet.registered(entry));
     if change == EntryChange::Leaving {
         record_departure(gateway, id, born_unix_ms);
