Begin each log line with event, request and reason

A line now begins with time, level and the attributes, of which event, request, reason and lacking come first.

--- a/crates/chicorystaged/src/cli.rs
+++ b/crates/chicorystaged/src/cli.rs
@@ -7,9 +7,8 @@
 use log4rs::append::Append;
 use log4rs::append::file::FileAppender;
 use log4rs::config::{Appender, Config, Root};
-use log4rs::encode::json::JsonEncoder;
 
-use crate::logging::BoundedAppender;
+use crate::logging::{BoundedAppender, LineEncoder};
 use crate::settings::{DaemonFile, LogSettings, Role};
 use crate::{agent, gateway, router};
 
@@ -118,7 +117,7 @@
 
 fn init_logging(settings: &LogSettings) -> anyhow::Result<()> {
     let appender: Box<dyn Append> = if let Some(path) = &settings.file {
-        let encoder = Box::new(JsonEncoder::new());
+        let encoder = Box::new(LineEncoder);
         Box::new(FileAppender::builder().encoder(encoder).build(path)?)
     } else {
         Box::new(BoundedAppender::start()?)
--- a/crates/chicorystaged/src/logging/bounded_appender.rs
+++ b/crates/chicorystaged/src/logging/bounded_appender.rs
@@ -5,9 +5,10 @@
 use log::Record;
 use log4rs::append::Append;
 use log4rs::encode::Encode;
-use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::writer::simple::SimpleWriter;
 
+use crate::logging::LineEncoder;
+
 /// Largest number of lines in the queue; further lines are dropped and counted.
 const LINES_MAX: usize = 2_048;
 /// Initial capacity of a line's buffer, in bytes; most lines fit.
@@ -21,7 +22,6 @@
 /// number of lines dropped.
 #[derive(Debug)]
 pub struct BoundedAppender {
-    encoder: JsonEncoder,
     lines: SyncSender<Vec<u8>>,
     dropped: AtomicU64,
 }
@@ -38,7 +38,6 @@
             .name("log".to_owned())
             .spawn(move || write_lines(&written))?;
         Ok(Self {
-            encoder: JsonEncoder::new(),
             lines,
             dropped: AtomicU64::new(0),
         })
@@ -54,7 +53,7 @@
 impl Append for BoundedAppender {
     fn append(&self, record: &Record<'_>) -> anyhow::Result<()> {
         let mut line = Vec::with_capacity(LINE_BYTES);
-        self.encoder.encode(&mut SimpleWriter(&mut line), record)?;
+        LineEncoder.encode(&mut SimpleWriter(&mut line), record)?;
         self.send(line);
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
--- a/crates/chicorystaged/src/logging/mod.rs
+++ b/crates/chicorystaged/src/logging/mod.rs
@@ -4,5 +4,7 @@
 //! the queue is full, lines are dropped and counted.
 
 mod bounded_appender;
+mod line_encoder;
 
 pub use bounded_appender::BoundedAppender;
+pub use line_encoder::LineEncoder;
