Log and count what the retry budget decided, and from which figures

Nothing told the three hypotheses apart: a failed attempt did not say for which service it asked for a retry, nor what the gateway had counted. Each such line now has the service, the outcome (granted, denied, not asked), retries, limit and first attempts of the window, and the number of gateways; counters by service: first attempts, sent, retries granted and denied. No decision is changed.

--- /dev/null
+++ b/crates/chicorystage-core/src/retry/budget_usage.rs
@@ -0,0 +1,18 @@
+/// What a router counts in its window, and how many retries that allows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BudgetUsage {
+    /// First attempts that allow retries.
+    pub first_attempts: u32,
+    /// Retries that were taken.
+    pub retries: u32,
+    /// Number of retries that may be taken in the window, a fraction of one included.
+    pub limit: f64,
+}
+
+impl BudgetUsage {
+    /// Returns whether another retry stays within the limit.
+    #[must_use]
+    pub fn allows_retry(&self) -> bool {
+        f64::from(self.retries + 1) <= self.limit
+    }
+}
--- a/crates/chicorystage-core/src/retry/mod.rs
+++ b/crates/chicorystage-core/src/retry/mod.rs
@@ -12,6 +12,7 @@
 
 mod backoff;
 mod budget_share;
+mod budget_usage;
 mod predecessor;
 mod retry_budget;
 mod retry_budget_settings;
@@ -20,6 +21,7 @@
 
 pub use backoff::backoff_ms;
 pub use budget_share::BudgetShare;
+pub use budget_usage::BudgetUsage;
 pub use predecessor::Predecessor;
 pub use retry_budget::RetryBudget;
 pub use retry_budget_settings::RetryBudgetSettings;
--- a/crates/chicorystage-core/src/retry/service_retry_budgets.rs
+++ b/crates/chicorystage-core/src/retry/service_retry_budgets.rs
@@ -2,7 +2,7 @@
 
 use chicorystage_api::name::ServiceName;
 
-use crate::retry::{BudgetShare, RetryBudgetSettings, SharedRetryBudget};
+use crate::retry::{BudgetShare, BudgetUsage, RetryBudgetSettings, SharedRetryBudget};
 
 /// One router's retry budgets, one for each service.
 ///
@@ -43,6 +43,16 @@
         self.budget(service).try_take(now_ms, share)
     }
 
+    /// Returns what is counted and allowed for a service; see [`SharedRetryBudget::usage`].
+    pub fn usage(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        share: Option<BudgetShare>,
+    ) -> BudgetUsage {
+        self.budget(service).usage(now_ms, share)
+    }
+
     fn budget(&mut self, service: &ServiceName) -> &mut SharedRetryBudget {
         self.by_service
             .entry(service.clone())
--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use crate::retry::{BudgetShare, Predecessor, RetryBudgetSettings};
+use crate::retry::{BudgetShare, BudgetUsage, Predecessor, RetryBudgetSettings};
 
 /// Share of the ratio that is used.
 ///
@@ -60,22 +60,28 @@
     /// `share` is `None` if the other routers do not know this one yet; then it has no part of the
     /// allowance.
     pub fn try_take(&mut self, now_ms: u64, share: Option<BudgetShare>) -> bool {
-        self.current_bucket(now_ms);
-        let first_attempts: u32 = self
-            .buckets
-            .iter()
-            .map(|bucket| bucket.first_attempts)
-            .sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
-        let limit = RATIO_SHARE * self.settings.ratio * f64::from(first_attempts)
-            + share.map_or(0.0, |share| self.own_allowance(now_ms, share));
-        if f64::from(retries + 1) > limit {
+        if !self.usage(now_ms, share).allows_retry() {
             return false;
         }
         self.current_bucket(now_ms).retries += 1;
         true
     }
 
+    /// Returns what is counted and allowed at `now_ms`; `share` is as in [`Self::try_take`].
+    pub fn usage(&mut self, now_ms: u64, share: Option<BudgetShare>) -> BudgetUsage {
+        self.current_bucket(now_ms);
+        let buckets = self.buckets.iter();
+        let first_attempts: u32 = buckets.clone().map(|bucket| bucket.first_attempts).sum();
+        let retries = buckets.map(|bucket| bucket.retries).sum();
+        let limit = RATIO_SHARE * self.settings.ratio * f64::from(first_attempts)
+            + share.map_or(0.0, |share| self.own_allowance(now_ms, share));
+        BudgetUsage {
+            first_attempts,
+            retries,
+            limit,
+        }
+    }
+
     /// Returns this router's part of the allowance.
     fn own_allowance(&self, now_ms: u64, share: BudgetShare) -> f64 {
         let is_first_window = now_ms < self.started_ms + self.settings.window_ms;
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -96,6 +96,20 @@
     pub reservation: Reservation,
 }
 
+impl Attempted {
+    /// Returns whether the request was written to a connection, so that it may have arrived.
+    #[must_use]
+    pub fn was_sent(&self) -> bool {
+        !matches!(
+            self,
+            Self::NotRun {
+                has_arrived: false,
+                ..
+            }
+        )
+    }
+}
+
 impl CallerWork {
     /// Returns the time from `now_ms` to [`Self::ends_ms`], in milliseconds; 0 once that has
     /// passed.
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -21,6 +21,7 @@
 use crate::gateway::event_timing::EventTiming;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
+use crate::gateway::retry_decision::BudgetFields;
 use crate::gateway::shared::Gateway;
 
 /// Multiple of the route's pause objective after which a silent stream is resumed elsewhere.
@@ -216,10 +217,15 @@
         drop(broken);
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
         let service = &self.requirements.service;
-        let has_budget = may_resume && self.gateway.take_retry(now_ms, service);
+        let budget = may_resume.then(|| self.gateway.take_retry(now_ms, service));
+        let has_budget = budget.as_ref().is_some_and(|decision| decision.is_granted);
+        let fields = BudgetFields::of(budget.as_ref());
         log::warn!(
-            event = "answer_broken", request = self.work.head.attempt_id.as_str(),
-            endpoint = endpoint.as_str(), reason, resumed = has_budget, runs = self.runs;
+            event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
+            endpoint = endpoint.as_str(), service = service.as_str(), resumed = has_budget,
+            runs = self.runs, budget = fields.outcome, retries = fields.usage.retries,
+            retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
+            gateways = fields.gateways;
             "answer broke off"
         );
         if !has_budget {
@@ -244,7 +250,11 @@
         };
         let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
         let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
-        let Ok(Attempted::Answered(answered)) = tokio::time::timeout(limit, sent).await else {
+        let sent = tokio::time::timeout(limit, sent).await.ok();
+        if sent.as_ref().is_none_or(Attempted::was_sent) {
+            self.gateway.metrics.count_sent(&self.requirements.service);
+        }
+        let Some(Attempted::Answered(answered)) = sent else {
             return false;
         };
         if !answered.parts.status.is_success() {
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod probe_http;
 pub mod request;
 pub mod reservation;
+pub mod retry_decision;
 pub mod serving;
 pub mod shared;
 pub mod stop;
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -15,6 +15,7 @@
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::poison;
+use crate::gateway::retry_decision::BudgetFields;
 use crate::gateway::serving::Serving;
 use crate::metrics::RequestOutcome;
 
@@ -43,19 +44,27 @@
                 has_arrived,
             } => {
                 self.gateway.metrics.count_attempt("not_run");
-                log::info!(
-                    event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
-                    endpoint = endpoint.as_str(), reason, attempts = self.attempts;
-                    "endpoint did not run the request"
-                );
                 if is_misdirected && requirements.model.is_some() {
                     self.record_missing_model(endpoint, requirements, now_ms);
                 } else {
                     self.record_refusal(endpoint, now_ms, is_misdirected);
                     requirements.avoid.push(endpoint.clone());
                 }
-                let may_retry = self.attempts < ATTEMPTS_MAX
-                    && (!has_arrived || self.gateway.take_retry(now_ms, &requirements.service));
+                let has_attempts_left = self.attempts < ATTEMPTS_MAX;
+                let budget = (has_attempts_left && has_arrived)
+                    .then(|| self.gateway.take_retry(now_ms, &requirements.service));
+                let may_retry =
+                    has_attempts_left && budget.as_ref().is_none_or(|decision| decision.is_granted);
+                let fields = BudgetFields::of(budget.as_ref());
+                log::info!(
+                    event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
+                    reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
+                    attempts = self.attempts, repeated = may_retry,
+                    budget = fields.outcome, retries = fields.usage.retries,
+                    retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
+                    gateways = fields.gateways;
+                    "endpoint did not run the request"
+                );
                 if !may_retry {
                     return Some(self.final_refusal(requirements, &Choice::Full));
                 }
@@ -73,14 +82,21 @@
                 }
                 self.gateway.metrics.count_attempt("lost");
                 requirements.avoid.push(endpoint.clone());
-                let may_repeat = self.work.route.kind.is_repeatable()
+                let may_run_again = self.work.route.kind.is_repeatable()
                     && self.runs < self.work.route.endpoints_per_attempt_max
                     && self.work.left_ms(now_ms) > 0
-                    && !*self.gateway.aborting.borrow()
-                    && self.gateway.take_retry(now_ms, &requirements.service);
+                    && !*self.gateway.aborting.borrow();
+                let budget =
+                    may_run_again.then(|| self.gateway.take_retry(now_ms, &requirements.service));
+                let may_repeat = budget.as_ref().is_some_and(|decision| decision.is_granted);
+                let fields = BudgetFields::of(budget.as_ref());
                 log::warn!(
                     event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
-                    endpoint = endpoint.as_str(), reason, repeated = may_repeat, runs = self.runs;
+                    reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
+                    repeated = may_repeat, runs = self.runs,
+                    budget = fields.outcome, retries = fields.usage.retries,
+                    retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
+                    gateways = fields.gateways;
                     "the answer of an endpoint is lost; the request may have run"
                 );
                 (!may_repeat).then(|| self.lost_response(now_ms))
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -98,6 +98,9 @@
                 sent = tokio::time::timeout(limit, sent) => sent.ok(),
                 () = self.gateway.aborting() => None,
             };
+            if sent.as_ref().is_none_or(Attempted::was_sent) {
+                self.gateway.metrics.count_sent(&requirements.service);
+            }
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
                     ReadAnswer::Whole(response) => return self.record_answer(response, &endpoint),
@@ -158,9 +161,10 @@
     fn record_demand(&self, requirements: &Requirements) {
         let now_ms = self.work.arrived_ms;
         let objective_ms = self.work.route.objective_ms;
+        let service = &requirements.service;
+        self.gateway.metrics.count_first_attempt(service);
         self.gateway.with(|view| {
-            view.retries
-                .record_first_attempt(now_ms, &requirements.service);
+            view.retries.record_first_attempt(now_ms, service);
             let Some(model) = &requirements.model else {
                 return;
             };
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::gateway::pool::Pool;
+use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::view::View;
 use crate::metrics::GatewayMetrics;
 use crate::settings::GatewaySettings;
@@ -156,21 +157,26 @@
         }
     }
 
-    /// Takes one retry from the budget of a service that all gateways share; returns whether one
-    /// was left.
+    /// Takes one retry from the budget of a service that all gateways share, if one is left.
     ///
     /// The others count this gateway only once it is registered, and it must know them.
     #[must_use]
-    pub fn take_retry(&self, now_ms: u64, service: &ServiceName) -> bool {
+    pub fn take_retry(&self, now_ms: u64, service: &ServiceName) -> RetryDecision {
         let predecessor = self.predecessor.get();
-        self.with(|view| {
+        let decision = self.with(|view| {
             let predecessor = predecessor.filter(|_| view.has_peers);
             let share = predecessor.map(|predecessor| BudgetShare {
                 routers: view.gateways(),
                 predecessor,
             });
-            view.retries.try_take(now_ms, service, share)
-        })
+            RetryDecision {
+                usage: view.retries.usage(now_ms, service, share),
+                is_granted: view.retries.try_take(now_ms, service, share),
+                share,
+            }
+        });
+        self.metrics.count_retry(service, decision.is_granted);
+        decision
     }
 
     /// Records an era of the store that was seen in an answer.
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -1,3 +1,4 @@
+use chicorystage_api::name::ServiceName;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
@@ -34,6 +35,30 @@
     pub outcome: RequestOutcome,
 }
 
+/// Labels of what is counted per service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// Name of the service.
+    pub service: String,
+}
+
+impl ServiceLabels {
+    fn of(service: &ServiceName) -> Self {
+        Self {
+            service: service.as_str().to_owned(),
+        }
+    }
+}
+
+/// Labels of retries that are counted per service and decision.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RetryLabels {
+    /// Name of the service.
+    pub service: String,
+    /// Whether the budget granted the retry: `true` or `false`.
+    pub is_granted: String,
+}
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum RequestOutcome {
@@ -65,6 +90,9 @@
     first_byte: HistogramFamily,
     answer: HistogramFamily,
     attempts: Family<EventLabels, Counter>,
+    first_attempts: Family<ServiceLabels, Counter>,
+    sent: Family<ServiceLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
     orders: Family<EventLabels, Counter>,
     store_calls: Family<EventLabels, Counter>,
     waiting: Gauge,
@@ -88,6 +116,9 @@
             first_byte: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
             attempts: Family::default(),
+            first_attempts: Family::default(),
+            sent: Family::default(),
+            retries: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
             waiting: Gauge::default(),
@@ -126,6 +157,26 @@
         count(&self.attempts, "attempt", outcome);
     }
 
+    /// Counts a request that adds to the retry budget of a service.
+    pub fn count_first_attempt(&self, service: &ServiceName) {
+        let labels = ServiceLabels::of(service);
+        self.first_attempts.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that reached an endpoint or may have, first attempt or retry.
+    pub fn count_sent(&self, service: &ServiceName) {
+        self.sent.get_or_create(&ServiceLabels::of(service)).inc();
+    }
+
+    /// Counts a retry that the budget of a service granted or denied.
+    pub fn count_retry(&self, service: &ServiceName, is_granted: bool) {
+        let labels = RetryLabels {
+            service: service.as_str().to_owned(),
+            is_granted: is_granted.to_string(),
+        };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Counts a load or unload order to an engine.
     pub fn count_order(&self, kind: &str, outcome: &str) {
         count(&self.orders, kind, outcome);
@@ -166,6 +217,21 @@
             registry.register_with_unit(name, help, Unit::Seconds, family.clone());
         }
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
+        registry.register(
+            "first_attempts",
+            "Requests that add to a service's retry budget",
+            self.first_attempts.clone(),
+        );
+        registry.register(
+            "sent",
+            "Requests that may have reached an endpoint, retries included",
+            self.sent.clone(),
+        );
+        registry.register(
+            "retries",
+            "Retries that a service's budget granted or denied",
+            self.retries.clone(),
+        );
         registry.register("orders", "Orders to engines", self.orders.clone());
         registry.register(
             "store_calls",
