--- a/crates/chicorystage-testbed/src/cli.rs
+++ b/crates/chicorystage-testbed/src/cli.rs
@@ -10,7 +10,7 @@
 
 use crate::fakes::{FakeEngine, FakeEngineConfig, FakeService};
 use crate::standin::{EngineApi, HttpWeightStore, PlatformApi, ServiceApi};
-use crate::{chaos, demo, replay, slopes};
+use crate::{chaos, demo, replay, slopes, soak};
 
 /// Exit status where the command line is wrong.
 const EXIT_BAD_ARGUMENTS: u8 = 2;
@@ -35,6 +35,8 @@
     Demo(demo::DemoOptions),
     /// Run real processes under random faults and check the guarantees.
     Chaos(chaos::ChaosOptions),
+    /// Run gateways as processes under load and faults, and check what endpoints see.
+    Soak(soak::SoakOptions),
     /// Replay recorded traces in virtual time.
     Replay(replay::ReplayOptions),
     /// Measure what routers and agents cost at several sizes.
@@ -96,6 +98,7 @@
     match arguments.command {
         Some(Command::Demo(options)) => block_on(demo::run(options)),
         Some(Command::Chaos(options)) => block_on(chaos::run(options)),
+        Some(Command::Soak(options)) => block_on(soak::run(options)),
         Some(Command::Replay(options)) => match replay::run(&options) {
             Ok(true) => ExitCode::SUCCESS,
             Ok(false) => ExitCode::from(EXIT_FAILED),
--- a/crates/chicorystage-testbed/src/deployment/child.rs
+++ b/crates/chicorystage-testbed/src/deployment/child.rs
@@ -39,10 +39,24 @@
     ///
     /// Fails where the program cannot be started.
     pub fn start(program: &PathBuf, name: &str, arguments: &[OsString]) -> anyhow::Result<Self> {
+        Self::start_with_output(program, name, arguments, Stdio::piped())
+    }
+
+    /// Starts a program like [`Self::start`], with its standard output sent to `output`.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program cannot be started.
+    pub fn start_with_output(
+        program: &PathBuf,
+        name: &str,
+        arguments: &[OsString],
+        output: Stdio,
+    ) -> anyhow::Result<Self> {
         let child = Command::new(program)
             .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::piped())
+            .stdout(output)
             .kill_on_drop(true)
             .spawn()
             .with_context(|| format!("start {name}"))?;
--- a/crates/chicorystage-testbed/src/deployment/mod.rs
+++ b/crates/chicorystage-testbed/src/deployment/mod.rs
@@ -16,4 +16,5 @@
 pub use child::{ChildProcess, Signal};
 pub use config::DeploymentConfig;
 pub use node::Node;
+pub(crate) use ports::free_address;
 pub use started::Deployment;
--- a/crates/chicorystage-testbed/src/deployment/plan.rs
+++ b/crates/chicorystage-testbed/src/deployment/plan.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::deployment::Deployment;
-use crate::deployment::ports::free_address;
+use crate::deployment::free_address;
 use crate::settings_file::{DaemonSettingsFile, RoleSettings};
 
 const ROUTER_GROUP: &str = "entry";
--- a/crates/chicorystage-testbed/src/deployment/ports.rs
+++ b/crates/chicorystage-testbed/src/deployment/ports.rs
@@ -15,7 +15,7 @@
 /// The address must stay free between this check and the daemon's own bind. Each
 /// process therefore uses a loopback host of its own, and tries each port once
 /// until the range wraps around.
-pub(super) fn free_address() -> anyhow::Result<SocketAddr> {
+pub(crate) fn free_address() -> anyhow::Result<SocketAddr> {
     let host = loopback_host(std::process::id());
     for _ in 0..PORT_COUNT {
         let port = FIRST_PORT + PORTS_TRIED.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
--- a/crates/chicorystage-testbed/src/lib.rs
+++ b/crates/chicorystage-testbed/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`deployment`]: the whole system on one machine, as processes.
 //! * [`audit`]: observations from outside the daemons, to check guarantees with.
 //! * [`chaos`]: a stress test of real processes under random faults.
+//! * [`soak`]: gateways as processes under load and faults, judged from what endpoints see.
 //! * [`slopes`]: the cost of routers and agents, measured at several sizes.
 //! * [`demo`]: a demonstration of the whole system on one machine.
 //! * [`users_platform`]: emulators of the users' platform.
@@ -32,5 +33,6 @@
 pub mod replay;
 pub mod settings_file;
 pub mod slopes;
+pub mod soak;
 pub mod standin;
 pub mod users_platform;
--- /dev/null
+++ b/crates/chicorystage-testbed/src/soak/fault.rs
@@ -0,0 +1,35 @@
+use std::fmt;
+
+use crate::users_platform::{Reply, StoreMode};
+
+/// What is done to one part of the system at one moment.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// All endpoints of the applications reply like this from now on.
+    Application(Reply),
+    /// All endpoints of the model service reply like this from now on.
+    Model(Reply),
+    /// The store behaves like this from now on.
+    Store(StoreMode),
+    /// A gateway is killed and started again at once.
+    Restart(usize),
+    /// A gateway's process is paused.
+    Pause(usize),
+    /// A paused gateway's process is continued.
+    Continue(usize),
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// Time since the start of the load, in milliseconds.
+    pub at_ms: u64,
+    /// What is done.
+    pub fault: Fault,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>6} ms  {:?}", self.at_ms, self.fault)
+    }
+}
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{Value, json};
+use tokio::time::Instant;
 
 use crate::users_platform::local_http::{
     self, ConnectionFault, EmulatorBody, Frames, full_response,
@@ -97,6 +98,11 @@
         self.state.script.borrow_mut().push_back(reply);
     }
 
+    /// Sets the reply to later requests that no scripted reply is left for.
+    pub fn set_default_reply(&self, reply: Reply) {
+        *self.state.default_reply.borrow_mut() = reply;
+    }
+
     /// Returns all received requests, including refused ones.
     ///
     /// Reads of the load report and orders are left out, as the engine handles them.
@@ -163,6 +169,7 @@
             .map_or("/", |path| path.as_str())
             .to_owned(),
         headers: parts.headers,
+        arrived: Instant::now(),
         body,
     };
     let is_misdirected = is_misdirected(state, &received);
--- a/crates/chicorystage-testbed/src/users_platform/received_request.rs
+++ b/crates/chicorystage-testbed/src/users_platform/received_request.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
+use tokio::time::Instant;
 
 /// A request as an emulated endpoint received it.
 #[derive(Clone, Debug)]
@@ -10,6 +11,8 @@
     pub path: String,
     /// Headers of the request.
     pub headers: HeaderMap,
+    /// Time at which the request had arrived whole.
+    pub arrived: Instant,
     /// Body of the request, empty if it could not be read.
     pub body: Bytes,
 }
