Show that the shares of the retry budget exceed the bound at the edges of a window

The check now looks at each window that begins or ends at an arrival instead of each 250 ms, so it is stricter for all tests of the file. The soak has courses 'edge' and 'pause' and is a test, short and seeded.

--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -56,24 +56,32 @@
     }
 }
 
-/// Counts the times within a window that ends at `end_ms`.
-fn count_in_window(times: &[u64], end_ms: u64) -> f64 {
-    let window = end_ms.saturating_sub(WINDOW_MS)..end_ms;
-    let count = times.iter().filter(|time_ms| window.contains(time_ms));
-    f64::from(u32::try_from(count.count()).expect("a small number"))
+/// Counts the sorted times within the window that begins at `begin_ms`, or earlier.
+fn count_in_window(times: &[u64], begin_ms: u64, earlier_ms: u64) -> f64 {
+    let before = |limit_ms: u64| times.partition_point(|time_ms| *time_ms < limit_ms);
+    let end_ms = (begin_ms + WINDOW_MS).saturating_sub(earlier_ms);
+    let count = before(end_ms) - before(begin_ms.saturating_sub(earlier_ms));
+    f64::from(u32::try_from(count).expect("a small number"))
 }
 
-/// Returns the end of the first window in which there are more retries than the bound allows.
+/// Returns the begin of the first window in which more retries arrive than the bound allows.
 ///
-/// The bound counts the first attempts of the window or of the previous one, whichever has more.
-fn breach(first_attempts: &[u64], retries: &[u64]) -> Option<u64> {
-    let last_ms = retries.last().copied().unwrap_or(0);
-    let ends = (WINDOW_MS..=last_ms + WINDOW_MS).step_by(250);
-    ends.into_iter().find(|end_ms| {
-        let counted = [0, WINDOW_MS / 2, WINDOW_MS]
-            .map(|earlier_ms| count_in_window(first_attempts, end_ms.saturating_sub(earlier_ms)));
-        let most = counted.into_iter().fold(0.0, f64::max);
-        count_in_window(retries, *end_ms) > RATIO * most + ALLOWANCE
+/// The bound counts the first attempts of the window, of the one before it or of the one half a
+/// window before it, whichever has most. Windows that begin or end at an arrival cover all others,
+/// but for the count of first attempts, which only grows with those that begin earlier.
+fn breach(first_attempts: &[u64], arrivals: &[u64]) -> Option<u64> {
+    let mut arrivals = arrivals.to_vec();
+    arrivals.sort_unstable();
+    let ends = arrivals
+        .iter()
+        .map(|at_ms| (at_ms + 1).saturating_sub(WINDOW_MS));
+    let mut begins = arrivals.iter().copied().chain(ends);
+    begins.find(|begin_ms| {
+        let most = [0, WINDOW_MS / 2, WINDOW_MS]
+            .map(|earlier_ms| count_in_window(first_attempts, *begin_ms, earlier_ms))
+            .into_iter()
+            .fold(0.0, f64::max);
+        count_in_window(&arrivals, *begin_ms, 0) > RATIO * most + ALLOWANCE
     })
 }
 
@@ -135,6 +143,60 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(25),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    // Few first attempts, and as many retries as the budgets allow in short bursts, many of which are
+    // about a window apart.
+    #[test]
+    fn bursts_about_a_window_apart_stay_under_the_bound(
+        routers in 1_usize..8,
+        bursts in prop::collection::vec((0_u64..500, prop::bool::weighted(0.7), 0_u32..20), 1..12),
+    ) {
+        let mut budgets = vec![new_budget(0); routers];
+        let (mut now_ms, mut first_attempts, mut retries) = (3 * WINDOW_MS, Vec::new(), Vec::new());
+        for (shift_ms, is_near_edge, requests) in bursts {
+            now_ms += if is_near_edge { WINDOW_MS - shift_ms } else { 10 * shift_ms };
+            for budget in &mut budgets {
+                for _ in 0..requests {
+                    budget.record_first_attempt(now_ms);
+                    first_attempts.push(now_ms);
+                }
+                while budget.try_take(now_ms, Some(one_of(routers))) {
+                    retries.push(now_ms);
+                }
+            }
+        }
+        prop_assert_eq!(breach(&first_attempts, &retries), None);
+    }
+}
+
+// Three gateways of one deployment each spend what they have, twice within a window.
+#[test]
+fn bursts_less_than_a_window_apart_stay_under_the_bound() {
+    const ROUTERS: usize = 3;
+    let mut budgets = vec![new_budget(0); ROUTERS];
+    let (mut first_attempts, mut retries) = (Vec::new(), Vec::new());
+    for now_ms in [20_499, 30_000] {
+        for budget in &mut budgets {
+            for _ in 0..10 {
+                budget.record_first_attempt(now_ms);
+                first_attempts.push(now_ms);
+                for _ in 0..3 {
+                    if budget.try_take(now_ms, Some(one_of(ROUTERS))) {
+                        retries.push(now_ms);
+                    }
+                }
+            }
+        }
+    }
+    assert_that!(breach(&first_attempts, &retries), none());
+}
+
 // First attempts in two groups that are just less than a window apart count for one retry window,
 // but for different windows of the bound.
 #[test]
--- a/crates/chicorystage-testbed/src/soak/course.rs
+++ b/crates/chicorystage-testbed/src/soak/course.rs
@@ -8,7 +8,7 @@
 
 use crate::soak::fault::{Fault, Step};
 use crate::soak::gateway_process::GatewayProcess;
-use crate::soak::services::{Services, answered, streamed};
+use crate::soak::services::{BOUND, Services, answered, streamed};
 use crate::users_platform::{PlatformFixture, Reply, StoreMode};
 
 /// Begin of the first fault, more than a window of the retry budget after the start of the load, in
@@ -23,17 +23,33 @@
 /// Range of the time for which the store fails, in milliseconds.
 const STORE_FAULT_MS: Range<u64> = 300..5_000;
 /// Factor of the load during a burst.
-const BURST_FACTOR: u32 = 4;
+const BURST_FACTOR: f64 = 4.0;
+/// Factor of the load during a burst that spends the budget of a rarely used service at once.
+const EDGE_BURST_FACTOR: f64 = 30.0;
+/// Factor of the load of a rarely used service between bursts.
+const EDGE_USUAL_FACTOR: f64 = 0.02;
+/// Number of such bursts.
+const EDGE_BURSTS: u64 = 5;
+/// Length of such a burst, in milliseconds.
+const EDGE_BURST_MS: u64 = 60;
+/// Time for which requests of such a burst are refused, in milliseconds.
+const EDGE_REFUSALS_MS: u64 = 200;
+/// By how much less than a window the next burst begins after one, in milliseconds.
+const EDGE_MS: u64 = 300;
+/// Time for which the processes of the applications are paused, in milliseconds.
+const PAUSED_MS: u64 = 9_000;
 
 /// The faults and bursts of a run.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Course {
     /// Faults by time.
     pub steps: Vec<Step>,
-    /// Time in which more requests are sent, in milliseconds since the start of the load.
-    pub burst_ms: Range<u64>,
-    /// Factor of the load in that time.
-    pub burst_factor: u32,
+    /// Times in which more requests are sent, in milliseconds since the start of the load.
+    pub bursts_ms: Vec<Range<u64>>,
+    /// Factor of the load in these times.
+    pub burst_factor: f64,
+    /// Factor of the load at other times.
+    pub usual_factor: f64,
 }
 
 impl Course {
@@ -51,8 +67,10 @@
         let mut course = match name {
             "burst" => Self::burst(),
             "outage" => Self::outage(length_ms),
+            "edge" => Self::edge(),
+            "pause" => Self::pause(),
             "random" => Self::random(length_ms, gateways, rng),
-            _ => bail!("unknown course {name:?}; allowed: burst, outage or random"),
+            _ => bail!("unknown course {name:?}; allowed: burst, edge, outage, pause or random"),
         };
         course.steps.sort_by_key(|step| step.at_ms);
         Ok(course)
@@ -71,8 +89,9 @@
         ];
         Self {
             steps: steps.map(|(at_ms, fault)| Step { at_ms, fault }).into(),
-            burst_ms: at_ms..at_ms + 2_500,
+            bursts_ms: one(at_ms..at_ms + 2_500),
             burst_factor: BURST_FACTOR,
+            usual_factor: 1.0,
         }
     }
 
@@ -84,8 +103,49 @@
         ];
         Self {
             steps: steps.map(|(at_ms, fault)| Step { at_ms, fault }).into(),
-            burst_ms: 0..0,
-            burst_factor: 1,
+            bursts_ms: Vec::new(),
+            burst_factor: 1.0,
+            usual_factor: 1.0,
+        }
+    }
+
+    /// Short bursts of requests to rarely used services, which refuse them; each begins a little less
+    /// than a window after the one before.
+    fn edge() -> Self {
+        let begins = (0..EDGE_BURSTS).map(|i| FIRST_FAULT_MS + i * (BOUND.window_ms - EDGE_MS));
+        let steps = begins.clone().flat_map(|at_ms| {
+            let end_ms = at_ms + EDGE_REFUSALS_MS;
+            [
+                (at_ms, Fault::Application(Reply::NotExecuted)),
+                (end_ms, Fault::Application(answered())),
+            ]
+        });
+        Self {
+            steps: steps.map(|(at_ms, fault)| Step { at_ms, fault }).collect(),
+            bursts_ms: begins.map(|at_ms| at_ms..at_ms + EDGE_BURST_MS).collect(),
+            burst_factor: EDGE_BURST_FACTOR,
+            usual_factor: EDGE_USUAL_FACTOR,
+        }
+    }
+
+    /// The processes of the applications are paused; while they are, gateways repeat what timed
+    /// out, and all of it arrives when they go on.
+    fn pause() -> Self {
+        let at_ms = FIRST_FAULT_MS;
+        let steps = [
+            (at_ms, Fault::ApplicationRunning(false)),
+            (at_ms + PAUSED_MS, Fault::Application(Reply::NotExecuted)),
+            (at_ms + PAUSED_MS, Fault::ApplicationRunning(true)),
+            (
+                at_ms + PAUSED_MS + BOUND.window_ms,
+                Fault::Application(answered()),
+            ),
+        ];
+        Self {
+            steps: steps.map(|(at_ms, fault)| Step { at_ms, fault }).into(),
+            bursts_ms: one(at_ms..at_ms + PAUSED_MS + BOUND.window_ms),
+            burst_factor: BURST_FACTOR,
+            usual_factor: 1.0,
         }
     }
 
@@ -95,7 +155,7 @@
         let mut at_ms = rng.random_range(2_000..FIRST_FAULT_MS);
         while at_ms < length_ms {
             let gateway = rng.random_range(0..gateways);
-            let (fault, end, range_ms) = match rng.random_range(0..8) {
+            let (fault, end, range_ms) = match rng.random_range(0..9) {
                 0..=3 => (
                     Fault::Application(failing_reply(rng)),
                     Some(Fault::Application(answered())),
@@ -106,8 +166,13 @@
                     Some(Fault::Model(streamed())),
                     FAULT_MS,
                 ),
-                5 => (Fault::Restart(gateway), None, FAULT_MS),
-                6 => (
+                5 => (
+                    Fault::ApplicationRunning(false),
+                    Some(Fault::ApplicationRunning(true)),
+                    FAULT_MS,
+                ),
+                6 => (Fault::Restart(gateway), None, FAULT_MS),
+                7 => (
                     Fault::Pause(gateway),
                     Some(Fault::Continue(gateway)),
                     GATEWAY_PAUSE_MS,
@@ -129,11 +194,25 @@
         let burst_from_ms = rng.random_range(0..length_ms);
         Self {
             steps,
-            burst_ms: burst_from_ms..burst_from_ms + rng.random_range(FAULT_MS),
-            burst_factor: rng.random_range(1..=BURST_FACTOR),
+            bursts_ms: one(burst_from_ms..burst_from_ms + rng.random_range(FAULT_MS)),
+            burst_factor: rng.random_range(1.0..=BURST_FACTOR),
+            usual_factor: 1.0,
         }
     }
 
+    /// Returns the factor of the load at a time.
+    #[must_use]
+    pub fn load_factor(&self, at_ms: u64) -> f64 {
+        if self
+            .bursts_ms
+            .iter()
+            .any(|burst_ms| burst_ms.contains(&at_ms))
+        {
+            return self.burst_factor;
+        }
+        self.usual_factor
+    }
+
     /// Carries out the steps at their times.
     ///
     /// # Errors
@@ -150,6 +229,9 @@
             sleep_until(start + Duration::from_millis(step.at_ms)).await;
             match &step.fault {
                 Fault::Application(reply) => services.set_application_reply(reply),
+                Fault::ApplicationRunning(is_running) => {
+                    services.set_application_running(*is_running);
+                }
                 Fault::Model(reply) => services.set_model_reply(reply),
                 Fault::Store(mode) => fixture.store.set_mode(*mode),
                 Fault::Restart(number) => gateways[*number].restart().await?,
@@ -161,6 +243,10 @@
     }
 }
 
+fn one(range_ms: Range<u64>) -> Vec<Range<u64>> {
+    std::iter::once(range_ms).collect()
+}
+
 fn failing_reply(rng: &mut StdRng) -> Reply {
     match rng.random_range(0..3) {
         0 => Reply::NotExecuted,
--- a/crates/chicorystage-testbed/src/soak/fault.rs
+++ b/crates/chicorystage-testbed/src/soak/fault.rs
@@ -7,6 +7,8 @@
 pub enum Fault {
     /// All endpoints of the applications reply like this from now on.
     Application(Reply),
+    /// The processes of all endpoints of the applications run, or are paused, from now on.
+    ApplicationRunning(bool),
     /// All endpoints of the model service reply like this from now on.
     Model(Reply),
     /// The store behaves like this from now on.
--- a/crates/chicorystage-testbed/src/soak/gateway_process.rs
+++ b/crates/chicorystage-testbed/src/soak/gateway_process.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::deployment::{ChildProcess, Signal, free_address};
-use crate::soak::SoakOptions;
+use crate::soak::SoakPlan;
 use crate::soak::services::BOUND;
 use crate::users_platform::call;
 
@@ -34,34 +34,26 @@
 }
 
 impl GatewayProcess {
-    /// Starts gateway `number`, whose settings and log are in `directory`.
+    /// Starts gateway `number` of a plan.
     ///
     /// # Errors
     ///
     /// Fails where a file cannot be written or the process cannot be started.
-    pub fn start(
-        number: usize,
-        options: &SoakOptions,
-        directory: &Path,
-        store: SocketAddr,
-    ) -> anyhow::Result<Self> {
+    pub fn start(number: usize, plan: &SoakPlan, store: SocketAddr) -> anyhow::Result<Self> {
         let name = format!("gateway-{number}");
         let (callers, readiness) = (free_address()?, free_address()?);
-        let settings = directory.join(format!("{name}.ini"));
+        let settings = plan.directory.join(format!("{name}.ini"));
         let text = settings_text(&name, callers, readiness, store)?;
         std::fs::write(&settings, text).with_context(|| format!("write {}", settings.display()))?;
-        let (program, mut arguments) = match &options.daemon {
-            Some(daemon) => (daemon.clone(), Vec::new()),
-            None => (std::env::current_exe()?, vec![OsString::from("daemon")]),
-        };
+        let mut arguments = plan.arguments.clone();
         arguments.extend([OsString::from("--config"), settings.into_os_string()]);
-        let log = directory.join(format!("{name}.log"));
-        let child = start_child(&program, &name, &arguments, &log)?;
+        let log = plan.directory.join(format!("{name}.log"));
+        let child = start_child(&plan.program, &name, &arguments, &log)?;
         Ok(Self {
             callers,
             readiness,
             name,
-            program,
+            program: plan.program.clone(),
             arguments,
             log,
             child,
--- a/crates/chicorystage-testbed/src/soak/load.rs
+++ b/crates/chicorystage-testbed/src/soak/load.rs
@@ -11,6 +11,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::soak::SoakPlan;
 use crate::soak::course::Course;
 use crate::soak::gateway_process::GatewayProcess;
 use crate::soak::services::{APPLICATION, MODEL};
@@ -19,6 +20,10 @@
 /// Number of the random number stream of the load.
 const RNG_STREAM: u64 = 7_001;
 const MS_PER_S: f64 = 1_000.0;
+/// Interval at which requests are sent, in milliseconds.
+const TICK_MS: usize = 5;
+/// The same in seconds.
+const TICK_S: f64 = 0.005;
 /// Pause of a caller before it tries again after a refusal without a time, in milliseconds.
 const CALLER_PAUSE_MS: u64 = 50;
 /// Largest part of the remaining time for which a caller waits before it tries again.
@@ -87,37 +92,23 @@
 }
 
 impl Load {
-    /// Starts a sender for each kind of request, which sends until `length_ms` after `start`.
+    /// Starts a sender for each kind of request, which sends until the plan's length after `start`.
     pub fn start(
         gateways: &[GatewayProcess],
         course: &Course,
         start: Instant,
-        length_ms: u64,
-        seed: u64,
+        plan: &SoakPlan,
     ) -> Self {
         let sent = Rc::new(RefCell::new(Sent::default()));
-        let addresses: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
+        let gateways: Vec<SocketAddr> = gateways.iter().map(|gateway| gateway.callers).collect();
         let senders = KINDS.iter().zip(RNG_STREAM..).map(|(kind, stream)| {
-            let mut rng = StdRng::seed_from_u64(seed ^ (stream << 32));
-            let (addresses, sent) = (addresses.clone(), Rc::clone(&sent));
-            let (burst_ms, factor) = (course.burst_ms.clone(), course.burst_factor);
-            tokio::task::spawn_local(async move {
-                let mut at_ms = 0.0;
-                loop {
-                    let is_burst = burst_ms.contains(&whole_ms(at_ms));
-                    let factor = if is_burst { f64::from(factor) } else { 1.0 };
-                    let pause: f64 = rng.random();
-                    at_ms -= (1.0 - pause).ln() * MS_PER_S / (kind.per_s * factor);
-                    if whole_ms(at_ms) >= length_ms {
-                        return;
-                    }
-                    sleep_until(start + Duration::from_millis(whole_ms(at_ms))).await;
-                    let chosen = [0, 1].map(|_| addresses[rng.random_range(0..addresses.len())]);
-                    let sent = Rc::clone(&sent);
-                    let _caller =
-                        tokio::task::spawn_local(send_with_retry(kind, chosen, sent, start));
-                }
-            })
+            let sender = Sender {
+                kind,
+                gateways: gateways.clone(),
+                sent: Rc::clone(&sent),
+                rng: StdRng::seed_from_u64(plan.seed ^ (stream << 32)),
+            };
+            tokio::task::spawn_local(sender.run(course.clone(), start, plan.length_ms))
         });
         Self {
             senders: senders.collect(),
@@ -135,6 +126,41 @@
     }
 }
 
+/// Sends requests of one kind at random times to random gateways.
+struct Sender {
+    kind: &'static RequestKind,
+    gateways: Vec<SocketAddr>,
+    sent: Rc<RefCell<Sent>>,
+    rng: StdRng,
+}
+
+impl Sender {
+    async fn run(mut self, course: Course, start: Instant, length_ms: u64) {
+        let mut until_next = self.exponential();
+        for at_ms in (0..length_ms).step_by(TICK_MS) {
+            sleep_until(start + Duration::from_millis(at_ms)).await;
+            until_next -= self.kind.per_s * course.load_factor(at_ms) * TICK_S;
+            while until_next < 0.0 {
+                self.send_one(start);
+                until_next += self.exponential();
+            }
+        }
+    }
+
+    /// Returns a random number with the exponential distribution of mean 1.
+    fn exponential(&mut self) -> f64 {
+        let uniform: f64 = self.rng.random();
+        -(1.0 - uniform).ln()
+    }
+
+    fn send_one(&mut self, start: Instant) {
+        let gateways = &self.gateways;
+        let chosen = [0, 1].map(|_| gateways[self.rng.random_range(0..gateways.len())]);
+        let sending = send_with_retry(self.kind, chosen, Rc::clone(&self.sent), start);
+        let _caller = tokio::task::spawn_local(sending);
+    }
+}
+
 impl Sent {
     /// Returns the times of the requests to a service in milliseconds since the start, sorted.
     #[must_use]
--- a/crates/chicorystage-testbed/src/soak/mod.rs
+++ b/crates/chicorystage-testbed/src/soak/mod.rs
@@ -14,8 +14,8 @@
 mod load;
 mod services;
 
+use std::ffi::OsString;
 use std::path::PathBuf;
-use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, ensure};
@@ -23,7 +23,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 pub use crate::soak::budget_audit::{BudgetAudit, BudgetBound, WindowUsage};
 use crate::soak::course::Course;
@@ -42,25 +42,44 @@
 #[derive(Clone, Debug, Options)]
 pub struct SoakOptions {
     /// Print this help.
-    pub help: bool,
+    help: bool,
     /// Seed of load and faults.
     #[options(no_short, default = "1")]
-    pub seed: u64,
+    seed: u64,
     /// Length of the load.
     #[options(no_short, default = "40")]
-    pub seconds: u64,
+    seconds: u64,
     /// Number of gateways.
     #[options(no_short, default = "4")]
-    pub gateways: usize,
-    /// Order of the faults: burst, outage or random.
+    gateways: usize,
+    /// Order of the faults: burst, edge, outage, pause or random.
     #[options(no_short, default = "random")]
-    pub course: String,
+    course: String,
     /// Daemon to run instead of this program's own.
     #[options(no_short)]
-    pub daemon: Option<PathBuf>,
+    daemon: Option<PathBuf>,
     /// Directory for settings and logs, which is kept.
     #[options(no_short)]
-    pub directory: Option<PathBuf>,
+    directory: Option<PathBuf>,
+}
+
+/// What a soak runs.
+#[derive(Clone, Debug)]
+pub struct SoakPlan {
+    /// Program of the gateways.
+    pub program: PathBuf,
+    /// Arguments that precede those of the daemon.
+    pub arguments: Vec<OsString>,
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Seed of load and faults.
+    pub seed: u64,
+    /// Length of the load in milliseconds.
+    pub length_ms: u64,
+    /// Name of the order of the faults: burst, edge, outage, pause or random.
+    pub course: String,
+    /// Directory for settings and logs, which must exist.
+    pub directory: PathBuf,
 }
 
 /// Runs the soak and prints what was counted and which promises were broken.
@@ -69,45 +88,73 @@
 ///
 /// Fails where a process does not start or a promise was broken.
 pub async fn run(options: SoakOptions) -> anyhow::Result<()> {
-    LocalSet::new().run_until(run_local(options)).await
+    let directory = directory(&options)?;
+    let (program, arguments) = match options.daemon {
+        Some(daemon) => (daemon, Vec::new()),
+        None => (std::env::current_exe()?, vec![OsString::from("daemon")]),
+    };
+    let audits = play(SoakPlan {
+        program,
+        arguments,
+        gateways: options.gateways,
+        seed: options.seed,
+        length_ms: options.seconds * MS_PER_S,
+        course: options.course,
+        directory,
+    })
+    .await?;
+    report(&audits)
 }
 
-async fn run_local(options: SoakOptions) -> anyhow::Result<()> {
-    let length_ms = options.seconds * MS_PER_S;
-    let mut rng = StdRng::seed_from_u64(options.seed);
-    let course = Course::named(&options.course, length_ms, options.gateways, &mut rng)?;
-    let fixture = Rc::new(PlatformFixture::start().await?);
-    let services = Rc::new(Services::start(&fixture).await?);
-    let directory = directory(&options)?;
-    let mut gateways = Vec::new();
-    for i in 0..options.gateways {
-        let gateway = GatewayProcess::start(i, &options, &directory, fixture.store.address)?;
-        gateways.push(gateway);
-    }
-    for gateway in &gateways {
-        gateway.wait_until_ready().await?;
-    }
-    sleep(Duration::from_millis(SETTLE_MS)).await;
+/// Plays one run and returns what each service received.
+///
+/// # Errors
+///
+/// Fails where a process does not start or cannot be signalled.
+pub async fn play(plan: SoakPlan) -> anyhow::Result<Vec<BudgetAudit>> {
+    LocalSet::new().run_until(play_local(&plan)).await
+}
 
-    let start = Instant::now();
-    println!("seed {}, course {}:", options.seed, options.course);
+async fn play_local(plan: &SoakPlan) -> anyhow::Result<Vec<BudgetAudit>> {
+    let mut rng = StdRng::seed_from_u64(plan.seed);
+    let course = Course::named(&plan.course, plan.length_ms, plan.gateways, &mut rng)?;
+    let fixture = PlatformFixture::start().await?;
+    let services = Services::start(&fixture).await?;
+    let mut gateways = start_gateways(plan, &fixture).await?;
+
+    println!("seed {}, course {}:", plan.seed, plan.course);
     for step in &course.steps {
         println!("  {step}");
     }
-    let load = Load::start(&gateways, &course, start, length_ms, options.seed);
+    let start = Instant::now();
+    let load = Load::start(&gateways, &course, start, plan);
     course
         .play(start, &mut gateways, &services, &fixture)
         .await?;
-    sleep((start + Duration::from_millis(length_ms)).saturating_duration_since(Instant::now()))
-        .await;
-    sleep(Duration::from_millis(LAST_REQUESTS_MS)).await;
+    sleep_until(start + Duration::from_millis(plan.length_ms + LAST_REQUESTS_MS)).await;
     let sent = load.finish();
     println!("{sent}");
     let audits = services.audits(start, &sent);
     for gateway in &mut gateways {
         gateway.stop().await?;
     }
-    report(&audits)
+    Ok(audits)
+}
+
+/// Starts the gateways and waits until they are ready and know each other.
+async fn start_gateways(
+    plan: &SoakPlan,
+    fixture: &PlatformFixture,
+) -> anyhow::Result<Vec<GatewayProcess>> {
+    let mut gateways = Vec::new();
+    for i in 0..plan.gateways {
+        gateways.push(GatewayProcess::start(i, plan, fixture.store.address)?);
+    }
+    for gateway in &gateways {
+        gateway.wait_until_ready().await?;
+    }
+    sleep(Duration::from_millis(SETTLE_MS)).await;
+    Ok(gateways)
 }
 
 /// Prints the worst window of each service.
--- a/crates/chicorystage-testbed/src/soak/services.rs
+++ b/crates/chicorystage-testbed/src/soak/services.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Pauses the processes of all endpoints of the applications, or lets them go on.
+    pub fn set_application_running(&self, is_running: bool) {
+        for endpoint in &self.applications {
+            endpoint.set_running(is_running);
+        }
+    }
+
     /// Sets the reply of all endpoints of the model service.
     pub fn set_model_reply(&self, reply: &Reply) {
         for endpoint in &self.models {
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -10,10 +10,11 @@
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
 use serde_json::{Value, json};
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::users_platform::local_http::{
-    self, ConnectionFault, EmulatorBody, Frames, full_response,
+    self, ConnectionFault, EmulatorBody, Frames, ResponseFuture, full_response,
 };
 use crate::users_platform::{EndpointEngine, ReceivedRequest, Reply};
 
@@ -34,6 +35,8 @@
     engine: RefCell<Option<EndpointEngine>>,
     /// Number of streams whose connection the client closed before the end.
     cancelled_streams: Cell<u32>,
+    /// Whether the endpoint's process runs; while it doesn't, arriving bytes stay unread.
+    is_running: watch::Sender<bool>,
 }
 
 /// Counts its stream as cancelled when dropped, unless the stream has ended.
@@ -77,13 +80,15 @@
             received_requests: RefCell::default(),
             engine: RefCell::new(engine),
             cancelled_streams: Cell::new(0),
+            is_running: watch::Sender::new(true),
         });
         let serving = Rc::clone(&state);
-        let address = local_http::serve(move |request| {
+        let handler = move |request| -> ResponseFuture {
             let state = Rc::clone(&serving);
             Box::pin(async move { answer(&state, request).await })
-        })
-        .await?;
+        };
+        let address =
+            local_http::serve_while_running(handler, state.is_running.subscribe()).await?;
         Ok(Self { address, state })
     }
 
@@ -98,6 +103,13 @@
         self.state.script.borrow_mut().push_back(reply);
     }
 
+    /// Pauses the endpoint's process, or lets it go on.
+    ///
+    /// While it is paused its host accepts connections and bytes, which it reads afterwards.
+    pub fn set_running(&self, is_running: bool) {
+        self.state.is_running.send_replace(is_running);
+    }
+
     /// Sets the reply to later requests that no scripted reply is left for.
     pub fn set_default_reply(&self, reply: Reply) {
         *self.state.default_reply.borrow_mut() = reply;
--- a/crates/chicorystage-testbed/src/users_platform/local_http.rs
+++ b/crates/chicorystage-testbed/src/users_platform/local_http.rs
@@ -1,7 +1,7 @@
 //! A minimal HTTP/1 server on loopback, run by tasks of the current `LocalSet`.
 
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 /// Reason for which an emulator breaks a connection.
 #[derive(Clone, Copy, Debug, displaydoc::Display)]
@@ -32,6 +33,17 @@
 /// Serves a handler on a free loopback port and returns the address.
 pub(super) async fn serve(
     handler: impl Fn(Request<Incoming>) -> ResponseFuture + 'static,
+) -> std::io::Result<SocketAddr> {
+    serve_while_running(handler, watch::Sender::new(true).subscribe()).await
+}
+
+/// Serves a handler like [`serve`], but only while `is_running` is true.
+///
+/// While it is false, connections are accepted and bytes received by the operating system alone,
+/// as on a host whose process is paused.
+pub(super) async fn serve_while_running(
+    handler: impl Fn(Request<Incoming>) -> ResponseFuture + 'static,
+    is_running: watch::Receiver<bool>,
 ) -> std::io::Result<SocketAddr> {
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
     let address = listener.local_addr()?;
@@ -41,15 +53,38 @@
             let handler = Rc::clone(&handler);
             let service = service_fn(move |request| handler(request));
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let is_running = is_running.clone();
             tokio::task::spawn_local(async move {
                 // The client observes a broken connection as well, so the error is ignored.
-                let _ended = connection.await;
+                let _ended = run_while(is_running, connection).await;
             });
         }
     });
     Ok(address)
 }
 
+/// Drives a future only while `is_running` is true.
+async fn run_while<T>(mut is_running: watch::Receiver<bool>, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    loop {
+        // A sender that is gone changes nothing any more.
+        let running = is_running.wait_for(|is_running| *is_running).await;
+        drop(running);
+        let mut changes = is_running.clone();
+        let paused = async {
+            let paused = changes.wait_for(|is_running| !is_running).await;
+            if paused.is_err() {
+                std::future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            biased;
+            () = paused => {}
+            ended = work.as_mut() => return ended,
+        }
+    }
+}
+
 /// Returns a response with a complete body; an invalid status becomes 200.
 pub(super) fn full_response(status: u16, body: impl Into<Bytes>) -> Response<EmulatorBody> {
     let mut response = Response::new(Either::Left(Full::new(body.into())));
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_processes.rs
@@ -0,0 +1,41 @@
+//! Gateways as processes of their own, under load and faults from outside them.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use chicorystage_testbed::soak::{SoakPlan, play};
+use googletest::prelude::*;
+
+/// Plays a course and checks that no service gets more repeated arrivals than allowed.
+async fn verify_budget(course: &str, seed: u64, length_ms: u64) -> Result<()> {
+    let name = format!("chicorystage-processes-{}-{course}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&directory).or_fail()?;
+    let plan = SoakPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_chicorystage-testbed")),
+        arguments: vec![OsString::from("daemon")],
+        gateways: 4,
+        seed,
+        length_ms,
+        course: course.to_owned(),
+        directory: directory.clone(),
+    };
+    for audit in play(plan).await.or_fail()? {
+        verify_that!(audit.worst.is_over(), is_false())
+            .with_failure_message(|| audit.to_string())?;
+    }
+    std::fs::remove_dir_all(directory).or_fail()
+}
+
+// The users saw this course break the bound: requests to engines paid for retries at applications.
+#[gtest]
+#[tokio::test]
+async fn refused_burst_at_applications_spends_no_retries_of_the_engines() -> Result<()> {
+    verify_budget("burst", 1, 16_000).await
+}
+
+#[gtest]
+#[tokio::test]
+async fn random_faults_keep_the_retry_budget() -> Result<()> {
+    verify_budget("random", 1, 30_000).await
+}
