Count retries for at least a window and first attempts for at most one

What callers saw: none on processes; by direct call 78 retries within 9.5 s where 66 are allowed. Cause: a share of the retry budget looked back over 20 buckets, the current one included, so 9.5 to 10 s. Retries of the bucket that just fell out lie in the same window of 10 s as new ones. Class: a sliding window rounded to the side of the one that is bounded. Change: buckets of retries are kept until the whole bucket is older than a window (10 to 10.5 s); first attempts count only in buckets that lie within one (9.5 to 10 s).

--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -13,7 +13,7 @@
 /// Share of the allowance that is used in the first window after a settled predecessor, which may
 /// have spent [`ALLOWANCE_SHARE`] in the same window.
 const FIRST_ALLOWANCE_SHARE: f64 = 1.0 - ALLOWANCE_SHARE;
-/// Buckets into which a window is divided.
+/// Buckets into which a window is divided, as far as it is divisible.
 const BUCKETS: u64 = 20;
 
 /// One router's part of a retry budget that all routers share.
@@ -27,7 +27,11 @@
     settings: RetryBudgetSettings,
     started_ms: u64,
     bucket_ms: u64,
-    /// First attempts and retries of the last window, oldest bucket first.
+    /// First attempts and retries of the last window and of the whole bucket in which it begins,
+    /// oldest bucket first.
+    ///
+    /// Retries count for at least a window and first attempts for at most one, so that rounding to
+    /// buckets allows no retry too many.
     buckets: VecDeque<Bucket>,
 }
 
@@ -70,9 +74,14 @@
     /// Returns what is counted and allowed at `now_ms`; `share` is as in [`Self::try_take`].
     pub fn usage(&mut self, now_ms: u64, share: Option<BudgetShare>) -> BudgetUsage {
         self.current_bucket(now_ms);
-        let buckets = self.buckets.iter();
-        let first_attempts: u32 = buckets.clone().map(|bucket| bucket.first_attempts).sum();
-        let retries = buckets.map(|bucket| bucket.retries).sum();
+        let number = now_ms / self.bucket_ms;
+        let retries = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let whole_buckets = self.settings.window_ms / self.bucket_ms;
+        let within_window = self
+            .buckets
+            .iter()
+            .filter(|bucket| bucket.number + whole_buckets > number);
+        let first_attempts: u32 = within_window.map(|bucket| bucket.first_attempts).sum();
         let limit = RATIO_SHARE * self.settings.ratio * f64::from(first_attempts)
             + share.map_or(0.0, |share| self.own_allowance(now_ms, share));
         BudgetUsage {
@@ -100,8 +109,9 @@
 
     fn current_bucket(&mut self, now_ms: u64) -> &mut Bucket {
         let number = now_ms / self.bucket_ms;
+        let begun_buckets = self.settings.window_ms.div_ceil(self.bucket_ms);
         while let Some(oldest) = self.buckets.front() {
-            if oldest.number + BUCKETS > number {
+            if oldest.number + begun_buckets >= number {
                 break;
             }
             self.buckets.pop_front();
