--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -39,8 +39,14 @@
     ///
     /// Fails if an address cannot be bound.
     pub async fn start_gateway(&self, vm: &str) -> anyhow::Result<Rc<Gateway>> {
+        chicorystaged::gateway::start(self.settings(vm)).await
+    }
+
+    /// Returns the settings of a gateway of this fixture, with free ports and usual bounds.
+    #[must_use]
+    pub fn settings(&self, vm: &str) -> GatewaySettings {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
-        chicorystaged::gateway::start(GatewaySettings {
+        GatewaySettings {
             vm: vm.into(),
             zone: "z1".into(),
             callers: free,
@@ -59,8 +65,7 @@
             retry_ratio: 0.2,
             retry_allowance: 54.0,
             retry_window_ms: 10_000,
-        })
-        .await
+        }
     }
 
     /// Starts a gateway and waits until it is ready.
--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -1,13 +1,20 @@
 //! How many retries a gateway sends to the endpoints of one service.
 
+use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, PlatformFixture, Reply, run_local, send_request, wait_until,
 };
+use chicorystaged::gateway::shared::Gateway;
+use chicorystaged::settings::GatewaySettings;
+use futures_util::future::join_all;
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::json;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Retries allowed per request to a service, over all gateways.
 const RETRY_RATIO: f64 = 0.2;
@@ -18,6 +25,12 @@
 /// Requests to another service in the same window.
 const OTHER_REQUESTS: u32 = 600;
 
+/// Window of the retry budget where a test spans two of them, in milliseconds.
+const SHORT_WINDOW_MS: u64 = 2_000;
+/// Time for which an endpoint is paused, in milliseconds.
+const PAUSE_MS: u64 = 800;
+/// Requests of a burst that spends the whole budget.
+const BURST_REQUESTS: u32 = 100;
 /// Endpoints that take no connection, more than one window's retries.
 const DEAD_ENDPOINTS: u32 = 60;
 
@@ -138,6 +151,73 @@
     })
 }
 
+// The host of a paused endpoint takes retries that the endpoint reads only when it goes on.
+#[gtest]
+fn retries_that_arrive_late_stay_within_the_budget_of_their_window() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let failing = EndpointEmulator::start("a", reply(500), None)
+            .await
+            .or_fail()?;
+        let paused = EndpointEmulator::start("b", reply(500), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        for endpoint in [&failing, &paused] {
+            let mut entry = endpoint.registry_entry("app", "ready", 1);
+            entry["slots"] = json!(2 * BURST_REQUESTS);
+            let entry = entry.to_string();
+            world.store.put("servers", endpoint.id(), entry.as_bytes());
+        }
+        let settings = GatewaySettings {
+            retry_window_ms: SHORT_WINDOW_MS,
+            ..world.settings("g1")
+        };
+        let gateway = chicorystaged::gateway::start(settings).await.or_fail()?;
+        wait_until("the gateway is ready", || gateway.is_ready()).await;
+        // More than a window after the start, as a gateway then has its whole share.
+        tokio::time::sleep(Duration::from_millis(SHORT_WINDOW_MS)).await;
+
+        paused.set_running(false);
+        let first_burst = spawn_local(send_at_once(Rc::clone(&gateway)));
+        tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        paused.set_running(true);
+        let went_on = Instant::now();
+        first_burst.await.or_fail()?;
+        // More than a window after the first retries were sent, and less than one after they arrived.
+        let rest_ms = SHORT_WINDOW_MS - PAUSE_MS / 2;
+        tokio::time::sleep_until(went_on + Duration::from_millis(rest_ms)).await;
+        send_at_once(Rc::clone(&gateway)).await;
+
+        let window = went_on..went_on + Duration::from_millis(SHORT_WINDOW_MS);
+        let mut arrivals = Vec::new();
+        for endpoint in [&failing, &paused] {
+            arrivals.extend(endpoint.received_requests());
+        }
+        arrivals.sort_by_key(|received| received.arrived);
+        let mut known = HashSet::new();
+        let repeats = arrivals.iter().filter(|received| {
+            let is_repeat = !known.insert(received.header("attempt-id").to_owned());
+            is_repeat && window.contains(&received.arrived)
+        });
+        let repeats = u32::try_from(repeats.count()).or_fail()?;
+        let bound = RETRY_RATIO * f64::from(BURST_REQUESTS) + RETRY_ALLOWANCE;
+        verify_that!(f64::from(repeats), le(bound))
+    })
+}
+
+/// Sends a burst of idempotent requests, each with an identity of its own, and awaits all answers.
+async fn send_at_once(gateway: Rc<Gateway>) {
+    let gateway = &gateway;
+    let requests = (0..BURST_REQUESTS).map(|i| async move {
+        let id = format!("{:?}-{i}", Instant::now());
+        let headers = [("attempt-id", id.as_str())];
+        // An error is a failed answer, which the endpoints count.
+        let _reply = send_request(gateway, Method::GET, "/app/x", &headers, "").await;
+    });
+    join_all(requests).await;
+}
+
 /// Returns a loopback address at which nothing listens.
 fn closed_address() -> std::io::Result<String> {
     let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
