Count a retry until a window after its attempt has ended

Cause: a retry counted from the moment at which it was granted, the bound counts arrivals, and a host keeps what its paused process will read. Class: a limit on what a receiver sees, kept by when the sender decided. Change: a granted retry is in flight until its attempt has ended (RetryPermit), and counts for a window from then on. Each arrival of a window is then in flight or counted when the last of them is granted.

--- a/crates/chicorystage-core/src/retry/budget_usage.rs
+++ b/crates/chicorystage-core/src/retry/budget_usage.rs
@@ -3,7 +3,7 @@
 pub struct BudgetUsage {
     /// First attempts that allow retries.
     pub first_attempts: u32,
-    /// Retries that were taken.
+    /// Retries that were taken, those that may not have arrived yet included.
     pub retries: u32,
     /// Number of retries that may be taken in the window, a fraction of one included.
     pub limit: f64,
--- a/crates/chicorystage-core/src/retry/service_retry_budgets.rs
+++ b/crates/chicorystage-core/src/retry/service_retry_budgets.rs
@@ -43,6 +43,12 @@
         self.budget(service).try_take(now_ms, share)
     }
 
+    /// Records that a retry at a service has arrived or will never arrive; see
+    /// [`SharedRetryBudget::settle`].
+    pub fn settle(&mut self, now_ms: u64, service: &ServiceName) {
+        self.budget(service).settle(now_ms);
+    }
+
     /// Returns what is counted and allowed for a service; see [`SharedRetryBudget::usage`].
     pub fn usage(
         &mut self,
--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -27,7 +27,9 @@
     settings: RetryBudgetSettings,
     started_ms: u64,
     bucket_ms: u64,
-    /// First attempts and retries of the last window and of the whole bucket in which it begins,
+    /// Retries that were taken and may still be on their way to an endpoint.
+    in_flight: u32,
+    /// First attempts and settled retries of the last window and of the whole bucket in which it begins,
     /// oldest bucket first.
     ///
     /// Retries count for at least a window and first attempts for at most one, so that rounding to
@@ -50,6 +52,7 @@
             settings,
             started_ms,
             bucket_ms: (settings.window_ms / BUCKETS).max(1),
+            in_flight: 0,
             buckets: VecDeque::new(),
         }
     }
@@ -62,20 +65,28 @@
     /// Takes one retry from the budget; returns false, and takes nothing, if none is left.
     ///
     /// `share` is `None` if the other routers do not know this one yet; then it has no part of the
-    /// allowance.
+    /// allowance. The caller calls [`Self::settle`] once for each retry that it has taken.
     pub fn try_take(&mut self, now_ms: u64, share: Option<BudgetShare>) -> bool {
         if !self.usage(now_ms, share).allows_retry() {
             return false;
         }
-        self.current_bucket(now_ms).retries += 1;
+        self.in_flight += 1;
         true
     }
 
+    /// Records that a retry has arrived or will never arrive; it counts for a window from then on.
+    ///
+    /// The bound holds for arrivals, which may be later than the retry was taken.
+    pub fn settle(&mut self, now_ms: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.current_bucket(now_ms).retries += 1;
+    }
+
     /// Returns what is counted and allowed at `now_ms`; `share` is as in [`Self::try_take`].
     pub fn usage(&mut self, now_ms: u64, share: Option<BudgetShare>) -> BudgetUsage {
         self.current_bucket(now_ms);
         let number = now_ms / self.bucket_ms;
-        let retries = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let settled: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let whole_buckets = self.settings.window_ms / self.bucket_ms;
         let within_window = self
             .buckets
@@ -86,7 +97,7 @@
             + share.map_or(0.0, |share| self.own_allowance(now_ms, share));
         BudgetUsage {
             first_attempts,
-            retries,
+            retries: settled + self.in_flight,
             limit,
         }
     }
--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -30,6 +30,15 @@
     }
 }
 
+/// Takes a retry that arrives at once; returns whether one was left.
+fn take_and_settle(budget: &mut SharedRetryBudget, now_ms: u64, share: BudgetShare) -> bool {
+    let is_taken = budget.try_take(now_ms, Some(share));
+    if is_taken {
+        budget.settle(now_ms);
+    }
+    is_taken
+}
+
 /// A process of a router, of which each VM runs one at a time.
 #[derive(Clone, Debug)]
 struct Process {
@@ -107,7 +116,7 @@
                 budget.record_first_attempt(now_ms);
                 first_attempts.push(now_ms);
             }
-            while budget.try_take(now_ms, Some(one_of(routers))) {
+            while take_and_settle(budget, now_ms, one_of(routers)) {
                 retries.push(now_ms);
             }
         }
@@ -135,7 +144,7 @@
                 first_attempts.push(now_ms);
             }
             let share = BudgetShare { routers, predecessor: process.predecessor };
-            while process.budget.try_take(now_ms, Some(share)) {
+            while take_and_settle(&mut process.budget, now_ms, share) {
                 retries.push(now_ms);
             }
         }
@@ -166,7 +175,7 @@
                     budget.record_first_attempt(now_ms);
                     first_attempts.push(now_ms);
                 }
-                while budget.try_take(now_ms, Some(one_of(routers))) {
+                while take_and_settle(budget, now_ms, one_of(routers)) {
                     retries.push(now_ms);
                 }
             }
@@ -175,6 +184,47 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(26),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    // Retries arrive up to a third of a window after they were taken, and are settled only then.
+    #[test]
+    fn retries_that_arrive_late_stay_under_the_bound(
+        routers in 1_usize..8,
+        steps in prop::collection::vec(
+            (0_u64..2_000, 0_usize..8, 0_u32..20, 0_u64..WINDOW_MS / 3),
+            1..60,
+        ),
+    ) {
+        let mut budgets = vec![new_budget(0); routers];
+        let (mut now_ms, mut first_attempts, mut arrivals) = (3 * WINDOW_MS, Vec::new(), Vec::new());
+        let mut in_flight: Vec<(u64, usize)> = Vec::new();
+        for (pause_ms, router, requests, delay_ms) in steps {
+            now_ms += pause_ms;
+            let router = router % routers;
+            in_flight.sort_unstable();
+            let arrived = in_flight.partition_point(|(at_ms, _)| *at_ms <= now_ms);
+            for (at_ms, router) in in_flight.drain(..arrived) {
+                budgets[router].settle(at_ms);
+                arrivals.push(at_ms);
+            }
+            for _ in 0..requests {
+                budgets[router].record_first_attempt(now_ms);
+                first_attempts.push(now_ms);
+            }
+            while budgets[router].try_take(now_ms, Some(one_of(routers))) {
+                in_flight.push((now_ms + delay_ms, router));
+            }
+        }
+        arrivals.extend(in_flight.iter().map(|(at_ms, _)| *at_ms));
+        prop_assert_eq!(breach(&first_attempts, &arrivals), None);
+    }
+}
+
 // Three gateways of one deployment each spend what they have, twice within a window.
 #[test]
 fn bursts_less_than_a_window_apart_stay_under_the_bound() {
@@ -187,7 +237,7 @@
                 budget.record_first_attempt(now_ms);
                 first_attempts.push(now_ms);
                 for _ in 0..3 {
-                    if budget.try_take(now_ms, Some(one_of(ROUTERS))) {
+                    if take_and_settle(budget, now_ms, one_of(ROUTERS)) {
                         retries.push(now_ms);
                     }
                 }
@@ -210,7 +260,7 @@
             first_attempts.push(now_ms);
         }
     }
-    while budget.try_take(34_995, Some(one_of(1))) {
+    while take_and_settle(&mut budget, 34_995, one_of(1)) {
         retries.push(34_995);
     }
     assert_that!(breach(&first_attempts, &retries), none());
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -217,8 +217,12 @@
         drop(broken);
         let may_resume = self.may_resume() && self.work.left_ms(now_ms) > 0;
         let service = &self.requirements.service;
-        let budget = may_resume.then(|| self.gateway.take_retry(now_ms, service));
-        let has_budget = budget.as_ref().is_some_and(|decision| decision.is_granted);
+        let (budget, permit) = may_resume
+            .then(|| self.gateway.take_retry(now_ms, service))
+            .unzip();
+        // Counts the resumed request as in flight until its answer begins or it fails.
+        let in_flight = permit.flatten();
+        let has_budget = in_flight.is_some();
         let fields = BudgetFields::of(budget.as_ref());
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 pub mod request;
 pub mod reservation;
 pub mod retry_decision;
+pub mod retry_permit;
 pub mod serving;
 pub mod shared;
 pub mod stop;
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -16,6 +16,7 @@
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::poison;
 use crate::gateway::retry_decision::BudgetFields;
+use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::Serving;
 use crate::metrics::RequestOutcome;
 
@@ -25,83 +26,125 @@
 /// milliseconds.
 const MISDIRECTED_PAUSE_MS: u64 = 10;
 
+/// An attempt that certainly did not run; fields are as in [`Attempted::NotRun`].
+struct AttemptRefusal {
+    reason: &'static str,
+    is_misdirected: bool,
+    has_arrived: bool,
+}
+
+/// What follows a failed attempt.
+pub(super) enum AfterFailure {
+    /// The request is sent again, with a permit of the retry budget if it needs one.
+    Retry(Option<RetryPermit>),
+    /// The request ends with this response.
+    End(Response<AnswerBody>),
+}
+
 impl Serving {
-    /// Records a failed attempt and returns the final error; `None` means to try again.
-    ///
-    /// Waits a short time before a retry where the endpoint was missing the model or adapter.
+    /// Records a failed attempt and decides whether the request is sent again.
     pub(super) async fn handle_failure(
         &mut self,
         attempted: Attempted,
         endpoint: &EndpointId,
         requirements: &mut Requirements,
-    ) -> Option<Response<AnswerBody>> {
-        let now_ms = self.gateway.now_ms();
+    ) -> AfterFailure {
         match attempted {
-            Attempted::Answered(_) => None,
+            Attempted::Answered(_) => AfterFailure::Retry(None),
             Attempted::NotRun {
                 reason,
                 is_misdirected,
                 has_arrived,
             } => {
-                self.gateway.metrics.count_attempt("not_run");
-                if is_misdirected && requirements.model.is_some() {
-                    self.record_missing_model(endpoint, requirements, now_ms);
-                } else {
-                    self.record_refusal(endpoint, now_ms, is_misdirected);
-                    requirements.avoid.push(endpoint.clone());
-                }
-                let has_attempts_left = self.attempts < ATTEMPTS_MAX;
-                let budget = (has_attempts_left && has_arrived)
-                    .then(|| self.gateway.take_retry(now_ms, &requirements.service));
-                let may_retry =
-                    has_attempts_left && budget.as_ref().is_none_or(|decision| decision.is_granted);
-                let fields = BudgetFields::of(budget.as_ref());
-                log::info!(
-                    event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
-                    reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
-                    attempts = self.attempts, repeated = may_retry,
-                    budget = fields.outcome, retries = fields.usage.retries,
-                    retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
-                    gateways = fields.gateways;
-                    "endpoint did not run the request"
-                );
-                if !may_retry {
-                    return Some(self.final_refusal(requirements, &Choice::Full));
-                }
-                if is_misdirected {
+                let refusal = AttemptRefusal {
+                    reason,
+                    is_misdirected,
+                    has_arrived,
+                };
+                let after = self.handle_refusal(&refusal, endpoint, requirements);
+                if is_misdirected && matches!(after, AfterFailure::Retry(_)) {
                     tokio::time::sleep(Duration::from_millis(MISDIRECTED_PAUSE_MS)).await;
                 }
-                None
-            }
-            Attempted::Lost { reason } => {
-                self.runs += 1;
-                if let (attempt::CONNECTION_BROKE, Some(address)) =
-                    (reason, self.gateway.address_of(endpoint))
-                {
-                    poison::check_for_crash(&self.gateway, &self.work, address);
-                }
-                self.gateway.metrics.count_attempt("lost");
-                requirements.avoid.push(endpoint.clone());
-                let may_run_again = self.work.route.kind.is_repeatable()
-                    && self.runs < self.work.route.endpoints_per_attempt_max
-                    && self.work.left_ms(now_ms) > 0
-                    && !*self.gateway.aborting.borrow();
-                let budget =
-                    may_run_again.then(|| self.gateway.take_retry(now_ms, &requirements.service));
-                let may_repeat = budget.as_ref().is_some_and(|decision| decision.is_granted);
-                let fields = BudgetFields::of(budget.as_ref());
-                log::warn!(
-                    event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
-                    reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
-                    repeated = may_repeat, runs = self.runs,
-                    budget = fields.outcome, retries = fields.usage.retries,
-                    retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
-                    gateways = fields.gateways;
-                    "the answer of an endpoint is lost; the request may have run"
-                );
-                (!may_repeat).then(|| self.lost_response(now_ms))
+                after
             }
+            Attempted::Lost { reason } => self.handle_loss(reason, endpoint, requirements),
+        }
+    }
+
+    /// Records an attempt that did not run and decides whether the request is sent again.
+    fn handle_refusal(
+        &self,
+        refusal: &AttemptRefusal,
+        endpoint: &EndpointId,
+        requirements: &mut Requirements,
+    ) -> AfterFailure {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.metrics.count_attempt("not_run");
+        if refusal.is_misdirected && requirements.model.is_some() {
+            self.record_missing_model(endpoint, requirements, now_ms);
+        } else {
+            self.record_refusal(endpoint, now_ms, refusal.is_misdirected);
+            requirements.avoid.push(endpoint.clone());
+        }
+        let has_attempts_left = self.attempts < ATTEMPTS_MAX;
+        let (budget, permit) = (has_attempts_left && refusal.has_arrived)
+            .then(|| self.gateway.take_retry(now_ms, &requirements.service))
+            .unzip();
+        let permit = permit.flatten();
+        let may_retry = has_attempts_left && (!refusal.has_arrived || permit.is_some());
+        let fields = BudgetFields::of(budget.as_ref());
+        log::info!(
+            event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
+            reason = refusal.reason, endpoint = endpoint.as_str(),
+            service = requirements.service.as_str(), attempts = self.attempts,
+            repeated = may_retry, budget = fields.outcome, retries = fields.usage.retries,
+            retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
+            gateways = fields.gateways;
+            "endpoint did not run the request"
+        );
+        if may_retry {
+            return AfterFailure::Retry(permit);
+        }
+        AfterFailure::End(self.final_refusal(requirements, &Choice::Full))
+    }
+
+    /// Records an attempt whose answer is lost and decides whether the request is sent again.
+    fn handle_loss(
+        &mut self,
+        reason: &'static str,
+        endpoint: &EndpointId,
+        requirements: &mut Requirements,
+    ) -> AfterFailure {
+        let now_ms = self.gateway.now_ms();
+        self.runs += 1;
+        if let (attempt::CONNECTION_BROKE, Some(address)) =
+            (reason, self.gateway.address_of(endpoint))
+        {
+            poison::check_for_crash(&self.gateway, &self.work, address);
+        }
+        self.gateway.metrics.count_attempt("lost");
+        requirements.avoid.push(endpoint.clone());
+        let may_run_again = self.work.route.kind.is_repeatable()
+            && self.runs < self.work.route.endpoints_per_attempt_max
+            && self.work.left_ms(now_ms) > 0
+            && !*self.gateway.aborting.borrow();
+        let (budget, permit) = may_run_again
+            .then(|| self.gateway.take_retry(now_ms, &requirements.service))
+            .unzip();
+        let permit = permit.flatten();
+        let fields = BudgetFields::of(budget.as_ref());
+        log::warn!(
+            event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
+            reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
+            repeated = permit.is_some(), runs = self.runs, budget = fields.outcome,
+            retries = fields.usage.retries, retry_limit = fields.usage.limit,
+            first_attempts = fields.usage.first_attempts, gateways = fields.gateways;
+            "the answer of an endpoint is lost; the request may have run"
+        );
+        if permit.is_some() {
+            return AfterFailure::Retry(permit);
         }
+        AfterFailure::End(self.lost_response(now_ms))
     }
 
     /// Returns the final error of a request that may have run and whose answer is lost.
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -27,6 +27,8 @@
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
 use crate::gateway::reservation::Reservation;
+use crate::gateway::retry_permit::RetryPermit;
+use crate::gateway::serving::failure::AfterFailure;
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
 
@@ -85,6 +87,7 @@
             );
         }
         self.record_demand(&requirements);
+        let mut retry_in_flight: Option<RetryPermit> = None;
         loop {
             let reservation = match self.wait_for_endpoint(&requirements).await {
                 Ok(reservation) => reservation,
@@ -117,11 +120,14 @@
                     }
                 }
             };
-            if let Some(response) = self
+            // An earlier retry has failed, so that it is settled before the next is taken.
+            drop(retry_in_flight.take());
+            let after = self
                 .handle_failure(attempted, &endpoint, &mut requirements)
-                .await
-            {
-                return response;
+                .await;
+            match after {
+                AfterFailure::Retry(permit) => retry_in_flight = permit,
+                AfterFailure::End(response) => return response,
             }
         }
     }
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -157,11 +157,11 @@
         }
     }
 
-    /// Takes one retry from the budget of a service that all gateways share, if one is left.
+    /// Decides on a retry at a service and counts it as in flight if it is granted.
     ///
     /// The others count this gateway only once it is registered, and it must know them.
     #[must_use]
-    pub fn take_retry(&self, now_ms: u64, service: &ServiceName) -> RetryDecision {
+    pub(super) fn decide_retry(&self, now_ms: u64, service: &ServiceName) -> RetryDecision {
         let predecessor = self.predecessor.get();
         let decision = self.with(|view| {
             let predecessor = predecessor.filter(|_| view.has_peers);
