--- a/crates/chicorystage-testbed/src/soak/budget_audit.rs
+++ b/crates/chicorystage-testbed/src/soak/budget_audit.rs
@@ -31,6 +31,8 @@
     pub requests: usize,
     /// Requests that endpoints received, repeats included.
     pub arrivals: usize,
+    /// Arrivals beyond the first of each request.
+    pub repeats: usize,
     /// Window with the most repeated arrivals beyond those allowed.
     pub worst: WindowUsage,
 }
@@ -96,7 +98,7 @@
         let worst = &self.worst;
         write!(
             f,
-            "{}{}: {} requests, {} arrivals; {} repeated in the window from {} ms, {:.1} allowed",
+            "{}{}: {} requests, {} arrivals, {} repeated; {} in the window from {} ms, {:.1} allowed",
             if worst.is_over() {
                 "BUDGET broken, "
             } else {
@@ -105,6 +107,7 @@
             self.service,
             self.requests,
             self.arrivals,
+            self.repeats,
             worst.repeats,
             worst.from_ms,
             worst.allowed
--- a/crates/chicorystage-testbed/src/soak/services.rs
+++ b/crates/chicorystage-testbed/src/soak/services.rs
@@ -111,6 +111,7 @@
         service: service.to_owned(),
         requests: requests_ms.len(),
         arrivals: arrivals.len(),
+        repeats: repeats_ms.len(),
         worst: BOUND.worst_window(&requests_ms, &repeats_ms),
     }
 }
