Count an adapter until its unload has been seen to end

Cause found by reading and by schedules: an engine unloads an adapter at once (200) only if no request uses it; otherwise it accepts the order (202) and the adapter keeps its place until these requests end. The record took it off at the order, so the next load of an adapter made one more than the engine has places for. A holder that has just taken over knows of no request for any adapter, so it chooses used ones. Class: a release taken for done when it was accepted. Change: an adapter whose unload was accepted stays counted, in places and memory, until a report of that sequence or later lacks it; no other is unloaded at that engine meanwhile.

--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -51,6 +51,8 @@
     loading_adapters: Vec<(AdapterRef, u64)>,
     /// Recently loaded adapters, with the time at which their load was accepted.
     recent_adapters: Vec<(AdapterRef, u64)>,
+    /// Adapters whose unload was accepted and that occupy their place until no request uses them.
+    unloading_adapters: Vec<AdapterRef>,
     /// Model that memory was freed for, and the time until which the memory is reserved.
     reserved: Option<(ModelName, u64)>,
     /// Whether the engine carries out an order that this router did not send.
@@ -77,6 +79,7 @@
             report_due_ms: 0,
             loading_adapters: Vec::new(),
             recent_adapters: Vec::new(),
+            unloading_adapters: Vec::new(),
             reserved: None,
             has_foreign_order: false,
             loaded_ms: BTreeMap::new(),
@@ -107,7 +110,7 @@
         let Some(change) = self.change.clone() else {
             self.set_loaded(now_ms, report);
             self.has_foreign_order = report.is_busy;
-            if !report.is_busy {
+            if !report.is_busy && self.unloading_adapters.is_empty() {
                 self.report_due_ms = now_ms + REPORT_IDLE_MS;
             }
             return None;
@@ -183,7 +186,13 @@
                 };
                 self.loading_adapters.push((adapter, now_ms));
             }
-            OrderKind::UnloadAdapter(_) => {}
+            OrderKind::UnloadAdapter(adapter) => {
+                self.unloading_adapters.push(AdapterRef {
+                    model,
+                    adapter: adapter.clone(),
+                });
+                self.report_due_ms = now_ms + REPORT_RETRY_MS;
+            }
         }
     }
 
@@ -351,6 +360,10 @@
             .loading_adapters
             .iter()
             .map(|(adapter, _)| adapter_mb(spec, &adapter.model));
+        let unloading = self
+            .unloading_adapters
+            .iter()
+            .map(|adapter| adapter_mb(spec, &adapter.model));
         let sent = self.outstanding.as_ref().map_or(0.0, |sent| {
             if sent.order.kind.adapter().is_some() {
                 adapter_mb(spec, &sent.order.model)
@@ -362,7 +375,7 @@
             .change
             .as_ref()
             .map_or(0.0, |change| model_mb(spec, change.model(), 0));
-        loaded.sum::<f64>() + loading.sum::<f64>() + sent + change
+        loaded.sum::<f64>() + loading.sum::<f64>() + unloading.sum::<f64>() + sent + change
     }
 
     /// Returns whether a model fits into memory once `victim`, if any, is unloaded.
@@ -375,10 +388,25 @@
         self.memory_mb(spec) - freed_mb + model.weights_mb <= spec.memory_mb
     }
 
-    /// Returns the number of adapters that are loaded or being loaded.
+    /// Returns the number of adapters that are loaded, being loaded or being unloaded.
     #[must_use]
     pub fn adapter_count(&self) -> usize {
-        self.loaded.values().map(BTreeSet::len).sum::<usize>() + self.loading_adapters.len()
+        let loaded: usize = self.loaded.values().map(BTreeSet::len).sum();
+        loaded + self.loading_adapters.len() + self.unloading_adapters.len()
+    }
+
+    /// Returns whether an adapter is being unloaded, so that its place becomes free.
+    #[must_use]
+    pub fn is_unloading_adapter(&self) -> bool {
+        !self.unloading_adapters.is_empty()
+    }
+
+    /// Forgets the unloading adapters that a report no longer lists, and takes the others out of the
+    /// loaded ones.
+    fn remove_unloading_adapters(&mut self) {
+        let loaded = &mut self.loaded;
+        self.unloading_adapters
+            .retain(|adapter| remove_adapter(loaded, adapter));
     }
 
     fn set_loaded(&mut self, now_ms: u64, report: &EngineReport) {
@@ -387,6 +415,7 @@
             (loaded.model.clone(), adapters)
         });
         self.loaded = loaded.collect();
+        self.remove_unloading_adapters();
         self.tick(now_ms);
         for (adapter, _) in &self.recent_adapters {
             if let Some(adapters) = self.loaded.get_mut(&adapter.model) {
@@ -397,6 +426,15 @@
     }
 }
 
+/// Removes an adapter from the loaded ones; returns whether it was among them.
+fn remove_adapter(
+    loaded: &mut BTreeMap<ModelName, BTreeSet<AdapterName>>,
+    adapter: &AdapterRef,
+) -> bool {
+    let adapters = loaded.get_mut(&adapter.model);
+    adapters.is_some_and(|adapters| adapters.remove(&adapter.adapter))
+}
+
 fn model_mb(spec: &EngineSpec, model: &ModelName, adapters: usize) -> f64 {
     let Some(model) = spec.models.get(model) else {
         return 0.0;
--- a/crates/chicorystage-core/src/orders/order_tracker.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker.rs
@@ -223,7 +223,9 @@
             if has_capacity {
                 let kind = OrderKind::LoadAdapter(adapter.adapter.clone());
                 self.send(now_ms, &id, adapter.model.clone(), kind, orders);
-            } else if let Some(unused) = least_recent_adapter(now_ms, engine, demand) {
+            } else if !engine.is_unloading_adapter()
+                && let Some(unused) = least_recent_adapter(now_ms, engine, demand)
+            {
                 let kind = OrderKind::UnloadAdapter(unused.adapter);
                 self.send(now_ms, &id, unused.model, kind, orders);
             }
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -88,6 +88,10 @@
     loaded: BTreeMap<ModelName, BTreeSet<AdapterName>>,
     on_disk: BTreeSet<ModelName>,
     busy: Option<(Order, u64)>,
+    /// Adapters that requests use, with the time at which the last of these ends.
+    in_use_until_ms: BTreeMap<(ModelName, AdapterName), u64>,
+    /// Adapters that are unloaded once no request uses them.
+    draining: BTreeSet<(ModelName, AdapterName)>,
     /// Recent states with their times; a delayed report shows one of them.
     history: VecDeque<(u64, EngineReport)>,
     store_loads_ms: Vec<u64>,
@@ -122,6 +126,17 @@
                 }
             }
         }
+        self.in_use_until_ms
+            .retain(|_, until_ms| *until_ms > now_ms);
+        let in_use = &self.in_use_until_ms;
+        let unused = self
+            .draining
+            .extract_if(.., |adapter| !in_use.contains_key(adapter));
+        for (model, adapter) in unused {
+            if let Some(adapters) = self.loaded.get_mut(&model) {
+                adapters.remove(&adapter);
+            }
+        }
         self.history.push_back((now_ms, self.report()));
         while self.history.len() > 30 {
             self.history.pop_front();
@@ -192,9 +207,13 @@
                 let Some(adapters) = self.loaded.get_mut(&order.model) else {
                     return OrderReply::Rejected;
                 };
-                adapters.remove(adapter);
-                self.sequence += 1;
-                return OrderReply::Holds;
+                let adapter = (order.model.clone(), adapter.clone());
+                if !self.in_use_until_ms.contains_key(&adapter) {
+                    adapters.remove(&adapter.1);
+                    self.sequence += 1;
+                    return OrderReply::Holds;
+                }
+                self.draining.insert(adapter);
             }
         }
         self.sequence += 1;
@@ -352,6 +371,7 @@
         let mut adapters = HashMap::new();
         if is_loaded {
             self.demand.record_adapter_request(now_ms, &adapter);
+            self.use_adapter(&adapter);
             adapters.insert(adapter, 1);
         } else {
             waiting.insert(model, 1);
@@ -360,6 +380,31 @@
             .update_waiting(now_ms, VmId::from("gateway"), waiting, adapters);
     }
 
+    /// Starts a request for the adapter at an engine that has loaded it, if there is one.
+    fn use_adapter(&mut self, adapter: &AdapterRef) {
+        let until_ms = self.now_ms + self.random.random_range(50..3_000);
+        let key = (adapter.model.clone(), adapter.adapter.clone());
+        let engine = self.engines.values_mut().find(|engine| {
+            let adapters = engine.loaded.get(&adapter.model);
+            adapters.is_some_and(|loaded| loaded.contains(&adapter.adapter))
+                && !engine.draining.contains(&key)
+        });
+        if let Some(engine) = engine {
+            engine.in_use_until_ms.insert(key, until_ms);
+        }
+    }
+
+    /// Passes the lease to a router that knows neither engines nor demand.
+    fn hand_over(&mut self) {
+        self.tracker = OrderTracker::new(OrderTrackerSettings {
+            ceiling_window_ms: WINDOW_MS,
+            ceiling_factor: CEILING_FACTOR,
+        });
+        self.demand = DemandTracker::default();
+        self.replies.clear();
+        self.reports.clear();
+    }
+
     fn send(&mut self, order: Order) {
         let now_ms = self.now_ms;
         let outcome = if self.is_fault_free {
@@ -435,6 +480,17 @@
         world.run_ms(40_000);
     }
 
+    // A new lease holder knows neither the orders of its predecessor, some of which are still on
+    // their way, nor which adapters requests use.
+    #[test]
+    fn hand_overs_of_the_lease_never_overcommit_an_engine(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        for _ in 0..20 {
+            world.run_ms(2_000);
+            world.hand_over();
+        }
+    }
+
     #[test]
     fn loads_from_the_store_stay_under_the_ceiling(seed in any::<u64>()) {
         // Loads so short that busy engines alone would not limit the rate.
