--- a/crates/chicorystage-testbed/src/soak/course.rs
+++ b/crates/chicorystage-testbed/src/soak/course.rs
@@ -20,6 +20,8 @@
 const PAUSE_MS: Range<u64> = 200..6_000;
 /// Range of the time for which a gateway is paused, in milliseconds.
 const GATEWAY_PAUSE_MS: Range<u64> = 300..4_000;
+/// Range of the age of the copy to which the store returns, in milliseconds.
+const STORE_COPY_AGE_MS: Range<u64> = 500..20_000;
 /// Range of the time for which the store fails, in milliseconds.
 const STORE_FAULT_MS: Range<u64> = 300..5_000;
 /// Factor of the load during a burst.
@@ -155,7 +157,7 @@
         let mut at_ms = rng.random_range(2_000..FIRST_FAULT_MS);
         while at_ms < length_ms {
             let gateway = rng.random_range(0..gateways);
-            let (fault, end, range_ms) = match rng.random_range(0..9) {
+            let (fault, end, range_ms) = match rng.random_range(0..10) {
                 0..=3 => (
                     Fault::Application(failing_reply(rng)),
                     Some(Fault::Application(answered())),
@@ -177,6 +179,11 @@
                     Some(Fault::Continue(gateway)),
                     GATEWAY_PAUSE_MS,
                 ),
+                8 => (
+                    Fault::CopyStore,
+                    Some(Fault::RestoreStore),
+                    STORE_COPY_AGE_MS,
+                ),
                 _ => (
                     Fault::Store(store_mode(rng)),
                     Some(Fault::Store(StoreMode::Serving)),
@@ -225,6 +232,7 @@
         services: &Services,
         fixture: &PlatformFixture,
     ) -> anyhow::Result<()> {
+        let mut copy = fixture.store.copy();
         for step in &self.steps {
             sleep_until(start + Duration::from_millis(step.at_ms)).await;
             match &step.fault {
@@ -234,6 +242,11 @@
                 }
                 Fault::Model(reply) => services.set_model_reply(reply),
                 Fault::Store(mode) => fixture.store.set_mode(*mode),
+                Fault::CopyStore => copy = fixture.store.copy(),
+                Fault::RestoreStore => {
+                    fixture.store.restore(copy.clone());
+                    services.write_again(fixture);
+                }
                 Fault::Restart(number) => gateways[*number].restart().await?,
                 Fault::Pause(number) => gateways[*number].pause().await?,
                 Fault::Continue(number) => gateways[*number].resume().await?,
--- a/crates/chicorystage-testbed/src/soak/fault.rs
+++ b/crates/chicorystage-testbed/src/soak/fault.rs
@@ -13,6 +13,10 @@
     Model(Reply),
     /// The store behaves like this from now on.
     Store(StoreMode),
+    /// The store's rows are copied, to return to later.
+    CopyStore,
+    /// The store returns to the last copy; operator and endpoints write their rows again.
+    RestoreStore,
     /// A gateway is killed and started again at once.
     Restart(usize),
     /// A gateway's process is paused.
--- a/crates/chicorystage-testbed/src/soak/services.rs
+++ b/crates/chicorystage-testbed/src/soak/services.rs
@@ -38,21 +38,31 @@
     ///
     /// Returns the operating system's error if no loopback port can be bound.
     pub async fn start(fixture: &PlatformFixture) -> std::io::Result<Self> {
-        fixture.declare_with(VERSION, &routes());
         let (mut applications, mut models) = (Vec::new(), Vec::new());
         for i in 0..ENDPOINTS {
             let application = EndpointEmulator::start(&format!("a{i}"), answered(), None).await?;
-            fixture.register(&application, APPLICATION);
             applications.push(application);
             let engine = EndpointEngine::new(&["m0"], LOAD_MS);
             let model = EndpointEmulator::start(&format!("e{i}"), streamed(), Some(engine)).await?;
-            fixture.register(&model, MODEL);
             models.push(model);
         }
-        Ok(Self {
+        let services = Self {
             applications,
             models,
-        })
+        };
+        services.write_again(fixture);
+        Ok(services)
+    }
+
+    /// Writes the rows of the operator and of the endpoints.
+    pub fn write_again(&self, fixture: &PlatformFixture) {
+        fixture.declare_with(VERSION, &routes());
+        for endpoint in &self.applications {
+            fixture.register(endpoint, APPLICATION);
+        }
+        for endpoint in &self.models {
+            fixture.register(endpoint, MODEL);
+        }
     }
 
     /// Sets the reply of all endpoints of the applications.
--- a/crates/chicorystage-testbed/tests/gateway_store_restore.rs
+++ b/crates/chicorystage-testbed/tests/gateway_store_restore.rs
@@ -159,3 +159,22 @@
         Ok(())
     })
 }
+
+#[gtest]
+fn store_that_returns_from_a_copy_shows_in_the_metrics() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        let shows = |line: &str| gateway.metrics.encode().lines().any(|shown| shown == line);
+        verify_that!(shows("chicorystage_gateway_store_era 0"), is_true())?;
+        let copy = world.store.copy();
+        restore(&world, copy, || {}).await;
+        // The operator's, the endpoints' and the system's own table are read again.
+        wait_until("three tables are read again", || {
+            shows("chicorystage_gateway_store_restores_total 3")
+        })
+        .await;
+        verify_that!(shows("chicorystage_gateway_store_era 1"), is_true())
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -133,6 +133,7 @@
             version = rows.position.version;
             "store has returned from an older copy; whole table read again"
         );
+        self.gateway.metrics.count_store_restore();
         let expiry_ms = expiry_ms(self.gateway.settings.heartbeat_ms);
         self.reread_ms = Some(self.gateway.now_ms() + expiry_ms + REREAD_MARGIN_MS);
         self.gateway.store_regained.notify_waiters();
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -182,6 +182,7 @@
     /// Records an era of the store that was seen in an answer.
     pub fn observe_era(&self, era: u64) {
         self.store_era.set(self.store_era.get().max(era));
+        self.metrics.set_store_era(self.store_era.get());
     }
 
     /// Returns the position of a version in the newest known era of the store.
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -95,6 +95,8 @@
     retries: Family<RetryLabels, Counter>,
     orders: Family<EventLabels, Counter>,
     store_calls: Family<EventLabels, Counter>,
+    store_era: Gauge,
+    store_restores: Counter,
     waiting: Gauge,
     in_progress: Gauge,
 }
@@ -121,6 +123,8 @@
             retries: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
             waiting: Gauge::default(),
             in_progress: Gauge::default(),
         };
@@ -187,6 +191,16 @@
         count(&self.store_calls, kind, outcome);
     }
 
+    /// Sets the gauge of the store's era.
+    pub fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a table that was read whole because the store has returned from an older copy.
+    pub fn count_store_restore(&self) {
+        self.store_restores.inc();
+    }
+
     /// Sets the gauges of waiting requests and requests in progress.
     pub fn set_gauges(&self, waiting: usize, in_progress: u32) {
         self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
@@ -238,6 +252,16 @@
             "Calls to the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_era",
+            "Newest era of the store that was seen",
+            self.store_era.clone(),
+        );
+        registry.register(
+            "store_restores",
+            "Tables read whole since the store has returned from an older copy",
+            self.store_restores.clone(),
+        );
         registry.register("waiting", "Requests waiting", self.waiting.clone());
         registry.register(
             "in_progress",
