--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -191,7 +191,9 @@
                     model,
                     adapter: adapter.clone(),
                 });
-                self.report_due_ms = now_ms + REPORT_RETRY_MS;
+                // Engines may count the order only once no request uses the adapter any more.
+                self.sequence = None;
+                self.report_due_ms = now_ms + REPORT_LAG_MS;
             }
         }
     }
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -92,6 +92,8 @@
     in_use_until_ms: BTreeMap<(ModelName, AdapterName), u64>,
     /// Adapters that are unloaded once no request uses them.
     draining: BTreeSet<(ModelName, AdapterName)>,
+    /// Whether the unload of a used adapter counts as accepted only once it has ended.
+    counts_unloads_at_their_end: bool,
     /// Recent states with their times; a delayed report shows one of them.
     history: VecDeque<(u64, EngineReport)>,
     store_loads_ms: Vec<u64>,
@@ -136,6 +138,9 @@
             if let Some(adapters) = self.loaded.get_mut(&model) {
                 adapters.remove(&adapter);
             }
+            if self.counts_unloads_at_their_end {
+                self.sequence += 1;
+            }
         }
         self.history.push_back((now_ms, self.report()));
         while self.history.len() > 30 {
@@ -214,6 +219,9 @@
                     return OrderReply::Holds;
                 }
                 self.draining.insert(adapter);
+                if self.counts_unloads_at_their_end {
+                    return OrderReply::Accepted;
+                }
             }
         }
         self.sequence += 1;
@@ -273,6 +281,7 @@
                     .map(model)
                     .collect(),
                 store_load_ms,
+                counts_unloads_at_their_end: seed.is_multiple_of(2),
                 ..Engine::default()
             };
             world.engines.insert(id.clone(), engine);
@@ -344,6 +353,7 @@
             started_ms: self.now_ms,
             on_disk,
             store_load_ms,
+            counts_unloads_at_their_end: self.engines[&id].counts_unloads_at_their_end,
             ..Engine::default()
         };
         self.engines.insert(id.clone(), restarted);
@@ -508,6 +518,15 @@
     }
 }
 
+// An order without an answer is carried out after its engine has restarted under its identity and has
+// accepted as many orders as it had before.
+#[test]
+fn late_order_to_an_earlier_process_of_an_engine_never_overcommits_it() {
+    const SEED: u64 = 15_986_310_652_727_596_068;
+    let mut world = World::new(SEED);
+    world.run_ms(40_000);
+}
+
 #[test]
 fn requested_model_is_loaded_within_one_and_a_half_load_times() {
     let mut world = World::new(3);
