Leave room for orders without an answer to earlier processes of an engine

An order without an answer may be carried out seconds later if its expected count holds; after a restart under the same identity counts begin anew, so it may hold again, and the engine is then full of other things. Not covered: late orders of a former lease holder, which the new one does not know.

--- a/crates/chicorystage-core/src/orders/engine_record.rs
+++ b/crates/chicorystage-core/src/orders/engine_record.rs
@@ -5,7 +5,8 @@
 use crate::deployment::{EngineSpec, ModelSpec};
 use crate::fleet::LoadingModel;
 use crate::orders::{
-    AdapterRef, EngineReport, LoadSource, ModelChange, Order, OrderKind, OutstandingOrder,
+    AdapterRef, EngineReport, LateOrders, LoadSource, ModelChange, Order, OrderKind,
+    OutstandingOrder,
 };
 
 /// Interval between status reports while an order is in progress, in milliseconds.
@@ -53,6 +54,8 @@
     recent_adapters: Vec<(AdapterRef, u64)>,
     /// Adapters whose unload was accepted and that occupy their place until no request uses them.
     unloading_adapters: Vec<AdapterRef>,
+    /// Loads that were sent without an answer, also to earlier processes of the engine.
+    late_orders: LateOrders,
     /// Model that memory was freed for, and the time until which the memory is reserved.
     reserved: Option<(ModelName, u64)>,
     /// Whether the engine carries out an order that this router did not send.
@@ -80,6 +83,7 @@
             loading_adapters: Vec::new(),
             recent_adapters: Vec::new(),
             unloading_adapters: Vec::new(),
+            late_orders: LateOrders::default(),
             reserved: None,
             has_foreign_order: false,
             loaded_ms: BTreeMap::new(),
@@ -88,6 +92,32 @@
         }
     }
 
+    /// Adds orders without an answer to earlier processes of the engine, which the new one may carry
+    /// out.
+    #[must_use]
+    pub fn with_late_orders(mut self, late_orders: LateOrders) -> Self {
+        self.late_orders = late_orders;
+        self
+    }
+
+    /// Returns the orders without an answer, which a later process of the engine may carry out.
+    #[must_use]
+    pub fn into_late_orders(mut self, now_ms: u64) -> LateOrders {
+        if let Some(outstanding) = &self.outstanding {
+            self.late_orders.record(now_ms, &outstanding.order);
+        }
+        self.late_orders
+    }
+
+    /// Records that the outstanding order is sent again, so that two of it may be on their way.
+    pub fn record_sent_again(&mut self, now_ms: u64, retry_ms: u64) {
+        let Some(sent) = &mut self.outstanding else {
+            return;
+        };
+        sent.retry_ms = retry_ms;
+        self.late_orders.record(now_ms, &sent.order);
+    }
+
     /// Applies a status report, which may be older than the last accepted order.
     ///
     /// Returns the expected and the actual duration, in milliseconds, of a load from the weight
@@ -229,6 +259,7 @@
         }
         self.recent_adapters
             .retain(|(_, accepted_ms)| now_ms < accepted_ms + ADAPTER_OMITTED_MAX_MS);
+        self.late_orders.expire(now_ms);
         let is_over = |(_, until_ms): &(ModelName, u64)| now_ms >= *until_ms;
         if self.reserved.as_ref().is_some_and(is_over) {
             self.reserved = None;
@@ -377,7 +408,8 @@
             .change
             .as_ref()
             .map_or(0.0, |change| model_mb(spec, change.model(), 0));
-        loaded.sum::<f64>() + loading.sum::<f64>() + unloading.sum::<f64>() + sent + change
+        let late = self.late_orders.memory_mb(spec, self.sequence);
+        loaded.sum::<f64>() + loading.sum::<f64>() + unloading.sum::<f64>() + sent + change + late
     }
 
     /// Returns whether a model fits into memory once `victim`, if any, is unloaded.
@@ -390,11 +422,13 @@
         self.memory_mb(spec) - freed_mb + model.weights_mb <= spec.memory_mb
     }
 
-    /// Returns the number of adapters that are loaded, being loaded or being unloaded.
+    /// Returns the number of adapters that are loaded, being loaded, being unloaded or may be
+    /// loaded by a late order.
     #[must_use]
     pub fn adapter_count(&self) -> usize {
         let loaded: usize = self.loaded.values().map(BTreeSet::len).sum();
-        loaded + self.loading_adapters.len() + self.unloading_adapters.len()
+        let late = self.late_orders.adapter_count(self.sequence);
+        loaded + self.loading_adapters.len() + self.unloading_adapters.len() + late
     }
 
     /// Returns whether an adapter is being unloaded, so that its place becomes free.
--- a/crates/chicorystage-core/src/orders/order_tracker.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker.rs
@@ -7,8 +7,8 @@
 use crate::orders::placement::{PlacementContext, PlacementStep, load_ms};
 use crate::orders::plan_table::PlanTable;
 use crate::orders::{
-    AdapterRef, DemandTracker, EngineRecord, EngineReport, LoadSource, Order, OrderKind,
-    OrderReply, OrderTrackerSettings, StoreLoadLimiter,
+    AdapterRef, DemandTracker, EngineRecord, EngineReport, LateOrders, LoadSource, Order,
+    OrderKind, OrderReply, OrderTrackerSettings, StoreLoadLimiter,
 };
 
 /// Time after which an order without a conclusive reply is sent again, in milliseconds.
@@ -28,6 +28,8 @@
 pub struct OrderTracker {
     settings: OrderTrackerSettings,
     engines: BTreeMap<EndpointId, EngineRecord>,
+    /// Orders without an answer to engines that have no record now.
+    late_orders: BTreeMap<EndpointId, LateOrders>,
     store_limiter: StoreLoadLimiter,
 }
 
@@ -38,31 +40,53 @@
         Self {
             settings,
             engines: BTreeMap::new(),
+            late_orders: BTreeMap::new(),
             store_limiter: StoreLoadLimiter::default(),
         }
     }
 
     /// Synchronizes the records with the registry.
     ///
-    /// Adds ready engines, and removes those that have left, are not ready or have restarted.
-    pub fn sync_engines(&mut self, fleet: &FleetView, configuration: &Configuration) {
-        self.engines.retain(|id, record| {
-            fleet.get(id).is_some_and(|endpoint| {
-                endpoint.is_ready() && endpoint.entry.born_unix_ms == record.born_unix_ms
-            })
-        });
+    /// Adds ready engines, begins anew with those that have restarted, and removes those that have
+    /// left or are not ready.
+    pub fn sync_engines(&mut self, now_ms: u64, fleet: &FleetView, configuration: &Configuration) {
+        self.remove_departed(now_ms, fleet);
         for (id, endpoint) in fleet.endpoints() {
-            let service = configuration.service(&endpoint.entry.service);
+            let entry = &endpoint.entry;
+            let service = configuration.service(&entry.service);
             let is_engine = service.is_some_and(|service| service.engine.is_some());
             if !is_engine || !endpoint.is_ready() || self.engines.contains_key(id) {
                 continue;
             }
-            let entry = &endpoint.entry;
+            let late_orders = self.late_orders.remove(id).unwrap_or_default();
             let record = EngineRecord::new(id.clone(), entry.service.clone(), entry.born_unix_ms);
+            let record = record.with_late_orders(late_orders);
             self.engines.insert(id.clone(), record);
         }
     }
 
+    /// Removes the records of engines that have left, are not ready or have restarted.
+    ///
+    /// Keeps their orders without an answer, since an engine may come back under its identity.
+    fn remove_departed(&mut self, now_ms: u64, fleet: &FleetView) {
+        let is_same = |id: &EndpointId, record: &EngineRecord| {
+            fleet.get(id).is_some_and(|endpoint| {
+                endpoint.is_ready() && endpoint.entry.born_unix_ms == record.born_unix_ms
+            })
+        };
+        let departed = self
+            .engines
+            .extract_if(.., |id, record| !is_same(id, record));
+        for (id, record) in departed {
+            let late_orders = record.into_late_orders(now_ms);
+            self.late_orders.entry(id).or_default().extend(late_orders);
+        }
+        self.late_orders.retain(|_, late_orders| {
+            late_orders.expire(now_ms);
+            !late_orders.is_empty()
+        });
+    }
+
     /// Returns the record of an engine, or `None` if the engine is not registered and ready.
     #[must_use]
     pub fn engine(&self, id: &EndpointId) -> Option<&EngineRecord> {
@@ -172,13 +196,13 @@
     fn due_retries(&mut self, now_ms: u64) -> Vec<Order> {
         let mut orders = Vec::new();
         for engine in self.engines.values_mut() {
-            let Some(sent) = &mut engine.outstanding else {
+            let due = engine.outstanding.as_ref();
+            let due = due.filter(|sent| now_ms >= sent.retry_ms);
+            let Some(order) = due.map(|sent| sent.order.clone()) else {
                 continue;
             };
-            if now_ms >= sent.retry_ms {
-                sent.retry_ms = now_ms + ORDER_RETRY_MS;
-                orders.push(sent.order.clone());
-            }
+            engine.record_sent_again(now_ms, now_ms + ORDER_RETRY_MS);
+            orders.push(order);
         }
         orders
     }
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -326,7 +326,8 @@
             self.record_random_demand();
         }
         self.deliver_messages();
-        self.tracker.sync_engines(&self.fleet, &self.configuration);
+        self.tracker
+            .sync_engines(now_ms, &self.fleet, &self.configuration);
         for id in self.tracker.take_due_reports(now_ms) {
             if !self.is_fault_free && self.random.random_bool(0.1) {
                 continue;
--- a/crates/chicorystaged/src/gateway/engine_orders.rs
+++ b/crates/chicorystaged/src/gateway/engine_orders.rs
@@ -67,7 +67,7 @@
     let now_ms = gateway.now_ms();
     let (due, orders) = gateway.with(|view| {
         let mut tracker = gateway.engine_tracker.borrow_mut();
-        tracker.sync_engines(&view.fleet, &configuration);
+        tracker.sync_engines(now_ms, &view.fleet, &configuration);
         let due = tracker.take_due_reports(now_ms);
         let orders = tracker.plan(now_ms, &view.fleet, &view.demand, &configuration);
         (due, orders)
