--- a/crates/chicorystage-core/src/orders/order_tracker.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -1,3 +1,5 @@
+mod adapters;
+
 use std::collections::{BTreeMap, HashSet};
 
 use chicorystage_api::name::{EndpointId, ModelName};
@@ -7,8 +9,8 @@
 use crate::orders::placement::{PlacementContext, PlacementStep, load_ms};
 use crate::orders::plan_table::PlanTable;
 use crate::orders::{
-    AdapterRef, DemandTracker, EngineRecord, EngineReport, LateOrders, LoadSource, Order,
-    OrderKind, OrderReply, OrderTrackerSettings, StoreLoadLimiter,
+    DemandTracker, EngineRecord, EngineReport, LateOrders, LoadSource, Order, OrderKind,
+    OrderReply, OrderTrackerSettings, StoreLoadLimiter,
 };
 
 /// Time after which an order without a conclusive reply is sent again, in milliseconds.
@@ -20,8 +22,6 @@
 /// Maximum number of new load or unload orders for models in one plan of a service.
 const MODEL_ORDERS_MAX: usize = 6;
 const MS_PER_S: f64 = 1_000.0;
-/// Time after its last request for which an adapter is not unloaded, in milliseconds.
-const ADAPTER_KEEP_MS: u64 = 400;
 
 /// Tracks the state of all engines at the lease holder and plans the orders to them.
 #[derive(Clone, Debug)]
@@ -207,55 +207,6 @@
         orders
     }
 
-    fn plan_adapters(
-        &mut self,
-        now_ms: u64,
-        spec: &EngineSpec,
-        fleet: &FleetView,
-        demand: &DemandTracker,
-        orders: &mut Vec<Order>,
-    ) {
-        for (adapter, _count) in demand.waiting_adapters(now_ms) {
-            let Some(model) = spec.models.get(&adapter.model) else {
-                continue;
-            };
-            let is_available = self.engines.values().any(|engine| {
-                let adapters = engine.loaded.get(&adapter.model);
-                let is_loaded = adapters.is_some_and(|loaded| loaded.contains(&adapter.adapter));
-                let has_free_slot = fleet.occupancy(&engine.id) < spec.slots;
-                (is_loaded && has_free_slot) || engine.expects_adapter(&adapter)
-            });
-            if is_available {
-                continue;
-            }
-            let candidates = self.engines.values().filter(|engine| {
-                engine.can_accept_order(now_ms)
-                    && engine
-                        .loaded
-                        .get(&adapter.model)
-                        .is_some_and(|loaded| !loaded.contains(&adapter.adapter))
-            });
-            let Some(id) = candidates
-                .min_by_key(|engine| fleet.occupancy(&engine.id))
-                .map(|engine| engine.id.clone())
-            else {
-                continue;
-            };
-            let engine = &self.engines[&id];
-            let has_capacity = engine.adapter_count() < spec.adapters_max
-                && engine.memory_mb(spec) + model.adapter_mb <= spec.memory_mb;
-            if has_capacity {
-                let kind = OrderKind::LoadAdapter(adapter.adapter.clone());
-                self.send(now_ms, &id, adapter.model.clone(), kind, orders);
-            } else if !engine.is_unloading_adapter()
-                && let Some(unused) = least_recent_adapter(now_ms, engine, demand)
-            {
-                let kind = OrderKind::UnloadAdapter(unused.adapter);
-                self.send(now_ms, &id, unused.model, kind, orders);
-            }
-        }
-    }
-
     fn plan_models(
         &mut self,
         now_ms: u64,
@@ -398,23 +349,6 @@
     }
 }
 
-/// Returns the least recently requested adapter, or `None` if all were requested recently.
-fn least_recent_adapter(
-    now_ms: u64,
-    engine: &EngineRecord,
-    demand: &DemandTracker,
-) -> Option<AdapterRef> {
-    let loaded = engine.loaded.iter().flat_map(|(model, adapters)| {
-        adapters.iter().map(|adapter| AdapterRef {
-            model: model.clone(),
-            adapter: adapter.clone(),
-        })
-    });
-    let oldest = loaded.min_by_key(|adapter| demand.adapter_requested_ms(adapter))?;
-    let requested_ms = demand.adapter_requested_ms(&oldest);
-    (requested_ms == 0 || requested_ms + ADAPTER_KEEP_MS <= now_ms).then_some(oldest)
-}
-
 fn expected_load_ms(
     configuration: &Configuration,
     engine: &EngineRecord,
