Take an engine that refuses everything in a row for another endpoint

What callers saw: refusals of requests for adapters of one engine. Cause: an application had the address of an engine that had left; the list was stale. Class: a receiver charged by whom we meant, not by who is there. Change: three such answers in a row without a good one exclude the endpoint like one that says it is another (3 s, or until its entry is written); each further one does so at once.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -19,6 +19,9 @@
 /// Time for which no request goes to an endpoint at whose address another one answered, in
 /// milliseconds; by then its registry entry has expired unless it lives.
 const IDENTITY_REFUSED_MS: u64 = 3_000;
+/// Number of answers in a row that something is missing after which an endpoint counts as another
+/// one.
+const MISDIRECTED_IN_ROW_MAX: u32 = 3;
 /// Time for which an endpoint counts as full after it refused a request, in milliseconds.
 const FULL_MS: u64 = 80;
 /// Weight of the newest outcome in the exponentially weighted average of failures.
@@ -47,6 +50,8 @@
     silent_since_ms: u64,
     unreachable_until_ms: u64,
     identity_refused_until_ms: u64,
+    /// Number of answers in a row that a model or adapter is missing or the endpoint another one.
+    misdirected_in_row: u32,
     full_until_ms: u64,
     /// Pacing of the prompts that this process sends to the endpoint.
     pub pace: PromptPace,
@@ -76,6 +81,7 @@
             silent_since_ms: 0,
             unreachable_until_ms: 0,
             identity_refused_until_ms: 0,
+            misdirected_in_row: 0,
             full_until_ms: 0,
             pace: PromptPace::default(),
         }
@@ -101,6 +107,7 @@
     /// Records that the endpoint has written its registry entry.
     pub(super) fn entry_written(&mut self) {
         self.identity_refused_until_ms = 0;
+        self.misdirected_in_row = 0;
     }
 
     /// Returns whether new requests may go to the endpoint.
@@ -187,6 +194,9 @@
     }
 
     /// Records that the endpoint answered that a model, or one adapter of it, is missing.
+    ///
+    /// An endpoint that has another one's address answers the same to every request, so after
+    /// several such answers in a row it counts as another one.
     pub fn missing_reported(
         &mut self,
         now_ms: u64,
@@ -200,6 +210,10 @@
         };
         self.missing_until_ms
             .insert((model, adapter), now_ms + missing_ms);
+        self.misdirected_in_row += 1;
+        if self.misdirected_in_row >= MISDIRECTED_IN_ROW_MAX {
+            self.identity_refused(now_ms);
+        }
     }
 
     /// Resets everything that a restart of the endpoint invalidates.
@@ -208,6 +222,7 @@
     pub fn restarted(&mut self) {
         self.report = None;
         self.missing_until_ms.clear();
+        self.misdirected_in_row = 0;
         self.failure_rate = 0.0;
         self.unanswered = 0;
         self.unreachable_until_ms = 0;
@@ -243,6 +258,9 @@
 
     /// Adds the outcome of a request to the failure rate.
     pub fn outcome(&mut self, now_ms: u64, is_good: bool) {
+        if is_good {
+            self.misdirected_in_row = 0;
+        }
         let newest = if is_good { 0.0 } else { 1.0 };
         let before = self.failure_rate(now_ms);
         self.failure_rate = before * (1.0 - OUTCOME_WEIGHT) + newest * OUTCOME_WEIGHT;
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -206,3 +206,28 @@
     fleet.registered(stale);
     assert_that!(choose(&fleet, 12_000, &requirements("m")), eq(&at("a")));
 }
+
+// An endpoint of another service that has an engine's address refuses whatever is asked of it, which
+// looks as if each model and adapter were missing.
+#[test]
+fn engine_that_refuses_three_requests_in_a_row_counts_as_another_endpoint() {
+    let engine = entry("a", "here", &["m", "n", "o", "p"]);
+    let mut fleet = fleet(std::slice::from_ref(&engine));
+    for (model, expected) in [("m", at("a")), ("n", at("a")), ("o", Choice::NoEndpoint)] {
+        let known = fleet.get_mut(&engine.id).expect("it is registered");
+        known.missing_reported(10_000, model.into(), None);
+        assert_that!(choose(&fleet, 10_001, &requirements("p")), eq(&expected));
+    }
+}
+
+#[test]
+fn engine_that_serves_between_refusals_does_not_count_as_another_endpoint() {
+    let engine = entry("a", "here", &["m", "n", "o", "p"]);
+    let mut fleet = fleet(std::slice::from_ref(&engine));
+    let known = fleet.get_mut(&engine.id).expect("it is registered");
+    known.missing_reported(10_000, "m".into(), None);
+    known.missing_reported(10_000, "n".into(), None);
+    known.outcome(10_000, true);
+    known.missing_reported(10_000, "o".into(), None);
+    assert_that!(choose(&fleet, 10_001, &requirements("p")), eq(&at("a")));
+}
--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -31,6 +31,8 @@
 const PAUSE_MS: u64 = 800;
 /// Requests of a burst that spends the whole budget.
 const BURST_REQUESTS: u32 = 100;
+/// Repeated requests at an endpoint that has another one's address: three at most show that it has.
+const REPEATS_AT_A_WRONG_ENDPOINT_MAX: usize = 2;
 /// Endpoints that take no connection, more than one window's retries.
 const DEAD_ENDPOINTS: u32 = 60;
 
@@ -111,6 +113,45 @@
     })
 }
 
+// Requests for an adapter that an engine says it lacks are retried there, as it may be arriving. An
+// endpoint of another service that has the engine's address now refuses all of them.
+#[gtest]
+fn engine_at_whose_address_an_application_answers_gets_few_repeated_requests() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let application = EndpointEmulator::start("new", reply(200), None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&application, "app");
+        let mut stale_entry = application.registry_entry("llm", "ready", 1);
+        stale_entry["models"] = json!([{"name": "m0", "version": 1, "adapters": ["a1"]}]);
+        let stale_entry = stale_entry.to_string();
+        world.store.put("servers", "e-old", stale_entry.as_bytes());
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        for i in 0..5 {
+            let id = format!("r{i}");
+            let headers = [
+                ("attempt-id", id.as_str()),
+                ("model", "m0/a1"),
+                ("deadline-ms", "1000"),
+            ];
+            send_request(&gateway, Method::POST, "/chat/x", &headers, "{}")
+                .await
+                .or_fail()?;
+        }
+        let mut known = HashSet::new();
+        // The lease holder reads the engine's report at that address as well.
+        let mut received = application.received_requests();
+        received.retain(|received| received.path == "/chat/x");
+        let repeats = received.iter().filter(|received| {
+            let id = received.header("attempt-id").to_owned();
+            !known.insert(id)
+        });
+        verify_that!(repeats.count(), le(REPEATS_AT_A_WRONG_ENDPOINT_MAX))
+    })
+}
+
 // Nothing arrived at the endpoints that took no connection, so no retry was spent on them.
 #[gtest]
 fn refused_connections_spend_no_retries() -> Result<()> {
