--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -36,7 +36,8 @@
 impl FleetView {
     /// Stores a registry entry and returns what it changed.
     ///
-    /// An endpoint whose start time, address or software version differs has restarted; its derived state is reset.
+    /// An endpoint whose start time, address or software version differs has restarted; its derived
+    /// state is reset.
     pub fn registered(&mut self, entry: EndpointEntry) -> EntryChange {
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
             self.endpoints
