--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -76,21 +76,30 @@
 /// Returns the begin of the first window in which more retries arrive than the bound allows.
 ///
 /// The bound counts the first attempts of the window, of the one before it or of the one half a
-/// window before it, whichever has most. Windows that begin or end at an arrival cover all others,
-/// but for the count of first attempts, which only grows with those that begin earlier.
+/// window before it, whichever has most. The windows looked at are those at whose begin or end an
+/// arrival or a counted first attempt enters or leaves, so all cases occur.
 fn breach(first_attempts: &[u64], arrivals: &[u64]) -> Option<u64> {
     let mut arrivals = arrivals.to_vec();
     arrivals.sort_unstable();
-    let ends = arrivals
-        .iter()
-        .map(|at_ms| (at_ms + 1).saturating_sub(WINDOW_MS));
-    let mut begins = arrivals.iter().copied().chain(ends);
+    let edges = |at_ms: u64| [(at_ms + 1).saturating_sub(WINDOW_MS), at_ms];
+    let of_arrivals = arrivals.iter().flat_map(|at_ms| edges(*at_ms));
+    let of_first_attempts = first_attempts.iter().flat_map(|at_ms| {
+        [0, WINDOW_MS / 2, WINDOW_MS].map(|earlier_ms| {
+            let at_ms = at_ms + earlier_ms;
+            [at_ms.saturating_sub(WINDOW_MS), at_ms + 1]
+        })
+    });
+    let mut begins = of_arrivals.chain(of_first_attempts.flatten());
     begins.find(|begin_ms| {
+        let arrived = count_in_window(&arrivals, *begin_ms, 0);
+        if arrived <= ALLOWANCE {
+            return false;
+        }
         let most = [0, WINDOW_MS / 2, WINDOW_MS]
             .map(|earlier_ms| count_in_window(first_attempts, *begin_ms, earlier_ms))
             .into_iter()
             .fold(0.0, f64::max);
-        count_in_window(&arrivals, *begin_ms, 0) > RATIO * most + ALLOWANCE
+        arrived > RATIO * most + ALLOWANCE
     })
 }
 
