--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -109,7 +109,6 @@
     assert_that!(choose(&fleet, 0, &requirements("m")), eq(&Choice::Full));
     let other = Requirements {
         service: ServiceName::from("none"),
-        software: None,
         ..requirements("m")
     };
     assert_that!(choose(&fleet, 0, &other), eq(&Choice::NoEndpoint));
@@ -207,8 +206,7 @@
     assert_that!(choose(&fleet, 12_000, &requirements("m")), eq(&at("a")));
 }
 
-// An endpoint of another service that has an engine's address refuses whatever is asked of it, which
-// looks as if each model and adapter were missing.
+// An endpoint that has an engine's address refuses each request as if the model were missing.
 #[test]
 fn engine_that_refuses_three_requests_in_a_row_counts_as_another_endpoint() {
     let engine = entry("a", "here", &["m", "n", "o", "p"]);
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules.rs
@@ -520,9 +520,7 @@
         world.run_ms(40_000);
     }
 
-    // A lease holder knows neither the orders of its predecessor, some of which are still on their way
-    // and carry a lower epoch, nor which adapters requests use. An engine accepts the unload that it
-    // is carrying out again, whatever count the order expects.
+    // The new holder knows neither its predecessor's last orders nor which adapters are in use.
     #[test]
     fn hand_overs_of_the_lease_never_overcommit_an_engine(seed in any::<u64>()) {
         let mut world = World::new(seed);
@@ -549,8 +547,7 @@
     }
 }
 
-// An order without an answer is carried out after its engine has restarted under its identity and has
-// accepted as many orders as it had before.
+// A restarted engine carries the late order out once it has accepted as many orders as before.
 #[test]
 fn late_order_to_an_earlier_process_of_an_engine_never_overcommits_it() {
     const SEED: u64 = 15_986_310_652_727_596_068;
--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -168,8 +168,7 @@
         ..ProptestConfig::with_cases(400)
     })]
 
-    // Few first attempts, and as many retries as the budgets allow in short bursts, many of which are
-    // about a window apart.
+    // Each burst takes all retries that the budgets allow, for few first attempts.
     #[test]
     fn bursts_about_a_window_apart_stay_under_the_bound(
         routers in 1_usize..8,
@@ -234,7 +233,7 @@
     }
 }
 
-// Three gateways of one deployment each spend what they have, twice within a window.
+// Each of three routers takes all the retries that it may, twice within a window.
 #[test]
 fn bursts_less_than_a_window_apart_stay_under_the_bound() {
     const ROUTERS: usize = 3;
--- a/crates/chicorystage-testbed/tests/gateway_processes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_processes.rs
@@ -27,7 +27,7 @@
     std::fs::remove_dir_all(directory).or_fail()
 }
 
-// The users saw this course break the bound: requests to engines paid for retries at applications.
+// With one budget for all services, requests to engines would allow retries at applications.
 #[gtest]
 #[tokio::test]
 async fn refused_burst_at_applications_spends_no_retries_of_the_engines() -> Result<()> {
--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -113,8 +113,7 @@
     })
 }
 
-// Requests for an adapter that an engine says it lacks are retried there, as it may be arriving. An
-// endpoint of another service that has the engine's address now refuses all of them.
+// Each refusal reads as if the adapter had not arrived yet.
 #[gtest]
 fn engine_at_whose_address_an_application_answers_gets_few_repeated_requests() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/tests/log_lines.rs
+++ b/crates/chicorystaged/tests/log_lines.rs
@@ -7,7 +7,7 @@
 use log4rs::encode::writer::simple::SimpleWriter;
 use serde_json::Value;
 
-/// Length to which the users' record cuts a line, in bytes.
+/// Length to which a collector cuts a line, in bytes.
 const CUT_BYTES: usize = 200;
 
 /// Returns the line of a record with the attributes of a failed attempt, in a deep module.
