Count several copies of a late order once, and ask the retry budget in one place

Each time an order without an answer was sent again, another copy took room in the record for 15 s, though the engine carries out one at most; order_that_was_sent_several_times_… failed before (3 of 1) and passes. The decision, its log fields and the permit of a retry stood three times; Gateway::take_retry has them now, without a change of what is decided.

--- a/crates/chicorystage-core/src/orders/late_orders.rs
+++ b/crates/chicorystage-core/src/orders/late_orders.rs
@@ -1,13 +1,14 @@
 use crate::deployment::EngineSpec;
 use crate::orders::{Order, OrderKind};
 
-/// Time after which an order without an answer is no longer carried out, in milliseconds.
+/// Time after which an order without an answer is assumed not to be carried out, in milliseconds.
 const LATE_MAX_MS: u64 = 15_000;
 
 /// Orders to load something that were sent without an answer and may still be carried out.
 ///
 /// An engine carries out a late order only if it has accepted as many orders as the order expects.
-/// Within one process of the engine this is true once; after a restart it may be true again.
+/// Within one process of the engine this is true once; after a restart it may be true again. Of
+/// several copies of an order the engine carries out one at most, so they count once.
 #[derive(Clone, Debug, Default)]
 pub struct LateOrders {
     /// Orders with the time from which they are not carried out any more, in milliseconds.
@@ -18,13 +19,23 @@
     /// Records an order that has no answer; one that unloads something is ignored.
     pub fn record(&mut self, now_ms: u64, order: &Order) {
         if order.kind.is_load() {
-            self.orders.push((order.clone(), now_ms + LATE_MAX_MS));
+            self.insert(order.clone(), now_ms + LATE_MAX_MS);
         }
     }
 
     /// Adds the orders of another list.
     pub fn extend(&mut self, others: Self) {
-        self.orders.extend(others.orders);
+        for (order, until_ms) in others.orders {
+            self.insert(order, until_ms);
+        }
+    }
+
+    fn insert(&mut self, order: Order, until_ms: u64) {
+        let known = self.orders.iter_mut().find(|(known, _)| *known == order);
+        match known {
+            Some((_, known_until_ms)) => *known_until_ms = until_ms.max(*known_until_ms),
+            None => self.orders.push((order, until_ms)),
+        }
     }
 
     /// Returns whether no order may still be carried out.
--- a/crates/chicorystage-core/tests/engine_views.rs
+++ b/crates/chicorystage-core/tests/engine_views.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use chicorystage_api::name::{EndpointId, ModelName, ServiceName};
+use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName};
 use chicorystage_core::fleet::LoadedModel;
 use chicorystage_core::orders::{EngineRecord, EngineReport, Order, OrderKind};
 use googletest::prelude::*;
@@ -57,6 +57,21 @@
     assert_that!(record.loadable_reserved(NOW_MS + 200), none());
 }
 
+#[test]
+fn order_that_was_sent_several_times_without_an_answer_takes_one_adapter_slot() {
+    let mut record = record();
+    let order = Order {
+        kind: OrderKind::LoadAdapter(AdapterName::from("a1")),
+        ..unload("a", 10)
+    };
+    record.record_sent(order, NOW_MS + 400);
+    for sent in 1..4 {
+        record.record_sent_again(NOW_MS + 400 * sent, NOW_MS + 400 * (sent + 1));
+    }
+    record.outstanding = None;
+    assert_that!(record.adapter_count(), eq(1));
+}
+
 #[test]
 fn report_does_not_raise_the_count_while_an_order_has_no_answer() {
     let mut record = record();
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -21,7 +21,6 @@
 use crate::gateway::event_timing::EventTiming;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
-use crate::gateway::retry_decision::BudgetFields;
 use crate::gateway::shared::Gateway;
 use crate::gateway::stream_origin::StreamOrigin;
 
@@ -240,13 +239,9 @@
         let may_resume =
             self.may_resume() && self.work.left_ms(now_ms) > 0 && self.has_endpoint_to_resume();
         let service = &self.requirements.service;
-        let (budget, permit) = may_resume
-            .then(|| self.gateway.take_retry(now_ms, service))
-            .unzip();
-        // Counts the resumed request as in flight until its answer begins or it fails.
-        let in_flight = permit.flatten();
-        let has_budget = in_flight.is_some();
-        let fields = BudgetFields::of(budget.as_ref());
+        // The permit counts the resumed request as in flight until its answer begins or it fails.
+        let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
+        let has_budget = permit.is_some();
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
             endpoint = endpoint.as_str(), service = service.as_str(), resumed = has_budget,
--- a/crates/chicorystaged/src/gateway/retry_permit.rs
+++ b/crates/chicorystaged/src/gateway/retry_permit.rs
@@ -4,7 +4,7 @@
 
 use chicorystage_api::name::ServiceName;
 
-use crate::gateway::retry_decision::RetryDecision;
+use crate::gateway::retry_decision::BudgetFields;
 use crate::gateway::shared::Gateway;
 
 /// Guard that counts a granted retry as in flight until it is dropped.
@@ -26,20 +26,24 @@
 }
 
 impl Gateway {
-    /// Takes one retry from the budget of a service that all gateways share.
+    /// Takes one retry from the budget of a service that all gateways share, if `is_needed`.
     ///
-    /// Returns the decision, and a permit if one was left.
+    /// Returns what the budget decided, for the log line, and a permit if a retry was left.
     #[must_use]
     pub fn take_retry(
         self: &Rc<Self>,
+        is_needed: bool,
         now_ms: u64,
         service: &ServiceName,
-    ) -> (RetryDecision, Option<RetryPermit>) {
-        let decision = self.decide_retry(now_ms, service);
-        let permit = decision.is_granted.then(|| RetryPermit {
+    ) -> (BudgetFields, Option<RetryPermit>) {
+        let decision = is_needed.then(|| self.decide_retry(now_ms, service));
+        let is_granted = decision
+            .as_ref()
+            .is_some_and(|decision| decision.is_granted);
+        let permit = is_granted.then(|| RetryPermit {
             gateway: Rc::clone(self),
             service: service.clone(),
         });
-        (decision, permit)
+        (BudgetFields::of(decision.as_ref()), permit)
     }
 }
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -15,7 +15,6 @@
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::poison;
-use crate::gateway::retry_decision::BudgetFields;
 use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::Serving;
 use crate::metrics::RequestOutcome;
@@ -87,17 +86,15 @@
             requirements.avoid.push(endpoint.clone());
         }
         let has_attempts_left = self.attempts < ATTEMPTS_MAX;
-        let (budget, permit) = (has_attempts_left && refusal.has_arrived)
-            .then(|| self.gateway.take_retry(now_ms, &requirements.service))
-            .unzip();
-        let permit = permit.flatten();
+        let needs_budget = has_attempts_left && refusal.has_arrived;
+        let service = &requirements.service;
+        let (fields, permit) = self.gateway.take_retry(needs_budget, now_ms, service);
         let may_retry = has_attempts_left && (!refusal.has_arrived || permit.is_some());
-        let fields = BudgetFields::of(budget.as_ref());
         log::info!(
             event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
             reason = refusal.reason, endpoint = endpoint.as_str(),
-            service = requirements.service.as_str(), attempts = self.attempts,
-            repeated = may_retry, budget = fields.outcome, retries = fields.usage.retries,
+            service = service.as_str(), attempts = self.attempts, repeated = may_retry,
+            budget = fields.outcome, retries = fields.usage.retries,
             retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
             gateways = fields.gateways;
             "endpoint did not run the request"
@@ -128,14 +125,11 @@
             && self.runs < self.work.route.endpoints_per_attempt_max
             && self.work.left_ms(now_ms) > 0
             && !*self.gateway.aborting.borrow();
-        let (budget, permit) = may_run_again
-            .then(|| self.gateway.take_retry(now_ms, &requirements.service))
-            .unzip();
-        let permit = permit.flatten();
-        let fields = BudgetFields::of(budget.as_ref());
+        let service = &requirements.service;
+        let (fields, permit) = self.gateway.take_retry(may_run_again, now_ms, service);
         log::warn!(
             event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
-            reason, endpoint = endpoint.as_str(), service = requirements.service.as_str(),
+            reason, endpoint = endpoint.as_str(), service = service.as_str(),
             repeated = permit.is_some(), runs = self.runs, budget = fields.outcome,
             retries = fields.usage.retries, retry_limit = fields.usage.limit,
             first_attempts = fields.usage.first_attempts, gateways = fields.gateways;
