--- a/crates/chicorystage-core/src/orders/engine_record/capacity.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/capacity.rs
@@ -1,4 +1,4 @@
-//! How much of an engine's memory and adapter places is in use, or may be.
+//! How much of an engine's memory and how many of its adapter slots are in use, or may be.
 
 use std::collections::BTreeSet;
 
@@ -59,7 +59,7 @@
         loaded + self.loading_adapters.len() + self.unloading_adapters.len() + late
     }
 
-    /// Returns whether an adapter is being unloaded, so that its place becomes free.
+    /// Returns whether an adapter is being unloaded, so that its slot becomes free.
     #[must_use]
     pub fn is_unloading_adapter(&self) -> bool {
         !self.unloading_adapters.is_empty()
--- a/crates/chicorystage-core/src/orders/engine_record/mod.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/mod.rs
@@ -53,7 +53,7 @@
     loading_adapters: Vec<(AdapterRef, u64)>,
     /// Recently loaded adapters, with the time at which their load was accepted.
     recent_adapters: Vec<(AdapterRef, u64)>,
-    /// Adapters whose unload was accepted and that occupy their place until no request uses them.
+    /// Adapters whose unload was accepted and that keep their slots until no request uses them.
     unloading_adapters: Vec<AdapterRef>,
     /// Loads that were sent without an answer, also to earlier processes of the engine.
     late_orders: LateOrders,
--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -33,7 +33,7 @@
     /// oldest bucket first.
     ///
     /// Retries count for at least a window and first attempts for at most one, so that rounding to
-    /// buckets allows no retry too many.
+    /// buckets never allows additional retries.
     buckets: VecDeque<Bucket>,
 }
 
--- a/crates/chicorystage-testbed/src/soak/load.rs
+++ b/crates/chicorystage-testbed/src/soak/load.rs
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::soak::SoakPlan;
-use crate::soak::course::Course;
 use crate::soak::gateway_process::GatewayProcess;
+use crate::soak::scenario::Scenario;
 use crate::soak::services::{APPLICATION, MODEL};
 use crate::users_platform::call;
 
@@ -95,7 +95,7 @@
     /// Starts a sender for each kind of request, which sends until the plan's length after `start`.
     pub fn start(
         gateways: &[GatewayProcess],
-        course: &Course,
+        scenario: &Scenario,
         start: Instant,
         plan: &SoakPlan,
     ) -> Self {
@@ -108,7 +108,7 @@
                 sent: Rc::clone(&sent),
                 rng: StdRng::seed_from_u64(plan.seed ^ (stream << 32)),
             };
-            tokio::task::spawn_local(sender.run(course.clone(), start, plan.length_ms))
+            tokio::task::spawn_local(sender.run(scenario.clone(), start, plan.length_ms))
         });
         Self {
             senders: senders.collect(),
@@ -135,11 +135,11 @@
 }
 
 impl Sender {
-    async fn run(mut self, course: Course, start: Instant, length_ms: u64) {
+    async fn run(mut self, scenario: Scenario, start: Instant, length_ms: u64) {
         let mut until_next = self.exponential();
         for at_ms in (0..length_ms).step_by(TICK_MS) {
             sleep_until(start + Duration::from_millis(at_ms)).await;
-            until_next -= self.kind.per_s * course.load_factor(at_ms) * TICK_S;
+            until_next -= self.kind.per_s * scenario.load_factor(at_ms) * TICK_S;
             while until_next < 0.0 {
                 self.send_one(start);
                 until_next += self.exponential();
--- a/crates/chicorystage-testbed/src/soak/mod.rs
+++ b/crates/chicorystage-testbed/src/soak/mod.rs
@@ -8,10 +8,10 @@
 //! narrows down a failure but does not repeat it exactly.
 
 mod budget_audit;
-mod course;
 mod fault;
 mod gateway_process;
 mod load;
+mod scenario;
 mod services;
 
 use std::ffi::OsString;
@@ -26,9 +26,9 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 pub use crate::soak::budget_audit::{BudgetAudit, BudgetBound, WindowUsage};
-use crate::soak::course::Course;
 use crate::soak::gateway_process::GatewayProcess;
 use crate::soak::load::Load;
+use crate::soak::scenario::Scenario;
 use crate::soak::services::Services;
 use crate::users_platform::PlatformFixture;
 
@@ -52,9 +52,9 @@
     /// Number of gateways.
     #[options(no_short, default = "4")]
     gateways: usize,
-    /// Order of the faults: burst, edge, outage, pause or random.
+    /// Faults and load: burst, edge, outage, pause or random.
     #[options(no_short, default = "random")]
-    course: String,
+    scenario: String,
     /// Daemon to run instead of this program's own.
     #[options(no_short)]
     daemon: Option<PathBuf>,
@@ -76,8 +76,8 @@
     pub seed: u64,
     /// Length of the load in milliseconds.
     pub length_ms: u64,
-    /// Name of the order of the faults: burst, edge, outage, pause or random.
-    pub course: String,
+    /// Name of the scenario: burst, edge, outage, pause or random.
+    pub scenario: String,
     /// Directory for settings and logs, which must exist.
     pub directory: PathBuf,
 }
@@ -99,7 +99,7 @@
         gateways: options.gateways,
         seed: options.seed,
         length_ms: options.seconds * MS_PER_S,
-        course: options.course,
+        scenario: options.scenario,
         directory,
     })
     .await?;
@@ -117,18 +117,18 @@
 
 async fn play_local(plan: &SoakPlan) -> anyhow::Result<Vec<BudgetAudit>> {
     let mut rng = StdRng::seed_from_u64(plan.seed);
-    let course = Course::named(&plan.course, plan.length_ms, plan.gateways, &mut rng)?;
+    let scenario = Scenario::named(&plan.scenario, plan.length_ms, plan.gateways, &mut rng)?;
     let fixture = PlatformFixture::start().await?;
     let services = Services::start(&fixture).await?;
     let mut gateways = start_gateways(plan, &fixture).await?;
 
-    println!("seed {}, course {}:", plan.seed, plan.course);
-    for step in &course.steps {
+    println!("seed {}, scenario {}:", plan.seed, plan.scenario);
+    for step in &scenario.steps {
         println!("  {step}");
     }
     let start = Instant::now();
-    let load = Load::start(&gateways, &course, start, plan);
-    course
+    let load = Load::start(&gateways, &scenario, start, plan);
+    scenario
         .play(start, &mut gateways, &services, &fixture)
         .await?;
     sleep_until(start + Duration::from_millis(plan.length_ms + LAST_REQUESTS_MS)).await;
--- a/crates/chicorystage-testbed/src/soak/course.rs
+++ b/crates/chicorystage-testbed/src/soak/scenario.rs
@@ -43,7 +43,7 @@
 
 /// The faults and bursts of a run.
 #[derive(Clone, Debug)]
-pub struct Course {
+pub struct Scenario {
     /// Faults by time.
     pub steps: Vec<Step>,
     /// Times in which more requests are sent, in milliseconds since the start of the load.
@@ -54,8 +54,8 @@
     pub usual_factor: f64,
 }
 
-impl Course {
-    /// Returns the course of that name.
+impl Scenario {
+    /// Returns the scenario of that name.
     ///
     /// # Errors
     ///
@@ -66,16 +66,16 @@
         gateways: usize,
         rng: &mut StdRng,
     ) -> anyhow::Result<Self> {
-        let mut course = match name {
+        let mut scenario = match name {
             "burst" => Self::burst(),
             "outage" => Self::outage(length_ms),
             "edge" => Self::edge(),
             "pause" => Self::pause(),
             "random" => Self::random(length_ms, gateways, rng),
-            _ => bail!("unknown course {name:?}; allowed: burst, edge, outage, pause or random"),
+            _ => bail!("unknown scenario {name:?}; allowed: burst, edge, outage, pause or random"),
         };
-        course.steps.sort_by_key(|step| step.at_ms);
-        Ok(course)
+        scenario.steps.sort_by_key(|step| step.at_ms);
+        Ok(scenario)
     }
 
     /// Many requests find the applications full; a second later these lose answers, and again 26 s
--- a/crates/chicorystage-testbed/tests/gateway_processes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_processes.rs
@@ -6,9 +6,9 @@
 use chicorystage_testbed::soak::{SoakPlan, play};
 use googletest::prelude::*;
 
-/// Plays a course and checks that no service gets more repeated arrivals than allowed.
-async fn verify_budget(course: &str, seed: u64, length_ms: u64) -> Result<()> {
-    let name = format!("chicorystage-processes-{}-{course}", std::process::id());
+/// Plays a scenario and checks that no service gets more repeated arrivals than allowed.
+async fn verify_budget(scenario: &str, seed: u64, length_ms: u64) -> Result<()> {
+    let name = format!("chicorystage-processes-{}-{scenario}", std::process::id());
     let directory = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&directory).or_fail()?;
     let plan = SoakPlan {
@@ -17,7 +17,7 @@
         gateways: 4,
         seed,
         length_ms,
-        course: course.to_owned(),
+        scenario: scenario.to_owned(),
         directory: directory.clone(),
     };
     for audit in play(plan).await.or_fail()? {
