--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -2,26 +2,15 @@
 
 use chicorystage_api::name::{AdapterName, ModelName};
 
+use crate::fleet::misdirection::Misdirection;
 use crate::fleet::{EndpointEntry, EndpointState, LoadedModel, LoadingModel, PromptPace};
 
 /// Time for which models reported by the lease holder override those in the registry, in
 /// milliseconds.
 const REPORT_VALID_MS: u64 = 3_000;
-/// Time for which no request for a model goes to an endpoint that answered that it does not have
-/// the model, in milliseconds.
-const MODEL_MISSING_MS: u64 = 600;
-/// Time for which no request for an adapter goes to an endpoint that answered that it does not
-/// have the adapter, in milliseconds.
-const ADAPTER_MISSING_MS: u64 = 40;
 /// Time for which no request goes to an endpoint after a failed connection attempt, in
 /// milliseconds.
 const UNREACHABLE_MS: u64 = 800;
-/// Time for which no request goes to an endpoint at whose address another one answered, in
-/// milliseconds; by then its registry entry has expired unless it lives.
-const IDENTITY_REFUSED_MS: u64 = 3_000;
-/// Number of answers in a row that something is missing after which an endpoint counts as another
-/// one.
-const MISDIRECTED_IN_ROW_MAX: u32 = 3;
 /// Time for which an endpoint counts as full after it refused a request, in milliseconds.
 const FULL_MS: u64 = 80;
 /// Weight of the newest outcome in the exponentially weighted average of failures.
@@ -43,15 +32,12 @@
     report: Option<ModelReport>,
     /// Requests of this process in progress, by model; the key is `None` for a plain application.
     in_progress: HashMap<Option<ModelName>, u32>,
-    missing_until_ms: HashMap<(ModelName, Option<AdapterName>), u64>,
+    misdirection: Misdirection,
     failure_rate: f64,
     failure_rate_ms: u64,
     unanswered: u32,
     silent_since_ms: u64,
     unreachable_until_ms: u64,
-    identity_refused_until_ms: u64,
-    /// Number of answers in a row that a model or adapter is missing or the endpoint another one.
-    misdirected_in_row: u32,
     full_until_ms: u64,
     /// Pacing of the prompts that this process sends to the endpoint.
     pub pace: PromptPace,
@@ -74,14 +60,12 @@
             entry,
             report: None,
             in_progress: HashMap::new(),
-            missing_until_ms: HashMap::new(),
+            misdirection: Misdirection::default(),
             failure_rate: 0.0,
             failure_rate_ms: 0,
             unanswered: 0,
             silent_since_ms: 0,
             unreachable_until_ms: 0,
-            identity_refused_until_ms: 0,
-            misdirected_in_row: 0,
             full_until_ms: 0,
             pace: PromptPace::default(),
         }
@@ -101,19 +85,20 @@
     /// Records that another endpoint answered at this one's address, which excludes this one for 3
     /// seconds or until its entry is written again.
     pub fn identity_refused(&mut self, now_ms: u64) {
-        self.identity_refused_until_ms = now_ms + IDENTITY_REFUSED_MS;
+        self.misdirection.identity_refused(now_ms);
     }
 
     /// Records that the endpoint has written its registry entry.
     pub(super) fn entry_written(&mut self) {
-        self.identity_refused_until_ms = 0;
-        self.misdirected_in_row = 0;
+        self.misdirection.entry_written();
     }
 
     /// Returns whether new requests may go to the endpoint.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_ready() && self.is_reachable(now_ms) && now_ms >= self.identity_refused_until_ms
+        self.is_ready()
+            && self.is_reachable(now_ms)
+            && !self.misdirection.is_identity_refused(now_ms)
     }
 
     /// Records that the endpoint refused a request for lack of capacity.
@@ -163,7 +148,8 @@
     /// The result is false for 0.6 seconds after the endpoint answered that the model is missing.
     #[must_use]
     pub fn holds(&self, now_ms: u64, model: &ModelName) -> bool {
-        self.find_model(now_ms, model).is_some() && !self.is_missing(now_ms, model, None)
+        self.find_model(now_ms, model).is_some()
+            && !self.misdirection.is_missing(now_ms, model, None)
     }
 
     /// Returns whether an adapter of a model is probably loaded on the endpoint.
@@ -174,7 +160,8 @@
         let Some(loaded) = self.find_model(now_ms, model) else {
             return false;
         };
-        loaded.adapters.contains(adapter) && !self.is_missing(now_ms, model, Some(adapter))
+        loaded.adapters.contains(adapter)
+            && !self.misdirection.is_missing(now_ms, model, Some(adapter))
     }
 
     /// Stores the models that the lease holder reported, and clears all records of missing
@@ -190,30 +177,19 @@
             loading,
             received_ms: now_ms,
         });
-        self.missing_until_ms.clear();
+        self.misdirection.clear_missing();
     }
 
     /// Records that the endpoint answered that a model, or one adapter of it, is missing.
     ///
-    /// An endpoint that has another one's address answers the same to every request, so after
-    /// several such answers in a row it counts as another one.
+    /// After several such answers in a row the endpoint counts as another one.
     pub fn missing_reported(
         &mut self,
         now_ms: u64,
         model: ModelName,
         adapter: Option<AdapterName>,
     ) {
-        let missing_ms = if adapter.is_some() {
-            ADAPTER_MISSING_MS
-        } else {
-            MODEL_MISSING_MS
-        };
-        self.missing_until_ms
-            .insert((model, adapter), now_ms + missing_ms);
-        self.misdirected_in_row += 1;
-        if self.misdirected_in_row >= MISDIRECTED_IN_ROW_MAX {
-            self.identity_refused(now_ms);
-        }
+        self.misdirection.missing_reported(now_ms, model, adapter);
     }
 
     /// Resets everything that a restart of the endpoint invalidates.
@@ -221,8 +197,7 @@
     /// The registered entry and the count of requests in progress are kept.
     pub fn restarted(&mut self) {
         self.report = None;
-        self.missing_until_ms.clear();
-        self.misdirected_in_row = 0;
+        self.misdirection.restarted();
         self.failure_rate = 0.0;
         self.unanswered = 0;
         self.unreachable_until_ms = 0;
@@ -259,7 +234,7 @@
     /// Adds the outcome of a request to the failure rate.
     pub fn outcome(&mut self, now_ms: u64, is_good: bool) {
         if is_good {
-            self.misdirected_in_row = 0;
+            self.misdirection.served();
         }
         let newest = if is_good { 0.0 } else { 1.0 };
         let before = self.failure_rate(now_ms);
@@ -298,11 +273,4 @@
             .iter()
             .find(|loaded| loaded.model == *model)
     }
-
-    fn is_missing(&self, now_ms: u64, model: &ModelName, adapter: Option<&AdapterName>) -> bool {
-        let key = (model.clone(), adapter.cloned());
-        self.missing_until_ms
-            .get(&key)
-            .is_some_and(|until_ms| now_ms < *until_ms)
-    }
 }
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -3,24 +3,13 @@
 
 use chicorystage_api::name::{EndpointId, ModelName, ServiceName, SoftwareVersion, VmId, ZoneName};
 
+use crate::fleet::candidate::{better_reason, cost, missing_requirement};
 use crate::fleet::{
     Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements,
 };
 
 /// Time after which another router's report of requests in progress expires, in milliseconds.
 const PEER_LOAD_VALID_MS: u64 = 1_500;
-/// Cost of an endpoint at full capacity; all costs are relative to this value.
-const FULL_BATCH_COST: f64 = 100.0;
-/// Cost of each millisecond by which pacing would defer the prompt.
-const DEFER_COST_PER_MS: f64 = 0.3;
-/// Cost of an endpoint in another availability zone.
-const OTHER_ZONE_COST: f64 = 4.0;
-/// Cost of an endpoint whose recent requests all failed.
-const FAILURE_COST: f64 = 200.0;
-/// Cost of an endpoint that has unanswered requests and has not answered for a while.
-const SILENCE_COST: f64 = 150.0;
-/// Cost of an endpoint on which an earlier attempt of the same request failed.
-const FAILED_BEFORE_COST: f64 = 1_000.0;
 
 /// All endpoints and the load on them, as known to this process.
 #[derive(Clone, Debug, Default)]
@@ -252,56 +241,3 @@
         table.remove(key);
     }
 }
-
-fn missing_requirement(
-    now_ms: u64,
-    endpoint: &Endpoint,
-    requirements: &Requirements,
-) -> Option<Choice> {
-    let model = requirements.model.as_ref()?;
-    if !endpoint.holds(now_ms, model) {
-        return Some(Choice::NoModel);
-    }
-    let adapter = requirements.adapter.as_ref()?;
-    let holds = endpoint.holds_adapter(now_ms, model, adapter);
-    (!holds).then_some(Choice::NoAdapter)
-}
-
-fn cost(
-    now_ms: u64,
-    zone: &ZoneName,
-    endpoint: &Endpoint,
-    occupancy: u32,
-    failed_before: bool,
-) -> f64 {
-    let mut cost = FULL_BATCH_COST * f64::from(occupancy) / f64::from(endpoint.entry.slots.max(1));
-    cost += DEFER_COST_PER_MS * endpoint.pace.defer_ms(now_ms);
-    cost += FAILURE_COST * endpoint.failure_rate(now_ms);
-    if endpoint.entry.zone != *zone {
-        cost += OTHER_ZONE_COST;
-    }
-    if endpoint.is_silent(now_ms) {
-        cost += SILENCE_COST;
-    }
-    if failed_before {
-        cost += FAILED_BEFORE_COST;
-    }
-    cost
-}
-
-/// Returns the reason that is closer to success.
-fn better_reason(known: Choice, new: Choice) -> Choice {
-    let rank = |choice: &Choice| match choice {
-        Choice::NoEndpoint => 0,
-        Choice::NoModel => 1,
-        Choice::NoAdapter => 2,
-        Choice::Full => 3,
-        Choice::Reading => 4,
-        Choice::Endpoint(_) => 5,
-    };
-    if rank(&new) > rank(&known) {
-        new
-    } else {
-        known
-    }
-}
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 //!   of an endpoint. The failure rate decays with time and with successful answers. An
 //!   endpoint that answers any request no longer counts as silent.
 
+mod candidate;
 mod choice;
 mod endpoint;
 mod endpoint_entry;
@@ -23,6 +24,7 @@
 mod fleet_view;
 mod loaded_model;
 mod loading_model;
+mod misdirection;
 mod peer_load;
 mod prompt;
 mod prompt_pace;
