--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -192,6 +192,39 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(400)
+    })]
+
+    // Up to two fifths more routers join and know all others, which are cut off and know none of them.
+    #[test]
+    fn routers_that_the_others_do_not_know_stay_under_the_bound(
+        routers in 3_usize..12,
+        joining_tenths in 0_usize..=4,
+        steps in prop::collection::vec((any::<usize>(), 0_u64..3_000, 0_u32..20), 1..40),
+    ) {
+        let all = routers + routers * joining_tenths / 10;
+        let mut budgets = vec![new_budget(0); all];
+        let (mut now_ms, mut first_attempts, mut retries) = (3 * WINDOW_MS, Vec::new(), Vec::new());
+        for (router, pause_ms, requests) in steps {
+            now_ms += pause_ms;
+            let router = router % all;
+            let known = if router < routers { routers } else { all };
+            for _ in 0..requests {
+                budgets[router].record_first_attempt(now_ms);
+                first_attempts.push(now_ms);
+            }
+            while take_and_settle(&mut budgets[router], now_ms, one_of(known)) {
+                retries.push(now_ms);
+            }
+        }
+        prop_assert_eq!(breach(&first_attempts, &retries), None);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(26),
--- a/crates/chicorystage-testbed/src/soak/budget_audit.rs
+++ b/crates/chicorystage-testbed/src/soak/budget_audit.rs
@@ -44,13 +44,19 @@
     /// a window before it, whichever has most.
     #[must_use]
     pub fn worst_window(&self, requests_ms: &[u64], repeats_ms: &[u64]) -> WindowUsage {
-        // The number of repeats changes only where a window begins or ends at one.
-        let begins = repeats_ms.iter().copied();
-        let ends = repeats_ms
-            .iter()
-            .map(|at_ms| (at_ms + 1).saturating_sub(self.window_ms));
-        begins
-            .chain(ends)
+        // Counts change only where a repeat or a counted request enters or leaves a window.
+        let of_repeats = repeats_ms.iter().flat_map(|at_ms| {
+            let at_ms = *at_ms;
+            [(at_ms + 1).saturating_sub(self.window_ms), at_ms]
+        });
+        let of_requests = requests_ms.iter().flat_map(|at_ms| {
+            [0, self.window_ms / 2, self.window_ms].map(|earlier_ms| {
+                let at_ms = at_ms + earlier_ms;
+                [at_ms.saturating_sub(self.window_ms), at_ms + 1]
+            })
+        });
+        of_repeats
+            .chain(of_requests.flatten())
             .map(|from_ms| self.usage(from_ms, requests_ms, repeats_ms))
             .max_by(|a, b| a.excess().total_cmp(&b.excess()))
             .unwrap_or_default()
--- a/crates/chicorystage-testbed/tests/budget_audit.rs
+++ b/crates/chicorystage-testbed/tests/budget_audit.rs
@@ -21,6 +21,15 @@
     expect_that!(apart.is_over(), is_false());
 }
 
+// The window from 5,300 ms counts no request; those from 5,001 and 6,000 ms count ten each.
+#[gtest]
+fn window_that_begins_at_no_repeat_is_looked_at() {
+    let requests = [[4_100; 10], [6_500; 10]].concat();
+    let worst = BOUND.worst_window(&requests, &[6_000; 3]);
+    expect_that!(worst.repeats, eq(3));
+    expect_that!(worst.is_over(), is_true());
+}
+
 #[gtest]
 fn requests_of_the_window_half_a_window_earlier_or_one_earlier_count() {
     let repeats = [5_000; 4];
