--- a/crates/chicorystage-core/tests/engine_views.rs
+++ b/crates/chicorystage-core/tests/engine_views.rs
@@ -72,6 +72,22 @@
     assert_that!(record.adapter_count(), eq(1));
 }
 
+// The engine counts the unload when the last request that uses the adapter has ended.
+#[test]
+fn no_count_is_assumed_after_the_unload_of_a_used_adapter_is_accepted() {
+    let mut record = record();
+    let order = Order {
+        kind: OrderKind::UnloadAdapter(AdapterName::from("a1")),
+        ..unload("a", 10)
+    };
+    record.record_sent(order.clone(), NOW_MS + 400);
+    record.outstanding = None;
+    record.record_accepted(NOW_MS, &order, 0);
+    assert_that!(record.can_accept_order(NOW_MS + 100), eq(false));
+    record.apply_report(NOW_MS + 200, &report(10, false, &["a", "b"]));
+    assert_that!(record.sequence, some(eq(10)));
+}
+
 #[test]
 fn report_does_not_raise_the_count_while_an_order_has_no_answer() {
     let mut record = record();
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -225,7 +225,11 @@
             last,
             pause_ms,
         } => event_stream(state, first, last, pause_ms, false),
-        Reply::BrokenEvents { first, last } => event_stream(state, first, last, 0, true),
+        Reply::BrokenEvents {
+            first,
+            last,
+            pause_ms,
+        } => event_stream(state, first, last, pause_ms, true),
     };
     Ok(with_attempt_headers(state, response, &attempt_id))
 }
--- a/crates/chicorystage-testbed/src/users_platform/reply.rs
+++ b/crates/chicorystage-testbed/src/users_platform/reply.rs
@@ -34,5 +34,7 @@
         first: u32,
         /// Number of the last complete event.
         last: u32,
+        /// Pause before each event, in milliseconds.
+        pause_ms: u64,
     },
 }
--- a/crates/chicorystage-testbed/tests/gateway_streams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_streams.rs
@@ -19,6 +19,14 @@
     }
 }
 
+fn broken_reply(last: u32, pause_ms: u64) -> Reply {
+    Reply::BrokenEvents {
+        first: 1,
+        last,
+        pause_ms,
+    }
+}
+
 async fn start_endpoint(
     id: &str,
     reply: Reply,
@@ -60,7 +68,7 @@
     run_local(async {
         let world = PlatformFixture::start().await.or_fail()?;
         // Among equally good endpoints the gateway chooses the first.
-        let broken = Reply::BrokenEvents { first: 1, last: 5 };
+        let broken = broken_reply(5, 0);
         let endpoints = [
             start_endpoint("e1", broken, &["m0"]).await.or_fail()?,
             start_endpoint("e2", events_reply(6, 9), &["m0"])
@@ -109,7 +117,7 @@
         let begun = start_endpoint("e1", events_reply(6, 9), &["m0"])
             .await
             .or_fail()?;
-        begun.script(Reply::BrokenEvents { first: 1, last: 5 });
+        begun.script(broken_reply(5, 0));
         world.declare(1);
         register_version(&world, &begun, first);
         let mut engines = vec![begun];
@@ -159,11 +167,41 @@
     verify_that!(engines, elements_are![eq("e1")])
 }
 
+#[gtest]
+fn broken_stream_ends_without_a_retry_if_no_endpoint_runs_its_software_version() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let begun = start_endpoint("e1", broken_reply(10, 50), &["m0"])
+            .await
+            .or_fail()?;
+        let other = start_endpoint("e2", events_reply(11, 20), &["m0"])
+            .await
+            .or_fail()?;
+        world.declare(1);
+        register_version(&world, &begun, Some("v1"));
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        let send = send_request(&gateway, Method::POST, "/long/x", &[MODEL], "{}");
+        let change = async {
+            wait_until("the stream has begun", || {
+                !begun.received_requests().is_empty()
+            })
+            .await;
+            register_version(&world, &other, Some("v2"));
+            world.store.remove("servers", "e1");
+        };
+        let (reply, ()) = tokio::join!(send, change);
+        verify_that!(reply.or_fail()?.is_complete, eq(false))?;
+        verify_that!(other.received_requests(), len(eq(0)))?;
+        let metrics = gateway.metrics.encode();
+        verify_that!(metrics, not(contains_substring("retries_total{")))
+    })
+}
+
 #[gtest]
 fn stream_that_is_not_resumable_ends_where_its_endpoint_failed() -> Result<()> {
     run_local(async {
         let world = PlatformFixture::start().await.or_fail()?;
-        let broken = Reply::BrokenEvents { first: 1, last: 3 };
+        let broken = broken_reply(3, 0);
         let endpoint = start_endpoint("e1", broken, &["m0"]).await.or_fail()?;
         world.declare(1);
         world.register(&endpoint, "llm");
