Show that late retries may fall into windows that no longer count their requests

Last reading: decision 0032 said that the last retry granted finds all others of its window counted.

--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -237,7 +237,7 @@
     fn retries_that_arrive_late_stay_under_the_bound(
         routers in 1_usize..8,
         steps in prop::collection::vec(
-            (0_u64..2_000, 0_usize..8, 0_u32..20, 0_u64..WINDOW_MS / 3),
+            (0_u64..2_000, 0_usize..8, prop_oneof![0_u32..20, 0_u32..200], 0_u64..WINDOW_MS / 3),
             1..60,
         ),
     ) {
@@ -288,6 +288,24 @@
     assert_that!(breach(&first_attempts, &retries), none());
 }
 
+// Retries that arrive late may fall into windows that no longer count the requests allowing them.
+#[test]
+fn late_retries_after_a_burst_of_requests_stay_under_the_bound() {
+    const REQUESTS_MS: u64 = 30_000;
+    const RETRIES_MS: u64 = REQUESTS_MS + WINDOW_MS - 1_000;
+    const ARRIVALS_MS: u64 = RETRIES_MS + 3_000;
+    let mut budget = new_budget(0);
+    let first_attempts = vec![REQUESTS_MS; 2_000];
+    for at_ms in &first_attempts {
+        budget.record_first_attempt(*at_ms);
+    }
+    let mut arrivals = Vec::new();
+    while budget.try_take(RETRIES_MS, Some(one_of(1))) {
+        arrivals.push(ARRIVALS_MS);
+    }
+    assert_that!(breach(&first_attempts, &arrivals), none());
+}
+
 // First attempts in two groups that are just less than a window apart count for one retry window,
 // but for different windows of the bound.
 #[test]
