Log and count how a relayed answer was framed and whether it ended within an event

Change: stream_ended has framing, bytes and is_within_event; the counter stream_ends counts relayed answers by framing and end. What is relayed is unchanged.

--- a/crates/chicorystage-core/src/events/mod.rs
+++ b/crates/chicorystage-core/src/events/mod.rs
@@ -4,6 +4,8 @@
 //! that was received completely. An incomplete event is therefore buffered
 //! until it is complete, and discarded if the stream breaks off before.
 
+mod event_scanner;
 mod event_splitter;
 
+pub use event_scanner::EventScanner;
 pub use event_splitter::EventSplitter;
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/event_stream.rs
@@ -10,13 +10,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicorystage_core::events::EventSplitter;
+use chicorystage_core::events::{EventScanner, EventSplitter};
 use chicorystage_core::fleet::Requirements;
 use futures_util::stream;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 
 use crate::gateway::answer_body::FrameStream;
+use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::attempt::{self, AnswerBroken, Answered, Attempted, CallerWork};
 use crate::gateway::event_timing::EventTiming;
 use crate::gateway::in_progress::InProgress;
@@ -44,6 +45,12 @@
     runs: u32,
     event_timing: EventTiming,
     origin: StreamOrigin,
+    /// Framing of the latest endpoint's answer.
+    framing: AnswerFraming,
+    /// Number of bytes of all endpoints' answers so far.
+    received_bytes: usize,
+    /// Tells whether the received bytes end within an event.
+    scanner: EventScanner,
     /// Whether the end of the answer has been logged.
     is_logged: bool,
     /// Counts the request as in progress until this value is dropped.
@@ -65,6 +72,7 @@
 ) -> FrameStream {
     let events = (work.route.kind.is_stream() && work.route.kind.is_repeatable())
         .then(EventSplitter::default);
+    let framing = AnswerFraming::of(&answered.parts.headers);
     let relay = StreamRelay {
         gateway,
         work,
@@ -74,6 +82,9 @@
         runs,
         event_timing: EventTiming::default(),
         origin: StreamOrigin::default(),
+        framing,
+        received_bytes: 0,
+        scanner: EventScanner::default(),
         is_logged: false,
         in_progress,
     };
@@ -152,6 +163,8 @@
     /// Takes in a frame and returns the bytes that can be relayed now, if any.
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let bytes = frame.into_data().ok()?;
+        self.received_bytes += bytes.len();
+        self.scanner.scan(&bytes);
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
             None => bytes,
@@ -200,12 +213,15 @@
 
     fn log_end(&mut self, end: &'static str) {
         self.is_logged = true;
+        self.gateway.metrics.count_stream_end(self.framing, end);
         let endpoint = self.answered.as_ref();
         let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
         log::info!(
             event = "stream_ended", request = self.work.head.attempt_id.as_str(), end,
             route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
             model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
+            framing:% = self.framing, bytes = self.received_bytes,
+            is_within_event = self.scanner.is_within_event(),
             runs = self.runs, first_ms = self.event_timing.first_ms.unwrap_or_default(),
             pause_max_ms = self.event_timing.pause_max_ms,
             pause_max_at_ms = self.event_timing.pause_max_at_ms,
@@ -283,6 +299,8 @@
         if !answered.parts.status.is_success() {
             return false;
         }
+        self.framing = AnswerFraming::of(&answered.parts.headers);
+        self.scanner = EventScanner::default();
         self.answered = Some(answered);
         self.runs += 1;
         true
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -7,6 +7,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::gateway::answer_framing::AnswerFraming;
+
 /// Prefix of every metric's name.
 const PREFIX: &str = "chicorystage_gateway";
 /// Upper bound of the first bucket, in seconds.
@@ -81,6 +83,15 @@
     pub outcome: String,
 }
 
+/// Labels of relayed answers that are counted by framing and end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StreamEndLabels {
+    /// What ends the body: `length`, `chunks` or `close`.
+    pub framing: String,
+    /// How the answer ended: `whole`, or what broke it.
+    pub end: String,
+}
+
 /// Counters and histograms of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -89,6 +100,7 @@
     wait: HistogramFamily,
     first_byte: HistogramFamily,
     answer: HistogramFamily,
+    stream_ends: Family<StreamEndLabels, Counter>,
     attempts: Family<EventLabels, Counter>,
     first_attempts: Family<ServiceLabels, Counter>,
     sent: Family<ServiceLabels, Counter>,
@@ -117,6 +129,7 @@
             wait: Family::new_with_constructor(histogram),
             first_byte: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
+            stream_ends: Family::default(),
             attempts: Family::default(),
             first_attempts: Family::default(),
             sent: Family::default(),
@@ -156,6 +169,15 @@
         observe(&self.answer, route, time_ms);
     }
 
+    /// Counts a relayed answer that ended, whole or not.
+    pub fn count_stream_end(&self, framing: AnswerFraming, end: &str) {
+        let labels = StreamEndLabels {
+            framing: framing.to_string(),
+            end: end.to_owned(),
+        };
+        self.stream_ends.get_or_create(&labels).inc();
+    }
+
     /// Counts a failed attempt; the outcome is `not_run` or `lost`.
     pub fn count_attempt(&self, outcome: &str) {
         count(&self.attempts, "attempt", outcome);
@@ -230,6 +252,11 @@
         for (name, help, family) in families {
             registry.register_with_unit(name, help, Unit::Seconds, family.clone());
         }
+        registry.register(
+            "stream_ends",
+            "Relayed answers by framing and end",
+            self.stream_ends.clone(),
+        );
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
         registry.register(
             "first_attempts",
