--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tokio::task::LocalSet;
 
-use crate::users_platform::{CallerReply, EndpointEmulator, StoreEmulator, call};
+use crate::users_platform::{CallerReply, EndpointEmulator, RawEndpoint, StoreEmulator, call};
 
 /// Interval at which an awaited condition is polled, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 10;
@@ -125,6 +125,12 @@
         self.register_as(endpoint, service, "ready", 1);
     }
 
+    /// Registers a ready endpoint that answers with raw bytes.
+    pub fn register_raw(&self, endpoint: &RawEndpoint, service: &str) {
+        let entry = endpoint.registry_entry(service).to_string();
+        self.store.put("servers", endpoint.id(), entry.as_bytes());
+    }
+
     /// Registers an endpoint with a state and the time of its start.
     pub fn register_as(
         &self,
--- /dev/null
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -0,0 +1,233 @@
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::users_platform::EndpointEngine;
+use crate::users_platform::raw_reply::{ATTEMPT_PLACEHOLDER, ConnectionEnd, RawReply};
+
+/// Bytes that end a request's head.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// An emulator of an endpoint with a model engine that answers with bytes of the test's choice.
+///
+/// Unlike [`EndpointEmulator`](super::EndpointEmulator), it can send what an HTTP library would
+/// not. Reports and orders are answered properly unless a test sets other bytes for them.
+#[derive(Debug)]
+pub struct RawEndpoint {
+    /// Loopback address on which the endpoint listens.
+    pub address: SocketAddr,
+    state: Rc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    id: String,
+    script: RefCell<VecDeque<RawReply>>,
+    /// Answer to every request for which no scripted reply is left.
+    default_reply: RawReply,
+    /// Answer to reads of the load report; `None` for a proper one.
+    report_reply: RefCell<Option<RawReply>>,
+    engine: RefCell<EndpointEngine>,
+    received_heads: RefCell<Vec<String>>,
+    /// Bytes that endless replies have sent.
+    repeated_bytes: Cell<u64>,
+    /// Number of endless replies that are still being sent.
+    repeating: Cell<u32>,
+}
+
+impl RawEndpoint {
+    /// Starts an endpoint that answers every unscripted request with `default_reply`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the operating system's error if no loopback port can be bound.
+    pub async fn start(
+        id: &str,
+        default_reply: RawReply,
+        engine: EndpointEngine,
+    ) -> std::io::Result<Self> {
+        let state = Rc::new(State {
+            id: id.to_owned(),
+            script: RefCell::default(),
+            default_reply,
+            report_reply: RefCell::default(),
+            engine: RefCell::new(engine),
+            received_heads: RefCell::default(),
+            repeated_bytes: Cell::new(0),
+            repeating: Cell::new(0),
+        });
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.local_addr()?;
+        let serving = Rc::clone(&state);
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _peer)) = listener.accept().await {
+                let state = Rc::clone(&serving);
+                tokio::task::spawn_local(async move {
+                    // The client observes a broken connection as well.
+                    let _ended = serve(&state, stream).await;
+                });
+            }
+        });
+        Ok(Self { address, state })
+    }
+
+    /// Returns the identity of the endpoint, which is its key in the registry.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.state.id
+    }
+
+    /// Appends a reply to the script; each request uses up one scripted reply.
+    pub fn script(&self, reply: RawReply) {
+        self.state.script.borrow_mut().push_back(reply);
+    }
+
+    /// Sets the answer to reads of the load report.
+    pub fn set_report_reply(&self, reply: RawReply) {
+        *self.state.report_reply.borrow_mut() = Some(reply);
+    }
+
+    /// Returns the heads of the requests received so far, without reports and orders.
+    #[must_use]
+    pub fn received_heads(&self) -> Vec<String> {
+        self.state.received_heads.borrow().clone()
+    }
+
+    /// Returns how many bytes endless replies have sent.
+    #[must_use]
+    pub fn repeated_bytes(&self) -> u64 {
+        self.state.repeated_bytes.get()
+    }
+
+    /// Returns the number of endless replies whose connection is still open.
+    #[must_use]
+    pub fn repeating(&self) -> u32 {
+        self.state.repeating.get()
+    }
+
+    /// Returns the registry entry of the endpoint.
+    #[must_use]
+    pub fn registry_entry(&self, service: &str) -> Value {
+        let models = self.state.engine.borrow_mut().report()["models"].clone();
+        json!({
+            "backend": service, "addr": self.address.to_string(), "zone": "z1", "version": "v1",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "stage": "colocated",
+            "models": models, "seq": 1, "born": 1,
+        })
+    }
+}
+
+/// Reads requests and answers each until a reply or the client ends the connection.
+async fn serve(state: &Rc<State>, mut stream: TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut received = BytesMut::new();
+    loop {
+        let Some(head) = read_request(&mut stream, &mut received).await? else {
+            return Ok(());
+        };
+        let reply = reply_to(state, &head);
+        let sent = reply
+            .bytes
+            .replace(ATTEMPT_PLACEHOLDER, header(&head, "attempt-id"));
+        stream.write_all(sent.as_bytes()).await?;
+        match reply.end {
+            ConnectionEnd::Close => return stream.shutdown().await,
+            ConnectionEnd::Reset => return reset(&stream),
+            ConnectionEnd::Silence => {}
+            ConnectionEnd::Repeat { bytes, pause_ms } => {
+                state.repeating.set(state.repeating.get() + 1);
+                let ended = repeat(state, &mut stream, &bytes, pause_ms).await;
+                state.repeating.set(state.repeating.get() - 1);
+                return ended;
+            }
+        }
+    }
+}
+
+/// Returns the next request's head after reading its body too; `None` once the client has closed.
+async fn read_request(
+    stream: &mut TcpStream,
+    received: &mut BytesMut,
+) -> std::io::Result<Option<String>> {
+    loop {
+        let head_end = received
+            .windows(HEAD_END.len())
+            .position(|window| window == HEAD_END);
+        if let Some(at) = head_end {
+            let head_bytes = at + HEAD_END.len();
+            let head = String::from_utf8_lossy(&received[..head_bytes]).into_owned();
+            let body_bytes: usize = header(&head, "content-length").parse().unwrap_or(0);
+            if received.len() >= head_bytes + body_bytes {
+                drop(received.split_to(head_bytes + body_bytes));
+                return Ok(Some(head));
+            }
+        }
+        if stream.read_buf(received).await? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+fn reply_to(state: &State, head: &str) -> RawReply {
+    let path = head.split(' ').nth(1).unwrap_or_default();
+    match path {
+        "/report" => state.report_reply.borrow().clone().unwrap_or_else(|| {
+            let report = state.engine.borrow_mut().report().to_string();
+            proper_reply(&report)
+        }),
+        // Orders change nothing, so that what is loaded stays as the test set it.
+        "/order" => proper_reply(""),
+        _ => {
+            state.received_heads.borrow_mut().push(head.to_owned());
+            let scripted = state.script.borrow_mut().pop_front();
+            scripted.unwrap_or_else(|| state.default_reply.clone())
+        }
+    }
+}
+
+fn proper_reply(body: &str) -> RawReply {
+    let length = format!("Content-Length: {}", body.len());
+    RawReply::new("200 OK", &[&length], body, ConnectionEnd::Silence)
+}
+
+/// Sends bytes again and again until the client closes.
+async fn repeat(
+    state: &State,
+    stream: &mut TcpStream,
+    bytes: &Bytes,
+    pause_ms: u64,
+) -> std::io::Result<()> {
+    loop {
+        if pause_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+        stream.write_all(bytes).await?;
+        let sent_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
+        state
+            .repeated_bytes
+            .set(state.repeated_bytes.get() + sent_bytes);
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Closes the connection with a reset as soon as the stream is dropped.
+fn reset(stream: &TcpStream) -> std::io::Result<()> {
+    socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
+/// Returns a header's value; empty if the head has none of that name.
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    let lines = head.lines().filter_map(|line| line.split_once(':'));
+    let mut values = lines.filter(|(found, _)| found.eq_ignore_ascii_case(name));
+    values
+        .next()
+        .map(|(_, value)| value.trim())
+        .unwrap_or_default()
+}
