--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -8,7 +8,8 @@
 //! # Parts
 //!
 //! * [`callers`] accepts connections and hands each request to [`request`], which
-//!   finds its route; [`serving`] reserves an endpoint and sends the request with [`attempt`].
+//!   finds its route; [`serving`] reserves an endpoint and sends the request with [`attempt`];
+//!   [`relay`] passes a long answer on as it arrives.
 //! * [`follow`] polls the tables of the store for changes.
 //! * [`granting`] grants reservations to waiting requests when endpoints have capacity.
 //! * [`poison`] refuses requests that crash endpoints.
@@ -26,8 +27,6 @@
 pub mod callers;
 pub mod connection;
 pub mod engine_orders;
-pub mod event_stream;
-pub mod event_timing;
 pub mod follow;
 pub mod granting;
 pub mod in_progress;
@@ -39,6 +38,7 @@
 pub mod poison;
 pub mod pool;
 pub mod probe_http;
+pub mod relay;
 pub mod request;
 pub mod reservation;
 pub mod retry_decision;
@@ -46,7 +46,6 @@
 pub mod serving;
 pub mod shared;
 pub mod stop;
-pub mod stream_origin;
 pub mod view;
 pub mod wait_queue;
 pub mod waiter;
--- a/crates/chicorystaged/src/gateway/event_stream.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -6,6 +6,11 @@
 //! caller sees one uninterrupted stream. Resumes are limited by the route's number of runs, the
 //! remaining time and the shared retry budget.
 
+pub mod event_timing;
+mod report;
+mod resumption;
+pub mod stream_origin;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,19 +23,17 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::answer_framing::AnswerFraming;
-use crate::gateway::attempt::{self, AnswerBroken, Answered, Attempted, CallerWork};
-use crate::gateway::event_timing::EventTiming;
+use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
+use crate::gateway::relay::event_timing::EventTiming;
+use crate::gateway::relay::stream_origin::StreamOrigin;
 use crate::gateway::shared::Gateway;
-use crate::gateway::stream_origin::StreamOrigin;
 
 /// Multiple of the route's pause objective after which a silent stream is resumed elsewhere.
 const PAUSES_TOLERATED: u64 = 8;
 /// Lower bound of the silence after which a stream is resumed elsewhere, in milliseconds.
 const SILENCE_MIN_MS: u64 = 1_000;
-/// Longest wait for another endpoint to resume a stream, in milliseconds.
-const RESUME_WAIT_MS: u64 = 1_500;
 
 /// State of an answer that is being relayed.
 struct StreamRelay {
@@ -151,15 +154,6 @@
         })
     }
 
-    /// Returns whether the answer may be resumed once more: the route allows it, and the software
-    /// version that began it is known.
-    fn may_resume(&self) -> bool {
-        let is_version_known = self.origin != StreamOrigin::Unknown;
-        self.events.is_some()
-            && is_version_known
-            && self.runs < self.work.route.endpoints_per_attempt_max
-    }
-
     /// Takes in a frame and returns the bytes that can be relayed now, if any.
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let bytes = frame.into_data().ok()?;
@@ -195,122 +189,4 @@
             .as_ref()
             .is_none_or(|events| !events.has_partial_event())
     }
-
-    /// Records a complete answer and returns its connection to the pool.
-    fn finish(mut self) {
-        let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
-        self.gateway
-            .metrics
-            .answer_ms(&self.work.route.name, answer_ms);
-        self.log_end("whole");
-        poison::record_answer(&self.gateway, &self.work);
-        let Some(answered) = self.answered.take() else {
-            return;
-        };
-        answered.reservation.outcome(true);
-        answered.recycle(&self.gateway);
-    }
-
-    fn log_end(&mut self, end: &'static str) {
-        self.is_logged = true;
-        self.gateway.metrics.count_stream_end(self.framing, end);
-        let endpoint = self.answered.as_ref();
-        let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
-        log::info!(
-            event = "stream_ended", request = self.work.head.attempt_id.as_str(), end,
-            route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
-            model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
-            framing:% = self.framing, bytes = self.received_bytes,
-            is_within_event = self.scanner.is_within_event(),
-            runs = self.runs, first_ms = self.event_timing.first_ms.unwrap_or_default(),
-            pause_max_ms = self.event_timing.pause_max_ms,
-            pause_max_at_ms = self.event_timing.pause_max_at_ms,
-            wait_ms = self.work.wait_ms.get(),
-            time_ms = self.gateway.now_ms() - self.work.arrived_ms;
-            "stream ended"
-        );
-    }
-
-    /// Returns whether an endpoint runs the software version that began the answer.
-    fn has_endpoint_to_resume(&self) -> bool {
-        let Some(software) = &self.requirements.software else {
-            return true;
-        };
-        let service = &self.requirements.service;
-        self.gateway
-            .with(|view| view.fleet.has_software(service, software))
-    }
-
-    /// Resumes the answer at another endpoint; returns whether that succeeded.
-    async fn resume(&mut self, reason: &'static str) -> bool {
-        let now_ms = self.gateway.now_ms();
-        let Some(broken) = self.answered.take() else {
-            return false;
-        };
-        broken.reservation.outcome(false);
-        let endpoint = broken.reservation.endpoint.clone();
-        // Closing the connection cancels the request at an endpoint that still runs it.
-        drop(broken);
-        self.requirements.software = self.origin.software().cloned();
-        let may_resume =
-            self.may_resume() && self.work.left_ms(now_ms) > 0 && self.has_endpoint_to_resume();
-        let service = &self.requirements.service;
-        // The permit counts the resumed request as in flight until its answer begins or it fails.
-        let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
-        let has_budget = permit.is_some();
-        log::warn!(
-            event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
-            endpoint = endpoint.as_str(), service = service.as_str(), resumed = has_budget,
-            begun_by:? = self.origin,
-            runs = self.runs, budget = fields.outcome, retries = fields.usage.retries,
-            retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
-            gateways = fields.gateways;
-            "answer broke off"
-        );
-        if !has_budget {
-            return false;
-        }
-        self.requirements.avoid.push(endpoint);
-        let Some(events) = &mut self.events else {
-            return false;
-        };
-        events.discard_partial_event();
-        let last_id = events
-            .last_id()
-            .map(str::to_owned)
-            .or_else(|| self.work.head.last_event_id.clone());
-        let rank = self.work.route.priority;
-        let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
-        let granted = self
-            .gateway
-            .reserve_or_wait(&self.requirements, rank, until_ms);
-        let Some(reservation) = granted.await else {
-            return false;
-        };
-        let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
-        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
-        let sent = tokio::time::timeout(limit, sent).await.ok();
-        if sent.as_ref().is_none_or(Attempted::was_sent) {
-            self.gateway.metrics.count_sent(&self.requirements.service);
-        }
-        let Some(Attempted::Answered(answered)) = sent else {
-            return false;
-        };
-        if !answered.parts.status.is_success() {
-            return false;
-        }
-        self.framing = AnswerFraming::of(&answered.parts.headers);
-        self.scanner = EventScanner::default();
-        self.answered = Some(answered);
-        self.runs += 1;
-        true
-    }
-}
-
-impl Drop for StreamRelay {
-    fn drop(&mut self) {
-        if !self.is_logged {
-            self.log_end("caller left");
-        }
-    }
 }
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -0,0 +1,49 @@
+//! Reports the end of a relayed answer in log, metrics and records.
+
+use crate::gateway::poison;
+use crate::gateway::relay::StreamRelay;
+
+impl StreamRelay {
+    /// Records a complete answer and returns its connection to the pool.
+    pub(super) fn finish(mut self) {
+        let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
+        self.gateway
+            .metrics
+            .answer_ms(&self.work.route.name, answer_ms);
+        self.log_end("whole");
+        poison::record_answer(&self.gateway, &self.work);
+        let Some(answered) = self.answered.take() else {
+            return;
+        };
+        answered.reservation.outcome(true);
+        answered.recycle(&self.gateway);
+    }
+
+    pub(super) fn log_end(&mut self, end: &'static str) {
+        self.is_logged = true;
+        self.gateway.metrics.count_stream_end(self.framing, end);
+        let endpoint = self.answered.as_ref();
+        let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
+        log::info!(
+            event = "stream_ended", request = self.work.head.attempt_id.as_str(), end,
+            route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
+            model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
+            framing:% = self.framing, bytes = self.received_bytes,
+            is_within_event = self.scanner.is_within_event(),
+            runs = self.runs, first_ms = self.event_timing.first_ms.unwrap_or_default(),
+            pause_max_ms = self.event_timing.pause_max_ms,
+            pause_max_at_ms = self.event_timing.pause_max_at_ms,
+            wait_ms = self.work.wait_ms.get(),
+            time_ms = self.gateway.now_ms() - self.work.arrived_ms;
+            "stream ended"
+        );
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        if !self.is_logged {
+            self.log_end("caller left");
+        }
+    }
+}
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -0,0 +1,99 @@
+//! Resumes a broken event stream at another endpoint.
+
+use std::time::Duration;
+
+use chicorystage_core::events::EventScanner;
+
+use crate::gateway::answer_framing::AnswerFraming;
+use crate::gateway::attempt::{self, Attempted};
+use crate::gateway::relay::StreamRelay;
+use crate::gateway::relay::stream_origin::StreamOrigin;
+
+/// Longest wait for another endpoint to resume a stream, in milliseconds.
+const RESUME_WAIT_MS: u64 = 1_500;
+
+impl StreamRelay {
+    /// Returns whether the answer may be resumed once more: the route allows it, and the software
+    /// version that began it is known.
+    pub(super) fn may_resume(&self) -> bool {
+        let is_version_known = self.origin != StreamOrigin::Unknown;
+        self.events.is_some()
+            && is_version_known
+            && self.runs < self.work.route.endpoints_per_attempt_max
+    }
+
+    /// Returns whether an endpoint runs the software version that began the answer.
+    fn has_endpoint_to_resume(&self) -> bool {
+        let Some(software) = &self.requirements.software else {
+            return true;
+        };
+        let service = &self.requirements.service;
+        self.gateway
+            .with(|view| view.fleet.has_software(service, software))
+    }
+
+    /// Resumes the answer at another endpoint; returns whether that succeeded.
+    pub(super) async fn resume(&mut self, reason: &'static str) -> bool {
+        let now_ms = self.gateway.now_ms();
+        let Some(broken) = self.answered.take() else {
+            return false;
+        };
+        broken.reservation.outcome(false);
+        let endpoint = broken.reservation.endpoint.clone();
+        // Closing the connection cancels the request at an endpoint that still runs it.
+        drop(broken);
+        self.requirements.software = self.origin.software().cloned();
+        let may_resume =
+            self.may_resume() && self.work.left_ms(now_ms) > 0 && self.has_endpoint_to_resume();
+        let service = &self.requirements.service;
+        // The permit counts the resumed request as in flight until its answer begins or it fails.
+        let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
+        let has_budget = permit.is_some();
+        log::warn!(
+            event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
+            endpoint = endpoint.as_str(), service = service.as_str(), resumed = has_budget,
+            begun_by:? = self.origin,
+            runs = self.runs, budget = fields.outcome, retries = fields.usage.retries,
+            retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
+            gateways = fields.gateways;
+            "answer broke off"
+        );
+        if !has_budget {
+            return false;
+        }
+        self.requirements.avoid.push(endpoint);
+        let Some(events) = &mut self.events else {
+            return false;
+        };
+        events.discard_partial_event();
+        let last_id = events
+            .last_id()
+            .map(str::to_owned)
+            .or_else(|| self.work.head.last_event_id.clone());
+        let rank = self.work.route.priority;
+        let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
+        let granted = self
+            .gateway
+            .reserve_or_wait(&self.requirements, rank, until_ms);
+        let Some(reservation) = granted.await else {
+            return false;
+        };
+        let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
+        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
+        let sent = tokio::time::timeout(limit, sent).await.ok();
+        if sent.as_ref().is_none_or(Attempted::was_sent) {
+            self.gateway.metrics.count_sent(&self.requirements.service);
+        }
+        let Some(Attempted::Answered(answered)) = sent else {
+            return false;
+        };
+        if !answered.parts.status.is_success() {
+            return false;
+        }
+        self.framing = AnswerFraming::of(&answered.parts.headers);
+        self.scanner = EventScanner::default();
+        self.answered = Some(answered);
+        self.runs += 1;
+        true
+    }
+}
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -22,10 +22,10 @@
 
 use crate::gateway::answer_body::{AnswerBody, buffered, relayed};
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
-use crate::gateway::event_stream;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
+use crate::gateway::relay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::failure::AfterFailure;
@@ -230,7 +230,7 @@
         gateway
             .metrics
             .count_request(&self.work.route.name, RequestOutcome::Answered);
-        let frames = event_stream::relay(
+        let frames = relay::relay(
             gateway,
             self.work,
             requirements,
