Test the same fault on the other paths of an answer (known red)

Where an answer has neither a length nor chunks, a gateway has nothing but the end of the connection and the content to tell whether it is complete. Looked at on each path: relayed, resumed, whole, failures. Six more tests are red on this commit: streams that end within an event though framed, streams without any event, failures taken for events, a resumed stream cut at the first engine's length, and answers and failures that are not repeated since they are not read whole. Five pass: resets, whole streams, resumption, a route that runs once, a long answer.

--- a/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
@@ -1,37 +1,225 @@
 //! Answers whose end only the close of the connection marks: what a gateway may call complete.
 
+use std::rc::Rc;
+
 use chicorystage_testbed::users_platform::{
     CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, run_local,
-    send_request,
+    send_request, wait_until,
 };
+use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
-use http::Method;
+use http::{Method, StatusCode};
 
 const MODEL: (&str, &str) = ("model", "m0");
 const TWO_EVENTS: &str = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n";
+const LAST_EVENT: &str = "id: 3\ndata: e3\n\n";
 
-/// Sends one request on `path` to the only endpoint, which answers with `reply`.
-fn reply_on(path: &str, reply: RawReply) -> Result<CallerReply> {
-    run_local(async {
-        let world = PlatformFixture::start().await.or_fail()?;
-        let engine = EndpointEngine::new(&["m0"], 60);
-        let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
-        world.declare(1);
-        world.register_raw(&endpoint, "llm");
-        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
-        send_request(&gateway, Method::POST, path, &[MODEL], "{}")
+/// A gateway before endpoints that send raw bytes.
+struct World {
+    endpoints: Vec<RawEndpoint>,
+    gateway: Rc<Gateway>,
+}
+
+impl World {
+    /// Starts one endpoint of a service for each reply.
+    async fn start(service: &str, replies: Vec<RawReply>) -> Result<Self> {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        platform.declare(1);
+        let mut endpoints = Vec::new();
+        for (i, reply) in replies.into_iter().enumerate() {
+            let engine = EndpointEngine::new(&["m0"], 60);
+            let id = format!("e{i}");
+            let endpoint = RawEndpoint::start(&id, reply, engine).await.or_fail()?;
+            platform.register_raw(&endpoint, service);
+            endpoints.push(endpoint);
+        }
+        let gateway = platform.start_ready_gateway("g1").await.or_fail()?;
+        wait_until("all endpoints are known", || {
+            gateway.with(|view| view.fleet.endpoints().count()) == endpoints.len()
+        })
+        .await;
+        Ok(Self { endpoints, gateway })
+    }
+
+    async fn send(&self, path: &str) -> Result<CallerReply> {
+        let headers = [MODEL];
+        send_request(&self.gateway, Method::POST, path, &headers, "{}")
             .await
             .or_fail()
-    })
+    }
+
+    /// Returns how many requests the endpoints received in all.
+    fn received(&self) -> usize {
+        let heads = self.endpoints.iter().map(RawEndpoint::received_heads);
+        heads.map(|heads| heads.len()).sum()
+    }
+}
+
+fn events(body: &str, end: ConnectionEnd) -> RawReply {
+    RawReply::unframed_events(body, end)
+}
+
+/// Returns the answer to one request for a stream from the only endpoint.
+fn stream_reply(path: &str, reply: RawReply) -> Result<CallerReply> {
+    run_local(async { World::start("llm", vec![reply]).await?.send(path).await })
 }
 
 // Incident ORDER on altiplano-miel, 2026-12-04.
 #[gtest]
 fn unframed_stream_that_closes_within_an_event_reaches_its_caller_as_broken_off() -> Result<()> {
     let body = format!("{TWO_EVENTS}id: 3\ndata: e");
-    let reply = reply_on(
-        "/chat/x",
-        RawReply::unframed_events(&body, ConnectionEnd::Close),
-    )?;
+    let reply = stream_reply("/chat/x", events(&body, ConnectionEnd::Close))?;
     verify_that!(reply.is_complete, eq(false))
 }
+
+#[gtest]
+fn framed_stream_that_ends_within_an_event_reaches_its_caller_as_broken_off() -> Result<()> {
+    let body = format!("{TWO_EVENTS}id: 3\ndata: e");
+    let length = format!("Content-Length: {}", body.len());
+    let headers = ["Content-Type: text/event-stream", length.as_str()];
+    let reply = RawReply::new("200 OK", &headers, &body, ConnectionEnd::Silence);
+    verify_that!(stream_reply("/chat/x", reply)?.is_complete, eq(false))
+}
+
+#[gtest]
+fn unframed_stream_that_is_reset_reaches_its_caller_as_broken_off() -> Result<()> {
+    for path in ["/chat/x", "/long/x"] {
+        let reply = stream_reply(path, events(TWO_EVENTS, ConnectionEnd::Reset))?;
+        verify_that!(reply.is_complete, eq(false)).with_failure_message(|| path.to_owned())?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn unframed_stream_that_closes_after_an_event_reaches_its_caller_whole() -> Result<()> {
+    for path in ["/chat/x", "/long/x"] {
+        let reply = stream_reply(path, events(TWO_EVENTS, ConnectionEnd::Close))?;
+        verify_that!(reply.is_complete, eq(true)).with_failure_message(|| path.to_owned())?;
+        verify_that!(reply.text(), eq(TWO_EVENTS))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn unframed_stream_without_an_event_reaches_its_caller_as_broken_off() -> Result<()> {
+    for path in ["/chat/x", "/long/x"] {
+        let reply = stream_reply(path, events("", ConnectionEnd::Close))?;
+        verify_that!(reply.is_complete, eq(false)).with_failure_message(|| path.to_owned())?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn unframed_stream_that_closes_within_an_event_is_resumed_after_the_event_before() -> Result<()> {
+    run_local(async {
+        let partial = format!("{TWO_EVENTS}id: 3\nda");
+        let broken = events(&partial, ConnectionEnd::Close);
+        let whole = events(LAST_EVENT, ConnectionEnd::Close);
+        let world = World::start("llm", vec![broken, whole]).await?;
+
+        let reply = world.send("/long/x").await?;
+
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(
+            reply.text(),
+            eq(format!("{TWO_EVENTS}{LAST_EVENT}").as_str())
+        )?;
+        let resumed = world.endpoints[1].received_heads();
+        verify_that!(
+            resumed,
+            elements_are![contains_substring("last-event-id: 2")]
+        )
+    })
+}
+
+#[gtest]
+fn unframed_failure_on_a_resumable_route_is_not_resumed() -> Result<()> {
+    run_local(async {
+        let failed = RawReply::new("500 Failed", &[], "out of luck", ConnectionEnd::Close);
+        let whole = events(LAST_EVENT, ConnectionEnd::Close);
+        let world = World::start("llm", vec![failed, whole]).await?;
+
+        let reply = world.send("/long/x").await?;
+
+        verify_that!(reply.status, eq(StatusCode::INTERNAL_SERVER_ERROR))?;
+        verify_that!(reply.text(), eq("out of luck"))?;
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(world.received(), eq(1))
+    })
+}
+
+#[gtest]
+fn stream_with_a_length_that_is_resumed_is_framed_by_its_events_alone() -> Result<()> {
+    run_local(async {
+        // The engine that goes on words its event differently, so that lengths differ.
+        let longer = "id: 3\ndata: e3, at more length\n\n";
+        let length = format!("Content-Length: {}", TWO_EVENTS.len() + LAST_EVENT.len());
+        let headers = ["Content-Type: text/event-stream", length.as_str()];
+        let broken = RawReply::new("200 OK", &headers, TWO_EVENTS, ConnectionEnd::Close);
+        let whole = events(longer, ConnectionEnd::Close);
+        let world = World::start("llm", vec![broken, whole]).await?;
+
+        let reply = world.send("/long/x").await?;
+
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(reply.text(), eq(format!("{TWO_EVENTS}{longer}").as_str()))
+    })
+}
+
+#[gtest]
+fn unframed_answer_that_is_reset_is_repeated_on_an_idempotent_route() -> Result<()> {
+    run_local(async {
+        let broken = RawReply::new("200 OK", &[], "half an", ConnectionEnd::Reset);
+        let whole = RawReply::new("200 OK", &[], "a whole answer", ConnectionEnd::Close);
+        let world = World::start("app", vec![broken, whole]).await?;
+
+        let reply = world.send("/app/x").await?;
+
+        verify_that!(reply.status, eq(StatusCode::OK))?;
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(reply.text(), eq("a whole answer"))
+    })
+}
+
+#[gtest]
+fn unframed_answer_that_is_reset_on_a_route_that_runs_once_is_neither_repeated_nor_complete()
+-> Result<()> {
+    run_local(async {
+        let broken = RawReply::new("200 OK", &[], "half an", ConnectionEnd::Reset);
+        let world = World::start("app", vec![broken.clone(), broken]).await?;
+
+        let reply = world.send("/pay/x").await?;
+
+        verify_that!(reply.is_complete && reply.status.is_success(), eq(false))?;
+        verify_that!(world.received(), eq(1))
+    })
+}
+
+#[gtest]
+fn unframed_failure_is_repeated_on_an_idempotent_route() -> Result<()> {
+    run_local(async {
+        let failed = RawReply::new("500 Failed", &[], "out of luck", ConnectionEnd::Close);
+        let whole = RawReply::new("200 OK", &[], "a whole answer", ConnectionEnd::Close);
+        let world = World::start("app", vec![failed, whole]).await?;
+
+        let reply = world.send("/app/x").await?;
+
+        verify_that!(reply.status, eq(StatusCode::OK))?;
+        verify_that!(reply.text(), eq("a whole answer"))
+    })
+}
+
+#[gtest]
+fn long_unframed_answer_reaches_its_caller_whole() -> Result<()> {
+    run_local(async {
+        // More than a gateway buffers before it relays.
+        let body = "0123456789abcdef".repeat(20_000);
+        let whole = RawReply::new("200 OK", &[], &body, ConnectionEnd::Close);
+        let world = World::start("app", vec![whole]).await?;
+
+        let reply = world.send("/app/x").await?;
+
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(reply.text() == body, eq(true))
+    })
+}
