Take only successful answers of the media type of events for events

Callers saw: on a route of resumable streams a 500 without a length was held back as an incomplete event, the request was resumed, and another engine's events followed under the first one's status and stamp. Cause: whether an answer consists of events was decided from the route alone. Change: event_stream::is_event_stream decides from route, status and media type; relay, resumption and the choice to buffer ask it.

--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 pub mod callers;
 pub mod connection;
 pub mod engine_orders;
+pub mod event_stream;
 pub mod follow;
 pub mod granting;
 pub mod in_progress;
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -24,6 +24,7 @@
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
+use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
 use crate::gateway::relay::event_timing::EventTiming;
@@ -73,8 +74,8 @@
     runs: u32,
     in_progress: InProgress,
 ) -> FrameStream {
-    let events = (work.route.kind.is_stream() && work.route.kind.is_repeatable())
-        .then(EventSplitter::default);
+    let has_events = is_event_stream(&work.route, &answered.parts);
+    let events = (has_events && work.route.kind.is_repeatable()).then(EventSplitter::default);
     let framing = AnswerFraming::of(&answered.parts.headers);
     let relay = StreamRelay {
         gateway,
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::attempt::{self, Attempted};
+use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 
@@ -87,7 +88,7 @@
         let Some(Attempted::Answered(answered)) = sent else {
             return false;
         };
-        if !answered.parts.status.is_success() {
+        if !is_event_stream(&self.work.route, &answered.parts) {
             return false;
         }
         self.framing = AnswerFraming::of(&answered.parts.headers);
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::gateway::answer_body::{AnswerBody, buffered, relayed};
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
+use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
@@ -184,7 +185,7 @@
     ///
     /// A server error counts as a lost answer while the request may run again.
     async fn read_answer(&self, answered: Box<Answered>) -> ReadAnswer {
-        let is_stream = self.work.route.kind.is_stream() && answered.parts.status.is_success();
+        let is_stream = is_event_stream(&self.work.route, &answered.parts);
         let length = answered.body.size_hint().exact();
         if is_stream || length.is_none_or(|length| length > BUFFERED_BYTES_MAX) {
             return ReadAnswer::Stream(answered);
