Take a stream that ends within an event for broken off, however it is framed

Cause: an answer with neither a length nor chunks ends with its connection, and the HTTP client reports a closed connection as the end of such a body. Only streams that may be resumed were split into events; the relay of the others took every end for complete and ended the caller's chunked body properly. Ruled out: a break that is seen and then lost. Change: every event stream is split, so that callers get complete events only, and one that ends within an event breaks the caller's connection too. The relay lets the server write what it has before the body breaks: the caller of a stream whose last events came together with its end lost them otherwise. Events may end with CR or CR LF.

--- a/crates/chicorystage-core/src/events/event_splitter.rs
+++ b/crates/chicorystage-core/src/events/event_splitter.rs
@@ -1,31 +1,32 @@
 use bytes::{Bytes, BytesMut};
 
-/// Delimiter that ends an event: an empty line.
-const EVENT_END: &[u8] = b"\n\n";
+use crate::events::EventScanner;
+
 /// Prefix of the line that carries an event's identity.
-const ID_FIELD: &str = "id:";
+const ID_FIELD: &[u8] = b"id:";
 
 /// Splits the bytes of an event stream into complete events.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
-    buffer: BytesMut,
+    /// Bytes of the event that is not complete yet.
+    partial: BytesMut,
+    scanner: EventScanner,
     last_id: Option<String>,
 }
 
 impl EventSplitter {
     /// Appends received bytes and returns the events that are now complete; empty if none is.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        // The delimiter may span the buffered and the new bytes.
-        let from = self.buffer.len().saturating_sub(EVENT_END.len() - 1);
-        self.buffer.extend_from_slice(bytes);
-        let tail = &self.buffer[from..];
-        let Some(last) = tail
-            .windows(EVENT_END.len())
-            .rposition(|window| window == EVENT_END)
-        else {
+    pub fn push(&mut self, mut bytes: Bytes) -> Bytes {
+        let Some(complete_bytes) = self.scanner.scan(&bytes) else {
+            self.partial.extend_from_slice(&bytes);
             return Bytes::new();
         };
-        let complete = self.buffer.split_to(from + last + EVENT_END.len()).freeze();
+        let mut complete = bytes.split_to(complete_bytes);
+        if !self.partial.is_empty() {
+            self.partial.extend_from_slice(&complete);
+            complete = self.partial.split().freeze();
+        }
+        self.partial.extend_from_slice(&bytes);
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
@@ -41,17 +42,19 @@
     /// Returns whether an incomplete event is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.scanner.is_within_event()
     }
 
     /// Discards the buffered incomplete event, if any.
     pub fn discard_partial_event(&mut self) {
-        self.buffer.clear();
+        self.partial.clear();
+        self.scanner = EventScanner::default();
     }
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let text = String::from_utf8_lossy(events);
-    let mut ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
-    ids.next_back().map(|id| id.trim().to_owned())
+    let lines = events.split(|&byte| byte == b'\n' || byte == b'\r');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
+    let id = ids.next_back()?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
 }
--- a/crates/chicorystage-core/tests/event_splitter.rs
+++ b/crates/chicorystage-core/tests/event_splitter.rs
@@ -1,5 +1,6 @@
 //! The splitter passes on only complete events, at whichever bytes the stream is divided.
 
+use bytes::Bytes;
 use chicorystage_core::events::EventSplitter;
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -24,7 +25,7 @@
         let mut splitter = EventSplitter::default();
         let (mut complete, mut from) = (Vec::new(), 0);
         for boundary in boundaries {
-            let events = splitter.push(&STREAM[from..boundary]);
+            let events = splitter.push(Bytes::from_static(&STREAM[from..boundary]));
             prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
             complete.extend_from_slice(&events);
             from = boundary;
@@ -38,10 +39,26 @@
 #[test]
 fn discarded_partial_event_leaves_no_trace() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 7\ndata: x\n\nid: 8\ndat");
+    splitter.push(Bytes::from_static(b"id: 7\ndata: x\n\nid: 8\ndat"));
     splitter.discard_partial_event();
-    let events = splitter.push(b"id: 8\ndata: y\n\n");
+    let events = splitter.push(Bytes::from_static(b"id: 8\ndata: y\n\n"));
     assert_that!(&*events, eq(b"id: 8\ndata: y\n\n"));
     assert_that!(splitter.last_id(), some(eq("8")));
     assert_that!(splitter.has_partial_event(), eq(false));
 }
+
+#[test]
+fn events_with_any_line_ending_are_split_and_identified() {
+    let streams: [&'static [u8]; 3] = [
+        b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3",
+        b"id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\nid: 3",
+        b"id: 1\rdata: a\r\rid: 2\rdata: b\r\rid: 3",
+    ];
+    for stream in streams {
+        let mut splitter = EventSplitter::default();
+        let complete = splitter.push(Bytes::from_static(stream));
+        assert_that!(complete.len(), eq(stream.len() - b"id: 3".len()));
+        assert_that!(splitter.last_id(), some(eq("2")));
+        assert_that!(splitter.has_partial_event(), eq(true));
+    }
+}
--- a/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
@@ -78,7 +78,22 @@
     let length = format!("Content-Length: {}", body.len());
     let headers = ["Content-Type: text/event-stream", length.as_str()];
     let reply = RawReply::new("200 OK", &headers, &body, ConnectionEnd::Silence);
-    verify_that!(stream_reply("/chat/x", reply)?.is_complete, eq(false))
+    let reply = stream_reply("/chat/x", reply)?;
+    verify_that!(reply.is_complete, eq(false))?;
+    verify_that!(reply.text(), eq(TWO_EVENTS))
+}
+
+#[gtest]
+fn events_that_arrive_together_with_the_break_reach_the_caller() -> Result<()> {
+    let chunk = format!("{:x}\r\n{TWO_EVENTS}\r\n", TWO_EVENTS.len());
+    let headers = [
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    ];
+    let reply = RawReply::new("200 OK", &headers, &chunk, ConnectionEnd::Close);
+    let reply = stream_reply("/chat/x", reply)?;
+    verify_that!(reply.is_complete, eq(false))?;
+    verify_that!(reply.text(), eq(TWO_EVENTS))
 }
 
 #[gtest]
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -1,10 +1,11 @@
 //! Relays an endpoint's answer to the caller and resumes event streams at other endpoints.
 //!
-//! An endpoint may fail or stall in the middle of a long answer. On routes whose streams may be
-//! repeated, only complete events are relayed. When the answer breaks off, the partial event is
-//! dropped and the request is sent to another endpoint with the id of the last complete event. The
-//! caller sees one uninterrupted stream. Resumes are limited by the route's number of runs, the
-//! remaining time and the shared retry budget.
+//! An endpoint may fail or stall in the middle of a long answer. Of an event stream only complete
+//! events are relayed, and one that ends within an event has broken off, however its end looks.
+//! On routes whose streams may be repeated, the request is then sent to another endpoint with the
+//! id of the last complete event, and the caller sees one uninterrupted stream. Resumes are limited
+//! by the route's number of runs, the remaining time and the shared retry budget. Any other broken
+//! answer ends the caller's connection without the end of the body.
 
 pub mod event_timing;
 mod report;
@@ -15,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicorystage_core::events::{EventScanner, EventSplitter};
+use chicorystage_core::events::EventSplitter;
 use chicorystage_core::fleet::Requirements;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -43,7 +44,7 @@
     requirements: Requirements,
     /// Answer of the endpoint that runs the request; `None` after it ended or broke off.
     answered: Option<Box<Answered>>,
-    /// Splits the body into complete events; `None` where the answer may not be resumed.
+    /// Splits the body into complete events; `None` where it does not consist of events.
     events: Option<EventSplitter>,
     /// Number of attempts that may have run the request.
     runs: u32,
@@ -53,8 +54,6 @@
     framing: AnswerFraming,
     /// Number of bytes of all endpoints' answers so far.
     received_bytes: usize,
-    /// Tells whether the received bytes end within an event.
-    scanner: EventScanner,
     /// Whether the end of the answer has been logged.
     is_logged: bool,
     /// Counts the request as in progress until this value is dropped.
@@ -74,8 +73,7 @@
     runs: u32,
     in_progress: InProgress,
 ) -> FrameStream {
-    let has_events = is_event_stream(&work.route, &answered.parts);
-    let events = (has_events && work.route.kind.is_repeatable()).then(EventSplitter::default);
+    let events = is_event_stream(&work.route, &answered.parts).then(EventSplitter::default);
     let framing = AnswerFraming::of(&answered.parts.headers);
     let relay = StreamRelay {
         gateway,
@@ -88,7 +86,6 @@
         origin: StreamOrigin::default(),
         framing,
         received_bytes: 0,
-        scanner: EventScanner::default(),
         is_logged: false,
         in_progress,
     };
@@ -132,6 +129,8 @@
             };
             if !self.resume(reason).await {
                 self.log_end(reason);
+                // The server drops what it has not written yet when the body breaks.
+                tokio::task::yield_now().await;
                 return Some((Err(AnswerBroken), None));
             }
         }
@@ -159,9 +158,8 @@
     fn accept_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
         let bytes = frame.into_data().ok()?;
         self.received_bytes += bytes.len();
-        self.scanner.scan(&bytes);
         let bytes = match &mut self.events {
-            Some(events) => events.push(&bytes),
+            Some(events) => events.push(bytes),
             None => bytes,
         };
         if bytes.is_empty() {
@@ -184,10 +182,16 @@
         }
     }
 
-    /// Returns whether no partial event is buffered; always true where events are not split.
+    /// Returns whether an answer that ends here is complete.
+    ///
+    /// The end of a connection may be that of a process, so that the content has a say.
     fn is_complete(&self) -> bool {
+        !self.is_within_event()
+    }
+
+    fn is_within_event(&self) -> bool {
         self.events
             .as_ref()
-            .is_none_or(|events| !events.has_partial_event())
+            .is_some_and(EventSplitter::has_partial_event)
     }
 }
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -29,7 +29,7 @@
             route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
             model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
             framing:% = self.framing, bytes = self.received_bytes,
-            is_within_event = self.scanner.is_within_event(),
+            is_within_event = self.is_within_event(),
             runs = self.runs, first_ms = self.event_timing.first_ms.unwrap_or_default(),
             pause_max_ms = self.event_timing.pause_max_ms,
             pause_max_at_ms = self.event_timing.pause_max_at_ms,
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use chicorystage_core::events::EventScanner;
-
 use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::event_stream::is_event_stream;
@@ -19,6 +17,7 @@
     pub(super) fn may_resume(&self) -> bool {
         let is_version_known = self.origin != StreamOrigin::Unknown;
         self.events.is_some()
+            && self.work.route.kind.is_repeatable()
             && is_version_known
             && self.runs < self.work.route.endpoints_per_attempt_max
     }
@@ -92,7 +91,6 @@
             return false;
         }
         self.framing = AnswerFraming::of(&answered.parts.headers);
-        self.scanner = EventScanner::default();
         self.answered = Some(answered);
         self.runs += 1;
         true
