Take an unframed stream without any event for broken off

Callers saw: an empty stream with a proper end from an engine that closed the connection before its first event. An empty stream whose end is marked stays whole.

--- a/crates/chicorystage-core/src/events/event_splitter.rs
+++ b/crates/chicorystage-core/src/events/event_splitter.rs
@@ -11,6 +11,8 @@
     /// Bytes of the event that is not complete yet.
     partial: BytesMut,
     scanner: EventScanner,
+    /// Whether the latest answer has a complete event.
+    has_event: bool,
     last_id: Option<String>,
 }
 
@@ -30,6 +32,7 @@
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
+        self.has_event = true;
         complete
     }
 
@@ -45,10 +48,20 @@
         self.scanner.is_within_event()
     }
 
-    /// Discards the buffered incomplete event, if any.
-    pub fn discard_partial_event(&mut self) {
+    /// Returns whether a stream that ends here can be complete.
+    ///
+    /// `is_end_marked` is whether more than the close of the connection marks the end. Without a
+    /// mark, an answer without any event cannot be told from one that broke off before its first.
+    #[must_use]
+    pub fn may_end(&self, is_end_marked: bool) -> bool {
+        !self.has_partial_event() && (is_end_marked || self.has_event)
+    }
+
+    /// Prepares for another answer, which goes on after the last complete event.
+    pub fn restart(&mut self) {
         self.partial.clear();
         self.scanner = EventScanner::default();
+        self.has_event = false;
     }
 }
 
--- a/crates/chicorystage-core/tests/event_splitter.rs
+++ b/crates/chicorystage-core/tests/event_splitter.rs
@@ -40,7 +40,7 @@
 fn discarded_partial_event_leaves_no_trace() {
     let mut splitter = EventSplitter::default();
     splitter.push(Bytes::from_static(b"id: 7\ndata: x\n\nid: 8\ndat"));
-    splitter.discard_partial_event();
+    splitter.restart();
     let events = splitter.push(Bytes::from_static(b"id: 8\ndata: y\n\n"));
     assert_that!(&*events, eq(b"id: 8\ndata: y\n\n"));
     assert_that!(splitter.last_id(), some(eq("8")));
@@ -62,3 +62,27 @@
         assert_that!(splitter.has_partial_event(), eq(true));
     }
 }
+
+#[test]
+fn a_stream_may_end_only_after_an_event_or_at_a_mark() {
+    let cases = [
+        ("", false, true),
+        ("data: a\n\n", true, true),
+        ("data: a\n\ndata: b\n", false, false),
+    ];
+    for (stream, may_end_unmarked, may_end_marked) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(Bytes::from_static(stream.as_bytes()));
+        assert_that!(splitter.may_end(false), eq(may_end_unmarked));
+        assert_that!(splitter.may_end(true), eq(may_end_marked));
+    }
+}
+
+#[test]
+fn events_of_an_earlier_answer_do_not_let_a_later_one_end() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(Bytes::from_static(b"data: a\n\n"));
+    splitter.restart();
+    assert_that!(splitter.may_end(false), eq(false));
+    assert_that!(splitter.may_end(true), eq(true));
+}
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -115,7 +115,8 @@
                     self.finish();
                     return None;
                 }
-                Ok(None) => "answer ended within an event",
+                Ok(None) if self.is_within_event() => "answer ended within an event",
+                Ok(None) => "answer ended before its first event",
                 Ok(Some(Err(_broken))) => {
                     let answered = self.answered.as_ref()?;
                     poison::check_for_crash(
@@ -186,7 +187,10 @@
     ///
     /// The end of a connection may be that of a process, so that the content has a say.
     fn is_complete(&self) -> bool {
-        !self.is_within_event()
+        let is_end_marked = self.framing != AnswerFraming::Close;
+        self.events
+            .as_ref()
+            .is_none_or(|events| events.may_end(is_end_marked))
     }
 
     fn is_within_event(&self) -> bool {
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -65,7 +65,7 @@
         let Some(events) = &mut self.events else {
             return false;
         };
-        events.discard_partial_event();
+        events.restart();
         let last_id = events
             .last_id()
             .map(str::to_owned)
