State no length for event streams

Callers saw: a resumed stream that was cut at the length that the first engine had stated, framed as complete. Cause: the first engine's Content-Length was forwarded, and the server writes no more than it, whatever the engine that goes on sends.

--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -225,7 +225,11 @@
         in_progress: InProgress,
     ) -> Response<AnswerBody> {
         let status = answered.parts.status;
-        let headers = endpoint_answer::forwarded_headers(&answered.parts.headers);
+        let mut headers = endpoint_answer::forwarded_headers(&answered.parts.headers);
+        if is_event_stream(&self.work.route, &answered.parts) {
+            // Another endpoint may go on with events of other lengths.
+            headers.remove(CONTENT_LENGTH);
+        }
         let runs = self.runs + 1;
         let gateway = Rc::clone(&self.gateway);
         gateway
