Read answers whole up to the buffer's size, whatever their framing

Callers saw: a balance that was reset half-way, or a 500, of an endpoint that stated no length, although the route allows another run. Cause: answers of unknown length were relayed as they arrived, so that nothing could be repeated any more. Change: up to 64 KiB are read before anything is sent; a longer answer is relayed with what has been read. The test that a 500 without a length is not resumed expected status 500, as without the repetition; a framed 500 on that route is repeated, and now this one is too. Three tests replace it: a long one is neither resumed nor repeated, two failures reach the caller as one of them, and a repetition is whole with its own status.

--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -44,6 +44,8 @@
     requirements: Requirements,
     /// Answer of the endpoint that runs the request; `None` after it ended or broke off.
     answered: Option<Box<Answered>>,
+    /// Bytes of the body that were read and not taken in yet.
+    read: Bytes,
     /// Splits the body into complete events; `None` where it does not consist of events.
     events: Option<EventSplitter>,
     /// Number of attempts that may have run the request.
@@ -63,13 +65,15 @@
 
 /// Returns the body frames of an answer, resumed elsewhere where it breaks off.
 ///
-/// `runs` is the number of attempts that may have run the request, this one included.
+/// `read` is what has been read of the body already; `runs` is the number of attempts that may have
+/// run the request, this one included.
 #[must_use]
 pub fn relay(
     gateway: Rc<Gateway>,
     work: CallerWork,
     requirements: Requirements,
     answered: Box<Answered>,
+    read: Bytes,
     runs: u32,
     in_progress: InProgress,
 ) -> FrameStream {
@@ -80,6 +84,7 @@
         work,
         requirements,
         answered: Some(answered),
+        read,
         events,
         runs,
         event_timing: EventTiming::default(),
@@ -101,15 +106,18 @@
     /// Waits for the next frame to relay; resumes the answer elsewhere if it breaks off or stalls.
     async fn next(mut self) -> Step {
         loop {
+            let read = std::mem::take(&mut self.read);
+            if let Some(bytes) = self.accept_bytes(read) {
+                return Some((Ok(Frame::data(bytes)), Some(self)));
+            }
             let limit_ms = self.frame_timeout_ms();
             let frame = self.answered.as_mut()?.body.frame();
             let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
             let reason = match frame {
                 Ok(Some(Ok(frame))) => {
-                    let Some(bytes) = self.accept_frame(frame) else {
-                        continue;
-                    };
-                    return Some((Ok(Frame::data(bytes)), Some(self)));
+                    // Trailers are not relayed.
+                    self.read = frame.into_data().unwrap_or_default();
+                    continue;
                 }
                 Ok(None) if self.is_complete() => {
                     self.finish();
@@ -155,9 +163,8 @@
         })
     }
 
-    /// Takes in a frame and returns the bytes that can be relayed now, if any.
-    fn accept_frame(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
-        let bytes = frame.into_data().ok()?;
+    /// Takes in received bytes and returns those that can be relayed now, if any.
+    fn accept_bytes(&mut self, bytes: Bytes) -> Option<Bytes> {
         self.received_bytes += bytes.len();
         let bytes = match &mut self.events {
             Some(events) => events.push(bytes),
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -6,10 +6,12 @@
 
 mod demand;
 mod failure;
+mod short_body;
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use chicorystage_api::name::EndpointId;
 use chicorystage_core::admission::max_wait_ms;
 use chicorystage_core::deployment::{Configuration, RouteKind};
@@ -17,7 +19,6 @@
 use chicorystage_platform::endpoint_answer;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
-use http_body_util::BodyExt;
 use hyper::body::Body;
 
 use crate::gateway::answer_body::{AnswerBody, buffered, relayed};
@@ -30,11 +31,12 @@
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::failure::AfterFailure;
+use crate::gateway::serving::short_body::{ShortBody, read_short};
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
 
 /// Largest answer that is buffered whole before it is sent to the caller, in bytes.
-const BUFFERED_BYTES_MAX: u64 = 64 << 10;
+const BUFFERED_BYTES_MAX: usize = 64 << 10;
 /// Fraction of the remaining time that a run may take while another run is still allowed.
 const RUN_TIME_FRACTION: f64 = 0.45;
 
@@ -105,8 +107,8 @@
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
                     ReadAnswer::Whole(response) => return self.record_answer(response, &endpoint),
-                    ReadAnswer::Stream(answered) => {
-                        return self.relay_answer(answered, requirements, in_progress);
+                    ReadAnswer::Stream(answered, read) => {
+                        return self.relay_answer(answered, read, requirements, in_progress);
                     }
                     ReadAnswer::Lost(reason) => Attempted::Lost { reason },
                 },
@@ -181,27 +183,36 @@
         });
     }
 
-    /// Reads a short answer whole; returns streams and long answers unread.
+    /// Reads a short answer whole; returns streams and long answers to be relayed.
     ///
     /// A server error counts as a lost answer while the request may run again.
-    async fn read_answer(&self, answered: Box<Answered>) -> ReadAnswer {
+    async fn read_answer(&self, mut answered: Box<Answered>) -> ReadAnswer {
         let is_stream = is_event_stream(&self.work.route, &answered.parts);
-        let length = answered.body.size_hint().exact();
-        if is_stream || length.is_none_or(|length| length > BUFFERED_BYTES_MAX) {
-            return ReadAnswer::Stream(answered);
+        let length_min = answered.body.size_hint().lower();
+        if is_stream || length_min > BUFFERED_BYTES_MAX as u64 {
+            return ReadAnswer::Stream(answered, Bytes::new());
         }
+        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
+        let read = read_short(&mut answered.body, BUFFERED_BYTES_MAX);
+        let body = match tokio::time::timeout(limit, read).await {
+            Ok(Ok(ShortBody::Whole(body))) => body,
+            Ok(Ok(ShortBody::Beginning(read))) => return ReadAnswer::Stream(answered, read),
+            Ok(Err(_broken)) => {
+                answered.reservation.outcome(false);
+                return ReadAnswer::Lost("answer broke off");
+            }
+            Err(_elapsed) => {
+                answered.reservation.outcome(false);
+                return ReadAnswer::Lost("answer not received in time");
+            }
+        };
         let Answered {
             parts,
             head,
-            body,
             connection,
             reservation,
+            ..
         } = *answered;
-        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
-        let Ok(Ok(body)) = tokio::time::timeout(limit, body.collect()).await else {
-            reservation.outcome(false);
-            return ReadAnswer::Lost("answer broke off");
-        };
         attempt::recycle(&self.gateway, &head, connection, &reservation);
         let is_failure = parts.status.is_server_error();
         reservation.outcome(!is_failure);
@@ -210,7 +221,7 @@
         if is_failure && may_repeat {
             return ReadAnswer::Lost("endpoint failed");
         }
-        let mut response = Response::new(buffered(body.to_bytes()));
+        let mut response = Response::new(buffered(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = endpoint_answer::forwarded_headers(&parts.headers);
         response.headers_mut().remove(CONTENT_LENGTH);
@@ -218,9 +229,12 @@
     }
 
     /// Returns the response that relays an answer as it arrives.
+    ///
+    /// `read` is what has been read of the body already.
     fn relay_answer(
         self,
         answered: Box<Answered>,
+        read: Bytes,
         requirements: Requirements,
         in_progress: InProgress,
     ) -> Response<AnswerBody> {
@@ -240,6 +254,7 @@
             self.work,
             requirements,
             answered,
+            read,
             runs,
             in_progress,
         );
@@ -277,8 +292,8 @@
 enum ReadAnswer {
     /// The whole answer, ready to be sent to the caller.
     Whole(Response<AnswerBody>),
-    /// An unread answer that is relayed as it arrives.
-    Stream(Box<Answered>),
+    /// An answer that is relayed as it arrives, and what has been read of its body already.
+    Stream(Box<Answered>, Bytes),
     /// The answer broke off, or is a server error of a request that may run again; with the reason.
     Lost(&'static str),
 }
