Give the ends of relayed answers and the reasons of lost ones types

No logic changes: texts stood as strings in several places, and one of them was compared. stream_ended now names the endpoint also where the answer broke off.

--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -18,11 +18,10 @@
 use hyper::body::Incoming;
 
 use crate::gateway::connection::Connection;
+use crate::gateway::loss_reason::LossReason;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::shared::Gateway;
 
-/// Reason of [`Attempted::Lost`] where the connection broke before the answer's head arrived.
-pub const CONNECTION_BROKE: &str = "connection broke before an answer";
 /// Largest refusal body that is read to make its connection reusable, in bytes.
 const REFUSAL_BYTES_MAX: usize = 4 << 10;
 /// Urgency sent for streams of a route of priority 0.
@@ -75,10 +74,7 @@
         has_arrived: bool,
     },
     /// The request may have run and its answer is lost.
-    Lost {
-        /// Reason for the log.
-        reason: &'static str,
-    },
+    Lost(LossReason),
 }
 
 /// An endpoint's answer whose body has not been read yet.
@@ -166,9 +162,7 @@
             Err(mut refused) => {
                 if refused.take_message().is_none() {
                     reservation.outcome(false);
-                    return Attempted::Lost {
-                        reason: CONNECTION_BROKE,
-                    };
+                    return Attempted::Lost(LossReason::ConnectionBroke);
                 }
             }
         }
@@ -183,9 +177,7 @@
     let head = EndpointAnswer::decode(parts.status, &parts.headers, &work.head.attempt_id);
     if !head.is_for_attempt {
         reservation.outcome(false);
-        return Attempted::Lost {
-            reason: "answer of another request",
-        };
+        return Attempted::Lost(LossReason::ForeignAnswer);
     }
     let answered = Answered {
         parts,
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/loss_reason.rs
@@ -0,0 +1,28 @@
+//! Reasons for which the answer of an endpoint is lost.
+
+use displaydoc::Display;
+
+/// Why the answer of an endpoint is lost.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum LossReason {
+    /// connection broke before an answer
+    ConnectionBroke,
+    /// answer broke off
+    AnswerBroke,
+    /// answer of another request
+    ForeignAnswer,
+    /// no answer in time
+    NoAnswerInTime,
+    /// answer not received in time
+    SlowAnswer,
+    /// endpoint failed
+    ServerError,
+}
+
+impl LossReason {
+    /// Returns whether the endpoint's process may have ended while it ran the request.
+    #[must_use]
+    pub fn may_be_crash(self) -> bool {
+        matches!(self, Self::ConnectionBroke)
+    }
+}
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod granting;
 pub mod in_progress;
 pub mod lease_writes;
+pub mod loss_reason;
 pub mod own_responses;
 pub mod peer_message;
 pub mod peers;
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -8,6 +8,7 @@
 //! answer ends the caller's connection without the end of the body.
 
 pub mod event_timing;
+pub mod relay_end;
 mod report;
 mod resumption;
 pub mod stream_origin;
@@ -16,6 +17,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicorystage_api::name::EndpointId;
 use chicorystage_core::events::EventSplitter;
 use chicorystage_core::fleet::Requirements;
 use futures_util::stream;
@@ -29,6 +31,7 @@
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
 use crate::gateway::relay::event_timing::EventTiming;
+use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 use crate::gateway::shared::Gateway;
 
@@ -44,6 +47,8 @@
     requirements: Requirements,
     /// Answer of the endpoint that runs the request; `None` after it ended or broke off.
     answered: Option<Box<Answered>>,
+    /// Endpoint of the latest answer.
+    endpoint: EndpointId,
     /// Bytes of the body that were read and not taken in yet.
     read: Bytes,
     /// Splits the body into complete events; `None` where it does not consist of events.
@@ -83,6 +88,7 @@
         gateway,
         work,
         requirements,
+        endpoint: answered.reservation.endpoint.clone(),
         answered: Some(answered),
         read,
         events,
@@ -113,7 +119,7 @@
             let limit_ms = self.frame_timeout_ms();
             let frame = self.answered.as_mut()?.body.frame();
             let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
-            let reason = match frame {
+            let end = match frame {
                 Ok(Some(Ok(frame))) => {
                     // Trailers are not relayed.
                     self.read = frame.into_data().unwrap_or_default();
@@ -123,21 +129,17 @@
                     self.finish();
                     return None;
                 }
-                Ok(None) if self.is_within_event() => "answer ended within an event",
-                Ok(None) => "answer ended before its first event",
-                Ok(Some(Err(_broken))) => {
-                    let answered = self.answered.as_ref()?;
-                    poison::check_for_crash(
-                        &self.gateway,
-                        &self.work,
-                        answered.reservation.address,
-                    );
-                    "connection broke within an answer"
-                }
-                Err(_elapsed) => "endpoint fell silent",
+                Ok(None) if self.is_within_event() => RelayEnd::WithinEvent,
+                Ok(None) => RelayEnd::BeforeFirstEvent,
+                Ok(Some(Err(_broken))) => RelayEnd::ConnectionBroke,
+                Err(_elapsed) => RelayEnd::Silent,
             };
-            if !self.resume(reason).await {
-                self.log_end(reason);
+            if end.may_be_crash() {
+                let address = self.answered.as_ref()?.reservation.address;
+                poison::check_for_crash(&self.gateway, &self.work, address);
+            }
+            if !self.resume(end).await {
+                self.log_end(end);
                 // The server drops what it has not written yet when the body breaks.
                 tokio::task::yield_now().await;
                 return Some((Err(AnswerBroken), None));
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -2,6 +2,7 @@
 
 use crate::gateway::poison;
 use crate::gateway::relay::StreamRelay;
+use crate::gateway::relay::relay_end::RelayEnd;
 
 impl StreamRelay {
     /// Records a complete answer and returns its connection to the pool.
@@ -10,7 +11,7 @@
         self.gateway
             .metrics
             .answer_ms(&self.work.route.name, answer_ms);
-        self.log_end("whole");
+        self.log_end(RelayEnd::Whole);
         poison::record_answer(&self.gateway, &self.work);
         let Some(answered) = self.answered.take() else {
             return;
@@ -19,14 +20,12 @@
         answered.recycle(&self.gateway);
     }
 
-    pub(super) fn log_end(&mut self, end: &'static str) {
+    pub(super) fn log_end(&mut self, end: RelayEnd) {
         self.is_logged = true;
         self.gateway.metrics.count_stream_end(self.framing, end);
-        let endpoint = self.answered.as_ref();
-        let endpoint = endpoint.map(|answered| answered.reservation.endpoint.as_str());
         log::info!(
-            event = "stream_ended", request = self.work.head.attempt_id.as_str(), end,
-            route = self.work.route.name.as_ref(), endpoint = endpoint.unwrap_or_default(),
+            event = "stream_ended", request = self.work.head.attempt_id.as_str(), end:%,
+            route = self.work.route.name.as_ref(), endpoint = self.endpoint.as_str(),
             model = self.work.head.model.as_ref().map_or("", |model| model.as_str()),
             framing:% = self.framing, bytes = self.received_bytes,
             is_within_event = self.is_within_event(),
@@ -43,7 +42,7 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         if !self.is_logged {
-            self.log_end("caller left");
+            self.log_end(RelayEnd::CallerLeft);
         }
     }
 }
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -6,6 +6,7 @@
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::relay::StreamRelay;
+use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 
 /// Longest wait for another endpoint to resume a stream, in milliseconds.
@@ -33,7 +34,7 @@
     }
 
     /// Resumes the answer at another endpoint; returns whether that succeeded.
-    pub(super) async fn resume(&mut self, reason: &'static str) -> bool {
+    pub(super) async fn resume(&mut self, reason: RelayEnd) -> bool {
         let now_ms = self.gateway.now_ms();
         let Some(broken) = self.answered.take() else {
             return false;
@@ -50,7 +51,7 @@
         let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
         let has_budget = permit.is_some();
         log::warn!(
-            event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason,
+            event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason:%,
             endpoint = endpoint.as_str(), service = service.as_str(), resumed = has_budget,
             begun_by:? = self.origin,
             runs = self.runs, budget = fields.outcome, retries = fields.usage.retries,
@@ -91,6 +92,7 @@
             return false;
         }
         self.framing = AnswerFraming::of(&answered.parts.headers);
+        self.endpoint = answered.reservation.endpoint.clone();
         self.answered = Some(answered);
         self.runs += 1;
         true
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -12,7 +12,8 @@
 use http::{Response, StatusCode};
 
 use crate::gateway::answer_body::AnswerBody;
-use crate::gateway::attempt::{self, Attempted};
+use crate::gateway::attempt::Attempted;
+use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::poison;
 use crate::gateway::retry_permit::RetryPermit;
@@ -66,7 +67,7 @@
                 }
                 after
             }
-            Attempted::Lost { reason } => self.handle_loss(reason, endpoint, requirements),
+            Attempted::Lost(reason) => self.handle_loss(reason, endpoint, requirements),
         }
     }
 
@@ -108,14 +109,14 @@
     /// Records an attempt whose answer is lost and decides whether the request is sent again.
     fn handle_loss(
         &mut self,
-        reason: &'static str,
+        reason: LossReason,
         endpoint: &EndpointId,
         requirements: &mut Requirements,
     ) -> AfterFailure {
         let now_ms = self.gateway.now_ms();
         self.runs += 1;
-        if let (attempt::CONNECTION_BROKE, Some(address)) =
-            (reason, self.gateway.address_of(endpoint))
+        if reason.may_be_crash()
+            && let Some(address) = self.gateway.address_of(endpoint)
         {
             poison::check_for_crash(&self.gateway, &self.work, address);
         }
@@ -129,7 +130,7 @@
         let (fields, permit) = self.gateway.take_retry(may_run_again, now_ms, service);
         log::warn!(
             event = "attempt_lost", request = self.work.head.attempt_id.as_str(),
-            reason, endpoint = endpoint.as_str(), service = service.as_str(),
+            reason:%, endpoint = endpoint.as_str(), service = service.as_str(),
             repeated = permit.is_some(), runs = self.runs, budget = fields.outcome,
             retries = fields.usage.retries, retry_limit = fields.usage.limit,
             first_attempts = fields.usage.first_attempts, gateways = fields.gateways;
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -25,6 +25,7 @@
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
 use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::in_progress::InProgress;
+use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
 use crate::gateway::relay;
@@ -110,14 +111,12 @@
                     ReadAnswer::Stream(answered, read) => {
                         return self.relay_answer(answered, read, requirements, in_progress);
                     }
-                    ReadAnswer::Lost(reason) => Attempted::Lost { reason },
+                    ReadAnswer::Lost(reason) => Attempted::Lost(reason),
                 },
                 Some(other) => other,
                 None => {
                     self.record_outcome(&endpoint, false);
-                    Attempted::Lost {
-                        reason: "no answer in time",
-                    }
+                    Attempted::Lost(LossReason::NoAnswerInTime)
                 }
             };
             // An earlier retry has failed, so that it is settled before the next is taken.
@@ -199,11 +198,11 @@
             Ok(Ok(ShortBody::Beginning(read))) => return ReadAnswer::Stream(answered, read),
             Ok(Err(_broken)) => {
                 answered.reservation.outcome(false);
-                return ReadAnswer::Lost("answer broke off");
+                return ReadAnswer::Lost(LossReason::AnswerBroke);
             }
             Err(_elapsed) => {
                 answered.reservation.outcome(false);
-                return ReadAnswer::Lost("answer not received in time");
+                return ReadAnswer::Lost(LossReason::SlowAnswer);
             }
         };
         let Answered {
@@ -219,7 +218,7 @@
         let may_repeat = self.work.route.kind.is_repeatable()
             && self.runs + 1 < self.work.route.endpoints_per_attempt_max;
         if is_failure && may_repeat {
-            return ReadAnswer::Lost("endpoint failed");
+            return ReadAnswer::Lost(LossReason::ServerError);
         }
         let mut response = Response::new(buffered(body));
         *response.status_mut() = parts.status;
@@ -295,5 +294,5 @@
     /// An answer that is relayed as it arrives, and what has been read of its body already.
     Stream(Box<Answered>, Bytes),
     /// The answer broke off, or is a server error of a request that may run again; with the reason.
-    Lost(&'static str),
+    Lost(LossReason),
 }
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use crate::gateway::answer_framing::AnswerFraming;
+use crate::gateway::relay::relay_end::RelayEnd;
 
 /// Prefix of every metric's name.
 const PREFIX: &str = "chicorystage_gateway";
@@ -170,10 +171,10 @@
     }
 
     /// Counts a relayed answer that ended, whole or not.
-    pub fn count_stream_end(&self, framing: AnswerFraming, end: &str) {
+    pub fn count_stream_end(&self, framing: AnswerFraming, end: RelayEnd) {
         let labels = StreamEndLabels {
             framing: framing.to_string(),
-            end: end.to_owned(),
+            end: end.to_string(),
         };
         self.stream_ends.get_or_create(&labels).inc();
     }
