Count a crash in the middle of any answer for the quarantine of its request

A request that crashes its engines was recognised by a broken connection only. A crash within an unframed stream looks like an end, and one within an answer that is read whole was not looked at, so that such a request could go on to crash engines. Change: the crash check follows every end that may be that of a process.

--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -8,6 +8,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 
 use crate::users_platform::EndpointEngine;
 use crate::users_platform::raw_reply::{ATTEMPT_PLACEHOLDER, ConnectionEnd, RawReply};
@@ -36,6 +37,8 @@
     report_reply: RefCell<Option<RawReply>>,
     engine: RefCell<EndpointEngine>,
     received_heads: RefCell<Vec<String>>,
+    /// Whether the endpoint's process still accepts connections.
+    is_listening: watch::Sender<bool>,
     /// Bytes that endless replies have sent.
     repeated_bytes: Cell<u64>,
     /// Number of endless replies that are still being sent.
@@ -60,21 +63,14 @@
             report_reply: RefCell::default(),
             engine: RefCell::new(engine),
             received_heads: RefCell::default(),
+            is_listening: watch::Sender::new(true),
             repeated_bytes: Cell::new(0),
             repeating: Cell::new(0),
         });
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
         let address = listener.local_addr()?;
         let serving = Rc::clone(&state);
-        tokio::task::spawn_local(async move {
-            while let Ok((stream, _peer)) = listener.accept().await {
-                let state = Rc::clone(&serving);
-                tokio::task::spawn_local(async move {
-                    // The client observes a broken connection as well.
-                    let _ended = serve(&state, stream).await;
-                });
-            }
-        });
+        tokio::task::spawn_local(accept_while_listening(listener, serving));
         Ok(Self { address, state })
     }
 
@@ -124,6 +120,25 @@
     }
 }
 
+/// Serves each connection in a task of its own until the endpoint crashes.
+async fn accept_while_listening(listener: TcpListener, state: Rc<State>) {
+    let mut is_listening = state.is_listening.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _crashed = is_listening.wait_for(|is_listening| !is_listening) => return,
+        };
+        let Ok((stream, _peer)) = accepted else {
+            return;
+        };
+        let state = Rc::clone(&state);
+        tokio::task::spawn_local(async move {
+            // The client observes a broken connection as well.
+            let _ended = serve(&state, stream).await;
+        });
+    }
+}
+
 /// Reads requests and answers each until a reply or the client ends the connection.
 async fn serve(state: &Rc<State>, mut stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -139,6 +154,10 @@
         stream.write_all(sent.as_bytes()).await?;
         match reply.end {
             ConnectionEnd::Close => return stream.shutdown().await,
+            ConnectionEnd::Crash => {
+                state.is_listening.send_replace(false);
+                return stream.shutdown().await;
+            }
             ConnectionEnd::Reset => return reset(&stream),
             ConnectionEnd::Silence => {}
             ConnectionEnd::Repeat { bytes, pause_ms } => {
--- a/crates/chicorystage-testbed/src/users_platform/raw_reply.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_reply.rs
@@ -19,6 +19,8 @@
     Close,
     /// Resets it.
     Reset,
+    /// Closes it and accepts no new one, as a process does that crashes.
+    Crash,
     /// Keeps it open and sends nothing more.
     Silence,
     /// Sends these bytes again and again, after a pause each, until the other side closes.
--- a/crates/chicorystaged/src/gateway/loss_reason.rs
+++ b/crates/chicorystaged/src/gateway/loss_reason.rs
@@ -23,6 +23,6 @@
     /// Returns whether the endpoint's process may have ended while it ran the request.
     #[must_use]
     pub fn may_be_crash(self) -> bool {
-        matches!(self, Self::ConnectionBroke)
+        matches!(self, Self::ConnectionBroke | Self::AnswerBroke)
     }
 }
