--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
@@ -0,0 +1,248 @@
+//! Endpoints that send bytes without end: every caller gets an end, and every connection is closed.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use chicorystage_testbed::users_platform::{
+    CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, run_local,
+    send_request, wait_until,
+};
+use chicorystaged::gateway::shared::Gateway;
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+
+const MODEL: (&str, &str) = ("model", "m0");
+/// Deadline of the callers, in milliseconds.
+const DEADLINE: (&str, &str) = ("deadline-ms", "700");
+/// Largest number of bytes that a gateway may read of what cannot be an answer, with what the
+/// sockets' buffers hold.
+const JUNK_BYTES_MAX: u64 = 16 << 20;
+/// Pauses between the repeated bytes, in milliseconds: none, and short enough to never fall silent.
+const PAUSES_MS: [u64; 2] = [0, 5];
+
+struct World {
+    platform: PlatformFixture,
+    endpoint: RawEndpoint,
+    gateway: Rc<Gateway>,
+}
+
+impl World {
+    async fn start(service: &str, reply: RawReply) -> Result<Self> {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        platform.declare(1);
+        let engine = EndpointEngine::new(&["m0"], 60);
+        let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
+        platform.register_raw(&endpoint, service);
+        let gateway = platform.start_ready_gateway("g1").await.or_fail()?;
+        Ok(Self {
+            platform,
+            endpoint,
+            gateway,
+        })
+    }
+
+    async fn send(&self, path: &str) -> Result<CallerReply> {
+        let headers = [MODEL, DEADLINE];
+        send_request(&self.gateway, Method::POST, path, &headers, "{}")
+            .await
+            .or_fail()
+    }
+
+    /// Waits until the gateway has closed every connection that sends without end.
+    async fn wait_until_closed(&self) {
+        wait_until("no endpoint sends any more", || {
+            self.endpoint.repeating() == 0
+        })
+        .await;
+    }
+}
+
+fn repeat(bytes: &'static str, pause_ms: u64) -> ConnectionEnd {
+    ConnectionEnd::Repeat {
+        bytes: Bytes::from_static(bytes.as_bytes()),
+        pause_ms,
+    }
+}
+
+/// Returns an answer without any framed part: these bytes, then others without end.
+fn junk(begin: &str, repeated: &'static str, pause_ms: u64) -> RawReply {
+    RawReply {
+        bytes: begin.to_owned(),
+        end: repeat(repeated, pause_ms),
+    }
+}
+
+/// Sends a request that an endless answer meets, and returns what the caller got and how many
+/// bytes the endpoint could send.
+fn reply_to_endless(service: &str, path: &str, reply: RawReply) -> Result<(CallerReply, u64)> {
+    run_local(async {
+        let world = World::start(service, reply).await?;
+        let reply = world.send(path).await?;
+        world.wait_until_closed().await;
+        Ok((reply, world.endpoint.repeated_bytes()))
+    })
+}
+
+#[gtest]
+fn head_without_end_is_a_lost_answer() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        let head = junk(
+            "HTTP/1.1 200 OK\r\n",
+            "X-Junk: 0123456789abcdef\r\n",
+            pause_ms,
+        );
+        for (service, path) in [("app", "/pay/x"), ("llm", "/chat/x")] {
+            let (reply, sent_bytes) = reply_to_endless(service, path, head.clone())?;
+            verify_that!(reply.status.is_server_error(), eq(true))?;
+            verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn bytes_without_end_that_are_no_head_are_a_lost_answer() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        let (reply, sent_bytes) =
+            reply_to_endless("app", "/pay/x", junk("", "\u{1}junk\u{2}", pause_ms))?;
+        verify_that!(reply.status.is_server_error(), eq(true))?;
+        verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn interim_answers_without_end_are_a_lost_answer() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        let interim = junk("", "HTTP/1.1 102 Processing\r\n\r\n", pause_ms);
+        let (reply, sent_bytes) = reply_to_endless("app", "/pay/x", interim)?;
+        verify_that!(reply.status.is_server_error(), eq(true))?;
+        verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn stream_whose_event_has_no_end_is_broken_off() -> Result<()> {
+    for path in ["/chat/x", "/long/x"] {
+        for pause_ms in PAUSES_MS {
+            let body = repeat("data: 0123456789abcdef\n", pause_ms);
+            let (reply, sent_bytes) =
+                reply_to_endless("llm", path, RawReply::unframed_events("", body))?;
+            verify_that!(reply.is_complete, eq(false))?;
+            verify_that!(reply.text(), eq(""))?;
+            verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn resumable_stream_whose_event_has_no_end_goes_on_at_another_engine() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        run_local(async {
+            let body = repeat("data: 0123456789abcdef\n", pause_ms);
+            let world = World::start("llm", RawReply::unframed_events("", body)).await?;
+            let whole = RawReply::unframed_events("data: a\n\n", ConnectionEnd::Close);
+            let engine = EndpointEngine::new(&["m0"], 60);
+            let other = RawEndpoint::start("e2", whole, engine).await.or_fail()?;
+            world.platform.register_raw(&other, "llm");
+            wait_until("both endpoints are known", || {
+                world.gateway.with(|view| view.fleet.endpoints().count()) == 2
+            })
+            .await;
+            let headers = [MODEL, ("deadline-ms", "15000")];
+            let reply = send_request(&world.gateway, Method::POST, "/long/x", &headers, "{}");
+            let reply = reply.await.or_fail()?;
+            verify_that!(reply.text(), eq("data: a\n\n"))?;
+            verify_that!(reply.is_complete, eq(true))
+        })?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn stream_of_events_without_end_is_broken_off_at_the_deadline() -> Result<()> {
+    for path in ["/chat/x", "/long/x"] {
+        for pause_ms in PAUSES_MS {
+            let body = repeat("data: 0123456789abcdef\n\n", pause_ms);
+            let (reply, _sent_bytes) =
+                reply_to_endless("llm", path, RawReply::unframed_events("", body))?;
+            verify_that!(reply.is_complete, eq(false))?;
+            verify_that!(reply.text(), starts_with("data: "))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn body_without_end_is_broken_off_at_the_deadline() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        for path in ["/pay/x", "/app/x"] {
+            let body = RawReply::new("200 OK", &[], "", repeat("0123456789abcdef", pause_ms));
+            let (reply, _sent_bytes) = reply_to_endless("app", path, body)?;
+            let looks_served = reply.is_complete && reply.status.is_success();
+            verify_that!(looks_served, eq(false))?;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn refusal_whose_body_has_no_end_is_a_refusal_at_once() -> Result<()> {
+    for pause_ms in [0, 5, 60_000] {
+        let refusal = RawReply::new(
+            "503 Busy",
+            &["Not-Executed: 1"],
+            "",
+            repeat("0123456789abcdef", pause_ms),
+        );
+        let (reply, sent_bytes) = reply_to_endless("app", "/pay/x", refusal)?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn bytes_without_end_after_a_whole_answer_belong_to_no_request() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        let answer = RawReply::new(
+            "200 OK",
+            &["Content-Length: 5"],
+            "whole",
+            repeat("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", pause_ms),
+        );
+        let (reply, sent_bytes) = reply_to_endless("app", "/pay/x", answer)?;
+        verify_that!(reply.text(), eq("whole"))?;
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn engine_whose_report_has_no_end_is_read_only_so_far() -> Result<()> {
+    for pause_ms in PAUSES_MS {
+        run_local(async {
+            let answer = RawReply::unframed_events("data: a\n\n", ConnectionEnd::Close);
+            let world = World::start("llm", answer).await?;
+            let report = RawReply::new("200 OK", &[], "{", repeat("0123456789abcdef", pause_ms));
+            world.endpoint.set_report_reply(report);
+            wait_until("a report is being read", || {
+                world.endpoint.repeated_bytes() > 0
+            })
+            .await;
+            let reads = 3;
+            for _ in 0..reads {
+                world.wait_until_closed().await;
+                let sent_bytes = world.endpoint.repeated_bytes();
+                verify_that!(sent_bytes, le(reads * JUNK_BYTES_MAX))?;
+            }
+            let reply = world.send("/chat/x").await?;
+            verify_that!(reply.text(), eq("data: a\n\n"))?;
+            verify_that!(reply.is_complete, eq(true))
+        })?;
+    }
+    Ok(())
+}
