End a relayed answer at its deadline also if it never pauses

Such an answer was relayed for ever: the deadline was a timer beside the next frame, and a frame that is ready wins against a timer that has run out. Change: the deadline is checked before each frame. An answer that is silent at its deadline is reported as such and no longer as an endpoint's silence. The repeated bytes of the tests come in larger parts now, so that the limit on what is read bites.

--- a/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
@@ -57,15 +57,21 @@
     }
 }
 
-fn repeat(bytes: &'static str, pause_ms: u64) -> ConnectionEnd {
+/// Repeats bytes in parts of at least 16 KiB where there is no pause.
+fn repeat(bytes: &str, pause_ms: u64) -> ConnectionEnd {
+    let times = if pause_ms == 0 {
+        (16 << 10) / bytes.len() + 1
+    } else {
+        1
+    };
     ConnectionEnd::Repeat {
-        bytes: Bytes::from_static(bytes.as_bytes()),
+        bytes: Bytes::from(bytes.repeat(times)),
         pause_ms,
     }
 }
 
 /// Returns an answer without any framed part: these bytes, then others without end.
-fn junk(begin: &str, repeated: &'static str, pause_ms: u64) -> RawReply {
+fn junk(begin: &str, repeated: &str, pause_ms: u64) -> RawReply {
     RawReply {
         bytes: begin.to_owned(),
         end: repeat(repeated, pause_ms),
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -109,31 +109,20 @@
 type Step = Option<(Result<Frame<Bytes>, AnswerBroken>, Option<StreamRelay>)>;
 
 impl StreamRelay {
-    /// Waits for the next frame to relay; resumes the answer elsewhere if it breaks off or stalls.
+    /// Waits for the next bytes to relay; resumes the answer elsewhere if it breaks off or stalls.
     async fn next(mut self) -> Step {
         loop {
             let read = std::mem::take(&mut self.read);
             if let Some(bytes) = self.accept_bytes(read) {
                 return Some((Ok(Frame::data(bytes)), Some(self)));
             }
-            let limit_ms = self.frame_timeout_ms();
-            let frame = self.answered.as_mut()?.body.frame();
-            let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
-            let end = match frame {
-                Ok(Some(Ok(frame))) => {
-                    // Trailers are not relayed.
-                    self.read = frame.into_data().unwrap_or_default();
-                    continue;
-                }
-                Ok(None) if self.is_complete() => {
-                    self.finish();
-                    return None;
-                }
-                Ok(None) if self.is_within_event() => RelayEnd::WithinEvent,
-                Ok(None) => RelayEnd::BeforeFirstEvent,
-                Ok(Some(Err(_broken))) => RelayEnd::ConnectionBroke,
-                Err(_elapsed) => RelayEnd::Silent,
+            let Err(end) = self.read_frame().await? else {
+                continue;
             };
+            if end == RelayEnd::Whole {
+                self.finish();
+                return None;
+            }
             if end.may_be_crash() {
                 let address = self.answered.as_ref()?.reservation.address;
                 poison::check_for_crash(&self.gateway, &self.work, address);
@@ -147,11 +136,63 @@
         }
     }
 
+    /// Reads the next frame of the endpoint's answer into [`Self::read`].
+    ///
+    /// Returns `None` if no endpoint answers any more.
+    ///
+    /// # Errors
+    ///
+    /// Returns the end of the answer, if there is no other frame or none in time.
+    async fn read_frame(&mut self) -> Option<Result<(), RelayEnd>> {
+        let limit_ms = self.frame_timeout_ms();
+        if limit_ms == 0 {
+            // A frame that is ready would win against a timer that has run out.
+            return Some(Err(RelayEnd::DeadlinePassed));
+        }
+        let frame = self.answered.as_mut()?.body.frame();
+        let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
+        let result = match frame {
+            Ok(Some(Ok(frame))) => {
+                // Trailers are not relayed.
+                self.read = frame.into_data().unwrap_or_default();
+                Ok(())
+            }
+            Ok(Some(Err(_broken))) => Err(RelayEnd::ConnectionBroke),
+            Ok(None) => Err(self.end_of_body()),
+            Err(_elapsed) if self.left_ms() == 0 => Err(RelayEnd::DeadlinePassed),
+            Err(_elapsed) => Err(RelayEnd::Silent),
+        };
+        Some(result)
+    }
+
+    /// Returns how the answer ended if its body ends here.
+    ///
+    /// The end of a connection may be that of a process, so that the content has a say.
+    fn end_of_body(&self) -> RelayEnd {
+        let is_end_marked = self.framing != AnswerFraming::Close;
+        let may_end = self
+            .events
+            .as_ref()
+            .is_none_or(|events| events.may_end(is_end_marked));
+        if may_end {
+            return RelayEnd::Whole;
+        }
+        if self.is_within_event() {
+            return RelayEnd::WithinEvent;
+        }
+        RelayEnd::BeforeFirstEvent
+    }
+
+    /// Returns the time until the caller's deadline, in milliseconds.
+    fn left_ms(&self) -> u64 {
+        self.work.left_ms(self.gateway.now_ms())
+    }
+
     /// Returns the longest wait for the next frame, in milliseconds.
     ///
     /// Before the first event the limit is at least the route's latency objective.
     fn frame_timeout_ms(&self) -> u64 {
-        let left_ms = self.work.left_ms(self.gateway.now_ms());
+        let left_ms = self.left_ms();
         if !self.may_resume() {
             return left_ms;
         }
@@ -192,16 +233,6 @@
         }
     }
 
-    /// Returns whether an answer that ends here is complete.
-    ///
-    /// The end of a connection may be that of a process, so that the content has a say.
-    fn is_complete(&self) -> bool {
-        let is_end_marked = self.framing != AnswerFraming::Close;
-        self.events
-            .as_ref()
-            .is_none_or(|events| events.may_end(is_end_marked))
-    }
-
     fn is_within_event(&self) -> bool {
         self.events
             .as_ref()
--- a/crates/chicorystaged/src/gateway/relay/relay_end.rs
+++ b/crates/chicorystaged/src/gateway/relay/relay_end.rs
@@ -15,6 +15,8 @@
     ConnectionBroke,
     /// endpoint fell silent
     Silent,
+    /// deadline passed
+    DeadlinePassed,
     /// caller left
     CallerLeft,
 }
