Break off a stream whose event has no end before it fills the memory

Callers saw: nothing yet. The bytes of an incomplete event were buffered without limit, and now on every route of streams: an engine that sends bytes without an empty line would have taken the gateway's memory, and with it every request. Change: at 256 KiB the answer has broken off; where it may be resumed, it is.

--- a/crates/chicorystage-core/src/events/event_splitter.rs
+++ b/crates/chicorystage-core/src/events/event_splitter.rs
@@ -1,7 +1,11 @@
 use bytes::{Bytes, BytesMut};
 
-use crate::events::EventScanner;
+use crate::events::{EventScanner, EventTooLong};
 
+/// Largest number of bytes of an incomplete event.
+///
+/// Engines may answer without end; what is buffered for all their streams must fit into memory.
+const PARTIAL_BYTES_MAX: usize = 256 << 10;
 /// Prefix of the line that carries an event's identity.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -18,10 +22,19 @@
 
 impl EventSplitter {
     /// Appends received bytes and returns the events that are now complete; empty if none is.
-    pub fn push(&mut self, mut bytes: Bytes) -> Bytes {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the event that is not complete yet is longer than an event may be.
+    pub fn push(&mut self, mut bytes: Bytes) -> Result<Bytes, EventTooLong> {
         let Some(complete_bytes) = self.scanner.scan(&bytes) else {
+            if self.partial.len() + bytes.len() > PARTIAL_BYTES_MAX {
+                return Err(EventTooLong {
+                    limit_bytes: PARTIAL_BYTES_MAX,
+                });
+            }
             self.partial.extend_from_slice(&bytes);
-            return Bytes::new();
+            return Ok(Bytes::new());
         };
         let mut complete = bytes.split_to(complete_bytes);
         if !self.partial.is_empty() {
@@ -33,7 +46,7 @@
             self.last_id = Some(id);
         }
         self.has_event = true;
-        complete
+        Ok(complete)
     }
 
     /// Returns the identity of the last complete event that has one.
--- a/crates/chicorystage-core/src/events/mod.rs
+++ b/crates/chicorystage-core/src/events/mod.rs
@@ -6,6 +6,8 @@
 
 mod event_scanner;
 mod event_splitter;
+mod event_too_long;
 
 pub use event_scanner::EventScanner;
 pub use event_splitter::EventSplitter;
+pub use event_too_long::EventTooLong;
--- a/crates/chicorystage-core/tests/event_splitter.rs
+++ b/crates/chicorystage-core/tests/event_splitter.rs
@@ -10,6 +10,10 @@
 const STREAM: &[u8] =
     b"id: 1\ndata: a\n\nid: 2\ndata: bb\n\ndata: no id\n\nid: 3\ndata: c\n\nid: 4\nda";
 
+fn push(splitter: &mut EventSplitter, bytes: Bytes) -> Bytes {
+    splitter.push(bytes).expect("events are short")
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(5),
@@ -25,7 +29,7 @@
         let mut splitter = EventSplitter::default();
         let (mut complete, mut from) = (Vec::new(), 0);
         for boundary in boundaries {
-            let events = splitter.push(Bytes::from_static(&STREAM[from..boundary]));
+            let events = push(&mut splitter, Bytes::from_static(&STREAM[from..boundary]));
             prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
             complete.extend_from_slice(&events);
             from = boundary;
@@ -39,9 +43,12 @@
 #[test]
 fn discarded_partial_event_leaves_no_trace() {
     let mut splitter = EventSplitter::default();
-    splitter.push(Bytes::from_static(b"id: 7\ndata: x\n\nid: 8\ndat"));
+    push(
+        &mut splitter,
+        Bytes::from_static(b"id: 7\ndata: x\n\nid: 8\ndat"),
+    );
     splitter.restart();
-    let events = splitter.push(Bytes::from_static(b"id: 8\ndata: y\n\n"));
+    let events = push(&mut splitter, Bytes::from_static(b"id: 8\ndata: y\n\n"));
     assert_that!(&*events, eq(b"id: 8\ndata: y\n\n"));
     assert_that!(splitter.last_id(), some(eq("8")));
     assert_that!(splitter.has_partial_event(), eq(false));
@@ -56,7 +63,7 @@
     ];
     for stream in streams {
         let mut splitter = EventSplitter::default();
-        let complete = splitter.push(Bytes::from_static(stream));
+        let complete = push(&mut splitter, Bytes::from_static(stream));
         assert_that!(complete.len(), eq(stream.len() - b"id: 3".len()));
         assert_that!(splitter.last_id(), some(eq("2")));
         assert_that!(splitter.has_partial_event(), eq(true));
@@ -72,7 +79,7 @@
     ];
     for (stream, may_end_unmarked, may_end_marked) in cases {
         let mut splitter = EventSplitter::default();
-        splitter.push(Bytes::from_static(stream.as_bytes()));
+        push(&mut splitter, Bytes::from_static(stream.as_bytes()));
         assert_that!(splitter.may_end(false), eq(may_end_unmarked));
         assert_that!(splitter.may_end(true), eq(may_end_marked));
     }
@@ -81,8 +88,25 @@
 #[test]
 fn events_of_an_earlier_answer_do_not_let_a_later_one_end() {
     let mut splitter = EventSplitter::default();
-    splitter.push(Bytes::from_static(b"data: a\n\n"));
+    push(&mut splitter, Bytes::from_static(b"data: a\n\n"));
     splitter.restart();
     assert_that!(splitter.may_end(false), eq(false));
     assert_that!(splitter.may_end(true), eq(true));
 }
+
+#[test]
+fn an_event_without_end_is_refused_before_it_fills_the_memory() {
+    const PART: &[u8] = b"data: 0123456789abcdef\n";
+    const BUFFERED_MAX: usize = 1 << 20;
+    let mut splitter = EventSplitter::default();
+    push(&mut splitter, Bytes::from_static(b"id: 1\ndata: a\n\n"));
+    let mut parts = 0;
+    while splitter.push(Bytes::from_static(PART)).is_ok() {
+        parts += 1;
+        assert_that!(parts * PART.len(), le(BUFFERED_MAX));
+    }
+    assert_that!(splitter.last_id(), some(eq("1")));
+    splitter.restart();
+    let events = push(&mut splitter, Bytes::from_static(b"id: 2\ndata: b\n\n"));
+    assert_that!(&*events, eq(b"id: 2\ndata: b\n\n"));
+}
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -18,7 +18,7 @@
 
 use bytes::Bytes;
 use chicorystage_api::name::EndpointId;
-use chicorystage_core::events::EventSplitter;
+use chicorystage_core::events::{EventSplitter, EventTooLong};
 use chicorystage_core::fleet::Requirements;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -112,20 +112,16 @@
     /// Waits for the next bytes to relay; resumes the answer elsewhere if it breaks off or stalls.
     async fn next(mut self) -> Step {
         loop {
-            let read = std::mem::take(&mut self.read);
-            if let Some(bytes) = self.accept_bytes(read) {
-                return Some((Ok(Frame::data(bytes)), Some(self)));
-            }
-            let Err(end) = self.read_frame().await? else {
-                continue;
+            let end = match self.next_bytes().await {
+                Ok(bytes) => return Some((Ok(Frame::data(bytes)), Some(self))),
+                Err(end) => end,
             };
             if end == RelayEnd::Whole {
                 self.finish();
                 return None;
             }
             if end.may_be_crash() {
-                let address = self.answered.as_ref()?.reservation.address;
-                poison::check_for_crash(&self.gateway, &self.work, address);
+                self.check_for_crash();
             }
             if !self.resume(end).await {
                 self.log_end(end);
@@ -136,33 +132,44 @@
         }
     }
 
-    /// Reads the next frame of the endpoint's answer into [`Self::read`].
+    /// Waits for the next bytes that can be relayed.
     ///
-    /// Returns `None` if no endpoint answers any more.
+    /// # Errors
+    ///
+    /// Returns how the endpoint's answer ended.
+    async fn next_bytes(&mut self) -> Result<Bytes, RelayEnd> {
+        loop {
+            let read = std::mem::take(&mut self.read);
+            if let Some(bytes) = self.accept_bytes(read)? {
+                return Ok(bytes);
+            }
+            self.read = self.read_frame().await?;
+        }
+    }
+
+    /// Reads the next frame of the endpoint's answer; returns its bytes.
     ///
     /// # Errors
     ///
-    /// Returns the end of the answer, if there is no other frame or none in time.
-    async fn read_frame(&mut self) -> Option<Result<(), RelayEnd>> {
+    /// Returns how the answer ended, if there is no other frame or none in time.
+    async fn read_frame(&mut self) -> Result<Bytes, RelayEnd> {
         let limit_ms = self.frame_timeout_ms();
         if limit_ms == 0 {
             // A frame that is ready would win against a timer that has run out.
-            return Some(Err(RelayEnd::DeadlinePassed));
+            return Err(RelayEnd::DeadlinePassed);
         }
-        let frame = self.answered.as_mut()?.body.frame();
-        let frame = tokio::time::timeout(Duration::from_millis(limit_ms), frame).await;
-        let result = match frame {
-            Ok(Some(Ok(frame))) => {
-                // Trailers are not relayed.
-                self.read = frame.into_data().unwrap_or_default();
-                Ok(())
-            }
+        let Some(answered) = &mut self.answered else {
+            return Err(RelayEnd::ConnectionBroke);
+        };
+        let frame = answered.body.frame();
+        match tokio::time::timeout(Duration::from_millis(limit_ms), frame).await {
+            // Trailers are not relayed.
+            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_broken))) => Err(RelayEnd::ConnectionBroke),
             Ok(None) => Err(self.end_of_body()),
             Err(_elapsed) if self.left_ms() == 0 => Err(RelayEnd::DeadlinePassed),
             Err(_elapsed) => Err(RelayEnd::Silent),
-        };
-        Some(result)
+        }
     }
 
     /// Returns how the answer ended if its body ends here.
@@ -207,17 +214,31 @@
     }
 
     /// Takes in received bytes and returns those that can be relayed now, if any.
-    fn accept_bytes(&mut self, bytes: Bytes) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns the end of the answer if its event has no end.
+    fn accept_bytes(&mut self, bytes: Bytes) -> Result<Option<Bytes>, RelayEnd> {
         self.received_bytes += bytes.len();
         let bytes = match &mut self.events {
-            Some(events) => events.push(bytes),
+            Some(events) => events
+                .push(bytes)
+                .map_err(|EventTooLong { .. }| RelayEnd::EventTooLong)?,
             None => bytes,
         };
         if bytes.is_empty() {
-            return None;
+            return Ok(None);
         }
         self.record_event();
-        Some(bytes)
+        Ok(Some(bytes))
+    }
+
+    /// Checks in the background whether the endpoint of the answer has crashed.
+    fn check_for_crash(&self) {
+        let Some(answered) = &self.answered else {
+            return;
+        };
+        poison::check_for_crash(&self.gateway, &self.work, answered.reservation.address);
     }
 
     /// Records the time of an event, and the first one in the metrics.
--- a/crates/chicorystaged/src/gateway/relay/relay_end.rs
+++ b/crates/chicorystaged/src/gateway/relay/relay_end.rs
@@ -13,6 +13,8 @@
     BeforeFirstEvent,
     /// connection broke within an answer
     ConnectionBroke,
+    /// event too long
+    EventTooLong,
     /// endpoint fell silent
     Silent,
     /// deadline passed
