Resume a stream whose event makes no progress, as one that is silent

Callers saw: nothing yet. A resumable stream goes on elsewhere once its endpoint is silent. Each part of an event that never ends began that wait anew, so that the caller got nothing until its deadline. Change: the wait is for the next complete event, not for the next bytes.

--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -138,25 +138,28 @@
     ///
     /// Returns how the endpoint's answer ended.
     async fn next_bytes(&mut self) -> Result<Bytes, RelayEnd> {
+        // Parts of an event that never ends must not put this off.
+        let until_ms = self.gateway.now_ms() + self.wait_max_ms();
         loop {
             let read = std::mem::take(&mut self.read);
             if let Some(bytes) = self.accept_bytes(read)? {
                 return Ok(bytes);
             }
-            self.read = self.read_frame().await?;
+            self.read = self.read_frame(until_ms).await?;
         }
     }
 
-    /// Reads the next frame of the endpoint's answer; returns its bytes.
+    /// Reads the next frame of the endpoint's answer until a time on the gateway's clock, in
+    /// milliseconds; returns its bytes.
     ///
     /// # Errors
     ///
     /// Returns how the answer ended, if there is no other frame or none in time.
-    async fn read_frame(&mut self) -> Result<Bytes, RelayEnd> {
-        let limit_ms = self.frame_timeout_ms();
+    async fn read_frame(&mut self, until_ms: u64) -> Result<Bytes, RelayEnd> {
+        let limit_ms = until_ms.saturating_sub(self.gateway.now_ms());
         if limit_ms == 0 {
             // A frame that is ready would win against a timer that has run out.
-            return Err(RelayEnd::DeadlinePassed);
+            return Err(self.end_of_wait());
         }
         let Some(answered) = &mut self.answered else {
             return Err(RelayEnd::ConnectionBroke);
@@ -167,11 +170,18 @@
             Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_broken))) => Err(RelayEnd::ConnectionBroke),
             Ok(None) => Err(self.end_of_body()),
-            Err(_elapsed) if self.left_ms() == 0 => Err(RelayEnd::DeadlinePassed),
-            Err(_elapsed) => Err(RelayEnd::Silent),
+            Err(_elapsed) => Err(self.end_of_wait()),
         }
     }
 
+    /// Returns how the answer ended if nothing more is waited for.
+    fn end_of_wait(&self) -> RelayEnd {
+        if self.left_ms() == 0 {
+            return RelayEnd::DeadlinePassed;
+        }
+        RelayEnd::Silent
+    }
+
     /// Returns how the answer ended if its body ends here.
     ///
     /// The end of a connection may be that of a process, so that the content has a say.
@@ -195,10 +205,10 @@
         self.work.left_ms(self.gateway.now_ms())
     }
 
-    /// Returns the longest wait for the next frame, in milliseconds.
+    /// Returns the longest wait for the next bytes to relay, in milliseconds.
     ///
     /// Before the first event the limit is at least the route's latency objective.
-    fn frame_timeout_ms(&self) -> u64 {
+    fn wait_max_ms(&self) -> u64 {
         let left_ms = self.left_ms();
         if !self.may_resume() {
             return left_ms;
