Take a refusal for one at its head, whatever its body does

An endpoint's statement that a request did not run was believed once its body had been read; a body without end, or one that stops, turned it into a 504 at the deadline, which the caller may not repeat. Change: the body is read for 50 ms at most, so that the connection can be used again; the refusal stands either way.

--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -225,7 +225,12 @@
 ) -> std::io::Result<()> {
     loop {
         if pause_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let pause = Duration::from_millis(pause_ms);
+            let mut unexpected = [0; 64];
+            // A client sends nothing before its answer has ended, so that a read ends at its close.
+            if let Ok(read) = tokio::time::timeout(pause, stream.read(&mut unexpected)).await {
+                return read.map(drop);
+            }
         }
         stream.write_all(bytes).await?;
         let sent_bytes = u64::try_from(bytes.len()).unwrap_or(u64::MAX);
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use chicorystage_core::deployment::Route;
@@ -24,6 +25,8 @@
 
 /// Largest refusal body that is read to make its connection reusable, in bytes.
 const REFUSAL_BYTES_MAX: usize = 4 << 10;
+/// Longest wait for the whole body of a refusal, in milliseconds.
+const REFUSAL_READ_MS: u64 = 50;
 /// Urgency sent for streams of a route of priority 0.
 const URGENCY_FIRST: u8 = 3;
 /// Largest urgency number sent, for the least urgent streams.
@@ -245,7 +248,7 @@
 
 /// Returns the result of an answer that says that the request did not run.
 ///
-/// Reads a short body first, so that the connection can be reused.
+/// Reads a short body first, so that the connection can be reused, but does not wait long for it.
 async fn refused(gateway: &Rc<Gateway>, answered: Answered) -> Attempted {
     let is_misdirected = answered.head.execution == Execution::Misdirected;
     let Answered {
@@ -255,11 +258,9 @@
         reservation,
         ..
     } = answered;
-    if Limited::new(body, REFUSAL_BYTES_MAX)
-        .collect()
-        .await
-        .is_ok()
-    {
+    let read = Limited::new(body, REFUSAL_BYTES_MAX).collect();
+    let read = tokio::time::timeout(Duration::from_millis(REFUSAL_READ_MS), read).await;
+    if matches!(read, Ok(Ok(_))) {
         recycle(gateway, &head, connection, &reservation);
     }
     Attempted::NotRun {
