Read at most 1 MiB of an engine's report or reply to an order

Callers saw: nothing yet. A report without end was read up to 64 MiB, ten times a second and for every engine, in a process of 260 MB. The test counted on a moment without a report being read, which pauses of 5 ms never leave; it now counts bytes for each report begun and asks that all are closed once the engine answers properly again.

--- a/crates/chicorystage-borders/src/http/http_client.rs
+++ b/crates/chicorystage-borders/src/http/http_client.rs
@@ -26,13 +26,14 @@
 /// Longest time that sent bytes stay unacknowledged before the connection is closed, in
 /// milliseconds.
 const TCP_USER_TIMEOUT_MS: u64 = 2_000;
-/// Largest response body that is accepted, in bytes.
+/// Largest response body that is accepted by default, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 << 20;
 
 /// HTTP client of one address that pools its connections, for short calls.
 pub struct HttpClient {
     address: SocketAddr,
     timeout_ms: u64,
+    response_bytes_max: usize,
     pool: Mutex<Pool>,
 }
 
@@ -43,10 +44,18 @@
         Self {
             address,
             timeout_ms,
+            response_bytes_max: RESPONSE_BYTES_MAX,
             pool: Mutex::new(new_pool(timeout_ms)),
         }
     }
 
+    /// Accepts response bodies of at most `bytes_max` bytes; a longer one fails its call.
+    #[must_use]
+    pub fn with_response_bytes_max(mut self, bytes_max: usize) -> Self {
+        self.response_bytes_max = bytes_max;
+        self
+    }
+
     /// Returns the address that the client calls.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
@@ -92,7 +101,7 @@
             })?;
             has_head.store(true, Ordering::Relaxed);
             let (parts, body) = response.into_parts();
-            let body = Limited::new(body, RESPONSE_BYTES_MAX)
+            let body = Limited::new(body, self.response_bytes_max)
                 .collect()
                 .await
                 .map_err(|error| {
--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -41,6 +41,8 @@
     is_listening: watch::Sender<bool>,
     /// Bytes that endless replies have sent.
     repeated_bytes: Cell<u64>,
+    /// Number of endless replies that were begun.
+    repeats_begun: Cell<u64>,
     /// Number of endless replies that are still being sent.
     repeating: Cell<u32>,
 }
@@ -65,6 +67,7 @@
             received_heads: RefCell::default(),
             is_listening: watch::Sender::new(true),
             repeated_bytes: Cell::new(0),
+            repeats_begun: Cell::new(0),
             repeating: Cell::new(0),
         });
         let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
@@ -85,9 +88,9 @@
         self.state.script.borrow_mut().push_back(reply);
     }
 
-    /// Sets the answer to reads of the load report.
-    pub fn set_report_reply(&self, reply: RawReply) {
-        *self.state.report_reply.borrow_mut() = Some(reply);
+    /// Sets the answer to reads of the load report; `None` for a proper one.
+    pub fn set_report_reply(&self, reply: Option<RawReply>) {
+        *self.state.report_reply.borrow_mut() = reply;
     }
 
     /// Returns the heads of the requests received so far, without reports and orders.
@@ -102,6 +105,12 @@
         self.state.repeated_bytes.get()
     }
 
+    /// Returns how many endless replies were begun.
+    #[must_use]
+    pub fn repeats_begun(&self) -> u64 {
+        self.state.repeats_begun.get()
+    }
+
     /// Returns the number of endless replies whose connection is still open.
     #[must_use]
     pub fn repeating(&self) -> u32 {
@@ -161,6 +170,7 @@
             ConnectionEnd::Reset => return reset(&stream),
             ConnectionEnd::Silence => {}
             ConnectionEnd::Repeat { bytes, pause_ms } => {
+                state.repeats_begun.set(state.repeats_begun.get() + 1);
                 state.repeating.set(state.repeating.get() + 1);
                 let ended = repeat(state, &mut stream, &bytes, pause_ms).await;
                 state.repeating.set(state.repeating.get() - 1);
--- a/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
@@ -234,17 +234,16 @@
             let answer = RawReply::unframed_events("data: a\n\n", ConnectionEnd::Close);
             let world = World::start("llm", answer).await?;
             let report = RawReply::new("200 OK", &[], "{", repeat("0123456789abcdef", pause_ms));
-            world.endpoint.set_report_reply(report);
-            wait_until("a report is being read", || {
-                world.endpoint.repeated_bytes() > 0
+            world.endpoint.set_report_reply(Some(report));
+            wait_until("several reports were begun", || {
+                world.endpoint.repeats_begun() >= 5
             })
             .await;
-            let reads = 3;
-            for _ in 0..reads {
-                world.wait_until_closed().await;
-                let sent_bytes = world.endpoint.repeated_bytes();
-                verify_that!(sent_bytes, le(reads * JUNK_BYTES_MAX))?;
-            }
+            verify_that!(world.endpoint.repeating(), le(2))?;
+            world.endpoint.set_report_reply(None);
+            world.wait_until_closed().await;
+            let read_bytes_max = world.endpoint.repeats_begun() * JUNK_BYTES_MAX;
+            verify_that!(world.endpoint.repeated_bytes(), le(read_bytes_max))?;
             let reply = world.send("/chat/x").await?;
             verify_that!(reply.text(), eq("data: a\n\n"))?;
             verify_that!(reply.is_complete, eq(true))
--- a/crates/chicorystaged/src/gateway/engine_orders.rs
+++ b/crates/chicorystaged/src/gateway/engine_orders.rs
@@ -27,6 +27,8 @@
 const PLAN_INTERVAL_MIN_MS: u64 = 10;
 /// Timeout of a call to an engine, in milliseconds.
 const ENGINE_TIMEOUT_MS: u64 = 600;
+/// Largest answer of an engine to a read of its report or to an order, in bytes.
+const ENGINE_ANSWER_BYTES_MAX: usize = 1 << 20;
 /// Largest number of engines in one datagram.
 const ENGINES_PER_MESSAGE: usize = 40;
 
@@ -156,7 +158,9 @@
         if let Some(known) = known {
             return Some(Rc::clone(known));
         }
-        let client = Rc::new(HttpClient::new(address, ENGINE_TIMEOUT_MS));
+        let client = HttpClient::new(address, ENGINE_TIMEOUT_MS)
+            .with_response_bytes_max(ENGINE_ANSWER_BYTES_MAX);
+        let client = Rc::new(client);
         clients.insert(id.clone(), Rc::clone(&client));
         Some(client)
     }
