Hold the closed ports of a test, so that no other emulator gets them

The test took free ports and released them; the tests beside it in the same process bind free ports too, and a store emulator that gets one answers 404 to a request for /app/. Shown: with the address of another fixture's store in place of one of the 60, the test fails with exactly this 404. Change: the ports stay bound without being listened on.

--- a/crates/chicorystage-testbed/tests/gateway_retries.rs
+++ b/crates/chicorystage-testbed/tests/gateway_retries.rs
@@ -1,6 +1,7 @@
 //! How many retries a gateway sends to the endpoints of one service.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::json;
+use socket2::{Domain, Socket, Type};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -163,9 +165,12 @@
         let healthy = EndpointEmulator::start("z", reply(200), None)
             .await
             .or_fail()?;
+        let mut closed_ports = Vec::new();
         for i in 0..DEAD_ENDPOINTS {
+            let closed = closed_port().or_fail()?;
             let mut entry = healthy.registry_entry("app", "ready", 1);
-            entry["addr"] = json!(closed_address().or_fail()?);
+            entry["addr"] = json!(address_of(&closed)?);
+            closed_ports.push(closed);
             let key = format!("a{i}");
             world
                 .store
@@ -258,8 +263,17 @@
     join_all(requests).await;
 }
 
-/// Returns a loopback address at which nothing listens.
-fn closed_address() -> std::io::Result<String> {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-    Ok(listener.local_addr()?.to_string())
+/// Returns a socket that holds a free port without listening, so that connections to it are
+/// refused and no other socket gets the port.
+fn closed_port() -> std::io::Result<Socket> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    Ok(socket)
+}
+
+/// Returns the address of a socket as text.
+fn address_of(socket: &Socket) -> Result<String> {
+    let address = socket.local_addr().or_fail()?;
+    let address = address.as_socket().or_fail()?;
+    Ok(address.to_string())
 }
