Break a streamed body whose sender is dropped; only its finish ends it

A streamed body ended as complete whenever its sender was dropped: a router that gave up a caller's stream at its deadline, or whose task failed, sent a proper end without the last events. Agents' streams have an end frame, so that routers noticed. Change: BodySender::finish ends a body, dropping it breaks the connection. FlushBeforeBreak lets the server write what it has before a body breaks; the gateway uses it too, in place of its own pause.

--- a/crates/chicorystage-borders/src/http/mod.rs
+++ b/crates/chicorystage-borders/src/http/mod.rs
@@ -7,6 +7,8 @@
 //! later, only that one response is affected.
 
 mod body;
+mod body_sender;
+mod flush_before_break;
 mod http_client;
 mod http_engine;
 mod http_object_store;
@@ -20,7 +22,9 @@
 mod server;
 mod stream_client;
 
-pub use body::{ResponseBody, channel_body, empty_body, full_body};
+pub use body::{ResponseBody, empty_body, full_body};
+pub use body_sender::{BodyAbandoned, BodySender, channel_body};
+pub use flush_before_break::FlushBeforeBreak;
 pub use http_client::HttpClient;
 pub use http_engine::HttpEngine;
 pub use http_object_store::HttpObjectStore;
--- a/crates/chicorystage-testbed/src/standin/engine_api.rs
+++ b/crates/chicorystage-testbed/src/standin/engine_api.rs
@@ -103,10 +103,11 @@
         while let Some(event) = events.recv().await {
             let mut line = serde_json::to_vec(&event).expect("message types serialise to JSON");
             line.push(b'\n');
-            if sender.send_data(Bytes::from(line)).await.is_err() {
+            if sender.send(Bytes::from(line)).await.is_err() {
                 return;
             }
         }
+        sender.finish();
     });
     Response::new(body)
 }
--- a/crates/chicorystaged/src/agent/work_api.rs
+++ b/crates/chicorystaged/src/agent/work_api.rs
@@ -10,7 +10,7 @@
     ATTEMPTS_PATH, AttemptRequest, Frame, HEARTBEAT_INTERVAL_MS, Payload,
 };
 use chicorystage_borders::BoxFuture;
-use chicorystage_borders::http::{Handler, ResponseBody, channel_body};
+use chicorystage_borders::http::{BodySender, Handler, ResponseBody, channel_body};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -140,12 +140,13 @@
 
 /// Writes frames as they arrive, and a heartbeat after [`HEARTBEAT_INTERVAL_MS`] without one.
 ///
-/// Ends after the final frame or when the connection is closed.
+/// Ends after the final frame or when the connection is closed. Without a final frame the body is
+/// broken off.
 async fn write_frames(
     attempt: u32,
     offset: u64,
     mut frames: mpsc::UnboundedReceiver<Frame>,
-    mut sender: http_body_util::channel::Sender<Bytes, std::convert::Infallible>,
+    mut sender: BodySender,
 ) {
     let mut next_offset = offset;
     loop {
@@ -166,8 +167,11 @@
         let last = frame.payload.is_final();
         let mut line = serde_json::to_vec(&frame).expect("message types serialise to JSON");
         line.push(b'\n');
-        if sender.send_data(Bytes::from(line)).await.is_err() || last {
+        if sender.send(Bytes::from(line)).await.is_err() {
             return;
         }
+        if last {
+            return sender.finish();
+        }
     }
 }
--- a/crates/chicorystaged/src/gateway/answer_body.rs
+++ b/crates/chicorystaged/src/gateway/answer_body.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 
 use bytes::Bytes;
+use chicorystage_borders::http::FlushBeforeBreak;
 use futures_util::Stream;
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::Frame;
@@ -14,7 +15,7 @@
 pub type FrameStream = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, AnswerBroken>>>>;
 
 /// Body of a response to a caller: either buffered whole or relayed frame by frame.
-pub type AnswerBody = Either<Full<Bytes>, StreamBody<FrameStream>>;
+pub type AnswerBody = Either<Full<Bytes>, FlushBeforeBreak<StreamBody<FrameStream>>>;
 
 /// Error type of a hyper service function that always returns a response.
 pub type Never = Infallible;
@@ -28,5 +29,5 @@
 /// Returns a body that relays frames as they arrive.
 #[must_use]
 pub fn relayed(frames: FrameStream) -> AnswerBody {
-    Either::Right(StreamBody::new(frames))
+    Either::Right(FlushBeforeBreak::new(StreamBody::new(frames)))
 }
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -125,8 +125,6 @@
             }
             if !self.resume(end).await {
                 self.log_end(end);
-                // The server drops what it has not written yet when the body breaks.
-                tokio::task::yield_now().await;
                 return Some((Err(AnswerBroken), None));
             }
         }
--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -74,10 +74,14 @@
                 Payload::Heartbeat | Payload::Head { .. } | Payload::Body(_) => continue,
             };
             // If the caller stops reading, the request still ends soon after its deadline.
-            let sent = timeout_at(deadline, sender.send_data(event)).await;
-            if !matches!(sent, Ok(Ok(()))) || last {
+            let sent = timeout_at(deadline, sender.send(event)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                // Without its last event the stream must not look complete.
                 break;
             }
+            if last {
+                return sender.finish();
+            }
         }
     });
     response
