Take a service's event stream that ends within an event for a lost answer

A plain service may answer with events and without a length; the agent passed whatever had come before the connection closed on as the service's whole reply, and the claim of a keyed call recorded it. Change: agent::call_answer decides, without a network, what a reply becomes.

--- a/crates/chicorystage-core/src/events/mod.rs
+++ b/crates/chicorystage-core/src/events/mod.rs
@@ -7,7 +7,9 @@
 mod event_scanner;
 mod event_splitter;
 mod event_too_long;
+mod media_type;
 
 pub use event_scanner::EventScanner;
 pub use event_splitter::EventSplitter;
 pub use event_too_long::EventTooLong;
+pub use media_type::is_event_stream_type;
--- a/crates/chicorystaged/src/agent/mod.rs
+++ b/crates/chicorystaged/src/agent/mod.rs
@@ -12,6 +12,7 @@
 //! routers, and report each result to the loop as an event.
 
 pub mod borders;
+pub mod call_answer;
 pub mod event;
 pub mod handle;
 pub mod learned_policy;
