Reset the connection of a caller in HTTP/1.0 whose answer breaks off

A relayed answer has no length, so that in HTTP/1.0 the close of the connection is its end, and a broken one was closed properly. Change: the connection is reset if its last request was in HTTP/1.0. Shown by: gateway_unframed_answers::broken_stream_of_a_caller_in_http_1_0_…, red with the tests alone; a whole stream still ends with a proper close.

--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -2,16 +2,18 @@
 //!
 //! When the gateway closes, connections shut down gracefully: requests in progress finish first.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::HeaderValue;
 use http::header::CONNECTION;
+use http::{HeaderValue, Request, Version};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Socket, Type};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::gateway::answer_body::Never;
@@ -73,8 +75,11 @@
     });
     let closing = Rc::clone(gateway);
     let answering = Rc::clone(gateway);
-    let answer = service_fn(move |request| {
+    let is_http_1_0 = Rc::new(Cell::new(false));
+    let ends_with_connection = Rc::clone(&is_http_1_0);
+    let answer = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&answering);
+        is_http_1_0.set(request.version() == Version::HTTP_10);
         async move {
             let mut response = request::serve(Rc::clone(&gateway), request).await;
             if gateway.is_stopping.get() {
@@ -84,18 +89,33 @@
             Ok::<_, Never>(response)
         }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms + IDLE_MARGIN_MS))
         .max_buf_size(HEAD_BYTES_MAX)
         .serve_connection(TokioIo::new(stream), answer);
     tokio::task::spawn_local(async move {
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            // A broken connection needs no report here: its caller sees the break too.
-            _ended = connection.as_mut() => return,
-            () = closing.closing() => connection.as_mut().graceful_shutdown(),
+        let ended = tokio::select! {
+            ended = &mut connection => ended,
+            () = closing.closing() => {
+                std::pin::Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
+        };
+        // A broken connection needs no report here: its caller sees the break too.
+        if ended.is_err() && ends_with_connection.get() {
+            reset(connection.into_parts().io.into_inner());
         }
-        let _ended = connection.await;
     });
 }
+
+/// Closes a connection with a reset.
+///
+/// In HTTP/1.0 a proper close ends an answer without a length, so that a broken answer must not end
+/// with one.
+fn reset(stream: TcpStream) {
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(event = "reset_failed", error:%; "a broken answer may look complete");
+    }
+    drop(stream);
+}
