Keep metrics free of the gateway's types, and shut callers' connections down outside the select

Read as a newcomer: metrics used types of the gateway, which uses metrics; and the name Pin came from the inside of a macro. No logic changes.

--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -4,6 +4,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -96,13 +97,16 @@
         .serve_connection(TokioIo::new(stream), answer);
     tokio::task::spawn_local(async move {
         let ended = tokio::select! {
-            ended = &mut connection => ended,
-            () = closing.closing() => {
-                std::pin::Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
-            }
+            ended = &mut connection => Some(ended),
+            () = closing.closing() => None,
+        };
+        let ended = if let Some(ended) = ended {
+            ended
+        } else {
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         };
-        // A broken connection needs no report here: its caller sees the break too.
+        // Any other broken connection needs nothing here: its caller sees the break too.
         if ended.is_err() && ends_with_connection.get() {
             reset(connection.into_parts().io.into_inner());
         }
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -20,9 +20,11 @@
         answered.recycle(&self.gateway);
     }
 
+    /// Logs and counts the end of the answer.
     pub(super) fn log_end(&mut self, end: RelayEnd) {
         self.is_logged = true;
-        self.gateway.metrics.count_stream_end(self.framing, end);
+        let (framing, end_text) = (self.framing.to_string(), end.to_string());
+        self.gateway.metrics.count_stream_end(&framing, &end_text);
         log::info!(
             event = "stream_ended", request = self.work.head.attempt_id.as_str(), end:%,
             route = self.work.route.name.as_ref(), endpoint = self.endpoint.as_str(),
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -7,9 +7,6 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::gateway::answer_framing::AnswerFraming;
-use crate::gateway::relay::relay_end::RelayEnd;
-
 /// Prefix of every metric's name.
 const PREFIX: &str = "chicorystage_gateway";
 /// Upper bound of the first bucket, in seconds.
@@ -171,10 +168,10 @@
     }
 
     /// Counts a relayed answer that ended, whole or not.
-    pub fn count_stream_end(&self, framing: AnswerFraming, end: RelayEnd) {
+    pub fn count_stream_end(&self, framing: &str, end: &str) {
         let labels = StreamEndLabels {
-            framing: framing.to_string(),
-            end: end.to_string(),
+            framing: framing.to_owned(),
+            end: end.to_owned(),
         };
         self.stream_ends.get_or_create(&labels).inc();
     }
