--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -309,6 +309,58 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(300)
+    })]
+
+    // Up to two fifths more routers join unknown to the others, and routers start anew. Retries
+    // arrive up to half a window late; those of a process that ends have arrived or never will.
+    #[test]
+    fn late_retries_of_routers_that_join_or_start_anew_stay_under_the_bound(
+        routers in 3_usize..12,
+        joining_tenths in 0_usize..=4,
+        steps in prop::collection::vec(
+            (0_u64..WINDOW_MS, any::<usize>(), prop_oneof![3 => Just(0_u32), 1 => 0_u32..1_500],
+                0_u64..=WINDOW_MS / 2, prop::bool::weighted(0.1)),
+            1..40,
+        ),
+    ) {
+        let all = routers + routers * joining_tenths / 10;
+        let mut processes = vec![Process::first(); all];
+        let (mut now_ms, mut first_attempts, mut arrivals) = (3 * WINDOW_MS, Vec::new(), Vec::new());
+        let mut in_flight: Vec<(u64, usize)> = Vec::new();
+        for (pause_ms, router, requests, delay_ms, is_restarted) in steps {
+            now_ms += pause_ms;
+            let router = router % all;
+            in_flight.sort_unstable();
+            let arrived = in_flight.partition_point(|(at_ms, _)| *at_ms <= now_ms);
+            for (at_ms, router) in in_flight.drain(..arrived) {
+                processes[router].budget.settle(at_ms);
+                arrivals.push(at_ms);
+            }
+            if is_restarted {
+                in_flight.retain(|(_, of_router)| *of_router != router);
+                processes[router].restart(now_ms);
+            }
+            let process = &mut processes[router];
+            for _ in 0..requests {
+                process.budget.record_first_attempt(now_ms);
+                first_attempts.push(now_ms);
+            }
+            let known = if router < routers { routers } else { all };
+            let share = BudgetShare { routers: known, predecessor: process.predecessor };
+            while process.budget.try_take(now_ms, Some(share)) {
+                in_flight.push((now_ms + delay_ms, router));
+            }
+        }
+        arrivals.extend(in_flight.iter().map(|(at_ms, _)| *at_ms));
+        prop_assert_eq!(breach(&first_attempts, &arrivals), None);
+    }
+}
+
 // Each of three routers takes all the retries that it may, twice within a window.
 #[test]
 fn bursts_less_than_a_window_apart_stay_under_the_bound() {
