--- a/crates/chicorystage-core/tests/shared_budget.rs
+++ b/crates/chicorystage-core/tests/shared_budget.rs
@@ -65,6 +65,73 @@
     }
 }
 
+/// Routers whose retries arrive some time after they were taken.
+#[derive(Debug)]
+struct LateRetries {
+    processes: Vec<Process>,
+    now_ms: u64,
+    /// Retries that have not arrived yet: time of arrival and router.
+    in_flight: Vec<(u64, usize)>,
+    first_attempts: Vec<u64>,
+    arrivals: Vec<u64>,
+}
+
+impl LateRetries {
+    fn new(routers: usize) -> Self {
+        Self {
+            processes: vec![Process::first(); routers],
+            now_ms: 3 * WINDOW_MS,
+            in_flight: Vec::new(),
+            first_attempts: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    /// Lets time pass and settles the retries that have arrived.
+    fn pass(&mut self, time_ms: u64) {
+        self.now_ms += time_ms;
+        self.in_flight.sort_unstable();
+        let now_ms = self.now_ms;
+        let arrived = self
+            .in_flight
+            .partition_point(|(at_ms, _)| *at_ms <= now_ms);
+        for (at_ms, router) in self.in_flight.drain(..arrived) {
+            self.processes[router].budget.settle(at_ms);
+            self.arrivals.push(at_ms);
+        }
+    }
+
+    /// Starts a router anew; its retries have arrived or never will.
+    fn restart(&mut self, router: usize) {
+        self.in_flight.retain(|(_, of_router)| *of_router != router);
+        self.processes[router].restart(self.now_ms);
+    }
+
+    /// Sends requests by a router, and then all retries that its budget allows if it knows `known`
+    /// routers; they arrive `delay_ms` later.
+    fn send(&mut self, router: usize, requests: u32, known: usize, delay_ms: u64) {
+        let process = &mut self.processes[router];
+        for _ in 0..requests {
+            process.budget.record_first_attempt(self.now_ms);
+            self.first_attempts.push(self.now_ms);
+        }
+        let share = BudgetShare {
+            routers: known,
+            predecessor: process.predecessor,
+        };
+        while process.budget.try_take(self.now_ms, Some(share)) {
+            self.in_flight.push((self.now_ms + delay_ms, router));
+        }
+    }
+
+    /// Lets all retries arrive and returns the first window over the bound; see [`breach`].
+    fn breach(mut self) -> Option<u64> {
+        let late = self.in_flight.iter().map(|(at_ms, _)| *at_ms);
+        self.arrivals.extend(late);
+        breach(&self.first_attempts, &self.arrivals)
+    }
+}
+
 /// Counts the sorted times within the window that begins at `begin_ms`, or earlier.
 fn count_in_window(times: &[u64], begin_ms: u64, earlier_ms: u64) -> f64 {
     let before = |limit_ms: u64| times.partition_point(|time_ms| *time_ms < limit_ms);
@@ -241,28 +308,12 @@
             1..60,
         ),
     ) {
-        let mut budgets = vec![new_budget(0); routers];
-        let (mut now_ms, mut first_attempts, mut arrivals) = (3 * WINDOW_MS, Vec::new(), Vec::new());
-        let mut in_flight: Vec<(u64, usize)> = Vec::new();
+        let mut world = LateRetries::new(routers);
         for (pause_ms, router, requests, delay_ms) in steps {
-            now_ms += pause_ms;
-            let router = router % routers;
-            in_flight.sort_unstable();
-            let arrived = in_flight.partition_point(|(at_ms, _)| *at_ms <= now_ms);
-            for (at_ms, router) in in_flight.drain(..arrived) {
-                budgets[router].settle(at_ms);
-                arrivals.push(at_ms);
-            }
-            for _ in 0..requests {
-                budgets[router].record_first_attempt(now_ms);
-                first_attempts.push(now_ms);
-            }
-            while budgets[router].try_take(now_ms, Some(one_of(routers))) {
-                in_flight.push((now_ms + delay_ms, router));
-            }
+            world.pass(pause_ms);
+            world.send(router % routers, requests, routers, delay_ms);
         }
-        arrivals.extend(in_flight.iter().map(|(at_ms, _)| *at_ms));
-        prop_assert_eq!(breach(&first_attempts, &arrivals), None);
+        prop_assert_eq!(world.breach(), None);
     }
 }
 
@@ -284,28 +335,12 @@
             1..30,
         ),
     ) {
-        let mut budgets = vec![new_budget(0); routers];
-        let (mut now_ms, mut first_attempts, mut arrivals) = (3 * WINDOW_MS, Vec::new(), Vec::new());
-        let mut in_flight: Vec<(u64, usize)> = Vec::new();
+        let mut world = LateRetries::new(routers);
         for (pause_ms, router, requests, delay_ms) in steps {
-            now_ms += pause_ms;
-            let router = router % routers;
-            in_flight.sort_unstable();
-            let arrived = in_flight.partition_point(|(at_ms, _)| *at_ms <= now_ms);
-            for (at_ms, router) in in_flight.drain(..arrived) {
-                budgets[router].settle(at_ms);
-                arrivals.push(at_ms);
-            }
-            for _ in 0..requests {
-                budgets[router].record_first_attempt(now_ms);
-                first_attempts.push(now_ms);
-            }
-            while budgets[router].try_take(now_ms, Some(one_of(routers))) {
-                in_flight.push((now_ms + delay_ms, router));
-            }
+            world.pass(pause_ms);
+            world.send(router % routers, requests, routers, delay_ms);
         }
-        arrivals.extend(in_flight.iter().map(|(at_ms, _)| *at_ms));
-        prop_assert_eq!(breach(&first_attempts, &arrivals), None);
+        prop_assert_eq!(world.breach(), None);
     }
 }
 
@@ -329,35 +364,17 @@
         ),
     ) {
         let all = routers + routers * joining_tenths / 10;
-        let mut processes = vec![Process::first(); all];
-        let (mut now_ms, mut first_attempts, mut arrivals) = (3 * WINDOW_MS, Vec::new(), Vec::new());
-        let mut in_flight: Vec<(u64, usize)> = Vec::new();
+        let mut world = LateRetries::new(all);
         for (pause_ms, router, requests, delay_ms, is_restarted) in steps {
-            now_ms += pause_ms;
             let router = router % all;
-            in_flight.sort_unstable();
-            let arrived = in_flight.partition_point(|(at_ms, _)| *at_ms <= now_ms);
-            for (at_ms, router) in in_flight.drain(..arrived) {
-                processes[router].budget.settle(at_ms);
-                arrivals.push(at_ms);
-            }
+            world.pass(pause_ms);
             if is_restarted {
-                in_flight.retain(|(_, of_router)| *of_router != router);
-                processes[router].restart(now_ms);
-            }
-            let process = &mut processes[router];
-            for _ in 0..requests {
-                process.budget.record_first_attempt(now_ms);
-                first_attempts.push(now_ms);
+                world.restart(router);
             }
             let known = if router < routers { routers } else { all };
-            let share = BudgetShare { routers: known, predecessor: process.predecessor };
-            while process.budget.try_take(now_ms, Some(share)) {
-                in_flight.push((now_ms + delay_ms, router));
-            }
+            world.send(router, requests, known, delay_ms);
         }
-        arrivals.extend(in_flight.iter().map(|(at_ms, _)| *at_ms));
-        prop_assert_eq!(breach(&first_attempts, &arrivals), None);
+        prop_assert_eq!(world.breach(), None);
     }
 }
 
