Limit the interim responses to one request

Cause: an HTTP client skips interim responses until the final one arrives. The framing of a response is a type of the borders now (BodyFraming), for the agent's use of it.

--- a/crates/chicorystaged/src/gateway/answer_framing.rs
+++ b/crates/chicorystage-borders/src/http/body_framing.rs
@@ -1,12 +1,10 @@
-//! How an endpoint's answer states where its body ends.
-
 use derive_more::Display;
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
-/// What ends the body of an HTTP/1 answer.
+/// What ends the body of an HTTP/1 response.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum AnswerFraming {
+pub enum BodyFraming {
     /// The header `Content-Length` states the length.
     #[display("length")]
     Length,
@@ -18,8 +16,8 @@
     Close,
 }
 
-impl AnswerFraming {
-    /// Returns the framing that the headers of an answer with a body state.
+impl BodyFraming {
+    /// Returns the framing that the headers of a response with a body state.
     #[must_use]
     pub fn of(headers: &HeaderMap) -> Self {
         if headers.contains_key(TRANSFER_ENCODING) {
@@ -30,4 +28,10 @@
         }
         Self::Close
     }
+
+    /// Returns whether more than the close of the connection marks the end of the body.
+    #[must_use]
+    pub fn is_end_marked(self) -> bool {
+        self != Self::Close
+    }
 }
--- a/crates/chicorystage-borders/src/http/http_client.rs
+++ b/crates/chicorystage-borders/src/http/http_client.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::http::InterimLimit;
 use crate::{BorderError, BorderErrorKind};
 
 type Pool = Client<HttpConnector, Full<Bytes>>;
@@ -85,13 +86,22 @@
     /// Fails as [`send`](Self::send) does.
     pub async fn send_noting_head(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         has_head: &AtomicBool,
     ) -> Result<Response<Bytes>, BorderError> {
         let action = format!("{} {}", request.method(), request.uri());
         let pool = self.lock_pool().clone();
+        let interim = InterimLimit::default();
+        interim.watch(&mut request);
         let exchange = async {
-            let response = pool.request(request).await.map_err(|error| {
+            let response = tokio::select! {
+                response = pool.request(request) => response,
+                () = interim.exceeded() => {
+                    let detail = format!("{action}: too many interim responses");
+                    return Err(BorderError::new(BorderErrorKind::Unknown, detail));
+                }
+            };
+            let response = response.map_err(|error| {
                 let kind = if error.is_connect() {
                     BorderErrorKind::NotDelivered
                 } else {
--- a/crates/chicorystage-borders/src/http/mod.rs
+++ b/crates/chicorystage-borders/src/http/mod.rs
@@ -7,6 +7,7 @@
 //! later, only that one response is affected.
 
 mod body;
+mod body_framing;
 mod body_sender;
 mod flush_before_break;
 mod http_client;
@@ -15,6 +16,7 @@
 mod http_service;
 mod http_table;
 mod http_vm_list;
+mod interim_limit;
 mod json_lines;
 mod rpc_agent_link;
 mod rpc_clients;
@@ -23,6 +25,7 @@
 mod stream_client;
 
 pub use body::{ResponseBody, empty_body, full_body};
+pub use body_framing::BodyFraming;
 pub use body_sender::{BodyAbandoned, BodySender, channel_body};
 pub use flush_before_break::FlushBeforeBreak;
 pub use http_client::HttpClient;
@@ -31,6 +34,7 @@
 pub use http_service::HttpService;
 pub use http_table::HttpTable;
 pub use http_vm_list::HttpVmList;
+pub use interim_limit::InterimLimit;
 pub use json_lines::JsonLines;
 pub use rpc_agent_link::RpcAgentLink;
 pub use rpc_router_link::RpcRouterLink;
--- a/crates/chicorystage-borders/src/http/stream_client.rs
+++ b/crates/chicorystage-borders/src/http/stream_client.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::http::InterimLimit;
 use crate::{BorderError, BorderErrorKind};
 
 /// Longest time to open a connection, in milliseconds.
@@ -33,13 +34,19 @@
         .expect("an address is a header value");
     request.headers_mut().insert(http::header::HOST, host);
     let mut sender = connect(address).await?;
-    let head = timeout(
-        Duration::from_millis(head_timeout_ms),
-        sender.send_request(request),
-    );
+    let interim = InterimLimit::default();
+    interim.watch(&mut request);
+    let response = async {
+        tokio::select! {
+            response = sender.send_request(request) => {
+                response.map_err(|error| unknown(address, &error.to_string()))
+            }
+            () = interim.exceeded() => Err(unknown(address, "too many interim responses")),
+        }
+    };
+    let head = timeout(Duration::from_millis(head_timeout_ms), response);
     match head.await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(error)) => Err(unknown(address, &error.to_string())),
+        Ok(result) => result,
         Err(_elapsed) => Err(unknown(address, "timed out waiting for the response head")),
     }
 }
--- a/crates/chicorystage-testbed/tests/endless_replies.rs
+++ b/crates/chicorystage-testbed/tests/endless_replies.rs
@@ -42,6 +42,33 @@
     verify_that!(endpoint.repeated_bytes(), le(REFUSAL_BYTES_MAX))
 }
 
+#[gtest]
+fn interim_responses_without_end_fail_every_call_in_time() -> Result<()> {
+    for pause_ms in [0, 5] {
+        run_local(async {
+            let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(64);
+            let reply = RawReply {
+                bytes: String::new(),
+                end: ConnectionEnd::Repeat {
+                    bytes: Bytes::from(interim),
+                    pause_ms,
+                },
+            };
+            let engine = EndpointEngine::new(&[], 0);
+            let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
+            // Long timeouts, so that only the responses themselves can end the calls.
+            let client = HttpEngine::new(endpoint.address, 60_000, 60_000);
+            let order = Order {
+                fence: 1,
+                kind: OrderKind::Fence,
+            };
+            expect_refusal(&endpoint, client.order(order)).await?;
+            expect_refusal(&endpoint, client.status()).await
+        })?;
+    }
+    Ok(())
+}
+
 #[gtest]
 fn order_refused_with_a_body_without_end_fails_in_time() -> Result<()> {
     for pause_ms in [0, 5, 60_000] {
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -9,12 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicorystage_borders::http::InterimLimit;
 use chicorystage_core::deployment::Route;
 use chicorystage_platform::caller_request::CallerRequest;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
 use chicorystage_platform::endpoint_request::{self, EndpointTerms};
 use displaydoc::Display;
-use http::{HeaderMap, Method, Request, Uri, response};
+use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
@@ -156,20 +157,15 @@
             urgency: urgency(&work.route),
             last_event_id,
         };
-        match connection
-            .sender
-            .try_send_request(work.request(&terms))
-            .await
-        {
-            Ok(response) => break response,
-            Err(mut refused) => {
-                if refused.take_message().is_none() {
-                    reservation.outcome(false);
-                    return Attempted::Lost(LossReason::ConnectionBroke);
-                }
+        match exchange(&mut connection, work.request(&terms)).await {
+            Exchange::Response(response) => break response,
+            Exchange::Lost(reason) => {
+                reservation.outcome(false);
+                return Attempted::Lost(reason);
             }
+            // The endpoint had closed the idle connection.
+            Exchange::NotWritten => {}
         }
-        // Nothing was written: the endpoint had closed the idle connection.
         connection = match connect(gateway, &reservation, false).await {
             Ok(connection) => connection,
             Err(not_run) => return not_run,
@@ -195,6 +191,34 @@
     Attempted::Answered(Box::new(answered))
 }
 
+/// Result of a request on one connection.
+enum Exchange {
+    /// The head of the answer has arrived.
+    Response(Response<Incoming>),
+    /// Nothing was written.
+    NotWritten,
+    /// The request may have run and its answer is lost.
+    Lost(LossReason),
+}
+
+/// Sends a request on a connection and waits for the head of its answer.
+async fn exchange(connection: &mut Connection, mut request: Request<Full<Bytes>>) -> Exchange {
+    let interim = InterimLimit::default();
+    interim.watch(&mut request);
+    let sent = tokio::select! {
+        sent = connection.sender.try_send_request(request) => sent,
+        () = interim.exceeded() => return Exchange::Lost(LossReason::InterimAnswers),
+    };
+    let mut refused = match sent {
+        Ok(response) => return Exchange::Response(response),
+        Err(refused) => refused,
+    };
+    if refused.take_message().is_some() {
+        return Exchange::NotWritten;
+    }
+    Exchange::Lost(LossReason::ConnectionBroke)
+}
+
 impl Answered {
     /// Returns the connection to the pool; the body must have been read whole.
     pub fn recycle(self, gateway: &Gateway) {
--- a/crates/chicorystaged/src/gateway/loss_reason.rs
+++ b/crates/chicorystaged/src/gateway/loss_reason.rs
@@ -7,6 +7,8 @@
 pub enum LossReason {
     /// connection broke before an answer
     ConnectionBroke,
+    /// too many interim answers
+    InterimAnswers,
     /// answer broke off
     AnswerBroke,
     /// answer of another request
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -22,7 +22,6 @@
 //! an await, so each decision sees a consistent state.
 
 pub mod answer_body;
-pub mod answer_framing;
 pub mod attempt;
 pub mod callers;
 pub mod connection;
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -18,6 +18,7 @@
 
 use bytes::Bytes;
 use chicorystage_api::name::EndpointId;
+use chicorystage_borders::http::BodyFraming;
 use chicorystage_core::events::{EventSplitter, EventTooLong};
 use chicorystage_core::fleet::Requirements;
 use futures_util::stream;
@@ -25,7 +26,6 @@
 use hyper::body::Frame;
 
 use crate::gateway::answer_body::FrameStream;
-use crate::gateway::answer_framing::AnswerFraming;
 use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
 use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::in_progress::InProgress;
@@ -58,7 +58,7 @@
     event_timing: EventTiming,
     origin: StreamOrigin,
     /// Framing of the latest endpoint's answer.
-    framing: AnswerFraming,
+    framing: BodyFraming,
     /// Number of bytes of all endpoints' answers so far.
     received_bytes: usize,
     /// Whether the end of the answer has been logged.
@@ -83,7 +83,7 @@
     in_progress: InProgress,
 ) -> FrameStream {
     let events = is_event_stream(&work.route, &answered.parts).then(EventSplitter::default);
-    let framing = AnswerFraming::of(&answered.parts.headers);
+    let framing = BodyFraming::of(&answered.parts.headers);
     let relay = StreamRelay {
         gateway,
         work,
@@ -184,7 +184,7 @@
     ///
     /// The end of a connection may be that of a process, so that the content has a say.
     fn end_of_body(&self) -> RelayEnd {
-        let is_end_marked = self.framing != AnswerFraming::Close;
+        let is_end_marked = self.framing.is_end_marked();
         let may_end = self
             .events
             .as_ref()
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use crate::gateway::answer_framing::AnswerFraming;
+use chicorystage_borders::http::BodyFraming;
+
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::relay::StreamRelay;
@@ -92,7 +93,7 @@
         if !is_event_stream(&self.work.route, &answered.parts) {
             return false;
         }
-        self.framing = AnswerFraming::of(&answered.parts.headers);
+        self.framing = BodyFraming::of(&answered.parts.headers);
         self.endpoint = answered.reservation.endpoint.clone();
         self.answered = Some(answered);
         self.runs += 1;
