Count only events with a field for the end of a stream without a mark

Change: the scanner tells comments from fields and judges the end itself. Shown by: event_splitter::a_stream_may_end_only_…, whose new cases are red on the commit before.

--- a/crates/chicorystage-core/src/events/event_scanner.rs
+++ b/crates/chicorystage-core/src/events/event_scanner.rs
@@ -1,27 +1,42 @@
 const LF: u8 = b'\n';
 const CR: u8 = b'\r';
+/// First byte of a comment.
+const COLON: u8 = b':';
 
-/// Finds the ends of the events in a stream that arrives in parts.
+/// Finds the ends of the events in a stream that arrives in parts, and tells whether it may end.
 ///
 /// An empty line ends an event. A line ends with LF, CR, or CR followed by LF.
 #[derive(Clone, Debug, Default)]
 pub struct EventScanner {
-    /// Whether an event has begun and is not complete yet.
-    is_within_event: bool,
+    event: Event,
     /// Whether the current line has at least one byte.
     is_within_line: bool,
-    /// Whether the last line that ended was empty.
-    was_line_empty: bool,
     last_end: LineEnd,
+    /// Whether an event with a field is complete.
+    has_event: bool,
 }
 
-/// How a line ended.
+/// What has been seen of the current event.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Event {
+    /// No byte.
+    #[default]
+    NotBegun,
+    /// Comments only, as servers send them to keep a connection open.
+    Comments,
+    /// At least one field.
+    Fields,
+}
+
+/// How the last line ended.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum LineEnd {
     #[default]
     Lf,
     /// The LF of a CR LF may still follow.
     Cr,
+    /// As [`Self::Cr`], and the line was empty.
+    CrOfEmptyLine,
     CrLf,
 }
 
@@ -32,7 +47,7 @@
         let mut complete_bytes = None;
         for (i, &byte) in bytes.iter().enumerate() {
             self.scan_byte(byte);
-            if !self.is_within_event {
+            if !self.is_within_event() {
                 complete_bytes = Some(i + 1);
             }
         }
@@ -44,33 +59,70 @@
     /// Where lines end with CR LF, an event is complete only with the LF of its empty line.
     #[must_use]
     pub fn is_within_event(&self) -> bool {
-        self.is_within_event
+        self.event != Event::NotBegun
+    }
+
+    /// Returns whether a stream that ends here can be complete.
+    ///
+    /// `is_end_marked` is whether more than the close of the connection marks the end. Without a
+    /// mark, a stream without any event cannot be told from one that broke off before its first.
+    #[must_use]
+    pub fn may_end(&self, is_end_marked: bool) -> bool {
+        !self.is_within_event() && (is_end_marked || self.has_event)
     }
 
     fn scan_byte(&mut self, byte: u8) {
         match byte {
-            LF if self.is_after_cr() => {
-                self.last_end = LineEnd::CrLf;
-                self.is_within_event = !self.was_line_empty;
-            }
+            LF if self.is_after_cr() => self.end_cr_lf(),
             LF => self.end_line(LineEnd::Lf),
             CR => self.end_line(LineEnd::Cr),
-            _ => {
-                self.is_within_line = true;
-                self.is_within_event = true;
-            }
+            _ if self.is_within_line => {}
+            _ => self.begin_line(byte),
         }
     }
 
     fn is_after_cr(&self) -> bool {
-        !self.is_within_line && self.last_end == LineEnd::Cr
+        let is_cr = matches!(self.last_end, LineEnd::Cr | LineEnd::CrOfEmptyLine);
+        !self.is_within_line && is_cr
+    }
+
+    /// Takes in the LF of a line whose CR has been taken in.
+    fn end_cr_lf(&mut self) {
+        if self.last_end == LineEnd::CrOfEmptyLine {
+            self.end_event();
+        }
+        self.last_end = LineEnd::CrLf;
     }
 
     fn end_line(&mut self, end: LineEnd) {
+        let is_empty = !self.is_within_line;
         let expects_lf = end == LineEnd::Cr && self.last_end == LineEnd::CrLf;
-        self.was_line_empty = !self.is_within_line;
-        self.is_within_event = !self.was_line_empty || expects_lf;
+        if is_empty && !expects_lf {
+            self.end_event();
+        }
         self.is_within_line = false;
-        self.last_end = end;
+        self.last_end = match end {
+            LineEnd::Cr if is_empty => LineEnd::CrOfEmptyLine,
+            end => end,
+        };
+    }
+
+    /// Takes in the first byte of a line.
+    fn begin_line(&mut self, byte: u8) {
+        if self.last_end == LineEnd::CrOfEmptyLine {
+            // The CR alone has ended the event before.
+            self.end_event();
+        }
+        self.is_within_line = true;
+        if byte != COLON {
+            self.event = Event::Fields;
+        } else if self.event == Event::NotBegun {
+            self.event = Event::Comments;
+        }
+    }
+
+    fn end_event(&mut self) {
+        self.has_event |= self.event == Event::Fields;
+        self.event = Event::NotBegun;
     }
 }
--- a/crates/chicorystage-core/src/events/event_splitter.rs
+++ b/crates/chicorystage-core/src/events/event_splitter.rs
@@ -15,8 +15,6 @@
     /// Bytes of the event that is not complete yet.
     partial: BytesMut,
     scanner: EventScanner,
-    /// Whether the latest answer has a complete event.
-    has_event: bool,
     last_id: Option<String>,
 }
 
@@ -45,7 +43,6 @@
         if let Some(id) = last_id(&complete) {
             self.last_id = Some(id);
         }
-        self.has_event = true;
         Ok(complete)
     }
 
@@ -61,20 +58,16 @@
         self.scanner.is_within_event()
     }
 
-    /// Returns whether a stream that ends here can be complete.
-    ///
-    /// `is_end_marked` is whether more than the close of the connection marks the end. Without a
-    /// mark, an answer without any event cannot be told from one that broke off before its first.
+    /// Returns whether an answer that ends here can be complete; see [`EventScanner::may_end`].
     #[must_use]
     pub fn may_end(&self, is_end_marked: bool) -> bool {
-        !self.has_partial_event() && (is_end_marked || self.has_event)
+        self.scanner.may_end(is_end_marked)
     }
 
     /// Prepares for another answer, which goes on after the last complete event.
     pub fn restart(&mut self) {
         self.partial.clear();
         self.scanner = EventScanner::default();
-        self.has_event = false;
     }
 }
 
--- a/crates/chicorystage-core/tests/event_splitter.rs
+++ b/crates/chicorystage-core/tests/event_splitter.rs
@@ -70,18 +70,26 @@
     }
 }
 
-#[test]
+#[gtest]
 fn a_stream_may_end_only_after_an_event_or_at_a_mark() {
     let cases = [
         ("", false, true),
+        ("\n", false, true),
+        ("\r\n\r\n", false, true),
+        (": keep open\n\n", false, true),
+        (": keep open\ndata: a\n\n", true, true),
         ("data: a\n\n", true, true),
+        ("data: a\n\n: keep open\n\n", true, true),
+        ("data: a\r\rdata: b\r\r", true, true),
+        ("data: a\r\n\r", false, false),
+        ("data: a\r\n\r\n", true, true),
         ("data: a\n\ndata: b\n", false, false),
     ];
     for (stream, may_end_unmarked, may_end_marked) in cases {
         let mut splitter = EventSplitter::default();
         push(&mut splitter, Bytes::from_static(stream.as_bytes()));
-        assert_that!(splitter.may_end(false), eq(may_end_unmarked));
-        assert_that!(splitter.may_end(true), eq(may_end_marked));
+        expect_that!(splitter.may_end(false), eq(may_end_unmarked), "{stream:?}");
+        expect_that!(splitter.may_end(true), eq(may_end_marked), "{stream:?}");
     }
 }
 
