--- a/crates/chicorystage-borders/src/http/http_service.rs
+++ b/crates/chicorystage-borders/src/http/http_service.rs
@@ -7,7 +7,7 @@
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Method};
 
-use crate::http::HttpClient;
+use crate::http::{BodyFraming, HttpClient};
 use crate::service::{Service, ServiceReply};
 use crate::{BorderError, BorderErrorKind, BoxFuture};
 
@@ -50,6 +50,7 @@
             Ok(ServiceReply {
                 status: response.status().as_u16(),
                 content_type: content_type.unwrap_or_default().into(),
+                framing: BodyFraming::of(response.headers()),
                 body: response.into_body(),
             })
         })
--- a/crates/chicorystage-borders/src/service/service_reply.rs
+++ b/crates/chicorystage-borders/src/service/service_reply.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use crate::http::BodyFraming;
+
 /// Response of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceReply {
@@ -11,4 +13,6 @@
     pub content_type: Arc<str>,
     /// Whole response body.
     pub body: Bytes,
+    /// What ended the body.
+    pub framing: BodyFraming,
 }
--- a/crates/chicorystage-testbed/src/fakes/service.rs
+++ b/crates/chicorystage-testbed/src/fakes/service.rs
@@ -6,6 +6,7 @@
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use chicorystage_api::work::ServiceCall;
+use chicorystage_borders::http::BodyFraming;
 use chicorystage_borders::service::{Service, ServiceReply};
 use chicorystage_borders::{BorderError, BorderErrorKind, BoxFuture};
 use serde::{Deserialize, Serialize};
@@ -104,6 +105,7 @@
             status: 200,
             content_type: Arc::from("application/json"),
             body: Bytes::from(answer.to_string()),
+            framing: BodyFraming::Length,
         })
     }
 }
--- a/crates/chicorystaged/src/agent/call_answer.rs
+++ b/crates/chicorystaged/src/agent/call_answer.rs
@@ -6,17 +6,17 @@
 use chicorystage_api::work::{EndSummary, Payload};
 use chicorystage_borders::BorderError;
 use chicorystage_borders::service::ServiceReply;
-use chicorystage_core::events::{EventScanner, is_event_stream_type};
+use chicorystage_core::events::{is_event_stream_type, is_whole_stream};
 
 /// Returns the payloads of a call that waited `queued_ms` milliseconds for the service.
 ///
 /// A failed call is refused as not run if it certainly had no effect, else as one that may have
-/// run. An event stream that ends within an event has broken off, whatever ended it.
+/// run. So is an event stream that has broken off, whatever ended it.
 #[must_use]
 pub fn payloads(reply: Result<ServiceReply, BorderError>, queued_ms: u64) -> Vec<Payload> {
     match reply {
-        Ok(reply) if ends_within_event(&reply) => {
-            let detail = "the service's event stream ended within an event";
+        Ok(reply) if has_broken_off(&reply) => {
+            let detail = "the service's event stream broke off";
             let refusal = Refusal::may_have_run(RefusalCode::ResultUnknown, detail);
             vec![Payload::Refused(refusal)]
         }
@@ -42,11 +42,7 @@
     }
 }
 
-fn ends_within_event(reply: &ServiceReply) -> bool {
-    if !is_event_stream_type(reply.content_type.as_bytes()) {
-        return false;
-    }
-    let mut scanner = EventScanner::default();
-    scanner.scan(&reply.body);
-    scanner.is_within_event()
+fn has_broken_off(reply: &ServiceReply) -> bool {
+    is_event_stream_type(reply.content_type.as_bytes())
+        && !is_whole_stream(&reply.body, reply.framing.is_end_marked())
 }
--- a/crates/chicorystaged/tests/call_answer.rs
+++ b/crates/chicorystaged/tests/call_answer.rs
@@ -2,6 +2,7 @@
 
 use chicorystage_api::refusal::{Outcome, RefusalCode};
 use chicorystage_api::work::Payload;
+use chicorystage_borders::http::BodyFraming;
 use chicorystage_borders::service::ServiceReply;
 use chicorystage_borders::{BorderError, BorderErrorKind};
 use chicorystaged::agent::call_answer::payloads;
@@ -9,11 +10,12 @@
 
 const EVENTS: &str = "text/event-stream; charset=utf-8";
 
-fn reply(content_type: &str, body: &'static str) -> ServiceReply {
+fn reply(content_type: &str, body: &'static str, framing: BodyFraming) -> ServiceReply {
     ServiceReply {
         status: 200,
         content_type: content_type.into(),
         body: body.into(),
+        framing,
     }
 }
 
@@ -27,7 +29,19 @@
 
 #[gtest]
 fn event_stream_of_a_service_that_ends_within_an_event_is_a_lost_answer() {
-    let payloads = payloads(Ok(reply(EVENTS, "data: a\n\ndata: b")), 0);
+    for framing in [BodyFraming::Length, BodyFraming::Chunks, BodyFraming::Close] {
+        let payloads = payloads(Ok(reply(EVENTS, "data: a\n\ndata: b", framing)), 0);
+        expect_that!(
+            refusal(&payloads),
+            some(eq((RefusalCode::ResultUnknown, Outcome::MayHaveRun))),
+            "{framing}"
+        );
+    }
+}
+
+#[gtest]
+fn event_stream_of_a_service_without_an_event_or_a_marked_end_is_a_lost_answer() {
+    let payloads = payloads(Ok(reply(EVENTS, "", BodyFraming::Close)), 0);
     expect_that!(
         refusal(&payloads),
         some(eq((RefusalCode::ResultUnknown, Outcome::MayHaveRun)))
@@ -36,13 +50,14 @@
 
 #[gtest]
 fn whole_replies_are_answers() {
-    for (content_type, body) in [
-        (EVENTS, "data: a\n\n"),
-        (EVENTS, ""),
-        ("text/plain", "data: a\n\ndata: b"),
-        ("", "no type"),
+    for (content_type, body, framing) in [
+        (EVENTS, "data: a\n\n", BodyFraming::Length),
+        (EVENTS, "data: a\n\n", BodyFraming::Close),
+        (EVENTS, "", BodyFraming::Length),
+        ("text/plain", "data: a\n\ndata: b", BodyFraming::Close),
+        ("", "no type", BodyFraming::Close),
     ] {
-        let payloads = payloads(Ok(reply(content_type, body)), 7);
+        let payloads = payloads(Ok(reply(content_type, body, framing)), 7);
         expect_that!(refusal(&payloads), none(), "{content_type} {body}");
         expect_that!(payloads, len(eq(3)));
     }
