Read at most 8 MiB of a service's reply, 4 MiB of an engine's and 256 KiB of an event

A reply over 11 MiB could not reach the router either, as its encoding is one frame. The two other limits have no test of their own.

--- a/crates/chicorystage-api/src/work/mod.rs
+++ b/crates/chicorystage-api/src/work/mod.rs
@@ -42,3 +42,5 @@
 pub const HEARTBEAT_INTERVAL_MS: u64 = 500;
 /// Number of consecutive missed heartbeats after which a connection is replaced.
 pub const HEARTBEATS_MISSED_MAX: u64 = 3;
+/// Longest encoded frame, in bytes; the whole answer of a plain service is one frame.
+pub const FRAME_BYTES_MAX: usize = 16 << 20;
--- a/crates/chicorystage-borders/src/http/http_engine.rs
+++ b/crates/chicorystage-borders/src/http/http_engine.rs
@@ -15,6 +15,10 @@
 use crate::http::{HttpClient, JsonLines};
 use crate::{BorderError, BorderErrorKind, BoxFuture};
 
+/// Largest reply to a short call, in bytes.
+const REPLY_BYTES_MAX: usize = 4 << 20;
+/// Longest event of a stream, in bytes.
+const EVENT_BYTES_MAX: usize = 256 << 10;
 /// Number of stream events buffered ahead of the receiver.
 const STREAM_EVENTS_BUFFERED: usize = 64;
 
@@ -33,7 +37,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64, order_timeout_ms: u64) -> Self {
         Self {
-            client: HttpClient::new(address, timeout_ms),
+            client: HttpClient::new(address, timeout_ms).with_response_bytes_max(REPLY_BYTES_MAX),
             order_timeout_ms,
         }
     }
@@ -50,7 +54,7 @@
             return Err(BorderError::new(BorderErrorKind::Rejected, detail));
         }
         let (sender, receiver) = mpsc::channel(STREAM_EVENTS_BUFFERED);
-        let mut lines = JsonLines::new(response.into_body());
+        let mut lines = JsonLines::new(response.into_body(), EVENT_BYTES_MAX);
         tokio::spawn(async move {
             while let Ok(Some(event)) = lines.next().await {
                 if sender.send(event).await.is_err() {
--- a/crates/chicorystage-borders/src/http/http_service.rs
+++ b/crates/chicorystage-borders/src/http/http_service.rs
@@ -11,6 +11,9 @@
 use crate::service::{Service, ServiceReply};
 use crate::{BorderError, BorderErrorKind, BoxFuture};
 
+/// Largest answer of a service, in bytes; its encoding must fit into one frame to the router.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+
 /// Client of a plain service over HTTP.
 #[derive(Debug)]
 pub struct HttpService {
@@ -22,7 +25,7 @@
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
         Self {
-            client: HttpClient::new(address, timeout_ms),
+            client: HttpClient::new(address, timeout_ms).with_response_bytes_max(ANSWER_BYTES_MAX),
         }
     }
 }
--- a/crates/chicorystage-borders/src/http/json_lines.rs
+++ b/crates/chicorystage-borders/src/http/json_lines.rs
@@ -5,25 +5,24 @@
 
 use crate::{BorderError, BorderErrorKind};
 
-/// Longest line that is accepted, in bytes.
-const LINE_BYTES_MAX: usize = 16 << 20;
-
 /// Reader of a response body with one JSON document per line.
 #[derive(Debug)]
 pub struct JsonLines {
     body: Incoming,
     buffer: BytesMut,
     scanned_bytes: usize,
+    line_bytes_max: usize,
 }
 
 impl JsonLines {
-    /// Creates a reader at the start of a body.
+    /// Creates a reader at the start of a body whose lines have at most `line_bytes_max` bytes.
     #[must_use]
-    pub fn new(body: Incoming) -> Self {
+    pub fn new(body: Incoming, line_bytes_max: usize) -> Self {
         Self {
             body,
             buffer: BytesMut::new(),
             scanned_bytes: 0,
+            line_bytes_max,
         }
     }
 
@@ -42,7 +41,7 @@
                     .map_err(|error| stream_error(&error.to_string()))?;
                 return Ok(Some(document));
             }
-            if self.buffer.len() > LINE_BYTES_MAX {
+            if self.buffer.len() > self.line_bytes_max {
                 return Err(stream_error("line exceeds the size limit"));
             }
             let Some(frame) = self.body.frame().await else {
--- a/crates/chicorystage-borders/src/http/rpc_agent_link.rs
+++ b/crates/chicorystage-borders/src/http/rpc_agent_link.rs
@@ -5,7 +5,7 @@
     AgentRpcClient, AgentStatus, AttemptRef, ClaimQuery, ClaimState, PlacementAck, PlacementPush,
     QuarantineEntry,
 };
-use chicorystage_api::work::{ATTEMPTS_PATH, AttemptRequest};
+use chicorystage_api::work::{ATTEMPTS_PATH, AttemptRequest, FRAME_BYTES_MAX};
 use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 use tokio::sync::mpsc;
@@ -134,7 +134,7 @@
         return Err(BorderError::new(BorderErrorKind::Rejected, detail));
     }
     let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
-    let mut lines = JsonLines::new(response.into_body());
+    let mut lines = JsonLines::new(response.into_body(), FRAME_BYTES_MAX);
     tokio::spawn(async move {
         loop {
             tokio::select! {
--- a/crates/chicorystage-testbed/src/harness/network.rs
+++ b/crates/chicorystage-testbed/src/harness/network.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use chicorystage_api::name::VmId;
 use chicorystage_api::peer::RPC_PATH;
+use chicorystage_api::work::FRAME_BYTES_MAX;
 use chicorystage_borders::http::{Handler, JsonLines};
 use chicorystage_borders::link::FrameStream;
 use chicorystage_borders::{BorderError, BorderErrorKind};
@@ -193,7 +194,7 @@
             return Err(BorderError::new(BorderErrorKind::Rejected, detail));
         }
         let (sender, receiver) = mpsc::channel(FRAMES_BUFFERED);
-        let lines = JsonLines::new(response.into_body());
+        let lines = JsonLines::new(response.into_body(), FRAME_BYTES_MAX);
         let network = Arc::clone(self);
         tokio::spawn(async move {
             tokio::select! {
--- a/crates/chicorystage-testbed/tests/endless_replies.rs
+++ b/crates/chicorystage-testbed/tests/endless_replies.rs
@@ -5,10 +5,12 @@
 
 use bytes::Bytes;
 use chicorystage_api::peer::AttemptRef;
+use chicorystage_api::work::ServiceCall;
 use chicorystage_borders::BorderError;
 use chicorystage_borders::engine::{Engine, Order, OrderKind};
-use chicorystage_borders::http::{HttpEngine, RpcAgentLink};
+use chicorystage_borders::http::{BodyFraming, HttpEngine, HttpService, RpcAgentLink};
 use chicorystage_borders::link::AgentLink;
+use chicorystage_borders::service::Service;
 use chicorystage_testbed::users_platform::{
     ConnectionEnd, EndpointEngine, RawEndpoint, RawReply, run_local, wait_until,
 };
@@ -17,6 +19,10 @@
 const TIMEOUT_MS: u64 = 300;
 /// Longest time that any of the calls may take, in milliseconds.
 const CALL_MAX_MS: u64 = 10_000;
+/// Timeout of a call to a service, in milliseconds; any machine reads more than the bound in it.
+const SERVICE_TIMEOUT_MS: u64 = 3_000;
+/// Largest number of bytes of a service's reply that may be read, with what the sockets hold.
+const SERVICE_REPLY_BYTES_MAX: u64 = 24 << 20;
 /// Largest number of bytes of a refusal that may be read, with what the sockets' buffers hold.
 const REFUSAL_BYTES_MAX: u64 = 8 << 20;
 
@@ -102,3 +108,71 @@
     }
     Ok(())
 }
+
+#[gtest]
+fn reply_of_a_service_without_end_is_read_only_so_far() -> Result<()> {
+    for pause_ms in [0, 5] {
+        run_local(async {
+            let body = ConnectionEnd::Repeat {
+                bytes: Bytes::from("0123456789abcdef".repeat(1_024)),
+                pause_ms,
+            };
+            let reply = RawReply::new("200 OK", &[], "", body);
+            let engine = EndpointEngine::new(&[], 0);
+            let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
+            let service = HttpService::new(endpoint.address, SERVICE_TIMEOUT_MS);
+            let called = service.call(service_call()).await;
+            verify_that!(called.is_err(), eq(true))?;
+            wait_until("the connection is closed", || endpoint.repeating() == 0).await;
+            verify_that!(endpoint.repeated_bytes(), le(SERVICE_REPLY_BYTES_MAX))
+        })?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn reply_of_a_service_says_what_ended_its_body() -> Result<()> {
+    let cases = [
+        (
+            "Content-Length: 5",
+            "whole",
+            ConnectionEnd::Silence,
+            BodyFraming::Length,
+        ),
+        (
+            "Transfer-Encoding: chunked",
+            "5\r\nwhole\r\n0\r\n\r\n",
+            ConnectionEnd::Silence,
+            BodyFraming::Chunks,
+        ),
+        (
+            "X-None: 1",
+            "whole",
+            ConnectionEnd::Close,
+            BodyFraming::Close,
+        ),
+    ];
+    for (header, body, end, framing) in cases {
+        run_local(async {
+            let reply = RawReply::new("200 OK", &[header], body, end);
+            let engine = EndpointEngine::new(&[], 0);
+            let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
+            let service = HttpService::new(endpoint.address, TIMEOUT_MS);
+            let reply = service.call(service_call()).await.or_fail()?;
+            verify_that!(&*reply.body, eq(b"whole"))?;
+            verify_that!(reply.framing, eq(framing))
+        })?;
+    }
+    Ok(())
+}
+
+fn service_call() -> ServiceCall {
+    ServiceCall {
+        application: "ledger".into(),
+        method: "POST".into(),
+        path: "/x".into(),
+        content_type: "".into(),
+        body_base64: "".into(),
+        idempotent: false,
+    }
+}
