Judge every answer that consists of events by them, on any route

An answer with the media type of events on another route looked whole although it ended within an event; the agent judged by the media type already. Change: consists_of_events decides from status and media type; is_event_stream says in addition that events are relayed as they arrive. Only streams that may be resumed are.

--- a/crates/chicorystage-core/src/deployment/route_kind.rs
+++ b/crates/chicorystage-core/src/deployment/route_kind.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// Returns whether a stream that breaks off may go on at another endpoint.
+    #[must_use]
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { is_resumable: true })
+    }
+
     /// Returns whether the answer is a stream of events.
     #[must_use]
     pub fn is_stream(self) -> bool {
--- a/crates/chicorystage-testbed/tests/gateway_random_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_random_answers.rs
@@ -47,6 +47,8 @@
     path: &'static str,
     status: u16,
     is_not_executed: bool,
+    /// Whether the answer states the media type of events.
+    has_events: bool,
     framing: Framing,
     /// Parts that an answer may end between: events, or the whole text.
     parts: Vec<String>,
@@ -77,8 +79,9 @@
                 Framing::Close,
             ],
         );
-        let is_stream = is_stream_path(path) && status == 200;
-        let parts = if is_stream {
+        // Plain services may answer with events too.
+        let has_events = status == 200 && (is_stream_path(path) || rng.random_bool(0.3));
+        let parts = if has_events {
             random_events(&mut rng)
         } else {
             vec![random_text(&mut rng)]
@@ -88,7 +91,7 @@
             Framing::Chunks => in_chunks(&mut rng, &body),
             Framing::Length | Framing::Close => body.clone(),
         };
-        let head = head(status, is_not_executed, framing, is_stream, body.len());
+        let head = head(status, is_not_executed, framing, has_events, body.len());
         let sent_bytes = head.len() + framed.len();
         let is_cut = rng.random_bool(0.7);
         // Cuts within the head are rarer than their share of the bytes.
@@ -107,6 +110,7 @@
             path,
             status,
             is_not_executed,
+            has_events,
             framing,
             parts,
             cut_bytes,
@@ -116,10 +120,6 @@
         }
     }
 
-    fn is_stream(&self) -> bool {
-        is_stream_path(self.path) && self.status == 200
-    }
-
     fn body(&self) -> String {
         self.parts.concat()
     }
@@ -154,7 +154,7 @@
         }
         // Nothing but the content tells such a cut from the end.
         let received = &self.framed[..body_bytes];
-        if !self.is_stream() {
+        if !self.has_events {
             return Some(received.to_owned());
         }
         let mut whole = String::new();
@@ -206,7 +206,7 @@
     status: u16,
     is_not_executed: bool,
     framing: Framing,
-    is_stream: bool,
+    has_events: bool,
     length: usize,
 ) -> String {
     let length = format!("Content-Length: {length}");
@@ -216,7 +216,7 @@
         Framing::Chunks => headers.push("Transfer-Encoding: chunked"),
         Framing::Close => {}
     }
-    if is_stream {
+    if has_events {
         headers.push("Content-Type: text/event-stream");
     }
     if is_not_executed {
--- a/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_unframed_answers.rs
@@ -157,6 +157,26 @@
     })
 }
 
+#[gtest]
+fn stream_is_not_resumed_with_an_answer_that_is_no_stream() -> Result<()> {
+    run_local(async {
+        let broken = events(&format!("{TWO_EVENTS}id: 3\nda"), ConnectionEnd::Close);
+        let other = RawReply::new(
+            "200 OK",
+            &["Content-Type: application/json"],
+            "{}",
+            ConnectionEnd::Close,
+        );
+        let world = World::start("llm", vec![broken, other]).await?;
+
+        let reply = world.send("/long/x").await?;
+
+        verify_that!(reply.is_complete, eq(false))?;
+        verify_that!(reply.text(), eq(TWO_EVENTS))?;
+        verify_that!(world.received(), eq(2))
+    })
+}
+
 #[gtest]
 fn long_unframed_failure_on_a_resumable_route_is_not_resumed() -> Result<()> {
     run_local(async {
@@ -223,6 +243,55 @@
     })
 }
 
+#[gtest]
+fn broken_events_on_an_idempotent_route_are_repeated() -> Result<()> {
+    run_local(async {
+        let broken = events("id: 1\ndata: e1\n\nid: 2\nda", ConnectionEnd::Close);
+        let whole = events(TWO_EVENTS, ConnectionEnd::Close);
+        let world = World::start("app", vec![broken, whole]).await?;
+
+        let reply = world.send("/app/x").await?;
+
+        verify_that!(reply.is_complete, eq(true))?;
+        verify_that!(reply.text(), eq(TWO_EVENTS))
+    })
+}
+
+#[gtest]
+fn broken_events_on_a_route_that_runs_once_are_neither_repeated_nor_complete() -> Result<()> {
+    let short = format!("{TWO_EVENTS}id: 3\nda");
+    // More than a gateway buffers, so that it is relayed.
+    let long = format!("{}id: 3\nda", TWO_EVENTS.repeat(3_000));
+    for body in [short, long] {
+        run_local(async {
+            let broken = events(&body, ConnectionEnd::Close);
+            let world = World::start("app", vec![broken.clone(), broken]).await?;
+
+            let reply = world.send("/pay/x").await?;
+
+            let looks_served = reply.is_complete && reply.status.is_success();
+            verify_that!(looks_served, eq(false))?;
+            verify_that!(world.received(), eq(1))
+        })?;
+    }
+    Ok(())
+}
+
+#[gtest]
+fn long_broken_events_on_an_idempotent_route_are_not_resumed() -> Result<()> {
+    run_local(async {
+        let body = format!("{}id: 3\nda", TWO_EVENTS.repeat(3_000));
+        let broken = events(&body, ConnectionEnd::Close);
+        let whole = events(TWO_EVENTS, ConnectionEnd::Close);
+        let world = World::start("app", vec![broken, whole]).await?;
+
+        let reply = world.send("/app/x").await?;
+
+        verify_that!(reply.is_complete, eq(false))?;
+        verify_that!(world.received(), eq(1))
+    })
+}
+
 #[gtest]
 fn unframed_answer_that_is_reset_is_repeated_on_an_idempotent_route() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
-use crate::gateway::event_stream::is_event_stream;
+use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::poison;
 use crate::gateway::relay::event_timing::EventTiming;
@@ -82,7 +82,7 @@
     runs: u32,
     in_progress: InProgress,
 ) -> FrameStream {
-    let events = is_event_stream(&work.route, &answered.parts).then(EventSplitter::default);
+    let events = consists_of_events(&work.route, &answered.parts).then(EventSplitter::default);
     let framing = BodyFraming::of(&answered.parts.headers);
     let relay = StreamRelay {
         gateway,
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -19,7 +19,7 @@
     pub(super) fn may_resume(&self) -> bool {
         let is_version_known = self.origin != StreamOrigin::Unknown;
         self.events.is_some()
-            && self.work.route.kind.is_repeatable()
+            && self.work.route.kind.is_resumable()
             && is_version_known
             && self.runs < self.work.route.endpoints_per_attempt_max
     }
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -13,17 +13,20 @@
 
 use bytes::Bytes;
 use chicorystage_api::name::EndpointId;
+use chicorystage_borders::http::BodyFraming;
 use chicorystage_core::admission::max_wait_ms;
 use chicorystage_core::deployment::{Configuration, RouteKind};
+use chicorystage_core::events::is_whole_stream;
 use chicorystage_core::fleet::{Choice, Requirements};
 use chicorystage_platform::endpoint_answer;
 use http::header::CONTENT_LENGTH;
+use http::response::Parts;
 use http::{Response, StatusCode};
 use hyper::body::Body;
 
 use crate::gateway::answer_body::{AnswerBody, buffered, relayed};
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
-use crate::gateway::event_stream::is_event_stream;
+use crate::gateway::event_stream::{consists_of_events, is_event_stream};
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::text_response;
@@ -194,9 +197,9 @@
         let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
         let read = read_short(&mut answered.body, BUFFERED_BYTES_MAX);
         let body = match tokio::time::timeout(limit, read).await {
-            Ok(Ok(ShortBody::Whole(body))) => body,
+            Ok(Ok(ShortBody::Whole(body))) if self.is_whole(&answered.parts, &body) => body,
             Ok(Ok(ShortBody::Beginning(read))) => return ReadAnswer::Stream(answered, read),
-            Ok(Err(_broken)) => {
+            Ok(Ok(ShortBody::Whole(_)) | Err(_)) => {
                 answered.reservation.outcome(false);
                 return ReadAnswer::Lost(LossReason::AnswerBroke);
             }
@@ -227,6 +230,12 @@
         ReadAnswer::Whole(response)
     }
 
+    /// Returns whether a body that was read to its end can be the whole answer.
+    fn is_whole(&self, answer: &Parts, body: &[u8]) -> bool {
+        let is_end_marked = BodyFraming::of(&answer.headers).is_end_marked();
+        !consists_of_events(&self.work.route, answer) || is_whole_stream(body, is_end_marked)
+    }
+
     /// Returns the response that relays an answer as it arrives.
     ///
     /// `read` is what has been read of the body already.
@@ -239,7 +248,7 @@
     ) -> Response<AnswerBody> {
         let status = answered.parts.status;
         let mut headers = endpoint_answer::forwarded_headers(&answered.parts.headers);
-        if is_event_stream(&self.work.route, &answered.parts) {
+        if consists_of_events(&self.work.route, &answered.parts) {
             // Another endpoint may go on with events of other lengths.
             headers.remove(CONTENT_LENGTH);
         }
