Log why a broken stream could not be resumed

The line answer_broken said resumed=true as soon as the budget granted it; whether an endpoint had room, refused or lost it, or answered something else was nowhere to be seen. No logic changes.

--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -10,6 +10,7 @@
 pub mod event_timing;
 pub mod relay_end;
 mod report;
+mod resume_failure;
 mod resumption;
 pub mod stream_origin;
 
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -8,6 +8,7 @@
 use crate::gateway::event_stream::is_event_stream;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::relay_end::RelayEnd;
+use crate::gateway::relay::resume_failure::ResumeFailure;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 
 /// Longest wait for another endpoint to resume a stream, in milliseconds.
@@ -65,8 +66,21 @@
             return false;
         }
         self.requirements.avoid.push(endpoint);
-        let Some(events) = &mut self.events else {
+        if let Err(failure) = self.send_rest().await {
+            log::warn!(
+                event = "resume_failed", request = self.work.head.attempt_id.as_str(),
+                reason:% = failure, service = self.requirements.service.as_str();
+                "stream could not be resumed"
+            );
             return false;
+        }
+        true
+    }
+
+    /// Sends the request for the events after the last complete one and takes over its answer.
+    async fn send_rest(&mut self) -> Result<(), ResumeFailure> {
+        let Some(events) = &mut self.events else {
+            return Err(ResumeFailure::NoStream);
         };
         events.restart();
         let last_id = events
@@ -74,29 +88,31 @@
             .map(str::to_owned)
             .or_else(|| self.work.head.last_event_id.clone());
         let rank = self.work.route.priority;
+        let now_ms = self.gateway.now_ms();
         let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
         let granted = self
             .gateway
             .reserve_or_wait(&self.requirements, rank, until_ms);
-        let Some(reservation) = granted.await else {
-            return false;
-        };
+        let reservation = granted.await.ok_or(ResumeFailure::NoEndpoint)?;
         let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
         let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
         let sent = tokio::time::timeout(limit, sent).await.ok();
         if sent.as_ref().is_none_or(Attempted::was_sent) {
             self.gateway.metrics.count_sent(&self.requirements.service);
         }
-        let Some(Attempted::Answered(answered)) = sent else {
-            return false;
+        let answered = match sent {
+            Some(Attempted::Answered(answered)) => answered,
+            Some(Attempted::NotRun { reason, .. }) => return Err(ResumeFailure::NotRun(reason)),
+            Some(Attempted::Lost(reason)) => return Err(ResumeFailure::Lost(reason)),
+            None => return Err(ResumeFailure::DeadlinePassed),
         };
         if !is_event_stream(&self.work.route, &answered.parts) {
-            return false;
+            return Err(ResumeFailure::NoStream);
         }
         self.framing = BodyFraming::of(&answered.parts.headers);
         self.endpoint = answered.reservation.endpoint.clone();
         self.answered = Some(answered);
         self.runs += 1;
-        true
+        Ok(())
     }
 }
