--- a/crates/chicorystaged/src/router/caller_api/answer.rs
+++ b/crates/chicorystaged/src/router/caller_api/answer.rs
@@ -76,7 +76,16 @@
             // If the caller stops reading, the request still ends soon after its deadline.
             let sent = timeout_at(deadline, sender.send(event)).await;
             if !matches!(sent, Ok(Ok(()))) {
-                // Without its last event the stream must not look complete.
+                let reason = if sent.is_err() {
+                    "caller does not read"
+                } else {
+                    "caller left"
+                };
+                log::info!(
+                    event = "stream_abandoned", request = request_id.as_str(), reason;
+                    "stream abandoned before its last event"
+                );
+                // Dropping the sender breaks the stream off.
                 break;
             }
             if last {
