--- a/crates/chicorystage-borders/src/http/server.rs
+++ b/crates/chicorystage-borders/src/http/server.rs
@@ -1,12 +1,13 @@
 use std::convert::Infallible;
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use http::header::CONNECTION;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::BoxFuture;
-use crate::http::ResponseBody;
+use crate::http::{ResettableStream, ResponseBody};
 
 /// Largest request head, in bytes.
 const HEADER_BYTES_MAX: usize = 32 << 10;
@@ -158,8 +159,12 @@
 ) {
     // Without this option small frames wait for acknowledgements. A failure only adds latency.
     let _set = stream.set_nodelay(true);
+    let (stream, reset) = ResettableStream::new(stream);
+    let is_http_1_0 = Arc::new(AtomicBool::new(false));
+    let ends_with_connection = Arc::clone(&is_http_1_0);
     let (handler, stopping) = (Arc::clone(handler), Arc::clone(stopping));
-    let answer = service_fn(move |request| {
+    let answer = service_fn(move |request: Request<Incoming>| {
+        is_http_1_0.store(request.version() == Version::HTTP_10, Ordering::Relaxed);
         let (handler, stopping) = (Arc::clone(&handler), Arc::clone(&stopping));
         async move {
             let mut response = handler.handle(request).await;
@@ -177,7 +182,11 @@
         .serve_connection(TokioIo::new(stream), answer);
     let watched = graceful.watch(connection);
     tokio::spawn(async move {
-        // A broken connection affects only its caller, who observes the failure too.
-        let _closed = watched.await;
+        let mut watched = pin!(watched);
+        let ended = watched.as_mut().await;
+        // Any other broken connection needs nothing here: its caller sees the break too.
+        if ended.is_err() && ends_with_connection.load(Ordering::Relaxed) {
+            reset.request();
+        }
     });
 }
--- a/crates/chicorystage-testbed/tests/streamed_bodies.rs
+++ b/crates/chicorystage-testbed/tests/streamed_bodies.rs
@@ -10,6 +10,8 @@
 use googletest::prelude::*;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Answers with a body whose sender is gone after its first bytes.
 #[derive(Debug)]
@@ -74,3 +76,34 @@
         verify_that!(reply.is_complete, eq(true))
     })
 }
+
+/// Sends a request in HTTP/1.0 and reads to the end of the connection; returns whether that was a
+/// proper close.
+async fn closes_properly_in_http_1_0(handler: Arc<dyn Handler>) -> Result<bool> {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = HttpServer::bind(free).await.or_fail()?;
+    let mut stream = TcpStream::connect(server.address()).await.or_fail()?;
+    let running = server.start(handler);
+    let request = "GET / HTTP/1.0\r\nHost: h.example\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.or_fail()?;
+    let mut read = Vec::new();
+    let ended = stream.read_to_end(&mut read).await;
+    drop(running);
+    Ok(ended.is_ok())
+}
+
+#[gtest]
+fn body_whose_sender_is_dropped_ends_with_a_reset_in_http_1_0() -> Result<()> {
+    run_local(async {
+        let is_proper = closes_properly_in_http_1_0(Arc::new(Abandoning)).await?;
+        verify_that!(is_proper, eq(false))
+    })
+}
+
+#[gtest]
+fn body_whose_sender_finishes_it_ends_with_a_proper_close_in_http_1_0() -> Result<()> {
+    run_local(async {
+        let is_proper = closes_properly_in_http_1_0(Arc::new(Finishing)).await?;
+        verify_that!(is_proper, eq(true))
+    })
+}
--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -8,13 +8,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicorystage_borders::http::ResettableStream;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::gateway::answer_body::Never;
@@ -71,6 +72,7 @@
 fn serve(gateway: &Rc<Gateway>, stream: TcpStream) {
     // With Nagle's algorithm small events wait for acknowledgements; a failure only costs latency.
     let _set = stream.set_nodelay(true);
+    let (stream, reset) = ResettableStream::new(stream);
     let idle_ms = gateway.configuration().map_or(IDLE_MS, |configuration| {
         configuration.limits.idle_timeout_ms
     });
@@ -108,18 +110,7 @@
         };
         // Any other broken connection needs nothing here: its caller sees the break too.
         if ended.is_err() && ends_with_connection.get() {
-            reset(connection.into_parts().io.into_inner());
+            reset.request();
         }
     });
 }
-
-/// Closes a connection with a reset.
-///
-/// In HTTP/1.0 a proper close ends an answer without a length, so that a broken answer must not end
-/// with one.
-fn reset(stream: TcpStream) {
-    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(event = "reset_failed", error:%; "a broken answer may look complete");
-    }
-    drop(stream);
-}
