--- a/crates/chicorystage-testbed/src/soak/mod.rs
+++ b/crates/chicorystage-testbed/src/soak/mod.rs
@@ -26,7 +26,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 pub use crate::soak::budget_audit::{BudgetAudit, BudgetBound, WindowUsage};
-use crate::soak::gateway_process::GatewayProcess;
+pub use crate::soak::gateway_process::GatewayProcess;
 use crate::soak::load::Load;
 use crate::soak::scenario::Scenario;
 use crate::soak::services::Services;
