--- a/crates/chicorystage-testbed/src/users_platform/raw_reply.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_reply.rs
@@ -52,7 +52,7 @@
 
     /// Returns a successful event stream with neither a length nor chunks.
     #[must_use]
-    pub fn unframed_events(body: &str, end: ConnectionEnd) -> Self {
+    pub fn close_delimited_events(body: &str, end: ConnectionEnd) -> Self {
         Self::new("200 OK", &["Content-Type: text/event-stream"], body, end)
     }
 }
--- a/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_endless_answers.rs
@@ -1,60 +1,26 @@
 //! Endpoints that send bytes without end: every caller gets an end, and every connection is closed.
 
-use std::rc::Rc;
+mod raw_world;
 
 use bytes::Bytes;
 use chicorystage_testbed::users_platform::{
-    CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, run_local,
-    send_request, wait_until,
+    CallerReply, ConnectionEnd, RawReply, run_local, wait_until,
 };
-use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
-use http::{Method, StatusCode};
+use http::StatusCode;
+use raw_world::{World, events};
 
-const MODEL: (&str, &str) = ("model", "m0");
 /// Deadline of the callers, in milliseconds.
-const DEADLINE: (&str, &str) = ("deadline-ms", "700");
+const DEADLINE_MS: u64 = 700;
 /// Largest number of bytes that a gateway may read of what cannot be an answer, with what the
 /// sockets' buffers hold.
 const JUNK_BYTES_MAX: u64 = 16 << 20;
 /// Pauses between the repeated bytes, in milliseconds: none, and short enough to never fall silent.
 const PAUSES_MS: [u64; 2] = [0, 5];
 
-struct World {
-    platform: PlatformFixture,
-    endpoint: RawEndpoint,
-    gateway: Rc<Gateway>,
-}
-
-impl World {
-    async fn start(service: &str, reply: RawReply) -> Result<Self> {
-        let platform = PlatformFixture::start().await.or_fail()?;
-        platform.declare(1);
-        let engine = EndpointEngine::new(&["m0"], 60);
-        let endpoint = RawEndpoint::start("e1", reply, engine).await.or_fail()?;
-        platform.register_raw(&endpoint, service);
-        let gateway = platform.start_ready_gateway("g1").await.or_fail()?;
-        Ok(Self {
-            platform,
-            endpoint,
-            gateway,
-        })
-    }
-
-    async fn send(&self, path: &str) -> Result<CallerReply> {
-        let headers = [MODEL, DEADLINE];
-        send_request(&self.gateway, Method::POST, path, &headers, "{}")
-            .await
-            .or_fail()
-    }
-
-    /// Waits until the gateway has closed every connection that sends without end.
-    async fn wait_until_closed(&self) {
-        wait_until("no endpoint sends any more", || {
-            self.endpoint.repeating() == 0
-        })
-        .await;
-    }
+/// Sends a request whose caller waits for [`DEADLINE_MS`].
+async fn send(world: &World, path: &str) -> Result<CallerReply> {
+    world.send_with_deadline(path, DEADLINE_MS).await
 }
 
 /// Repeats bytes in parts of at least 16 KiB where there is no pause.
@@ -82,10 +48,10 @@
 /// bytes the endpoint could send.
 fn reply_to_endless(service: &str, path: &str, reply: RawReply) -> Result<(CallerReply, u64)> {
     run_local(async {
-        let world = World::start(service, reply).await?;
-        let reply = world.send(path).await?;
+        let world = World::start(service, vec![reply]).await?;
+        let reply = send(&world, path).await?;
         world.wait_until_closed().await;
-        Ok((reply, world.endpoint.repeated_bytes()))
+        Ok((reply, world.endpoints[0].repeated_bytes()))
     })
 }
 
@@ -129,14 +95,12 @@
 fn interim_answers_without_end_or_pause_are_read_only_so_far() -> Result<()> {
     run_local(async {
         let interim = junk("", "HTTP/1.1 102 Processing\r\n\r\n", 0);
-        let world = World::start("llm", interim).await?;
+        let world = World::start("llm", vec![interim]).await?;
         // Long enough that any machine reads more than the bound, if nothing ends it before.
-        let headers = [MODEL, ("deadline-ms", "12000")];
-        let reply = send_request(&world.gateway, Method::POST, "/long/x", &headers, "{}");
-        let reply = reply.await.or_fail()?;
+        let reply = world.send_with_deadline("/long/x", 12_000).await?;
         world.wait_until_closed().await;
         verify_that!(reply.status.is_server_error(), eq(true))?;
-        verify_that!(world.endpoint.repeated_bytes(), le(JUNK_BYTES_MAX))
+        verify_that!(world.endpoints[0].repeated_bytes(), le(JUNK_BYTES_MAX))
     })
 }
 
@@ -145,8 +109,7 @@
     for path in ["/chat/x", "/long/x"] {
         for pause_ms in PAUSES_MS {
             let body = repeat("data: 0123456789abcdef\n", pause_ms);
-            let (reply, sent_bytes) =
-                reply_to_endless("llm", path, RawReply::unframed_events("", body))?;
+            let (reply, sent_bytes) = reply_to_endless("llm", path, events("", body))?;
             verify_that!(reply.is_complete, eq(false))?;
             verify_that!(reply.text(), eq(""))?;
             verify_that!(sent_bytes, le(JUNK_BYTES_MAX))?;
@@ -160,18 +123,9 @@
     for pause_ms in PAUSES_MS {
         run_local(async {
             let body = repeat("data: 0123456789abcdef\n", pause_ms);
-            let world = World::start("llm", RawReply::unframed_events("", body)).await?;
-            let whole = RawReply::unframed_events("data: a\n\n", ConnectionEnd::Close);
-            let engine = EndpointEngine::new(&["m0"], 60);
-            let other = RawEndpoint::start("e2", whole, engine).await.or_fail()?;
-            world.platform.register_raw(&other, "llm");
-            wait_until("both endpoints are known", || {
-                world.gateway.with(|view| view.fleet.endpoints().count()) == 2
-            })
-            .await;
-            let headers = [MODEL, ("deadline-ms", "15000")];
-            let reply = send_request(&world.gateway, Method::POST, "/long/x", &headers, "{}");
-            let reply = reply.await.or_fail()?;
+            let whole = events("data: a\n\n", ConnectionEnd::Close);
+            let world = World::start("llm", vec![events("", body), whole]).await?;
+            let reply = world.send_with_deadline("/long/x", 15_000).await?;
             verify_that!(reply.text(), eq("data: a\n\n"))?;
             verify_that!(reply.is_complete, eq(true))
         })?;
@@ -184,8 +138,7 @@
     for path in ["/chat/x", "/long/x"] {
         for pause_ms in PAUSES_MS {
             let body = repeat("data: 0123456789abcdef\n\n", pause_ms);
-            let (reply, _sent_bytes) =
-                reply_to_endless("llm", path, RawReply::unframed_events("", body))?;
+            let (reply, _sent_bytes) = reply_to_endless("llm", path, events("", body))?;
             verify_that!(reply.is_complete, eq(false))?;
             verify_that!(reply.text(), starts_with("data: "))?;
         }
@@ -243,20 +196,20 @@
 fn engine_whose_report_has_no_end_is_read_only_so_far() -> Result<()> {
     for pause_ms in PAUSES_MS {
         run_local(async {
-            let answer = RawReply::unframed_events("data: a\n\n", ConnectionEnd::Close);
-            let world = World::start("llm", answer).await?;
+            let answer = events("data: a\n\n", ConnectionEnd::Close);
+            let world = World::start("llm", vec![answer]).await?;
             let report = RawReply::new("200 OK", &[], "{", repeat("0123456789abcdef", pause_ms));
-            world.endpoint.set_report_reply(Some(report));
+            world.endpoints[0].set_report_reply(Some(report));
             wait_until("several reports were begun", || {
-                world.endpoint.repeats_begun() >= 5
+                world.endpoints[0].repeats_begun() >= 5
             })
             .await;
-            verify_that!(world.endpoint.repeating(), le(2))?;
-            world.endpoint.set_report_reply(None);
+            verify_that!(world.endpoints[0].repeating(), le(2))?;
+            world.endpoints[0].set_report_reply(None);
             world.wait_until_closed().await;
-            let read_bytes_max = world.endpoint.repeats_begun() * JUNK_BYTES_MAX;
-            verify_that!(world.endpoint.repeated_bytes(), le(read_bytes_max))?;
-            let reply = world.send("/chat/x").await?;
+            let read_bytes_max = world.endpoints[0].repeats_begun() * JUNK_BYTES_MAX;
+            verify_that!(world.endpoints[0].repeated_bytes(), le(read_bytes_max))?;
+            let reply = send(&world, "/chat/x").await?;
             verify_that!(reply.text(), eq("data: a\n\n"))?;
             verify_that!(reply.is_complete, eq(true))
         })?;
--- a/crates/chicorystage-testbed/tests/gateway_processes_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_processes_answers.rs
@@ -96,12 +96,13 @@
 
 fn broken() -> RawReply {
     let body = format!("{TWO_EVENTS}id: 3\nda");
-    RawReply::unframed_events(&body, ConnectionEnd::Close)
+    RawReply::close_delimited_events(&body, ConnectionEnd::Close)
 }
 
 // Incident ORDER on altiplano-miel, 2026-12-04.
 #[gtest]
-fn unframed_stream_that_closes_within_an_event_is_broken_off_by_every_process() -> Result<()> {
+fn close_delimited_stream_that_closes_within_an_event_is_broken_off_by_every_process() -> Result<()>
+{
     run_local(async {
         let world = World::start("broken", broken(), broken()).await?;
         for gateway in &world.gateways {
@@ -119,9 +120,9 @@
 }
 
 #[gtest]
-fn unframed_stream_that_closes_within_an_event_is_resumed_by_every_process() -> Result<()> {
+fn close_delimited_stream_that_closes_within_an_event_is_resumed_by_every_process() -> Result<()> {
     run_local(async {
-        let rest = RawReply::unframed_events(LAST_EVENT, ConnectionEnd::Close);
+        let rest = RawReply::close_delimited_events(LAST_EVENT, ConnectionEnd::Close);
         let world = World::start("resumed", broken(), rest).await?;
         // The first choice of a gateway is the first engine, which breaks off.
         for gateway in &world.gateways {
