--- a/crates/chicorystage-core/src/retry/shared_retry_budget.rs
+++ b/crates/chicorystage-core/src/retry/shared_retry_budget.rs
@@ -23,10 +23,9 @@
 /// to that ratio of its own first attempts plus an equal part of the
 /// allowance, so that the routers need not exchange messages.
 ///
-/// Retries may arrive later than they were taken, in a window that counts no more of the first
-/// attempts that allowed them than those of its predecessor. The retries in flight are therefore
-/// limited by the first attempts of the last half window: the bound holds if a retry arrives within
-/// the other half.
+/// A retry may arrive later than it was taken, in a window that no longer counts the first attempts
+/// that allowed it. The retries in flight are therefore also limited by the first attempts of the
+/// last half window. With that the bound holds if each retry arrives within half a window.
 #[derive(Clone, Debug)]
 pub struct SharedRetryBudget {
     settings: RetryBudgetSettings,
--- /dev/null
+++ b/crates/chicorystage-core/tests/shared_budget/main.rs
@@ -0,0 +1,6 @@
+//! Routers that share one retry budget together stay within its bound in every window.
+
+mod late;
+mod rules;
+mod schedules;
+mod world;
--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -9,13 +9,14 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::body::{Frame, Incoming};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::users_platform::local_http::{
     self, ConnectionFault, EmulatorBody, Frames, ResponseFuture, full_response,
 };
+use crate::users_platform::registry_entry::registry_entry;
 use crate::users_platform::{EndpointEngine, ReceivedRequest, Reply};
 
 /// An HTTP emulator of an endpoint, with or without a model engine.
@@ -146,11 +147,7 @@
         let models = engine
             .as_mut()
             .map(|engine| engine.report()["models"].clone());
-        json!({
-            "backend": service, "addr": self.address.to_string(), "zone": "z1", "version": "v1",
-            "slots": 8, "state": state, "cold_left_ms": 0, "stage": "colocated",
-            "models": models.unwrap_or_else(|| json!([])), "seq": 1, "born": started_ms,
-        })
+        registry_entry(self.address, service, state, started_ms, models)
     }
 }
 
--- a/crates/chicorystage-testbed/src/users_platform/mod.rs
+++ b/crates/chicorystage-testbed/src/users_platform/mod.rs
@@ -4,9 +4,9 @@
 //! demo and the load tool replace both by small servers that implement the
 //! platform's documented protocol: [`StoreEmulator`] emulates the store,
 //! including the endpoint registry, and [`EndpointEmulator`] an endpoint with or
-//! without a model engine; [`RawEndpoint`] sends bytes that no HTTP library would. [`PlatformFixture`] starts gateways in the same process
-//! and connects them to the store emulator. No fault occurs at random: each
-//! test sets the ones it needs.
+//! without a model engine; [`RawEndpoint`] sends bytes that no HTTP library would.
+//! [`PlatformFixture`] starts gateways in the same process and connects them to the
+//! store emulator. No fault occurs at random: each test sets the ones it needs.
 
 mod caller;
 mod endpoint_emulator;
@@ -17,6 +17,7 @@
 mod raw_endpoint;
 mod raw_reply;
 mod received_request;
+mod registry_entry;
 mod reply;
 mod store_emulator;
 mod store_mode;
--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 use crate::users_platform::EndpointEngine;
 use crate::users_platform::raw_reply::{ATTEMPT_PLACEHOLDER, ConnectionEnd, RawReply};
+use crate::users_platform::registry_entry::registry_entry;
 
 /// Bytes that end a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -121,11 +122,7 @@
     #[must_use]
     pub fn registry_entry(&self, service: &str) -> Value {
         let models = self.state.engine.borrow_mut().report()["models"].clone();
-        json!({
-            "backend": service, "addr": self.address.to_string(), "zone": "z1", "version": "v1",
-            "slots": 8, "state": "ready", "cold_left_ms": 0, "stage": "colocated",
-            "models": models, "seq": 1, "born": 1,
-        })
+        registry_entry(self.address, service, "ready", 1, Some(models))
     }
 }
 
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -1,12 +1,16 @@
 use chicorystage_api::name::ServiceName;
 use prometheus_client::encoding::text::encode;
-use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::metrics::RequestOutcome;
+use crate::metrics::gateway_labels::{
+    EventLabels, RequestLabels, RetryLabels, RouteLabels, ServiceLabels, StreamEndLabels,
+};
+
 /// Prefix of every metric's name.
 const PREFIX: &str = "chicorystage_gateway";
 /// Upper bound of the first bucket, in seconds.
@@ -19,77 +23,6 @@
 
 type HistogramFamily = Family<RouteLabels, Histogram, fn() -> Histogram>;
 
-/// Labels of metrics that are kept per route.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RouteLabels {
-    /// Name of the route.
-    pub route: String,
-}
-
-/// Labels of requests that are counted per route and outcome.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RequestLabels {
-    /// Name of the route.
-    pub route: String,
-    /// How the request ended.
-    pub outcome: RequestOutcome,
-}
-
-/// Labels of what is counted per service.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct ServiceLabels {
-    /// Name of the service.
-    pub service: String,
-}
-
-impl ServiceLabels {
-    fn of(service: &ServiceName) -> Self {
-        Self {
-            service: service.as_str().to_owned(),
-        }
-    }
-}
-
-/// Labels of retries that are counted per service and decision.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RetryLabels {
-    /// Name of the service.
-    pub service: String,
-    /// Whether the budget granted the retry: `true` or `false`.
-    pub is_granted: String,
-}
-
-/// How a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum RequestOutcome {
-    /// An endpoint answered the request.
-    Answered,
-    /// The request was refused and didn't run.
-    Refused,
-    /// The request may have run, and its answer is lost.
-    Lost,
-    /// The request timed out after it had been sent to an endpoint.
-    TimedOut,
-}
-
-/// Labels of events that are counted per kind and outcome.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct EventLabels {
-    /// Kind of the event, such as the kind of an order.
-    pub kind: String,
-    /// How the event ended.
-    pub outcome: String,
-}
-
-/// Labels of relayed answers that are counted by framing and end.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct StreamEndLabels {
-    /// What ends the body: `length`, `chunks` or `close`.
-    pub framing: String,
-    /// How the answer ended: `whole`, or what broke it.
-    pub end: String,
-}
-
 /// Counters and histograms of a gateway.
 #[derive(Debug)]
 pub struct GatewayMetrics {
--- a/crates/chicorystaged/src/metrics/mod.rs
+++ b/crates/chicorystaged/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 //! per route in a gateway.
 
 mod class_labels;
+mod gateway_labels;
 mod gateway_metrics;
 mod metrics_registry;
 mod model_labels;
@@ -14,7 +15,8 @@
 mod request_metrics;
 
 pub use class_labels::ClassLabels;
-pub use gateway_metrics::{GatewayMetrics, RequestOutcome};
+pub use gateway_labels::RequestOutcome;
+pub use gateway_metrics::GatewayMetrics;
 pub use metrics_registry::Metrics;
 pub use model_labels::ModelLabels;
 pub use refusal_labels::RefusalLabels;
