Move the reading of whole answers into a file of its own, and log how they were framed

request_answered says what ended the answer, as stream_ended does: a close-delimited answer that is no stream cannot be told from one that broke off, and on-call has to see that it was one.

--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -4,6 +4,7 @@
 //! its time is over. Short answers are buffered whole, so that a failure within one can still be
 //! retried; streams and long answers are relayed as they arrive.
 
+mod answer_reading;
 mod demand;
 mod failure;
 mod short_body;
@@ -16,17 +17,14 @@
 use chicorystage_borders::http::BodyFraming;
 use chicorystage_core::admission::max_wait_ms;
 use chicorystage_core::deployment::{Configuration, RouteKind};
-use chicorystage_core::events::is_whole_stream;
 use chicorystage_core::fleet::{Choice, Requirements};
 use chicorystage_platform::endpoint_answer;
 use http::header::CONTENT_LENGTH;
-use http::response::Parts;
 use http::{Response, StatusCode};
-use hyper::body::Body;
 
-use crate::gateway::answer_body::{AnswerBody, buffered, relayed};
+use crate::gateway::answer_body::{AnswerBody, relayed};
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
-use crate::gateway::event_stream::{consists_of_events, is_event_stream};
+use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::text_response;
@@ -34,13 +32,11 @@
 use crate::gateway::relay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_permit::RetryPermit;
+use crate::gateway::serving::answer_reading::ReadAnswer;
 use crate::gateway::serving::failure::AfterFailure;
-use crate::gateway::serving::short_body::{ShortBody, read_short};
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
 
-/// Largest answer that is buffered whole before it is sent to the caller, in bytes.
-const BUFFERED_BYTES_MAX: usize = 64 << 10;
 /// Fraction of the remaining time that a run may take while another run is still allowed.
 const RUN_TIME_FRACTION: f64 = 0.45;
 
@@ -110,7 +106,9 @@
             }
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
-                    ReadAnswer::Whole(response) => return self.record_answer(response, &endpoint),
+                    ReadAnswer::Whole(response, framing) => {
+                        return self.record_answer(response, framing, &endpoint);
+                    }
                     ReadAnswer::Stream(answered, read) => {
                         return self.relay_answer(answered, read, requirements, in_progress);
                     }
@@ -185,57 +183,6 @@
         });
     }
 
-    /// Reads a short answer whole; returns streams and long answers to be relayed.
-    ///
-    /// A server error counts as a lost answer while the request may run again.
-    async fn read_answer(&self, mut answered: Box<Answered>) -> ReadAnswer {
-        let is_stream = is_event_stream(&self.work.route, &answered.parts);
-        let length_min = answered.body.size_hint().lower();
-        if is_stream || length_min > BUFFERED_BYTES_MAX as u64 {
-            return ReadAnswer::Stream(answered, Bytes::new());
-        }
-        let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
-        let read = read_short(&mut answered.body, BUFFERED_BYTES_MAX);
-        let body = match tokio::time::timeout(limit, read).await {
-            Ok(Ok(ShortBody::Whole(body))) if self.is_whole(&answered.parts, &body) => body,
-            Ok(Ok(ShortBody::Beginning(read))) => return ReadAnswer::Stream(answered, read),
-            Ok(Ok(ShortBody::Whole(_)) | Err(_)) => {
-                answered.reservation.outcome(false);
-                return ReadAnswer::Lost(LossReason::AnswerBroke);
-            }
-            Err(_elapsed) => {
-                answered.reservation.outcome(false);
-                return ReadAnswer::Lost(LossReason::SlowAnswer);
-            }
-        };
-        let Answered {
-            parts,
-            head,
-            connection,
-            reservation,
-            ..
-        } = *answered;
-        attempt::recycle(&self.gateway, &head, connection, &reservation);
-        let is_failure = parts.status.is_server_error();
-        reservation.outcome(!is_failure);
-        let may_repeat = self.work.route.kind.is_repeatable()
-            && self.runs + 1 < self.work.route.endpoints_per_attempt_max;
-        if is_failure && may_repeat {
-            return ReadAnswer::Lost(LossReason::ServerError);
-        }
-        let mut response = Response::new(buffered(body));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = endpoint_answer::forwarded_headers(&parts.headers);
-        response.headers_mut().remove(CONTENT_LENGTH);
-        ReadAnswer::Whole(response)
-    }
-
-    /// Returns whether a body that was read to its end can be the whole answer.
-    fn is_whole(&self, answer: &Parts, body: &[u8]) -> bool {
-        let is_end_marked = BodyFraming::of(&answer.headers).is_end_marked();
-        !consists_of_events(&self.work.route, answer) || is_whole_stream(body, is_end_marked)
-    }
-
     /// Returns the response that relays an answer as it arrives.
     ///
     /// `read` is what has been read of the body already.
@@ -276,6 +223,7 @@
     fn record_answer(
         &self,
         response: Response<AnswerBody>,
+        framing: BodyFraming,
         endpoint: &EndpointId,
     ) -> Response<AnswerBody> {
         let route = &self.work.route.name;
@@ -288,20 +236,10 @@
         log::info!(
             event = "request_answered", request = self.work.head.attempt_id.as_str(),
             route = route.as_ref(), status = response.status().as_u16(),
-            endpoint = endpoint.as_str(), attempts = self.attempts, runs = self.runs,
-            time_ms = answer_ms;
+            endpoint = endpoint.as_str(), framing:%, attempts = self.attempts,
+            runs = self.runs, time_ms = answer_ms;
             "request answered"
         );
         response
     }
 }
-
-/// Result of reading an answer.
-enum ReadAnswer {
-    /// The whole answer, ready to be sent to the caller.
-    Whole(Response<AnswerBody>),
-    /// An answer that is relayed as it arrives, and what has been read of its body already.
-    Stream(Box<Answered>, Bytes),
-    /// The answer broke off, or is a server error of a request that may run again; with the reason.
-    Lost(LossReason),
-}
