Test two guards of resumed streams that nothing missed

With the check of a resumed answer's media type, or the update of its framing, taken out, no test was red: the one answer that was no stream ended within what looked like an event, and no resumed answer differed from the first in framing. Both are red now with their guard out.

--- a/crates/chicorystage-testbed/tests/gateway_answers/resumed_streams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_answers/resumed_streams.rs
@@ -37,7 +37,8 @@
         let other = RawReply::new(
             "200 OK",
             &["Content-Type: application/json"],
-            "{}",
+            // Ends as an event would.
+            "{}\n\n",
             ConnectionEnd::Close,
         );
         let world = World::start("llm", vec![broken, other]).await?;
@@ -50,6 +51,23 @@
     })
 }
 
+#[gtest]
+fn stream_with_a_length_that_goes_on_close_delimited_and_without_an_event_is_broken_off()
+-> Result<()> {
+    run_local(async {
+        let length = format!("Content-Length: {}", TWO_EVENTS.len() + LAST_EVENT.len());
+        let headers = ["Content-Type: text/event-stream", length.as_str()];
+        let broken = RawReply::new("200 OK", &headers, TWO_EVENTS, ConnectionEnd::Close);
+        let world = World::start("llm", vec![broken, events("", ConnectionEnd::Close)]).await?;
+
+        let reply = world.send("/long/x").await?;
+
+        verify_that!(reply.is_complete, eq(false))?;
+        verify_that!(reply.text(), eq(TWO_EVENTS))?;
+        verify_that!(world.received(), eq(2))
+    })
+}
+
 #[gtest]
 fn stream_with_a_length_that_is_resumed_is_framed_by_its_events_alone() -> Result<()> {
     run_local(async {
