Give no order to a young engine that ignores epochs right after a take-over

A holder keeps room for the late orders that it knows; a new holder knows none of its predecessors'. Where engines check epochs its first accepted order shuts them out; where they do not, nothing did.

Ruled out: room for one unknown model (two lost orders may follow each other); a message from the former holder (it is cut off just then).

Change: core::orders::FormerOrders. A holder with a predecessor gives no order to a process of an engine that ignores epochs until orders to the process before have expired: 15 s after the epoch began or 20 s after the engine started. Engines that have run for longer, engines that check epochs, and the first epoch of a deployment are not delayed.

Before: overcommits e2.

The tests of order schedules are now a folder; none was changed but for the epochs that trackers are told of.

Not covered: clocks of gateway and engine more than 5 s apart.

--- a/crates/chicorystage-core/src/lease/mod.rs
+++ b/crates/chicorystage-core/src/lease/mod.rs
@@ -24,5 +24,5 @@
 
 pub use lease_action::LeaseAction;
 pub use lease_row::LeaseRow;
-pub use order_lease::OrderLease;
+pub use order_lease::{FIRST_EPOCH, OrderLease};
 pub use store_reply::StoreReply;
--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -10,6 +10,8 @@
 /// Additional wait of a take-over after the duration of the lease, in milliseconds.
 const TAKE_OVER_MARGIN_MS: u64 = 300;
 
+/// Epoch of the first holder where the store states no era.
+pub const FIRST_EPOCH: u64 = 1;
 /// Number of epochs reserved for each era of the store; more than it gives out versions.
 const EPOCHS_PER_ERA: u64 = 1 << 32;
 
@@ -322,7 +324,7 @@
     /// version is replaced once in an era, so epochs above it have not been used.
     fn least_epoch(&self, expected_version: u64) -> u64 {
         if self.store_era == 0 {
-            return 1;
+            return FIRST_EPOCH;
         }
         self.store_era * EPOCHS_PER_ERA + expected_version + 1
     }
--- a/crates/chicorystage-core/src/orders/engine_record/mod.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/mod.rs
@@ -100,6 +100,13 @@
         self
     }
 
+    /// Sets the time before which the engine gets no order, in milliseconds.
+    #[must_use]
+    pub fn with_first_order_ms(mut self, first_order_ms: u64) -> Self {
+        self.wait_until_ms = first_order_ms;
+        self
+    }
+
     /// Returns the orders without an answer, which a later process of the engine may carry out.
     #[must_use]
     pub fn into_late_orders(mut self, now_ms: u64) -> LateOrders {
--- a/crates/chicorystage-core/src/orders/late_orders.rs
+++ b/crates/chicorystage-core/src/orders/late_orders.rs
@@ -2,7 +2,7 @@
 use crate::orders::{Order, OrderKind};
 
 /// Time after which an order without an answer is assumed not to be carried out, in milliseconds.
-const LATE_MAX_MS: u64 = 15_000;
+pub(super) const LATE_MAX_MS: u64 = 15_000;
 
 /// Orders to load something that were sent without an answer and may still be carried out.
 ///
--- a/crates/chicorystage-core/src/orders/mod.rs
+++ b/crates/chicorystage-core/src/orders/mod.rs
@@ -18,6 +18,9 @@
 //! effect once another order was accepted. Until its outcome is known, the
 //! engine receives no other order and the order's memory stays reserved.
 //!
+//! A new lease holder does not know which orders of its predecessors are still
+//! on their way. [`FormerOrders`] tells for how long that matters to an engine.
+//!
 //! # Value of a replica
 //!
 //! The value of a model's first replica is its request rate. It is multiplied
@@ -30,6 +33,7 @@
 mod demand_tracker;
 mod engine_record;
 mod engine_report;
+mod former_orders;
 mod late_orders;
 mod load_source;
 mod model_change;
@@ -49,6 +53,7 @@
 pub use demand_tracker::DemandTracker;
 pub use engine_record::EngineRecord;
 pub use engine_report::EngineReport;
+pub use former_orders::FormerOrders;
 pub use late_orders::LateOrders;
 pub use load_source::LoadSource;
 pub use model_change::ModelChange;
--- a/crates/chicorystage-core/src/orders/order_tracker/mod.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -9,8 +9,8 @@
 use crate::orders::placement::{PlacementContext, PlacementStep, load_ms};
 use crate::orders::plan_table::PlanTable;
 use crate::orders::{
-    DemandTracker, EngineRecord, EngineReport, LateOrders, LoadSource, Order, OrderKind,
-    OrderReply, OrderTrackerSettings, StoreLoadLimiter,
+    DemandTracker, EngineRecord, EngineReport, FormerOrders, LateOrders, LoadSource, Order,
+    OrderKind, OrderReply, OrderTrackerSettings, StoreLoadLimiter,
 };
 
 /// Time after which an order without a conclusive reply is sent again, in milliseconds.
@@ -30,6 +30,8 @@
     engines: BTreeMap<EndpointId, EngineRecord>,
     /// Orders without an answer to engines that have no record now.
     late_orders: BTreeMap<EndpointId, LateOrders>,
+    /// Orders of former holders; `None` where there was none.
+    former_orders: Option<FormerOrders>,
     store_limiter: StoreLoadLimiter,
 }
 
@@ -41,6 +43,7 @@
             settings,
             engines: BTreeMap::new(),
             late_orders: BTreeMap::new(),
+            former_orders: None,
             store_limiter: StoreLoadLimiter::default(),
         }
     }
@@ -59,8 +62,9 @@
                 continue;
             }
             let late_orders = self.late_orders.remove(id).unwrap_or_default();
-            let record = EngineRecord::new(id.clone(), entry.service.clone(), entry.born_unix_ms);
-            let record = record.with_late_orders(late_orders);
+            let record = EngineRecord::new(id.clone(), entry.service.clone(), entry.born_unix_ms)
+                .with_late_orders(late_orders)
+                .with_first_order_ms(self.first_order_ms(entry.born_unix_ms));
             self.engines.insert(id.clone(), record);
         }
     }
@@ -87,10 +91,24 @@
         });
     }
 
+    /// Returns the time before which this process of an engine gets no order, in milliseconds.
+    ///
+    /// An engine that checks epochs refuses the orders of former holders after the first order of
+    /// this one, which in turn is refused if one of theirs was carried out before it.
+    fn first_order_ms(&self, born_unix_ms: Option<u64>) -> u64 {
+        if self.settings.endpoints_check_epoch {
+            return 0;
+        }
+        self.former_orders
+            .map_or(0, |orders| orders.carried_out_until_ms(born_unix_ms))
+    }
+
     /// Forgets what is known of all engines but their orders without an answer.
     ///
     /// A router that acquires the lease again knows engines as they were when it lost the lease.
-    pub fn begin_epoch(&mut self, now_ms: u64) {
+    /// `former_orders` is `None` if no router has held the lease before.
+    pub fn begin_epoch(&mut self, now_ms: u64, former_orders: Option<FormerOrders>) {
+        self.former_orders = former_orders;
         for (id, record) in std::mem::take(&mut self.engines) {
             let late_orders = record.into_late_orders(now_ms);
             self.late_orders.entry(id).or_default().extend(late_orders);
--- a/crates/chicorystage-core/tests/order_schedules.rs
+++ b/crates/chicorystage-core/tests/order_schedules/main.rs
@@ -4,6 +4,7 @@
 //! simulated engine fails the test as soon as an order would exceed its memory or its adapters.
 //! Further tests cover the rate of loads from the weight store and the number of replicas.
 
+mod former_orders;
 mod order_world;
 
 use std::collections::{BTreeSet, HashMap};
@@ -42,6 +43,13 @@
         hand_over_often(&mut World::new(seed));
     }
 
+    #[test]
+    fn hand_overs_never_overcommit_an_engine_that_ignores_epochs(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.ignore_epochs();
+        hand_over_often(&mut world);
+    }
+
     #[test]
     fn loads_from_the_store_stay_under_the_ceiling(seed in any::<u64>()) {
         // Loads so short that busy engines alone would not limit the rate.
@@ -72,9 +80,7 @@
 fn late_order_of_a_former_holder_never_overcommits_an_engine_that_ignores_epochs() {
     const SEED: u64 = 731_041_281_631_250_300;
     let mut world = World::new(SEED);
-    for engine in world.engines.values_mut() {
-        engine.ignores_epochs = true;
-    }
+    world.ignore_epochs();
     hand_over_often(&mut world);
 }
 
--- a/crates/chicorystage-core/tests/order_world/mod.rs
+++ b/crates/chicorystage-core/tests/order_schedules/order_world/mod.rs
@@ -9,7 +9,8 @@
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{EndpointEntry, EndpointState, FleetView};
 use chicorystage_core::orders::{
-    AdapterRef, DemandTracker, EngineReport, Order, OrderReply, OrderTracker, OrderTrackerSettings,
+    AdapterRef, DemandTracker, EngineReport, FormerOrders, Order, OrderReply, OrderTracker,
+    OrderTrackerSettings,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -32,10 +33,11 @@
 pub const SCARCE_LOADS_PER_S: f64 = 0.8;
 pub const CEILING_FACTOR: f64 = 1.1;
 
-pub fn new_tracker() -> OrderTracker {
+pub fn new_tracker(endpoints_check_epoch: bool) -> OrderTracker {
     OrderTracker::new(OrderTrackerSettings {
         ceiling_window_ms: WINDOW_MS,
         ceiling_factor: CEILING_FACTOR,
+        endpoints_check_epoch,
     })
 }
 
@@ -76,8 +78,8 @@
             engines: HashMap::new(),
             fleet: FleetView::default(),
             demand: DemandTracker::default(),
-            tracker: new_tracker(),
-            former_tracker: new_tracker(),
+            tracker: new_tracker(true),
+            former_tracker: new_tracker(true),
             replies: Vec::new(),
             reports: Vec::new(),
             delayed_orders: Vec::new(),
@@ -104,6 +106,15 @@
         world
     }
 
+    /// Makes all engines carry out orders of any epoch, which the holders know.
+    pub fn ignore_epochs(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.ignores_epochs = true;
+        }
+        self.tracker = new_tracker(false);
+        self.former_tracker = new_tracker(false);
+    }
+
     pub fn register(&mut self, id: &EndpointId) {
         self.fleet.registered(EndpointEntry {
             id: id.clone(),
@@ -225,7 +236,8 @@
     pub fn hand_over(&mut self) {
         self.epoch += 1;
         std::mem::swap(&mut self.tracker, &mut self.former_tracker);
-        self.tracker.begin_epoch(self.now_ms);
+        let former_orders = FormerOrders::before(self.now_ms, self.now_ms);
+        self.tracker.begin_epoch(self.now_ms, Some(former_orders));
         self.demand = DemandTracker::default();
         self.replies.clear();
         self.reports.clear();
--- a/crates/chicorystaged/src/gateway/engine_orders.rs
+++ b/crates/chicorystaged/src/gateway/engine_orders.rs
@@ -12,7 +12,8 @@
 
 use chicorystage_api::name::EndpointId;
 use chicorystage_borders::http::HttpClient;
-use chicorystage_core::orders::{Order, OrderReply};
+use chicorystage_core::lease::FIRST_EPOCH;
+use chicorystage_core::orders::{FormerOrders, Order, OrderReply};
 use chicorystage_platform::engine;
 
 use crate::gateway::lease_writes::tick_lease;
@@ -20,6 +21,7 @@
 use crate::gateway::peers;
 use crate::gateway::placement_publisher::PlacementPublisher;
 use crate::gateway::shared::Gateway;
+use crate::timer::unix_ms;
 
 /// Interval between two planning passes without a notification, in milliseconds.
 const PLAN_PERIOD_MS: u64 = 100;
@@ -55,8 +57,7 @@
         tick_lease(gateway);
         if let Some(epoch) = gateway.order_epoch() {
             if known_epoch.replace(epoch) != Some(epoch) {
-                let now_ms = gateway.now_ms();
-                gateway.engine_tracker.borrow_mut().begin_epoch(now_ms);
+                begin_epoch(gateway, epoch);
             }
             plan(gateway, &clients, epoch);
             publish_placement(gateway, epoch, &mut published).await;
@@ -66,6 +67,14 @@
     }
 }
 
+/// Prepares the view of the engines for the orders of a new epoch.
+fn begin_epoch(gateway: &Gateway, epoch: u64) {
+    let now_ms = gateway.now_ms();
+    let former_orders = (epoch > FIRST_EPOCH).then(|| FormerOrders::before(now_ms, unix_ms()));
+    let mut tracker = gateway.engine_tracker.borrow_mut();
+    tracker.begin_epoch(now_ms, former_orders);
+}
+
 /// Starts the calls that are due: reads of engines' reports, and orders under `epoch`.
 fn plan(gateway: &Rc<Gateway>, clients: &Rc<Clients>, epoch: u64) {
     let Some(configuration) = gateway.configuration() else {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -103,6 +103,7 @@
         let engine_tracker = OrderTracker::new(OrderTrackerSettings {
             ceiling_window_ms: settings.ceiling_window_ms,
             ceiling_factor: settings.ceiling_factor,
+            endpoints_check_epoch: settings.endpoints_check_epoch,
         });
         Self {
             incarnation,
