Name the stage that made an answer late, in log and metrics

Change: core::latency adds up the waits of a request by reason and names the longest stage of an answer that misses its route's objectives. request_answered and stream_ended state it as `late`, the counter late_answers by route and cause.

--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`freshness`]: bounded staleness of the rules in force.
 //! * [`inventory`]: the inventory in force and the checks on changes.
 //! * [`keep_alive`]: how long idle replicas stay loaded, and when to load them again.
+//! * [`latency`]: why an answer was late.
 //! * [`lease`]: the lease on sending orders (load and unload commands) to engines.
 //! * [`ledger`]: reservations of accelerator memory.
 //! * [`limits`]: rate and concurrency limits of callers.
@@ -55,6 +56,7 @@
 pub mod freshness;
 pub mod inventory;
 pub mod keep_alive;
+pub mod latency;
 pub mod lease;
 pub mod ledger;
 pub mod limits;
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -215,6 +215,6 @@
         route: Arc::clone(route),
         arrived_ms: now_ms,
         ends_ms: now_ms + 3_000,
-        wait_ms: Cell::new(0),
+        waits: Cell::default(),
     })
 }
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use chicorystage_borders::http::InterimLimit;
 use chicorystage_core::deployment::Route;
+use chicorystage_core::latency::{WaitReason, WaitTimes};
 use chicorystage_platform::caller_request::CallerRequest;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
 use chicorystage_platform::endpoint_request::{self, EndpointTerms};
@@ -58,8 +59,8 @@
     pub arrived_ms: u64,
     /// Latest time of the final answer on the gateway's clock, in milliseconds.
     pub ends_ms: u64,
-    /// Total time spent waiting for endpoints so far, in milliseconds.
-    pub wait_ms: Cell<u64>,
+    /// Time spent waiting for endpoints so far.
+    pub waits: Cell<WaitTimes>,
 }
 
 /// Result of an attempt.
@@ -118,6 +119,13 @@
         self.ends_ms.saturating_sub(now_ms)
     }
 
+    /// Records a wait for an endpoint.
+    pub fn record_wait(&self, reason: WaitReason, time_ms: u64) {
+        let mut waits = self.waits.get();
+        waits.add(reason, time_ms);
+        self.waits.set(waits);
+    }
+
     /// Returns the request as it is sent to one endpoint.
     fn request(&self, terms: &EndpointTerms<'_>) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 pub mod follow;
 pub mod granting;
 pub mod in_progress;
+pub mod lateness;
 pub mod lease_writes;
 pub mod loss_reason;
 pub mod own_responses;
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -1,5 +1,8 @@
 //! Reports the end of a relayed answer in log, metrics and records.
 
+use chicorystage_core::latency::AnswerTimes;
+
+use crate::gateway::lateness::late_cause;
 use crate::gateway::poison;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::relay_end::RelayEnd;
@@ -25,6 +28,12 @@
         self.is_logged = true;
         let (framing, end_text) = (self.framing.to_string(), end.to_string());
         self.gateway.metrics.count_stream_end(&framing, &end_text);
+        let times = AnswerTimes {
+            waits: self.work.waits.get(),
+            first_ms: self.event_timing.first_ms.unwrap_or_default(),
+            pause_max_ms: self.event_timing.pause_max_ms,
+        };
+        let late = late_cause(&self.gateway, &self.work.route, &times);
         log::info!(
             event = "stream_ended", request = self.work.head.attempt_id.as_str(), end:%,
             route = self.work.route.name.as_ref(), endpoint = self.endpoint.as_str(),
@@ -34,7 +43,7 @@
             runs = self.runs, first_ms = self.event_timing.first_ms.unwrap_or_default(),
             pause_max_ms = self.event_timing.pause_max_ms,
             pause_max_at_ms = self.event_timing.pause_max_at_ms,
-            wait_ms = self.work.wait_ms.get(),
+            wait_ms = times.waits.total_ms(), late,
             time_ms = self.gateway.now_ms() - self.work.arrived_ms;
             "stream ended"
         );
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -65,7 +65,7 @@
         route,
         arrived_ms,
         ends_ms,
-        wait_ms: Cell::new(0),
+        waits: Cell::default(),
     };
     Serving::new(gateway, work)
         .run(&configuration, in_progress)
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -18,6 +18,7 @@
 use chicorystage_core::admission::max_wait_ms;
 use chicorystage_core::deployment::{Configuration, RouteKind};
 use chicorystage_core::fleet::{Choice, Requirements};
+use chicorystage_core::latency::{AnswerTimes, WaitReason};
 use chicorystage_platform::endpoint_answer;
 use http::header::CONTENT_LENGTH;
 use http::{Response, StatusCode};
@@ -26,6 +27,7 @@
 use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
 use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
+use crate::gateway::lateness::late_cause;
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
@@ -138,18 +140,29 @@
     ///
     /// Returns why no endpoint can be reserved, once that time is over or the gateway closes.
     async fn wait_for_endpoint(&self, requirements: &Requirements) -> Result<Reservation, Choice> {
+        let route = &self.work.route;
+        let missing = match self.gateway.reserve(requirements) {
+            Ok(reservation) => {
+                self.gateway.metrics.wait_ms(&route.name, 0);
+                return Ok(reservation);
+            }
+            Err(missing) => missing,
+        };
         let now_ms = self.gateway.now_ms();
         let allowed_ms = self.work.ends_ms - self.work.arrived_ms;
-        let until_ms = self.work.arrived_ms + max_wait_ms(&self.work.route, allowed_ms);
-        let rank = self.work.route.priority;
-        let granted = self.gateway.reserve_or_wait(requirements, rank, until_ms);
+        let until_ms = self.work.arrived_ms + max_wait_ms(route, allowed_ms);
+        let granted =
+            self.gateway
+                .wait_for_endpoint(requirements, &missing, route.priority, until_ms);
         let granted = tokio::select! {
             granted = granted => granted,
             () = self.gateway.closing() => None,
         };
         let wait_ms = self.gateway.now_ms() - now_ms;
-        self.work.wait_ms.set(self.work.wait_ms.get() + wait_ms);
-        self.gateway.metrics.wait_ms(&self.work.route.name, wait_ms);
+        if let Some(reason) = WaitReason::of(&missing) {
+            self.work.record_wait(reason, wait_ms);
+        }
+        self.gateway.metrics.wait_ms(&route.name, wait_ms);
         if let Some(reservation) = granted {
             return Ok(reservation);
         }
@@ -232,12 +245,18 @@
             .metrics
             .count_request(route, RequestOutcome::Answered);
         self.gateway.metrics.answer_ms(route, answer_ms);
+        let times = AnswerTimes {
+            waits: self.work.waits.get(),
+            first_ms: answer_ms,
+            pause_max_ms: 0,
+        };
+        let late = late_cause(&self.gateway, &self.work.route, &times);
         poison::record_answer(&self.gateway, &self.work);
         log::info!(
             event = "request_answered", request = self.work.head.attempt_id.as_str(),
             route = route.as_ref(), status = response.status().as_u16(),
             endpoint = endpoint.as_str(), framing:%, attempts = self.attempts,
-            runs = self.runs, time_ms = answer_ms;
+            runs = self.runs, wait_ms = times.waits.total_ms(), late, time_ms = answer_ms;
             "request answered"
         );
         response
--- a/crates/chicorystaged/src/gateway/wait_queue.rs
+++ b/crates/chicorystaged/src/gateway/wait_queue.rs
@@ -53,16 +53,32 @@
         rank: u8,
         until_ms: u64,
     ) -> Option<Reservation> {
-        let missing = match self.reserve(requirements) {
-            Ok(reservation) => return Some(reservation),
-            Err(missing) => missing,
-        };
-        let ready_ms = self.ready_ms(requirements, &missing);
+        match self.reserve(requirements) {
+            Ok(reservation) => Some(reservation),
+            Err(missing) => {
+                self.wait_for_endpoint(requirements, &missing, rank, until_ms)
+                    .await
+            }
+        }
+    }
+
+    /// Waits for an endpoint until `until_ms` and reserves it; `missing` is why none can be reserved
+    /// now.
+    ///
+    /// Returns `None` when that time is over, or early once no endpoint is expected before it.
+    pub async fn wait_for_endpoint(
+        self: &Rc<Self>,
+        requirements: &Requirements,
+        missing: &Choice,
+        rank: u8,
+        until_ms: u64,
+    ) -> Option<Reservation> {
+        let ready_ms = self.ready_ms(requirements, missing);
         if is_too_late(ready_ms, until_ms) {
             return None;
         }
         let granted = self.enqueue(requirements.clone(), rank, until_ms);
-        if missing != Choice::Reading {
+        if *missing != Choice::Reading {
             self.demand_changed.notify_one();
         }
         let limit = Duration::from_millis(until_ms.saturating_sub(self.now_ms()));
--- a/crates/chicorystaged/src/metrics/gateway_labels.rs
+++ b/crates/chicorystaged/src/metrics/gateway_labels.rs
@@ -17,6 +17,15 @@
     pub outcome: RequestOutcome,
 }
 
+/// Labels of late answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LateAnswerLabels {
+    /// Name of the route.
+    pub route: String,
+    /// Stage that took the most time.
+    pub cause: String,
+}
+
 /// Labels of what is counted per service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ServiceLabels {
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -8,7 +8,8 @@
 
 use crate::metrics::RequestOutcome;
 use crate::metrics::gateway_labels::{
-    EventLabels, RequestLabels, RetryLabels, RouteLabels, ServiceLabels, StreamEndLabels,
+    EventLabels, LateAnswerLabels, RequestLabels, RetryLabels, RouteLabels, ServiceLabels,
+    StreamEndLabels,
 };
 
 /// Prefix of every metric's name.
@@ -31,6 +32,7 @@
     wait: HistogramFamily,
     first_byte: HistogramFamily,
     answer: HistogramFamily,
+    late_answers: Family<LateAnswerLabels, Counter>,
     stream_ends: Family<StreamEndLabels, Counter>,
     attempts: Family<EventLabels, Counter>,
     first_attempts: Family<ServiceLabels, Counter>,
@@ -60,6 +62,7 @@
             wait: Family::new_with_constructor(histogram),
             first_byte: Family::new_with_constructor(histogram),
             answer: Family::new_with_constructor(histogram),
+            late_answers: Family::default(),
             stream_ends: Family::default(),
             attempts: Family::default(),
             first_attempts: Family::default(),
@@ -100,6 +103,15 @@
         observe(&self.answer, route, time_ms);
     }
 
+    /// Counts an answer that missed the route's latency objectives.
+    pub fn count_late_answer(&self, route: &str, cause: &str) {
+        let labels = LateAnswerLabels {
+            route: route.to_owned(),
+            cause: cause.to_owned(),
+        };
+        self.late_answers.get_or_create(&labels).inc();
+    }
+
     /// Counts a relayed answer that ended, whole or not.
     pub fn count_stream_end(&self, framing: &str, end: &str) {
         let labels = StreamEndLabels {
@@ -183,6 +195,11 @@
         for (name, help, family) in families {
             registry.register_with_unit(name, help, Unit::Seconds, family.clone());
         }
+        registry.register(
+            "late_answers",
+            "Answers that missed the latency objectives, by route and cause",
+            self.late_answers.clone(),
+        );
         registry.register(
             "stream_ends",
             "Relayed answers by framing and end",
