Report load every 360 ms at 68 gateways, and count a report for three periods

Reports of waiting requests counted for 1,000 ms, so that they lapsed before the next; the holder counted as silent after 700 ms, less than the interval between two of its messages, so that the registry was polled as if it were lost. At 300 gateways the interval was 4,560 ms where a report counted for 1,500.

Change: fleet::load_exchange keeps interval, validity and the holder's silence together: 120 ms up to 28 gateways, 360 ms at 68, 300 reports a second at most; three intervals of validity at any size.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -8,9 +8,6 @@
     Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements,
 };
 
-/// Time after which another router's report of requests in progress expires, in milliseconds.
-const PEER_LOAD_VALID_MS: u64 = 1_500;
-
 /// All endpoints and the load on them, as known to this process.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
@@ -104,9 +101,9 @@
         self.peer_load(from, load);
     }
 
-    /// Removes the reports of routers that have not reported for 1.5 seconds.
+    /// Removes the reports of other routers that no longer count.
     pub fn forget_silent_peers(&mut self, now_ms: u64) {
-        let is_silent = |load: &PeerLoad| now_ms >= load.received_ms + PEER_LOAD_VALID_MS;
+        let is_silent = |load: &PeerLoad| now_ms >= load.valid_until_ms;
         let silent = self.peers.iter().filter(|(_, load)| is_silent(load));
         let silent: Vec<VmId> = silent.map(|(peer, _)| peer.clone()).collect();
         for peer in silent {
--- a/crates/chicorystage-core/src/orders/demand_tracker.rs
+++ b/crates/chicorystage-core/src/orders/demand_tracker.rs
@@ -2,28 +2,18 @@
 
 use chicorystage_api::name::{ModelName, VmId};
 
-use crate::orders::{AdapterRef, ModelDemand};
-
-/// Age from which a router's report of its wait queue is ignored, in milliseconds.
-const WAIT_QUEUE_MAX_AGE_MS: u64 = 1_000;
+use crate::orders::{AdapterRef, ModelDemand, WaitQueueReport};
 
 /// Tracks the demand for models and adapters over all routers.
 #[derive(Clone, Debug, Default)]
 pub struct DemandTracker {
     models: HashMap<ModelName, ModelDemand>,
     adapters_requested_ms: HashMap<AdapterRef, u64>,
-    wait_queues: HashMap<VmId, WaitQueue>,
+    wait_queues: HashMap<VmId, WaitQueueReport>,
     /// Time since which requests have waited for a model continuously, in milliseconds.
     waiting_since_ms: HashMap<ModelName, u64>,
 }
 
-#[derive(Clone, Debug, Default)]
-struct WaitQueue {
-    received_ms: u64,
-    models: HashMap<ModelName, u32>,
-    adapters: HashMap<AdapterRef, u32>,
-}
-
 impl DemandTracker {
     /// Records `count` requests for a model with a latency objective in milliseconds.
     pub fn record_requests(
@@ -43,22 +33,11 @@
     }
 
     /// Replaces a router's counts of requests that wait for a model or an adapter.
-    pub fn update_waiting(
-        &mut self,
-        now_ms: u64,
-        router: VmId,
-        models: HashMap<ModelName, u32>,
-        adapters: HashMap<AdapterRef, u32>,
-    ) {
-        let waiting = WaitQueue {
-            received_ms: now_ms,
-            models,
-            adapters,
-        };
-        for model in waiting.models.keys() {
+    pub fn update_waiting(&mut self, now_ms: u64, router: VmId, report: WaitQueueReport) {
+        for model in report.models.keys() {
             self.waiting_since_ms.entry(model.clone()).or_insert(now_ms);
         }
-        self.wait_queues.insert(router, waiting);
+        self.wait_queues.insert(router, report);
         let mut since_ms = std::mem::take(&mut self.waiting_since_ms);
         since_ms.retain(|model, _| self.waiting_for(now_ms, model) > 0);
         self.waiting_since_ms = since_ms;
@@ -109,9 +88,9 @@
             .unwrap_or(0)
     }
 
-    fn recent(&self, now_ms: u64) -> impl Iterator<Item = &WaitQueue> {
+    fn recent(&self, now_ms: u64) -> impl Iterator<Item = &WaitQueueReport> {
         self.wait_queues
             .values()
-            .filter(move |waiting| now_ms < waiting.received_ms + WAIT_QUEUE_MAX_AGE_MS)
+            .filter(move |waiting| now_ms < waiting.valid_until_ms)
     }
 }
--- a/crates/chicorystage-core/src/orders/mod.rs
+++ b/crates/chicorystage-core/src/orders/mod.rs
@@ -48,6 +48,7 @@
 mod placement;
 mod plan_table;
 mod store_load_limiter;
+mod wait_queue_report;
 
 pub use adapter_ref::AdapterRef;
 pub use demand_tracker::DemandTracker;
@@ -65,3 +66,4 @@
 pub use order_tracker_settings::OrderTrackerSettings;
 pub use outstanding_order::OutstandingOrder;
 pub use store_load_limiter::StoreLoadLimiter;
+pub use wait_queue_report::WaitQueueReport;
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -65,7 +65,7 @@
     let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "there", &["m"])]);
     let in_progress = HashMap::from([((EndpointId::from("a"), None), 2)]);
     let load = PeerLoad {
-        received_ms: 0,
+        valid_until_ms: 1_500,
         in_progress,
     };
     fleet.peer_load(VmId::from("other"), load);
@@ -80,7 +80,7 @@
     let mut fleet = fleet(&[entry("a", "here", &["m"])]);
     let id = EndpointId::from("a");
     let load = |count| PeerLoad {
-        received_ms: 0,
+        valid_until_ms: 1_500,
         in_progress: HashMap::from([((id.clone(), None), count)]),
     };
     fleet.peer_load(VmId::from("x"), load(2));
--- a/crates/chicorystage-core/tests/order_schedules/former_orders.rs
+++ b/crates/chicorystage-core/tests/order_schedules/former_orders.rs
@@ -13,7 +13,7 @@
 };
 use googletest::prelude::*;
 
-use crate::order_world::{LOADS_PER_S, STORE_LOAD_MS, configuration, model};
+use crate::order_world::{LOADS_PER_S, STORE_LOAD_MS, configuration, model, waiting_for_models};
 
 /// Time for which an order without an answer may be carried out, in milliseconds.
 const LATE_MS: u64 = 15_000;
@@ -75,7 +75,8 @@
     let requested = model(0);
     demand.record_requests(now_ms, &requested, 1, 300);
     let waiting = HashMap::from([(requested, 1)]);
-    demand.update_waiting(now_ms, VmId::from("gateway"), waiting, HashMap::new());
+    let report = waiting_for_models(now_ms, waiting);
+    demand.update_waiting(now_ms, VmId::from("gateway"), report);
     tracker.sync_engines(now_ms, fleet, configuration);
     tracker.apply_report(now_ms, &EndpointId::from("e"), &EngineReport::default());
     let orders = tracker.plan(now_ms, fleet, &demand, configuration);
--- a/crates/chicorystage-core/tests/order_schedules/main.rs
+++ b/crates/chicorystage-core/tests/order_schedules/main.rs
@@ -14,11 +14,14 @@
 use googletest::prelude::*;
 use order_world::{
     CEILING_FACTOR, DISK_LOAD_MS, LOADS_PER_S, MODELS, SCARCE_LOADS_PER_S, STEP_MS, STORE_LOAD_MS,
-    WINDOW_MS, World, configuration_with_adapterless, model,
+    WINDOW_MS, World, configuration_with_adapterless, model, waiting_for_models,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+/// Time for which a report of requests in progress counts, in milliseconds.
+const LOAD_VALID_MS: u64 = 1_500;
+
 fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(11),
@@ -113,12 +116,13 @@
         .any(|engine| engine.loaded.contains_key(&requested))
     {
         let waiting = HashMap::from([(requested.clone(), 1)]);
+        let report = waiting_for_models(world.now_ms, waiting);
         world
             .demand
             .record_requests(world.now_ms, &requested, 1, 3_000);
         world
             .demand
-            .update_waiting(world.now_ms, VmId::from("other"), waiting, HashMap::new());
+            .update_waiting(world.now_ms, VmId::from("other"), report);
         world.step();
         waited_ms += STEP_MS;
         assert_that!(
@@ -168,7 +172,7 @@
         .into_iter()
         .map(|id| ((id, Some(model.clone())), share));
     let load = PeerLoad {
-        received_ms: world.now_ms,
+        valid_until_ms: world.now_ms + LOAD_VALID_MS,
         in_progress: in_progress.collect(),
     };
     world.fleet.peer_load(VmId::from("gateway"), load);
@@ -243,9 +247,8 @@
             world.demand.record_requests(world.now_ms, model, 1, 300);
         }
         let router = VmId::from("other");
-        world
-            .demand
-            .update_waiting(world.now_ms, router, waiting, HashMap::new());
+        let report = waiting_for_models(world.now_ms, waiting);
+        world.demand.update_waiting(world.now_ms, router, report);
         world.step();
     }
     assert_that!(store_loads(&world), eq(1));
--- a/crates/chicorystage-core/tests/order_schedules/order_world/mod.rs
+++ b/crates/chicorystage-core/tests/order_schedules/order_world/mod.rs
@@ -5,12 +5,12 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use chicorystage_api::name::{AdapterName, EndpointId, ServiceName, VmId, ZoneName};
+use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName, VmId, ZoneName};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{EndpointEntry, EndpointState, FleetView};
 use chicorystage_core::orders::{
     AdapterRef, DemandTracker, EngineReport, FormerOrders, Order, OrderReply, OrderTracker,
-    OrderTrackerSettings,
+    OrderTrackerSettings, WaitQueueReport,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -31,8 +31,19 @@
 pub const WINDOW_MS: u64 = 5_000;
 pub const LOADS_PER_S: f64 = 3.9;
 pub const SCARCE_LOADS_PER_S: f64 = 0.8;
+/// Time for which a report of waiting requests counts, in milliseconds.
+pub const WAITING_VALID_MS: u64 = 1_000;
 pub const CEILING_FACTOR: f64 = 1.1;
 
+/// Returns a report of requests that wait for models and no adapter.
+pub fn waiting_for_models(now_ms: u64, models: HashMap<ModelName, u32>) -> WaitQueueReport {
+    WaitQueueReport {
+        valid_until_ms: now_ms + WAITING_VALID_MS,
+        models,
+        adapters: HashMap::new(),
+    }
+}
+
 pub fn new_tracker(endpoints_check_epoch: bool) -> OrderTracker {
     OrderTracker::new(OrderTrackerSettings {
         ceiling_window_ms: WINDOW_MS,
@@ -214,8 +225,13 @@
         } else {
             waiting.insert(model, 1);
         }
+        let report = WaitQueueReport {
+            valid_until_ms: now_ms + WAITING_VALID_MS,
+            models: waiting,
+            adapters,
+        };
         self.demand
-            .update_waiting(now_ms, VmId::from("gateway"), waiting, adapters);
+            .update_waiting(now_ms, VmId::from("gateway"), report);
     }
 
     /// Starts a request for the adapter at an engine that has loaded it, if there is one.
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -41,8 +41,6 @@
 const OWN_PAUSE_MAX_MS: u64 = 2_000;
 /// Interval between checks, during that pause, whether the lease holder is silent, in milliseconds.
 const OWN_CHECK_INTERVAL_MS: u64 = 200;
-/// Silence of the lease holder after which its lease is read from the store, in milliseconds.
-const HOLDER_SILENCE_MS: u64 = 700;
 
 /// Starts one task for each table of the store.
 pub fn start(gateway: &Rc<Gateway>) {
@@ -106,8 +104,7 @@
     match table {
         TableName::Operator => {}
         TableName::Endpoints => {
-            let has_holder_updates =
-                gateway.order_epoch().is_none() && gateway.has_recent_holder(HOLDER_SILENCE_MS);
+            let has_holder_updates = gateway.order_epoch().is_none() && gateway.has_recent_holder();
             let (gateways, has_absent) =
                 gateway.with(|view| (view.gateways(), view.absences.has_absent()));
             let pause_ms = endpoints_pause_ms(gateways, has_holder_updates && !has_absent);
@@ -116,7 +113,7 @@
         TableName::Own => {
             for _ in 0..OWN_PAUSE_MAX_MS / OWN_CHECK_INTERVAL_MS {
                 tokio::time::sleep(Duration::from_millis(OWN_CHECK_INTERVAL_MS)).await;
-                if !gateway.has_recent_holder(HOLDER_SILENCE_MS) {
+                if !gateway.has_recent_holder() {
                     return;
                 }
             }
--- a/crates/chicorystaged/src/gateway/peers/load_update.rs
+++ b/crates/chicorystaged/src/gateway/peers/load_update.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 
 use chicorystage_api::name::{AdapterName, ModelName};
-use chicorystage_core::fleet::Choice;
-use chicorystage_core::orders::AdapterRef;
+use chicorystage_core::fleet::{Choice, waiting_valid_ms};
+use chicorystage_core::orders::{AdapterRef, WaitQueueReport};
 
 use crate::gateway::peer_message::LoadUpdate;
 use crate::gateway::shared::Gateway;
@@ -64,9 +64,16 @@
 pub(super) fn record_own_waiting(gateway: &Rc<Gateway>, update: &LoadUpdate) {
     let now_ms = gateway.now_ms();
     let vm = gateway.settings.vm.clone();
-    let waiting = update.waiting.iter().cloned().collect();
+    let models = update.waiting.iter().cloned().collect();
     let adapters = adapter_counts(update.waiting_adapters.clone());
-    gateway.with(|view| view.demand.update_waiting(now_ms, vm, waiting, adapters));
+    gateway.with(|view| {
+        let report = WaitQueueReport {
+            valid_until_ms: now_ms + waiting_valid_ms(view.gateways()),
+            models,
+            adapters,
+        };
+        view.demand.update_waiting(now_ms, vm, report);
+    });
 }
 
 /// Returns the counts by adapter.
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use chicorystage_api::name::VmId;
-use chicorystage_core::fleet::{LoadedModel, LoadingModel, PeerLoad};
-use chicorystage_core::orders::AdapterRef;
+use chicorystage_core::fleet::{
+    LoadedModel, LoadingModel, PeerLoad, load_valid_ms, waiting_valid_ms,
+};
+use chicorystage_core::orders::{AdapterRef, WaitQueueReport};
 use tokio::net::UdpSocket;
 
 use crate::gateway::peer_message::{
@@ -81,7 +83,7 @@
                 (others > 0).then_some(((endpoint, None), others))
             });
         let load = PeerLoad {
-            received_ms: now_ms,
+            valid_until_ms: now_ms + load_valid_ms(view.gateways()),
             in_progress: others.collect(),
         };
         view.fleet.replace_peer_loads(from, load);
@@ -97,7 +99,7 @@
             .into_iter()
             .map(|(endpoint, model, count)| ((endpoint, model), count));
         let load = PeerLoad {
-            received_ms: now_ms,
+            valid_until_ms: now_ms + load_valid_ms(view.gateways()),
             in_progress: in_progress.collect(),
         };
         view.fleet.peer_load(from.clone(), load);
@@ -109,9 +111,12 @@
             view.demand
                 .record_adapter_request(now_ms, &AdapterRef { model, adapter });
         }
-        let waiting = update.waiting.into_iter().collect();
-        let adapters = adapter_counts(update.waiting_adapters);
-        view.demand.update_waiting(now_ms, from, waiting, adapters);
+        let report = WaitQueueReport {
+            valid_until_ms: now_ms + waiting_valid_ms(view.gateways()),
+            models: update.waiting.into_iter().collect(),
+            adapters: adapter_counts(update.waiting_adapters),
+        };
+        view.demand.update_waiting(now_ms, from, report);
     });
     if has_waiting {
         gateway.plan_changed.notify_one();
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -6,14 +6,12 @@
 use std::time::Duration;
 
 use chicorystage_api::name::EndpointId;
+use chicorystage_core::fleet::load_period_ms;
 
 use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
 use crate::gateway::peers::load_update::{collect_load_update, record_own_waiting};
 use crate::gateway::shared::Gateway;
-use crate::gateway::view::shared_period_ms;
 
-/// Interval between two load updates where there are few gateways, in milliseconds.
-const LOAD_PERIOD_MS: u64 = 120;
 /// Shortest interval between two load updates, in milliseconds.
 const LOAD_INTERVAL_MIN_MS: u64 = 5;
 
@@ -36,7 +34,7 @@
 
 /// Returns the interval between two load updates, in milliseconds.
 fn period_ms(gateway: &Gateway) -> u64 {
-    shared_period_ms(LOAD_PERIOD_MS, gateway.with(|view| view.gateways()))
+    load_period_ms(gateway.with(|view| view.gateways()))
 }
 
 /// Sends a load update to the lease holder, or to all gateways while its address is not known.
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 
 use chicorystage_api::name::{EndpointId, ServiceName};
 use chicorystage_core::deployment::Configuration;
-use chicorystage_core::fleet::Endpoint;
+use chicorystage_core::fleet::{Endpoint, holder_silence_ms};
 use chicorystage_core::lease::OrderLease;
 use chicorystage_core::orders::{OrderTracker, OrderTrackerSettings};
 use chicorystage_core::retry::{
@@ -238,11 +238,12 @@
         !self.is_stopping.get() && view.configuration.is_some() && view.has_endpoints
     }
 
-    /// Returns whether the lease holder is this gateway or has sent a message within `silence_ms`.
+    /// Returns whether the lease holder is this gateway or has sent a message lately.
     #[must_use]
-    pub fn has_recent_holder(&self, silence_ms: u64) -> bool {
+    pub fn has_recent_holder(&self) -> bool {
         let now_ms = self.now_ms();
         let view = self.view.borrow();
+        let silence_ms = holder_silence_ms(view.gateways());
         let Some(holder) = &view.lease_holder else {
             return false;
         };
