Spread requests over endpoints by what others have sent since their reports

Weighed: power of two choices (spreads without regard to how old reports are, and is worse where they are fresh), a reservation at the holder (a message before each request), fixed subsets of engines (a model has too few). Chosen: the basic load interpretation (Dahlin, "Interpreting Stale Load Information", 2000): the requests that others have sent since their reports are estimated, and an engine is chosen in proportion to how far it lies below the level that they would even out to.

--- a/crates/chicorystage-core/src/fleet/candidate.rs
+++ b/crates/chicorystage-core/src/fleet/candidate.rs
@@ -40,7 +40,7 @@
     occupancy: u32,
     failed_before: bool,
 ) -> f64 {
-    let mut cost = FULL_BATCH_COST * f64::from(occupancy) / f64::from(endpoint.entry.slots.max(1));
+    let mut cost = request_cost(endpoint) * f64::from(occupancy);
     cost += DEFER_COST_PER_MS * endpoint.pace.defer_ms(now_ms);
     cost += FAILURE_COST * endpoint.failure_rate(now_ms);
     if endpoint.entry.zone != *zone {
@@ -55,6 +55,11 @@
     cost
 }
 
+/// Returns the cost that one request in progress adds to an endpoint.
+pub(super) fn request_cost(endpoint: &Endpoint) -> f64 {
+    FULL_BATCH_COST / f64::from(endpoint.entry.slots.max(1))
+}
+
 /// Returns the reason that is closer to success.
 pub(super) fn better_reason(known: Choice, new: Choice) -> Choice {
     let rank = |choice: &Choice| match choice {
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -3,9 +3,10 @@
 
 use chicorystage_api::name::{EndpointId, ModelName, ServiceName, SoftwareVersion, VmId, ZoneName};
 
-use crate::fleet::candidate::{better_reason, cost, missing_requirement};
+use crate::fleet::candidate::{better_reason, cost, missing_requirement, request_cost};
+use crate::fleet::stale_load::Candidate;
 use crate::fleet::{
-    Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements,
+    Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements, StaleLoad,
 };
 
 /// All endpoints and the load on them, as known to this process.
@@ -180,8 +181,45 @@
     /// linear in the number of endpoints.
     #[must_use]
     pub fn choose(&self, now_ms: u64, zone: &ZoneName, requirements: &Requirements) -> Choice {
+        let candidates = match self.candidates(now_ms, zone, requirements) {
+            Ok(candidates) => candidates,
+            Err(reason) => return reason,
+        };
+        let best = candidates.iter().min_by(|a, b| a.cost.total_cmp(&b.cost));
+        best.map_or(Choice::NoEndpoint, |best| Choice::Endpoint(best.id.clone()))
+    }
+
+    /// Selects an endpoint as [`Self::choose`] does, but spreads requests over several where the
+    /// load of the other routers is known with a delay.
+    #[must_use]
+    pub fn choose_spread(
+        &self,
+        now_ms: u64,
+        zone: &ZoneName,
+        requirements: &Requirements,
+        stale_load: StaleLoad,
+    ) -> Choice {
+        let mut candidates = match self.candidates(now_ms, zone, requirements) {
+            Ok(candidates) => candidates,
+            Err(reason) => return reason,
+        };
+        let chosen = stale_load.choose(&mut candidates);
+        chosen.map_or(Choice::NoEndpoint, |id| Choice::Endpoint(id.clone()))
+    }
+
+    /// Returns the endpoints that meet the requirements and have capacity, at least one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason that is closest to success if there is none.
+    fn candidates(
+        &self,
+        now_ms: u64,
+        zone: &ZoneName,
+        requirements: &Requirements,
+    ) -> Result<Vec<Candidate<'_>>, Choice> {
         let mut reason = Choice::NoEndpoint;
-        let mut best: Option<(f64, &EndpointId)> = None;
+        let mut candidates = Vec::new();
         for (id, endpoint) in &self.endpoints {
             if endpoint.entry.service != requirements.service || !endpoint.is_usable(now_ms) {
                 continue;
@@ -203,18 +241,18 @@
                 reason = better_reason(reason, Choice::Reading);
                 continue;
             }
-            let cost = cost(
-                now_ms,
-                zone,
-                endpoint,
-                occupancy,
-                requirements.avoid.contains(id),
-            );
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
-            }
+            let has_failed = requirements.avoid.contains(id);
+            candidates.push(Candidate {
+                id,
+                cost: cost(now_ms, zone, endpoint, occupancy, has_failed),
+                request_cost: request_cost(endpoint),
+                others: self.totals.get(id).copied().unwrap_or(0),
+            });
+        }
+        if candidates.is_empty() {
+            return Err(reason);
         }
-        best.map_or(reason, |(_, id)| Choice::Endpoint(id.clone()))
+        Ok(candidates)
     }
 
     fn forget_peer(&mut self, peer: &VmId) {
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 mod prompt;
 mod prompt_pace;
 mod requirements;
+mod stale_load;
 
 pub use choice::Choice;
 pub use endpoint::Endpoint;
@@ -44,3 +45,4 @@
 pub use prompt::Prompt;
 pub use prompt_pace::PromptPace;
 pub use requirements::Requirements;
+pub use stale_load::StaleLoad;
--- /dev/null
+++ b/crates/chicorystage-core/src/fleet/stale_load.rs
@@ -0,0 +1,90 @@
+//! Spreads requests over endpoints whose load is known with a delay.
+//!
+//! Every router that sends to the endpoint with the least reported load sends to the same one
+//! until the next report. The requests that other routers have sent since the last report are
+//! therefore estimated, and endpoints are chosen at random such that these requests and the
+//! present one together would even out the load: an endpoint is chosen in proportion to how far it
+//! lies below the common level that results. Fresh reports make this the least loaded endpoint, old
+//! ones a choice among many. The method is the basic load interpretation of M. Dahlin,
+//! "Interpreting Stale Load Information", 2000.
+
+use chicorystage_api::name::EndpointId;
+
+/// Time in which about as many requests arrive as are in progress, in milliseconds.
+const TURNOVER_MS: f64 = 1_000.0;
+
+/// How old the reports of other routers are, and a random number for the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct StaleLoad {
+    /// Mean age of what is known of the other routers' requests, in milliseconds.
+    pub age_ms: u64,
+    /// A random number from 0 up to 1.
+    pub random: f64,
+}
+
+/// An endpoint that could take the request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    pub id: &'a EndpointId,
+    /// Cost of the endpoint; the least is best.
+    pub cost: f64,
+    /// Cost that one more request in progress adds.
+    pub request_cost: f64,
+    /// Known requests in progress of the other routers.
+    pub others: u32,
+}
+
+impl StaleLoad {
+    /// Chooses one of the candidates; `None` if there is none.
+    ///
+    /// Takes time in proportion to n log n for n candidates.
+    pub(super) fn choose<'a>(&self, candidates: &mut [Candidate<'a>]) -> Option<&'a EndpointId> {
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let level = self.level(candidates)?;
+        let below = |candidate: &Candidate<'_>| (level - candidate.cost).max(0.0);
+        let mut left = self.random * candidates.iter().map(below).sum::<f64>();
+        for candidate in candidates.iter() {
+            left -= below(candidate);
+            if left < 0.0 {
+                return Some(candidate.id);
+            }
+        }
+        candidates.first().map(|candidate| candidate.id)
+    }
+
+    /// Returns the cost up to which the expected requests raise the cheapest candidates, which are
+    /// in order of their cost.
+    fn level(&self, candidates: &[Candidate<'_>]) -> Option<f64> {
+        let mean_cost = mean(candidates.iter().map(|candidate| candidate.request_cost))?;
+        let added_cost = self.expected_requests(candidates) * mean_cost;
+        let mut sum = added_cost;
+        let mut level = f64::INFINITY;
+        for (i, candidate) in candidates.iter().enumerate() {
+            if candidate.cost >= level {
+                break;
+            }
+            sum += candidate.cost;
+            level = sum / as_f64(i + 1);
+        }
+        Some(level)
+    }
+
+    /// Returns the number of requests to place: those that other routers have sent since their
+    /// reports, and the present one.
+    fn expected_requests(&self, candidates: &[Candidate<'_>]) -> f64 {
+        let others: u32 = candidates.iter().map(|candidate| candidate.others).sum();
+        #[expect(clippy::cast_precision_loss, reason = "ages are below a minute")]
+        let age_ms = self.age_ms as f64;
+        1.0 + f64::from(others) * (age_ms / TURNOVER_MS).min(1.0)
+    }
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / as_f64(count))
+}
+
+#[expect(clippy::cast_precision_loss, reason = "there are few endpoints")]
+fn as_f64(count: usize) -> f64 {
+    count as f64
+}
--- a/crates/chicorystaged/src/gateway/wait_queue.rs
+++ b/crates/chicorystaged/src/gateway/wait_queue.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_core::fleet::{Choice, Requirements};
+use chicorystage_core::fleet::{Choice, Requirements, StaleLoad, load_period_ms};
 use tokio::sync::oneshot;
 
 use crate::gateway::reservation::Reservation;
@@ -23,7 +23,14 @@
     pub fn reserve(self: &Rc<Self>, requirements: &Requirements) -> Result<Reservation, Choice> {
         let now_ms = self.now_ms();
         let chosen = self.with(|view| {
-            let choice = view.fleet.choose(now_ms, &self.settings.zone, requirements);
+            let stale_load = StaleLoad {
+                age_ms: load_period_ms(view.gateways()),
+                random: rand::random(),
+            };
+            let zone = &self.settings.zone;
+            let choice = view
+                .fleet
+                .choose_spread(now_ms, zone, requirements, stale_load);
             let Choice::Endpoint(id) = choice else {
                 return Err(choice);
             };
