Value a replica by how crowded the engines of its model are

The value of a further replica looked only at the model's own requests, with a bound (12) that does not know an engine's slots: three models with ten each looked comfortable on one engine of 16.

Change: the load of a model's engines includes the requests for their other models, and counts as late what finds no slot (from three quarters of the slots on, without an upper bound). Test: models_that_crowd_one_engine_together_get_replicas, red without the other models' requests.

--- a/crates/chicorystage-core/src/orders/model_value.rs
+++ b/crates/chicorystage-core/src/orders/model_value.rs
@@ -3,7 +3,7 @@
 //! Values are in requests a second, weighted by urgency, so that models compete for memory on
 //! one scale.
 
-use crate::deployment::ModelSpec;
+use crate::deployment::{EngineSpec, ModelSpec};
 use crate::orders::DemandTracker;
 
 /// Latency objective below which callers time out during a load from disk, in milliseconds.
@@ -18,15 +18,16 @@
 const UNREQUESTED_ADAPTERS_VALUE: f64 = 0.06;
 /// Additional value of a first replica that requests wait for, above every other value.
 const WAITING_VALUE: f64 = 10.0;
-/// Requests in progress at one replica up to which the time between tokens stays short.
+/// Requests in progress at one engine up to which the time between tokens stays short.
 const COMFORTABLE_LOAD: f64 = 12.0;
-/// Requests in progress beyond [`COMFORTABLE_LOAD`] at which a replica is overloaded.
+/// Requests in progress beyond [`COMFORTABLE_LOAD`] at which an engine is overloaded.
 const OVERLOAD_MARGIN: f64 = 16.0;
-/// Share of late answers at an overloaded replica.
-///
-/// The share grows linearly with the load and has no upper bound, so that a further replica
-/// has a value at any load.
+/// Share of late answers at an overloaded engine.
 const OVERLOAD_LATE_SHARE: f64 = 0.15;
+/// Mean share of an engine's slots in use from which requests at times find none free.
+const CROWDED_SLOT_SHARE: f64 = 0.75;
+/// Mean share of an engine's slots in use at which no request finds one free in time.
+const FULL_SLOT_SHARE: f64 = 1.25;
 /// Rate above which an urgent model gets a spare second replica, in requests a second.
 const SPARE_RATE_PER_S: f64 = 2.0;
 /// Value of the spare second replica of an urgent model, per request a second.
@@ -46,12 +47,22 @@
     pub is_requested: bool,
     pub is_urgent: bool,
     pub waiting: u32,
+    /// Requests for the model in progress.
     pub in_progress: u32,
+    /// Requests for other models in progress at the engines that hold the model, all together.
+    pub others_in_progress: u32,
     pub has_adapters: bool,
+    /// Slots of one engine.
+    pub slots: u32,
 }
 
 impl ModelState {
-    pub(super) fn new(now_ms: u64, model: &ModelSpec, demand: &DemandTracker) -> Self {
+    pub(super) fn new(
+        now_ms: u64,
+        spec: &EngineSpec,
+        model: &ModelSpec,
+        demand: &DemandTracker,
+    ) -> Self {
         let model_demand = demand.model(&model.name);
         Self {
             replicas: 0,
@@ -61,7 +72,9 @@
                 && model_demand.objective_ms < URGENT_OBJECTIVE_MS,
             waiting: demand.waiting_for(now_ms, &model.name),
             in_progress: 0,
+            others_in_progress: 0,
             has_adapters: model.adapters > 0,
+            slots: spec.slots,
         }
     }
 
@@ -100,11 +113,18 @@
         if self.is_urgent { URGENT_FACTOR } else { 1.0 }
     }
 
+    /// Returns the share of late answers if the model had this number of replicas, at least one.
+    ///
+    /// Its own requests spread over all replicas. The other models of an engine keep theirs there.
+    fn late_share(&self, replicas: u32) -> f64 {
+        let own = f64::from(self.in_progress + self.waiting) / f64::from(replicas);
+        let others = f64::from(self.others_in_progress) / f64::from(self.replicas.max(1));
+        late_share(own + others, self.slots)
+    }
+
     /// Returns the value of a replica in addition to `others`, which is at least one.
     fn additional_value(&self, others: u32) -> f64 {
-        let load = f64::from(self.in_progress + self.waiting);
-        let late_share_saved =
-            late_share(load / f64::from(others)) - late_share(load / f64::from(others + 1));
+        let late_share_saved = self.late_share(others) - self.late_share(others + 1);
         if late_share_saved > 0.0 {
             return self.rate_per_s * self.weight() * late_share_saved;
         }
@@ -122,7 +142,13 @@
     }
 }
 
-/// Returns the share of late answers at a replica with `load` requests in progress.
-fn late_share(load: f64) -> f64 {
-    OVERLOAD_LATE_SHARE * ((load - COMFORTABLE_LOAD) / OVERLOAD_MARGIN).max(0.0)
+/// Returns the share of late answers at an engine with `load` requests in progress.
+///
+/// The share may exceed 1: of requests far beyond the slots, each one that a further replica takes
+/// over counts as much as the others.
+fn late_share(load: f64, slots: u32) -> f64 {
+    let slow_steps = OVERLOAD_LATE_SHARE * ((load - COMFORTABLE_LOAD) / OVERLOAD_MARGIN).max(0.0);
+    let slots_used = load / f64::from(slots.max(1));
+    let no_slot = (slots_used - CROWDED_SLOT_SHARE) / (FULL_SLOT_SHARE - CROWDED_SLOT_SHARE);
+    slow_steps + no_slot.max(0.0)
 }
--- a/crates/chicorystage-core/src/orders/plan_table.rs
+++ b/crates/chicorystage-core/src/orders/plan_table.rs
@@ -14,6 +14,8 @@
     pub states: HashMap<ModelName, ModelState>,
     /// Requests in progress by engine and model.
     pub in_progress: HashMap<(EndpointId, ModelName), u32>,
+    /// Requests in progress by engine.
+    occupancy: HashMap<EndpointId, u32>,
 }
 
 impl PlanTable {
@@ -25,9 +27,18 @@
     ) -> Self {
         let models = spec.models.values();
         let mut states: HashMap<ModelName, ModelState> = models
-            .map(|model| (model.name.clone(), ModelState::new(now_ms, model, demand)))
+            .map(|model| {
+                (
+                    model.name.clone(),
+                    ModelState::new(now_ms, spec, model, demand),
+                )
+            })
             .collect();
         let in_progress = fleet.model_occupancy();
+        let mut occupancy: HashMap<EndpointId, u32> = HashMap::new();
+        for ((endpoint, _), count) in &in_progress {
+            *occupancy.entry(endpoint.clone()).or_default() += count;
+        }
         for ((_, model), count) in &in_progress {
             if let Some(state) = states.get_mut(model) {
                 state.in_progress += count;
@@ -36,22 +47,30 @@
         Self {
             states,
             in_progress,
+            occupancy,
         }
     }
 
-    /// Counts the replicas of each model, including those that are loading or planned.
+    /// Counts the replicas of each model, including those that are loading or planned, and the
+    /// requests for other models at their engines.
     pub(super) fn count_replicas(&mut self, engines: &[&EngineRecord]) {
         for state in self.states.values_mut() {
             state.replicas = 0;
+            state.others_in_progress = 0;
         }
         for engine in engines {
+            let occupancy = self.occupancy.get(&engine.id).copied().unwrap_or(0);
             let expected = engine
                 .expected_model()
                 .filter(|model| !engine.loaded.contains_key(*model));
             for model in engine.loaded.keys().chain(expected) {
-                if let Some(state) = self.states.get_mut(model) {
-                    state.replicas += 1;
-                }
+                let Some(state) = self.states.get_mut(model) else {
+                    continue;
+                };
+                state.replicas += 1;
+                let key = (engine.id.clone(), model.clone());
+                let own = self.in_progress.get(&key).copied().unwrap_or(0);
+                state.others_in_progress += occupancy.saturating_sub(own);
             }
         }
     }
--- a/crates/chicorystage-core/tests/order_schedules/main.rs
+++ b/crates/chicorystage-core/tests/order_schedules/main.rs
@@ -206,6 +206,41 @@
     assert_that!(replicas_with_requests_in_progress(400), eq(4));
 }
 
+// Three models with eleven requests each leave their engine of 32 slots none free, though none of
+// them alone would crowd it.
+#[test]
+fn models_that_crowd_one_engine_together_get_replicas() {
+    let mut world = fault_free_world();
+    let crowded = EndpointId::from("e0");
+    let models: Vec<ModelName> = world.engines[&crowded].loaded.keys().cloned().collect();
+    assert_that!(models.len(), eq(3));
+    let in_progress = models
+        .iter()
+        .map(|model| ((crowded.clone(), Some(model.clone())), 11));
+    let load = PeerLoad {
+        valid_until_ms: world.now_ms + 10_000,
+        in_progress: in_progress.collect(),
+    };
+    world.fleet.peer_load(VmId::from("gateway"), load);
+    let before: usize = models
+        .iter()
+        .map(|model| replica_count(&world, model))
+        .sum();
+    for i in 0..4_000 / STEP_MS {
+        if i % 50 == 0 {
+            for model in &models {
+                world.demand.record_requests(world.now_ms, model, 1, 300);
+            }
+        }
+        world.step();
+    }
+    let after: usize = models
+        .iter()
+        .map(|model| replica_count(&world, model))
+        .sum();
+    assert_that!(after, gt(before));
+}
+
 /// Returns a world whose engines all loaded the same models and have no copies of others on disk.
 fn world_without_disk_copies(seed: u64) -> World {
     let mut world = World::new(seed);
