Share the pace of prompts only with the gateways that use the engine

Change: the share is that of the gateways that may have requests at the engine, the known requests of others bounding their number. Test: prompt_spacing::router_shares_the_pace_only_with_those_that_use_the_engine; the load tests of prompt_spacing stay as they are.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -122,6 +122,17 @@
         own + self.totals.get(id).copied().unwrap_or(0)
     }
 
+    /// Returns an upper bound of the number of routers that send to an endpoint at present, this one
+    /// included, of `routers` in all.
+    ///
+    /// Where there are many routers, most of them have no request there.
+    #[must_use]
+    pub fn sharing_routers(&self, id: &EndpointId, routers: usize) -> usize {
+        let others = self.totals.get(id).copied().unwrap_or(0);
+        let others = usize::try_from(others).unwrap_or(usize::MAX);
+        others.saturating_add(1).min(routers)
+    }
+
     /// Returns the number of requests that all routers have in progress, by endpoint and model.
     #[must_use]
     pub fn model_occupancy(&self) -> HashMap<(EndpointId, ModelName), u32> {
--- a/crates/chicorystage-core/src/fleet/prompt_pace.rs
+++ b/crates/chicorystage-core/src/fleet/prompt_pace.rs
@@ -8,7 +8,8 @@
 ///
 /// An engine processes prompts between the tokens of the answers that it generates, so a burst of
 /// prompts delays the next event of every running answer. Each router therefore limits its own
-/// prompts to an equal share of a token rate below the engine's maximum.
+/// prompts to an equal share of a token rate below the engine's maximum, among the routers that
+/// have requests there.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PromptPace {
     /// Time at which the prompts sent so far are processed at the share of the rate that this
--- a/crates/chicorystage-core/tests/prompt_spacing.rs
+++ b/crates/chicorystage-core/tests/prompt_spacing.rs
@@ -11,12 +11,13 @@
     reason = "times, lengths and counts of a short load are small enough to be exact in an f64"
 )]
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::ops::RangeInclusive;
 
-use chicorystage_api::name::{EndpointId, ModelName, ServiceName, ZoneName};
+use chicorystage_api::name::{EndpointId, ModelName, ServiceName, VmId, ZoneName};
 use chicorystage_core::fleet::{
-    Choice, EndpointEntry, EndpointState, FleetView, LoadedModel, Prompt, PromptPace, Requirements,
+    Choice, EndpointEntry, EndpointState, FleetView, LoadedModel, PeerLoad, Prompt, PromptPace,
+    Requirements,
 };
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -270,6 +271,22 @@
     assert_that!(pace.defer_ms(2_000), near(200.0, 0.01));
 }
 
+// Of 68 routers, two have requests at the engine beside this one.
+#[test]
+fn router_shares_the_pace_only_with_those_that_use_the_engine() {
+    let mut fleet = fleet();
+    let id = engine_id(0);
+    assert_that!(fleet.sharing_routers(&id, 68), eq(1));
+    let in_progress = HashMap::from([((id.clone(), None), 2)]);
+    let load = PeerLoad {
+        valid_until_ms: 1_000,
+        in_progress,
+    };
+    fleet.peer_load(VmId::from("holder"), load);
+    assert_that!(fleet.sharing_routers(&id, 68), eq(3));
+    assert_that!(fleet.sharing_routers(&id, 2), eq(2));
+}
+
 #[test]
 fn request_is_deferred_only_until_its_limit() {
     let mut fleet = fleet();
--- a/crates/chicorystaged/src/gateway/wait_queue.rs
+++ b/crates/chicorystaged/src/gateway/wait_queue.rs
@@ -34,7 +34,7 @@
             let Choice::Endpoint(id) = choice else {
                 return Err(choice);
             };
-            let gateways = view.gateways();
+            let sharing = view.fleet.sharing_routers(&id, view.gateways());
             let Some(endpoint) = view.fleet.get_mut(&id) else {
                 return Err(Choice::NoEndpoint);
             };
@@ -42,7 +42,7 @@
             if requirements.model.is_some() {
                 endpoint
                     .pace
-                    .sent(now_ms, requirements.prompt.tokens, gateways);
+                    .sent(now_ms, requirements.prompt.tokens, sharing);
             }
             Ok(endpoint.entry.clone())
         });
