Refuse at once requests for a model that only the weight store can bring

A request for another of them waited for two seconds, a dossier for ten, and was then refused, twice. The gateways knew of loads in progress, not of models without any copy.

Change: the lease holder tells with the load of all routers which models no engine has loaded, is loading or has a copy of, once all reachable engines have reported theirs. A request for one is expected in at least the time of a load from the store, so that the existing rule refuses it at once where that is too late, with a Retry-After of up to a third of its time. Tests: order_schedules::uncached (5).

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -7,6 +7,7 @@
 use crate::fleet::stale_load::Candidate;
 use crate::fleet::{
     Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements, StaleLoad,
+    UncachedModel,
 };
 
 /// All endpoints and the load on them, as known to this process.
@@ -18,6 +19,10 @@
     totals: HashMap<EndpointId, u32>,
     /// Requests in progress of the other routers, by endpoint and model.
     model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
+    /// Models that only the weight store can bring, with the time of such a load in milliseconds.
+    uncached: HashMap<ModelName, u64>,
+    /// Time from which `uncached` no longer counts, in milliseconds.
+    uncached_until_ms: u64,
 }
 
 impl FleetView {
@@ -166,11 +171,27 @@
         loading.map(|loading| loading.due_ms).min()
     }
 
+    /// Returns the earliest time at which the weight store could bring a model without a copy, in
+    /// milliseconds.
+    fn store_load_due_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
+        let load_ms = self.uncached.get(model)?;
+        (now_ms < self.uncached_until_ms).then(|| now_ms + load_ms)
+    }
+
+    /// Replaces the models that only the weight store can bring; the list counts until
+    /// `valid_until_ms`.
+    pub fn uncached_reported(&mut self, models: Vec<UncachedModel>, valid_until_ms: u64) {
+        let models = models.into_iter();
+        self.uncached = models.map(|model| (model.model, model.load_ms)).collect();
+        self.uncached_until_ms = valid_until_ms;
+    }
+
     /// Returns when the model of a waiting request should be loaded on some endpoint, in
     /// milliseconds.
     ///
-    /// Returns `None` unless the request waits because no endpoint has its model, and if no load
-    /// of the model is known to be in progress.
+    /// A model that only the weight store can bring takes at least the time of such a load.
+    /// Returns `None` unless the request waits because no endpoint has its model, and if neither a
+    /// load of the model nor the lack of a copy is known.
     #[must_use]
     pub fn ready_ms(
         &self,
@@ -180,9 +201,11 @@
     ) -> Option<u64> {
         let model = requirements.model.as_ref()?;
         let is_model_missing = *reason == Choice::NoModel;
-        is_model_missing
-            .then(|| self.due_ms(now_ms, model))
-            .flatten()
+        if !is_model_missing {
+            return None;
+        }
+        self.due_ms(now_ms, model)
+            .or_else(|| self.store_load_due_ms(now_ms, model))
     }
 
     /// Selects the endpoint with the least cost among those that meet the requirements and have
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod prompt_pace;
 mod requirements;
 mod stale_load;
+mod uncached_model;
 
 pub use choice::Choice;
 pub use endpoint::Endpoint;
@@ -46,3 +47,4 @@
 pub use prompt_pace::PromptPace;
 pub use requirements::Requirements;
 pub use stale_load::StaleLoad;
+pub use uncached_model::UncachedModel;
--- a/crates/chicorystage-core/src/orders/engine_record/mod.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/mod.rs
@@ -62,6 +62,8 @@
     has_foreign_order: bool,
     /// Time at which the load of each model was observed to complete, in milliseconds.
     loaded_ms: BTreeMap<ModelName, u64>,
+    /// Whether a report has told which copies of weights the engine has.
+    has_reported: bool,
     in_memory: HashSet<ModelName>,
     on_disk: HashSet<ModelName>,
 }
@@ -87,6 +89,7 @@
             reserved: None,
             has_foreign_order: false,
             loaded_ms: BTreeMap::new(),
+            has_reported: false,
             in_memory: HashSet::new(),
             on_disk: HashSet::new(),
         }
@@ -130,6 +133,7 @@
     /// Returns the expected and the actual duration, in milliseconds, of a load from the weight
     /// store that the report shows to be complete. Returns `None` if it shows no such load.
     pub fn apply_report(&mut self, now_ms: u64, report: &EngineReport) -> Option<(f64, f64)> {
+        self.has_reported = true;
         self.in_memory = report.in_memory.iter().cloned().collect();
         // An engine evicts the least recently used copies, so a report replaces the known set.
         self.on_disk = report.on_disk.iter().cloned().collect();
--- a/crates/chicorystage-core/src/orders/engine_record/readiness.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/readiness.rs
@@ -36,6 +36,12 @@
         }
     }
 
+    /// Returns whether a report has told which copies of weights the engine has.
+    #[must_use]
+    pub fn has_reported(&self) -> bool {
+        self.has_reported
+    }
+
     /// Returns the model whose load is requested, in progress or planned after an unload.
     #[must_use]
     pub fn expected_model(&self) -> Option<&ModelName> {
--- a/crates/chicorystage-core/src/orders/order_tracker/mod.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -1,4 +1,5 @@
 mod adapters;
+mod uncached;
 
 use std::collections::{BTreeMap, HashSet};
 
--- /dev/null
+++ b/crates/chicorystage-core/src/orders/order_tracker/uncached.rs
@@ -0,0 +1,48 @@
+//! Models that only the weight store can bring.
+
+use std::collections::HashSet;
+
+use chicorystage_api::name::ModelName;
+
+use crate::deployment::{EngineSpec, ModelSpec};
+use crate::fleet::{FleetView, UncachedModel};
+use crate::orders::{EngineRecord, LoadSource, OrderTracker};
+
+impl OrderTracker {
+    /// Returns the models of a service that no engine has loaded, is loading or has a copy of.
+    ///
+    /// Returns none while a reachable engine has not reported its copies.
+    #[must_use]
+    pub fn uncached_models(
+        &self,
+        now_ms: u64,
+        spec: &EngineSpec,
+        fleet: &FleetView,
+    ) -> Vec<UncachedModel> {
+        let is_reachable = |engine: &&EngineRecord| {
+            let endpoint = fleet.get(&engine.id);
+            endpoint.is_some_and(|endpoint| endpoint.is_reachable(now_ms))
+        };
+        let engines: Vec<&EngineRecord> = self.engines.values().filter(is_reachable).collect();
+        if engines.is_empty() || engines.iter().any(|engine| !engine.has_reported()) {
+            return Vec::new();
+        }
+        let expected: HashSet<&ModelName> = engines
+            .iter()
+            .filter_map(|engine| engine.expected_model())
+            .collect();
+        let is_cached = |model: &ModelSpec| {
+            expected.contains(&model.name)
+                || engines.iter().any(|engine| {
+                    engine.loaded.contains_key(&model.name)
+                        || engine.source(&model.name) != LoadSource::Store
+                })
+        };
+        let uncached = spec.models.values().filter(|model| !is_cached(model));
+        let uncached = uncached.map(|model| UncachedModel {
+            model: model.name.clone(),
+            load_ms: model.store_load_ms,
+        });
+        uncached.collect()
+    }
+}
--- a/crates/chicorystage-core/tests/order_schedules/main.rs
+++ b/crates/chicorystage-core/tests/order_schedules/main.rs
@@ -6,6 +6,7 @@
 
 mod former_orders;
 mod order_world;
+mod uncached;
 
 use std::collections::{BTreeSet, HashMap};
 
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -2,6 +2,7 @@
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
+use chicorystage_core::fleet::UncachedModel;
 use serde::{Deserialize, Serialize};
 
 /// A datagram from one gateway to another.
@@ -91,4 +92,7 @@
     pub epoch: u64,
     /// Requests in progress by endpoint, over all gateways; endpoints without any are left out.
     pub in_progress: Vec<(EndpointId, u32)>,
+    /// Models that only the weight store can bring.
+    #[serde(default)]
+    pub uncached: Vec<UncachedModel>,
 }
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -86,7 +86,10 @@
             valid_until_ms: now_ms + load_valid_ms(view.gateways()),
             in_progress: others.collect(),
         };
+        let valid_until_ms = load.valid_until_ms;
         view.fleet.replace_peer_loads(from, load);
+        view.fleet
+            .uncached_reported(update.uncached, valid_until_ms);
     });
 }
 
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chicorystage_api::name::EndpointId;
-use chicorystage_core::fleet::load_period_ms;
+use chicorystage_core::fleet::{UncachedModel, load_period_ms, load_valid_ms};
 
 use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
 use crate::gateway::peers::load_update::{collect_load_update, record_own_waiting};
@@ -96,10 +96,32 @@
         let sums = ids.map(|id| (id.clone(), view.fleet.occupancy(id)));
         sums.filter(|(_, count)| *count > 0).collect()
     });
-    let update = TotalLoadUpdate { epoch, in_progress };
+    let uncached = uncached_models(gateway, now_ms);
+    let update = TotalLoadUpdate {
+        epoch,
+        in_progress,
+        uncached,
+    };
     broadcast(gateway, PeerContent::Sum(update)).await;
 }
 
+/// Returns the models that only the weight store can bring, and records them in the own view.
+fn uncached_models(gateway: &Gateway, now_ms: u64) -> Vec<UncachedModel> {
+    let Some(configuration) = gateway.configuration() else {
+        return Vec::new();
+    };
+    let tracker = gateway.engine_tracker.borrow();
+    gateway.with(|view| {
+        let models = configuration
+            .engines()
+            .flat_map(|(_, spec)| tracker.uncached_models(now_ms, spec, &view.fleet));
+        let models: Vec<UncachedModel> = models.collect();
+        let valid_until_ms = now_ms + load_valid_ms(view.gateways());
+        view.fleet.uncached_reported(models.clone(), valid_until_ms);
+        models
+    })
+}
+
 /// Adds up counts by endpoint.
 fn sum_by_endpoint(counts: impl Iterator<Item = (EndpointId, u32)>) -> HashMap<EndpointId, u32> {
     let mut sums = HashMap::new();
