Look up cached models once per report instead of each model at each engine

Cause: the list of models without a copy was found by 288 models times 78 engines at every report of the load. Change: one set of the engines' copies. Tests as before.

--- a/crates/chicorystage-core/src/orders/engine_record/readiness.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/readiness.rs
@@ -36,6 +36,15 @@
         }
     }
 
+    /// Returns the models that the engine has loaded, is to load or has a copy of; one may come
+    /// several times.
+    pub fn cached_models(&self) -> impl Iterator<Item = &ModelName> {
+        let copies = self.in_memory.iter().chain(&self.on_disk);
+        copies
+            .chain(self.loaded.keys())
+            .chain(self.expected_model())
+    }
+
     /// Returns whether a report has told which copies of weights the engine has.
     #[must_use]
     pub fn has_reported(&self) -> bool {
--- a/crates/chicorystage-core/src/orders/order_tracker/uncached.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/uncached.rs
@@ -4,9 +4,9 @@
 
 use chicorystage_api::name::ModelName;
 
-use crate::deployment::{EngineSpec, ModelSpec};
+use crate::deployment::EngineSpec;
 use crate::fleet::{FleetView, UncachedModel};
-use crate::orders::{EngineRecord, LoadSource, OrderTracker};
+use crate::orders::{EngineRecord, OrderTracker};
 
 impl OrderTracker {
     /// Returns the models of a service that no engine has loaded, is loading or has a copy of.
@@ -27,18 +27,14 @@
         if engines.is_empty() || engines.iter().any(|engine| !engine.has_reported()) {
             return Vec::new();
         }
-        let expected: HashSet<&ModelName> = engines
+        let cached: HashSet<&ModelName> = engines
             .iter()
-            .filter_map(|engine| engine.expected_model())
+            .flat_map(|engine| engine.cached_models())
             .collect();
-        let is_cached = |model: &ModelSpec| {
-            expected.contains(&model.name)
-                || engines.iter().any(|engine| {
-                    engine.loaded.contains_key(&model.name)
-                        || engine.source(&model.name) != LoadSource::Store
-                })
-        };
-        let uncached = spec.models.values().filter(|model| !is_cached(model));
+        let uncached = spec
+            .models
+            .values()
+            .filter(|model| !cached.contains(&model.name));
         let uncached = uncached.map(|model| UncachedModel {
             model: model.name.clone(),
             load_ms: model.store_load_ms,
