Keep the lease on orders off VMs with a tenth of a core where others live

Such a holder falls behind with the orders: 93 to 190 in three seconds instead of 300, models are missing for longer.

Change: core::lease::acquisition_delay adds 1.3 s below 0.15 of a core, so that every strong VM has polled the row before. Test: lease_acquisition (3), the second red before (930 ms). A deployment of weak VMs alone takes over 1.3 s later.

A weak VM that holds the lease keeps it when strong ones return; open.

--- a/crates/chicorystage-core/src/lease/mod.rs
+++ b/crates/chicorystage-core/src/lease/mod.rs
@@ -16,12 +16,14 @@
 //! first order of a new holder fences it off. A holder whose process was paused
 //! must confirm the lease before its next order.
 
+mod acquisition_delay;
 mod claim_after_restore;
 mod lease_action;
 mod lease_row;
 mod order_lease;
 mod store_reply;
 
+pub use acquisition_delay::acquisition_delay_ms;
 pub use lease_action::LeaseAction;
 pub use lease_row::LeaseRow;
 pub use order_lease::{FIRST_EPOCH, OrderLease};
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -8,7 +8,7 @@
 use chicorystage_api::name::{EndpointId, ServiceName};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{Endpoint, holder_silence_ms};
-use chicorystage_core::lease::OrderLease;
+use chicorystage_core::lease::{OrderLease, acquisition_delay_ms};
 use chicorystage_core::orders::{OrderTracker, OrderTrackerSettings};
 use chicorystage_core::retry::{
     BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
@@ -24,13 +24,6 @@
 use crate::settings::GatewaySettings;
 use crate::timer::{Clock, boot_ms};
 
-/// Share of a CPU core from which a VM acquires a free lease without delay; it suffices for a lease
-/// holder of many engines.
-const SUFFICIENT_CPU_SHARE: f64 = 0.4;
-/// Longest delay before a gateway acquires a free lease, on a VM without any CPU share, in
-/// milliseconds.
-const ACQUISITION_DELAY_MAX_MS: f64 = 1_200.0;
-
 /// Shared state of a gateway: settings, view of the fleet, connections and notifications.
 pub struct Gateway {
     /// Settings at the start of the process, with the ports that were bound.
@@ -268,17 +261,3 @@
             .finish_non_exhaustive()
     }
 }
-
-/// Returns the delay before this gateway acquires a free lease, in milliseconds.
-///
-/// It lets gateways with more CPU acquire the lease first. The delay falls from
-/// [`ACQUISITION_DELAY_MAX_MS`] at no CPU share to 0 at [`SUFFICIENT_CPU_SHARE`] or more.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a part of a constant that is far below the mantissa"
-)]
-fn acquisition_delay_ms(cpu_share: f64) -> u64 {
-    let missing_share = (SUFFICIENT_CPU_SHARE - cpu_share).max(0.0) / SUFFICIENT_CPU_SHARE;
-    (ACQUISITION_DELAY_MAX_MS * missing_share) as u64
-}
