Make two tests with several gateways independent of the choice among equals

Cause: with others a gateway draws at random among endpoints of equal cost (choice by stale load); request_that_crashes_three_endpoints_... and close_delimited_stream_..._is_resumed_ by_every_process relied on the first one. Change: the endpoint that must come last is in another availability zone, each has 100 slots; what the tests check is unchanged.

--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -350,16 +350,21 @@
             .await
             .or_fail()?;
         world.declare(1);
-        // Among equally good endpoints the gateway chooses the first, so it tries the healthy one
-        // last.
+        // The healthy endpoint is in another availability zone and each has many slots, so that the
+        // gateways choose it last.
+        let mut entry = healthy.registry_entry("app", "ready", 1);
+        entry["slots"] = 100.into();
         for i in 0..3 {
-            let mut entry = healthy.registry_entry("app", "ready", 1);
             entry["addr"] = crashing_endpoint().await.or_fail()?.to_string().into();
             world
                 .store
                 .put("servers", &format!("e{i}"), entry.to_string().as_bytes());
         }
-        world.register(&healthy, "app");
+        entry["addr"] = healthy.address.to_string().into();
+        entry["zone"] = "z2".into();
+        world
+            .store
+            .put("servers", "z", entry.to_string().as_bytes());
         let gateways = [
             world.start_gateway("g1").await.or_fail()?,
             world.start_gateway("g2").await.or_fail()?,
--- a/crates/chicorystage-testbed/tests/gateway_processes_answers.rs
+++ b/crates/chicorystage-testbed/tests/gateway_processes_answers.rs
@@ -27,6 +27,9 @@
 
 impl World {
     /// Starts the world; the first engine answers with `first` and the second with `second`.
+    ///
+    /// The second one is in another availability zone and each has many slots, so that a gateway
+    /// chooses the first.
     async fn start(name: &str, first: RawReply, second: RawReply) -> Result<Self> {
         let platform = PlatformFixture::start().await.or_fail()?;
         platform.declare(1);
@@ -35,8 +38,14 @@
             RawEndpoint::start("e1", first, engine()).await.or_fail()?,
             RawEndpoint::start("e2", second, engine()).await.or_fail()?,
         ];
-        for endpoint in &endpoints {
-            platform.register_raw(endpoint, "llm");
+        for (endpoint, zone) in endpoints.iter().zip(["z1", "z2"]) {
+            let mut entry = endpoint.registry_entry("llm");
+            entry["slots"] = 100.into();
+            entry["zone"] = zone.into();
+            let entry = entry.to_string();
+            platform
+                .store
+                .put("servers", endpoint.id(), entry.as_bytes());
         }
         let plan = plan(name);
         std::fs::create_dir_all(&plan.directory).or_fail()?;
@@ -124,7 +133,7 @@
     run_local(async {
         let rest = RawReply::close_delimited_events(LAST_EVENT, ConnectionEnd::Close);
         let world = World::start("resumed", broken(), rest).await?;
-        // The first choice of a gateway is the first engine, which breaks off.
+        // The first engine breaks off.
         for gateway in &world.gateways {
             let reply = send(gateway.callers, "/long/x").await?;
             verify_that!(reply.is_complete, eq(true))?;
