--- a/crates/chicorystage-core/src/fleet/load_exchange.rs
+++ b/crates/chicorystage-core/src/fleet/load_exchange.rs
@@ -7,7 +7,7 @@
 
 /// Interval between two reports of one router where there are few, in milliseconds.
 const PERIOD_MIN_MS: u64 = 120;
-/// Number of routers for each of which the interval grows by its shortest length.
+/// Number of routers per multiple of the shortest interval.
 const ROUTERS_PER_PERIOD: usize = 28;
 /// Number of intervals for which a report counts.
 const PERIODS_VALID: u64 = 3;
