Make the test of engines that have not reported miss its guard

nothing_is_uncached_before_all_engines_have_reported passed with the guard taken out: the world had no engine records yet. It now has them, and is red without the guard.

--- a/crates/chicorystage-core/tests/order_schedules/uncached.rs
+++ b/crates/chicorystage-core/tests/order_schedules/uncached.rs
@@ -68,7 +68,14 @@
 // An engine that has not reported may have the copy.
 #[test]
 fn nothing_is_uncached_before_all_engines_have_reported() {
-    let world = world_without_copies();
+    let mut world = world_without_copies();
+    world
+        .tracker
+        .sync_engines(world.now_ms, &world.fleet, &world.configuration);
+    assert_that!(
+        world.tracker.engine(&EndpointId::from("e0")),
+        some(anything())
+    );
     assert_that!(uncached(&world), is_empty());
 }
 
