Tell a transfer that breaks off from a store that is silent; serve counters before histograms

Change: HttpClient notes how much of a response has arrived (TransferProgress) and says so when a call times out; each response of the store that does not arrive whole is logged (store_transfer_broken, with the bytes); a configuration in force is logged with its size; metrics with few labels are served first and histograms last. Whether a transfer has begun is now known for each call instead of for all calls of a table together.

--- a/crates/chicorystage-borders/src/http/http_client.rs
+++ b/crates/chicorystage-borders/src/http/http_client.rs
@@ -1,19 +1,19 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::http::InterimLimit;
+use crate::http::{InterimLimit, TransferProgress};
 use crate::{BorderError, BorderErrorKind};
 
 type Pool = Client<HttpConnector, Full<Bytes>>;
@@ -74,61 +74,83 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, BorderError> {
-        self.send_noting_head(request, &AtomicBool::new(false))
+        self.send_noting_progress(request, &TransferProgress::default())
             .await
     }
 
-    /// Sends a request as [`send`](Self::send) does, and sets `has_head` when the response head
-    /// has arrived.
+    /// Sends a request as [`send`](Self::send) does, and records in `progress` how much of the
+    /// response has arrived.
     ///
     /// # Errors
     ///
     /// Fails as [`send`](Self::send) does.
-    pub async fn send_noting_head(
+    pub async fn send_noting_progress(
         &self,
-        mut request: Request<Full<Bytes>>,
-        has_head: &AtomicBool,
+        request: Request<Full<Bytes>>,
+        progress: &TransferProgress,
     ) -> Result<Response<Bytes>, BorderError> {
         let action = format!("{} {}", request.method(), request.uri());
-        let pool = self.lock_pool().clone();
-        let interim = InterimLimit::default();
-        interim.watch(&mut request);
-        let exchange = async {
-            let response = tokio::select! {
-                response = pool.request(request) => response,
-                () = interim.exceeded() => {
-                    let detail = format!("{action}: too many interim responses");
-                    return Err(BorderError::new(BorderErrorKind::Unknown, detail));
-                }
-            };
-            let response = response.map_err(|error| {
-                let kind = if error.is_connect() {
-                    BorderErrorKind::NotDelivered
-                } else {
-                    BorderErrorKind::Unknown
-                };
-                BorderError::new(kind, format!("{action}: {error}"))
-            })?;
-            has_head.store(true, Ordering::Relaxed);
-            let (parts, body) = response.into_parts();
-            let body = Limited::new(body, self.response_bytes_max)
-                .collect()
-                .await
-                .map_err(|error| {
-                    BorderError::new(BorderErrorKind::Unknown, format!("{action}: {error}"))
-                })?;
-            Ok(Response::from_parts(parts, body.to_bytes()))
-        };
-        let Ok(result) =
-            tokio::time::timeout(Duration::from_millis(self.timeout_ms), exchange).await
-        else {
+        let exchange = self.exchange(request, &action, progress);
+        let limit = Duration::from_millis(self.timeout_ms);
+        let Ok(result) = tokio::time::timeout(limit, exchange).await else {
             *self.lock_pool() = new_pool(self.timeout_ms);
-            let detail = format!("{action}: no answer within {} ms", self.timeout_ms);
+            let detail = timeout_detail(&action, self.timeout_ms, progress);
             return Err(BorderError::new(BorderErrorKind::Unknown, detail));
         };
         result
     }
 
+    /// Sends a request and reads the whole response, without a time limit.
+    async fn exchange(
+        &self,
+        mut request: Request<Full<Bytes>>,
+        action: &str,
+        progress: &TransferProgress,
+    ) -> Result<Response<Bytes>, BorderError> {
+        let pool = self.lock_pool().clone();
+        let interim = InterimLimit::default();
+        interim.watch(&mut request);
+        let response = tokio::select! {
+            response = pool.request(request) => response,
+            () = interim.exceeded() => {
+                let detail = format!("{action}: too many interim responses");
+                return Err(BorderError::new(BorderErrorKind::Unknown, detail));
+            }
+        };
+        let response = response.map_err(|error| {
+            let kind = if error.is_connect() {
+                BorderErrorKind::NotDelivered
+            } else {
+                BorderErrorKind::Unknown
+            };
+            BorderError::new(kind, format!("{action}: {error}"))
+        })?;
+        progress.record_head();
+        let (parts, body) = response.into_parts();
+        let body = self.read_body(body, progress).await.map_err(|error| {
+            BorderError::new(BorderErrorKind::Unknown, format!("{action}: {error}"))
+        })?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Reads a body of limited length whole.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        progress: &TransferProgress,
+    ) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+        let mut body = Limited::new(body, self.response_bytes_max);
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame?.into_data() else {
+                continue;
+            };
+            progress.record_body(data.len());
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+
     /// Gets a JSON document; returns `None` on status 404.
     ///
     /// # Errors
@@ -210,6 +232,14 @@
         .build(connector)
 }
 
+fn timeout_detail(action: &str, timeout_ms: u64, progress: &TransferProgress) -> String {
+    if progress.has_head() {
+        let bytes = progress.body_bytes();
+        return format!("{action}: {bytes} bytes of the body within {timeout_ms} ms");
+    }
+    format!("{action}: no answer within {timeout_ms} ms")
+}
+
 fn encode<B: Serialize>(path: &str, body: &B) -> Result<Bytes, BorderError> {
     let bytes = serde_json::to_vec(body).map_err(|error| {
         BorderError::new(BorderErrorKind::NotDelivered, format!("{path}: {error}"))
--- a/crates/chicorystage-borders/src/http/mod.rs
+++ b/crates/chicorystage-borders/src/http/mod.rs
@@ -24,6 +24,7 @@
 mod rpc_router_link;
 mod server;
 mod stream_client;
+mod transfer_progress;
 
 pub use body::{ResponseBody, empty_body, full_body};
 pub use body_framing::BodyFraming;
@@ -41,3 +42,4 @@
 pub use rpc_agent_link::RpcAgentLink;
 pub use rpc_router_link::RpcRouterLink;
 pub use server::{Handler, HttpServer, RunningServer};
+pub use transfer_progress::TransferProgress;
--- a/crates/chicorystaged/src/gateway/follow/configuration.rs
+++ b/crates/chicorystaged/src/gateway/follow/configuration.rs
@@ -25,7 +25,7 @@
                 is_newer
             });
             if is_newer {
-                log::info!(event = "configuration", version, routes; "configuration in force");
+                log::info!(event = "configuration", version, routes, bytes = value.len(); "configuration in force");
             }
         }
         Err(error) => {
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -5,11 +5,11 @@
 //! is reason to expect an answer, and the first answer counts. A call whose response has begun to
 //! arrive is left alone: it transfers what another call would transfer again.
 
-use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use chicorystage_borders::BorderError;
+use chicorystage_borders::http::TransferProgress;
 use chicorystage_core::registry::{expiry_ms, outage_min_ms};
 use chicorystage_platform::store::{Changes, StoreClient, StorePosition, TableName};
 use futures_util::StreamExt;
@@ -39,6 +39,26 @@
 
 type Calls<'a> = FuturesUnordered<LocalBoxFuture<'a, Result<FeedAnswer, BorderError>>>;
 
+/// Transfers of the calls in flight on one table.
+#[derive(Debug, Default)]
+struct Transfers(Vec<Weak<TransferProgress>>);
+
+impl Transfers {
+    /// Adds a transfer, which counts for as long as its call holds the progress.
+    fn begin(&mut self) -> Rc<TransferProgress> {
+        self.0.retain(|progress| progress.strong_count() > 0);
+        let progress = Rc::new(TransferProgress::default());
+        self.0.push(Rc::downgrade(&progress));
+        progress
+    }
+
+    /// Returns whether the response to a call in flight has begun to arrive.
+    fn any_begun(&self) -> bool {
+        let in_flight = self.0.iter().filter_map(Weak::upgrade);
+        in_flight.into_iter().any(|progress| progress.has_head())
+    }
+}
+
 /// Answer of the store to a call on a table.
 #[derive(Debug)]
 pub(super) enum FeedAnswer {
@@ -143,48 +163,73 @@
     /// Sends calls until one of them is answered or all have failed.
     async fn first_answer(&self) -> Result<FeedAnswer, BorderError> {
         let wait_ms = if self.is_lost() { 0 } else { self.poll_wait_ms };
-        let has_head = AtomicBool::new(false);
+        let mut transfers = Transfers::default();
         let mut calls = Calls::new();
-        calls.push(Box::pin(self.call(wait_ms, &has_head)));
+        calls.push(Box::pin(self.call(wait_ms, transfers.begin())));
         loop {
             let has_room = calls.len() < CALLS_MAX;
-            let next_call: LocalBoxFuture<'_, _> = tokio::select! {
+            let is_read = tokio::select! {
                 Some(result) = calls.next() => match result {
                     Ok(answer) => return Ok(answer),
                     Err(error) if calls.is_empty() => return Err(error),
                     Err(error) => {
-                        has_head.store(false, Ordering::Relaxed);
                         self.record_failed_call(&error);
                         continue;
                     }
                 },
-                () = self.probe_due(), if has_room => Box::pin(self.call(0, &has_head)),
-                () = self.newer_configuration(), if has_room => Box::pin(self.read(&has_head)),
+                () = self.probe_due(), if has_room => false,
+                () = self.newer_configuration(), if has_room => true,
             };
             // A transfer in progress would only be slowed down by another one.
-            if !has_head.load(Ordering::Relaxed) {
-                calls.push(next_call);
+            if transfers.any_begun() {
+                continue;
             }
+            let progress = transfers.begin();
+            let next_call: LocalBoxFuture<'_, _> = if is_read {
+                Box::pin(self.read(progress))
+            } else {
+                Box::pin(self.call(0, progress))
+            };
+            calls.push(next_call);
         }
     }
 
     /// Reads the whole table, or waits up to `wait_ms` for its changes.
-    async fn call(&self, wait_ms: u64, has_head: &AtomicBool) -> Result<FeedAnswer, BorderError> {
+    async fn call(
+        &self,
+        wait_ms: u64,
+        progress: Rc<TransferProgress>,
+    ) -> Result<FeedAnswer, BorderError> {
         let Some(known) = self.known else {
-            return self.read(has_head).await;
+            return self.read(progress).await;
         };
         let changes = self
             .poll_client
-            .changes(self.table, known, wait_ms, has_head);
-        let changes = changes.await?;
+            .changes(self.table, known, wait_ms, &progress);
+        let changes = changes
+            .await
+            .inspect_err(|error| self.log_broken_transfer(&progress, error))?;
         Ok(changes.map_or(FeedAnswer::HistoryLost, FeedAnswer::Changed))
     }
 
-    async fn read(&self, has_head: &AtomicBool) -> Result<FeedAnswer, BorderError> {
-        let rows = self.read_client.read(self.table, has_head).await?;
+    async fn read(&self, progress: Rc<TransferProgress>) -> Result<FeedAnswer, BorderError> {
+        let rows = self.read_client.read(self.table, &progress).await;
+        let rows = rows.inspect_err(|error| self.log_broken_transfer(&progress, error))?;
         Ok(FeedAnswer::Whole(rows))
     }
 
+    /// Logs a failed call whose response had begun to arrive.
+    fn log_broken_transfer(&self, progress: &TransferProgress, error: &BorderError) {
+        if !progress.has_head() {
+            return;
+        }
+        log::warn!(
+            event = "store_transfer_broken", table:? = self.table,
+            body_bytes = progress.body_bytes(), error:%;
+            "response of the store did not arrive whole"
+        );
+    }
+
     /// Waits until another call may be answered sooner than those in flight.
     ///
     /// The feed of the endpoints' table probes a store that does not answer; the other feeds wait
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -184,26 +184,24 @@
         text
     }
 
+    /// Registers the metrics in the order in which they are served.
+    ///
+    /// Those with few labels come first and histograms last, so that a collector which keeps only
+    /// the first few kilobytes keeps the counters.
     fn register(&mut self) {
+        self.register_attempts();
+        self.register_store();
+        self.register_requests();
+        self.register_times();
+    }
+
+    fn register_attempts(&mut self) {
         let registry = &mut self.registry;
-        registry.register("requests", "Requests by end", self.requests.clone());
-        let families = [
-            ("wait", "Wait for an endpoint", &self.wait),
-            ("first_byte", "Time to the first byte", &self.first_byte),
-            ("answer", "Time to the end of the answer", &self.answer),
-        ];
-        for (name, help, family) in families {
-            registry.register_with_unit(name, help, Unit::Seconds, family.clone());
-        }
-        registry.register(
-            "late_answers",
-            "Answers that missed the latency objectives, by route and cause",
-            self.late_answers.clone(),
-        );
+        registry.register("waiting", "Requests waiting", self.waiting.clone());
         registry.register(
-            "stream_ends",
-            "Relayed answers by framing and end",
-            self.stream_ends.clone(),
+            "in_progress",
+            "Requests in progress",
+            self.in_progress.clone(),
         );
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
         registry.register(
@@ -222,6 +220,10 @@
             self.retries.clone(),
         );
         registry.register("orders", "Orders to engines", self.orders.clone());
+    }
+
+    fn register_store(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -237,12 +239,33 @@
             "Tables read whole since the store has returned from an older copy",
             self.store_restores.clone(),
         );
-        registry.register("waiting", "Requests waiting", self.waiting.clone());
+    }
+
+    fn register_requests(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by end", self.requests.clone());
         registry.register(
-            "in_progress",
-            "Requests in progress",
-            self.in_progress.clone(),
+            "stream_ends",
+            "Relayed answers by framing and end",
+            self.stream_ends.clone(),
         );
+        registry.register(
+            "late_answers",
+            "Answers that missed the latency objectives, by route and cause",
+            self.late_answers.clone(),
+        );
+    }
+
+    fn register_times(&mut self) {
+        let families = [
+            ("wait", "Wait for an endpoint", &self.wait),
+            ("first_byte", "Time to the first byte", &self.first_byte),
+            ("answer", "Time to the end of the answer", &self.answer),
+        ];
+        for (name, help, family) in families {
+            self.registry
+                .register_with_unit(name, help, Unit::Seconds, family.clone());
+        }
     }
 }
 
