Test configurations whose transfer is long or falls silent (known red)

Version 2 is not in force 2 s after its transfer could have ended, and a gateway that starts gets none at all. A transfer that falls silent halfway is waited for until its poll's limit, 3.0 s in all. The emulator's slow responses now arrive in parts.

--- a/crates/chicorystage-testbed/src/users_platform/local_http.rs
+++ b/crates/chicorystage-testbed/src/users_platform/local_http.rs
@@ -92,12 +92,39 @@
     response
 }
 
-/// Returns a response with status 200 whose body arrives `transfer_ms` after its head.
-pub(super) fn slow_response(body: impl Into<Bytes>, transfer_ms: u64) -> Response<EmulatorBody> {
+/// Interval between two parts of a slow response's body, in milliseconds.
+const PART_INTERVAL_MS: u64 = 50;
+
+/// Returns a response with status 200 whose body arrives in parts over `transfer_ms`.
+///
+/// `arriving` is the share of the parts that are sent; the rest never arrives.
+pub(super) fn slow_response(
+    body: impl Into<Bytes>,
+    transfer_ms: u64,
+    arriving: f64,
+) -> Response<EmulatorBody> {
     let body = body.into();
-    let frames = futures_util::stream::once(async move {
-        tokio::time::sleep(Duration::from_millis(transfer_ms)).await;
-        Ok(Frame::data(body))
+    let parts = usize::try_from(transfer_ms.div_ceil(PART_INTERVAL_MS).max(1)).unwrap_or(1);
+    let part_bytes = body.len().div_ceil(parts).max(1);
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a share of a small number of parts"
+    )]
+    let sent_parts = (parts as f64 * arriving).round() as usize;
+    let sent = body.slice(..body.len().min(sent_parts * part_bytes));
+    let is_whole = sent.len() == body.len();
+    let frames = futures_util::stream::unfold(sent, move |mut rest| async move {
+        if rest.is_empty() && is_whole {
+            return None;
+        }
+        if rest.is_empty() {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(Duration::from_millis(PART_INTERVAL_MS)).await;
+        let part = rest.split_to(part_bytes.min(rest.len()));
+        Some((Ok(Frame::data(part)), rest))
     });
     let frames: Frames = Box::pin(frames);
     Response::new(Either::Right(StreamBody::new(frames)))
--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -52,6 +52,8 @@
     reads: RefCell<HashMap<String, u64>>,
     /// Time that the transfer of a response with rows takes, by table, in milliseconds.
     transfer_ms: RefCell<HashMap<String, u64>>,
+    /// Number of next transfers that fall silent halfway, by table.
+    stalls: RefCell<HashMap<String, u32>>,
     feed_faults: FeedFaults,
 }
 
@@ -104,12 +106,22 @@
         self.state.feed_faults.inject(table, FeedFault::Silence);
     }
 
-    /// Delays the body of each later response that has rows of the table, but not its head.
+    /// Spreads the body of each later response that has rows of the table over `time_ms`; its head
+    /// comes at once.
     pub fn set_transfer_ms(&self, table: &str, time_ms: u64) {
         let mut transfers = self.state.transfer_ms.borrow_mut();
         transfers.insert(table.to_owned(), time_ms);
     }
 
+    /// Sends only the first half of the next `count` bodies with rows of a table that has a
+    /// [transfer time](Self::set_transfer_ms).
+    pub fn stall_transfers(&self, table: &str, count: u32) {
+        self.state
+            .stalls
+            .borrow_mut()
+            .insert(table.to_owned(), count);
+    }
+
     /// Returns a copy of all rows.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -241,11 +253,25 @@
         let has_rows = rows["rows"].as_array().is_some_and(|rows| !rows.is_empty());
         let transfer_ms = self.transfer_ms.borrow().get(table).copied();
         match transfer_ms {
-            Some(transfer_ms) if has_rows => slow_response(text, transfer_ms),
+            Some(transfer_ms) if has_rows => {
+                slow_response(text, transfer_ms, self.arriving_share(table))
+            }
             _ => full_response(200, text),
         }
     }
 
+    /// Returns the share of the table's next transfer that arrives.
+    fn arriving_share(&self, table: &str) -> f64 {
+        let mut stalls = self.stalls.borrow_mut();
+        match stalls.get_mut(table) {
+            Some(left) if *left > 0 => {
+                *left -= 1;
+                0.5
+            }
+            _ => 1.0,
+        }
+    }
+
     /// Checks the expected versions and then writes all rows; on a mismatch writes nothing.
     fn transact(&self, body: &Value) -> Response<EmulatorBody> {
         let empty = Vec::new();
--- a/crates/chicorystage-testbed/tests/gateway_changes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -29,6 +29,8 @@
         .map_or(0, |configuration| configuration.version)
 }
 
+/// Time of a transfer that is longer than the limit of any single call, in milliseconds.
+const LONG_TRANSFER_MS: u64 = 3_500;
 /// Time from the end of an outage until the bounds hold again, in milliseconds.
 const CONTACT_MS: u128 = 3_000;
 
@@ -371,3 +373,59 @@
         verify_that!(start.elapsed().as_millis(), lt(CONTACT_MS))
     })
 }
+
+// A call's time limit covered the transfer, so the next call began it again, and so on.
+#[gtest]
+fn configuration_that_takes_longer_to_transfer_than_a_call_may_take_is_in_force_once_transferred()
+-> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_transfer_ms("op", LONG_TRANSFER_MS);
+        world.declare(2);
+        let start = Instant::now();
+        wait_until("version 2 is in force", || {
+            configuration_version(&gateway) == 2
+                || start.elapsed().as_millis() > u128::from(LONG_TRANSFER_MS) + APPLY_MS
+        })
+        .await;
+        verify_that!(configuration_version(&gateway), eq(2))
+    })
+}
+
+#[gtest]
+fn gateway_starts_with_a_configuration_that_takes_longer_to_transfer_than_a_call_may_take()
+-> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        world.store.set_transfer_ms("op", LONG_TRANSFER_MS);
+        let start = Instant::now();
+        let gateway = world.start_gateway("g1").await.or_fail()?;
+        wait_until("a version is in force", || {
+            configuration_version(&gateway) == 1
+                || start.elapsed().as_millis() > u128::from(LONG_TRANSFER_MS) + APPLY_MS
+        })
+        .await;
+        verify_that!(configuration_version(&gateway), eq(1))
+    })
+}
+
+#[gtest]
+fn configuration_whose_transfer_falls_silent_is_in_force_after_another_one() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_transfer_ms("op", 200);
+        world.store.stall_transfers("op", 1);
+        world.declare(2);
+        let start = Instant::now();
+        wait_until("version 2 is in force", || {
+            configuration_version(&gateway) == 2
+        })
+        .await;
+        verify_that!(start.elapsed().as_millis(), lt(APPLY_MS))
+    })
+}
