Limit transfers from the store by their progress, not by one time for the whole call

Cause: the time limit of a call to the store covered the body of its response. A configuration of thousands of routes takes longer on a slow or busy link than what a poll has left when the change comes (0.5 s at worst), or than the 1.5 s of a read. The call was given up with most of the body read and the next began from the start, which loads the link again. Class: a time limit on a whole transfer where one on silence is meant.

Ruled out: news from other gateways ending the poll (no such line), and decoding, since the gateways that got the body had the version in force at once.

Change: HttpClient::transfer limits the time until the response's head; after that the body may take as long as 256 bytes arrive each second. A transfer that falls silent is given up after 1.1 s instead of the rest of its poll. Writes keep a limit on the whole call.

--- a/crates/chicorystage-borders/src/http/http_client.rs
+++ b/crates/chicorystage-borders/src/http/http_client.rs
@@ -1,12 +1,13 @@
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Method, Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -16,6 +17,7 @@
 use crate::http::{InterimLimit, TransferProgress};
 use crate::{BorderError, BorderErrorKind};
 
+type BodyError = Box<dyn std::error::Error + Send + Sync>;
 type Pool = Client<HttpConnector, Full<Bytes>>;
 
 /// Time after which an idle pooled connection is closed, in milliseconds.
@@ -27,6 +29,12 @@
 /// Longest time that sent bytes stay unacknowledged before the connection is closed, in
 /// milliseconds.
 const TCP_USER_TIMEOUT_MS: u64 = 2_000;
+/// Longest time in which a transfer gains less than [`PROGRESS_BYTES_MIN`], in milliseconds.
+const PROGRESS_TIMEOUT_MS: u64 = 1_000;
+/// Smallest progress of a transfer within [`PROGRESS_TIMEOUT_MS`], in bytes.
+const PROGRESS_BYTES_MIN: u64 = 256;
+/// Time for reading what has arrived when [`PROGRESS_TIMEOUT_MS`] is over, in milliseconds.
+const READ_GRACE_MS: u64 = 100;
 /// Largest response body that is accepted by default, in bytes.
 const RESPONSE_BYTES_MAX: usize = 64 << 20;
 
@@ -74,39 +82,66 @@
         &self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Bytes>, BorderError> {
-        self.send_noting_progress(request, &TransferProgress::default())
-            .await
+        let action = format!("{} {}", request.method(), request.uri());
+        let progress = TransferProgress::default();
+        let exchange = async {
+            let (parts, body) = self.head(request, &action, &progress).await?;
+            let body = self.read_body(body, &progress).await;
+            let body = body.map_err(|error| unknown(&action, &error))?;
+            Ok(Response::from_parts(parts, body))
+        };
+        let result = within(self.timeout_ms, exchange).await;
+        self.unless_late(result, &action, &progress)?
     }
 
-    /// Sends a request as [`send`](Self::send) does, and records in `progress` how much of the
-    /// response has arrived.
+    /// Sends a request and reads a response whose size is not known beforehand.
+    ///
+    /// The client's time limit ends with the head of the response. The body may take as long as it
+    /// makes progress: at least [`PROGRESS_BYTES_MIN`] bytes, or its end, within each
+    /// [`PROGRESS_TIMEOUT_MS`]. A limit on the whole transfer would fail each call that a slow link
+    /// needs longer for, and the next call would begin from the start. What has arrived is recorded
+    /// in `progress`.
     ///
     /// # Errors
     ///
     /// Fails as [`send`](Self::send) does.
-    pub async fn send_noting_progress(
+    pub async fn transfer(
         &self,
         request: Request<Full<Bytes>>,
         progress: &TransferProgress,
     ) -> Result<Response<Bytes>, BorderError> {
         let action = format!("{} {}", request.method(), request.uri());
-        let exchange = self.exchange(request, &action, progress);
-        let limit = Duration::from_millis(self.timeout_ms);
-        let Ok(result) = tokio::time::timeout(limit, exchange).await else {
+        let head = self.head(request, &action, progress);
+        let head = within(self.timeout_ms, head).await;
+        let (parts, body) = self.unless_late(head, &action, progress)??;
+        let body = self.read_while_progressing(body, progress).await;
+        let body = self.unless_late(body, &action, progress)?;
+        let body = body.map_err(|error| unknown(&action, &error))?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Returns the result of a call, or the error of one that took too long, which also replaces
+    /// the connection pool.
+    fn unless_late<T>(
+        &self,
+        result: Result<T, Late>,
+        action: &str,
+        progress: &TransferProgress,
+    ) -> Result<T, BorderError> {
+        result.map_err(|late| {
             *self.lock_pool() = new_pool(self.timeout_ms);
-            let detail = timeout_detail(&action, self.timeout_ms, progress);
-            return Err(BorderError::new(BorderErrorKind::Unknown, detail));
-        };
-        result
+            let detail = late.detail(action, progress);
+            BorderError::new(BorderErrorKind::Unknown, detail)
+        })
     }
 
-    /// Sends a request and reads the whole response, without a time limit.
-    async fn exchange(
+    /// Sends a request and waits for the head of its response.
+    async fn head(
         &self,
         mut request: Request<Full<Bytes>>,
         action: &str,
         progress: &TransferProgress,
-    ) -> Result<Response<Bytes>, BorderError> {
+    ) -> Result<(response::Parts, Incoming), BorderError> {
         let pool = self.lock_pool().clone();
         let interim = InterimLimit::default();
         interim.watch(&mut request);
@@ -126,11 +161,7 @@
             BorderError::new(kind, format!("{action}: {error}"))
         })?;
         progress.record_head();
-        let (parts, body) = response.into_parts();
-        let body = self.read_body(body, progress).await.map_err(|error| {
-            BorderError::new(BorderErrorKind::Unknown, format!("{action}: {error}"))
-        })?;
-        Ok(Response::from_parts(parts, body))
+        Ok(response.into_parts())
     }
 
     /// Reads a body of limited length whole.
@@ -138,19 +169,38 @@
         &self,
         body: Incoming,
         progress: &TransferProgress,
-    ) -> Result<Bytes, Box<dyn std::error::Error + Send + Sync>> {
+    ) -> Result<Bytes, BodyError> {
+        let stated_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        let mut read = BytesMut::with_capacity(stated_bytes.min(self.response_bytes_max));
         let mut body = Limited::new(body, self.response_bytes_max);
-        let mut read = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame?.into_data() else {
-                continue;
-            };
+        while let Some(data) = next_data(&mut body).await? {
             progress.record_body(data.len());
             read.extend_from_slice(&data);
         }
         Ok(read.freeze())
     }
 
+    /// Reads a body whole unless it makes no progress.
+    async fn read_while_progressing(
+        &self,
+        body: Incoming,
+        progress: &TransferProgress,
+    ) -> Result<Result<Bytes, BodyError>, Late> {
+        let reading = self.read_body(body, progress);
+        let mut reading = pin!(reading);
+        loop {
+            let wanted_bytes = progress.body_bytes() + PROGRESS_BYTES_MIN;
+            let is_stalled = is_stalled(progress, wanted_bytes);
+            tokio::select! {
+                biased;
+                read = &mut reading => return Ok(read),
+                is_stalled = is_stalled => if is_stalled {
+                    return Err(Late { limit_ms: PROGRESS_TIMEOUT_MS });
+                },
+            }
+        }
+    }
+
     /// Gets a JSON document; returns `None` on status 404.
     ///
     /// # Errors
@@ -232,12 +282,55 @@
         .build(connector)
 }
 
-fn timeout_detail(action: &str, timeout_ms: u64, progress: &TransferProgress) -> String {
-    if progress.has_head() {
-        let bytes = progress.body_bytes();
-        return format!("{action}: {bytes} bytes of the body within {timeout_ms} ms");
+/// A call or a part of one that took longer than it may.
+#[derive(Clone, Copy, Debug)]
+struct Late {
+    limit_ms: u64,
+}
+
+impl Late {
+    /// Returns the text of the error: whether there was no answer or an incomplete one.
+    fn detail(self, action: &str, progress: &TransferProgress) -> String {
+        let limit_ms = self.limit_ms;
+        if progress.has_head() {
+            let bytes = progress.body_bytes();
+            return format!(
+                "{action}: body incomplete after {bytes} bytes, time limit of {limit_ms} ms"
+            );
+        }
+        format!("{action}: no answer within {limit_ms} ms")
+    }
+}
+
+async fn within<T>(limit_ms: u64, call: impl Future<Output = T>) -> Result<T, Late> {
+    let result = tokio::time::timeout(Duration::from_millis(limit_ms), call).await;
+    result.map_err(|_elapsed| Late { limit_ms })
+}
+
+/// Waits until a body has reached `wanted_bytes` or makes no progress; returns whether it makes none.
+async fn is_stalled(progress: &TransferProgress, wanted_bytes: u64) -> bool {
+    let arrived = within(PROGRESS_TIMEOUT_MS, progress.wait_for_body(wanted_bytes)).await;
+    if arrived.is_ok() {
+        return false;
     }
-    format!("{action}: no answer within {timeout_ms} ms")
+    // After a pause of the process its timers fire before the bytes that have come meanwhile are
+    // read.
+    let arrived = within(READ_GRACE_MS, progress.wait_for_body(wanted_bytes)).await;
+    arrived.is_err()
+}
+
+/// Returns the next data of a body; `None` at its end.
+async fn next_data(body: &mut Limited<Incoming>) -> Result<Option<Bytes>, BodyError> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+fn unknown(action: &str, error: &BodyError) -> BorderError {
+    BorderError::new(BorderErrorKind::Unknown, format!("{action}: {error}"))
 }
 
 fn encode<B: Serialize>(path: &str, body: &B) -> Result<Bytes, BorderError> {
--- a/crates/chicorystage-testbed/tests/gateway_changes.rs
+++ b/crates/chicorystage-testbed/tests/gateway_changes.rs
@@ -31,6 +31,8 @@
 
 /// Time of a transfer that is longer than the limit of any single call, in milliseconds.
 const LONG_TRANSFER_MS: u64 = 3_500;
+/// Time of a transfer that brings a few bytes at a time, in milliseconds.
+const TRICKLE_MS: u64 = 200_000;
 /// Time from the end of an outage until the bounds hold again, in milliseconds.
 const CONTACT_MS: u128 = 3_000;
 
@@ -429,3 +431,23 @@
         verify_that!(start.elapsed().as_millis(), lt(APPLY_MS))
     })
 }
+
+// A byte now and then is no progress.
+#[gtest]
+fn configuration_whose_transfer_trickles_is_in_force_after_another_one() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_transfer_ms("op", TRICKLE_MS);
+        world.declare(2);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        world.store.set_transfer_ms("op", 200);
+        let start = Instant::now();
+        wait_until("version 2 is in force", || {
+            configuration_version(&gateway) == 2
+        })
+        .await;
+        verify_that!(start.elapsed().as_millis(), lt(APPLY_MS))
+    })
+}
