Test requests that crash endpoints, without a body and after a restart (known red)

Found: a request without a body has no digest and is never quarantined. And a quarantine is known only to the gateways that ran when it was decided and got its one datagram: one that starts later sends the request on.

--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -0,0 +1,166 @@
+//! Requests that crash the endpoints that run them, at several gateways.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use chicorystage_testbed::users_platform::{
+    EndpointEmulator, PlatformFixture, Reply, run_local, send_request, wait_until,
+};
+use chicorystaged::gateway::shared::Gateway;
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+/// Crashes after which a request is quarantined.
+const CRASHES: u32 = 3;
+
+/// Three endpoints that crash with the first request, and a healthy one that is chosen last.
+struct World {
+    platform: PlatformFixture,
+    healthy: EndpointEmulator,
+}
+
+impl World {
+    async fn start() -> Result<Self> {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        let reply = Reply::Complete {
+            status: 200,
+            body: "done".to_owned(),
+        };
+        let healthy = EndpointEmulator::start("z", reply, None).await.or_fail()?;
+        platform.declare(1);
+        let mut entry = healthy.registry_entry("app", "ready", 1);
+        // The healthy endpoint is in another availability zone and each has many slots, so that the
+        // gateways choose it last.
+        entry["slots"] = 100.into();
+        for i in 0..CRASHES {
+            entry["addr"] = crashing_endpoint().await.or_fail()?.to_string().into();
+            let key = format!("e{i}");
+            platform
+                .store
+                .put("servers", &key, entry.to_string().as_bytes());
+        }
+        entry["addr"] = healthy.address.to_string().into();
+        entry["zone"] = "z2".into();
+        platform
+            .store
+            .put("servers", "z", entry.to_string().as_bytes());
+        Ok(Self { platform, healthy })
+    }
+
+    /// Starts two gateways that exchange messages.
+    async fn start_gateways(&self) -> Result<[Rc<Gateway>; 2]> {
+        let gateways = [
+            self.platform.start_gateway("g1").await.or_fail()?,
+            self.platform.start_gateway("g2").await.or_fail()?,
+        ];
+        for gateway in &gateways {
+            wait_until("the gateways are live peers of each other", || {
+                let now_ms = gateway.now_ms();
+                gateway.is_ready() && gateway.with(|view| view.live_peers(now_ms).count() == 1)
+            })
+            .await;
+        }
+        Ok(gateways)
+    }
+}
+
+/// Starts an endpoint that crashes when it receives a request: the connection and the listener
+/// are closed.
+async fn crashing_endpoint() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let address = listener.local_addr()?;
+    tokio::task::spawn_local(async move {
+        let Ok((mut stream, _peer)) = listener.accept().await else {
+            return;
+        };
+        let mut head = [0; 512];
+        // Whatever was read, the connection and the listener are closed here.
+        let _read = stream.read(&mut head).await;
+    });
+    Ok(address)
+}
+
+/// Sends a request; returns the status of its answer.
+async fn send(gateway: &Gateway, path: &str, body: &str) -> Result<StatusCode> {
+    let method = if body.is_empty() {
+        Method::GET
+    } else {
+        Method::POST
+    };
+    let reply = send_request(gateway, method, path, &[], body).await;
+    Ok(reply.or_fail()?.status)
+}
+
+/// Sends a request through the first gateway until it has crashed three endpoints.
+async fn crash_three_endpoints(gateways: &[Rc<Gateway>], body: &str) -> Result<()> {
+    for crashes in 1..=CRASHES {
+        let status = send(&gateways[0], "/pay/poison", body).await?;
+        verify_that!(status, eq(StatusCode::BAD_GATEWAY))?;
+        for gateway in gateways {
+            wait_until("the gateway has recorded the crash", || {
+                gateway.with(|view| view.suspects.crashes_max()) == crashes
+            })
+            .await;
+        }
+    }
+    Ok(())
+}
+
+#[gtest]
+fn request_without_a_body_that_crashes_three_endpoints_is_then_refused_at_every_gateway()
+-> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        crash_three_endpoints(&gateways, "").await?;
+        for gateway in &gateways {
+            let status = send(gateway, "/pay/poison", "").await?;
+            verify_that!(status, eq(StatusCode::INTERNAL_SERVER_ERROR))?;
+        }
+        verify_that!(world.healthy.received_requests(), is_empty())?;
+        verify_that!(
+            send(&gateways[1], "/pay/other", "").await?,
+            eq(StatusCode::OK)
+        )
+    })
+}
+
+#[gtest]
+fn same_path_of_several_callers_at_endpoints_that_crash_together_is_not_quarantined() -> Result<()>
+{
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        let gateway = &gateways[0];
+        let sent =
+            futures_util::future::join_all((0..CRASHES).map(|_| send(gateway, "/pay/same", "")));
+        for status in sent.await {
+            verify_that!(status?, eq(StatusCode::BAD_GATEWAY))?;
+        }
+        wait_until("a crash is recorded", || {
+            gateway.with(|view| view.suspects.crashes_max()) > 0
+        })
+        .await;
+        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        verify_that!(send(gateway, "/pay/same", "").await?, eq(StatusCode::OK))
+    })
+}
+
+#[gtest]
+fn quarantined_request_is_refused_by_a_gateway_that_starts_later() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        crash_three_endpoints(&gateways, "{poison}").await?;
+        let started = world.platform.start_ready_gateway("g3").await.or_fail()?;
+        wait_until("the new gateway knows the others", || {
+            started.with(|view| view.has_peers)
+        })
+        .await;
+        let status = send(&started, "/pay/poison", "{poison}").await?;
+        verify_that!(status, eq(StatusCode::INTERNAL_SERVER_ERROR))?;
+        verify_that!(world.healthy.received_requests(), is_empty())
+    })
+}
