Quarantine requests without a body that crash endpoints

Cause: the digest by which gateways know a request again was made of path and body, and a request without a body had none, since callers of one path could not be told apart. Such a request was never counted. Class: an identity that leaves out some of the requests it is to tell apart.

Change: the digest is made of method, host, path and body, for every request. What the exception protected, a common path that is under way at several endpoints as they crash for another reason, is protected by time: a crash counts only if its attempt began after the crash before. The crash that is not counted is logged too.

Suspected, not proved.

--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -49,6 +49,19 @@
         crashes.max().unwrap_or(0)
     }
 
+    /// Returns whether a crash during an attempt that began at `began_unix_ms` says more about a
+    /// digest than the crashes before.
+    ///
+    /// Attempts that were under way together may all be victims of one crash, or of several endpoints
+    /// that crash for another reason. Only one that began after the last crash counts.
+    #[must_use]
+    pub fn is_new_evidence(&self, digest: &Digest, began_unix_ms: u64) -> bool {
+        let Some(known) = self.entries.get(digest) else {
+            return true;
+        };
+        !is_suspect(known) || began_unix_ms >= known.decided_unix_ms
+    }
+
     /// Records that an endpoint crashed while it ran a digest, alone or among others.
     ///
     /// Returns the entry to send to the other processes.
--- a/crates/chicorystage-core/tests/suspects.rs
+++ b/crates/chicorystage-core/tests/suspects.rs
@@ -90,3 +90,15 @@
     expect_that!(list.status(&"d0".into()), eq(DigestStatus::Clear));
     expect_that!(list.status(&"d10049".into()), eq(DigestStatus::Suspect));
 }
+
+#[gtest]
+fn crash_of_an_attempt_that_began_before_the_last_crash_is_no_new_evidence() -> Result<()> {
+    let digest = Digest::from("d");
+    let mut suspects = SuspectList::default();
+    verify_that!(suspects.is_new_evidence(&digest, 900), eq(true))?;
+    suspects.record_crash(1_000, &digest, false);
+    verify_that!(suspects.is_new_evidence(&digest, 999), eq(false))?;
+    verify_that!(suspects.is_new_evidence(&digest, 1_000), eq(true))?;
+    suspects.record_completion(1_100, &digest);
+    verify_that!(suspects.is_new_evidence(&digest, 999), eq(true))
+}
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -216,5 +216,6 @@
         arrived_ms: now_ms,
         ends_ms: now_ms + 3_000,
         waits: Cell::default(),
+        attempt_began_ms: std::cell::Cell::default(),
     })
 }
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -61,6 +61,8 @@
     pub ends_ms: u64,
     /// Time spent waiting for endpoints so far.
     pub waits: Cell<WaitTimes>,
+    /// Start of the last attempt on the gateway's clock, in milliseconds.
+    pub attempt_began_ms: Cell<u64>,
 }
 
 /// Result of an attempt.
@@ -147,6 +149,7 @@
     work: &CallerWork,
     last_event_id: Option<&str>,
 ) -> Attempted {
+    work.attempt_began_ms.set(gateway.now_ms());
     let mut connection = match connect(gateway, &reservation, true).await {
         Ok(connection) => connection,
         Err(not_run) => return not_run,
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -2,9 +2,13 @@
 //!
 //! A request that crashes its endpoint would, with retries, take down one endpoint after another. A
 //! crash shows as a connection that breaks during a request and an endpoint that accepts no
-//! connection a moment later. The third such crash in a row for the same path and body, counted
-//! over all gateways and without an answer between them, quarantines the request: it is refused for
-//! good. A broken connection to an endpoint that still accepts new ones is not counted.
+//! connection a moment later. The third such crash in a row for the same request, counted over all
+//! gateways and without an answer between them, quarantines the request: it is refused for good. A
+//! broken connection to an endpoint that still accepts new ones is not counted.
+//!
+//! Requests are the same if method, host, path and body are. Many callers may send the same request
+//! without a body, and endpoints may crash for other reasons while they run it; so a crash counts
+//! only if its attempt began after the crash before.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -33,27 +37,62 @@
 /// An endpoint that accepts a new connection after `CRASH_CHECK_DELAY_MS` has only reset the old
 /// one.
 pub fn check_for_crash(gateway: &Rc<Gateway>, work: &CallerWork, address: SocketAddr) {
-    let Some(digest) = digest(work) else {
-        return;
-    };
+    let digest = digest(work);
+    let attempt = BrokenAttempt::ending_now(gateway, work);
     let request: Arc<str> = Arc::from(work.head.attempt_id.as_str());
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(CRASH_CHECK_DELAY_MS)).await;
         if Connection::open(address).await.is_err() {
-            record_crash(&gateway, &request, &digest).await;
+            record_crash(&gateway, &request, &digest, attempt).await;
         }
     });
 }
 
+/// Wall-clock times of an attempt that ended with a broken connection, in milliseconds since the
+/// Unix epoch.
+#[derive(Clone, Copy, Debug)]
+struct BrokenAttempt {
+    began_unix_ms: u64,
+    broke_unix_ms: u64,
+}
+
+impl BrokenAttempt {
+    /// Returns the times of the last attempt of a request, which ends now.
+    fn ending_now(gateway: &Gateway, work: &CallerWork) -> Self {
+        let broke_unix_ms = unix_ms();
+        let took_ms = gateway.now_ms().saturating_sub(work.attempt_began_ms.get());
+        Self {
+            began_unix_ms: broke_unix_ms.saturating_sub(took_ms),
+            broke_unix_ms,
+        }
+    }
+}
+
 /// Counts a crash of a request and reports it to the other gateways.
-async fn record_crash(gateway: &Rc<Gateway>, request: &str, digest: &Digest) {
+async fn record_crash(
+    gateway: &Rc<Gateway>,
+    request: &str,
+    digest: &Digest,
+    attempt: BrokenAttempt,
+) {
     let entry = gateway.with(|view| {
+        if !view.suspects.is_new_evidence(digest, attempt.began_unix_ms) {
+            return None;
+        }
         let is_last = view.suspects.crashes(digest) >= CRASHES_BEFORE_QUARANTINE;
-        view.suspects.record_crash(unix_ms(), digest, is_last)
+        let broke_unix_ms = attempt.broke_unix_ms;
+        Some(view.suspects.record_crash(broke_unix_ms, digest, is_last))
     });
+    let Some(entry) = entry else {
+        log::info!(
+            event = "endpoint_crashed", request, digest = digest.as_str(), counted = false;
+            "endpoint crashed during a request that began before the last crash"
+        );
+        return;
+    };
     log::warn!(
-        event = "endpoint_crashed", request, digest = digest.as_str(),
+        event = "endpoint_crashed", request, digest = digest.as_str(), counted = true,
         crashes = entry.crashes, quarantined = entry.active;
         "endpoint accepts no connection after one broke during a request"
     );
@@ -65,9 +104,8 @@
     if gateway.with(|view| view.suspects.is_empty()) {
         return;
     }
-    if let Some(digest) = digest(work) {
-        gateway.with(|view| view.suspects.record_completion(unix_ms(), &digest));
-    }
+    let digest = digest(work);
+    gateway.with(|view| view.suspects.record_completion(unix_ms(), &digest));
 }
 
 /// Returns whether a request is quarantined.
@@ -76,9 +114,8 @@
     if gateway.with(|view| view.suspects.is_empty()) {
         return false;
     }
-    digest(work).is_some_and(|digest| {
-        gateway.with(|view| view.suspects.status(&digest) == DigestStatus::Quarantined)
-    })
+    let digest = digest(work);
+    gateway.with(|view| view.suspects.status(&digest) == DigestStatus::Quarantined)
 }
 
 /// Merges a crash record that another gateway sent.
@@ -86,13 +123,14 @@
     gateway.with(|view| view.suspects.merge(entry));
 }
 
-/// Returns the digest of a request's path and body.
-///
-/// Returns `None` without a body: then different callers' requests to a path cannot be told apart.
-fn digest(work: &CallerWork) -> Option<Digest> {
-    if work.body.is_empty() {
-        return None;
-    }
+/// Returns the digest of a request's method, host, path and body.
+fn digest(work: &CallerWork) -> Digest {
     let uri = work.uri.to_string();
-    Some(sha256_of_parts(&[uri.as_bytes(), &work.body]))
+    let parts = [
+        work.method.as_str().as_bytes(),
+        work.route.host.as_bytes(),
+        uri.as_bytes(),
+        &work.body,
+    ];
+    sha256_of_parts(&parts)
 }
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -66,6 +66,7 @@
         arrived_ms,
         ends_ms,
         waits: Cell::default(),
+        attempt_began_ms: Cell::new(arrived_ms),
     };
     Serving::new(gateway, work)
         .run(&configuration, in_progress)
