Keep quarantines in the store, so that gateways that start later know them

Cause: a quarantine lived in the memory of the gateways that ran when it was decided and that got its one datagram. Class: a decision that must last, kept only in memory; as with a key that is in use again after a restart.

An operator lifts a quarantine by removing the row.

--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, PlatformFixture, Reply, run_local, send_request, wait_until,
+    EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request, wait_until,
 };
 use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
@@ -164,3 +164,53 @@
         verify_that!(world.healthy.received_requests(), is_empty())
     })
 }
+
+#[gtest]
+fn quarantine_decided_while_the_store_is_away_is_stored_on_its_return() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        world.platform.store.set_mode(StoreMode::Busy);
+        crash_three_endpoints(&gateways, "{poison}").await?;
+        verify_that!(quarantine_key(&gateways[0]), some(anything()))?;
+        world.platform.store.set_mode(StoreMode::Serving);
+        let key = quarantine_key(&gateways[0]).or_fail()?;
+        wait_until("the quarantine is stored", || {
+            world.platform.store.get("chicorystage", &key).is_some()
+        })
+        .await;
+        Ok(())
+    })
+}
+
+#[gtest]
+fn quarantine_whose_row_an_operator_removes_is_lifted_at_every_gateway() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        crash_three_endpoints(&gateways, "{poison}").await?;
+        let key = quarantine_key(&gateways[0]).or_fail()?;
+        wait_until("the quarantine is stored", || {
+            world.platform.store.get("chicorystage", &key).is_some()
+        })
+        .await;
+        world.platform.store.remove("chicorystage", &key);
+        for gateway in &gateways {
+            wait_until("the quarantine is lifted", || {
+                quarantine_key(gateway).is_none()
+            })
+            .await;
+        }
+        let status = send(&gateways[1], "/pay/poison", "{poison}").await?;
+        verify_that!(status, eq(StatusCode::OK))
+    })
+}
+
+/// Returns the key of the row of the gateway's only quarantine; `None` without one.
+fn quarantine_key(gateway: &Gateway) -> Option<String> {
+    gateway.with(|view| {
+        let mut quarantined = view.suspects.quarantined();
+        let entry = quarantined.next()?;
+        Some(format!("quarantine/{}", entry.digest.as_str()))
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -1,4 +1,5 @@
-//! Applies rows of the system's own table: the lease and the addresses of other gateways.
+//! Applies rows of the system's own table: the lease, the addresses of other gateways and
+//! quarantines.
 
 use std::rc::Rc;
 
@@ -8,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::peers;
+use crate::gateway::quarantine_rows::{self, QUARANTINE_KEY};
 use crate::gateway::shared::Gateway;
 use crate::gateway::view::Peer;
 
@@ -25,7 +27,7 @@
     pub incarnation: u64,
 }
 
-/// Applies rows of the system's own table: the lease and other gateways' addresses.
+/// Applies rows of the system's own table: the lease, other gateways' addresses and quarantines.
 pub(super) fn apply_own(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
     gateway.lease(|lease| lease.observe_era(changes.position.era));
     let mut has_lease = false;
@@ -35,6 +37,8 @@
             gateway.observe_lease(row);
         } else if let Some(vm) = row.key.strip_prefix(GATEWAY_KEY) {
             apply_gateway(gateway, vm, row);
+        } else if let Some(digest) = row.key.strip_prefix(QUARANTINE_KEY) {
+            quarantine_rows::apply(gateway, digest, row);
         }
     }
     if is_whole && !has_lease {
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -12,7 +12,7 @@
 //!   [`relay`] passes a long answer on as it arrives.
 //! * [`follow`] polls the tables of the store for changes.
 //! * [`granting`] grants reservations to waiting requests when endpoints have capacity.
-//! * [`poison`] refuses requests that crash endpoints.
+//! * [`poison`] refuses requests that crash endpoints; `quarantine_rows` keeps them in the store.
 //! * [`peers`] exchanges load, demand and placement with the other gateways.
 //! * [`lease_writes`] acquires and renews the lease on orders.
 //! * [`engine_orders`] sends orders to engines while this gateway holds the lease.
@@ -40,6 +40,7 @@
 pub mod poison;
 pub mod pool;
 pub mod probe_http;
+mod quarantine_rows;
 pub mod relay;
 pub mod request;
 pub mod reservation;
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -24,6 +24,7 @@
 use crate::gateway::connection::Connection;
 use crate::gateway::peer_message::PeerContent;
 use crate::gateway::peers;
+use crate::gateway::quarantine_rows;
 use crate::gateway::shared::Gateway;
 use crate::timer::unix_ms;
 
@@ -96,7 +97,10 @@
         crashes = entry.crashes, quarantined = entry.active;
         "endpoint accepts no connection after one broke during a request"
     );
-    peers::broadcast(gateway, PeerContent::Suspect(entry)).await;
+    peers::broadcast(gateway, PeerContent::Suspect(entry.clone())).await;
+    if entry.active {
+        quarantine_rows::store(gateway, &entry).await;
+    }
 }
 
 /// Records that a request was answered, which clears it as a suspect at this gateway.
