Wait for former orders only where engines restart under their identity

Cause: since a new holder gives no order to an engine that has just started, where engines ignore epochs. An engine whose entry states no start counted as started just now. But where no start is stated, each start has an identity of its own, and an order names the identity: nothing sent to the process before can reach the next one. Class: a missing value taken for the worst one without asking what its absence means.

Change: the wait holds only where some endpoint states its start.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -61,6 +61,15 @@
         self.endpoints.remove(id).is_some()
     }
 
+    /// Returns whether any endpoint states when its process started.
+    ///
+    /// Where none does, each process has an identity of its own.
+    #[must_use]
+    pub fn states_starts(&self) -> bool {
+        self.endpoints()
+            .any(|(_, endpoint)| endpoint.entry.born_unix_ms.is_some())
+    }
+
     /// Returns an endpoint; `None` if it is not registered.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
--- a/crates/chicorystage-core/src/orders/order_tracker/mod.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -55,6 +55,7 @@
     /// left or are not ready.
     pub fn sync_engines(&mut self, now_ms: u64, fleet: &FleetView, configuration: &Configuration) {
         self.remove_departed(now_ms, fleet);
+        let reuses_identities = fleet.states_starts();
         for (id, endpoint) in fleet.endpoints() {
             let entry = &endpoint.entry;
             let service = configuration.service(&entry.service);
@@ -63,9 +64,14 @@
                 continue;
             }
             let late_orders = self.late_orders.remove(id).unwrap_or_default();
+            let first_order_ms = if reuses_identities {
+                self.first_order_ms(entry.born_unix_ms)
+            } else {
+                0
+            };
             let record = EngineRecord::new(id.clone(), entry.service.clone(), entry.born_unix_ms)
                 .with_late_orders(late_orders)
-                .with_first_order_ms(self.first_order_ms(entry.born_unix_ms));
+                .with_first_order_ms(first_order_ms);
             self.engines.insert(id.clone(), record);
         }
     }
