--- a/crates/chicorystage-borders/src/http/http_client.rs
+++ b/crates/chicorystage-borders/src/http/http_client.rs
@@ -211,13 +211,23 @@
         &self,
         path: &str,
     ) -> Result<Option<T>, BorderError> {
-        let response = self
-            .send(self.request(Method::GET, path, Bytes::new()))
-            .await?;
-        if response.status() == StatusCode::NOT_FOUND {
-            return Ok(None);
-        }
-        decode(path, &response).map(Some)
+        let request = self.request(Method::GET, path, Bytes::new());
+        decode_found(path, &self.send(request).await?)
+    }
+
+    /// Gets a JSON document whose size is not known beforehand; returns `None` on status 404.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`transfer`](Self::transfer) does, and for the reasons of
+    /// [`get_json`](Self::get_json).
+    pub async fn transfer_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+    ) -> Result<Option<T>, BorderError> {
+        let request = self.request(Method::GET, path, Bytes::new());
+        let progress = TransferProgress::default();
+        decode_found(path, &self.transfer(request, &progress).await?)
     }
 
     /// Posts a JSON document and returns the JSON response.
@@ -340,6 +350,16 @@
     Ok(Bytes::from(bytes))
 }
 
+fn decode_found<T: DeserializeOwned>(
+    path: &str,
+    response: &Response<Bytes>,
+) -> Result<Option<T>, BorderError> {
+    if response.status() == StatusCode::NOT_FOUND {
+        return Ok(None);
+    }
+    decode(path, response).map(Some)
+}
+
 fn decode<T: DeserializeOwned>(path: &str, response: &Response<Bytes>) -> Result<T, BorderError> {
     let status = response.status();
     if status.is_server_error() {
--- a/crates/chicorystage-borders/src/http/http_object_store.rs
+++ b/crates/chicorystage-borders/src/http/http_object_store.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use http::{Method, StatusCode};
 
-use crate::http::HttpClient;
 use crate::http::http_table::percent_encode;
+use crate::http::{HttpClient, TransferProgress};
 use crate::object_store::ObjectStore;
 use crate::{BorderError, BorderErrorKind, BoxFuture};
 
@@ -15,7 +15,7 @@
 }
 
 impl HttpObjectStore {
-    /// Creates a client; `timeout_ms` bounds each call.
+    /// Creates a client; `timeout_ms` bounds each call but the transfer of an object that is read.
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
         Self {
@@ -28,9 +28,10 @@
     fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Bytes>, BorderError>> {
         Box::pin(async move {
             let path = object_path(key);
+            let request = self.client.request(Method::GET, &path, Bytes::new());
             let response = self
                 .client
-                .send(self.client.request(Method::GET, &path, Bytes::new()))
+                .transfer(request, &TransferProgress::default())
                 .await?;
             match response.status() {
                 StatusCode::OK => Ok(Some(response.into_body())),
--- a/crates/chicorystage-borders/src/http/http_table.rs
+++ b/crates/chicorystage-borders/src/http/http_table.rs
@@ -13,7 +13,7 @@
 }
 
 impl HttpTable {
-    /// Creates a client; `timeout_ms` bounds each call.
+    /// Creates a client; `timeout_ms` bounds each call but the transfer of a page of rows.
     #[must_use]
     pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
         Self {
@@ -45,7 +45,7 @@
                 path.push_str("&after=");
                 path.push_str(&percent_encode(after));
             }
-            let page = self.client.get_json(&path).await?;
+            let page = self.client.transfer_json(&path).await?;
             page.ok_or_else(|| {
                 BorderError::new(BorderErrorKind::Rejected, "the table has no scan endpoint")
             })
