Let requests wait for full endpoints rather than go to one that breaks connections

Cause: an endpoint that fails at once has no request in progress and so looks idle. Its failure rate only adds to its cost; where the sound endpoints are full, they are no candidates at all, and it gets everything. Class: a fast failure taken for free capacity.

Change: after two connections in a row that broke before an answer, an endpoint is passed over for 0.8 s as long as another one could take the request, now or after a wait. Where no other one could, it is chosen as before.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -11,6 +11,13 @@
 /// Time for which no request goes to an endpoint after a failed connection attempt, in
 /// milliseconds.
 const UNREACHABLE_MS: u64 = 800;
+/// Number of connections in a row that break during a request after which an endpoint gets none while
+/// others could take it.
+///
+/// A single connection also breaks where an endpoint has closed it while it was idle.
+const BREAKS_MAX: u32 = 2;
+/// Time for which an endpoint counts as breaking its connections after the last one, in milliseconds.
+const BREAKING_MS: u64 = 800;
 /// Time for which an endpoint counts as full after it refused a request, in milliseconds.
 const FULL_MS: u64 = 80;
 /// Weight of the newest outcome in the exponentially weighted average of failures.
@@ -39,6 +46,9 @@
     silent_since_ms: u64,
     unreachable_until_ms: u64,
     full_until_ms: u64,
+    /// Connections in a row that broke during a request, without an answer between them.
+    breaks: u32,
+    last_break_ms: u64,
     /// Pacing of the prompts that this process sends to the endpoint.
     pub pace: PromptPace,
 }
@@ -67,6 +77,8 @@
             silent_since_ms: 0,
             unreachable_until_ms: 0,
             full_until_ms: 0,
+            breaks: 0,
+            last_break_ms: 0,
             pace: PromptPace::default(),
         }
     }
@@ -82,6 +94,26 @@
         self.unreachable_until_ms = now_ms + UNREACHABLE_MS;
     }
 
+    /// Records that a connection broke during a request, before any answer.
+    pub fn connection_broke(&mut self, now_ms: u64) {
+        self.breaks = self.breaks.saturating_add(1);
+        self.last_break_ms = now_ms;
+    }
+
+    /// Records that an answer has begun to arrive.
+    pub fn responded(&mut self) {
+        self.breaks = 0;
+    }
+
+    /// Returns whether the last requests to the endpoint all broke their connections, a moment ago.
+    ///
+    /// Such an endpoint fails at once and so looks idle. Where the others are full it would attract all
+    /// requests, which had better wait.
+    #[must_use]
+    pub fn breaks_connections(&self, now_ms: u64) -> bool {
+        self.breaks >= BREAKS_MAX && now_ms < self.last_break_ms + BREAKING_MS
+    }
+
     /// Records that another endpoint answered at this one's address, which excludes this one for 3
     /// seconds or until its entry is written again.
     pub fn identity_refused(&mut self, now_ms: u64) {
@@ -201,6 +233,7 @@
         self.failure_rate = 0.0;
         self.unanswered = 0;
         self.unreachable_until_ms = 0;
+        self.breaks = 0;
         self.pace = PromptPace::default();
     }
 
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -263,6 +263,8 @@
     ) -> Result<Vec<Candidate<'_>>, Choice> {
         let mut reason = Choice::NoEndpoint;
         let mut candidates = Vec::new();
+        let mut breaking = Vec::new();
+        let mut has_sound = false;
         for (id, endpoint) in &self.endpoints {
             if endpoint.entry.service != requirements.service || !endpoint.is_usable(now_ms) {
                 continue;
@@ -274,6 +276,8 @@
                 reason = better_reason(reason, missing);
                 continue;
             }
+            let is_sound = !endpoint.breaks_connections(now_ms);
+            has_sound |= is_sound;
             let occupancy = self.occupancy(id);
             if !endpoint.has_capacity(now_ms, occupancy) {
                 reason = better_reason(reason, Choice::Full);
@@ -285,13 +289,21 @@
                 continue;
             }
             let has_failed = requirements.avoid.contains(id);
-            candidates.push(Candidate {
+            let group = if is_sound {
+                &mut candidates
+            } else {
+                &mut breaking
+            };
+            group.push(Candidate {
                 id,
                 cost: cost(now_ms, zone, endpoint, occupancy, has_failed),
                 request_cost: request_cost(endpoint),
                 others: self.totals.get(id).copied().unwrap_or(0),
             });
         }
+        if !has_sound {
+            candidates = breaking;
+        }
         if candidates.is_empty() {
             return Err(reason);
         }
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -229,3 +229,34 @@
     known.missing_reported(10_000, "o".into(), None);
     assert_that!(choose(&fleet, 10_001, &requirements("p")), eq(&at("a")));
 }
+
+#[gtest]
+fn requests_wait_for_full_endpoints_rather_than_go_to_one_that_breaks_connections() -> Result<()> {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "here", &["m"])]);
+    let broken = EndpointId::from("b");
+    let full = EndpointId::from("a");
+    for _ in 0..4 {
+        let endpoint = fleet.get_mut(&full).or_fail()?;
+        endpoint.started(1_000, Some(&ModelName::from("m")));
+    }
+    let endpoint = fleet.get_mut(&broken).or_fail()?;
+    endpoint.connection_broke(1_000);
+    verify_that!(choose(&fleet, 1_000, &requirements("m")), eq(&at("b")))?;
+    let endpoint = fleet.get_mut(&broken).or_fail()?;
+    endpoint.connection_broke(1_010);
+    verify_that!(choose(&fleet, 1_010, &requirements("m")), eq(&Choice::Full))?;
+    verify_that!(choose(&fleet, 1_809, &requirements("m")), eq(&Choice::Full))?;
+    verify_that!(choose(&fleet, 1_810, &requirements("m")), eq(&at("b")))?;
+    fleet.get_mut(&broken).or_fail()?.responded();
+    verify_that!(choose(&fleet, 1_100, &requirements("m")), eq(&at("b")))
+}
+
+#[gtest]
+fn endpoint_that_breaks_connections_is_chosen_where_no_other_holds_the_model() -> Result<()> {
+    let mut fleet = fleet(&[entry("a", "here", &["other"]), entry("b", "here", &["m"])]);
+    let endpoint = fleet.get_mut(&EndpointId::from("b")).or_fail()?;
+    for _ in 0..3 {
+        endpoint.connection_broke(1_000);
+    }
+    verify_that!(choose(&fleet, 1_000, &requirements("m")), eq(&at("b")))
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -172,6 +172,9 @@
             Exchange::Response(response) => break response,
             Exchange::Lost(reason) => {
                 reservation.outcome(false);
+                if reason == LossReason::ConnectionBroke {
+                    reservation.connection_broke();
+                }
                 return Attempted::Lost(reason);
             }
             // The endpoint had closed the idle connection.
@@ -182,7 +185,7 @@
             Err(not_run) => return not_run,
         };
     };
-    reservation.answered();
+    reservation.responded();
     let (parts, body) = response.into_parts();
     let head = EndpointAnswer::decode(parts.status, &parts.headers, &work.head.attempt_id);
     if !head.is_for_attempt {
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use chicorystage_api::name::{EndpointId, ModelName, SoftwareVersion};
-use chicorystage_core::fleet::EndpointEntry;
+use chicorystage_core::fleet::{Endpoint, EndpointEntry};
 
 use crate::gateway::shared::Gateway;
 
@@ -62,6 +62,21 @@
         });
     }
 
+    /// Records that an answer of the endpoint has begun to arrive.
+    pub fn responded(&mut self) {
+        self.answered();
+        self.gateway
+            .with_endpoint(&self.endpoint, Endpoint::responded);
+    }
+
+    /// Records that the connection broke before any answer.
+    pub fn connection_broke(&self) {
+        let now_ms = self.gateway.now_ms();
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            endpoint.connection_broke(now_ms);
+        });
+    }
+
     /// Records that the endpoint accepted no connection.
     pub fn unreachable(&self) {
         let now_ms = self.gateway.now_ms();
