--- a/crates/chicorystage-testbed/tests/gateway_calls.rs
+++ b/crates/chicorystage-testbed/tests/gateway_calls.rs
@@ -1,9 +1,9 @@
-//! Calls through a gateway: routing, headers, retries of idempotent and other calls, refusals,
-//! quarantine and the graceful stop.
+//! Calls through a gateway: routing, headers, retries of idempotent and other calls, refusals and
+//! the graceful stop.
 
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, EndpointEngine, PlatformFixture, Reply, default_routes, run_local,
-    send_request, wait_until,
+    send_request,
 };
 use googletest::prelude::*;
 use http::{Method, StatusCode};
@@ -326,100 +326,6 @@
     })
 }
 
-/// Starts an endpoint that stops permanently at its first request; returns its address.
-async fn crashing_endpoint() -> std::io::Result<std::net::SocketAddr> {
-    use tokio::io::AsyncReadExt;
-    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await?;
-    let address = listener.local_addr()?;
-    tokio::task::spawn_local(async move {
-        let Ok((mut stream, _peer)) = listener.accept().await else {
-            return;
-        };
-        let mut head = [0; 512];
-        // Whatever was read, the connection and the listener are closed here.
-        let _read = stream.read(&mut head).await;
-    });
-    Ok(address)
-}
-
-#[gtest]
-fn request_that_crashes_three_endpoints_is_then_refused_at_every_gateway() -> Result<()> {
-    run_local(async {
-        let world = PlatformFixture::start().await.or_fail()?;
-        let healthy = EndpointEmulator::start("z", success_reply(), None)
-            .await
-            .or_fail()?;
-        world.declare(1);
-        // The healthy endpoint is in another availability zone and each has many slots, so that the
-        // gateways choose it last.
-        let mut entry = healthy.registry_entry("app", "ready", 1);
-        entry["slots"] = 100.into();
-        for i in 0..3 {
-            entry["addr"] = crashing_endpoint().await.or_fail()?.to_string().into();
-            world
-                .store
-                .put("servers", &format!("e{i}"), entry.to_string().as_bytes());
-        }
-        entry["addr"] = healthy.address.to_string().into();
-        entry["zone"] = "z2".into();
-        world
-            .store
-            .put("servers", "z", entry.to_string().as_bytes());
-        let gateways = [
-            world.start_gateway("g1").await.or_fail()?,
-            world.start_gateway("g2").await.or_fail()?,
-        ];
-        for gateway in &gateways {
-            wait_until("the gateways are live peers of each other", || {
-                let now_ms = gateway.now_ms();
-                gateway.is_ready() && gateway.with(|view| view.live_peers(now_ms).count() == 1)
-            })
-            .await;
-        }
-        for i in 0..3 {
-            let reply =
-                send_request(&gateways[0], Method::POST, "/pay/poison", &[], "{poison}").await;
-            verify_that!(reply.or_fail()?.status, eq(StatusCode::BAD_GATEWAY))?;
-            for gateway in &gateways {
-                wait_until("the gateway has recorded the crash", || {
-                    gateway.with(|view| view.suspects.crashes_max()) == i + 1
-                })
-                .await;
-            }
-        }
-        for gateway in &gateways {
-            let reply = send_request(gateway, Method::POST, "/pay/poison", &[], "{poison}").await;
-            verify_that!(
-                reply.or_fail()?.status,
-                eq(StatusCode::INTERNAL_SERVER_ERROR)
-            )?;
-        }
-        verify_that!(healthy.received_requests(), is_empty())?;
-        // The same path with another body is another request.
-        let reply = send_request(&gateways[1], Method::POST, "/pay/poison", &[], "{good}").await;
-        verify_that!(reply.or_fail()?.status, eq(StatusCode::OK))
-    })
-}
-
-#[gtest]
-fn request_whose_answers_are_only_lost_is_never_quarantined() -> Result<()> {
-    run_local(async {
-        let world = PlatformFixture::start().await.or_fail()?;
-        let endpoint = EndpointEmulator::start("e1", Reply::Disconnect, None)
-            .await
-            .or_fail()?;
-        world.declare(1);
-        world.register(&endpoint, "app");
-        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
-        for _ in 0..5 {
-            let reply = send_request(&gateway, Method::POST, "/pay/x", &[], "{same}").await;
-            verify_that!(reply.or_fail()?.status, eq(StatusCode::BAD_GATEWAY))?;
-            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
-        }
-        verify_that!(endpoint.received_requests(), len(eq(5)))
-    })
-}
-
 // Guards against a useless wait: callers waited nearly two seconds for a model whose load takes
 // twenty seconds, and were refused only then.
 #[gtest]
--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -108,6 +108,23 @@
     Ok(())
 }
 
+#[gtest]
+fn request_that_crashes_three_endpoints_is_then_refused_at_every_gateway() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        crash_three_endpoints(&gateways, "{poison}").await?;
+        for gateway in &gateways {
+            let status = send(gateway, "/pay/poison", "{poison}").await?;
+            verify_that!(status, eq(StatusCode::INTERNAL_SERVER_ERROR))?;
+        }
+        verify_that!(world.healthy.received_requests(), is_empty())?;
+        // The same path with another body is another request.
+        let status = send(&gateways[1], "/pay/poison", "{good}").await?;
+        verify_that!(status, eq(StatusCode::OK))
+    })
+}
+
 #[gtest]
 fn request_without_a_body_that_crashes_three_endpoints_is_then_refused_at_every_gateway()
 -> Result<()> {
@@ -206,6 +223,25 @@
     })
 }
 
+#[gtest]
+fn request_whose_answers_are_only_lost_is_never_quarantined() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let endpoint = EndpointEmulator::start("e1", Reply::Disconnect, None)
+            .await
+            .or_fail()?;
+        world.declare(1);
+        world.register(&endpoint, "app");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        for _ in 0..5 {
+            let reply = send_request(&gateway, Method::POST, "/pay/x", &[], "{same}").await;
+            verify_that!(reply.or_fail()?.status, eq(StatusCode::BAD_GATEWAY))?;
+            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+        }
+        verify_that!(endpoint.received_requests(), len(eq(5)))
+    })
+}
+
 /// Returns the key of the row of the gateway's only quarantine; `None` without one.
 fn quarantine_key(gateway: &Gateway) -> Option<String> {
     gateway.with(|view| {
