Begin the count of crashes anew at every gateway when one answers the request

Found on reading the change: since requests without a body have a digest, a common one (many callers, one path) can be under way at each of three endpoints that crash for other reasons, hours apart. Crashes are told to all gateways, but an answer cleared the count at the gateway that saw it alone. With many gateways a count could reach three although thousands of answers lay between, and the path would have been refused for good everywhere.

Change: a gateway that sees a suspect answered tells the others the time of the answer. It clears a suspect whose last crash came before, and never a quarantine. Cost: one broadcast a gateway and crash at most.

--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -90,15 +90,29 @@
         entry
     }
 
-    /// Records that a request with a digest completed, which clears a suspect in this process only.
+    /// Records that a request with a digest completed, which clears a suspect; returns whether it
+    /// was one.
     ///
     /// The cleared entry is not sent to other processes: it would count as newer
-    /// there than a quarantine that was decided meanwhile. Each process clears the
-    /// suspect when it observes the completion of such a request itself.
-    pub fn record_completion(&mut self, now_unix_ms: u64, digest: &Digest) {
-        if self.status(digest) == DigestStatus::Suspect {
+    /// there than a quarantine that was decided meanwhile. They may be told of the
+    /// completion itself, for [`Self::merge_completion`].
+    pub fn record_completion(&mut self, now_unix_ms: u64, digest: &Digest) -> bool {
+        let is_suspect = self.status(digest) == DigestStatus::Suspect;
+        if is_suspect {
             self.clear(now_unix_ms, digest, "the request completed");
         }
+        is_suspect
+    }
+
+    /// Clears a suspect of which another process reports a completion after the last known crash.
+    ///
+    /// A quarantine stays: the process that decided it did not know of the completion, and only an
+    /// operator lifts it.
+    pub fn merge_completion(&mut self, completed_unix_ms: u64, digest: &Digest) {
+        let last_crash_unix_ms = self.entries.get(digest).map(|entry| entry.decided_unix_ms);
+        if last_crash_unix_ms.is_some_and(|crash_unix_ms| crash_unix_ms <= completed_unix_ms) {
+            self.record_completion(completed_unix_ms, digest);
+        }
     }
 
     /// Lifts the quarantine of a digest on an operator's command.
--- a/crates/chicorystage-core/tests/suspects.rs
+++ b/crates/chicorystage-core/tests/suspects.rs
@@ -102,3 +102,47 @@
     suspects.record_completion(1_100, &digest);
     verify_that!(suspects.is_new_evidence(&digest, 999), eq(true))
 }
+
+const GATEWAYS: usize = 5;
+/// Crashes in a row that quarantine a digest.
+const CRASHES: u32 = 3;
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Crashes and answers of one digest at random processes, each told to all others: it is
+    /// quarantined everywhere after the third crash in a row, and never before, however many crashes
+    /// there are with answers between them at other processes.
+    #[test]
+    fn only_crashes_without_an_answer_at_any_process_between_them_quarantine(
+        steps in prop::collection::vec((0..GATEWAYS, any::<bool>()), 1..40),
+    ) {
+        let digest = Digest::from("d");
+        let mut processes = [(); GATEWAYS].map(|()| SuspectList::default());
+        let mut in_a_row = 0;
+        for (now_ms, (process, is_crash)) in (1_000..).step_by(10).zip(steps) {
+            if is_crash {
+                in_a_row += 1;
+                let own = &mut processes[process];
+                let is_last = own.crashes(&digest) + 1 >= CRASHES;
+                let entry = own.record_crash(now_ms, &digest, is_last);
+                for other in &mut processes {
+                    other.merge(entry.clone());
+                }
+            } else {
+                in_a_row = 0;
+                processes[process].record_completion(now_ms, &digest);
+                for other in &mut processes {
+                    other.merge_completion(now_ms, &digest);
+                }
+            }
+            let is_quarantined = processes
+                .each_ref()
+                .map(|process| process.status(&digest) == DigestStatus::Quarantined);
+            prop_assert_eq!(is_quarantined, [in_a_row >= CRASHES; GATEWAYS]);
+            if in_a_row >= CRASHES {
+                return Ok(());
+            }
+        }
+    }
+}
--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -98,16 +98,21 @@
     for crashes in 1..=CRASHES {
         let status = send(&gateways[0], "/pay/poison", body).await?;
         verify_that!(status, eq(StatusCode::BAD_GATEWAY))?;
-        for gateway in gateways {
-            wait_until("the gateway has recorded the crash", || {
-                gateway.with(|view| view.suspects.crashes_max()) == crashes
-            })
-            .await;
-        }
+        wait_for_crashes(gateways, crashes).await;
     }
     Ok(())
 }
 
+/// Waits until each gateway counts so many crashes of the only suspect.
+async fn wait_for_crashes(gateways: &[Rc<Gateway>], crashes: u32) {
+    for gateway in gateways {
+        wait_until("the gateway counts the crashes", || {
+            gateway.with(|view| view.suspects.crashes_max()) == crashes
+        })
+        .await;
+    }
+}
+
 #[gtest]
 fn request_that_crashes_three_endpoints_is_then_refused_at_every_gateway() -> Result<()> {
     run_local(async {
@@ -165,6 +170,28 @@
     })
 }
 
+#[gtest]
+fn answer_at_one_gateway_clears_a_suspected_request_at_the_others() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        for crashes in 1..CRASHES {
+            verify_that!(
+                send(&gateways[0], "/pay/same", "").await?,
+                eq(StatusCode::BAD_GATEWAY)
+            )?;
+            wait_for_crashes(&gateways, crashes).await;
+        }
+        for i in 0..CRASHES {
+            world.platform.store.remove("servers", &format!("e{i}"));
+        }
+        let answered = || async { send(&gateways[1], "/pay/same", "").await };
+        while answered().await? != StatusCode::OK {}
+        wait_for_crashes(&gateways, 0).await;
+        Ok(())
+    })
+}
+
 #[gtest]
 fn quarantined_request_is_refused_by_a_gateway_that_starts_later() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -1,6 +1,6 @@
 //! JSON messages that gateways send each other as datagrams.
 
-use chicorystage_api::name::{AdapterName, EndpointId, ModelName, VmId};
+use chicorystage_api::name::{AdapterName, Digest, EndpointId, ModelName, VmId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::fleet::UncachedModel;
 use serde::{Deserialize, Serialize};
@@ -29,6 +29,13 @@
     Sum(TotalLoadUpdate),
     /// A request suspected to crash endpoints, after a crash.
     Suspect(QuarantineEntry),
+    /// A request that was suspected to crash endpoints and has been answered.
+    Cleared {
+        /// Digest of the request.
+        digest: Digest,
+        /// Time of the answer, in milliseconds since the Unix epoch.
+        answered_unix_ms: u64,
+    },
 }
 
 /// Load and demand of one gateway.
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -61,6 +61,10 @@
         PeerContent::Placement(update) => receive_placement(gateway, now_ms, update),
         PeerContent::Sum(update) => receive_total_load(gateway, now_ms, message.from, update),
         PeerContent::Suspect(entry) => poison::merge(gateway, entry),
+        PeerContent::Cleared {
+            digest,
+            answered_unix_ms,
+        } => poison::merge_answer(gateway, answered_unix_ms, &digest),
     }
 }
 
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -103,13 +103,34 @@
     }
 }
 
-/// Records that a request was answered, which clears it as a suspect at this gateway.
-pub fn record_answer(gateway: &Gateway, work: &CallerWork) {
+/// Records that a request was answered, which clears it as a suspect at every gateway.
+///
+/// Many callers may send the same request without a body, and each gateway sees only some of its
+/// answers.
+pub fn record_answer(gateway: &Rc<Gateway>, work: &CallerWork) {
     if gateway.with(|view| view.suspects.is_empty()) {
         return;
     }
     let digest = digest(work);
-    gateway.with(|view| view.suspects.record_completion(unix_ms(), &digest));
+    let answered_unix_ms = unix_ms();
+    let was_suspect =
+        gateway.with(|view| view.suspects.record_completion(answered_unix_ms, &digest));
+    if !was_suspect {
+        return;
+    }
+    log::info!(
+        event = "suspect_cleared", request = work.head.attempt_id.as_str(),
+        digest = digest.as_str();
+        "a request that was suspected to crash endpoints has been answered"
+    );
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let content = PeerContent::Cleared {
+            digest,
+            answered_unix_ms,
+        };
+        peers::broadcast(&gateway, content).await;
+    });
 }
 
 /// Returns whether a request is quarantined.
@@ -127,6 +148,11 @@
     gateway.with(|view| view.suspects.merge(entry));
 }
 
+/// Clears a suspect that another gateway has seen answered.
+pub fn merge_answer(gateway: &Gateway, answered_unix_ms: u64, digest: &Digest) {
+    gateway.with(|view| view.suspects.merge_completion(answered_unix_ms, digest));
+}
+
 /// Returns the digest of a request's method, host, path and body.
 fn digest(work: &CallerWork) -> Digest {
     let uri = work.uri.to_string();
