Ask an endpoint that broke its connections with one request at a time

Found on reading the change: when the 0.8 s were over, all requests that waited at a gateway could go to the endpoint at once, before the first of them broke. Now one does, until it answers.

fleet_choice: the new test fails with the one request at a time taken out (run).

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -105,13 +105,16 @@
         self.breaks = 0;
     }
 
-    /// Returns whether the last requests to the endpoint all broke their connections, a moment ago.
+    /// Returns whether the last requests to the endpoint all broke their connections, and none should
+    /// be sent now.
     ///
     /// Such an endpoint fails at once and so looks idle. Where the others are full it would attract all
-    /// requests, which had better wait.
+    /// requests, which had better wait. After a while one request at a time finds out whether it serves
+    /// again.
     #[must_use]
     pub fn breaks_connections(&self, now_ms: u64) -> bool {
-        self.breaks >= BREAKS_MAX && now_ms < self.last_break_ms + BREAKING_MS
+        let is_recent = now_ms < self.last_break_ms + BREAKING_MS;
+        self.breaks >= BREAKS_MAX && (is_recent || !self.in_progress.is_empty())
     }
 
     /// Records that another endpoint answered at this one's address, which excludes this one for 3
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -251,6 +251,32 @@
     verify_that!(choose(&fleet, 1_100, &requirements("m")), eq(&at("b")))
 }
 
+#[gtest]
+fn endpoint_that_broke_connections_gets_one_request_at_a_time_until_it_answers() -> Result<()> {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "here", &["m"])]);
+    let model = ModelName::from("m");
+    let full = EndpointId::from("a");
+    for _ in 0..4 {
+        fleet.get_mut(&full).or_fail()?.started(1_000, Some(&model));
+    }
+    let id = EndpointId::from("b");
+    let endpoint = fleet.get_mut(&id).or_fail()?;
+    endpoint.connection_broke(1_000);
+    endpoint.connection_broke(1_000);
+    let later_ms = 1_800;
+    verify_that!(choose(&fleet, later_ms, &requirements("m")), eq(&at("b")))?;
+    fleet
+        .get_mut(&id)
+        .or_fail()?
+        .started(later_ms, Some(&model));
+    verify_that!(
+        choose(&fleet, later_ms, &requirements("m")),
+        eq(&Choice::Full)
+    )?;
+    fleet.get_mut(&id).or_fail()?.responded();
+    verify_that!(choose(&fleet, later_ms, &requirements("m")), eq(&at("b")))
+}
+
 #[gtest]
 fn endpoint_that_breaks_connections_is_chosen_where_no_other_holds_the_model() -> Result<()> {
     let mut fleet = fleet(&[entry("a", "here", &["other"]), entry("b", "here", &["m"])]);
