--- a/crates/chicorystage-api/src/name.rs
+++ b/crates/chicorystage-api/src/name.rs
@@ -78,6 +78,8 @@
     ChangeId
     /// Idempotency key chosen by a caller.
     IdempotencyKey
+    /// Identifier of a part of a prompt, the same in all prompts that contain the part.
+    PromptPartId
     /// Lowercase hexadecimal SHA-256 digest.
     Digest
 }
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chicorystage_api::name::Digest;
+use chicorystage_api::name::{Digest, PromptPartId};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
 use chicorystage_core::token::sha256_of_parts;
@@ -41,11 +41,17 @@
     let digest = digest(work);
     let attempt = BrokenAttempt::ending_now(gateway, work);
     let request: Arc<str> = Arc::from(work.head.attempt_id.as_str());
+    let parts = parts_text(&work.head.shared_parts);
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         tokio::time::sleep(Duration::from_millis(CRASH_CHECK_DELAY_MS)).await;
         if Connection::open(address).await.is_err() {
-            record_crash(&gateway, &request, &digest, attempt).await;
+            record_crash(&gateway, &request, &parts, &digest, attempt).await;
+        } else {
+            log::info!(
+                event = "endpoint_not_crashed", request, address:%, parts;
+                "endpoint accepts connections after one broke during a request"
+            );
         }
     });
 }
@@ -74,6 +80,7 @@
 async fn record_crash(
     gateway: &Rc<Gateway>,
     request: &str,
+    parts: &str,
     digest: &Digest,
     attempt: BrokenAttempt,
 ) {
@@ -87,13 +94,13 @@
     });
     let Some(entry) = entry else {
         log::info!(
-            event = "endpoint_crashed", request, digest = digest.as_str(), counted = false;
+            event = "endpoint_crashed", request, digest = digest.as_str(), parts, counted = false;
             "endpoint crashed during a request that began before the last crash"
         );
         return;
     };
     log::warn!(
-        event = "endpoint_crashed", request, digest = digest.as_str(), counted = true,
+        event = "endpoint_crashed", request, digest = digest.as_str(), parts, counted = true,
         crashes = entry.crashes, quarantined = entry.active;
         "endpoint accepts no connection after one broke during a request"
     );
@@ -153,6 +160,12 @@
     gateway.with(|view| view.suspects.merge_completion(answered_unix_ms, digest));
 }
 
+/// Returns the identifiers of prompt parts, separated by commas.
+fn parts_text(parts: &[PromptPartId]) -> String {
+    let ids: Vec<&str> = parts.iter().map(PromptPartId::as_str).collect();
+    ids.join(",")
+}
+
 /// Returns the digest of a request's method, host, path and body.
 fn digest(work: &CallerWork) -> Digest {
     let uri = work.uri.to_string();
