--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -14,6 +14,8 @@
 use crate::users_platform::raw_reply::{ATTEMPT_PLACEHOLDER, ConnectionEnd, RawReply};
 use crate::users_platform::registry_entry::registry_entry;
 
+/// Time from the arrival of a request to the crash that it causes, in milliseconds.
+const CRASH_DELAY_MS: u64 = 20;
 /// Bytes that end a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -37,6 +39,8 @@
     /// Answer to reads of the load report; `None` for a proper one.
     report_reply: RefCell<Option<RawReply>>,
     engine: RefCell<EndpointEngine>,
+    /// Part of a prompt on which the endpoint crashes; `None` for none.
+    crashing_part: RefCell<Option<String>>,
     received_heads: RefCell<Vec<String>>,
     /// Whether the endpoint's process still accepts connections.
     is_listening: watch::Sender<bool>,
@@ -65,6 +69,7 @@
             default_reply,
             report_reply: RefCell::default(),
             engine: RefCell::new(engine),
+            crashing_part: RefCell::default(),
             received_heads: RefCell::default(),
             is_listening: watch::Sender::new(true),
             repeated_bytes: Cell::new(0),
@@ -94,6 +99,17 @@
         *self.state.report_reply.borrow_mut() = reply;
     }
 
+    /// Makes the endpoint crash as soon as it begins to answer a request whose prompt has this part.
+    pub fn crash_on_prompt_part(&self, part: &str) {
+        *self.state.crashing_part.borrow_mut() = Some(part.to_owned());
+    }
+
+    /// Returns whether the endpoint has crashed.
+    #[must_use]
+    pub fn has_crashed(&self) -> bool {
+        !*self.state.is_listening.borrow()
+    }
+
     /// Returns the heads of the requests received so far, without reports and orders.
     #[must_use]
     pub fn received_heads(&self) -> Vec<String> {
@@ -138,9 +154,13 @@
             return;
         };
         let state = Rc::clone(&state);
+        let mut is_alive = is_listening.clone();
         tokio::task::spawn_local(async move {
             // The client observes a broken connection as well.
-            let _ended = serve(&state, stream).await;
+            tokio::select! {
+                _ended = serve(&state, stream) => {}
+                _crashed = is_alive.wait_for(|is_alive| !is_alive) => {}
+            }
         });
     }
 }
@@ -154,6 +174,9 @@
             return Ok(());
         };
         let reply = reply_to(state, &head);
+        if reply.end == ConnectionEnd::Crash {
+            tokio::time::sleep(Duration::from_millis(CRASH_DELAY_MS)).await;
+        }
         let sent = reply
             .bytes
             .replace(ATTEMPT_PLACEHOLDER, header(&head, "attempt-id"));
@@ -212,12 +235,23 @@
         "/order" => proper_reply(""),
         _ => {
             state.received_heads.borrow_mut().push(head.to_owned());
+            if has_crashing_part(state, head) {
+                return RawReply::close_delimited_events("", ConnectionEnd::Crash);
+            }
             let scripted = state.script.borrow_mut().pop_front();
             scripted.unwrap_or_else(|| state.default_reply.clone())
         }
     }
 }
 
+/// Returns whether the request's prompt has the part on which the endpoint crashes.
+fn has_crashing_part(state: &State, head: &str) -> bool {
+    let crashing = state.crashing_part.borrow();
+    let parts = header(head, "prompt-prefix").split(',');
+    let mut ids = parts.filter_map(|part| part.split(':').next());
+    ids.any(|id| crashing.as_deref() == Some(id))
+}
+
 fn proper_reply(body: &str) -> RawReply {
     let length = format!("Content-Length: {}", body.len());
     RawReply::new("200 OK", &[&length], body, ConnectionEnd::Silence)
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -0,0 +1,87 @@
+//! Requests that share a part of their prompt on which endpoints crash, at several gateways that are
+//! processes of their own.
+
+mod prompt_parts_world;
+
+use std::time::Duration;
+
+use chicorystage_testbed::users_platform::run_local;
+use googletest::prelude::*;
+
+use crate::prompt_parts_world::{GATEWAYS, World};
+
+/// Crashes after which a part must be known as their cause at every gateway in touch.
+const CRASHES: usize = 5;
+/// Time in which the gateways may learn of it, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+/// Requests with the part that may still reach endpoints after that.
+const REACH_MAX: usize = 3;
+/// Number of requests with the part, new ones each, that come after that.
+const LATER_REQUESTS: usize = 24;
+/// Requests with the part after which five endpoints must have crashed.
+const REQUESTS_MAX: usize = 40;
+
+/// Sends requests with the part through all gateways, one after the other, until five endpoints have
+/// crashed or they are refused.
+async fn send_until_five_crashes(world: &World) -> Result<()> {
+    for number in 0..REQUESTS_MAX {
+        if world.crashes() >= CRASHES {
+            return Ok(());
+        }
+        world.send_crashing(number % GATEWAYS).await?;
+    }
+    Ok(())
+}
+
+/// Sends later requests with the part; returns how many reach endpoints.
+async fn reached_by_later_requests(world: &World) -> Result<usize> {
+    tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+    let before = world.received_with_crashing_part();
+    for number in 0..LATER_REQUESTS {
+        world.send_crashing(number % GATEWAYS).await?;
+    }
+    Ok(world.received_with_crashing_part() - before)
+}
+
+#[gtest]
+fn requests_that_share_a_prompt_part_that_crashes_endpoints_are_stopped_at_every_gateway()
+-> Result<()> {
+    run_local(async {
+        let world = World::start("shared").await?;
+        let load = world.start_sound_load();
+        send_until_five_crashes(&world).await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        // Sound requests share the first part with those that are refused.
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s1").await?, is_true())?;
+        }
+        load.abort();
+        world.stop().await
+    })
+}
+
+#[gtest]
+fn prompt_part_that_crashes_endpoints_is_told_from_the_parts_before_it_without_sound_requests()
+-> Result<()> {
+    run_local(async {
+        let world = World::start("alone").await?;
+        send_until_five_crashes(&world).await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s1").await?, is_true())?;
+        }
+        world.stop().await
+    })
+}
+
+#[gtest]
+fn prompt_part_that_crashes_endpoints_is_refused_after_all_gateways_were_killed() -> Result<()> {
+    run_local(async {
+        let mut world = World::start("killed").await?;
+        send_until_five_crashes(&world).await?;
+        tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+        world.restart_gateways().await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        world.stop().await
+    })
+}
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
@@ -0,0 +1,192 @@
+//! Gateways as processes before engines that crash on one part of a prompt.
+
+use std::cell::Cell;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_testbed::soak::{GatewayProcess, SoakPlan};
+use chicorystage_testbed::users_platform::{
+    CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, call,
+};
+use googletest::prelude::*;
+use http::Method;
+use tokio::task::JoinHandle;
+
+/// Number of gateways.
+pub const GATEWAYS: usize = 3;
+/// Number of engines, more than the requests of a test can crash before they are to be stopped.
+const ENGINES: usize = 36;
+/// Part on which the engines crash.
+const CRASHING_PART: &str = "bad";
+/// Interval between two sound requests at each gateway, in milliseconds.
+const SOUND_INTERVAL_MS: u64 = 20;
+/// Number of second parts of sound requests.
+const SOUND_PARTS: u64 = 5;
+/// Events of an answer.
+const EVENTS: u32 = 6;
+
+/// Gateways as processes, before engines that crash on a part of the prompt.
+pub struct World {
+    gateways: Vec<GatewayProcess>,
+    directory: PathBuf,
+    endpoints: Vec<RawEndpoint>,
+    platform: PlatformFixture,
+    sent: Rc<Cell<u64>>,
+}
+
+impl World {
+    /// Starts engines and gateways; `name` names the folder of their files.
+    pub async fn start(name: &str) -> Result<Self> {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        platform.declare(1);
+        let mut endpoints = Vec::new();
+        for number in 0..ENGINES {
+            let engine = EndpointEngine::new(&["m0"], 60);
+            let endpoint = RawEndpoint::start(&format!("e{number}"), answer(), engine)
+                .await
+                .or_fail()?;
+            endpoint.crash_on_prompt_part(CRASHING_PART);
+            platform.register_raw(&endpoint, "llm");
+            endpoints.push(endpoint);
+        }
+        let plan = plan(name);
+        std::fs::create_dir_all(&plan.directory).or_fail()?;
+        let mut gateways = Vec::new();
+        for number in 0..GATEWAYS {
+            let gateway = GatewayProcess::start(number, &plan, platform.store.address).or_fail()?;
+            gateways.push(gateway);
+        }
+        let world = Self {
+            gateways,
+            directory: plan.directory,
+            endpoints,
+            platform,
+            sent: Rc::default(),
+        };
+        world.wait_until_ready().await?;
+        Ok(world)
+    }
+
+    /// Waits until all gateways are ready and know each other.
+    async fn wait_until_ready(&self) -> Result<()> {
+        for gateway in &self.gateways {
+            gateway.wait_until_ready().await.or_fail()?;
+        }
+        // Each follows the rows of the others.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        Ok(())
+    }
+
+    /// Kills all gateways at the same moment and starts them again.
+    pub async fn restart_gateways(&mut self) -> Result<()> {
+        let restarts = self.gateways.iter_mut().map(GatewayProcess::restart);
+        for restarted in futures_util::future::join_all(restarts).await {
+            restarted.or_fail()?;
+        }
+        self.wait_until_ready().await
+    }
+
+    /// Stops the gateways and removes their files.
+    pub async fn stop(mut self) -> Result<()> {
+        for gateway in &mut self.gateways {
+            gateway.stop().await.or_fail()?;
+        }
+        std::fs::remove_dir_all(&self.directory).or_fail()
+    }
+
+    /// Number of engines that have crashed.
+    pub fn crashes(&self) -> usize {
+        let crashed = self.endpoints.iter().filter(|engine| engine.has_crashed());
+        crashed.count()
+    }
+
+    /// Number of requests with the crashing part that have reached engines.
+    pub fn received_with_crashing_part(&self) -> usize {
+        let heads = self.endpoints.iter().flat_map(RawEndpoint::received_heads);
+        let part = format!("{CRASHING_PART}:");
+        heads.filter(|head| head.contains(&part)).count()
+    }
+
+    /// Sends a request with the crashing part, unlike any before, and removes the engine that it has
+    /// crashed.
+    pub async fn send_crashing(&self, gateway: usize) -> Result<()> {
+        let parts = format!("f:100,{CRASHING_PART}:50");
+        // A broken answer or connection is what the caller of such a request must expect.
+        let _reply = send(self.gateways[gateway].callers, &self.sent, &parts).await;
+        for endpoint in self.endpoints.iter().filter(|engine| engine.has_crashed()) {
+            self.platform.store.remove("servers", endpoint.id());
+        }
+        Ok(())
+    }
+
+    /// Sends a request with a sound second part; returns whether it was answered whole.
+    pub async fn send_sound(&self, gateway: usize, part: &str) -> Result<bool> {
+        let parts = format!("f:100,{part}:50");
+        let reply = send(self.gateways[gateway].callers, &self.sent, &parts).await;
+        let reply = reply.or_fail()?;
+        Ok(reply.is_complete && reply.status.is_success())
+    }
+
+    /// Sends sound requests with several second parts through all gateways until it is aborted.
+    pub fn start_sound_load(&self) -> JoinHandle<()> {
+        let sent = Rc::clone(&self.sent);
+        let callers: Vec<SocketAddr> = self
+            .gateways
+            .iter()
+            .map(|gateway| gateway.callers)
+            .collect();
+        tokio::task::spawn_local(async move {
+            for round in 0.. {
+                for &address in &callers {
+                    let sent = Rc::clone(&sent);
+                    let parts = format!("f:100,s{}:50", round % SOUND_PARTS);
+                    tokio::task::spawn_local(async move {
+                        // Those beside a crash are lost.
+                        let _reply = send(address, &sent, &parts).await;
+                    });
+                }
+                tokio::time::sleep(Duration::from_millis(SOUND_INTERVAL_MS)).await;
+            }
+        })
+    }
+}
+
+/// Sends a stream request; path, body and the last part of the prompt are its own.
+async fn send(gateway: SocketAddr, sent: &Cell<u64>, parts: &str) -> anyhow::Result<CallerReply> {
+    let number = sent.get();
+    sent.set(number + 1);
+    let attempt = format!("a{number}");
+    let prompt = format!("{parts},own{number}:10");
+    let headers = [
+        ("host", "h.example"),
+        ("attempt-id", attempt.as_str()),
+        ("deadline-ms", "4000"),
+        ("model", "m0"),
+        ("prompt-prefix", prompt.as_str()),
+    ];
+    let path = format!("/chat/{number}");
+    let body = format!("{{{number}}}");
+    call(gateway, Method::POST, &path, &headers, &body).await
+}
+
+/// Returns a whole answer of a few events.
+fn answer() -> RawReply {
+    let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: e{number}\n\n"));
+    RawReply::close_delimited_events(&events.collect::<String>(), ConnectionEnd::Close)
+}
+
+fn plan(name: &str) -> SoakPlan {
+    let directory = format!("chicorystage-parts-{}-{name}", std::process::id());
+    SoakPlan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_chicorystage-testbed")),
+        arguments: vec![OsString::from("daemon")],
+        gateways: GATEWAYS,
+        seed: 0,
+        length_ms: 0,
+        scenario: String::new(),
+        directory: std::env::temp_dir().join(directory),
+    }
+}
