Find prompt parts that crash endpoints, and refuse requests with them

Callers saw one engine after the other end, with all streams beside: requests of one kind kept crashing them.

Cause: a quarantine tells requests apart by method, host, path and body. Requests that share only a part of their prompt are never the same, so no count passed one. Class: requests told apart by too much.

Change: gateways tell each other which shared prompt parts were at the beginning of an answer, or before it, when an endpoint crashed. A part is cleared by any answer that got past its beginning. A part that is in three crashes in a row, each of an attempt that began after the one before, and is the likeliest of all, is quarantined like a request (row in the store, operator's command, lift). Attempts that broke with one endpoint share the check whether it has crashed.

Not found: a part that crashes engines late in an answer, or one software version only.

--- a/crates/chicorystage-core/src/suspects/mod.rs
+++ b/crates/chicorystage-core/src/suspects/mod.rs
@@ -7,11 +7,14 @@
 //! is quarantined. If the suspect completes, it is cleared. Crashes of attempts
 //! that did not run alone never lead to quarantine, however many there are.
 //!
+//! [`prompt_parts`] finds parts of prompts that crash endpoints in requests that differ otherwise.
+//!
 //! Routers send each other their suspects and quarantined digests. Each
 //! decision carries a wall-clock time, and the newest decision wins. Only an
 //! operator lifts a quarantine.
 
 mod digest_status;
+pub mod prompt_parts;
 mod suspect_list;
 
 pub use digest_status::DigestStatus;
--- /dev/null
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
@@ -0,0 +1,36 @@
+//! Detection of a prompt part that crashes each endpoint that begins to answer it.
+//!
+//! Requests with such a part need not be alike in anything else, so that a count by request never
+//! passes one. When an endpoint crashes, each shared part of a prompt that it had begun to answer, or
+//! not begun yet, may be the cause. Two observations tell the cause from the other parts:
+//!
+//! * A part of an answer that got past its beginning is sound, as is every other part of its prompt.
+//! * The cause is in each crash that it explains, while other parts are there by chance.
+//!
+//! Only attempts that began after the crash before count, so that endpoints which crash together for
+//! another reason count once. [`PartEvidence::culprit`] names a part after three such crashes, or five
+//! if no endpoint had begun its answer. Of several it takes the one in most crashes, then the one
+//! deepest in the prompt, as requests share the parts before it, then the one in fewest requests.
+//!
+//! Each process sees only its own requests, so processes tell each other what they see at a crash as a
+//! [`CrashReport`], and which of the reported parts they know to be sound.
+//!
+//! # Limits
+//!
+//! A part that crashes endpoints long after the beginning of an answer is not found. Neither is one
+//! that crashes one software version of a service only, as answers of the others prove it sound.
+
+mod broken_request;
+mod crash_report;
+mod culprit;
+mod part_at_crash;
+mod part_evidence;
+mod recorded_crash;
+mod service_part;
+
+pub use broken_request::BrokenRequest;
+pub use crash_report::CrashReport;
+pub use culprit::Culprit;
+pub use part_at_crash::PartAtCrash;
+pub use part_evidence::PartEvidence;
+pub use service_part::ServicePart;
--- a/crates/chicorystage-core/src/suspects/suspect_list.rs
+++ b/crates/chicorystage-core/src/suspects/suspect_list.rs
@@ -90,6 +90,27 @@
         entry
     }
 
+    /// Quarantines a digest that is known to crash endpoints.
+    ///
+    /// Returns the entry to send to the other processes.
+    pub fn quarantine(
+        &mut self,
+        now_unix_ms: u64,
+        digest: &Digest,
+        crashes: u32,
+        reason: &str,
+    ) -> QuarantineEntry {
+        let entry = QuarantineEntry {
+            digest: digest.clone(),
+            active: true,
+            crashes,
+            reason: Arc::from(reason),
+            decided_unix_ms: decision_time_ms(self.entries.get(digest), now_unix_ms),
+        };
+        self.insert(entry.clone());
+        entry
+    }
+
     /// Records that a request with a digest completed, which clears a suspect; returns whether it
     /// was one.
     ///
--- /dev/null
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
@@ -0,0 +1,100 @@
+//! Random schedules of crashes at engines behind several gateways: which prompt parts are quarantined.
+
+mod fleet_world;
+
+use chicorystage_core::suspects::prompt_parts::ServicePart;
+use fleet_world::{FleetWorld, Poison, SETTLED_MS};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Requests with the part that may reach engines later than [`SETTLED_MS`] after the fifth crash.
+const LATE_REQUESTS_MAX: usize = 3;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(43),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(40)
+    }
+}
+
+fn only_the_bad_part(quarantined: &[ServicePart]) -> bool {
+    quarantined.iter().all(|part| part.part.as_str() == "bad")
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn part_that_crashes_engines_is_stopped_and_no_other_is_quarantined(
+        seed in any::<u64>(), share in 0.01_f64..0.3, gateways in 1_usize..9,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.run(4_000);
+        world.poison = Some(Poison { share, is_alone: false });
+        world.run(20_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
+    // Right after a start no part is known to be sound.
+    #[test]
+    fn part_that_crashes_engines_from_the_start_is_stopped_and_no_other_is_quarantined(
+        seed in any::<u64>(), share in 0.01_f64..0.3, gateways in 1_usize..9,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.poison = Some(Poison { share, is_alone: false });
+        world.run(20_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
+    #[test]
+    fn part_that_crashes_engines_is_stopped_when_all_gateways_are_killed_meanwhile(
+        seed in any::<u64>(), share in 0.02_f64..0.3, gateways in 1_usize..9,
+        killed_after_ms in 500_u64..6_000,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.run(4_000);
+        world.poison = Some(Poison { share, is_alone: false });
+        world.run(killed_after_ms);
+        world.kill_all_gateways();
+        world.run(20_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        // They are in touch again so long after the kill, and know nothing of the crashes before.
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
+    // Requests with the part are the only ones: its first part is in each crash too.
+    #[test]
+    fn part_that_crashes_engines_is_told_from_the_first_part_without_other_requests(
+        seed in any::<u64>(), gateways in 1_usize..9,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.poison = Some(Poison { share: 0.05, is_alone: true });
+        world.run(30_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        prop_assert!(!world.quarantined().is_empty());
+    }
+
+    #[test]
+    fn engines_that_crash_for_another_reason_quarantine_no_part(
+        seed in any::<u64>(), gateways in 1_usize..9,
+        single_crashes_per_s in 0.0_f64..1.5, outages in 0_u64..5,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.single_crashes_per_s = single_crashes_per_s;
+        for _ in 0..=outages {
+            world.run(5_000);
+            // Many requests with a part that no answer has proved sound yet.
+            world.fan_out();
+            world.run(40);
+            world.crash_zones();
+        }
+        world.run(5_000);
+        prop_assert!(world.quarantined().is_empty(), "{:?}", world.quarantined());
+    }
+}
--- a/crates/chicorystaged/src/gateway/loss_reason.rs
+++ b/crates/chicorystaged/src/gateway/loss_reason.rs
@@ -2,6 +2,8 @@
 
 use displaydoc::Display;
 
+use crate::gateway::crash_checks::AnswerProgress;
+
 /// Why the answer of an endpoint is lost.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum LossReason {
@@ -27,4 +29,16 @@
     pub fn may_be_crash(self) -> bool {
         matches!(self, Self::ConnectionBroke | Self::AnswerBroke)
     }
+
+    /// Returns how far the endpoint had got with the answer.
+    #[must_use]
+    pub fn answer_progress(self) -> AnswerProgress {
+        match self {
+            Self::AnswerBroke | Self::SlowAnswer | Self::ServerError => AnswerProgress::Beginning,
+            Self::ConnectionBroke
+            | Self::InterimAnswers
+            | Self::ForeignAnswer
+            | Self::NoAnswerInTime => AnswerProgress::NotBegun,
+        }
+    }
 }
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -12,7 +12,9 @@
 //!   [`relay`] passes a long answer on as it arrives.
 //! * [`follow`] polls the tables of the store for changes.
 //! * [`granting`] grants reservations to waiting requests when endpoints have capacity.
-//! * [`poison`] refuses requests that crash endpoints; `quarantine_rows` keeps them in the store.
+//! * [`crash_checks`] finds out whether an endpoint crashed when a connection broke; [`poison`] refuses
+//!   requests that crash endpoints, `prompt_parts` finds parts of prompts that do, and
+//!   `quarantine_rows` keeps both in the store.
 //! * [`peers`] exchanges load, demand and placement with the other gateways.
 //! * [`lease_writes`] acquires and renews the lease on orders.
 //! * [`engine_orders`] sends orders to engines while this gateway holds the lease.
@@ -25,6 +27,7 @@
 pub mod attempt;
 pub mod callers;
 pub mod connection;
+pub mod crash_checks;
 pub mod engine_orders;
 pub mod event_stream;
 pub mod follow;
@@ -40,6 +43,7 @@
 pub mod poison;
 pub mod pool;
 pub mod probe_http;
+mod prompt_parts;
 mod quarantine_rows;
 pub mod relay;
 pub mod request;
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -1,8 +1,11 @@
 //! JSON messages that gateways send each other as datagrams.
 
-use chicorystage_api::name::{AdapterName, Digest, EndpointId, ModelName, VmId};
+use chicorystage_api::name::{
+    AdapterName, Digest, EndpointId, ModelName, PromptPartId, ServiceName, VmId,
+};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::fleet::UncachedModel;
+use chicorystage_core::suspects::prompt_parts::CrashReport;
 use serde::{Deserialize, Serialize};
 
 /// A datagram from one gateway to another.
@@ -36,6 +39,15 @@
         /// Time of the answer, in milliseconds since the Unix epoch.
         answered_unix_ms: u64,
     },
+    /// Prompt parts that may have caused an endpoint's crash.
+    Crash(CrashReport),
+    /// Prompt parts that another gateway suspects and the sender has seen answered.
+    SoundParts {
+        /// Service whose endpoint answered.
+        service: ServiceName,
+        /// The parts.
+        parts: Vec<PromptPartId>,
+    },
 }
 
 /// Load and demand of one gateway.
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -15,6 +15,7 @@
 };
 use crate::gateway::peers::load_update::adapter_counts;
 use crate::gateway::poison;
+use crate::gateway::prompt_parts;
 use crate::gateway::shared::Gateway;
 
 /// Largest datagram, in bytes.
@@ -60,11 +61,17 @@
         PeerContent::Load(update) => receive_load(gateway, now_ms, message.from, update),
         PeerContent::Placement(update) => receive_placement(gateway, now_ms, update),
         PeerContent::Sum(update) => receive_total_load(gateway, now_ms, message.from, update),
-        PeerContent::Suspect(entry) => poison::merge(gateway, entry),
+        PeerContent::Suspect(entry) => {
+            poison::merge(gateway, entry);
+        }
         PeerContent::Cleared {
             digest,
             answered_unix_ms,
         } => poison::merge_answer(gateway, answered_unix_ms, &digest),
+        PeerContent::Crash(report) => prompt_parts::merge_crash(gateway, report),
+        PeerContent::SoundParts { service, parts } => {
+            prompt_parts::merge_sound(gateway, &service, &parts);
+        }
     }
 }
 
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -2,26 +2,26 @@
 //!
 //! A request that crashes its endpoint would, with retries, take down one endpoint after another. A
 //! crash shows as a connection that breaks during a request and an endpoint that accepts no
-//! connection a moment later. The third such crash in a row for the same request, counted over all
+//! connection a moment later ([`crash_checks`](super::crash_checks)). The third such crash in a row for the same request, counted over all
 //! gateways and without an answer between them, quarantines the request: it is refused for good. A
 //! broken connection to an endpoint that still accepts new ones is not counted.
 //!
 //! Requests are the same if method, host, path and body are. Many callers may send the same request
 //! without a body, and endpoints may crash for other reasons while they run it; so a crash counts
 //! only if its attempt began after the crash before.
+//!
+//! A part of prompts can be quarantined as well ([`ServicePart`]), whatever else its requests hold.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
 
-use chicorystage_api::name::{Digest, PromptPartId};
+use chicorystage_api::name::{Digest, ServiceName};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
+use chicorystage_core::suspects::prompt_parts::ServicePart;
 use chicorystage_core::token::sha256_of_parts;
 
 use crate::gateway::attempt::CallerWork;
-use crate::gateway::connection::Connection;
+use crate::gateway::crash_checks::BrokenAttempt;
 use crate::gateway::peer_message::PeerContent;
 use crate::gateway::peers;
 use crate::gateway::quarantine_rows;
@@ -30,60 +30,10 @@
 
 /// Number of crashes of a request after which the next one quarantines it.
 const CRASHES_BEFORE_QUARANTINE: u32 = 2;
-/// Delay after which a crashed endpoint no longer accepts connections, in milliseconds.
-const CRASH_CHECK_DELAY_MS: u64 = 100;
-
-/// Checks in the background whether an endpoint crashed when a connection broke during a request.
-///
-/// An endpoint that accepts a new connection after `CRASH_CHECK_DELAY_MS` has only reset the old
-/// one.
-pub fn check_for_crash(gateway: &Rc<Gateway>, work: &CallerWork, address: SocketAddr) {
-    let digest = digest(work);
-    let attempt = BrokenAttempt::ending_now(gateway, work);
-    let request: Arc<str> = Arc::from(work.head.attempt_id.as_str());
-    let parts = parts_text(&work.head.shared_parts);
-    let gateway = Rc::clone(gateway);
-    tokio::task::spawn_local(async move {
-        tokio::time::sleep(Duration::from_millis(CRASH_CHECK_DELAY_MS)).await;
-        if Connection::open(address).await.is_err() {
-            record_crash(&gateway, &request, &parts, &digest, attempt).await;
-        } else {
-            log::info!(
-                event = "endpoint_not_crashed", request, address:%, parts;
-                "endpoint accepts connections after one broke during a request"
-            );
-        }
-    });
-}
-
-/// Wall-clock times of an attempt that ended with a broken connection, in milliseconds since the
-/// Unix epoch.
-#[derive(Clone, Copy, Debug)]
-struct BrokenAttempt {
-    began_unix_ms: u64,
-    broke_unix_ms: u64,
-}
-
-impl BrokenAttempt {
-    /// Returns the times of the last attempt of a request, which ends now.
-    fn ending_now(gateway: &Gateway, work: &CallerWork) -> Self {
-        let broke_unix_ms = unix_ms();
-        let took_ms = gateway.now_ms().saturating_sub(work.attempt_began_ms.get());
-        Self {
-            began_unix_ms: broke_unix_ms.saturating_sub(took_ms),
-            broke_unix_ms,
-        }
-    }
-}
-
 /// Counts a crash of a request and reports it to the other gateways.
-async fn record_crash(
-    gateway: &Rc<Gateway>,
-    request: &str,
-    parts: &str,
-    digest: &Digest,
-    attempt: BrokenAttempt,
-) {
+pub(super) async fn record_crash(gateway: &Rc<Gateway>, attempt: &BrokenAttempt) {
+    let (request, digest) = (attempt.request.as_ref(), &attempt.digest);
+    let parts = attempt.parts_text();
     let entry = gateway.with(|view| {
         if !view.suspects.is_new_evidence(digest, attempt.began_unix_ms) {
             return None;
@@ -104,12 +54,21 @@
         crashes = entry.crashes, quarantined = entry.active;
         "endpoint accepts no connection after one broke during a request"
     );
-    peers::broadcast(gateway, PeerContent::Suspect(entry.clone())).await;
     if entry.active {
-        quarantine_rows::store(gateway, &entry).await;
+        gateway.metrics.count_quarantine("request");
+        publish_quarantine(gateway, entry).await;
+    } else {
+        peers::broadcast(gateway, PeerContent::Suspect(entry)).await;
     }
 }
 
+/// Puts a quarantine into force here, tells the other gateways and keeps it in the store.
+pub(super) async fn publish_quarantine(gateway: &Rc<Gateway>, entry: QuarantineEntry) {
+    gateway.quarantined.send_replace(());
+    peers::broadcast(gateway, PeerContent::Suspect(entry.clone())).await;
+    quarantine_rows::store(gateway, &entry).await;
+}
+
 /// Records that a request was answered, which clears it as a suspect at every gateway.
 ///
 /// Many callers may send the same request without a body, and each gateway sees only some of its
@@ -140,19 +99,39 @@
     });
 }
 
-/// Returns whether a request is quarantined.
+/// Returns whether a request at a service, or a part of its prompt, is quarantined.
 #[must_use]
-pub fn is_quarantined(gateway: &Gateway, work: &CallerWork) -> bool {
+pub fn is_quarantined(gateway: &Gateway, work: &CallerWork, service: &ServiceName) -> bool {
     if gateway.with(|view| view.suspects.is_empty()) {
         return false;
     }
-    let digest = digest(work);
-    gateway.with(|view| view.suspects.status(&digest) == DigestStatus::Quarantined)
+    let parts = work.head.shared_parts.iter().cloned();
+    let parts = parts.map(|part| ServicePart {
+        service: service.clone(),
+        part,
+    });
+    let parts = parts.map(|part| part.digest());
+    let mut digests = std::iter::once(digest(work)).chain(parts);
+    gateway.with(|view| {
+        digests.any(|digest| view.suspects.status(&digest) == DigestStatus::Quarantined)
+    })
+}
+
+/// Waits until a request at a service, or a part of its prompt, is quarantined.
+pub async fn quarantined(gateway: &Gateway, work: &CallerWork, service: &ServiceName) {
+    let mut quarantined = gateway.quarantined.subscribe();
+    // The sender lives as long as the gateway.
+    while !is_quarantined(gateway, work, service) && quarantined.changed().await.is_ok() {}
 }
 
-/// Merges a crash record that another gateway sent.
-pub fn merge(gateway: &Gateway, entry: QuarantineEntry) {
-    gateway.with(|view| view.suspects.merge(entry));
+/// Merges a crash record or a quarantine of another process; returns whether it was new.
+pub fn merge(gateway: &Gateway, entry: QuarantineEntry) -> bool {
+    let is_quarantine = entry.active;
+    let is_new = gateway.with(|view| view.suspects.merge(entry));
+    if is_new && is_quarantine {
+        gateway.quarantined.send_replace(());
+    }
+    is_new
 }
 
 /// Clears a suspect that another gateway has seen answered.
@@ -160,14 +139,8 @@
     gateway.with(|view| view.suspects.merge_completion(answered_unix_ms, digest));
 }
 
-/// Returns the identifiers of prompt parts, separated by commas.
-fn parts_text(parts: &[PromptPartId]) -> String {
-    let ids: Vec<&str> = parts.iter().map(PromptPartId::as_str).collect();
-    ids.join(",")
-}
-
 /// Returns the digest of a request's method, host, path and body.
-fn digest(work: &CallerWork) -> Digest {
+pub(super) fn digest(work: &CallerWork) -> Digest {
     let uri = work.uri.to_string();
     let parts = [
         work.method.as_str().as_bytes(),
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/prompt_parts.rs
@@ -0,0 +1,159 @@
+//! Finds parts of prompts that crash endpoints, together with the other gateways.
+//!
+//! Each gateway tells the others which parts of prompts broke with an endpoint. One that knows a
+//! reported part to be sound tells all. A gateway that had a request with the part that explains the
+//! crashes quarantines it, like a request that crashes endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_api::name::{EndpointId, PromptPartId, ServiceName};
+use chicorystage_core::suspects::DigestStatus;
+use chicorystage_core::suspects::prompt_parts::{BrokenRequest, CrashReport, Culprit};
+use rand::RngExt;
+
+use crate::gateway::crash_checks::BrokenAttempt;
+use crate::gateway::peer_message::PeerContent;
+use crate::gateway::shared::Gateway;
+use crate::gateway::{peers, poison};
+use crate::timer::unix_ms;
+
+/// Time from a report to the decision on it, in which other gateways report the crash or that a part
+/// is sound, in milliseconds.
+const DECISION_DELAY_MS: u64 = 250;
+/// Longest delay before a gateway tells that a reported part is sound, in milliseconds; only the first
+/// of those that know it does.
+const TELL_DELAY_MAX_MS: u64 = 100;
+
+/// Records a crash with the parts of the prompts that broke, and decides whether one is its cause.
+pub(super) async fn record_crash(
+    gateway: &Rc<Gateway>,
+    endpoint: &EndpointId,
+    attempts: &[BrokenAttempt],
+) {
+    let Some(first) = attempts.first() else {
+        return;
+    };
+    let broken = attempts.iter().filter_map(|attempt| attempt.broken.clone());
+    let broken: Vec<BrokenRequest> = broken.collect();
+    let now_ms = gateway.now_ms();
+    let report = gateway.with(|view| {
+        let evidence = &mut view.part_evidence;
+        let report = evidence.report(now_ms, endpoint, &first.service, first.broke_ms, &broken)?;
+        evidence.record_crash(now_ms, &report, true);
+        Some(report)
+    });
+    let Some(report) = report else {
+        return;
+    };
+    log::info!(
+        event = "prompt_parts_suspected", endpoint = endpoint.as_str(),
+        service = first.service.as_str(), broken = broken.len(), parts = parts_text(&report);
+        "endpoint crashed before these prompt parts were known to be sound"
+    );
+    peers::broadcast(gateway, PeerContent::Crash(report)).await;
+    decide_later(gateway);
+}
+
+/// Merges another gateway's report of a crash; tells all which of its parts are known to be sound.
+pub(super) fn merge_crash(gateway: &Rc<Gateway>, report: CrashReport) {
+    let now_ms = gateway.now_ms();
+    let sound = gateway.with(|view| view.part_evidence.record_crash(now_ms, &report, false));
+    if !sound.is_empty() {
+        tell_later(gateway, report.service, sound);
+    }
+    decide_later(gateway);
+}
+
+/// Merges which parts another gateway knows to be sound.
+pub(super) fn merge_sound(gateway: &Gateway, service: &ServiceName, parts: &[PromptPartId]) {
+    let now_ms = gateway.now_ms();
+    gateway.with(|view| view.part_evidence.merge_sound(now_ms, service, parts));
+}
+
+/// Records that an answer got past its beginning, which proves the parts of its prompt sound.
+pub(super) fn record_sound(gateway: &Rc<Gateway>, service: &ServiceName, parts: &[PromptPartId]) {
+    if parts.is_empty() {
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    let cleared = gateway.with(|view| view.part_evidence.record_sound(now_ms, service, parts));
+    if cleared.is_empty() {
+        return;
+    }
+    let (gateway, service) = (Rc::clone(gateway), service.clone());
+    tokio::task::spawn_local(async move { tell(&gateway, service, cleared).await });
+}
+
+/// Tells the other gateways after a random delay which parts are sound, unless another did meanwhile.
+fn tell_later(gateway: &Rc<Gateway>, service: ServiceName, parts: Vec<PromptPartId>) {
+    let since_ms = gateway.now_ms();
+    let gateway = Rc::clone(gateway);
+    let delay_ms = rand::rng().random_range(0..=TELL_DELAY_MAX_MS);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        let now_ms = gateway.now_ms();
+        let untold = gateway.with(|view| {
+            let evidence = &mut view.part_evidence;
+            evidence.take_untold(now_ms, since_ms, &service, parts)
+        });
+        if !untold.is_empty() {
+            tell(&gateway, service, untold).await;
+        }
+    });
+}
+
+/// Tells the other gateways that parts are sound.
+async fn tell(gateway: &Rc<Gateway>, service: ServiceName, parts: Vec<PromptPartId>) {
+    log::info!(
+        event = "prompt_parts_sound", service = service.as_str(), parts = ids_text(&parts);
+        "prompt parts that were suspected have been answered"
+    );
+    let content = PeerContent::SoundParts { service, parts };
+    peers::broadcast(gateway, content).await;
+}
+
+/// Decides after a delay whether a part of prompts causes the crashes.
+fn decide_later(gateway: &Rc<Gateway>) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(Duration::from_millis(DECISION_DELAY_MS)).await;
+        decide(&gateway).await;
+    });
+}
+
+/// Quarantines the part of prompts that causes the crashes, if one is found.
+async fn decide(gateway: &Rc<Gateway>) {
+    let culprit = gateway.with(|view| {
+        let suspects = &view.suspects;
+        view.part_evidence
+            .culprit(|part| suspects.status(&part.digest()) == DigestStatus::Quarantined)
+    });
+    let Some(Culprit { part, crashes }) = culprit else {
+        return;
+    };
+    let digest = part.digest();
+    let reason = part.to_string();
+    let entry = gateway.with(|view| {
+        let suspects = &mut view.suspects;
+        suspects.quarantine(unix_ms(), &digest, crashes, &reason)
+    });
+    gateway.metrics.count_quarantine("prompt_part");
+    log::warn!(
+        event = "prompt_part_quarantined", part = part.part.as_str(),
+        service = part.service.as_str(), crashes, digest = digest.as_str();
+        "prompt part crashes endpoints; requests with it are refused"
+    );
+    poison::publish_quarantine(gateway, entry).await;
+}
+
+fn parts_text(report: &CrashReport) -> String {
+    let ids: Vec<PromptPartId> = report.parts.iter().map(|part| part.part.clone()).collect();
+    ids_text(&ids)
+}
+
+/// Returns identifiers separated by commas.
+fn ids_text(ids: &[PromptPartId]) -> String {
+    let ids: Vec<&str> = ids.iter().map(PromptPartId::as_str).collect();
+    ids.join(",")
+}
--- a/crates/chicorystaged/src/gateway/quarantine_rows.rs
+++ b/crates/chicorystaged/src/gateway/quarantine_rows.rs
@@ -11,6 +11,7 @@
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_platform::store::{Row, StorePosition, WriteOutcome};
 
+use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
 use crate::timer::unix_ms;
 
@@ -75,13 +76,16 @@
 pub(super) fn apply(gateway: &Gateway, digest: &str, row: &Row) {
     let digest = Digest::from(digest);
     let Some(value) = &row.value else {
-        gateway.with(|view| view.suspects.lift(unix_ms(), &digest));
+        gateway.with(|view| {
+            view.suspects.lift(unix_ms(), &digest);
+            view.part_evidence.forget(&digest);
+        });
         log::info!(event = "quarantine_lifted", digest = digest.as_str(); "an operator has removed the row");
         return;
     };
     match serde_json::from_slice::<QuarantineEntry>(value) {
         Ok(entry) if entry.digest == digest && entry.active => {
-            let is_new = gateway.with(|view| view.suspects.merge(entry));
+            let is_new = poison::merge(gateway, entry);
             if is_new {
                 log::info!(event = "quarantine_read", digest = digest.as_str(); "quarantine read from the store");
             }
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -28,9 +28,10 @@
 
 use crate::gateway::answer_body::FrameStream;
 use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
+use crate::gateway::crash_checks::{self, AnswerProgress, BrokenAttempt};
 use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
-use crate::gateway::poison;
+use crate::gateway::prompt_parts;
 use crate::gateway::relay::event_timing::EventTiming;
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
@@ -40,6 +41,8 @@
 const PAUSES_TOLERATED: u64 = 8;
 /// Lower bound of the silence after which a stream is resumed elsewhere, in milliseconds.
 const SILENCE_MIN_MS: u64 = 1_000;
+/// Number of events of an endpoint after which its answer is past its beginning.
+const BEGINNING_EVENTS: u32 = 4;
 
 /// State of an answer that is being relayed.
 struct StreamRelay {
@@ -56,6 +59,8 @@
     events: Option<EventSplitter>,
     /// Number of attempts that may have run the request.
     runs: u32,
+    /// Number of times that events of the latest endpoint were relayed.
+    events_relayed: u32,
     event_timing: EventTiming,
     origin: StreamOrigin,
     /// Framing of the latest endpoint's answer.
@@ -94,6 +99,7 @@
         read,
         events,
         runs,
+        events_relayed: 0,
         event_timing: EventTiming::default(),
         origin: StreamOrigin::default(),
         framing,
@@ -247,7 +253,15 @@
         let Some(answered) = &self.answered else {
             return;
         };
-        poison::check_for_crash(&self.gateway, &self.work, answered.reservation.address);
+        let service = &self.requirements.service;
+        let progress = if self.events_relayed < BEGINNING_EVENTS {
+            AnswerProgress::Beginning
+        } else {
+            AnswerProgress::Advanced
+        };
+        let attempt = BrokenAttempt::ending_now(&self.gateway, &self.work, service, progress);
+        let address = answered.reservation.address;
+        crash_checks::check(&self.gateway, self.endpoint.clone(), address, attempt);
     }
 
     /// Records the time of an event, and the first one in the metrics.
@@ -257,12 +271,22 @@
             let software = answered.reservation.software.as_ref();
             self.origin.record_event(software);
         }
+        self.events_relayed += 1;
+        if self.events_relayed == BEGINNING_EVENTS {
+            self.record_sound_prompt();
+        }
         if let Some(first_ms) = self.event_timing.record(now_ms, self.work.arrived_ms) {
             let route = &self.work.route.name;
             self.gateway.metrics.first_byte_ms(route, first_ms);
         }
     }
 
+    /// Records that the answer has got past its beginning.
+    fn record_sound_prompt(&self) {
+        let service = &self.requirements.service;
+        prompt_parts::record_sound(&self.gateway, service, &self.work.head.shared_parts);
+    }
+
     fn is_within_event(&self) -> bool {
         self.events
             .as_ref()
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -4,8 +4,8 @@
 
 use crate::gateway::lateness::late_cause;
 use crate::gateway::poison;
-use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::relay_end::RelayEnd;
+use crate::gateway::relay::{BEGINNING_EVENTS, StreamRelay};
 
 impl StreamRelay {
     /// Records a complete answer and returns its connection to the pool.
@@ -16,6 +16,9 @@
             .answer_ms(&self.work.route.name, answer_ms);
         self.log_end(RelayEnd::Whole);
         poison::record_answer(&self.gateway, &self.work);
+        if self.events_relayed < BEGINNING_EVENTS {
+            self.record_sound_prompt();
+        }
         let Some(answered) = self.answered.take() else {
             return;
         };
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -112,6 +112,7 @@
         self.framing = BodyFraming::of(&answered.parts.headers);
         self.endpoint = answered.reservation.endpoint.clone();
         self.answered = Some(answered);
+        self.events_relayed = 0;
         self.runs += 1;
         Ok(())
     }
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -13,9 +13,9 @@
 
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::attempt::Attempted;
+use crate::gateway::crash_checks::{self, BrokenAttempt};
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
-use crate::gateway::poison;
 use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::Serving;
 use crate::metrics::RequestOutcome;
@@ -119,7 +119,10 @@
         if reason.may_be_crash()
             && let Some(address) = self.gateway.address_of(endpoint)
         {
-            poison::check_for_crash(&self.gateway, &self.work, address);
+            let service = &requirements.service;
+            let progress = reason.answer_progress();
+            let attempt = BrokenAttempt::ending_now(&self.gateway, &self.work, service, progress);
+            crash_checks::check(&self.gateway, endpoint.clone(), address, attempt);
         }
         self.gateway.metrics.count_attempt("lost");
         requirements.avoid.push(endpoint.clone());
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -31,6 +31,7 @@
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::text_response;
 use crate::gateway::poison;
+use crate::gateway::prompt_parts;
 use crate::gateway::relay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_permit::RetryPermit;
@@ -77,16 +78,8 @@
         let Some(mut requirements) = self.requirements(configuration) else {
             return text_response(StatusCode::NOT_FOUND, "no such model");
         };
-        if poison::is_quarantined(&self.gateway, &self.work) {
-            log::info!(
-                event = "request_refused", request = self.work.head.attempt_id.as_str(),
-                lacking = "quarantine";
-                "request refused"
-            );
-            return text_response(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "request breaks endpoints",
-            );
+        if poison::is_quarantined(&self.gateway, &self.work, &requirements.service) {
+            return self.quarantine_response();
         }
         self.record_demand(&requirements);
         let mut retry_in_flight: Option<RetryPermit> = None;
@@ -109,7 +102,7 @@
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
                     ReadAnswer::Whole(response, framing) => {
-                        return self.record_answer(response, framing, &endpoint);
+                        return self.record_answer(response, framing, &endpoint, &requirements);
                     }
                     ReadAnswer::Stream(answered, read) => {
                         return self.relay_answer(answered, read, requirements, in_progress);
@@ -134,6 +127,22 @@
         }
     }
 
+    /// Returns the final error of a request that crashes endpoints.
+    fn quarantine_response(&self) -> Response<AnswerBody> {
+        self.gateway
+            .metrics
+            .count_request(&self.work.route.name, RequestOutcome::Refused);
+        log::info!(
+            event = "request_refused", request = self.work.head.attempt_id.as_str(),
+            lacking = "quarantine", attempts = self.attempts, runs = self.runs;
+            "request refused"
+        );
+        text_response(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "request breaks endpoints",
+        )
+    }
+
     /// Reserves an endpoint, waiting at most until the caller is likely to abandon the request.
     ///
     /// # Errors
@@ -238,6 +247,7 @@
         response: Response<AnswerBody>,
         framing: BodyFraming,
         endpoint: &EndpointId,
+        requirements: &Requirements,
     ) -> Response<AnswerBody> {
         let route = &self.work.route.name;
         let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
@@ -252,6 +262,10 @@
         };
         let late = late_cause(&self.gateway, &self.work.route, &times);
         poison::record_answer(&self.gateway, &self.work);
+        if response.status().is_success() {
+            let parts = &self.work.head.shared_parts;
+            prompt_parts::record_sound(&self.gateway, &requirements.service, parts);
+        }
         log::info!(
             event = "request_answered", request = self.work.head.attempt_id.as_str(),
             route = route.as_ref(), status = response.status().as_u16(),
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
+use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::view::View;
@@ -55,6 +56,10 @@
     pub closing: watch::Sender<bool>,
     /// Becomes true when requests without an answer are ended by a final error.
     pub aborting: watch::Sender<bool>,
+    /// Notified when a request or a prompt part has been quarantined.
+    pub quarantined: watch::Sender<()>,
+    /// Checks of endpoints that may have crashed.
+    pub crash_checks: CrashChecks,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
     /// Newest era of the store that was seen; 0 before the first or if the store states none.
@@ -107,6 +112,8 @@
             aborting: watch::Sender::new(false),
             has_released_lease: Cell::new(false),
             closing: watch::Sender::new(false),
+            quarantined: watch::Sender::new(()),
+            crash_checks: CrashChecks::default(),
             own_row_version: Cell::new(0),
             store_era: Cell::new(0),
             previous_incarnation: Cell::new(None),
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -10,6 +10,7 @@
 use chicorystage_core::registry::{AbsenceTracker, Departures};
 use chicorystage_core::retry::ServiceRetryBudgets;
 use chicorystage_core::suspects::SuspectList;
+use chicorystage_core::suspects::prompt_parts::PartEvidence;
 
 use crate::gateway::waiter::Waiter;
 
@@ -36,6 +37,8 @@
     pub retries: ServiceRetryBudgets,
     /// Requests suspected or known to crash endpoints.
     pub suspects: SuspectList,
+    /// Crashes of endpoints with the prompt parts that may have caused them.
+    pub part_evidence: PartEvidence,
     /// Wait queue of requests without an endpoint, in no particular order.
     pub waiters: Vec<Waiter>,
     /// Requests since the last load update by model, with the shortest latency objective in
@@ -93,6 +96,7 @@
             demand: DemandTracker::default(),
             retries,
             suspects: SuspectList::default(),
+            part_evidence: PartEvidence::default(),
             waiters: Vec::new(),
             requested: HashMap::new(),
             requested_adapters: Vec::new(),
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -40,6 +40,7 @@
     retries: Family<RetryLabels, Counter>,
     orders: Family<EventLabels, Counter>,
     store_calls: Family<EventLabels, Counter>,
+    quarantines: Family<EventLabels, Counter>,
     store_era: Gauge,
     store_restores: Counter,
     waiting: Gauge,
@@ -70,6 +71,7 @@
             retries: Family::default(),
             orders: Family::default(),
             store_calls: Family::default(),
+            quarantines: Family::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
             waiting: Gauge::default(),
@@ -156,6 +158,11 @@
         count(&self.store_calls, kind, outcome);
     }
 
+    /// Counts a quarantine that this gateway decided; `kind` is `request` or `prompt_part`.
+    pub fn count_quarantine(&self, kind: &str) {
+        count(&self.quarantines, kind, "decided");
+    }
+
     /// Sets the gauge of the store's era.
     pub fn set_store_era(&self, era: u64) {
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
@@ -229,6 +236,11 @@
             "Calls to the store",
             self.store_calls.clone(),
         );
+        registry.register(
+            "quarantines",
+            "Quarantines that this gateway decided",
+            self.quarantines.clone(),
+        );
         registry.register(
             "store_era",
             "Newest era of the store that was seen",
