Refuse waiting requests and resumptions as soon as they are quarantined

A request that waited for an endpoint, that an endpoint had not begun to run, or whose stream was to be resumed went on to endpoints afterwards, although a refusal had been decided.

Change: a quarantine ends the wait and an attempt without an answer with the final error at once, and stops a resumption.

Tests: both new ones fail without the change (a 504 after the wait; two arrivals instead of one).

--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -2,16 +2,25 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
+use chicorystage_core::suspects::SuspectList;
+use chicorystage_core::suspects::prompt_parts::ServicePart;
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request, wait_until,
+    EndpointEmulator, EndpointEngine, PlatformFixture, Reply, StoreMode, default_routes, run_local,
+    send_request, wait_until,
 };
+use chicorystaged::gateway::poison;
 use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 
+/// Time of a model's load, in seconds.
+const LOAD_S: u16 = 2;
+/// Time within which a request that waits is refused after its quarantine.
+const QUARANTINE_NOTICE: Duration = Duration::from_millis(1_000);
 /// Crashes after which a request is quarantined.
 const CRASHES: u32 = 3;
 
@@ -165,7 +174,7 @@
             gateway.with(|view| view.suspects.crashes_max()) > 0
         })
         .await;
-        tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
         verify_that!(send(gateway, "/pay/same", "").await?, eq(StatusCode::OK))
     })
 }
@@ -263,7 +272,7 @@
         for _ in 0..5 {
             let reply = send_request(&gateway, Method::POST, "/pay/x", &[], "{same}").await;
             verify_that!(reply.or_fail()?.status, eq(StatusCode::BAD_GATEWAY))?;
-            tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+            tokio::time::sleep(Duration::from_millis(150)).await;
         }
         verify_that!(endpoint.received_requests(), len(eq(5)))
     })
@@ -277,3 +286,81 @@
         Some(format!("quarantine/{}", entry.digest.as_str()))
     })
 }
+
+#[gtest]
+fn request_that_waits_for_an_endpoint_is_refused_as_soon_as_it_is_quarantined() -> Result<()> {
+    run_local(async {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        platform.declare_loads(1, &default_routes(), f64::from(LOAD_S));
+        let engine = EndpointEngine::new(&["m1"], u64::from(LOAD_S) * 1_000);
+        let endpoint = EndpointEmulator::start("e1", Reply::Silent, Some(engine))
+            .await
+            .or_fail()?;
+        platform.register(&endpoint, "llm");
+        let gateway = platform.start_ready_gateway("g1").await.or_fail()?;
+        let headers = [("model", "m0"), ("prompt-prefix", "f:10,bad:10,own:1")];
+        let sent = send_request(&gateway, Method::POST, "/long/x", &headers, "{}");
+        let quarantined = async {
+            wait_until("the request waits", || {
+                gateway.with(|view| !view.waiters.is_empty())
+            })
+            .await;
+            quarantine_part(&gateway, "llm", "bad");
+            tokio::time::Instant::now()
+        };
+        let (reply, quarantined_at) = tokio::join!(sent, quarantined);
+        verify_that!(
+            reply.or_fail()?.status,
+            eq(StatusCode::INTERNAL_SERVER_ERROR)
+        )?;
+        verify_that!(quarantined_at.elapsed(), lt(QUARANTINE_NOTICE))?;
+        verify_that!(endpoint.received_requests(), is_empty())
+    })
+}
+
+#[gtest]
+fn stream_that_breaks_after_its_prompt_was_quarantined_is_not_resumed() -> Result<()> {
+    run_local(async {
+        let platform = PlatformFixture::start().await.or_fail()?;
+        platform.declare(1);
+        let broken = Reply::BrokenEvents {
+            first: 1,
+            last: 3,
+            pause_ms: 100,
+        };
+        let mut endpoints = Vec::new();
+        for id in ["e1", "e2"] {
+            let engine = EndpointEngine::new(&["m0"], 60);
+            let endpoint = EndpointEmulator::start(id, broken.clone(), Some(engine));
+            let endpoint = endpoint.await.or_fail()?;
+            platform.register(&endpoint, "llm");
+            endpoints.push(endpoint);
+        }
+        let gateway = platform.start_ready_gateway("g1").await.or_fail()?;
+        let received = || -> usize {
+            let all = endpoints.iter().map(EndpointEmulator::received_requests);
+            all.map(|requests| requests.len()).sum()
+        };
+        let headers = [("model", "m0"), ("prompt-prefix", "f:10,bad:10,own:1")];
+        let sent = send_request(&gateway, Method::POST, "/long/x", &headers, "{}");
+        let quarantined = async {
+            wait_until("an engine runs the request", || received() > 0).await;
+            quarantine_part(&gateway, "llm", "bad");
+        };
+        let (reply, ()) = tokio::join!(sent, quarantined);
+        // A request that has no answer yet is refused, and a stream that has begun breaks off.
+        let is_whole = reply.is_ok_and(|reply| reply.status.is_success() && reply.is_complete);
+        verify_that!(is_whole, is_false())?;
+        verify_that!(received(), eq(1))
+    })
+}
+
+/// Quarantines a part of prompts at a gateway as another one does that tells it.
+fn quarantine_part(gateway: &Gateway, service: &str, part: &str) {
+    let part = ServicePart {
+        service: service.into(),
+        part: part.into(),
+    };
+    let entry = SuspectList::default().quarantine(1_000, &part.digest(), CRASHES, "a test");
+    poison::merge(gateway, entry);
+}
--- a/crates/chicorystaged/src/gateway/relay/resume_failure.rs
+++ b/crates/chicorystaged/src/gateway/relay/resume_failure.rs
@@ -7,6 +7,8 @@
 pub(super) enum ResumeFailure {
     /// no endpoint had room in time
     NoEndpoint,
+    /// the request or a part of its prompt crashes endpoints
+    Quarantined,
     /// the endpoint did not run it: {0}
     NotRun(&'static str),
     /// its answer is lost: {0}
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::event_stream::is_event_stream;
+use crate::gateway::poison;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::resume_failure::ResumeFailure;
@@ -93,7 +94,14 @@
         let granted = self
             .gateway
             .reserve_or_wait(&self.requirements, rank, until_ms);
-        let reservation = granted.await.ok_or(ResumeFailure::NoEndpoint)?;
+        let service = &self.requirements.service;
+        let reservation = tokio::select! {
+            biased;
+            () = poison::quarantined(&self.gateway, &self.work, service) => {
+                return Err(ResumeFailure::Quarantined);
+            }
+            granted = granted => granted.ok_or(ResumeFailure::NoEndpoint)?,
+        };
         let sent = attempt::send(&self.gateway, reservation, &self.work, last_id.as_deref());
         let limit = Duration::from_millis(self.work.left_ms(self.gateway.now_ms()));
         let sent = tokio::time::timeout(limit, sent).await.ok();
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -84,7 +84,12 @@
         self.record_demand(&requirements);
         let mut retry_in_flight: Option<RetryPermit> = None;
         loop {
-            let reservation = match self.wait_for_endpoint(&requirements).await {
+            let reservation = tokio::select! {
+                biased;
+                () = self.quarantined(&requirements) => return self.quarantine_response(),
+                reservation = self.wait_for_endpoint(&requirements) => reservation,
+            };
+            let reservation = match reservation {
                 Ok(reservation) => reservation,
                 Err(missing) => return self.final_refusal(&requirements, &missing),
             };
@@ -95,6 +100,8 @@
             let sent = tokio::select! {
                 sent = tokio::time::timeout(limit, sent) => sent.ok(),
                 () = self.gateway.aborting() => None,
+                // An endpoint that has not begun to run the request is spared.
+                () = self.quarantined(&requirements) => return self.quarantine_response(),
             };
             if sent.as_ref().is_none_or(Attempted::was_sent) {
                 self.gateway.metrics.count_sent(&requirements.service);
@@ -127,6 +134,11 @@
         }
     }
 
+    /// Waits until the request or a part of its prompt is quarantined.
+    async fn quarantined(&self, requirements: &Requirements) {
+        poison::quarantined(&self.gateway, &self.work, &requirements.service).await;
+    }
+
     /// Returns the final error of a request that crashes endpoints.
     fn quarantine_response(&self) -> Response<AnswerBody> {
         self.gateway
