--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -20,7 +20,7 @@
 /// Time of a model's load, in seconds.
 const LOAD_S: u16 = 2;
 /// Time within which a request that waits is refused after its quarantine.
-const QUARANTINE_NOTICE: Duration = Duration::from_millis(1_000);
+const QUARANTINE_NOTICE: Duration = Duration::from_secs(1);
 /// Crashes after which a request is quarantined.
 const CRASHES: u32 = 3;
 
