--- a/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
@@ -1,13 +1,10 @@
 //! Gateways as processes before engines that crash on one part of a prompt.
 
 use std::cell::Cell;
-use std::ffi::OsString;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_testbed::soak::{GatewayProcess, SoakPlan};
 use chicorystage_testbed::users_platform::{
     CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, call,
 };
@@ -15,6 +12,8 @@
 use http::Method;
 use tokio::task::JoinHandle;
 
+use crate::process_set::ProcessSet;
+
 /// Number of gateways.
 pub const GATEWAYS: usize = 3;
 /// Number of engines, more than the requests of a test can crash before they are to be stopped.
@@ -30,8 +29,7 @@
 
 /// Gateways as processes, before engines that crash on a part of the prompt.
 pub struct World {
-    gateways: Vec<GatewayProcess>,
-    directory: PathBuf,
+    gateways: ProcessSet,
     endpoints: Vec<RawEndpoint>,
     platform: PlatformFixture,
     sent: Rc<Cell<u64>>,
@@ -52,49 +50,23 @@
             platform.register_raw(&endpoint, "llm");
             endpoints.push(endpoint);
         }
-        let plan = plan(name);
-        std::fs::create_dir_all(&plan.directory).or_fail()?;
-        let mut gateways = Vec::new();
-        for number in 0..GATEWAYS {
-            let gateway = GatewayProcess::start(number, &plan, platform.store.address).or_fail()?;
-            gateways.push(gateway);
-        }
-        let world = Self {
+        let gateways = ProcessSet::start(name, GATEWAYS, platform.store.address).await?;
+        Ok(Self {
             gateways,
-            directory: plan.directory,
             endpoints,
             platform,
             sent: Rc::default(),
-        };
-        world.wait_until_ready().await?;
-        Ok(world)
-    }
-
-    /// Waits until all gateways are ready and know each other.
-    async fn wait_until_ready(&self) -> Result<()> {
-        for gateway in &self.gateways {
-            gateway.wait_until_ready().await.or_fail()?;
-        }
-        // Each follows the rows of the others.
-        tokio::time::sleep(Duration::from_millis(500)).await;
-        Ok(())
+        })
     }
 
     /// Kills all gateways at the same moment and starts them again.
     pub async fn restart_gateways(&mut self) -> Result<()> {
-        let restarts = self.gateways.iter_mut().map(GatewayProcess::restart);
-        for restarted in futures_util::future::join_all(restarts).await {
-            restarted.or_fail()?;
-        }
-        self.wait_until_ready().await
+        self.gateways.restart(GATEWAYS).await
     }
 
     /// Stops the gateways and removes their files.
-    pub async fn stop(mut self) -> Result<()> {
-        for gateway in &mut self.gateways {
-            gateway.stop().await.or_fail()?;
-        }
-        std::fs::remove_dir_all(&self.directory).or_fail()
+    pub async fn stop(self) -> Result<()> {
+        self.gateways.stop().await
     }
 
     /// Number of engines that have crashed.
@@ -115,7 +87,7 @@
     pub async fn send_crashing(&self, gateway: usize) -> Result<()> {
         let parts = format!("f:100,{CRASHING_PART}:50");
         // A broken answer or connection is what the caller of such a request must expect.
-        let _reply = send(self.gateways[gateway].callers, &self.sent, &parts).await;
+        let _reply = send(self.gateways.callers(gateway), &self.sent, &parts).await;
         for endpoint in self.endpoints.iter().filter(|engine| engine.has_crashed()) {
             self.platform.store.remove("servers", endpoint.id());
         }
@@ -125,7 +97,7 @@
     /// Sends a request with a sound second part; returns whether it was answered whole.
     pub async fn send_sound(&self, gateway: usize, part: &str) -> Result<bool> {
         let parts = format!("f:100,{part}:50");
-        let reply = send(self.gateways[gateway].callers, &self.sent, &parts).await;
+        let reply = send(self.gateways.callers(gateway), &self.sent, &parts).await;
         let reply = reply.or_fail()?;
         Ok(reply.is_complete && reply.status.is_success())
     }
@@ -133,11 +105,8 @@
     /// Sends sound requests with several second parts through all gateways until it is aborted.
     pub fn start_sound_load(&self) -> JoinHandle<()> {
         let sent = Rc::clone(&self.sent);
-        let callers: Vec<SocketAddr> = self
-            .gateways
-            .iter()
-            .map(|gateway| gateway.callers)
-            .collect();
+        let callers = (0..GATEWAYS).map(|number| self.gateways.callers(number));
+        let callers: Vec<SocketAddr> = callers.collect();
         tokio::task::spawn_local(async move {
             for round in 0.. {
                 for &address in &callers {
@@ -177,16 +146,3 @@
     let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: e{number}\n\n"));
     RawReply::close_delimited_events(&events.collect::<String>(), ConnectionEnd::Close)
 }
-
-fn plan(name: &str) -> SoakPlan {
-    let directory = format!("chicorystage-parts-{}-{name}", std::process::id());
-    SoakPlan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_chicorystage-testbed")),
-        arguments: vec![OsString::from("daemon")],
-        gateways: GATEWAYS,
-        seed: 0,
-        length_ms: 0,
-        scenario: String::new(),
-        directory: std::env::temp_dir().join(directory),
-    }
-}
