Take streams up again only at the software version that began them

Callers got answers that ran to the end with the first part from one software version and the rest from another, and nothing showed it.

Cause: Resumes was read nowhere; a stream that a caller took up again went to an engine of any version. Class: knowledge that only the memory of one gateway holds, here not even that.

Change: the gateway that relays a stream's first event tells the two gateways that rank first for it which version sent it. One that does not know a stream asks them. If nobody knows it, it goes on only where a single version served within the last minute; the lease holder keeps the versions of a service in a row, so that gateways that have all just started know those that have left. Else the stream is refused with 503 at once and no Retry-After: nothing it waits for would help. A version that has left is refused alike. What a stream that was taken up again is resumed at by the gateway itself is that version too, also before its first event.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::Hash;
 
 use chicorystage_api::name::{EndpointId, ModelName, ServiceName, SoftwareVersion, VmId, ZoneName};
@@ -96,6 +96,16 @@
         })
     }
 
+    /// Returns the software versions that registered endpoints of a service state.
+    #[must_use]
+    pub fn software_versions(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        let endpoints = self.endpoints.values();
+        let of_service = endpoints.filter(|endpoint| endpoint.entry.service == *service);
+        of_service
+            .filter_map(|endpoint| endpoint.entry.software.clone())
+            .collect()
+    }
+
     /// Replaces the requests in progress of another router.
     pub fn peer_load(&mut self, peer: VmId, load: PeerLoad) {
         self.forget_peer(&peer);
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -35,6 +35,7 @@
 //! * [`retry`]: retry budgets and backoff.
 //! * [`sequence`]: in-order delivery of an attempt's frames.
 //! * [`slots`]: the placement slots that a VM holds.
+//! * [`stream_origins`]: the software version that began a stream.
 //! * [`suspects`]: detection and quarantine of requests that crash endpoints.
 //! * [`token`]: SHA-256 digests of bearer tokens and of request contents.
 //!
@@ -71,5 +72,6 @@
 pub mod retry;
 pub mod sequence;
 pub mod slots;
+pub mod stream_origins;
 pub mod suspects;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystage-core/src/stream_origins/mod.rs
@@ -0,0 +1,20 @@
+//! Which software version began a stream that a caller takes up again.
+//!
+//! Events of two software versions of a service do not fit together, and endpoints do not check it. A
+//! caller that takes up a broken stream names the attempt that brought its first event, and may ask any
+//! gateway. [`BegunStreams`] keeps the versions of streams that this process began or was told of.
+//! Where no process knows a stream any more, [`SoftwareHistory`] tells whether only one version can
+//! have begun it.
+
+mod begun_streams;
+mod resume_target;
+mod software_history;
+mod software_span;
+
+pub use begun_streams::BegunStreams;
+pub use resume_target::ResumeTarget;
+pub use software_history::SoftwareHistory;
+pub use software_span::SoftwareSpan;
+
+/// Time after which no caller takes up a stream again, in milliseconds.
+pub const STREAM_LIFE_MS: u64 = 60_000;
--- a/crates/chicorystaged/src/gateway/engine_orders.rs
+++ b/crates/chicorystaged/src/gateway/engine_orders.rs
@@ -21,6 +21,7 @@
 use crate::gateway::peers;
 use crate::gateway::placement_publisher::PlacementPublisher;
 use crate::gateway::shared::Gateway;
+use crate::gateway::software_rows;
 use crate::timer::unix_ms;
 
 /// Interval between two planning passes without a notification, in milliseconds.
@@ -60,6 +61,7 @@
                 begin_epoch(gateway, epoch);
             }
             plan(gateway, &clients, epoch);
+            software_rows::update(gateway);
             publish_placement(gateway, epoch, &mut published).await;
             peers::publish_total_load(gateway, epoch, &mut published.total_load_sent_ms).await;
         }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -1,5 +1,5 @@
-//! Applies rows of the system's own table: the lease, the addresses of other gateways and
-//! quarantines.
+//! Applies rows of the system's own table: the lease, the addresses of other gateways, quarantines and
+//! the software versions of services.
 
 use std::rc::Rc;
 
@@ -11,6 +11,7 @@
 use crate::gateway::peers;
 use crate::gateway::quarantine_rows::{self, QUARANTINE_KEY};
 use crate::gateway::shared::Gateway;
+use crate::gateway::software_rows::{self, SOFTWARE_KEY};
 use crate::gateway::view::Peer;
 
 /// Prefix of gateways' keys in the system's own table; the VM's name follows.
@@ -27,7 +28,7 @@
     pub incarnation: u64,
 }
 
-/// Applies rows of the system's own table: the lease, other gateways' addresses and quarantines.
+/// Applies rows of the system's own table.
 pub(super) fn apply_own(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
     gateway.lease(|lease| lease.observe_era(changes.position.era));
     let mut has_lease = false;
@@ -37,6 +38,8 @@
             gateway.observe_lease(row);
         } else if let Some(vm) = row.key.strip_prefix(GATEWAY_KEY) {
             apply_gateway(gateway, vm, row);
+        } else if let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) {
+            software_rows::apply(gateway, service, row);
         } else if let Some(digest) = row.key.strip_prefix(QUARANTINE_KEY) {
             quarantine_rows::apply(gateway, digest, row);
         }
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 //! * [`crash_checks`] finds out whether an endpoint crashed when a connection broke; [`poison`] refuses
 //!   requests that crash endpoints, `prompt_parts` finds parts of prompts that do, and
 //!   `quarantine_rows` keeps both in the store.
+//! * [`stream_origins`] finds the software version that began a stream which a caller takes up again;
+//!   [`software_rows`] keeps the versions that served lately.
 //! * [`peers`] exchanges load, demand and placement with the other gateways.
 //! * [`lease_writes`] acquires and renews the lease on orders.
 //! * [`engine_orders`] sends orders to engines while this gateway holds the lease.
@@ -52,7 +54,9 @@
 pub mod retry_permit;
 pub mod serving;
 pub mod shared;
+pub mod software_rows;
 pub mod stop;
+pub mod stream_origins;
 pub mod view;
 pub mod wait_queue;
 pub mod waiter;
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -1,7 +1,8 @@
 //! JSON messages that gateways send each other as datagrams.
 
 use chicorystage_api::name::{
-    AdapterName, Digest, EndpointId, ModelName, PromptPartId, ServiceName, VmId,
+    AdapterName, Digest, EndpointId, ModelName, PromptPartId, ServiceName, SoftwareVersion,
+    StreamId, VmId,
 };
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::fleet::UncachedModel;
@@ -48,6 +49,15 @@
         /// The parts.
         parts: Vec<PromptPartId>,
     },
+    /// A stream that has begun, or that the sender was asked for.
+    Stream {
+        /// The stream.
+        stream: StreamId,
+        /// Software version of the endpoint that began it.
+        software: SoftwareVersion,
+    },
+    /// The sender needs the software version that began a stream.
+    StreamWanted(StreamId),
 }
 
 /// Load and demand of one gateway.
--- a/crates/chicorystaged/src/gateway/peers/mod.rs
+++ b/crates/chicorystaged/src/gateway/peers/mod.rs
@@ -21,7 +21,7 @@
 use tokio::net::UdpSocket;
 
 pub use self::receiving::apply_placement;
-pub use self::sending::{broadcast, publish_total_load};
+pub use self::sending::{broadcast, publish_total_load, send_to};
 use crate::gateway::shared::Gateway;
 
 /// Binds the datagram socket for messages between gateways.
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -17,6 +17,7 @@
 use crate::gateway::poison;
 use crate::gateway::prompt_parts;
 use crate::gateway::shared::Gateway;
+use crate::gateway::stream_origins;
 
 /// Largest datagram, in bytes.
 const DATAGRAM_BYTES_MAX: usize = 60_000;
@@ -69,6 +70,12 @@
             answered_unix_ms,
         } => poison::merge_answer(gateway, answered_unix_ms, &digest),
         PeerContent::Crash(report) => prompt_parts::merge_crash(gateway, report),
+        PeerContent::Stream { stream, software } => {
+            stream_origins::merge(gateway, stream, software);
+        }
+        PeerContent::StreamWanted(stream) => {
+            stream_origins::answer(gateway, message.from, stream);
+        }
         PeerContent::SoundParts { service, parts } => {
             prompt_parts::merge_sound(gateway, &service, &parts);
         }
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_api::name::EndpointId;
+use chicorystage_api::name::{EndpointId, VmId};
 use chicorystage_core::fleet::{UncachedModel, load_period_ms, load_valid_ms};
 
 use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
@@ -58,6 +58,15 @@
     send(gateway, &addresses, content).await;
 }
 
+/// Sends a message to other gateways; those that are not registered are left out.
+pub async fn send_to(gateway: &Rc<Gateway>, vms: &[VmId], content: PeerContent) {
+    let addresses: Vec<SocketAddr> = gateway.with(|view| {
+        let peers = vms.iter().filter_map(|vm| view.peers.get(vm));
+        peers.map(|peer| peer.address).collect()
+    });
+    send(gateway, &addresses, content).await;
+}
+
 /// Sends a message to each address; failures are ignored.
 async fn send(gateway: &Rc<Gateway>, addresses: &[SocketAddr], content: PeerContent) {
     let Some(socket) = gateway.peer_socket() else {
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -36,6 +36,7 @@
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 use crate::gateway::shared::Gateway;
+use crate::gateway::stream_origins;
 
 /// Multiple of the route's pause objective after which a silent stream is resumed elsewhere.
 const PAUSES_TOLERATED: u64 = 8;
@@ -90,6 +91,11 @@
 ) -> FrameStream {
     let events = consists_of_events(&work.route, &answered.parts).then(EventSplitter::default);
     let framing = BodyFraming::of(&answered.parts.headers);
+    // A stream that the caller takes up again has begun already.
+    let origin = match &requirements.software {
+        Some(software) => StreamOrigin::Version(software.clone()),
+        None => StreamOrigin::default(),
+    };
     let relay = StreamRelay {
         gateway,
         work,
@@ -101,7 +107,7 @@
         runs,
         events_relayed: 0,
         event_timing: EventTiming::default(),
-        origin: StreamOrigin::default(),
+        origin,
         framing,
         received_bytes: 0,
         is_logged: false,
@@ -271,6 +277,9 @@
             let software = answered.reservation.software.as_ref();
             self.origin.record_event(software);
         }
+        if self.event_timing.first_ms.is_none() {
+            self.record_begun();
+        }
         self.events_relayed += 1;
         if self.events_relayed == BEGINNING_EVENTS {
             self.record_sound_prompt();
@@ -281,6 +290,15 @@
         }
     }
 
+    /// Records which software version began the stream, if it may be taken up again.
+    fn record_begun(&self) {
+        let is_resumable = self.work.route.kind.is_resumable();
+        if let (true, Some(software)) = (is_resumable, self.origin.software()) {
+            let stream = self.work.head.stream();
+            stream_origins::record_begun(&self.gateway, stream, software.clone());
+        }
+    }
+
     /// Records that the answer has got past its beginning.
     fn record_sound_prompt(&self) {
         let service = &self.requirements.service;
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -7,6 +7,7 @@
 mod answer_reading;
 mod demand;
 mod failure;
+mod origin;
 mod short_body;
 
 use std::rc::Rc;
@@ -81,6 +82,9 @@
         if poison::is_quarantined(&self.gateway, &self.work, &requirements.service) {
             return self.quarantine_response();
         }
+        if let Err(refused) = self.find_origin(&mut requirements).await {
+            return *refused;
+        }
         self.record_demand(&requirements);
         let mut retry_in_flight: Option<RetryPermit> = None;
         loop {
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/serving/origin.rs
@@ -0,0 +1,58 @@
+//! Where a stream that a caller takes up again may go on.
+
+use chicorystage_core::fleet::Requirements;
+use chicorystage_core::stream_origins::ResumeTarget;
+use http::{Response, StatusCode};
+
+use crate::gateway::answer_body::AnswerBody;
+use crate::gateway::own_responses::text_response;
+use crate::gateway::serving::Serving;
+use crate::gateway::stream_origins;
+use crate::metrics::RequestOutcome;
+
+impl Serving {
+    /// Requires the software version that began the stream, if the caller takes one up again.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a stream whose version is unknown or no longer serves. It states no time
+    /// to come back, as no other gateway and no later time would do.
+    pub(super) async fn find_origin(
+        &self,
+        requirements: &mut Requirements,
+    ) -> Result<(), Box<Response<AnswerBody>>> {
+        let head = &self.work.head;
+        if head.last_event_id.is_none() || !self.work.route.kind.is_stream() {
+            return Ok(());
+        }
+        let service = &requirements.service;
+        let target = stream_origins::find(&self.gateway, service, head.resumes.as_ref()).await;
+        let may_go_on = match &target {
+            ResumeTarget::Any => true,
+            ResumeTarget::Version(software) => self
+                .gateway
+                .with(|view| view.fleet.has_software(service, software)),
+            ResumeTarget::Unknown => false,
+        };
+        log::info!(
+            event = "stream_taken_up", request = head.attempt_id.as_str(),
+            stream = head.resumes.as_ref().map_or("", |stream| stream.as_str()),
+            service = service.as_str(), target:?, goes_on = may_go_on;
+            "caller takes up a stream again"
+        );
+        if !may_go_on {
+            self.gateway
+                .metrics
+                .count_request(&self.work.route.name, RequestOutcome::Refused);
+            let refused = text_response(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "no endpoint can go on with this stream",
+            );
+            return Err(Box::new(refused));
+        }
+        if let ResumeTarget::Version(software) = target {
+            requirements.software = Some(software);
+        }
+        Ok(())
+    }
+}
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
+use crate::gateway::software_rows::SoftwareRows;
 use crate::gateway::view::View;
 use crate::metrics::GatewayMetrics;
 use crate::settings::GatewaySettings;
@@ -60,6 +61,10 @@
     pub quarantined: watch::Sender<()>,
     /// Checks of endpoints that may have crashed.
     pub crash_checks: CrashChecks,
+    /// Notified when another gateway has told the software version of a stream.
+    pub stream_told: Notify,
+    /// Versions of the rows of software histories in the store.
+    pub software_rows: SoftwareRows,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
     /// Newest era of the store that was seen; 0 before the first or if the store states none.
@@ -113,6 +118,8 @@
             has_released_lease: Cell::new(false),
             closing: watch::Sender::new(false),
             quarantined: watch::Sender::new(()),
+            stream_told: Notify::new(),
+            software_rows: SoftwareRows::default(),
             crash_checks: CrashChecks::default(),
             own_row_version: Cell::new(0),
             store_era: Cell::new(0),
--- /dev/null
+++ b/crates/chicorystaged/src/gateway/stream_origins.rs
@@ -0,0 +1,127 @@
+//! Finds the software version that began a stream which a caller takes up again.
+//!
+//! The gateway that relays the first event of a stream tells the two gateways that rank first for the
+//! stream. A gateway that does not know a stream asks those, so that a stream survives the end of the
+//! gateway that began it. If nobody knows it, as after a kill of all gateways, it goes on only if a
+//! single version can have begun it.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_api::name::{ServiceName, SoftwareVersion, StreamId, VmId};
+use chicorystage_core::rendezvous;
+use chicorystage_core::stream_origins::ResumeTarget;
+
+use crate::gateway::peer_message::PeerContent;
+use crate::gateway::peers;
+use crate::gateway::shared::Gateway;
+use crate::timer::unix_ms;
+
+/// Number of gateways that are told of a stream.
+const TOLD_GATEWAYS: usize = 2;
+/// Number of gateways that are asked for a stream: one of those that were told may be the asking one,
+/// and the gateway that began the stream may rank before them.
+const ASKED_GATEWAYS: usize = 3;
+/// Number of times that gateways are asked, as datagrams may be lost.
+const QUESTIONS: u32 = 3;
+/// Longest wait for an answer, in milliseconds.
+const ANSWER_MS: u64 = 60;
+
+/// Records that a stream has begun at an endpoint of this version, and tells other gateways.
+pub(super) fn record_begun(gateway: &Rc<Gateway>, stream: StreamId, software: SoftwareVersion) {
+    let now_ms = gateway.now_ms();
+    gateway.with(|view| {
+        let begun = &mut view.begun_streams;
+        begun.record(now_ms, stream.clone(), software.clone());
+    });
+    let told = ranked(gateway, &stream, TOLD_GATEWAYS);
+    if told.is_empty() {
+        return;
+    }
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let content = PeerContent::Stream { stream, software };
+        peers::send_to(&gateway, &told, content).await;
+    });
+}
+
+/// Records the version of a stream that another gateway has told.
+pub(super) fn merge(gateway: &Gateway, stream: StreamId, software: SoftwareVersion) {
+    let now_ms = gateway.now_ms();
+    gateway.with(|view| view.begun_streams.record(now_ms, stream, software));
+    gateway.stream_told.notify_waiters();
+}
+
+/// Answers another gateway that asks for the version of a stream, if it is known.
+pub(super) fn answer(gateway: &Rc<Gateway>, from: VmId, stream: StreamId) {
+    let Some(software) = known(gateway, &stream) else {
+        return;
+    };
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let content = PeerContent::Stream { stream, software };
+        peers::send_to(&gateway, &[from], content).await;
+    });
+}
+
+/// Returns where a stream that a caller takes up again may go on; `stream` is `None` if the caller does
+/// not name it.
+pub(super) async fn find(
+    gateway: &Rc<Gateway>,
+    service: &ServiceName,
+    stream: Option<&StreamId>,
+) -> ResumeTarget {
+    if let Some(stream) = stream
+        && let Some(software) = known(gateway, stream)
+    {
+        return ResumeTarget::Version(software);
+    }
+    let target = gateway.with(|view| {
+        let registered = view.fleet.software_versions(service);
+        if !view.has_peers {
+            // The versions that served lately have not been read yet.
+            return ResumeTarget::Unknown;
+        }
+        view.software.resume_target(unix_ms(), service, &registered)
+    });
+    let (ResumeTarget::Unknown, Some(stream)) = (&target, stream) else {
+        return target;
+    };
+    let told = ask(gateway, stream).await;
+    told.map_or(ResumeTarget::Unknown, ResumeTarget::Version)
+}
+
+fn known(gateway: &Gateway, stream: &StreamId) -> Option<SoftwareVersion> {
+    gateway.with(|view| view.begun_streams.version(stream).cloned())
+}
+
+/// Asks other gateways for the version of a stream; returns `None` if none tells it in time.
+async fn ask(gateway: &Rc<Gateway>, stream: &StreamId) -> Option<SoftwareVersion> {
+    let asked = ranked(gateway, stream, ASKED_GATEWAYS);
+    for _ in 0..QUESTIONS {
+        let content = PeerContent::StreamWanted(stream.clone());
+        let told = async {
+            loop {
+                let told = gateway.stream_told.notified();
+                if let Some(software) = known(gateway, stream) {
+                    return software;
+                }
+                told.await;
+            }
+        };
+        peers::send_to(gateway, &asked, content).await;
+        let limit = Duration::from_millis(ANSWER_MS);
+        if let Ok(software) = tokio::time::timeout(limit, told).await {
+            return Some(software);
+        }
+    }
+    None
+}
+
+/// Returns the other gateways that rank first for a stream.
+fn ranked(gateway: &Gateway, stream: &StreamId, count: usize) -> Vec<VmId> {
+    let mut vms: Vec<VmId> = gateway.with(|view| view.peers.keys().cloned().collect());
+    rendezvous::rank(stream.as_str(), &mut vms, VmId::as_str);
+    vms.truncate(count);
+    vms
+}
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -9,6 +9,7 @@
 use chicorystage_core::orders::DemandTracker;
 use chicorystage_core::registry::{AbsenceTracker, Departures};
 use chicorystage_core::retry::ServiceRetryBudgets;
+use chicorystage_core::stream_origins::{BegunStreams, SoftwareHistory};
 use chicorystage_core::suspects::SuspectList;
 use chicorystage_core::suspects::prompt_parts::PartEvidence;
 
@@ -39,6 +40,10 @@
     pub suspects: SuspectList,
     /// Crashes of endpoints with the prompt parts that may have caused them.
     pub part_evidence: PartEvidence,
+    /// Software versions of streams that began lately.
+    pub begun_streams: BegunStreams,
+    /// Software versions that served lately.
+    pub software: SoftwareHistory,
     /// Wait queue of requests without an endpoint, in no particular order.
     pub waiters: Vec<Waiter>,
     /// Requests since the last load update by model, with the shortest latency objective in
@@ -97,6 +102,8 @@
             retries,
             suspects: SuspectList::default(),
             part_evidence: PartEvidence::default(),
+            begun_streams: BegunStreams::default(),
+            software: SoftwareHistory::default(),
             waiters: Vec::new(),
             requested: HashMap::new(),
             requested_adapters: Vec::new(),
