Keep streams that may be taken up again in the store while versions are mixed

Change: while several versions of a service have served lately, each gateway writes a row of the streams that it relays, at most one write each 0.3 s (for each 32 gateways). A gateway that does not know a stream reads all rows, at most each 0.3 s, while it asks the others. The table is its own, which no gateway follows, so that writes cost no reads. A gateway keeps in its row what an earlier process wrote there.

Not covered: streams that began less than 0.3 s before the kill.

--- a/crates/chicorystage-testbed/tests/gateway_rejoined.rs
+++ b/crates/chicorystage-testbed/tests/gateway_rejoined.rs
@@ -4,6 +4,8 @@
 mod process_set;
 mod rejoined_world;
 
+use std::time::Duration;
+
 use chicorystage_testbed::users_platform::run_local;
 use googletest::prelude::*;
 
@@ -41,6 +43,26 @@
     })
 }
 
+#[gtest]
+fn streams_of_two_versions_go_on_at_theirs_after_all_gateways_were_killed() -> Result<()> {
+    run_local(async {
+        let mut world = World::start("all-go-on", &TWO_VERSIONS).await?;
+        let streams = world.begin_streams().await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        world.gateways.restart(GATEWAYS).await?;
+        let streams = broken(streams).await?;
+        let taken_up = world.take_up(&streams, 1).await;
+        verify_that!(taken_up.other_version, eq(0))?;
+        verify_that!(taken_up.same_version, ge(streams.len() / 2))?;
+        // Those that a gateway did not begin itself are known after a second kill as well.
+        world.gateways.restart(GATEWAYS).await?;
+        let taken_up = world.take_up(&streams, 2).await;
+        verify_that!(taken_up.other_version, eq(0))?;
+        verify_that!(taken_up.same_version, ge(streams.len() / 2))?;
+        world.gateways.stop().await
+    })
+}
+
 #[gtest]
 fn stream_of_a_version_that_has_just_left_is_not_joined_after_all_gateways_were_killed()
 -> Result<()> {
--- a/crates/chicorystage-testbed/tests/rejoined_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/rejoined_world/mod.rs
@@ -128,7 +128,7 @@
     pub async fn take_up(&self, streams: &[BrokenStream], gateway: usize) -> TakenUp {
         let address = self.gateways.callers(gateway);
         let calls = streams.iter().map(|stream| async move {
-            let attempt = format!("again-{}", stream.attempt);
+            let attempt = format!("{gateway}-{}", stream.attempt);
             let mut headers = headers(&attempt).to_vec();
             headers.push(("resumes", stream.attempt.as_str()));
             headers.push(("last-event-id", "2"));
@@ -139,7 +139,7 @@
         join_all(calls).await;
         let mut taken_up = TakenUp::default();
         for stream in streams {
-            for version in self.versions_reached(&format!("again-{}", stream.attempt)) {
+            for version in self.versions_reached(&format!("{gateway}-{}", stream.attempt)) {
                 if version == stream.version {
                     taken_up.same_version += 1;
                 } else {
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -93,6 +93,8 @@
         TableName::Operator => apply(gateway, table, &rows, true),
         TableName::Endpoints => endpoints::apply_restored(gateway, rows),
         TableName::Own => own_table::apply_restored(gateway, &rows),
+        // Read when it is needed, not followed.
+        TableName::Streams => {}
     }
     gateway.capacity_changed.notify_one();
 }
@@ -102,7 +104,7 @@
 /// The wait on the system's own table ends early when the lease holder falls silent.
 async fn pause(gateway: &Gateway, table: TableName) {
     match table {
-        TableName::Operator => {}
+        TableName::Operator | TableName::Streams => {}
         TableName::Endpoints => {
             let has_holder_updates = gateway.order_epoch().is_none() && gateway.has_recent_holder();
             let (gateways, has_absent) =
@@ -147,6 +149,7 @@
         }
         TableName::Endpoints => apply_endpoints(gateway, changes, is_whole),
         TableName::Own => apply_own(gateway, changes, is_whole),
+        TableName::Streams => {}
     }
     gateway.capacity_changed.notify_one();
 }
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -240,7 +240,9 @@
                 tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
             }
             TableName::Endpoints => std::future::pending().await,
-            TableName::Operator | TableName::Own => self.gateway.store_regained.notified().await,
+            TableName::Operator | TableName::Own | TableName::Streams => {
+                self.gateway.store_regained.notified().await;
+            }
         }
     }
 
@@ -248,7 +250,9 @@
     async fn newer_configuration(&self) {
         match self.table {
             TableName::Operator => self.gateway.newer_configuration.notified().await,
-            TableName::Endpoints | TableName::Own => std::future::pending().await,
+            TableName::Endpoints | TableName::Own | TableName::Streams => {
+                std::future::pending::<()>().await;
+            }
         }
     }
 
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -16,7 +16,7 @@
 //!   requests that crash endpoints, `prompt_parts` finds parts of prompts that do, and
 //!   `quarantine_rows` keeps both in the store.
 //! * [`stream_origins`] finds the software version that began a stream which a caller takes up again;
-//!   [`software_rows`] keeps the versions that served lately.
+//!   [`software_rows`] keeps the versions that served lately, [`stream_rows`] those streams.
 //! * [`peers`] exchanges load, demand and placement with the other gateways.
 //! * [`lease_writes`] acquires and renews the lease on orders.
 //! * [`engine_orders`] sends orders to engines while this gateway holds the lease.
@@ -57,6 +57,7 @@
 pub mod software_rows;
 pub mod stop;
 pub mod stream_origins;
+pub mod stream_rows;
 pub mod view;
 pub mod wait_queue;
 pub mod waiter;
@@ -118,6 +119,7 @@
     probe_http::serve_readiness(readiness, Rc::clone(&gateway));
     follow::start(&gateway);
     peers::start(&gateway, socket);
+    stream_rows::start(&gateway);
     engine_orders::start(&gateway);
     granting::start(&gateway);
     callers::start(&gateway, listener);
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -36,7 +36,7 @@
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
 use crate::gateway::shared::Gateway;
-use crate::gateway::stream_origins;
+use crate::gateway::{stream_origins, stream_rows};
 
 /// Multiple of the route's pause objective after which a silent stream is resumed elsewhere.
 const PAUSES_TOLERATED: u64 = 8;
@@ -295,6 +295,8 @@
         let is_resumable = self.work.route.kind.is_resumable();
         if let (true, Some(software)) = (is_resumable, self.origin.software()) {
             let stream = self.work.head.stream();
+            let service = &self.requirements.service;
+            stream_rows::begin(&self.gateway, &self.work, service, software);
             stream_origins::record_begun(&self.gateway, stream, software.clone());
         }
     }
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -6,6 +6,7 @@
 use crate::gateway::poison;
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::{BEGINNING_EVENTS, StreamRelay};
+use crate::gateway::stream_rows;
 
 impl StreamRelay {
     /// Records a complete answer and returns its connection to the pool.
@@ -15,6 +16,7 @@
             .metrics
             .answer_ms(&self.work.route.name, answer_ms);
         self.log_end(RelayEnd::Whole);
+        stream_rows::end(&self.gateway, &self.work);
         poison::record_answer(&self.gateway, &self.work);
         if self.events_relayed < BEGINNING_EVENTS {
             self.record_sound_prompt();
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::software_rows::SoftwareRows;
+use crate::gateway::stream_rows::StreamRows;
 use crate::gateway::view::View;
 use crate::metrics::GatewayMetrics;
 use crate::settings::GatewaySettings;
@@ -65,6 +66,8 @@
     pub stream_told: Notify,
     /// Versions of the rows of software histories in the store.
     pub software_rows: SoftwareRows,
+    /// Streams that callers may take up again, and the row that keeps them.
+    pub stream_rows: StreamRows,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
     /// Newest era of the store that was seen; 0 before the first or if the store states none.
@@ -120,6 +123,7 @@
             quarantined: watch::Sender::new(()),
             stream_told: Notify::new(),
             software_rows: SoftwareRows::default(),
+            stream_rows: StreamRows::default(),
             crash_checks: CrashChecks::default(),
             own_row_version: Cell::new(0),
             store_era: Cell::new(0),
--- a/crates/chicorystaged/src/gateway/stream_origins.rs
+++ b/crates/chicorystaged/src/gateway/stream_origins.rs
@@ -2,8 +2,8 @@
 //!
 //! The gateway that relays the first event of a stream tells the two gateways that rank first for the
 //! stream. A gateway that does not know a stream asks those, so that a stream survives the end of the
-//! gateway that began it. If nobody knows it, as after a kill of all gateways, it goes on only if a
-//! single version can have begun it.
+//! gateway that began it, and reads the rows that gateways write ([`stream_rows`]), so that it survives
+//! the end of all. A stream that is found nowhere goes on only if a single version can have begun it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +15,7 @@
 use crate::gateway::peer_message::PeerContent;
 use crate::gateway::peers;
 use crate::gateway::shared::Gateway;
+use crate::gateway::stream_rows;
 use crate::timer::unix_ms;
 
 /// Number of gateways that are told of a stream.
@@ -23,7 +24,7 @@
 /// and the gateway that began the stream may rank before them.
 const ASKED_GATEWAYS: usize = 3;
 /// Number of times that gateways are asked, as datagrams may be lost.
-const QUESTIONS: u32 = 3;
+const QUESTIONS: u32 = 4;
 /// Longest wait for an answer, in milliseconds.
 const ANSWER_MS: u64 = 60;
 
@@ -87,6 +88,8 @@
     let (ResumeTarget::Unknown, Some(stream)) = (&target, stream) else {
         return target;
     };
+    let reading = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { stream_rows::read(&reading).await });
     let told = ask(gateway, stream).await;
     told.map_or(ResumeTarget::Unknown, ResumeTarget::Version)
 }
