Pass on an endpoint's server error when no other attempt is answered

Change: the last server error is kept until the request ends, and is the final answer if there is no better one.

--- a/crates/chicorystaged/src/gateway/serving/answer_reading.rs
+++ b/crates/chicorystaged/src/gateway/serving/answer_reading.rs
@@ -27,14 +27,15 @@
     Whole(Response<AnswerBody>, BodyFraming),
     /// An answer that is relayed as it arrives, and what has been read of its body already.
     Stream(Box<Answered>, Bytes),
-    /// The answer broke off, or is a server error of a request that may run again; with the reason.
+    /// A whole server error of a request that may run again, and what ended its body.
+    Failed(Response<AnswerBody>, BodyFraming),
+    /// The answer broke off; with the reason.
     Lost(LossReason),
 }
 
 impl Serving {
     /// Reads a short answer whole; returns streams and long answers to be relayed.
     ///
-    /// A server error counts as a lost answer while the request may run again.
     pub(super) async fn read_answer(&self, mut answered: Box<Answered>) -> ReadAnswer {
         let is_stream = is_event_stream(&self.work.route, &answered.parts);
         let length_min = answered.body.size_hint().lower();
@@ -70,13 +71,13 @@
         reservation.outcome(!is_failure);
         let may_repeat = self.work.route.kind.is_repeatable()
             && self.runs + 1 < self.work.route.endpoints_per_attempt_max;
-        if is_failure && may_repeat {
-            return ReadAnswer::Lost(LossReason::ServerError);
-        }
         let mut response = Response::new(buffered(body));
         *response.status_mut() = parts.status;
         *response.headers_mut() = endpoint_answer::forwarded_headers(&parts.headers);
         response.headers_mut().remove(CONTENT_LENGTH);
+        if is_failure && may_repeat {
+            return ReadAnswer::Failed(response, framing);
+        }
         ReadAnswer::Whole(response, framing)
     }
 
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -147,8 +147,13 @@
         AfterFailure::End(self.lost_response(now_ms))
     }
 
-    /// Returns the final error of a request that may have run and whose answer is lost.
+    /// Returns the final error of a request that may have run and has no good answer.
+    ///
+    /// An endpoint's own server error reaches the caller as it is.
     fn lost_response(&self, now_ms: u64) -> Response<AnswerBody> {
+        if let Some(failed) = self.failed.take() {
+            return self.record_answer(failed.response, failed.framing, &failed.endpoint);
+        }
         let route = &self.work.route.name;
         if self.work.left_ms(now_ms) == 0 {
             self.gateway
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -6,10 +6,12 @@
 
 mod answer_reading;
 mod demand;
+mod failed_answer;
 mod failure;
 mod origin;
 mod short_body;
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +39,7 @@
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_permit::RetryPermit;
 use crate::gateway::serving::answer_reading::ReadAnswer;
+use crate::gateway::serving::failed_answer::FailedAnswer;
 use crate::gateway::serving::failure::AfterFailure;
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
@@ -53,6 +56,8 @@
     runs: u32,
     /// Number of attempts, including those that endpoints refused.
     attempts: u32,
+    /// Last server error, which the caller gets if no other attempt is answered.
+    failed: RefCell<Option<FailedAnswer>>,
 }
 
 impl Serving {
@@ -64,6 +69,7 @@
             work,
             runs: 0,
             attempts: 0,
+            failed: RefCell::default(),
         }
     }
 
@@ -113,11 +119,23 @@
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
                     ReadAnswer::Whole(response, framing) => {
-                        return self.record_answer(response, framing, &endpoint, &requirements);
+                        if response.status().is_success() {
+                            let parts = &self.work.head.shared_parts;
+                            prompt_parts::record_sound(&self.gateway, &requirements.service, parts);
+                        }
+                        return self.record_answer(response, framing, &endpoint);
                     }
                     ReadAnswer::Stream(answered, read) => {
                         return self.relay_answer(answered, read, requirements, in_progress);
                     }
+                    ReadAnswer::Failed(response, framing) => {
+                        self.failed.replace(Some(FailedAnswer {
+                            response,
+                            framing,
+                            endpoint: endpoint.clone(),
+                        }));
+                        Attempted::Lost(LossReason::ServerError)
+                    }
                     ReadAnswer::Lost(reason) => Attempted::Lost(reason),
                 },
                 Some(other) => other,
@@ -263,7 +281,6 @@
         response: Response<AnswerBody>,
         framing: BodyFraming,
         endpoint: &EndpointId,
-        requirements: &Requirements,
     ) -> Response<AnswerBody> {
         let route = &self.work.route.name;
         let answer_ms = self.gateway.now_ms() - self.work.arrived_ms;
@@ -278,10 +295,6 @@
         };
         let late = late_cause(&self.gateway, &self.work.route, &times);
         poison::record_answer(&self.gateway, &self.work);
-        if response.status().is_success() {
-            let parts = &self.work.head.shared_parts;
-            prompt_parts::record_sound(&self.gateway, &requirements.service, parts);
-        }
         log::info!(
             event = "request_answered", request = self.work.head.attempt_id.as_str(),
             route = route.as_ref(), status = response.status().as_u16(),
