Heed what endpoints say of themselves in answers: leaving, and not before so long

Such an endpoint is not chosen, nor used by a reservation made before. Where all endpoints that could take a request have named a time, a request that cannot wait so long is refused at once with the earliest of them. An answer of another endpoint at the address says nothing.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -46,6 +46,10 @@
     silent_since_ms: u64,
     unreachable_until_ms: u64,
     full_until_ms: u64,
+    /// Whether the endpoint has said in an answer that it leaves.
+    has_said_it_leaves: bool,
+    /// End of the time for which the endpoint wants no request, in milliseconds.
+    held_until_ms: u64,
     /// Connections in a row that broke during a request, without an answer between them.
     breaks: u32,
     last_break_ms: u64,
@@ -77,6 +81,8 @@
             silent_since_ms: 0,
             unreachable_until_ms: 0,
             full_until_ms: 0,
+            has_said_it_leaves: false,
+            held_until_ms: 0,
             breaks: 0,
             last_break_ms: 0,
             pace: PromptPace::default(),
@@ -128,10 +134,33 @@
         self.misdirection.entry_written();
     }
 
+    /// Records that the endpoint has said in an answer that it leaves, which holds until it restarts.
+    pub fn said_it_leaves(&mut self) {
+        self.has_said_it_leaves = true;
+    }
+
+    /// Returns whether the endpoint accepts new requests by its entry and by its own answers.
+    #[must_use]
+    pub fn accepts_requests(&self) -> bool {
+        self.is_ready() && !self.has_said_it_leaves
+    }
+
+    /// Records that the endpoint wants no request from this process for a time in milliseconds.
+    pub fn hold_back(&mut self, now_ms: u64, hold_ms: u64) {
+        self.held_until_ms = self.held_until_ms.max(now_ms + hold_ms);
+    }
+
+    /// Returns the end of the time for which the endpoint wants no request, in milliseconds; `None` if
+    /// it wants some now.
+    #[must_use]
+    pub fn held_until_ms(&self, now_ms: u64) -> Option<u64> {
+        (now_ms < self.held_until_ms).then_some(self.held_until_ms)
+    }
+
     /// Returns whether new requests may go to the endpoint.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
-        self.is_ready()
+        self.accepts_requests()
             && self.is_reachable(now_ms)
             && !self.misdirection.is_identity_refused(now_ms)
     }
@@ -148,7 +177,8 @@
     /// The answer is an estimate: requests of other routers are known only with a delay.
     #[must_use]
     pub fn has_capacity(&self, now_ms: u64, occupancy: u32) -> bool {
-        now_ms >= self.full_until_ms && occupancy < self.entry.slots
+        let is_held = self.held_until_ms(now_ms).is_some();
+        now_ms >= self.full_until_ms && !is_held && occupancy < self.entry.slots
     }
 
     /// Returns whether no connection attempt to the endpoint failed recently.
@@ -236,6 +266,8 @@
         self.failure_rate = 0.0;
         self.unanswered = 0;
         self.unreachable_until_ms = 0;
+        self.has_said_it_leaves = false;
+        self.held_until_ms = 0;
         self.breaks = 0;
         self.pace = PromptPace::default();
     }
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -90,7 +90,7 @@
     #[must_use]
     pub fn has_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
         self.endpoints.values().any(|endpoint| {
-            endpoint.is_ready()
+            endpoint.accepts_requests()
                 && endpoint.entry.service == *service
                 && endpoint.entry.software.as_ref() == Some(software)
         })
@@ -205,12 +205,24 @@
         self.uncached_until_ms = valid_until_ms;
     }
 
-    /// Returns when the model of a waiting request should be loaded on some endpoint, in
-    /// milliseconds.
+    /// Returns the earliest time at which an endpoint that could take a request wants requests again,
+    /// in milliseconds; `None` unless all of them have turned requests away for a time.
+    fn held_until_ms(&self, now_ms: u64, requirements: &Requirements) -> Option<u64> {
+        let suitable = self.endpoints.values().filter(|endpoint| {
+            endpoint.entry.service == requirements.service
+                && endpoint.is_usable(now_ms)
+                && requirements.accepts_software(endpoint.entry.software.as_ref())
+                && missing_requirement(now_ms, endpoint, requirements).is_none()
+        });
+        let held = suitable.map(|endpoint| endpoint.held_until_ms(now_ms));
+        held.collect::<Option<Vec<u64>>>()?.into_iter().min()
+    }
+
+    /// Returns when what a waiting request lacks should be available, in milliseconds.
     ///
-    /// A model that only the weight store can bring takes at least the time of such a load.
-    /// Returns `None` unless the request waits because no endpoint has its model, and if neither a
-    /// load of the model nor the lack of a copy is known.
+    /// That is the load of its model, or the time that endpoints which turned requests away have
+    /// named. A model that only the weight store can bring takes at least the time of such a load.
+    /// Returns `None` where that is not known.
     #[must_use]
     pub fn ready_ms(
         &self,
@@ -218,6 +230,9 @@
         requirements: &Requirements,
         reason: &Choice,
     ) -> Option<u64> {
+        if *reason == Choice::Full {
+            return self.held_until_ms(now_ms, requirements);
+        }
         let model = requirements.model.as_ref()?;
         let is_model_missing = *reason == Choice::NoModel;
         if !is_model_missing {
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -286,3 +286,48 @@
     }
     verify_that!(choose(&fleet, 1_000, &requirements("m")), eq(&at("b")))
 }
+
+#[gtest]
+fn endpoint_that_says_it_leaves_gets_nothing_new_until_it_restarts() -> Result<()> {
+    let mut fleet = fleet(&[entry("a", "here", &["m"])]);
+    let endpoint = fleet.get_mut(&EndpointId::from("a")).or_fail()?;
+    endpoint.said_it_leaves();
+    // The registry lags behind, whatever it says.
+    fleet.registered(entry("a", "here", &["m", "n"]));
+    verify_that!(
+        choose(&fleet, 10_000, &requirements("m")),
+        eq(&Choice::NoEndpoint)
+    )?;
+    let restarted = EndpointEntry {
+        born_unix_ms: Some(2),
+        ..entry("a", "here", &["m"])
+    };
+    fleet.registered(restarted);
+    verify_that!(choose(&fleet, 10_000, &requirements("m")), eq(&at("a")))
+}
+
+#[gtest]
+fn endpoint_that_names_a_time_gets_nothing_before() -> Result<()> {
+    let mut fleet = fleet(&[entry("a", "here", &["m"]), entry("b", "here", &["m"])]);
+    let mut hold = |id: &str, hold_ms| -> Result<()> {
+        let endpoint = fleet.get_mut(&EndpointId::from(id)).or_fail()?;
+        endpoint.hold_back(1_000, hold_ms);
+        Ok(())
+    };
+    hold("a", 2_000)?;
+    // A shorter time that is named later does not shorten it.
+    hold("a", 100)?;
+    verify_that!(choose(&fleet, 1_500, &requirements("m")), eq(&at("b")))?;
+    verify_that!(
+        fleet.ready_ms(1_500, &requirements("m"), &Choice::Full),
+        none()
+    )?;
+    let endpoint = fleet.get_mut(&EndpointId::from("b")).or_fail()?;
+    endpoint.hold_back(1_000, 5_000);
+    verify_that!(choose(&fleet, 2_999, &requirements("m")), eq(&Choice::Full))?;
+    verify_that!(
+        fleet.ready_ms(2_999, &requirements("m"), &Choice::Full),
+        some(eq(3_000))
+    )?;
+    verify_that!(choose(&fleet, 3_000, &requirements("m")), eq(&at("a")))
+}
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -192,6 +192,7 @@
         reservation.outcome(false);
         return Attempted::Lost(LossReason::ForeignAnswer);
     }
+    reservation.heard(&head, &work.head.attempt_id);
     let answered = Answered {
         parts,
         head,
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -5,6 +5,7 @@
 
 use chicorystage_api::name::{EndpointId, ModelName, SoftwareVersion};
 use chicorystage_core::fleet::{Endpoint, EndpointEntry};
+use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
 
 use crate::gateway::shared::Gateway;
 
@@ -43,7 +44,7 @@
         self.gateway.with(|view| {
             let known = view.fleet.get(&self.endpoint);
             known.is_some_and(|known| {
-                known.is_ready()
+                known.accepts_requests()
                     && known.entry.address == self.address
                     && known.entry.software == self.software
             })
@@ -69,6 +70,32 @@
             .with_endpoint(&self.endpoint, Endpoint::responded);
     }
 
+    /// Records what the endpoint has said of itself in an answer.
+    ///
+    /// An answer of another endpoint at its address says nothing of this one.
+    pub fn heard(&self, answer: &EndpointAnswer, request: &str) {
+        if answer.execution == Execution::Misdirected {
+            return;
+        }
+        if !answer.is_leaving && answer.hold_ms.is_none() {
+            return;
+        }
+        let now_ms = self.gateway.now_ms();
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            if answer.is_leaving {
+                endpoint.said_it_leaves();
+            }
+            if let Some(hold_ms) = answer.hold_ms {
+                endpoint.hold_back(now_ms, hold_ms);
+            }
+        });
+        log::info!(
+            event = "endpoint_said", request, endpoint = self.endpoint.as_str(),
+            is_leaving = answer.is_leaving, hold_ms = answer.hold_ms.unwrap_or(0);
+            "endpoint leaves or wants no request for a time"
+        );
+    }
+
     /// Records that the connection broke before any answer.
     pub fn connection_broke(&self) {
         let now_ms = self.gateway.now_ms();
