Forget streams that end without being whole; compute a request's digest once

Found on reading the change. Streams that callers abandon stayed in the list of those that may be taken up again until the next write of the row, which comes only while versions are mixed: without it the list grew for ever. It is pruned when it has doubled now (test: 20,000 streams, at most 2,000 kept). Since a quarantine ends waits and attempts, the digest of a request's body was computed up to three times; it is kept now.

--- a/crates/chicorystage-core/tests/stream_origins.rs
+++ b/crates/chicorystage-core/tests/stream_origins.rs
@@ -94,7 +94,7 @@
             software: version(1),
             ends_unix_ms,
         };
-        live.begin(stream, id == "open");
+        live.begin(0, stream, id == "open");
     }
     live.end(&StreamId::from("whole"));
     expect_that!(live.is_changed(), is_true());
@@ -104,6 +104,20 @@
     expect_that!(live.is_changed(), is_false());
 }
 
+#[gtest]
+fn streams_that_are_never_whole_nor_stored_are_forgotten() {
+    let mut live = LiveStreams::default();
+    for number in 0..20_000 {
+        let stream = LiveStream {
+            stream: StreamId::from(format!("s{number}")),
+            software: version(1),
+            ends_unix_ms: number + 100,
+        };
+        live.begin(number, stream, false);
+    }
+    expect_that!(live.len(), le(2_000));
+}
+
 proptest! {
     #![proptest_config(config())]
 
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -1,6 +1,6 @@
 //! How long a gateway sends requests to endpoints that vanish from the registry.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -216,6 +216,7 @@
         arrived_ms: now_ms,
         ends_ms: now_ms + 3_000,
         waits: Cell::default(),
+        digest: OnceCell::new(),
         attempt_began_ms: std::cell::Cell::default(),
     })
 }
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -3,12 +3,13 @@
 //! The classification decides whether a retry is safe: an attempt either has an answer, certainly
 //! did not run, or may have run and lost its answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use chicorystage_api::name::Digest;
 use chicorystage_borders::http::InterimLimit;
 use chicorystage_core::deployment::Route;
 use chicorystage_core::latency::{WaitReason, WaitTimes};
@@ -61,6 +62,8 @@
     pub ends_ms: u64,
     /// Time spent waiting for endpoints so far.
     pub waits: Cell<WaitTimes>,
+    /// Digest under which the request is quarantined, once it was needed.
+    pub digest: OnceCell<Digest>,
     /// Start of the last attempt on the gateway's clock, in milliseconds.
     pub attempt_began_ms: Cell<u64>,
 }
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -139,8 +139,12 @@
     gateway.with(|view| view.suspects.merge_completion(answered_unix_ms, digest));
 }
 
-/// Returns the digest of a request's method, host, path and body.
+/// Returns the digest of a request's method, host, path and body, which is computed once.
 pub(super) fn digest(work: &CallerWork) -> Digest {
+    work.digest.get_or_init(|| compute_digest(work)).clone()
+}
+
+fn compute_digest(work: &CallerWork) -> Digest {
     let uri = work.uri.to_string();
     let parts = [
         work.method.as_str().as_bytes(),
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that passes these steps goes on to [`Serving`].
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,6 +66,7 @@
         arrived_ms,
         ends_ms,
         waits: Cell::default(),
+        digest: OnceCell::new(),
         attempt_began_ms: Cell::new(arrived_ms),
     };
     Serving::new(gateway, work)
--- a/crates/chicorystaged/src/gateway/stream_rows.rs
+++ b/crates/chicorystaged/src/gateway/stream_rows.rs
@@ -49,20 +49,25 @@
     service: &ServiceName,
     software: &SoftwareVersion,
 ) {
+    let now_unix_ms = unix_ms();
     let waits_ms = work.head.deadline_ms.unwrap_or(STREAM_LIFE_MS);
     let left_ms = (work.arrived_ms + waits_ms).saturating_sub(gateway.now_ms());
     let stream = LiveStream {
         stream: work.head.stream(),
         software: software.clone(),
-        ends_unix_ms: unix_ms() + left_ms,
+        ends_unix_ms: now_unix_ms + left_ms,
     };
     let has_several_versions = gateway.with(|view| {
         let registered = view.fleet.software_versions(service);
-        let target = view.software.resume_target(unix_ms(), service, &registered);
+        let target = view
+            .software
+            .resume_target(now_unix_ms, service, &registered);
         target == ResumeTarget::Unknown
     });
     let rows = &gateway.stream_rows;
-    rows.live.borrow_mut().begin(stream, has_several_versions);
+    rows.live
+        .borrow_mut()
+        .begin(now_unix_ms, stream, has_several_versions);
     if has_several_versions {
         rows.changed.notify_one();
     }
@@ -113,7 +118,7 @@
             let (id, software) = (stream.stream.clone(), stream.software.clone());
             gateway.with(|view| view.begun_streams.record(now_ms, id, software));
             if is_first {
-                own.live.borrow_mut().begin(stream, false);
+                own.live.borrow_mut().begin(now_unix_ms, stream, false);
             }
         }
     }
