Write the rows of streams sooner after a stream has begun

Change: at most one write each 50 ms for each 8 gateways. Writes follow the streams that begin, so that this costs at most one a stream.

--- a/crates/chicorystaged/src/gateway/stream_rows.rs
+++ b/crates/chicorystaged/src/gateway/stream_rows.rs
@@ -19,9 +19,9 @@
 use crate::timer::unix_ms;
 
 /// Shortest interval between two writes, in milliseconds, for each [`GATEWAYS_PER_INTERVAL`].
-const WRITE_INTERVAL_MS: u64 = 300;
+const WRITE_INTERVAL_MS: u64 = 50;
 /// Number of gateways up to which that interval is not prolonged.
-const GATEWAYS_PER_INTERVAL: usize = 32;
+const GATEWAYS_PER_INTERVAL: usize = 8;
 /// Time for which rows that were read are not read again, in milliseconds.
 const READ_INTERVAL_MS: u64 = 300;
 
