Store a quarantine in the background; a time to come back while versions are unread

Found on reading the whole change. Since attempts that broke with one endpoint share a check, the first that was quarantined held up the others of that endpoint until the store had its row, up to a minute in an outage: their crashes were counted late. The row is written by a task of its own now. A stream refused because the gateway had just started and not read which versions served got no time to come back, though it can be served a moment later. No test was red for either; the tests of quarantines and of streams taken up again pass.

--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -2,9 +2,10 @@
 //!
 //! A request that crashes its endpoint would, with retries, take down one endpoint after another. A
 //! crash shows as a connection that breaks during a request and an endpoint that accepts no
-//! connection a moment later ([`crash_checks`](super::crash_checks)). The third such crash in a row for the same request, counted over all
-//! gateways and without an answer between them, quarantines the request: it is refused for good. A
-//! broken connection to an endpoint that still accepts new ones is not counted.
+//! connection a moment later ([`crash_checks`](super::crash_checks)). The third such crash in a row
+//! for the same request, counted over all gateways and without an answer between them, quarantines
+//! the request: it is refused for good. A broken connection to an endpoint that still accepts new
+//! ones is not counted.
 //!
 //! Requests are the same if method, host, path and body are. Many callers may send the same request
 //! without a body, and endpoints may crash for other reasons while they run it; so a crash counts
@@ -66,7 +67,9 @@
 pub(super) async fn publish_quarantine(gateway: &Rc<Gateway>, entry: QuarantineEntry) {
     gateway.quarantined.send_replace(());
     peers::broadcast(gateway, PeerContent::Suspect(entry.clone())).await;
-    quarantine_rows::store(gateway, &entry).await;
+    // The store may be away for long, and further crashes are to be counted meanwhile.
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { quarantine_rows::store(&gateway, &entry).await });
 }
 
 /// Records that a request was answered, which clears it as a suspect at every gateway.
--- a/crates/chicorystaged/src/gateway/serving/origin.rs
+++ b/crates/chicorystaged/src/gateway/serving/origin.rs
@@ -5,7 +5,7 @@
 use http::{Response, StatusCode};
 
 use crate::gateway::answer_body::AnswerBody;
-use crate::gateway::own_responses::text_response;
+use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::serving::Serving;
 use crate::gateway::stream_origins;
 use crate::metrics::RequestOutcome;
@@ -15,8 +15,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal of a stream whose version is unknown or no longer serves. It states no time
-    /// to come back, as no other gateway and no later time would do.
+    /// Returns the refusal of a stream whose version is unknown or no longer serves.
     pub(super) async fn find_origin(
         &self,
         requirements: &mut Requirements,
@@ -44,15 +43,23 @@
             self.gateway
                 .metrics
                 .count_request(&self.work.route.name, RequestOutcome::Refused);
-            let refused = text_response(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "no endpoint can go on with this stream",
-            );
-            return Err(Box::new(refused));
+            return Err(Box::new(self.stream_refusal()));
         }
         if let ResumeTarget::Version(software) = target {
             requirements.software = Some(software);
         }
         Ok(())
     }
+
+    /// Returns the refusal of a stream that cannot go on.
+    ///
+    /// It states a time to come back only while this gateway has not read which versions served: no
+    /// other gateway and no later time would do afterwards.
+    fn stream_refusal(&self) -> Response<AnswerBody> {
+        let reason = "no endpoint can go on with this stream";
+        if self.gateway.with(|view| view.has_peers) {
+            return text_response(StatusCode::SERVICE_UNAVAILABLE, reason);
+        }
+        refusal(reason, RETRY_AFTER_DEFAULT_MS)
+    }
 }
