--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -32,6 +32,7 @@
 //! * [`registry`]: when an endpoint that is missing from the registry counts as gone.
 //! * [`rendezvous`]: rendezvous hashing of keys to VMs.
 //! * [`replicas`]: loaded, loading and unloading replicas of one endpoint.
+//! * [`request_limit`]: limits that endpoints name, divided among gateways.
 //! * [`retry`]: retry budgets and backoff.
 //! * [`sequence`]: in-order delivery of an attempt's frames.
 //! * [`slots`]: the placement slots that a VM holds.
@@ -69,6 +70,7 @@
 pub mod registry;
 pub mod rendezvous;
 pub mod replicas;
+pub mod request_limit;
 pub mod retry;
 pub mod sequence;
 pub mod slots;
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -5,6 +5,7 @@
 
 use chicorystage_api::name::{EndpointId, ModelName, SoftwareVersion};
 use chicorystage_core::fleet::{Endpoint, EndpointEntry};
+use chicorystage_core::request_limit::NamedLimit;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
 
 use crate::gateway::shared::Gateway;
@@ -77,6 +78,7 @@
         if answer.execution == Execution::Misdirected {
             return;
         }
+        self.heard_limit(answer.limit, request);
         if !answer.is_leaving && answer.hold_ms.is_none() {
             return;
         }
@@ -96,6 +98,26 @@
         );
     }
 
+    /// Records the limit that an answer names, or that it names none.
+    fn heard_limit(&self, limit: NamedLimit, request: &str) {
+        if limit == NamedLimit::Unreadable {
+            log::warn!(
+                event = "endpoint_limit_unreadable", request, endpoint = self.endpoint.as_str();
+                "endpoint names a limit that is no number; ignored"
+            );
+        }
+        let mut is_changed = false;
+        self.gateway.with_endpoint(&self.endpoint, |endpoint| {
+            is_changed = endpoint.limit_named(limit);
+        });
+        if is_changed {
+            log::info!(
+                event = "endpoint_limit", request, endpoint = self.endpoint.as_str(), limit:?;
+                "endpoint has changed the number of requests that it takes"
+            );
+        }
+    }
+
     /// Records that the connection broke before any answer.
     pub fn connection_broke(&self) {
         let now_ms = self.gateway.now_ms();
