--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -32,6 +32,8 @@
     id: String,
     script: RefCell<VecDeque<Reply>>,
     default_reply: RefCell<Reply>,
+    /// Requests a second that every answer names as the most that the endpoint takes; `None` for none.
+    limit_per_s: Cell<Option<f64>>,
     received_requests: RefCell<Vec<ReceivedRequest>>,
     engine: RefCell<Option<EndpointEngine>>,
     /// Number of streams whose connection the client closed before the end.
@@ -78,6 +80,7 @@
             id: id.to_owned(),
             script: RefCell::default(),
             default_reply: RefCell::new(default_reply),
+            limit_per_s: Cell::new(None),
             received_requests: RefCell::default(),
             engine: RefCell::new(engine),
             cancelled_streams: Cell::new(0),
@@ -116,6 +119,13 @@
         *self.state.default_reply.borrow_mut() = reply;
     }
 
+    /// Sets the limit that later answers name, in requests a second; `None` for none.
+    ///
+    /// The endpoint answers all requests, also those beyond it.
+    pub fn set_limit_per_s(&self, limit_per_s: Option<f64>) {
+        self.state.limit_per_s.set(limit_per_s);
+    }
+
     /// Returns all received requests, including refused ones.
     ///
     /// Reads of the load report and orders are left out, as the engine handles them.
@@ -257,6 +267,10 @@
     if let Ok(stamp) = http::HeaderValue::from_str(&format!("stamp-{}", state.id)) {
         headers.insert("response-stamp", stamp);
     }
+    let limit = state.limit_per_s.get().map(|per_s| per_s.to_string());
+    if let Some(Ok(limit)) = limit.map(|text| http::HeaderValue::from_str(&text)) {
+        headers.insert("server-limit", limit);
+    }
     response
 }
 
