Don't believe a refusal that an endpoint writes once more on a kept connection

An endpoint refused an attempt, the gateway sent the attempt again on the same connection, and the endpoint ran it after writing the refusal once more: the gateway believed it and sent the attempt a third time (TWICE), or told the caller 'not run' (REFUSED). A refusal that names no attempt was believed for any attempt on its connection.

Cause: an answer was taken for the one that is due because its id matches or because it has none. Now an attempt never goes out again on a connection that has brought a refusal of it, and an answer without an attempt counts only as the first one of its connection.

--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -42,6 +42,10 @@
     /// Part of a prompt on which the endpoint crashes; `None` for none.
     crashing_part: RefCell<Option<String>>,
     received_heads: RefCell<Vec<String>>,
+    /// Whether a refusal is written once more in place of the next answer on its connection.
+    repeats_refusals: Cell<bool>,
+    /// Attempts that were run.
+    runs: RefCell<Vec<String>>,
     /// Whether the endpoint's process still accepts connections.
     is_listening: watch::Sender<bool>,
     /// Bytes that endless replies have sent.
@@ -71,6 +75,8 @@
             engine: RefCell::new(engine),
             crashing_part: RefCell::default(),
             received_heads: RefCell::default(),
+            repeats_refusals: Cell::new(false),
+            runs: RefCell::default(),
             is_listening: watch::Sender::new(true),
             repeated_bytes: Cell::new(0),
             repeats_begun: Cell::new(0),
@@ -116,6 +122,19 @@
         self.state.received_heads.borrow().clone()
     }
 
+    /// Makes the endpoint run the request after a refused one on its connection and write the refusal
+    /// once more before the answer.
+    pub fn repeat_refusals(&self) {
+        self.state.repeats_refusals.set(true);
+    }
+
+    /// Returns how often an attempt was run.
+    #[must_use]
+    pub fn runs(&self, attempt: &str) -> usize {
+        let runs = self.state.runs.borrow();
+        runs.iter().filter(|run| *run == attempt).count()
+    }
+
     /// Returns how many bytes endless replies have sent.
     #[must_use]
     pub fn repeated_bytes(&self) -> u64 {
@@ -169,10 +188,14 @@
 async fn serve(state: &Rc<State>, mut stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut received = BytesMut::new();
+    let mut last_refusal: Option<String> = None;
     loop {
         let Some(head) = read_request(&mut stream, &mut received).await? else {
             return Ok(());
         };
+        if let Some(refusal) = last_refusal.take() {
+            stream.write_all(refusal.as_bytes()).await?;
+        }
         let reply = reply_to(state, &head);
         if reply.end == ConnectionEnd::Crash {
             tokio::time::sleep(Duration::from_millis(CRASH_DELAY_MS)).await;
@@ -181,6 +204,12 @@
             .bytes
             .replace(ATTEMPT_PLACEHOLDER, header(&head, "attempt-id"));
         stream.write_all(sent.as_bytes()).await?;
+        if is_refusal(&sent) {
+            last_refusal = state.repeats_refusals.get().then_some(sent);
+        } else {
+            let attempt = header(&head, "attempt-id").to_owned();
+            state.runs.borrow_mut().push(attempt);
+        }
         match reply.end {
             ConnectionEnd::Close => return stream.shutdown().await,
             ConnectionEnd::Crash => {
@@ -244,6 +273,11 @@
     }
 }
 
+/// Returns whether an answer says that the request was not run.
+fn is_refusal(answer: &str) -> bool {
+    answer.starts_with("HTTP/1.1 421 ") || answer.contains("\r\nNot-Executed: 1\r\n")
+}
+
 /// Returns whether the request's prompt has the part on which the endpoint crashes.
 fn has_crashing_part(state: &State, head: &str) -> bool {
     let crashing = state.crashing_part.borrow();
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -217,6 +217,7 @@
         ends_ms: now_ms + 3_000,
         waits: Cell::default(),
         digest: OnceCell::new(),
+        refused_on: std::cell::RefCell::default(),
         attempt_began_ms: std::cell::Cell::default(),
     })
 }
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -3,7 +3,8 @@
 //! The classification decides whether a retry is safe: an attempt either has an answer, certainly
 //! did not run, or may have run and lost its answer.
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use chicorystage_core::deployment::Route;
 use chicorystage_core::latency::{WaitReason, WaitTimes};
 use chicorystage_platform::caller_request::CallerRequest;
-use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
+use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution, NamedAttempt};
 use chicorystage_platform::endpoint_request::{self, EndpointTerms};
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Response, Uri, response};
@@ -64,6 +65,11 @@
     pub waits: Cell<WaitTimes>,
     /// Digest under which the request is quarantined, once it was needed.
     pub digest: OnceCell<Digest>,
+    /// Own addresses of the connections that have brought a refusal of the request.
+    ///
+    /// A faulty endpoint may write the refusal once more, which would look like the answer of another
+    /// attempt there.
+    pub refused_on: RefCell<Vec<SocketAddr>>,
     /// Start of the last attempt on the gateway's clock, in milliseconds.
     pub attempt_began_ms: Cell<u64>,
 }
@@ -153,7 +159,7 @@
     last_event_id: Option<&str>,
 ) -> Attempted {
     work.attempt_began_ms.set(gateway.now_ms());
-    let mut connection = match connect(gateway, &reservation, true).await {
+    let mut connection = match connect(gateway, &reservation, Some(work)).await {
         Ok(connection) => connection,
         Err(not_run) => return not_run,
     };
@@ -183,7 +189,7 @@
             // The endpoint had closed the idle connection.
             Exchange::NotWritten => {}
         }
-        connection = match connect(gateway, &reservation, false).await {
+        connection = match connect(gateway, &reservation, None).await {
             Ok(connection) => connection,
             Err(not_run) => return not_run,
         };
@@ -191,7 +197,7 @@
     reservation.responded();
     let (parts, body) = response.into_parts();
     let head = EndpointAnswer::decode(parts.status, &parts.headers, &work.head.attempt_id);
-    if !head.is_for_attempt {
+    if !is_own_answer(&head, &connection) {
         reservation.outcome(false);
         return Attempted::Lost(LossReason::ForeignAnswer);
     }
@@ -204,11 +210,23 @@
         reservation,
     };
     if answered.head.execution != Execution::MayHaveRun {
+        work.refused_on.borrow_mut().push(answered.connection.local);
         return refused(gateway, answered).await;
     }
     Attempted::Answered(Box::new(answered))
 }
 
+/// Returns whether an answer belongs to the attempt that was sent.
+///
+/// One that names no attempt may be an earlier answer of the connection, written once more.
+fn is_own_answer(answer: &EndpointAnswer, connection: &Connection) -> bool {
+    match answer.attempt {
+        NamedAttempt::Sent => true,
+        NamedAttempt::Other => false,
+        NamedAttempt::Absent => !connection.is_reused,
+    }
+}
+
 /// Result of a request on one connection.
 enum Exchange {
     /// The head of the answer has arrived.
@@ -260,17 +278,20 @@
     }
 }
 
-/// Returns a pooled connection where `may_reuse` is set, otherwise a new one.
+/// Returns a pooled connection that `reusing` may use, if there is one, otherwise a new one.
 ///
 /// If none can be opened, records the endpoint as unreachable and returns the failed attempt.
 async fn connect(
     gateway: &Rc<Gateway>,
     reservation: &Reservation,
-    may_reuse: bool,
+    reusing: Option<&CallerWork>,
 ) -> Result<Connection, Attempted> {
-    if may_reuse
-        && let Some(connection) = gateway.pool.take(gateway.now_ms(), &reservation.endpoint)
-    {
+    let pooled = reusing.and_then(|work| {
+        let except = work.refused_on.borrow();
+        let endpoint = &reservation.endpoint;
+        gateway.pool.take(gateway.now_ms(), endpoint, &except)
+    });
+    if let Some(connection) = pooled {
         return Ok(connection);
     }
     let not_run = Attempted::NotRun {
--- a/crates/chicorystaged/src/gateway/connection.rs
+++ b/crates/chicorystaged/src/gateway/connection.rs
@@ -28,6 +28,10 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Own address of the connection, which tells it from the others to the same endpoint.
+    pub local: SocketAddr,
+    /// Whether it has brought an answer before.
+    pub is_reused: bool,
     task: AbortHandle,
 }
 
@@ -42,6 +46,7 @@
         let limit = Duration::from_millis(CONNECT_TIMEOUT_MS);
         let stream = tokio::time::timeout(limit, TcpStream::connect(address)).await??;
         set_options(&stream)?;
+        let local = stream.local_addr()?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
@@ -51,6 +56,8 @@
         });
         Ok(Self {
             sender,
+            local,
+            is_reused: false,
             task: task.abort_handle(),
         })
     }
--- a/crates/chicorystaged/src/gateway/pool.rs
+++ b/crates/chicorystaged/src/gateway/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use chicorystage_api::name::EndpointId;
 
@@ -30,16 +31,21 @@
 }
 
 impl Pool {
-    /// Removes and returns the most recently used open connection, if there is one.
-    pub fn take(&self, now_ms: u64, endpoint: &EndpointId) -> Option<Connection> {
+    /// Removes and returns the most recently used open connection but those with the given own
+    /// addresses, if there is one.
+    pub fn take(
+        &self,
+        now_ms: u64,
+        endpoint: &EndpointId,
+        except: &[SocketAddr],
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let of_endpoint = idle.get_mut(endpoint)?;
-        while let Some(idle) = of_endpoint.pop() {
-            if now_ms < idle.until_ms && idle.connection.sender.is_ready() {
-                return Some(idle.connection);
-            }
-        }
-        None
+        of_endpoint.retain(|idle| now_ms < idle.until_ms && idle.connection.sender.is_ready());
+        let newest = of_endpoint
+            .iter()
+            .rposition(|idle| !except.contains(&idle.connection.local))?;
+        Some(of_endpoint.remove(newest).connection)
     }
 
     /// Adds a connection whose last answer was received whole; drops it where the pool is full.
@@ -49,7 +55,7 @@
         &self,
         now_ms: u64,
         endpoint: &EndpointId,
-        connection: Connection,
+        mut connection: Connection,
         idle_timeout_ms: Option<u64>,
     ) {
         let kept_ms = idle_timeout_ms.map_or(IDLE_MS, |timeout_ms| {
@@ -58,6 +64,7 @@
         if kept_ms == 0 || connection.sender.is_closed() {
             return;
         }
+        connection.is_reused = true;
         let mut idle = self.idle.borrow_mut();
         let of_endpoint = idle.entry(endpoint.clone()).or_default();
         if of_endpoint.len() < IDLE_MAX {
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that passes these steps goes on to [`Serving`].
 
-use std::cell::{Cell, OnceCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,6 +67,7 @@
         ends_ms,
         waits: Cell::default(),
         digest: OnceCell::new(),
+        refused_on: RefCell::default(),
         attempt_began_ms: Cell::new(arrived_ms),
     };
     Serving::new(gateway, work)
