Resume a stream only with a 200 answer of events

Red before for 202, the first form of 33 that the test plays (nine statuses, three framings, a whole head within the body); green now for all.

--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chicorystage_borders::http::BodyFraming;
+use http::StatusCode;
 
 use crate::gateway::attempt::{self, Attempted};
 use crate::gateway::event_stream::is_event_stream;
@@ -114,7 +115,10 @@
             Some(Attempted::Lost(reason)) => return Err(ResumeFailure::Lost(reason)),
             None => return Err(ResumeFailure::DeadlinePassed),
         };
-        if !is_event_stream(&self.work.route, &answered.parts) {
+        // Other successes carry no rest of a stream, whatever they consist of.
+        let is_rest = answered.parts.status == StatusCode::OK
+            && is_event_stream(&self.work.route, &answered.parts);
+        if !is_rest {
             return Err(ResumeFailure::NoStream);
         }
         self.framing = BodyFraming::of(&answered.parts.headers);
