Load models elsewhere whose engines name a limit below their demand

A model whose only engine takes fewer requests than come for it stayed there: the engine looks idle, so that a further replica had no value, and callers were refused for as long as the limit held. Engines whose limit is below the demand for their models no longer count as replicas, and are the last to load others.

--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -31,6 +31,8 @@
 const ADAPTER_COST_MAX: f64 = 1.0;
 /// Cost of a full batch, in proportion to the occupied slots, which favours idle engines.
 const FULL_BATCH_COST: f64 = 0.3;
+/// Cost of an engine that names a limit on requests, above the others for engines with cached weights.
+const LIMITED_ENGINE_COST: f64 = 5.0;
 
 /// One order towards a load: the load itself, or the unload that frees memory for it.
 #[derive(Clone, Debug)]
@@ -155,7 +157,8 @@
         let occupied_share = f64::from(occupancy) / f64::from(self.spec.slots.max(1));
         let cost = LOAD_SECOND_COST * load_s
             + FULL_BATCH_COST * occupied_share
-            + self.adapter_cost(engine);
+            + self.adapter_cost(engine)
+            + self.limit_cost(engine);
         if engine.fits(self.spec, model, None) {
             let step = PlacementStep {
                 endpoint: engine.id.clone(),
@@ -180,6 +183,13 @@
         Some((cost + lost_value, step))
     }
 
+    /// Returns the cost of an engine that names a limit on requests.
+    fn limit_cost(&self, engine: &EngineRecord) -> f64 {
+        let endpoint = self.fleet.get(&engine.id);
+        let is_limited = endpoint.is_some_and(|endpoint| endpoint.limit.get().is_some());
+        if is_limited { LIMITED_ENGINE_COST } else { 0.0 }
+    }
+
     /// Returns the cost of blocking adapter loads: an engine that loads a model accepts none.
     fn adapter_cost(&self, engine: &EngineRecord) -> f64 {
         let loaded = engine
--- a/crates/chicorystage-core/src/orders/plan_table.rs
+++ b/crates/chicorystage-core/src/orders/plan_table.rs
@@ -16,6 +16,8 @@
     pub in_progress: HashMap<(EndpointId, ModelName), u32>,
     /// Requests in progress by engine.
     occupancy: HashMap<EndpointId, u32>,
+    /// Requests a second that engines take by their own word; engines that name no limit are left out.
+    limits_per_s: HashMap<EndpointId, f64>,
 }
 
 impl PlanTable {
@@ -44,21 +46,31 @@
                 state.in_progress += count;
             }
         }
+        let limits_per_s = fleet.endpoints().filter_map(|(id, endpoint)| {
+            let limit = endpoint.limit.get()?;
+            Some((id.clone(), limit.per_s()))
+        });
         Self {
             states,
             in_progress,
             occupancy,
+            limits_per_s: limits_per_s.collect(),
         }
     }
 
     /// Counts the replicas of each model, including those that are loading or planned, and the
     /// requests for other models at their engines.
+    ///
+    /// Replicas of an engine that takes fewer requests than its models get do not count.
     pub(super) fn count_replicas(&mut self, engines: &[&EngineRecord]) {
         for state in self.states.values_mut() {
             state.replicas = 0;
             state.others_in_progress = 0;
         }
         for engine in engines {
+            if self.is_short(engine) {
+                continue;
+            }
             let occupancy = self.occupancy.get(&engine.id).copied().unwrap_or(0);
             let expected = engine
                 .expected_model()
@@ -74,4 +86,17 @@
             }
         }
     }
+
+    /// Returns whether an engine has named a limit below the demand for its models.
+    fn is_short(&self, engine: &EngineRecord) -> bool {
+        let Some(limit_per_s) = self.limits_per_s.get(&engine.id) else {
+            return false;
+        };
+        let states = engine
+            .loaded
+            .keys()
+            .filter_map(|model| self.states.get(model));
+        let demand_per_s: f64 = states.map(|state| state.rate_per_s).sum();
+        demand_per_s > *limit_per_s
+    }
 }
--- a/crates/chicorystage-testbed/tests/gateway_orders.rs
+++ b/crates/chicorystage-testbed/tests/gateway_orders.rs
@@ -13,6 +13,11 @@
 const OTHERS_ORDERS: u64 = 5;
 /// Time in which a gateway reads a row that was written, in milliseconds.
 const READ_MS: u64 = 500;
+/// Limit that an engine names, in requests a second.
+const LIMIT_PER_S: f64 = 0.5;
+/// Requests for a model whose engine names a limit, and the interval between them in milliseconds.
+const LIMITED_REQUESTS: usize = 20;
+const LIMITED_INTERVAL_MS: u64 = 400;
 
 #[gtest]
 fn gateway_that_holds_the_lease_again_sends_no_order_on_its_former_view() -> Result<()> {
@@ -67,3 +72,39 @@
         verify_that!(counts, each(ge(&OTHERS_ORDERS)))
     })
 }
+
+#[gtest]
+fn model_whose_only_engine_names_a_limit_below_its_demand_is_loaded_elsewhere() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let events = Reply::Events {
+            first: 1,
+            last: 2,
+            pause_ms: 1,
+        };
+        let mut engines = Vec::new();
+        for (id, model) in [("e1", "m0"), ("e2", "m1")] {
+            let engine = EndpointEngine::new(&[model], 60);
+            let endpoint = EndpointEmulator::start(id, events.clone(), Some(engine))
+                .await
+                .or_fail()?;
+            world.register(&endpoint, "llm");
+            engines.push(endpoint);
+        }
+        engines[0].set_limit_per_s(Some(LIMIT_PER_S));
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        for _ in 0..LIMITED_REQUESTS {
+            let headers = [("model", "m0"), ("deadline-ms", "4000")];
+            // Those beyond the limit are refused.
+            let _reply = send_request(&gateway, Method::POST, "/long/x", &headers, "{}")
+                .await
+                .or_fail()?;
+            tokio::time::sleep(Duration::from_millis(LIMITED_INTERVAL_MS)).await;
+            if engines[1].with_engine(|engine| engine.has_loaded("m0")) {
+                return Ok(());
+            }
+        }
+        fail!("the model was loaded nowhere else")
+    })
+}
