Use an own part of a limit where the lease holder answers no question

A gateway that hears the lease holder and is not heard by it (a connection cut one way, or a holder of the last version during a rolling release) asked for tokens for ever and sent a limited endpoint nothing. After 0.6 s without an answer it grants itself its own part, as without a holder.

--- a/crates/chicorystage-core/src/request_limit/endpoint_limit.rs
+++ b/crates/chicorystage-core/src/request_limit/endpoint_limit.rs
@@ -8,6 +8,9 @@
 const WISH_PERIOD_MS: u64 = 100;
 /// Time before the end of a wait from which a token would come too late, in milliseconds.
 const GRANT_DELAY_MS: u64 = 30;
+/// Time without any answer after which a lease holder counts as not hearing this gateway, in
+/// milliseconds.
+const ANSWER_MAX_MS: u64 = 600;
 /// Part of a limit that all gateways together use while they hear no lease holder.
 ///
 /// Another part of the gateways may still hear one, which divides the whole limit among them.
@@ -29,6 +32,8 @@
     interval_ms: u64,
     /// Time at which the gateway last told that it wants tokens.
     asked_ms: Option<u64>,
+    /// Time of the first question since the last answer.
+    unanswered_since_ms: Option<u64>,
     /// Time of the next token that the gateway grants itself; `None` while it hears a lease holder.
     own_ms: Option<u64>,
 }
@@ -44,6 +49,7 @@
             next_ms: None,
             interval_ms: 0,
             asked_ms: None,
+            unanswered_since_ms: None,
             own_ms: None,
         }
     }
@@ -93,7 +99,7 @@
     ///
     /// The holder is asked at once for a request that has just come, and again after a while.
     pub fn take_wish(&mut self, now_ms: u64) -> Option<TokenWish> {
-        if self.own_ms.take().is_some() {
+        if !self.is_unanswered(now_ms) && self.own_ms.take().is_some() {
             // The holder has more to give than this gateway's own part.
             self.next_ms = None;
         }
@@ -109,6 +115,7 @@
             return None;
         }
         self.asked_ms = Some(now_ms);
+        self.unanswered_since_ms.get_or_insert(now_ms);
         let until_ms = self.wanted.iter().max().copied().unwrap_or(now_ms);
         Some(TokenWish {
             tokens: lacking,
@@ -126,6 +133,7 @@
         self.next_ms = Some(now_ms.saturating_add(grant.next_in_ms));
         self.interval_ms = grant.interval_ms;
         self.own_ms = None;
+        self.unanswered_since_ms = None;
         self.forget_hopeless();
     }
 
@@ -164,6 +172,13 @@
         true
     }
 
+    /// Returns whether the lease holder has answered no question for a while, although it is heard.
+    #[must_use]
+    pub fn is_unanswered(&self, now_ms: u64) -> bool {
+        self.unanswered_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + ANSWER_MAX_MS)
+    }
+
     /// Returns the time at which a token is expected for a request that comes now, in milliseconds.
     ///
     /// Returns `None` where that is not known.
--- a/crates/chicorystage-core/tests/request_limit_schedules/main.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/main.rs
@@ -56,6 +56,7 @@
         loss: 0.0,
         holder_lost_ms: Vec::new(),
         cut: Vec::new(),
+        unheard: Vec::new(),
         restarts: Vec::new(),
         length_ms: LENGTH_MS,
     }
@@ -109,6 +110,59 @@
     }
 }
 
+#[test]
+fn gateway_that_the_holder_does_not_hear_uses_its_own_part() {
+    for gateways in [3, 12] {
+        let last = gateways - 1;
+        let mut demand_per_s = vec![0.0; gateways];
+        demand_per_s[last] = 80.0;
+        let schedule = Schedule {
+            unheard: vec![(last, 0, USE_S * 1_000)],
+            ..calm(gateways, 20.0, demand_per_s, 1)
+        };
+        let own_part = 0.2 / as_f64(gateways);
+        assert_that!(
+            used(20.0, schedule),
+            ge(0.8 * own_part),
+            "{gateways} gateways"
+        );
+    }
+}
+
+#[test]
+fn gateways_that_lost_the_holder_stay_within_a_limit_that_the_others_use_up() {
+    for per_s in [5.0, 20.0, 60.0] {
+        for gateways in [12, 68] {
+            let mut demand_per_s = vec![4.0 * per_s; gateways];
+            // The holder alone uses the whole limit.
+            demand_per_s[0] = 8.0 * per_s;
+            let cut = (1..gateways).map(|number| (number, 3_000, LENGTH_MS));
+            let world = played(Schedule {
+                cut: cut.collect(),
+                ..calm(gateways, per_s, demand_per_s, 1)
+            });
+            let fullest = as_f64(fullest_window(&world.arrivals));
+            assert_that!(
+                fullest,
+                le(allowed(per_s)),
+                "{gateways} gateways, {per_s} a second"
+            );
+        }
+    }
+}
+
+#[test]
+fn gateways_that_lose_the_holder_together_do_not_send_together() {
+    for per_s in [0.3, 1.8, 5.0] {
+        let world = played(Schedule {
+            holder_lost_ms: vec![5_000, 12_000, 20_000],
+            ..calm(68, per_s, vec![5.0; 68], 1)
+        });
+        let fullest = as_f64(fullest_window(&world.arrivals));
+        assert_that!(fullest, le(allowed(per_s)), "{per_s} a second");
+    }
+}
+
 fn random_schedule(seed: u64) -> Schedule {
     let mut random = StdRng::seed_from_u64(seed);
     let gateways = GATEWAYS[random.random_range(0..4)];
@@ -120,12 +174,17 @@
     let lost = (0..random.random_range(0..4)).map(|_| time(&mut random));
     let holder_lost_ms = lost.collect();
     let mut cut = Vec::new();
+    let mut unheard = Vec::new();
     let mut restarts = Vec::new();
     for number in 0..gateways {
         if random.random_bool(0.3) {
             let from_ms = time(&mut random);
             cut.push((number, from_ms, from_ms + random.random_range(100..8_000)));
         }
+        if random.random_bool(0.2) {
+            let from_ms = time(&mut random);
+            unheard.push((number, from_ms, from_ms + random.random_range(100..8_000)));
+        }
         if random.random_bool(0.2) {
             restarts.push((number, time(&mut random)));
         }
@@ -134,6 +193,7 @@
         loss: [0.0, 0.1, 0.3][random.random_range(0..3)],
         holder_lost_ms,
         cut,
+        unheard,
         restarts,
         ..calm(gateways, per_s, demand_per_s, seed)
     }
--- a/crates/chicorystage-core/tests/request_limit_schedules/world.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/world.rs
@@ -35,6 +35,8 @@
     pub holder_lost_ms: Vec<u64>,
     /// Gateways that cannot reach any holder from and until a time in milliseconds.
     pub cut: Vec<(usize, u64, u64)>,
+    /// Gateways that hear the holder and are not heard from and until a time in milliseconds.
+    pub unheard: Vec<(usize, u64, u64)>,
     /// Gateways that restart, and when, in milliseconds.
     pub restarts: Vec<(usize, u64)>,
     pub length_ms: u64,
@@ -146,9 +148,7 @@
     }
 
     fn is_cut(&self, number: usize) -> bool {
-        self.schedule.cut.iter().any(|(cut, from_ms, until_ms)| {
-            *cut == number && (*from_ms..*until_ms).contains(&self.now_ms)
-        })
+        is_listed(&self.schedule.cut, number, self.now_ms)
     }
 
     fn send(&mut self, peer: usize, message: Message) {
@@ -257,13 +257,18 @@
             .heard_ms
             .is_some_and(|heard_ms| now_ms < heard_ms + silence_ms)
         {
-            if let Some(wish) = gateway.limit.take_wish(now_ms) {
+            let is_unheard = is_listed(&self.schedule.unheard, number, now_ms);
+            if let Some(wish) = gateway.limit.take_wish(now_ms)
+                && !is_unheard
+            {
                 self.send(number, Message::Wish { from: number, wish });
             }
-        } else {
-            let random = self.random.random();
-            self.gateways[number].limit.grant_own(now_ms, count, random);
+            if !self.gateways[number].limit.is_unanswered(now_ms) {
+                return;
+            }
         }
+        let random = self.random.random();
+        self.gateways[number].limit.grant_own(now_ms, count, random);
     }
 
     fn answer(&mut self, from: usize, wish: TokenWish) {
@@ -301,6 +306,13 @@
     }
 }
 
+/// Returns whether a list names a gateway with a span that holds the time.
+fn is_listed(list: &[(usize, u64, u64)], number: usize, now_ms: u64) -> bool {
+    list.iter().any(|(listed, from_ms, until_ms)| {
+        *listed == number && (*from_ms..*until_ms).contains(&now_ms)
+    })
+}
+
 fn new_gateway(per_s: f64) -> Gateway {
     Gateway {
         limit: EndpointLimit::new(per_s),
--- a/crates/chicorystaged/src/gateway/request_limits/mod.rs
+++ b/crates/chicorystaged/src/gateway/request_limits/mod.rs
@@ -69,10 +69,12 @@
         return;
     }
     gateway.limit_allocator.borrow_mut().clear();
-    match other_holder(gateway) {
-        Some(holder) => ask(gateway, holder).await,
-        None => grant_own(gateway),
+    let holder = other_holder(gateway);
+    let has_holder = holder.is_some();
+    if let Some(holder) = holder {
+        ask(gateway, holder).await;
     }
+    grant_own(gateway, has_holder);
 }
 
 /// Tells the lease holder how many tokens requests want.
@@ -155,9 +157,11 @@
     grants.collect()
 }
 
-/// Grants this gateway its equal part of each limit, as it hears no lease holder.
-fn grant_own(gateway: &Gateway) {
+/// Grants this gateway its equal part of each limit that no lease holder divides for it: none is heard,
+/// or the one that is does not answer.
+fn grant_own(gateway: &Gateway, has_holder: bool) {
     let now_ms = gateway.now_ms();
+    let mut has_granted = false;
     let gateways = gateway.with(|view| {
         if view.has_peers {
             view.gateways()
@@ -167,14 +171,18 @@
     });
     for id in limited_endpoints(gateway) {
         let random = rand::random();
-        let has_granted = with_limit(gateway, &id, |limit| {
-            limit.grant_own(now_ms, gateways, random)
+        let token = with_limit(gateway, &id, |limit| {
+            let is_own = !has_holder || limit.is_unanswered(now_ms);
+            is_own && limit.grant_own(now_ms, gateways, random)
         });
-        if has_granted == Some(true) {
+        if token == Some(true) {
             gateway.metrics.count_limit_tokens("own", 1);
+            has_granted = true;
         }
     }
-    gateway.capacity_changed.notify_one();
+    if has_granted || !has_holder {
+        gateway.capacity_changed.notify_one();
+    }
 }
 
 /// Takes over the limits that endpoints name now.
