--- a/crates/chicorystage-core/tests/request_limit_schedules/main.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/main.rs
@@ -53,6 +53,8 @@
         gateways,
         per_s,
         demand_per_s,
+        quiet_ms: (0, 0),
+        elsewhere_ms: (0, 0),
         loss: 0.0,
         holder_lost_ms: Vec::new(),
         cut: Vec::new(),
@@ -189,7 +191,17 @@
             restarts.push((number, time(&mut random)));
         }
     }
+    let quiet_from_ms = time(&mut random);
+    let elsewhere_from_ms = time(&mut random);
     Schedule {
+        quiet_ms: (
+            quiet_from_ms,
+            quiet_from_ms + random.random_range(0..12_000),
+        ),
+        elsewhere_ms: (
+            elsewhere_from_ms,
+            elsewhere_from_ms + random.random_range(0..6_000),
+        ),
         loss: [0.0, 0.1, 0.3][random.random_range(0..3)],
         holder_lost_ms,
         cut,
--- a/crates/chicorystage-core/tests/request_limit_schedules/world.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/world.rs
@@ -29,6 +29,10 @@
     pub per_s: f64,
     /// Requests a second at each gateway.
     pub demand_per_s: Vec<f64>,
+    /// Span without requests, from and until a time in milliseconds.
+    pub quiet_ms: (u64, u64),
+    /// Span in which requests go elsewhere and make their gateways want tokens for the next ones.
+    pub elsewhere_ms: (u64, u64),
     /// Part of the messages that are lost.
     pub loss: f64,
     /// Times at which the holder is lost, in milliseconds.
@@ -199,7 +203,14 @@
     fn demand(&mut self, number: usize) {
         let step_s = f64::from(u32::try_from(STEP_MS).unwrap()) / 1_000.0;
         let chance = (self.schedule.demand_per_s[number] * step_s).min(1.0);
-        if !self.random.random_bool(chance) {
+        if is_within(self.schedule.quiet_ms, self.now_ms) || !self.random.random_bool(chance) {
+            return;
+        }
+        if is_within(self.schedule.elsewhere_ms, self.now_ms) {
+            let limit = &mut self.gateways[number].limit;
+            if limit.lacking(self.now_ms) == 0 {
+                limit.want(self.now_ms, self.now_ms + WAIT_MS);
+            }
             return;
         }
         self.requests += 1;
@@ -306,6 +317,10 @@
     }
 }
 
+fn is_within((from_ms, until_ms): (u64, u64), now_ms: u64) -> bool {
+    (from_ms..until_ms).contains(&now_ms)
+}
+
 /// Returns whether a list names a gateway with a span that holds the time.
 fn is_listed(list: &[(usize, u64, u64)], number: usize, now_ms: u64) -> bool {
     list.iter().any(|(listed, from_ms, until_ms)| {
