Answer the lease holder's own wishes for tokens too

The lease holder told every gateway that asked when its next token was due, but not itself: a request at the holder for which no token came waited for its whole objective (3 s on a route with that objective) before it was refused.

gateway_endpoint_words: request_that_gets_no_token_... red before (3,002 ms), green now.

--- a/crates/chicorystage-core/tests/request_limit_schedules/world.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/world.rs
@@ -256,10 +256,11 @@
         let gateway = &mut self.gateways[number];
         gateway.passed_ms = now_ms;
         if self.holder == Some(number) {
-            if let Some(wish) = gateway.limit.take_wish(now_ms) {
+            let wish = gateway.limit.take_wish(now_ms);
+            if let Some(wish) = wish {
                 self.record_wish(number, wish);
             }
-            self.grant(None);
+            self.grant(wish.map(|_| number));
             return;
         }
         let silence_ms = holder_silence_ms(count);
--- a/crates/chicorystage-testbed/tests/gateway_endpoint_words.rs
+++ b/crates/chicorystage-testbed/tests/gateway_endpoint_words.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use chicorystage_testbed::users_platform::{ConnectionEnd, RawReply, run_local};
+use chicorystage_testbed::users_platform::{ConnectionEnd, RawReply, run_local, wait_until};
 use googletest::prelude::*;
 use http::StatusCode;
 use tokio::time::Instant;
 
-use crate::raw_world::World;
+use crate::raw_world::{TWO_EVENTS, World};
 
 /// Requests that follow the word of an endpoint.
 const REQUESTS: usize = 12;
@@ -81,3 +81,25 @@
         verify_that!(received(&world)[0], eq(1))
     })
 }
+
+#[gtest]
+fn request_that_gets_no_token_of_a_limit_in_time_is_refused_at_once_by_the_lease_holder()
+-> Result<()> {
+    run_local(async {
+        let headers = ["Content-Type: text/event-stream", "Server-Limit: 0.2"];
+        let limited = RawReply::new("200 OK", &headers, TWO_EVENTS, ConnectionEnd::Close);
+        let world = World::start("llm", vec![limited]).await?;
+        wait_until("the gateway holds the lease", || {
+            world.gateway.order_epoch().is_some()
+        })
+        .await;
+        verify_that!(world.send("/long/x").await?.status, eq(StatusCode::OK))?;
+        for _ in 0..REQUESTS {
+            let start = Instant::now();
+            let reply = world.send("/long/x").await?;
+            verify_that!(start.elapsed(), lt(Duration::from_millis(REFUSED_MS)))?;
+            verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        }
+        Ok(())
+    })
+}
--- a/crates/chicorystaged/src/gateway/request_limits/messages.rs
+++ b/crates/chicorystaged/src/gateway/request_limits/messages.rs
@@ -65,7 +65,7 @@
     record_wishes(gateway, &from, &wishes);
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
-        grant(&gateway, Some((&from, &wishes))).await;
+        grant(&gateway, &from, &wishes).await;
         // Tokens that are due later are granted by the task.
         gateway.limits_changed.notify_one();
     });
--- a/crates/chicorystaged/src/gateway/request_limits/mod.rs
+++ b/crates/chicorystaged/src/gateway/request_limits/mod.rs
@@ -64,8 +64,9 @@
 async fn pass(gateway: &Rc<Gateway>) {
     if gateway.order_epoch().is_some() {
         let wishes = take_wishes(gateway);
-        record_wishes(gateway, &gateway.settings.vm, &wishes);
-        grant(gateway, None).await;
+        let own = &gateway.settings.vm;
+        record_wishes(gateway, own, &wishes);
+        grant(gateway, own, &wishes).await;
         return;
     }
     gateway.limit_allocator.borrow_mut().clear();
@@ -115,12 +116,12 @@
     }
 }
 
-/// Grants what has accrued; `asking` gets an answer for its endpoints also without tokens.
-async fn grant(gateway: &Rc<Gateway>, asking: Option<(&VmId, &[LimitWish])>) {
+/// Grants what has accrued; the gateway that asks gets an answer to each wish, also without tokens.
+async fn grant(gateway: &Rc<Gateway>, asking: &VmId, wishes: &[LimitWish]) {
     let Some(epoch) = gateway.order_epoch() else {
         return;
     };
-    for (vm, grant) in due_grants(gateway, asking) {
+    for (vm, grant) in due_grants(gateway, asking, wishes) {
         gateway
             .metrics
             .count_limit_tokens("granted", grant.grant.tokens);
@@ -134,19 +135,19 @@
     }
 }
 
-/// Takes the tokens that have accrued; returns the grants by gateway, with one for each endpoint that
-/// `asking` wants.
-fn due_grants(gateway: &Gateway, asking: Option<(&VmId, &[LimitWish])>) -> Vec<(VmId, LimitGrant)> {
+/// Takes the tokens that have accrued; returns the grants by gateway, with one for each wish of the
+/// gateway that asks.
+fn due_grants(gateway: &Gateway, asking: &VmId, wishes: &[LimitWish]) -> Vec<(VmId, LimitGrant)> {
     let now_ms = gateway.now_ms();
     let mut allocator = gateway.limit_allocator.borrow_mut();
     let mut taken = allocator.take_grants(now_ms);
-    if let Some((from, wishes)) = asking {
-        for wish in wishes {
-            let endpoint = &wish.limit.endpoint;
-            let has_some = taken.iter().any(|(id, vm, _)| id == endpoint && vm == from);
-            if !has_some {
-                taken.push((endpoint.clone(), from.clone(), 0));
-            }
+    for wish in wishes {
+        let endpoint = &wish.limit.endpoint;
+        let has_some = taken
+            .iter()
+            .any(|(id, vm, _)| id == endpoint && vm == asking);
+        if !has_some {
+            taken.push((endpoint.clone(), asking.clone(), 0));
         }
     }
     let grants = taken.into_iter().filter_map(|(endpoint, vm, tokens)| {
