--- a/crates/chicorystage-core/tests/request_limit_schedules/main.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/main.rs
@@ -53,6 +53,7 @@
         gateways,
         per_s,
         demand_per_s,
+        wait_ms: 300,
         quiet_ms: (0, 0),
         elsewhere_ms: (0, 0),
         loss: 0.0,
@@ -194,6 +195,7 @@
     let quiet_from_ms = time(&mut random);
     let elsewhere_from_ms = time(&mut random);
     Schedule {
+        wait_ms: [200, 300, 3_000][random.random_range(0..3)],
         quiet_ms: (
             quiet_from_ms,
             quiet_from_ms + random.random_range(0..12_000),
--- a/crates/chicorystage-core/tests/request_limit_schedules/world.rs
+++ b/crates/chicorystage-core/tests/request_limit_schedules/world.rs
@@ -15,8 +15,6 @@
 const PASS_MS: u64 = 50;
 /// Longest delay of a message or of a request on its way, in milliseconds.
 const DELAY_MAX_MS: u64 = 20;
-/// Time for which a request waits for a token, in milliseconds.
-const WAIT_MS: u64 = 300;
 /// Time without a holder after one is lost, in milliseconds.
 pub const TAKE_OVER_MS: u64 = 3_500;
 
@@ -29,6 +27,8 @@
     pub per_s: f64,
     /// Requests a second at each gateway.
     pub demand_per_s: Vec<f64>,
+    /// Time for which a request waits for a token, in milliseconds.
+    pub wait_ms: u64,
     /// Span without requests, from and until a time in milliseconds.
     pub quiet_ms: (u64, u64),
     /// Span in which requests go elsewhere and make their gateways want tokens for the next ones.
@@ -207,13 +207,13 @@
             return;
         }
         if is_within(self.schedule.elsewhere_ms, self.now_ms) {
-            let until_ms = self.now_ms + WAIT_MS;
+            let until_ms = self.now_ms + self.schedule.wait_ms;
             let limit = &mut self.gateways[number].limit;
             limit.want_later(self.now_ms, until_ms);
             return;
         }
         self.requests += 1;
-        let until_ms = self.now_ms + WAIT_MS;
+        let until_ms = self.now_ms + self.schedule.wait_ms;
         let gateway = &mut self.gateways[number];
         let next_ms = gateway.limit.next_for_new_ms(self.now_ms);
         if gateway.limit.has_token(self.now_ms) || next_ms.is_none_or(|at_ms| at_ms <= until_ms) {
