Make callers' bodies differ and let crashed workers come back in the review's cases

Done: bodies differ by request; workers that crash are back after 5 s; case 2 asks for a held model in its run without the disruption.

--- a/review/standin/callers.rs
+++ b/review/standin/callers.rs
@@ -75,7 +75,7 @@
             ("Host", "shop.example".to_owned()),
             ("Attempt-Id", attempt.clone()),
             ("Deadline-Ms", left.as_millis().to_string()),
-            ("Token-Counts", "700,900".to_owned()),
+            ("Token-Counts", "715,900".to_owned()),
             (
                 "Prompt-Prefix",
                 format!("{},{}:193", request.parts, request.id),
@@ -88,6 +88,8 @@
             headers.push(("Last-Event-Id", last.to_string()));
             headers.push(("Resumes", begun_by.clone()));
         }
+        // A caller's tries are alike; the requests of two callers are not.
+        let body = format!("prompt of {}", request.id);
         let mut one = Try {
             began: Instant::now(),
             status: 0,
@@ -100,7 +102,7 @@
             "POST",
             &request.path,
             &headers,
-            b"prompt",
+            body.as_bytes(),
             left,
             None,
         ) {
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -11,9 +11,12 @@
 mod uploads;
 
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crate::record::Record;
+use crate::store::Store;
+use crate::worker::Worker;
 
 pub struct Context {
     pub record: Record,
@@ -64,3 +67,51 @@
 ) -> Vec<std::thread::JoinHandle<T>> {
     jobs.into_iter().map(std::thread::spawn).collect()
 }
+
+/// Writes the entries of a worker, and ends it when an order has crashed it; it is back empty some seconds
+/// later. Returns the number of such crashes.
+pub fn host(
+    record: &Record,
+    store: &Store,
+    mut worker: Worker,
+    is_over: &AtomicBool,
+    restart: &dyn Fn(usize) -> std::io::Result<Worker>,
+) -> usize {
+    let mut crashes = 0;
+    let show = |worker: &Worker| {
+        for order in worker.accepted_orders() {
+            record.line(&format!("worker {} accepted the order: {order}", worker.id));
+        }
+    };
+    while !is_over.load(Ordering::SeqCst) {
+        pause(2);
+        if worker.take_change() {
+            worker.register(store, "ready");
+        }
+        if !worker.has_crashed() {
+            continue;
+        }
+        worker.end();
+        crashes += 1;
+        record.line(&format!(
+            "worker {} crashes: it is ordered to load more than its memory holds",
+            worker.id
+        ));
+        show(&worker);
+        // Three check-in intervals without a word.
+        pause(3_600);
+        store.remove("servers", &worker.id);
+        pause(1_400);
+        match restart(crashes) {
+            Ok(next) => worker = next,
+            Err(error) => {
+                record.line(&format!("worker {} is not back: {error}", worker.id));
+                return crashes;
+            }
+        }
+        worker.register(store, "ready");
+        record.line(&format!("the worker is back as {}, empty", worker.id));
+    }
+    show(&worker);
+    crashes
+}
--- a/review/standin/cases/retire.rs
+++ b/review/standin/cases/retire.rs
@@ -5,16 +5,15 @@
 use std::time::Duration;
 
 use crate::callers::{Stream, StreamRequest, stream};
-use crate::cases::{Context, ONCE_ROUTE, STREAM_ROUTE, in_parallel, pause};
+use crate::cases::{Context, ONCE_ROUTE, STREAM_ROUTE, host, in_parallel, pause};
 use crate::gateway::{Gateway, wait_until_ready};
-use crate::record::Record;
 use crate::store::Store;
 use crate::worker::{Work, Worker};
 
 const WORKERS: usize = 4;
 const STREAMS: usize = 24;
 const WORK: Work = Work::Events {
-    events: 200,
+    events: 150,
     pause_ms: 100,
 };
 /// What each worker holds at the start: all that fits into its memory.
@@ -47,7 +46,11 @@
         worker.register(&store, "ready");
         let (record, store, is_over) = (record.clone(), store.clone(), Arc::clone(&is_over));
         hosts.push(std::thread::spawn(move || {
-            host(&record, &store, &worker, &is_over)
+            let restart = |start: usize| {
+                let id = format!("i-{number}-{start}");
+                Worker::start(&id, "v1", "llm", WORK, Some(""))
+            };
+            host(&record, &store, worker, &is_over, &restart)
         }));
     }
     let door = store.door().map_err(text)?;
@@ -115,28 +118,3 @@
     ));
     Ok(overloads > 0)
 }
-
-/// Writes the entries of a worker, and ends it when an order has crashed it; returns the number of crashes.
-fn host(record: &Record, store: &Store, worker: &Worker, is_over: &AtomicBool) -> usize {
-    let mut crashes = 0;
-    while !is_over.load(Ordering::SeqCst) {
-        pause(2);
-        if worker.take_change() {
-            worker.register(store, "ready");
-        }
-        if worker.has_crashed() && crashes == 0 {
-            worker.end();
-            crashes += 1;
-            record.line(&format!(
-                "worker {} crashes: it is ordered to load more than its memory holds",
-                worker.id
-            ));
-            pause(3_600);
-            store.remove("servers", &worker.id);
-        }
-    }
-    for order in worker.accepted_orders() {
-        record.line(&format!("worker {} accepted the order: {order}", worker.id));
-    }
-    crashes
-}
--- a/review/standin/cases/slow.rs
+++ b/review/standin/cases/slow.rs
@@ -111,7 +111,7 @@
         "POST",
         "/dossier/1",
         &headers(&first),
-        b"prompt",
+        format!("prompt of {number}").as_bytes(),
         DEADLINE,
         None,
     );
@@ -128,7 +128,7 @@
         "POST",
         "/dossier/1",
         &headers(&second),
-        b"prompt",
+        format!("another prompt of {number}").as_bytes(),
     );
     match answer {
         Ok(mut answer) => Ok(read(record, &second, &mut answer)),
--- a/review/standin/cases/stop.rs
+++ b/review/standin/cases/stop.rs
@@ -136,7 +136,7 @@
         "POST",
         &path,
         &headers,
-        b"export",
+        format!("export {number}").as_bytes(),
         limit,
         Some(4 << 10),
     );
--- a/review/standin/cases/two_services.rs
+++ b/review/standin/cases/two_services.rs
@@ -5,16 +5,15 @@
 use std::time::Duration;
 
 use crate::callers::{Stream, StreamRequest, stream};
-use crate::cases::{Context, ONCE_ROUTE, STREAM_ROUTE, in_parallel, pause};
+use crate::cases::{Context, ONCE_ROUTE, STREAM_ROUTE, host, in_parallel, pause};
 use crate::gateway::{Gateway, wait_until_ready};
-use crate::record::Record;
 use crate::store::Store;
 use crate::worker::{Work, Worker};
 
 const WORKERS: usize = 4;
 const STREAMS: usize = 24;
 const WORK: Work = Work::Events {
-    events: 200,
+    events: 150,
     pause_ms: 100,
 };
 
@@ -66,7 +65,11 @@
         worker.register(&store, "ready");
         let (record, store, is_over) = (record.clone(), store.clone(), Arc::clone(&is_over));
         hosts.push(std::thread::spawn(move || {
-            host(&record, &store, &worker, &is_over)
+            let restart = |start: usize| {
+                let id = format!("i-{service}-{number}-{start}");
+                Worker::start(&id, "v1", service, WORK, Some(""))
+            };
+            host(&record, &store, worker, &is_over, &restart)
         }));
     }
     let door = store.door().map_err(text)?;
@@ -106,11 +109,14 @@
     let long = send("/lot/1", "9c41d07be2a3", &["m0", "m1"], STREAMS);
     pause(1_500);
     pause(3_000);
-    let mut asked = Vec::new();
-    if context.has_trouble {
+    let model = if context.has_trouble {
         record.line("4 streams of llm-two are asked for n3, which no worker holds");
-        asked = send("/summary/1", "33cd91e0b7f4", &["n3"], 4);
-    }
+        "n3"
+    } else {
+        record.line("4 streams of llm-two are asked for n0, which its workers hold");
+        "n0"
+    };
+    let asked = send("/summary/1", "33cd91e0b7f4", &[model], 4);
     let mut cut = 0;
     for thread in long {
         let stream = thread.join().map_err(|_| "a caller failed".to_owned())?;
@@ -127,32 +133,7 @@
         overloads += host.join().map_err(|_| "a worker failed".to_owned())?;
     }
     record.line(&format!(
-        "orders to load more than a worker's memory: {overloads}; {cut} of {STREAMS} streams of llm in progress were cut; {served} of 4 streams for n3 began"
+        "orders to load more than a worker's memory: {overloads}; {cut} of {STREAMS} streams of llm in progress were cut; {served} of 4 streams of llm-two began"
     ));
     Ok(overloads > 0)
 }
-
-/// Writes the entries of a worker, and ends it when an order has crashed it; returns the number of crashes.
-fn host(record: &Record, store: &Store, worker: &Worker, is_over: &AtomicBool) -> usize {
-    let mut crashes = 0;
-    while !is_over.load(Ordering::SeqCst) {
-        pause(2);
-        if worker.take_change() {
-            worker.register(store, "ready");
-        }
-        if worker.has_crashed() && crashes == 0 {
-            worker.end();
-            crashes += 1;
-            record.line(&format!(
-                "worker {} crashes: it is ordered to load more than its memory holds",
-                worker.id
-            ));
-            pause(3_600);
-            store.remove("servers", &worker.id);
-        }
-    }
-    for order in worker.accepted_orders() {
-        record.line(&format!("worker {} accepted the order: {order}", worker.id));
-    }
-    crashes
-}
