Let unknown streams go on only by what the store tells after they were taken up

Cause: a gateway that does not know a stream concluded from its own view of the store that a single version can have begun it, and then asked no other gateway. That view is old without its knowledge if the store turns it away, if it stood still or if it polls rarely. Besides, the lease holder wrote the row of versions up to 0.5 s after the registry had changed, or not at all while it was out of touch, and endpoints were used meanwhile.

Ruled out: lost datagrams between gateways (the gateway had not been told of the streams that went wrong); the choice of endpoints, which keeps to the version it is given.

Change: a gateway first asks the others. Then it reads the rows of versions from the store, after the request has arrived, and refuses the stream if they cannot be read. No endpoint of a service with resumable streams gets a request before its version is in the row, and each gateway may add it, so that the rows that are read name each version that can have begun the stream. stream_taken_up names the evidence. A gateway is ready only once the system's own table has been read.

--- a/crates/chicorystage-core/src/deployment/configuration.rs
+++ b/crates/chicorystage-core/src/deployment/configuration.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use chicorystage_api::name::ServiceName;
@@ -69,6 +69,22 @@
             .filter_map(|service| Some((&service.name, service.engine.as_ref()?)))
     }
 
+    /// Returns the services with a route whose streams may be resumed.
+    #[must_use]
+    pub fn resumable_services(&self) -> BTreeSet<ServiceName> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind.is_resumable());
+        resumable
+            .flat_map(|route| &route.services)
+            .map(|weighted| weighted.service.clone())
+            .filter(|name| {
+                self.services
+                    .get(name)
+                    .is_some_and(|service| service.engine.is_some())
+            })
+            .collect()
+    }
+
     /// Returns the number of routes of all hosts.
     #[must_use]
     pub fn route_count(&self) -> usize {
--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -58,6 +58,8 @@
     last_break_ms: u64,
     /// Pacing of the prompts that this process sends to the endpoint.
     pub pace: PromptPace,
+    /// Whether the software version of the endpoint is recorded, or need not be.
+    is_software_recorded: bool,
 }
 
 /// Models of an endpoint as last reported by the lease holder, the router that sends load and
@@ -90,6 +92,7 @@
             breaks: 0,
             last_break_ms: 0,
             pace: PromptPace::default(),
+            is_software_recorded: true,
         }
     }
 
@@ -161,10 +164,16 @@
         (now_ms < self.held_until_ms).then_some(self.held_until_ms)
     }
 
+    /// Sets whether the software version of the endpoint is recorded, or need not be.
+    pub(super) fn set_software_recorded(&mut self, is_recorded: bool) {
+        self.is_software_recorded = is_recorded;
+    }
+
     /// Returns whether new requests may go to the endpoint.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.accepts_requests()
+            && self.is_software_recorded
             && self.is_reachable(now_ms)
             && !self.misdirection.is_identity_refused(now_ms)
     }
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -23,6 +23,8 @@
     uncached: HashMap<ModelName, u64>,
     /// Time from which `uncached` no longer counts, in milliseconds.
     uncached_until_ms: u64,
+    /// Recorded software versions of the services whose endpoints are used only at these.
+    recorded_software: HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
 }
 
 impl FleetView {
@@ -31,11 +33,15 @@
     /// An endpoint whose start time, address or software version differs has restarted; its derived
     /// state is reset.
     pub fn registered(&mut self, entry: EndpointEntry) -> EntryChange {
+        let is_recorded = self.is_software_recorded(&entry);
         let Some(known) = self.endpoints.get_mut(&entry.id) else {
-            self.endpoints
-                .insert(entry.id.clone(), Endpoint::new(entry));
+            let id = entry.id.clone();
+            let mut endpoint = Endpoint::new(entry);
+            endpoint.set_software_recorded(is_recorded);
+            self.endpoints.insert(id, endpoint);
             return EntryChange::Added;
         };
+        known.set_software_recorded(is_recorded);
         known.entry_written();
         if known.entry == entry {
             return EntryChange::Same;
@@ -106,6 +112,23 @@
             .collect()
     }
 
+    /// Uses only the endpoints of a service that state one of these software versions, or none.
+    pub fn record_software(&mut self, service: ServiceName, versions: BTreeSet<SoftwareVersion>) {
+        if self.recorded_software.get(&service) == Some(&versions) {
+            return;
+        }
+        self.recorded_software.insert(service, versions);
+        let recorded = &self.recorded_software;
+        for endpoint in self.endpoints.values_mut() {
+            let is_recorded = is_software_recorded(recorded, &endpoint.entry);
+            endpoint.set_software_recorded(is_recorded);
+        }
+    }
+
+    fn is_software_recorded(&self, entry: &EndpointEntry) -> bool {
+        is_software_recorded(&self.recorded_software, entry)
+    }
+
     /// Replaces the requests in progress of another router.
     pub fn peer_load(&mut self, peer: VmId, load: PeerLoad) {
         self.forget_peer(&peer);
@@ -350,6 +373,18 @@
     }
 }
 
+/// Returns whether the software version of an entry is among those recorded for its service; a service
+/// without a record needs none.
+fn is_software_recorded(
+    recorded: &HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    entry: &EndpointEntry,
+) -> bool {
+    let (Some(versions), Some(software)) = (recorded.get(&entry.service), &entry.software) else {
+        return true;
+    };
+    versions.contains(software)
+}
+
 /// Subtracts from a count and removes the entry when it reaches 0.
 fn subtract<K: Eq + Hash>(table: &mut HashMap<K, u32>, key: &K, count: u32) {
     let Some(total) = table.get_mut(key) else {
--- a/crates/chicorystage-core/src/stream_origins/software_history.rs
+++ b/crates/chicorystage-core/src/stream_origins/software_history.rs
@@ -20,6 +20,12 @@
         self.services.insert(service, spans);
     }
 
+    /// Forgets the histories of all services but these, as the store has none of the others.
+    pub fn retain(&mut self, services: &[ServiceName]) {
+        self.services
+            .retain(|service, _| services.contains(service));
+    }
+
     /// Returns the history of a service that is to be stored, given the versions that are registered
     /// now; `None` if it has not changed.
     #[must_use]
@@ -57,8 +63,39 @@
         Some(spans)
     }
 
+    /// Returns the versions of a service that the store lists as serving.
+    #[must_use]
+    pub fn recorded(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
+        let spans = self.services.get(service).into_iter().flatten();
+        spans
+            .filter(|span| span.gone_unix_ms.is_none())
+            .map(|span| span.version.clone())
+            .collect()
+    }
+
+    /// Returns the history of a service with the registered versions that it lacks, which is to be
+    /// stored; `None` if it lacks none.
+    ///
+    /// Unlike [`Self::changed`] it takes no version for gone, as the registry may be out of date here.
+    #[must_use]
+    pub fn extended(
+        &self,
+        now_unix_ms: u64,
+        service: &ServiceName,
+        registered: &BTreeSet<SoftwareVersion>,
+    ) -> Option<Vec<SoftwareSpan>> {
+        let recorded = self.recorded(service);
+        if registered.is_subset(&recorded) {
+            return None;
+        }
+        let serving = recorded.union(registered).cloned().collect();
+        self.changed(now_unix_ms, service, &serving)
+    }
+
     /// Returns where a stream that no process knows may go on, given the versions that are registered
     /// now.
+    ///
+    /// The result holds for streams that began before the history was read from the store.
     #[must_use]
     pub fn resume_target(
         &self,
--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -6,9 +6,10 @@
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Method, Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -195,9 +196,12 @@
         version
     }
 
-    fn read(&self, table: &str) -> Value {
+    /// Returns the rows of a table with keys from `from`, up to and without `to` unless that is empty.
+    fn read(&self, table: &str, from: &str, to: &str) -> Value {
         let rows = self.rows.borrow();
-        let rows = rows.iter().filter(|((row_table, _), _)| row_table == table);
+        let rows = rows.iter().filter(|((row_table, key), _)| {
+            row_table == table && key.as_str() >= from && (to.is_empty() || key.as_str() < to)
+        });
         let rows: Vec<Value> = rows
             .map(|((table, key), (value, version))| {
                 row(table, key, Some(value.as_slice()), *version)
@@ -298,6 +302,10 @@
     }
 }
 
+fn decode_key(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
 fn row_key(entry: &Value) -> (String, String) {
     let text = |name: &str| entry[name].as_str().unwrap_or_default().to_owned();
     (text("table"), text("key"))
@@ -321,8 +329,11 @@
     let feed_table = feed_table(&request);
     match state.mode.get() {
         StoreMode::Busy => return Ok(full_response(503, "")),
+        StoreMode::ReadOnly if request.method() == Method::POST => {
+            return Ok(full_response(503, ""));
+        }
         StoreMode::Silent => std::future::pending().await,
-        StoreMode::Serving | StoreMode::LosingResponses => {}
+        StoreMode::Serving | StoreMode::ReadOnly | StoreMode::LosingResponses => {}
     }
     let mut response = tokio::select! {
         response = handle_call(state, request) => response,
@@ -334,7 +345,7 @@
     let era = HeaderValue::from(state.era.get());
     response.headers_mut().insert(ERA_HEADER, era);
     match state.mode.get() {
-        StoreMode::Serving | StoreMode::Busy => Ok(response),
+        StoreMode::Serving | StoreMode::ReadOnly | StoreMode::Busy => Ok(response),
         StoreMode::Silent => std::future::pending().await,
         StoreMode::LosingResponses => Err(ConnectionFault::Injected),
     }
@@ -353,8 +364,15 @@
     let table = query.get("table").map_or("", String::as_str).to_owned();
     match request.uri().path() {
         "/rows-get" => {
-            *state.reads.borrow_mut().entry(table.clone()).or_default() += 1;
-            state.response(&table, &state.read(&table))
+            let key = |name: &str| query.get(name).map(|text| decode_key(text));
+            let (from, to) = (
+                key("from").unwrap_or_default(),
+                key("to").unwrap_or_default(),
+            );
+            if from.is_empty() {
+                *state.reads.borrow_mut().entry(table.clone()).or_default() += 1;
+            }
+            state.response(&table, &state.read(&table, &from, &to))
         }
         "/rows-feed" => {
             let (after, wait_ms) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
--- a/crates/chicorystage-testbed/src/users_platform/store_mode.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_mode.rs
@@ -6,6 +6,8 @@
     Serving,
     /// Refuses every call with status 503.
     Busy,
+    /// Refuses every write with status 503.
+    ReadOnly,
     /// Leaves calls without a response, even after the mode changes.
     ///
     /// Calls that arrive in this mode are not processed.
--- /dev/null
+++ b/crates/chicorystage-testbed/tests/gateway_software_versions.rs
@@ -0,0 +1,134 @@
+//! Where streams go on that callers take up again at a gateway that does not know them, while software
+//! versions of a service come and go.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chicorystage_testbed::users_platform::{
+    EndpointEmulator, EndpointEngine, PlatformFixture, Reply, StoreMode, run_local, send_request,
+    wait_until,
+};
+use chicorystaged::gateway::shared::Gateway;
+use googletest::prelude::*;
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+
+const MODEL: (&str, &str) = ("model", "m0");
+/// Headers of a request that takes up a stream which no gateway knows.
+const TAKEN_UP: [(&str, &str); 3] = [MODEL, ("resumes", "begun"), ("last-event-id", "5")];
+/// Time in which the feeds of the store notice that it is away, in milliseconds.
+const AWAY_MS: u64 = 300;
+
+async fn endpoint(id: &str) -> Result<EndpointEmulator> {
+    let reply = Reply::Events {
+        first: 6,
+        last: 9,
+        pause_ms: 1,
+    };
+    let engine = Some(EndpointEngine::new(&["m0"], 60));
+    EndpointEmulator::start(id, reply, engine).await.or_fail()
+}
+
+fn register(world: &PlatformFixture, endpoint: &EndpointEmulator, service: &str, version: &str) {
+    let mut entry = endpoint.registry_entry(service, "ready", 1);
+    entry["version"] = json!(version);
+    let entry = entry.to_string();
+    world.store.put("servers", endpoint.id(), entry.as_bytes());
+}
+
+async fn take_up(gateway: &Rc<Gateway>, path: &str) -> Result<StatusCode> {
+    let reply = send_request(gateway, Method::POST, path, &TAKEN_UP, "{}");
+    Ok(reply.await.or_fail()?.status)
+}
+
+/// Returns the versions that the store lists for a service.
+fn recorded(world: &PlatformFixture, service: &str) -> Vec<String> {
+    let row = world
+        .store
+        .get("chicorystage", &format!("software/{service}"));
+    let spans: Value = row
+        .and_then(|row| serde_json::from_slice(&row).ok())
+        .unwrap_or_default();
+    let spans = spans.as_array().into_iter().flatten();
+    spans
+        .filter_map(|span| Some(span["version"].as_str()?.to_owned()))
+        .collect()
+}
+
+async fn wait_until_recorded(world: &PlatformFixture, service: &str, version: &str) {
+    wait_until("the version is recorded", || {
+        recorded(world, service)
+            .iter()
+            .any(|known| known == version)
+    })
+    .await;
+}
+
+// A gateway that the store turns away cannot know which versions have begun streams since.
+#[gtest]
+fn unknown_stream_does_not_go_on_while_the_store_turns_the_gateway_away() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let only = endpoint("e1").await?;
+        world.declare(1);
+        register(&world, &only, "llm", "v1");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        wait_until_recorded(&world, "llm", "v1").await;
+        world.store.set_mode(StoreMode::Busy);
+        tokio::time::sleep(Duration::from_millis(AWAY_MS)).await;
+        let status = take_up(&gateway, "/long/x").await?;
+        verify_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(only.received_requests().len(), eq(0))?;
+        world.store.set_mode(StoreMode::Serving);
+        verify_that!(take_up(&gateway, "/long/x").await?, eq(StatusCode::OK))
+    })
+}
+
+// A gateway that stood still, or polls rarely, has an old view of the store and does not know it.
+#[gtest]
+fn unknown_stream_does_not_go_on_by_a_view_that_is_older_than_the_store() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let only = endpoint("e1").await?;
+        world.declare(1);
+        register(&world, &only, "llm", "v1");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        wait_until_recorded(&world, "llm", "v1").await;
+        // Another gateway has recorded a version; this one has not polled since.
+        let both = json!([
+            {"version": "v1", "gone_unix_ms": null},
+            {"version": "v2", "gone_unix_ms": null},
+        ]);
+        let both = both.to_string();
+        world
+            .store
+            .put("chicorystage", "software/llm", both.as_bytes());
+        let status = take_up(&gateway, "/long/x").await?;
+        verify_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(only.received_requests().len(), eq(0))
+    })
+}
+
+// Streams of a version that is in no row could be joined with those of another after a kill.
+#[gtest]
+fn endpoint_gets_no_request_before_its_version_is_recorded() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let new = endpoint("e1").await?;
+        world.declare(1);
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_mode(StoreMode::ReadOnly);
+        register(&world, &new, "llm", "v1");
+        wait_until("the endpoint is known", || {
+            gateway.with(|view| view.fleet.get(&"e1".into()).is_some())
+        })
+        .await;
+        let headers = [MODEL, ("deadline-ms", "500")];
+        let send = || send_request(&gateway, Method::POST, "/long/x", &headers, "{}");
+        verify_that!(send().await.or_fail()?.status, not(eq(StatusCode::OK)))?;
+        verify_that!(new.received_requests().len(), eq(0))?;
+        world.store.set_mode(StoreMode::Serving);
+        wait_until_recorded(&world, "llm", "v1").await;
+        verify_that!(send().await.or_fail()?.status, eq(StatusCode::OK))
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/configuration.rs
+++ b/crates/chicorystaged/src/gateway/follow/configuration.rs
@@ -6,6 +6,7 @@
 use chicorystage_platform::store::Row;
 
 use crate::gateway::shared::Gateway;
+use crate::gateway::software_rows;
 
 /// Puts a configuration into force unless the known one is at least as new.
 pub(super) fn apply_configuration(gateway: &Gateway, row: &Row) {
@@ -25,6 +26,7 @@
                 is_newer
             });
             if is_newer {
+                software_rows::registry_changed(gateway);
                 log::info!(event = "configuration", version, routes, bytes = value.len(); "configuration in force");
             }
         }
--- a/crates/chicorystaged/src/gateway/follow/endpoints.rs
+++ b/crates/chicorystaged/src/gateway/follow/endpoints.rs
@@ -14,6 +14,7 @@
 use chicorystage_platform::store::{Changes, Row};
 
 use crate::gateway::shared::Gateway;
+use crate::gateway::software_rows;
 
 /// Starts the task that removes endpoints that have not registered again.
 pub(super) fn start_removals(gateway: &Rc<Gateway>) {
@@ -116,6 +117,7 @@
         change,
         EntryChange::Added | EntryChange::Restarted | EntryChange::Leaving
     ) {
+        software_rows::registry_changed(gateway);
         log::info!(event = "endpoint", endpoint = id.as_str(), change:%, state:%; "endpoint changed");
     }
 }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -39,11 +39,16 @@
         } else if let Some(vm) = row.key.strip_prefix(GATEWAY_KEY) {
             apply_gateway(gateway, vm, row);
         } else if let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) {
-            software_rows::apply(gateway, service, row);
+            if !is_whole {
+                software_rows::apply(gateway, service, row);
+            }
         } else if let Some(digest) = row.key.strip_prefix(QUARANTINE_KEY) {
             quarantine_rows::apply(gateway, digest, row);
         }
     }
+    if is_whole {
+        software_rows::apply_all(gateway, &changes.rows);
+    }
     if is_whole && !has_lease {
         gateway.observe_missing_lease();
     }
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod lateness;
 pub mod lease_writes;
 pub mod loss_reason;
+pub mod origin_evidence;
 pub mod own_responses;
 pub mod peer_message;
 pub mod peers;
@@ -121,6 +122,7 @@
     probe_http::serve_readiness(readiness, Rc::clone(&gateway));
     follow::start(&gateway);
     peers::start(&gateway, socket);
+    software_rows::start(&gateway);
     stream_rows::start(&gateway);
     engine_orders::start(&gateway);
     request_limits::start(&gateway);
--- a/crates/chicorystaged/src/gateway/serving/origin.rs
+++ b/crates/chicorystaged/src/gateway/serving/origin.rs
@@ -5,6 +5,7 @@
 use http::{Response, StatusCode};
 
 use crate::gateway::answer_body::AnswerBody;
+use crate::gateway::origin_evidence::OriginEvidence;
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::serving::Serving;
 use crate::gateway::stream_origins;
@@ -25,7 +26,8 @@
             return Ok(());
         }
         let service = &requirements.service;
-        let target = stream_origins::find(&self.gateway, service, head.resumes.as_ref()).await;
+        let stream = head.resumes.as_ref();
+        let (target, evidence) = stream_origins::find(&self.gateway, service, stream).await;
         let may_go_on = match &target {
             ResumeTarget::Any => true,
             ResumeTarget::Version(software) => self
@@ -35,31 +37,33 @@
         };
         log::info!(
             event = "stream_taken_up", request = head.attempt_id.as_str(),
-            stream = head.resumes.as_ref().map_or("", |stream| stream.as_str()),
-            service = service.as_str(), target:?, goes_on = may_go_on;
+            stream = stream.map_or("", |stream| stream.as_str()),
+            service = service.as_str(), target:?, evidence:%, goes_on = may_go_on;
             "caller takes up a stream again"
         );
         if !may_go_on {
             self.gateway
                 .metrics
                 .count_request(&self.work.route.name, RequestOutcome::Refused);
-            return Err(Box::new(self.stream_refusal()));
+            return Err(Box::new(stream_refusal(evidence)));
         }
         if let ResumeTarget::Version(software) = target {
             requirements.software = Some(software);
         }
         Ok(())
     }
+}
 
-    /// Returns the refusal of a stream that cannot go on.
-    ///
-    /// It states a time to come back only while this gateway has not read which versions served: no
-    /// other gateway and no later time would do afterwards.
-    fn stream_refusal(&self) -> Response<AnswerBody> {
-        let reason = "no endpoint can go on with this stream";
-        if self.gateway.with(|view| view.has_peers) {
-            return text_response(StatusCode::SERVICE_UNAVAILABLE, reason);
+/// Returns the refusal of a stream that cannot go on.
+///
+/// It states a time to come back only if the store could not be read: otherwise no other gateway and no
+/// later time would do.
+fn stream_refusal(evidence: OriginEvidence) -> Response<AnswerBody> {
+    let reason = "no endpoint can go on with this stream";
+    match evidence {
+        OriginEvidence::StoreAway => refusal(reason, RETRY_AFTER_DEFAULT_MS),
+        OriginEvidence::Stream | OriginEvidence::Versions => {
+            text_response(StatusCode::SERVICE_UNAVAILABLE, reason)
         }
-        refusal(reason, RETRY_AFTER_DEFAULT_MS)
     }
 }
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -253,7 +253,8 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        !self.is_stopping.get() && view.configuration.is_some() && view.has_endpoints
+        let is_read = view.configuration.is_some() && view.has_endpoints && view.has_peers;
+        is_read && !self.is_stopping.get()
     }
 
     /// Returns whether the lease holder is this gateway or has sent a message lately.
--- a/crates/chicorystaged/src/gateway/software_rows.rs
+++ b/crates/chicorystaged/src/gateway/software_rows.rs
@@ -1,16 +1,24 @@
 //! Rows of the system's own table that keep which software versions of a service served lately.
 //!
-//! A gateway that has just started must know whether a stream that it does not know can have begun at
-//! another version than those that are registered now. The lease holder writes a row a service when its
-//! versions change.
+//! A gateway that takes up a stream which nobody knows must know which versions can have begun it. So
+//! no gateway uses an endpoint of a service with resumable streams before its version is in the row of
+//! the service, and a gateway that draws a conclusion from a row reads it anew first ([`read`]): its
+//! view of the store may be old without its knowledge.
+//!
+//! The lease holder writes a row when the versions of its service change. Another gateway adds a
+//! version that is still missing after a moment, as the holder may be out of touch with the store.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use chicorystage_api::name::ServiceName;
+use chicorystage_borders::BorderError;
+use chicorystage_borders::http::TransferProgress;
 use chicorystage_core::stream_origins::SoftwareSpan;
-use chicorystage_platform::store::{Row, WriteOutcome};
+use chicorystage_platform::store::{Changes, Row, TableName, WriteOutcome};
+use tokio::sync::{Mutex, Notify};
 
 use crate::gateway::shared::Gateway;
 use crate::timer::unix_ms;
@@ -19,12 +27,29 @@
 pub(crate) const SOFTWARE_KEY: &str = "software/";
 /// Interval between two comparisons of the histories with the registry, in milliseconds.
 const UPDATE_INTERVAL_MS: u64 = 500;
+/// Time for which a gateway leaves it to the lease holder to add a version, in milliseconds.
+const HOLDER_WRITES_MS: u64 = 300;
 
 /// Versions of the rows as last seen, and when they were last compared with the registry.
 #[derive(Debug, Default)]
 pub struct SoftwareRows {
     versions: RefCell<HashMap<ServiceName, u64>>,
     compared_ms: Cell<u64>,
+    /// Notified when registered versions or the configuration may have changed.
+    changed: Notify,
+    /// Start of the last successful read of the rows, in milliseconds; `None` before the first.
+    read_ms: Mutex<Option<u64>>,
+}
+
+/// Starts the task that has new versions recorded.
+pub fn start(gateway: &Rc<Gateway>) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move { record_loop(&gateway).await });
+}
+
+/// Records that registered versions or the configuration may have changed.
+pub(super) fn registry_changed(gateway: &Gateway) {
+    gateway.software_rows.changed.notify_one();
 }
 
 /// Applies the row of a service.
@@ -41,6 +66,122 @@
         }
     };
     gateway.with(|view| view.software.replace(service, spans));
+    registry_changed(gateway);
+}
+
+/// Applies the rows of all services: a service without a row has no history.
+pub(super) fn apply_all(gateway: &Gateway, rows: &[Row]) {
+    let of_service = |row: &Row| row.key.strip_prefix(SOFTWARE_KEY).map(ServiceName::from);
+    let present: Vec<ServiceName> = rows.iter().filter_map(of_service).collect();
+    let mut versions = gateway.software_rows.versions.borrow_mut();
+    versions.retain(|service, _| present.contains(service));
+    drop(versions);
+    gateway.with(|view| view.software.retain(&present));
+    for row in rows {
+        if let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) {
+            apply(gateway, service, row);
+        }
+    }
+    registry_changed(gateway);
+}
+
+/// Reads the rows from the store, unless a read has been started since `since_ms`.
+///
+/// # Errors
+///
+/// Returns the store's error; the histories may then be out of date.
+pub(super) async fn read(gateway: &Rc<Gateway>, since_ms: u64) -> Result<(), BorderError> {
+    let mut read_ms = gateway.software_rows.read_ms.lock().await;
+    if read_ms.is_some_and(|read_ms| since_ms < read_ms) {
+        return Ok(());
+    }
+    let started_ms = gateway.now_ms();
+    let progress = TransferProgress::default();
+    let rows = gateway
+        .store
+        .read_prefix(TableName::Own, SOFTWARE_KEY, &progress)
+        .await;
+    let outcome = if rows.is_ok() { "ok" } else { "failed" };
+    gateway.metrics.count_store_call("software read", outcome);
+    let rows = rows.inspect_err(|error| {
+        log::warn!(event = "software_unread", error:%; "software versions of services cannot be read");
+    })?;
+    apply_newer(gateway, &rows);
+    *read_ms = Some(started_ms);
+    Ok(())
+}
+
+/// Applies rows that were read, except for those that the feed has overtaken since.
+fn apply_newer(gateway: &Gateway, rows: &Changes) {
+    // Versions of rows are only comparable within an era.
+    let is_same_era = rows.position.era == gateway.store_era.get();
+    gateway.observe_era(rows.position.era);
+    for row in &rows.rows {
+        let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) else {
+            continue;
+        };
+        let versions = gateway.software_rows.versions.borrow();
+        let known = versions.get(&ServiceName::from(service)).copied();
+        drop(versions);
+        if !is_same_era || known.is_none_or(|known| known < row.version) {
+            apply(gateway, service, row);
+        }
+    }
+}
+
+/// Has versions recorded as they appear, and tells the fleet which ones are.
+async fn record_loop(gateway: &Rc<Gateway>) {
+    let rows = &gateway.software_rows;
+    loop {
+        rows.changed.notified().await;
+        let mut waits_for_holder = gateway.order_epoch().is_none() && gateway.has_recent_holder();
+        while apply_recorded(gateway) {
+            if !waits_for_holder {
+                extend(gateway).await;
+                if !apply_recorded(gateway) {
+                    break;
+                }
+            }
+            waits_for_holder = false;
+            tokio::time::sleep(Duration::from_millis(HOLDER_WRITES_MS)).await;
+        }
+    }
+}
+
+/// Tells the fleet which versions are recorded; returns whether a registered one is not.
+fn apply_recorded(gateway: &Gateway) -> bool {
+    let Some(configuration) = gateway.configuration() else {
+        return false;
+    };
+    let services = configuration.resumable_services();
+    let is_missing = gateway.with(|view| {
+        let mut is_missing = false;
+        for service in &services {
+            let recorded = view.software.recorded(service);
+            let registered = view.fleet.software_versions(service);
+            is_missing |= !registered.is_subset(&recorded);
+            view.fleet.record_software(service.clone(), recorded);
+        }
+        is_missing && view.has_endpoints && view.has_peers
+    });
+    gateway.capacity_changed.notify_one();
+    is_missing
+}
+
+/// Adds registered versions that the rows lack.
+async fn extend(gateway: &Gateway) {
+    let Some(configuration) = gateway.configuration() else {
+        return;
+    };
+    for service in configuration.resumable_services() {
+        let extended = gateway.with(|view| {
+            let registered = view.fleet.software_versions(&service);
+            view.software.extended(unix_ms(), &service, &registered)
+        });
+        if let Some(spans) = extended {
+            write(gateway, &service, spans).await;
+        }
+    }
 }
 
 /// Writes the rows of services whose registered versions differ from their history, if a comparison is
@@ -54,15 +195,15 @@
     let Some(configuration) = gateway.configuration() else {
         return;
     };
-    for (service, _) in configuration.engines() {
+    for service in configuration.resumable_services() {
         let changed = gateway.with(|view| {
-            let registered = view.fleet.software_versions(service);
+            let registered = view.fleet.software_versions(&service);
             let is_known = view.has_endpoints && view.has_peers;
-            let changed = view.software.changed(unix_ms(), service, &registered);
+            let changed = view.software.changed(unix_ms(), &service, &registered);
             changed.filter(|_| is_known)
         });
         if let Some(spans) = changed {
-            let (gateway, service) = (Rc::clone(gateway), service.clone());
+            let gateway = Rc::clone(gateway);
             tokio::task::spawn_local(async move { write(&gateway, &service, spans).await });
         }
     }
@@ -89,6 +230,7 @@
         WriteOutcome::Written(version) => {
             versions.borrow_mut().insert(service.clone(), version);
             gateway.with(|view| view.software.replace(service.clone(), spans.clone()));
+            registry_changed(gateway);
             "ok"
         }
         WriteOutcome::Conflict(Some(row)) => {
--- a/crates/chicorystaged/src/gateway/stream_origins.rs
+++ b/crates/chicorystaged/src/gateway/stream_origins.rs
@@ -3,7 +3,8 @@
 //! The gateway that relays the first event of a stream tells the two gateways that rank first for the
 //! stream. A gateway that does not know a stream asks those, so that a stream survives the end of the
 //! gateway that began it, and reads the rows that gateways write ([`stream_rows`]), so that it survives
-//! the end of all. A stream that is found nowhere goes on only if a single version can have begun it.
+//! the end of all. A stream that is found nowhere goes on only if a single version can have begun it by
+//! what the store tells then ([`software_rows`]).
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +13,11 @@
 use chicorystage_core::rendezvous;
 use chicorystage_core::stream_origins::ResumeTarget;
 
+use crate::gateway::origin_evidence::OriginEvidence;
 use crate::gateway::peer_message::PeerContent;
 use crate::gateway::peers;
 use crate::gateway::shared::Gateway;
+use crate::gateway::software_rows;
 use crate::gateway::stream_rows;
 use crate::timer::unix_ms;
 
@@ -23,8 +26,8 @@
 /// Number of gateways that are asked for a stream: one of those that were told may be the asking one,
 /// and the gateway that began the stream may rank before them.
 const ASKED_GATEWAYS: usize = 3;
-/// Number of times that gateways are asked, as datagrams may be lost.
-const QUESTIONS: u32 = 4;
+/// Number of times that gateways are asked again, as datagrams may be lost.
+const FURTHER_QUESTIONS: u32 = 3;
 /// Longest wait for an answer, in milliseconds.
 const ANSWER_MS: u64 = 60;
 
@@ -65,60 +68,72 @@
     });
 }
 
-/// Returns where a stream that a caller takes up again may go on; `stream` is `None` if the caller does
-/// not name it.
+/// Returns where a stream that a caller takes up again may go on, and by what evidence; `stream` is
+/// `None` if the caller does not name it.
+///
+/// A gateway that knows the stream decides. Otherwise the stream goes on only if the store shows that a
+/// single version can have begun it; what this gateway knows of the store may be old.
 pub(super) async fn find(
     gateway: &Rc<Gateway>,
     service: &ServiceName,
     stream: Option<&StreamId>,
-) -> ResumeTarget {
+) -> (ResumeTarget, OriginEvidence) {
+    let since_ms = gateway.now_ms();
     if let Some(stream) = stream
-        && let Some(software) = known(gateway, stream)
+        && let Some(software) = ask_once(gateway, stream).await
     {
-        return ResumeTarget::Version(software);
+        return (ResumeTarget::Version(software), OriginEvidence::Stream);
     }
-    let target = gateway.with(|view| {
-        let registered = view.fleet.software_versions(service);
-        if !view.has_peers {
-            // The versions that served lately have not been read yet.
-            return ResumeTarget::Unknown;
-        }
-        view.software.resume_target(unix_ms(), service, &registered)
-    });
+    if software_rows::read(gateway, since_ms).await.is_err() {
+        return (ResumeTarget::Unknown, OriginEvidence::StoreAway);
+    }
+    let target = by_versions(gateway, service);
     let (ResumeTarget::Unknown, Some(stream)) = (&target, stream) else {
-        return target;
+        return (target, OriginEvidence::Versions);
     };
     let reading = Rc::clone(gateway);
     tokio::task::spawn_local(async move { stream_rows::read(&reading).await });
-    let told = ask(gateway, stream).await;
-    told.map_or(ResumeTarget::Unknown, ResumeTarget::Version)
+    for _ in 0..FURTHER_QUESTIONS {
+        if let Some(software) = ask_once(gateway, stream).await {
+            return (ResumeTarget::Version(software), OriginEvidence::Stream);
+        }
+    }
+    (ResumeTarget::Unknown, OriginEvidence::Versions)
+}
+
+/// Returns where a stream that nobody knows may go on by the versions that served lately, which must
+/// have been read from the store since the stream began.
+fn by_versions(gateway: &Gateway, service: &ServiceName) -> ResumeTarget {
+    gateway.with(|view| {
+        let registered = view.fleet.software_versions(service);
+        view.software.resume_target(unix_ms(), service, &registered)
+    })
 }
 
 fn known(gateway: &Gateway, stream: &StreamId) -> Option<SoftwareVersion> {
     gateway.with(|view| view.begun_streams.version(stream).cloned())
 }
 
-/// Asks other gateways for the version of a stream; returns `None` if none tells it in time.
-async fn ask(gateway: &Rc<Gateway>, stream: &StreamId) -> Option<SoftwareVersion> {
+/// Asks other gateways for the version of a stream unless it is known; returns `None` if none tells it
+/// in time.
+async fn ask_once(gateway: &Rc<Gateway>, stream: &StreamId) -> Option<SoftwareVersion> {
+    if let Some(software) = known(gateway, stream) {
+        return Some(software);
+    }
     let asked = ranked(gateway, stream, ASKED_GATEWAYS);
-    for _ in 0..QUESTIONS {
-        let content = PeerContent::StreamWanted(stream.clone());
-        let told = async {
-            loop {
-                let told = gateway.stream_told.notified();
-                if let Some(software) = known(gateway, stream) {
-                    return software;
-                }
-                told.await;
+    let content = PeerContent::StreamWanted(stream.clone());
+    let told = async {
+        loop {
+            let told = gateway.stream_told.notified();
+            if let Some(software) = known(gateway, stream) {
+                return software;
             }
-        };
-        peers::send_to(gateway, &asked, content).await;
-        let limit = Duration::from_millis(ANSWER_MS);
-        if let Ok(software) = tokio::time::timeout(limit, told).await {
-            return Some(software);
+            told.await;
         }
-    }
-    None
+    };
+    peers::send_to(gateway, &asked, content).await;
+    let limit = Duration::from_millis(ANSWER_MS);
+    tokio::time::timeout(limit, told).await.ok()
 }
 
 /// Returns the other gateways that rank first for a stream.
