Keep the software versions of each service with resumable streams, not of engines only

Cause: software_rows::update kept the history of versions of services with engines only; a resumable route may lead to any service. Without a history the only version that is registered counted as the only one there had been.

Change: the services are those that a resumable route leads to.

Test: gateway_software_versions::unknown_stream_of_a_plain_service_does_not_go_on_after_a_version_has_left, red before (no row was written).

--- a/crates/chicorystage-core/src/deployment/configuration.rs
+++ b/crates/chicorystage-core/src/deployment/configuration.rs
@@ -77,11 +77,6 @@
         resumable
             .flat_map(|route| &route.services)
             .map(|weighted| weighted.service.clone())
-            .filter(|name| {
-                self.services
-                    .get(name)
-                    .is_some_and(|service| service.engine.is_some())
-            })
             .collect()
     }
 
--- a/crates/chicorystage-testbed/tests/gateway_software_versions.rs
+++ b/crates/chicorystage-testbed/tests/gateway_software_versions.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use chicorystage_testbed::users_platform::{
-    EndpointEmulator, EndpointEngine, PlatformFixture, Reply, StoreMode, run_local, send_request,
-    wait_until,
+    EndpointEmulator, EndpointEngine, PlatformFixture, Reply, StoreMode, default_routes, run_local,
+    send_request, wait_until,
 };
 use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
@@ -64,6 +64,19 @@
     .await;
 }
 
+/// Returns routes of which a resumable stream goes to the plain service `app`.
+fn routes_with_plain_stream() -> Value {
+    let mut routes = default_routes();
+    let mut plain = routes[3].clone();
+    plain["name"] = json!("plain");
+    plain["prefix"] = json!("/plain/");
+    plain["backend"] = json!("app");
+    if let Some(routes) = routes.as_array_mut() {
+        routes.push(plain);
+    }
+    routes
+}
+
 // A gateway that the store turns away cannot know which versions have begun streams since.
 #[gtest]
 fn unknown_stream_does_not_go_on_while_the_store_turns_the_gateway_away() -> Result<()> {
@@ -132,3 +145,22 @@
         verify_that!(send().await.or_fail()?.status, eq(StatusCode::OK))
     })
 }
+
+// Incident review/2, "plain": only services with model engines had a history of versions.
+#[gtest]
+fn unknown_stream_of_a_plain_service_does_not_go_on_after_a_version_has_left() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let (old, new) = (endpoint("e1").await?, endpoint("e2").await?);
+        world.declare_with(1, &routes_with_plain_stream());
+        register(&world, &old, "app", "v1");
+        let _first = world.start_ready_gateway("g1").await.or_fail()?;
+        register(&world, &new, "app", "v2");
+        wait_until_recorded(&world, "app", "v2").await;
+        world.store.remove("servers", "e2");
+        let second = world.start_ready_gateway("g2").await.or_fail()?;
+        let status = take_up(&second, "/plain/x").await?;
+        verify_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(old.received_requests().len(), eq(0))
+    })
+}
