Store streams that began before a second software version appeared

Cause: a stream was stored only if it began while several versions were known. Those in progress when the second version appeared were in no row, so that afterwards either version could have begun them.

Change: when a service gets a second version, the streams in progress are stored.

Test: gateway_software_versions::stream_that_began_before_a_second_version_is_stored_when_that_appears, red before.

--- a/crates/chicorystage-testbed/tests/gateway_software_versions.rs
+++ b/crates/chicorystage-testbed/tests/gateway_software_versions.rs
@@ -164,3 +164,38 @@
         verify_that!(old.received_requests().len(), eq(0))
     })
 }
+
+// Incident review/2, "herd": streams that began while one version served were never stored.
+#[gtest]
+fn stream_that_began_before_a_second_version_is_stored_when_that_appears() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let (old, new) = (endpoint("e1").await?, endpoint("e2").await?);
+        old.script(Reply::Events {
+            first: 1,
+            last: 200,
+            pause_ms: 50,
+        });
+        world.declare(1);
+        register(&world, &old, "llm", "v1");
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        wait_until_recorded(&world, "llm", "v1").await;
+        let relaying = Rc::clone(&gateway);
+        let headers = [MODEL, ("attempt-id", "begun"), ("deadline-ms", "12000")];
+        let stream = tokio::task::spawn_local(async move {
+            send_request(&relaying, Method::POST, "/long/x", &headers, "{}").await
+        });
+        wait_until("the stream has begun", || {
+            gateway.with(|view| view.begun_streams.version(&"begun".into()).is_some())
+        })
+        .await;
+        register(&world, &new, "llm", "v2");
+        wait_until("the stream is stored", || {
+            let row = world.store.get("chicorystage-streams", "g1");
+            row.is_some_and(|row| String::from_utf8_lossy(&row).contains("begun"))
+        })
+        .await;
+        stream.abort();
+        Ok(())
+    })
+}
--- a/crates/chicorystaged/src/gateway/software_rows.rs
+++ b/crates/chicorystaged/src/gateway/software_rows.rs
@@ -21,6 +21,7 @@
 use tokio::sync::{Mutex, Notify};
 
 use crate::gateway::shared::Gateway;
+use crate::gateway::stream_rows;
 use crate::timer::unix_ms;
 
 /// Prefix of the keys of software histories; the service follows.
@@ -165,6 +166,7 @@
         is_missing && view.has_endpoints && view.has_peers
     });
     gateway.capacity_changed.notify_one();
+    stream_rows::versions_changed(gateway, &services);
     is_missing
 }
 
--- a/crates/chicorystaged/src/gateway/stream_rows.rs
+++ b/crates/chicorystaged/src/gateway/stream_rows.rs
@@ -5,6 +5,7 @@
 //! rows have a table of their own, which no gateway follows.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
     own_version: Cell<Option<u64>>,
     /// Time of the last read of all rows, in milliseconds; `None` before the first.
     read_ms: Mutex<Option<u64>>,
+    /// Whether several versions of a service served lately when that was last examined.
+    has_several_versions: Cell<bool>,
 }
 
 /// Starts the task that writes the own row.
@@ -57,13 +60,7 @@
         software: software.clone(),
         ends_unix_ms: now_unix_ms + left_ms,
     };
-    let has_several_versions = gateway.with(|view| {
-        let registered = view.fleet.software_versions(service);
-        let target = view
-            .software
-            .resume_target(now_unix_ms, service, &registered);
-        target == ResumeTarget::Unknown
-    });
+    let has_several_versions = has_several_versions(gateway, service);
     let rows = &gateway.stream_rows;
     rows.live
         .borrow_mut()
@@ -73,6 +70,28 @@
     }
 }
 
+/// Examines the versions of these services, and has the streams stored that began before a service had
+/// several.
+pub(super) fn versions_changed(gateway: &Gateway, services: &BTreeSet<ServiceName>) {
+    let rows = &gateway.stream_rows;
+    let mut services = services.iter();
+    let has_several = services.any(|service| has_several_versions(gateway, service));
+    let is_known = rows.has_several_versions.replace(has_several);
+    if has_several && !is_known && !rows.live.borrow().is_empty() {
+        rows.live.borrow_mut().keep_changed();
+        rows.changed.notify_one();
+    }
+}
+
+/// Returns whether several versions of a service served lately.
+fn has_several_versions(gateway: &Gateway, service: &ServiceName) -> bool {
+    let target = gateway.with(|view| {
+        let registered = view.fleet.software_versions(service);
+        view.software.resume_target(unix_ms(), service, &registered)
+    });
+    target == ResumeTarget::Unknown
+}
+
 /// Records that the caller has received a stream whole.
 pub(super) fn end(gateway: &Gateway, work: &CallerWork) {
     let stream = work.head.stream();
