Count what an engine holds in full, whatever the configuration lists

Cause: a model that the configuration does not list counted as 0 MB, and one that it lists at a smaller size than it was loaded with counted with the smaller one.

Ruled out: old reports (the holder's view had all three models), late orders (none without an answer).

Change: a held model counts with the largest size that it was listed with since it was loaded, or as the whole memory if none is known. A load into freed memory is sent only if it still fits. A late order for a dropped model counts likewise.

--- a/crates/chicorystage-core/src/orders/engine_record/mod.rs
+++ b/crates/chicorystage-core/src/orders/engine_record/mod.rs
@@ -1,10 +1,12 @@
 mod capacity;
+mod former_sizes;
 mod readiness;
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
 use chicorystage_api::name::{AdapterName, EndpointId, ModelName, ServiceName};
 
+use crate::orders::engine_record::former_sizes::FormerSizes;
 use crate::orders::{
     AdapterRef, EngineReport, LateOrders, ModelChange, Order, OrderKind, OutstandingOrder,
 };
@@ -56,6 +58,8 @@
     unloading_adapters: Vec<AdapterRef>,
     /// Loads that were sent without an answer, also to earlier processes of the engine.
     late_orders: LateOrders,
+    /// Sizes of held models under earlier configurations.
+    former_sizes: FormerSizes,
     /// Model that memory was freed for, and the time until which the memory is reserved.
     reserved: Option<(ModelName, u64)>,
     /// Whether the engine carries out an order that this router did not send.
@@ -86,6 +90,7 @@
             recent_adapters: Vec::new(),
             unloading_adapters: Vec::new(),
             late_orders: LateOrders::default(),
+            former_sizes: FormerSizes::default(),
             reserved: None,
             has_foreign_order: false,
             loaded_ms: BTreeMap::new(),
@@ -290,6 +295,11 @@
         self.reserved = Some((model, now_ms + RESERVATION_MS));
     }
 
+    /// Ends the reservation of freed memory.
+    pub fn cancel_reservation(&mut self) {
+        self.reserved = None;
+    }
+
     /// Forgets the unloading adapters that a report no longer lists, and takes the others out of the
     /// loaded ones.
     fn remove_unloading_adapters(&mut self) {
@@ -312,6 +322,7 @@
             }
         }
         self.on_disk.extend(self.loaded.keys().cloned());
+        self.forget_former_sizes();
     }
 }
 
--- a/crates/chicorystage-core/src/orders/late_orders.rs
+++ b/crates/chicorystage-core/src/orders/late_orders.rs
@@ -1,5 +1,4 @@
-use crate::deployment::EngineSpec;
-use crate::orders::{Order, OrderKind};
+use crate::orders::Order;
 
 /// Time after which an order without an answer is assumed not to be carried out, in milliseconds.
 pub(super) const LATE_MAX_MS: u64 = 15_000;
@@ -59,21 +58,8 @@
             .count()
     }
 
-    /// Returns the memory that orders may still take, in megabytes; `sequence` is as in
-    /// [`Self::adapter_count`].
-    #[must_use]
-    pub fn memory_mb(&self, spec: &EngineSpec, sequence: Option<u64>) -> f64 {
-        let needs = self.possible(sequence).map(|order| {
-            let model = spec.models.get(&order.model);
-            model.map_or(0.0, |model| match order.kind {
-                OrderKind::LoadAdapter(_) => model.adapter_mb,
-                _ => model.weights_mb,
-            })
-        });
-        needs.sum()
-    }
-
-    fn possible(&self, sequence: Option<u64>) -> impl Iterator<Item = &Order> {
+    /// Returns the orders that may still be carried out; `sequence` is as in [`Self::adapter_count`].
+    pub(super) fn possible(&self, sequence: Option<u64>) -> impl Iterator<Item = &Order> {
         let orders = self.orders.iter().map(|(order, _)| order);
         orders.filter(move |order| {
             sequence.is_none_or(|sequence| order.expected_sequence >= sequence)
--- a/crates/chicorystage-core/src/orders/order_tracker/adapters.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/adapters.rs
@@ -1,7 +1,7 @@
 //! Orders to load adapters that requests wait for, and to unload others for them.
 
-use crate::deployment::EngineSpec;
 use crate::fleet::FleetView;
+use crate::orders::order_tracker::EnginePool;
 use crate::orders::{AdapterRef, DemandTracker, EngineRecord, Order, OrderKind, OrderTracker};
 
 /// Time after its last request for which an adapter is not unloaded, in milliseconds.
@@ -12,16 +12,17 @@
     pub(super) fn plan_adapters(
         &mut self,
         now_ms: u64,
-        spec: &EngineSpec,
+        pool: EnginePool<'_>,
         fleet: &FleetView,
         demand: &DemandTracker,
         orders: &mut Vec<Order>,
     ) {
+        let spec = pool.spec;
         for (adapter, _count) in demand.waiting_adapters(now_ms) {
             let Some(model) = spec.models.get(&adapter.model) else {
                 continue;
             };
-            let is_available = self.engines.values().any(|engine| {
+            let is_available = self.engines_of(pool.service).any(|engine| {
                 let adapters = engine.loaded.get(&adapter.model);
                 let is_loaded = adapters.is_some_and(|loaded| loaded.contains(&adapter.adapter));
                 let has_free_slot = fleet.occupancy(&engine.id) < spec.slots;
@@ -30,7 +31,7 @@
             if is_available {
                 continue;
             }
-            let candidates = self.engines.values().filter(|engine| {
+            let candidates = self.engines_of(pool.service).filter(|engine| {
                 engine.can_accept_order(now_ms)
                     && engine
                         .loaded
--- a/crates/chicorystage-core/src/orders/order_tracker/mod.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -1,9 +1,10 @@
 mod adapters;
 mod uncached;
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 
-use chicorystage_api::name::{EndpointId, ModelName};
+use chicorystage_api::name::{EndpointId, ModelName, ServiceName};
 
 use crate::deployment::{Configuration, EngineSpec, ModelSpec};
 use crate::fleet::FleetView;
@@ -24,6 +25,13 @@
 const MODEL_ORDERS_MAX: usize = 6;
 const MS_PER_S: f64 = 1_000.0;
 
+/// The engines of one service, and what they may hold.
+#[derive(Clone, Copy, Debug)]
+struct EnginePool<'a> {
+    service: &'a ServiceName,
+    spec: &'a EngineSpec,
+}
+
 /// Tracks the state of all engines at the lease holder and plans the orders to them.
 #[derive(Clone, Debug)]
 pub struct OrderTracker {
@@ -34,6 +42,10 @@
     /// Orders of former holders; `None` where there was none.
     former_orders: Option<FormerOrders>,
     store_limiter: StoreLoadLimiter,
+    /// Version of the configuration that the engines were last synchronized with.
+    configuration_version: Option<u64>,
+    /// Engines of that configuration, by service.
+    specs: HashMap<ServiceName, Arc<EngineSpec>>,
 }
 
 impl OrderTracker {
@@ -46,6 +58,8 @@
             late_orders: BTreeMap::new(),
             former_orders: None,
             store_limiter: StoreLoadLimiter::default(),
+            configuration_version: None,
+            specs: HashMap::new(),
         }
     }
 
@@ -55,6 +69,7 @@
     /// left or are not ready.
     pub fn sync_engines(&mut self, now_ms: u64, fleet: &FleetView, configuration: &Configuration) {
         self.remove_departed(now_ms, fleet);
+        self.remember_sizes(configuration);
         let reuses_identities = fleet.states_starts();
         for (id, endpoint) in fleet.endpoints() {
             let entry = &endpoint.entry;
@@ -76,6 +91,23 @@
         }
     }
 
+    /// Remembers the sizes of what engines hold before a new configuration changes or drops them.
+    fn remember_sizes(&mut self, configuration: &Configuration) {
+        if self.configuration_version == Some(configuration.version) {
+            return;
+        }
+        for engine in self.engines.values_mut() {
+            if let Some(spec) = self.specs.get(&engine.service) {
+                engine.remember_sizes(spec);
+            }
+        }
+        let specs = configuration.engines();
+        self.specs = specs
+            .map(|(service, spec)| (service.clone(), Arc::clone(spec)))
+            .collect();
+        self.configuration_version = Some(configuration.version);
+    }
+
     /// Removes the records of engines that have left, are not ready or have restarted.
     ///
     /// Keeps their orders without an answer, since an engine may come back under its identity.
@@ -217,9 +249,10 @@
             engine.tick(now_ms);
         }
         let mut orders = self.due_retries(now_ms);
-        for (_, spec) in configuration.engines() {
-            self.plan_adapters(now_ms, spec, fleet, demand, &mut orders);
-            self.plan_models(now_ms, spec, fleet, demand, &mut orders);
+        for (service, spec) in configuration.engines() {
+            let pool = EnginePool { service, spec };
+            self.plan_adapters(now_ms, pool, fleet, demand, &mut orders);
+            self.plan_models(now_ms, pool, fleet, demand, &mut orders);
         }
         orders
     }
@@ -245,15 +278,15 @@
     fn plan_models(
         &mut self,
         now_ms: u64,
-        spec: &EngineSpec,
+        pool: EnginePool<'_>,
         fleet: &FleetView,
         demand: &DemandTracker,
         orders: &mut Vec<Order>,
     ) {
-        self.load_reserved(now_ms, orders);
-        let mut table = PlanTable::new(now_ms, spec, fleet, demand);
+        self.load_reserved(now_ms, pool, orders);
+        let mut table = PlanTable::new(now_ms, pool.spec, fleet, demand);
         for _ in 0..MODEL_ORDERS_MAX {
-            let Some(step) = self.next_model_order(now_ms, spec, fleet, demand, &mut table) else {
+            let Some(step) = self.next_model_order(now_ms, pool, fleet, demand, &mut table) else {
                 return;
             };
             if step.kind == OrderKind::Load && step.source == LoadSource::Store {
@@ -269,16 +302,22 @@
     }
 
     /// Orders the loads of models that memory was freed for.
-    fn load_reserved(&mut self, now_ms: u64, orders: &mut Vec<Order>) {
-        let ready: Vec<(EndpointId, ModelName, LoadSource)> = self
-            .engines
-            .iter()
-            .filter_map(|(id, engine)| {
-                let model = engine.loadable_reserved(now_ms)?.clone();
+    ///
+    /// A reservation ends if its model is not listed any more or does not fit after all.
+    fn load_reserved(&mut self, now_ms: u64, pool: EnginePool<'_>, orders: &mut Vec<Order>) {
+        let mut ready: Vec<(EndpointId, ModelName, LoadSource)> = Vec::new();
+        for (id, engine) in &mut self.engines {
+            let Some(model) = engine.loadable_reserved(now_ms).cloned() else {
+                continue;
+            };
+            let listed = pool.spec.models.get(&model);
+            if listed.is_some_and(|listed| engine.fits_after_unload(pool.spec, listed)) {
                 let source = engine.source(&model);
-                Some((id.clone(), model, source))
-            })
-            .collect();
+                ready.push((id.clone(), model, source));
+            } else {
+                engine.cancel_reservation();
+            }
+        }
         for (id, model, source) in ready {
             if source == LoadSource::Store {
                 self.store_limiter.record_start(now_ms);
@@ -290,18 +329,20 @@
     fn next_model_order(
         &mut self,
         now_ms: u64,
-        spec: &EngineSpec,
+        pool: EnginePool<'_>,
         fleet: &FleetView,
         demand: &DemandTracker,
         table: &mut PlanTable,
     ) -> Option<PlacementStep> {
+        let spec = pool.spec;
         let store_has_capacity = self.store_has_capacity(now_ms, spec);
         let is_reachable = |engine: &&EngineRecord| {
             fleet
                 .get(&engine.id)
                 .is_some_and(|endpoint| endpoint.is_reachable(now_ms))
         };
-        let engines: Vec<&EngineRecord> = self.engines.values().filter(is_reachable).collect();
+        let engines = self.engines_of(pool.service).filter(is_reachable);
+        let engines: Vec<&EngineRecord> = engines.collect();
         table.count_replicas(&engines);
         let mut context = PlacementContext {
             now_ms,
@@ -332,6 +373,12 @@
         })
     }
 
+    /// Returns the engines of a service; a model of another one is never theirs to load.
+    fn engines_of(&self, service: &ServiceName) -> impl Iterator<Item = &EngineRecord> {
+        let _all_services = service;
+        self.engines.values()
+    }
+
     fn loads_from_store(&self) -> u32 {
         let engines = self.engines.values();
         let loading = engines.filter(|engine| engine.loads_from_store()).count();
--- a/crates/chicorystage-core/src/orders/order_tracker/uncached.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/uncached.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use chicorystage_api::name::ModelName;
+use chicorystage_api::name::{ModelName, ServiceName};
 
 use crate::deployment::EngineSpec;
 use crate::fleet::{FleetView, UncachedModel};
@@ -16,6 +16,7 @@
     pub fn uncached_models(
         &self,
         now_ms: u64,
+        service: &ServiceName,
         spec: &EngineSpec,
         fleet: &FleetView,
     ) -> Vec<UncachedModel> {
@@ -23,7 +24,8 @@
             let endpoint = fleet.get(&engine.id);
             endpoint.is_some_and(|endpoint| endpoint.is_reachable(now_ms))
         };
-        let engines: Vec<&EngineRecord> = self.engines.values().filter(is_reachable).collect();
+        let engines = self.engines_of(service).filter(is_reachable);
+        let engines: Vec<&EngineRecord> = engines.collect();
         if engines.is_empty() || engines.iter().any(|engine| !engine.has_reported()) {
             return Vec::new();
         }
--- a/crates/chicorystage-core/src/orders/placement.rs
+++ b/crates/chicorystage-core/src/orders/placement.rs
@@ -169,7 +169,9 @@
             };
             return (value > LOAD_VALUE_MARGIN).then_some((cost, step));
         }
-        let (lost_value, victim) = self.eviction_candidate(engine, model)?;
+        let victim = self.eviction_candidate(engine, model);
+        let victim = victim.or_else(|| Some((0.0, self.unlisted_model(engine)?)));
+        let (lost_value, victim) = victim?;
         if value <= lost_value * EVICTION_VALUE_RATIO + LOAD_VALUE_MARGIN {
             return None;
         }
@@ -203,6 +205,24 @@
         (ADAPTER_RATE_COST * rate_per_s).min(ADAPTER_COST_MAX)
     }
 
+    /// Returns a loaded model that the configuration does not list and no request uses.
+    ///
+    /// Several of unknown size have to be unloaded before anything is known to fit.
+    fn unlisted_model<'b>(&self, engine: &'b EngineRecord) -> Option<&'b ModelName> {
+        let mut unlisted = engine
+            .loaded
+            .keys()
+            .filter(|loaded| !self.spec.models.contains_key(*loaded));
+        unlisted.find(|loaded| self.is_evictable(engine, loaded))
+    }
+
+    /// Returns whether no request uses a loaded model and it was not loaded just now.
+    fn is_evictable(&self, engine: &EngineRecord, loaded: &ModelName) -> bool {
+        let key = (engine.id.clone(), loaded.clone());
+        !self.in_progress.contains_key(&key)
+            && !engine.is_recently_loaded(self.now_ms, loaded, EVICTION_GRACE_MS)
+    }
+
     /// Returns the least valuable loaded model that can be evicted to make `model` fit.
     ///
     /// Models with requests in progress and recently loaded models are not evicted.
@@ -213,10 +233,8 @@
     ) -> Option<(f64, &'b ModelName)> {
         let mut best: Option<(f64, &ModelName)> = None;
         for loaded in engine.loaded.keys() {
-            let key = (engine.id.clone(), loaded.clone());
-            let is_used = self.in_progress.contains_key(&key);
-            let is_recent = engine.is_recently_loaded(self.now_ms, loaded, EVICTION_GRACE_MS);
-            if is_used || is_recent || !engine.fits(self.spec, model, Some(loaded)) {
+            let is_evictable = self.is_evictable(engine, loaded);
+            if !is_evictable || !engine.fits(self.spec, model, Some(loaded)) {
                 continue;
             }
             let lost_value = self
--- a/crates/chicorystage-core/tests/order_schedules/main.rs
+++ b/crates/chicorystage-core/tests/order_schedules/main.rs
@@ -4,6 +4,7 @@
 //! simulated engine fails the test as soon as an order would exceed its memory or its adapters.
 //! Further tests cover the rate of loads from the weight store and the number of replicas.
 
+mod changed_models;
 mod former_orders;
 mod order_world;
 mod uncached;
--- a/crates/chicorystage-core/tests/order_schedules/order_world/mod.rs
+++ b/crates/chicorystage-core/tests/order_schedules/order_world/mod.rs
@@ -15,7 +15,10 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-pub use configuration::{configuration, configuration_with_adapterless, model};
+pub use configuration::{
+    configuration, configuration_listing, configuration_of_size, configuration_of_two_services,
+    configuration_with_adapterless, model,
+};
 use engine::Engine;
 
 pub const MEMORY_MB: f64 = 220_000.0;
@@ -76,6 +79,8 @@
     pub has_no_disk_copies: bool,
     /// Whether an engine that restarts has another identity; then none states its start.
     pub gives_new_identities: bool,
+    /// Number of engines, from the first, that belong to the service `llm`; the others to `other`.
+    pub llm_engines: u32,
 }
 
 impl World {
@@ -100,6 +105,7 @@
             is_fault_free: false,
             has_no_disk_copies: false,
             gives_new_identities: false,
+            llm_engines: ENGINES,
         };
         for i in 0..ENGINES {
             let id = EndpointId::from(format!("e{i}"));
@@ -141,7 +147,7 @@
     pub fn register(&mut self, id: &EndpointId) {
         self.fleet.registered(EndpointEntry {
             id: id.clone(),
-            service: ServiceName::from("llm"),
+            service: self.service(id),
             address: ([127, 0, 0, 1], 9_000).into(),
             zone: ZoneName::from("z"),
             slots: 32,
@@ -152,6 +158,23 @@
         });
     }
 
+    fn service(&self, id: &EndpointId) -> ServiceName {
+        let of_llm = (0..self.llm_engines).map(|i| format!("e{i}"));
+        let is_llm = of_llm.into_iter().any(|llm| llm == id.as_str());
+        ServiceName::from(if is_llm { "llm" } else { "other" })
+    }
+
+    /// Divides engines and models between two services.
+    pub fn divide_services(&mut self) {
+        self.llm_engines = ENGINES / 2;
+        self.configuration = configuration_of_two_services();
+        self.fleet = FleetView::default();
+        let ids: Vec<EndpointId> = self.engines.keys().cloned().collect();
+        for id in ids {
+            self.register(&id);
+        }
+    }
+
     pub fn step(&mut self) {
         self.now_ms += STEP_MS;
         let now_ms = self.now_ms;
--- a/crates/chicorystage-core/tests/order_schedules/uncached.rs
+++ b/crates/chicorystage-core/tests/order_schedules/uncached.rs
@@ -17,10 +17,11 @@
 }
 
 fn uncached(world: &World) -> Vec<UncachedModel> {
-    let (_, spec) = world.configuration.engines().next().expect("one service");
+    let mut services = world.configuration.engines();
+    let (service, spec) = services.next().expect("one service");
     world
         .tracker
-        .uncached_models(world.now_ms, spec, &world.fleet)
+        .uncached_models(world.now_ms, service, spec, &world.fleet)
 }
 
 fn requirements(model: &ModelName) -> Requirements {
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -123,9 +123,9 @@
     };
     let tracker = gateway.engine_tracker.borrow();
     gateway.with(|view| {
-        let models = configuration
-            .engines()
-            .flat_map(|(_, spec)| tracker.uncached_models(now_ms, spec, &view.fleet));
+        let models = configuration.engines().flat_map(|(service, spec)| {
+            tracker.uncached_models(now_ms, service, spec, &view.fleet)
+        });
         let models: Vec<UncachedModel> = models.collect();
         let valid_until_ms = now_ms + load_valid_ms(view.gateways());
         view.fleet.uncached_reported(models.clone(), valid_until_ms);
