Order models only from engines of their own service

What callers saw: two services have engines, and a model of one is asked for that no engine holds.

Cause: the planner offered the engines of all services for the models and adapters of each, and took the copies at all of them into account for what only the weight store can bring.

Change: engines are planned by service, reservations too.

--- a/crates/chicorystage-core/src/orders/order_tracker/mod.rs
+++ b/crates/chicorystage-core/src/orders/order_tracker/mod.rs
@@ -307,6 +307,9 @@
     fn load_reserved(&mut self, now_ms: u64, pool: EnginePool<'_>, orders: &mut Vec<Order>) {
         let mut ready: Vec<(EndpointId, ModelName, LoadSource)> = Vec::new();
         for (id, engine) in &mut self.engines {
+            if engine.service != *pool.service {
+                continue;
+            }
             let Some(model) = engine.loadable_reserved(now_ms).cloned() else {
                 continue;
             };
@@ -375,8 +378,8 @@
 
     /// Returns the engines of a service; a model of another one is never theirs to load.
     fn engines_of(&self, service: &ServiceName) -> impl Iterator<Item = &EngineRecord> {
-        let _all_services = service;
-        self.engines.values()
+        let engines = self.engines.values();
+        engines.filter(move |engine| engine.service == *service)
     }
 
     fn loads_from_store(&self) -> u32 {
--- a/crates/chicorystage-core/tests/order_schedules/changed_models.rs
+++ b/crates/chicorystage-core/tests/order_schedules/changed_models.rs
@@ -2,15 +2,15 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use chicorystage_api::name::VmId;
+use chicorystage_api::name::{EndpointId, VmId};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
-use crate::config;
 use crate::order_world::{
     DISK_LOAD_MS, MODEL_MB, MODELS, World, configuration_listing, configuration_of_size, model,
     waiting_for_models,
 };
+use crate::{config, hand_over_often};
 
 proptest! {
     #![proptest_config(config())]
@@ -37,6 +37,14 @@
             list_at_random(&mut world, version);
         }
     }
+
+    // An engine holds models of its own service, which the list of the other one lacks.
+    #[test]
+    fn engines_of_another_service_are_never_overcommitted(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.divide_services();
+        hand_over_often(&mut world);
+    }
 }
 
 /// Lists each model with a probability of two thirds.
@@ -108,3 +116,23 @@
     let loaded: Vec<usize> = engines.map(|engine| engine.loaded.len()).collect();
     assert_that!(loaded, each(le(&3)));
 }
+
+// Models of another service do not count as copies, whatever their names.
+#[test]
+fn engines_of_another_service_get_no_order_for_a_model() {
+    let mut world = World::new(3);
+    world.is_fault_free = true;
+    world.divide_services();
+    let missing = MODELS / 2 - 1;
+    for engine in world.engines.values_mut() {
+        engine.loaded.remove(&model(missing));
+    }
+    world.run_ms(1_000);
+    time_to_load_ms(&mut world, missing, 5_000);
+    let holder = |id: &str| {
+        let engine = &world.engines[&EndpointId::from(id)];
+        engine.loaded.contains_key(&model(missing))
+    };
+    assert_that!(holder("e0") || holder("e1"), eq(true));
+    assert_that!(holder("e2") || holder("e3"), eq(false));
+}
