Take a part that was never answered for likelier than one that once was

The quarantine stayed until an operator removed it.

Cause: an answer proved the parts of its prompt sound for ten seconds, and was forgotten then. After an idle time nothing told the parts in the same crashes apart but their depth, and the deepest was one that all sound requests share.

Ruled out: lost reports (each crash was reported with all three parts); crashes of another cause.

Of parts in the same crashes one that was never answered is likelier. Gateways that remember a reported part tell the others. The file of the evidence is split in three.

Tests: gateway_prompt_parts::..._after_an_idle_time (gateways as processes) and 40 schedules of prompt_part_schedules.

--- a/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
@@ -9,11 +9,13 @@
 //!
 //! Only attempts that began after the crash before count, so that endpoints which crash together for
 //! another reason count once. [`PartEvidence::culprit`] names a part after three such crashes, or five
-//! if no endpoint had begun its answer. Of several it takes the one in most crashes, then the one
-//! deepest in the prompt, as requests share the parts before it, then the one in fewest requests.
+//! if no endpoint had begun its answer. Of several it takes the one in most crashes, then one that was
+//! never answered, then the one deepest in the prompt, as requests share the parts before it, then the
+//! one in fewest requests. That a part was answered long ago does not prove it sound, but on a route
+//! with few requests there may be nothing else that tells it from the cause.
 //!
 //! Each process sees only its own requests, so processes tell each other what they see at a crash as a
-//! [`CrashReport`], and which of the reported parts they know to be sound.
+//! [`CrashReport`], and which of the reported parts they know to be sound or to have been.
 //!
 //! # Limits
 //!
@@ -25,8 +27,10 @@
 mod culprit;
 mod part_at_crash;
 mod part_evidence;
+mod part_history;
 mod recorded_crash;
 mod service_part;
+mod sound_parts;
 
 pub use broken_request::BrokenRequest;
 pub use crash_report::CrashReport;
--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
@@ -3,22 +3,15 @@
 
 use chicorystage_api::name::{Digest, EndpointId, PromptPartId, ServiceName};
 
-use crate::suspects::prompt_parts::recorded_crash::{PartSuspicion, RecordedCrash};
+use crate::suspects::prompt_parts::part_history::{Likelihood, PartHistory};
+use crate::suspects::prompt_parts::recorded_crash::RecordedCrash;
+use crate::suspects::prompt_parts::sound_parts::SoundParts;
 use crate::suspects::prompt_parts::{
     BrokenRequest, CrashReport, Culprit, PartAtCrash, ServicePart,
 };
 
-/// Crashes in a row, during answers that had begun, after which a part is taken for their cause.
-const BEGUN_CRASHES: u32 = 3;
-/// Crashes in a row after which a part is taken for their cause though no answer had begun.
-const CRASHES: u32 = 5;
 /// Number of crashes up to which equally likely parts wait for another crash.
 const UNDECIDED_CRASHES: u32 = 5;
-/// Time for which an answer that got past its beginning proves the parts of its prompt sound, in
-/// milliseconds; software that changes may crash on a part later.
-const SOUND_MS: u64 = 10_000;
-/// Largest number of sound parts that are kept.
-const SOUND_PARTS_MAX: usize = 16_384;
 /// Largest number of crashes that are kept.
 const CRASHES_MAX: usize = 64;
 /// Time for which a crash is kept, in milliseconds.
@@ -32,31 +25,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartEvidence {
     crashes: VecDeque<RecordedCrash>,
-    sound: HashMap<ServicePart, Soundness>,
-}
-
-/// When a part was last known to be sound.
-#[derive(Clone, Copy, Debug, Default)]
-struct Soundness {
-    /// Time of the last answer that got past its beginning.
-    answered_ms: u64,
-    /// Last time at which a process told all others; `None` if none did.
-    told_ms: Option<u64>,
-}
-
-/// Order of parts by how likely they are the cause: the greatest is the likeliest.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Likelihood {
-    begun_crashes: u32,
-    crashes: u32,
-    position: usize,
-    requests: Reverse<u32>,
-}
-
-/// A part at the crashes that it may have caused, oldest first.
-#[derive(Debug, Default)]
-struct PartHistory {
-    crashes: Vec<(u64, PartSuspicion)>,
+    sound: SoundParts,
 }
 
 impl PartEvidence {
@@ -72,10 +41,9 @@
         let mut cleared = Vec::new();
         for part in parts {
             let was_suspected = self.clear(service, part);
-            let soundness = self.soundness(now_ms, service, part);
-            soundness.answered_ms = now_ms;
+            let key = ServicePart::new(service, part);
+            self.sound.answered(now_ms, key, was_suspected);
             if was_suspected {
-                soundness.told_ms = Some(now_ms);
                 cleared.push(part.clone());
             }
         }
@@ -86,13 +54,35 @@
     pub fn merge_sound(&mut self, now_ms: u64, service: &ServiceName, parts: &[PromptPartId]) {
         for part in parts {
             self.clear(service, part);
-            *self.soundness(now_ms, service, part) = Soundness {
-                answered_ms: now_ms,
-                told_ms: Some(now_ms),
-            };
+            let key = ServicePart::new(service, part);
+            self.sound.answered(now_ms, key, true);
+        }
+    }
+
+    /// Records that another process has told all others that parts were sound some time ago.
+    pub fn merge_formerly_sound(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        parts: &[PromptPartId],
+    ) {
+        for part in parts {
+            let key = ServicePart::new(service, part);
+            self.sound.was_answered(now_ms, key);
         }
     }
 
+    /// Returns the parts of a report that were sound some time ago, and are suspected now.
+    #[must_use]
+    pub fn formerly_sound(&self, now_ms: u64, report: &CrashReport) -> Vec<PromptPartId> {
+        let parts = report.parts.iter().map(|part| &part.part);
+        let former = parts.filter(|part| {
+            let key = ServicePart::new(&report.service, part);
+            self.sound.was_sound(&key) && !self.sound.is_sound(now_ms, &key)
+        });
+        former.cloned().collect()
+    }
+
     /// Returns the report of a crash that broke these requests; `None` if each part is known to be
     /// sound.
     #[must_use]
@@ -158,8 +148,8 @@
         sound.into_iter().map(|part| part.part.clone()).collect()
     }
 
-    /// Returns which of the parts no process has told the others to be sound since `since_ms`, and
-    /// counts them as told now.
+    /// Returns which of the parts no process has told the others of since `since_ms`, and counts them
+    /// as told now.
     pub fn take_untold(
         &mut self,
         now_ms: u64,
@@ -167,17 +157,7 @@
         service: &ServiceName,
         parts: Vec<PromptPartId>,
     ) -> Vec<PromptPartId> {
-        let untold = parts.into_iter().filter(|part| {
-            let Some(soundness) = self.sound.get_mut(&key(service, part)) else {
-                return false;
-            };
-            let is_untold = soundness.told_ms.is_none_or(|told_ms| told_ms < since_ms);
-            if is_untold {
-                soundness.told_ms = Some(now_ms);
-            }
-            is_untold
-        });
-        untold.collect()
+        self.sound.take_untold(now_ms, since_ms, service, parts)
     }
 
     /// Returns the part that causes the crashes, if they suffice to tell and this process had a
@@ -189,7 +169,10 @@
         let histories = self.histories(is_quarantined);
         let mut ranked: Vec<(Likelihood, ServicePart, PartHistory)> = histories
             .into_iter()
-            .map(|(part, history)| (history.likelihood(), part, history))
+            .map(|(part, history)| {
+                let was_sound = self.sound.was_sound(&part);
+                (history.likelihood(was_sound), part, history)
+            })
             .collect();
         ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
         let (best, part, history) = ranked.first()?;
@@ -215,7 +198,7 @@
             let service = &crash.service;
             crash
                 .suspects
-                .retain(|part, _| key(service, part).digest() != *digest);
+                .retain(|part, _| ServicePart::new(service, part).digest() != *digest);
         }
     }
 
@@ -229,7 +212,7 @@
     ) -> HashMap<ServicePart, PartHistory> {
         let is_explained = |crash: &&RecordedCrash| {
             let mut parts = crash.suspects.keys();
-            parts.any(|part| is_quarantined(&key(&crash.service, part)))
+            parts.any(|part| is_quarantined(&ServicePart::new(&crash.service, part)))
         };
         let explained_ms = self.crashes.iter().filter(is_explained);
         let explained_ms = explained_ms.map(|crash| crash.crashed_ms).max();
@@ -240,7 +223,9 @@
         let mut histories: HashMap<ServicePart, PartHistory> = HashMap::new();
         for crash in unexplained {
             for (part, suspicion) in &crash.suspects {
-                let history = histories.entry(key(&crash.service, part)).or_default();
+                let history = histories
+                    .entry(ServicePart::new(&crash.service, part))
+                    .or_default();
                 history.crashes.push((crash.crashed_ms, *suspicion));
             }
         }
@@ -283,68 +268,7 @@
     }
 
     fn is_sound(&self, now_ms: u64, service: &ServiceName, part: &PromptPartId) -> bool {
-        let soundness = self.sound.get(&key(service, part));
-        soundness.is_some_and(|soundness| now_ms < soundness.answered_ms + SOUND_MS)
-    }
-
-    /// Returns the record of a sound part; forgets old ones if there are too many.
-    fn soundness(
-        &mut self,
-        now_ms: u64,
-        service: &ServiceName,
-        part: &PromptPartId,
-    ) -> &mut Soundness {
-        if self.sound.len() >= SOUND_PARTS_MAX {
-            self.sound
-                .retain(|_, soundness| now_ms < soundness.answered_ms + SOUND_MS);
-        }
-        if self.sound.len() >= SOUND_PARTS_MAX {
-            // What is forgotten is proved anew by the next answers.
-            self.sound.clear();
-        }
-        self.sound.entry(key(service, part)).or_default()
-    }
-}
-
-impl PartHistory {
-    fn is_sufficient(&self) -> bool {
-        self.in_a_row(|suspicion| suspicion.is_begun) >= BEGUN_CRASHES
-            || self.in_a_row(|_| true) >= CRASHES
-    }
-
-    /// Counts the crashes whose attempt began after the one counted before.
-    fn in_a_row(&self, counts: impl Fn(&PartSuspicion) -> bool) -> u32 {
-        let mut count = 0;
-        let mut last_crash_ms = None;
-        for (crashed_ms, suspicion) in &self.crashes {
-            let is_later =
-                last_crash_ms.is_none_or(|last_ms| suspicion.attempt_began_ms >= last_ms);
-            if counts(suspicion) && is_later {
-                count += 1;
-                last_crash_ms = Some(*crashed_ms);
-            }
-        }
-        count
-    }
-
-    fn likelihood(&self) -> Likelihood {
-        let suspicions = || self.crashes.iter().map(|(_, suspicion)| suspicion);
-        let count = |len: usize| u32::try_from(len).unwrap_or(u32::MAX);
-        Likelihood {
-            begun_crashes: count(suspicions().filter(|suspicion| suspicion.is_begun).count()),
-            crashes: count(self.crashes.len()),
-            requests: Reverse(suspicions().map(|suspicion| suspicion.requests).sum()),
-            position: suspicions()
-                .map(|suspicion| suspicion.position)
-                .max()
-                .unwrap_or(0),
-        }
-    }
-}
-
-fn key(service: &ServiceName, part: &PromptPartId) -> ServicePart {
-    ServicePart {
-        service: service.clone(),
-        part: part.clone(),
+        self.sound
+            .is_sound(now_ms, &ServicePart::new(service, part))
     }
 }
--- /dev/null
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_history.rs
@@ -0,0 +1,63 @@
+use std::cmp::Reverse;
+
+use crate::suspects::prompt_parts::recorded_crash::PartSuspicion;
+
+/// Crashes in a row, during answers that had begun, after which a part is taken for their cause.
+const BEGUN_CRASHES: u32 = 3;
+/// Crashes in a row after which a part is taken for their cause though no answer had begun.
+const CRASHES: u32 = 5;
+
+/// Order of parts by how likely they are the cause: the greatest is the likeliest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Likelihood {
+    pub begun_crashes: u32,
+    pub crashes: u32,
+    /// Whether no process has seen an answer to a prompt with the part.
+    pub was_never_sound: bool,
+    pub position: usize,
+    pub requests: Reverse<u32>,
+}
+
+/// A part at the crashes that it may have caused, oldest first.
+#[derive(Debug, Default)]
+pub(super) struct PartHistory {
+    /// Crashes with their times in milliseconds.
+    pub crashes: Vec<(u64, PartSuspicion)>,
+}
+
+impl PartHistory {
+    /// Returns whether the crashes suffice to take the part for their cause.
+    pub fn is_sufficient(&self) -> bool {
+        self.in_a_row(|suspicion| suspicion.is_begun) >= BEGUN_CRASHES
+            || self.in_a_row(|_| true) >= CRASHES
+    }
+
+    /// Returns how likely the part is the cause; `was_sound` is whether it was ever answered.
+    pub fn likelihood(&self, was_sound: bool) -> Likelihood {
+        let suspicions = || self.crashes.iter().map(|(_, suspicion)| suspicion);
+        let count = |len: usize| u32::try_from(len).unwrap_or(u32::MAX);
+        let positions = suspicions().map(|suspicion| suspicion.position);
+        Likelihood {
+            begun_crashes: count(suspicions().filter(|suspicion| suspicion.is_begun).count()),
+            crashes: count(self.crashes.len()),
+            was_never_sound: !was_sound,
+            position: positions.max().unwrap_or(0),
+            requests: Reverse(suspicions().map(|suspicion| suspicion.requests).sum()),
+        }
+    }
+
+    /// Counts the crashes whose attempt began after the one counted before.
+    fn in_a_row(&self, counts: impl Fn(&PartSuspicion) -> bool) -> u32 {
+        let mut count = 0;
+        let mut last_crash_ms = None;
+        for (crashed_ms, suspicion) in &self.crashes {
+            let is_later =
+                last_crash_ms.is_none_or(|last_ms| suspicion.attempt_began_ms >= last_ms);
+            if counts(suspicion) && is_later {
+                count += 1;
+                last_crash_ms = Some(*crashed_ms);
+            }
+        }
+        count
+    }
+}
--- a/crates/chicorystage-core/src/suspects/prompt_parts/service_part.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/service_part.rs
@@ -14,6 +14,15 @@
 }
 
 impl ServicePart {
+    /// Names a part of prompts that the endpoints of a service answer.
+    #[must_use]
+    pub fn new(service: &ServiceName, part: &PromptPartId) -> Self {
+        Self {
+            service: service.clone(),
+            part: part.clone(),
+        }
+    }
+
     /// Returns the digest under which the part is quarantined.
     #[must_use]
     pub fn digest(&self) -> Digest {
--- a/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world.rs
@@ -73,6 +73,11 @@
         parts: Vec<PromptPartId>,
     },
     Sound(Vec<PromptPartId>),
+    TellFormer {
+        since_ms: u64,
+        parts: Vec<PromptPartId>,
+    },
+    FormerlySound(Vec<PromptPartId>),
     Quarantine(ServicePart),
 }
 
@@ -92,6 +97,11 @@
 pub struct FleetWorld {
     pub poison: Option<Poison>,
     pub single_crashes_per_s: f64,
+    pub requests_per_s: f64,
+    /// Whether all prompts share a third part.
+    pub has_tail: bool,
+    /// Number of gateways, from the first, at which requests arrive.
+    pub entry_gateways: usize,
     random: StdRng,
     now_ms: u64,
     engines: Vec<Engine>,
@@ -111,6 +121,9 @@
         Self {
             poison: None,
             single_crashes_per_s: 0.0,
+            requests_per_s: REQUESTS_PER_S,
+            has_tail: false,
+            entry_gateways: gateways,
             random: StdRng::seed_from_u64(seed),
             now_ms: 10_000,
             engines: vec![Engine::default(); ENGINES],
@@ -180,8 +193,8 @@
     }
 
     fn arrive(&mut self) {
-        let mut expected = REQUESTS_PER_S * to_s(STEP_MS);
-        while self.random.random_bool(expected.clamp(0.0, 1.0)) {
+        let mut expected = self.requests_per_s * to_s(STEP_MS);
+        while expected > 0.0 && self.random.random_bool(expected.clamp(0.0, 1.0)) {
             self.send();
             expected -= 1.0;
         }
@@ -216,7 +229,7 @@
         if up.is_empty() {
             return;
         }
-        let gateway = self.random.random_range(0..self.gateways.len());
+        let gateway = self.random.random_range(0..self.entry_gateways);
         let is_refused = |part: &PromptPartId| {
             let quarantined = &self.gateways[gateway].quarantined;
             quarantined.iter().any(|other| other.part == *part)
@@ -247,7 +260,8 @@
         } else {
             PromptPartId::from(format!("s{}", self.skewed(SECOND_PARTS)))
         };
-        vec![first, second]
+        let tail = self.has_tail.then(|| PromptPartId::from("tail"));
+        [first, second].into_iter().chain(tail).collect()
     }
 
     fn skewed(&mut self, len: u32) -> u32 {
@@ -365,12 +379,14 @@
                     return;
                 };
                 evidence.record_crash(now_ms, &report, true);
+                self.tell_former(gateway, &report);
                 self.broadcast(gateway, &Message::Crash(report));
                 self.deliver_in(DECISION_MS..DECISION_MS + 20, gateway, Message::Decide);
             }
             Message::Crash(report) => {
                 let evidence = &mut self.gateways[gateway].evidence;
                 let parts = evidence.record_crash(now_ms, &report, false);
+                self.tell_former(gateway, &report);
                 if !parts.is_empty() {
                     let tell = Message::Tell {
                         since_ms: now_ms,
@@ -391,6 +407,17 @@
                 let evidence = &mut self.gateways[gateway].evidence;
                 evidence.merge_sound(now_ms, &service(), &parts);
             }
+            Message::TellFormer { since_ms, parts } => {
+                let evidence = &mut self.gateways[gateway].evidence;
+                let untold = evidence.take_untold(now_ms, since_ms, &service(), parts);
+                if !untold.is_empty() {
+                    self.broadcast(gateway, &Message::FormerlySound(untold));
+                }
+            }
+            Message::FormerlySound(parts) => {
+                let evidence = &mut self.gateways[gateway].evidence;
+                evidence.merge_formerly_sound(now_ms, &service(), &parts);
+            }
             Message::Decide => self.decide(gateway),
             Message::Quarantine(part) => {
                 self.gateways[gateway].quarantined.insert(part);
@@ -398,6 +425,20 @@
         }
     }
 
+    /// Tells the other gateways after a delay which parts of a report were sound.
+    fn tell_former(&mut self, gateway: usize, report: &CrashReport) {
+        let now_ms = self.now_ms;
+        let evidence = &self.gateways[gateway].evidence;
+        let parts = evidence.formerly_sound(now_ms, report);
+        if !parts.is_empty() {
+            let tell = Message::TellFormer {
+                since_ms: now_ms,
+                parts,
+            };
+            self.deliver_in(TELL_MS, gateway, tell);
+        }
+    }
+
     fn decide(&mut self, gateway: usize) {
         let Gateway {
             evidence,
--- a/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
@@ -80,6 +80,30 @@
         prop_assert!(!world.quarantined().is_empty());
     }
 
+    // On a route without requests for a while, no part is known to be sound any more, and one gateway may
+    // be the only one that has seen answers.
+    #[test]
+    fn part_that_crashes_engines_is_told_from_the_parts_around_it_after_an_idle_time(
+        seed in any::<u64>(), gateways in 1_usize..9, idle_ms in 8_000_u64..120_000,
+        sound_per_s in 2.0_f64..45.0, entry_gateways in 1_usize..9,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.has_tail = true;
+        world.entry_gateways = entry_gateways.min(gateways);
+        world.requests_per_s = sound_per_s;
+        world.run(6_000);
+        world.requests_per_s = 0.0;
+        world.run(idle_ms);
+        world.entry_gateways = gateways;
+        world.requests_per_s = 45.0;
+        world.poison = Some(Poison { share: 0.05, is_alone: true });
+        world.run(20_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        prop_assert!(!world.quarantined().is_empty());
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
     #[test]
     fn engines_that_crash_for_another_reason_quarantine_no_part(
         seed in any::<u64>(), gateways in 1_usize..9,
--- a/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -11,6 +11,8 @@
 
 use crate::prompt_parts_world::{GATEWAYS, World};
 
+/// Time without requests after which no part is known to be sound, in milliseconds.
+const IDLE_MS: u64 = 11_000;
 /// Crashes after which a part must be known as their cause at every gateway in touch.
 const CRASHES: usize = 5;
 /// Time in which the gateways may learn of it, in milliseconds.
@@ -75,6 +77,25 @@
     })
 }
 
+// Incident review/3: after an idle time nothing told the crashing part from one behind it that sound
+// requests share, and that one was quarantined.
+#[gtest]
+fn prompt_part_that_crashes_endpoints_is_told_from_the_parts_around_it_after_an_idle_time()
+-> Result<()> {
+    run_local(async {
+        let mut world = World::start("idle").await?;
+        world.has_tail = true;
+        verify_that!(world.send_sound(0, "s1").await?, is_true())?;
+        tokio::time::sleep(Duration::from_millis(IDLE_MS)).await;
+        send_until_five_crashes(&world).await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s2").await?, is_true())?;
+        }
+        world.stop().await
+    })
+}
+
 #[gtest]
 fn prompt_part_that_crashes_endpoints_is_refused_after_all_gateways_were_killed() -> Result<()> {
     run_local(async {
--- a/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
@@ -33,6 +33,8 @@
     endpoints: Vec<RawEndpoint>,
     platform: PlatformFixture,
     sent: Rc<Cell<u64>>,
+    /// Whether all prompts share a third part.
+    pub has_tail: bool,
 }
 
 impl World {
@@ -56,6 +58,7 @@
             endpoints,
             platform,
             sent: Rc::default(),
+            has_tail: false,
         })
     }
 
@@ -85,7 +88,7 @@
     /// Sends a request with the crashing part, unlike any before, and removes the engine that it has
     /// crashed.
     pub async fn send_crashing(&self, gateway: usize) -> Result<()> {
-        let parts = format!("f:100,{CRASHING_PART}:50");
+        let parts = self.parts(CRASHING_PART);
         // A broken answer or connection is what the caller of such a request must expect.
         let _reply = send(self.gateways.callers(gateway), &self.sent, &parts).await;
         for endpoint in self.endpoints.iter().filter(|engine| engine.has_crashed()) {
@@ -96,12 +99,18 @@
 
     /// Sends a request with a sound second part; returns whether it was answered whole.
     pub async fn send_sound(&self, gateway: usize, part: &str) -> Result<bool> {
-        let parts = format!("f:100,{part}:50");
+        let parts = self.parts(part);
         let reply = send(self.gateways.callers(gateway), &self.sent, &parts).await;
         let reply = reply.or_fail()?;
         Ok(reply.is_complete && reply.status.is_success())
     }
 
+    /// Returns the shared parts of a prompt with this second part.
+    fn parts(&self, second: &str) -> String {
+        let tail = if self.has_tail { ",tail:20" } else { "" };
+        format!("f:100,{second}:50{tail}")
+    }
+
     /// Sends sound requests with several second parts through all gateways until it is aborted.
     pub fn start_sound_load(&self) -> JoinHandle<()> {
         let sent = Rc::clone(&self.sent);
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -50,6 +50,13 @@
         /// The parts.
         parts: Vec<PromptPartId>,
     },
+    /// Prompt parts that are suspected and that the sender saw answered some time ago.
+    FormerlySoundParts {
+        /// Service whose endpoint answered.
+        service: ServiceName,
+        /// The parts.
+        parts: Vec<PromptPartId>,
+    },
     /// A stream that has begun, or that the sender was asked for.
     Stream {
         /// The stream.
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -80,6 +80,9 @@
         PeerContent::SoundParts { service, parts } => {
             prompt_parts::merge_sound(gateway, &service, &parts);
         }
+        PeerContent::FormerlySoundParts { service, parts } => {
+            prompt_parts::merge_formerly_sound(gateway, &service, &parts);
+        }
         PeerContent::Limits(limits) => request_limits::merge(gateway, limits),
         PeerContent::LimitWanted(wishes) => {
             request_limits::answer_wishes(gateway, message.from, wishes);
--- a/crates/chicorystaged/src/gateway/prompt_parts.rs
+++ b/crates/chicorystaged/src/gateway/prompt_parts.rs
@@ -10,6 +10,7 @@
 use chicorystage_api::name::{EndpointId, PromptPartId, ServiceName};
 use chicorystage_core::suspects::DigestStatus;
 use chicorystage_core::suspects::prompt_parts::{BrokenRequest, CrashReport, Culprit};
+use derive_more::Display;
 use rand::RngExt;
 
 use crate::gateway::crash_checks::BrokenAttempt;
@@ -25,6 +26,17 @@
 /// of those that know it does.
 const TELL_DELAY_MAX_MS: u64 = 100;
 
+/// What a gateway knows of prompt parts that are suspected.
+#[derive(Clone, Copy, Debug, Display)]
+enum PartsKnown {
+    /// An answer to a prompt with them got past its beginning a moment ago.
+    #[display("sound")]
+    Sound,
+    /// The same, some time ago.
+    #[display("formerly sound")]
+    FormerlySound,
+}
+
 /// Records a crash with the parts of the prompts that broke, and decides whether one is its cause.
 pub(super) async fn record_crash(
     gateway: &Rc<Gateway>,
@@ -51,7 +63,8 @@
         service = first.service.as_str(), broken = broken.len(), parts = parts_text(&report);
         "endpoint crashed before these prompt parts were known to be sound"
     );
-    peers::broadcast(gateway, PeerContent::Crash(report)).await;
+    peers::broadcast(gateway, PeerContent::Crash(report.clone())).await;
+    tell_former_later(gateway, &report);
     decide_later(gateway);
 }
 
@@ -59,9 +72,8 @@
 pub(super) fn merge_crash(gateway: &Rc<Gateway>, report: CrashReport) {
     let now_ms = gateway.now_ms();
     let sound = gateway.with(|view| view.part_evidence.record_crash(now_ms, &report, false));
-    if !sound.is_empty() {
-        tell_later(gateway, report.service, sound);
-    }
+    tell_former_later(gateway, &report);
+    tell_later(gateway, report.service, sound, PartsKnown::Sound);
     decide_later(gateway);
 }
 
@@ -71,6 +83,19 @@
     gateway.with(|view| view.part_evidence.merge_sound(now_ms, service, parts));
 }
 
+/// Merges which parts another gateway knows to have been sound.
+pub(super) fn merge_formerly_sound(
+    gateway: &Gateway,
+    service: &ServiceName,
+    parts: &[PromptPartId],
+) {
+    let now_ms = gateway.now_ms();
+    gateway.with(|view| {
+        let evidence = &mut view.part_evidence;
+        evidence.merge_formerly_sound(now_ms, service, parts);
+    });
+}
+
 /// Records that an answer got past its beginning, which proves the parts of its prompt sound.
 pub(super) fn record_sound(gateway: &Rc<Gateway>, service: &ServiceName, parts: &[PromptPartId]) {
     if parts.is_empty() {
@@ -82,11 +107,29 @@
         return;
     }
     let (gateway, service) = (Rc::clone(gateway), service.clone());
-    tokio::task::spawn_local(async move { tell(&gateway, service, cleared).await });
+    tokio::task::spawn_local(async move {
+        tell(&gateway, service, cleared, PartsKnown::Sound).await;
+    });
 }
 
-/// Tells the other gateways after a random delay which parts are sound, unless another did meanwhile.
-fn tell_later(gateway: &Rc<Gateway>, service: ServiceName, parts: Vec<PromptPartId>) {
+/// Tells the other gateways after a random delay which parts of a report were sound.
+fn tell_former_later(gateway: &Rc<Gateway>, report: &CrashReport) {
+    let now_ms = gateway.now_ms();
+    let former = gateway.with(|view| view.part_evidence.formerly_sound(now_ms, report));
+    let service = report.service.clone();
+    tell_later(gateway, service, former, PartsKnown::FormerlySound);
+}
+
+/// Tells the other gateways after a random delay what is known of parts, unless another did meanwhile.
+fn tell_later(
+    gateway: &Rc<Gateway>,
+    service: ServiceName,
+    parts: Vec<PromptPartId>,
+    known: PartsKnown,
+) {
+    if parts.is_empty() {
+        return;
+    }
     let since_ms = gateway.now_ms();
     let gateway = Rc::clone(gateway);
     let delay_ms = rand::rng().random_range(0..=TELL_DELAY_MAX_MS);
@@ -98,18 +141,26 @@
             evidence.take_untold(now_ms, since_ms, &service, parts)
         });
         if !untold.is_empty() {
-            tell(&gateway, service, untold).await;
+            tell(&gateway, service, untold, known).await;
         }
     });
 }
 
-/// Tells the other gateways that parts are sound.
-async fn tell(gateway: &Rc<Gateway>, service: ServiceName, parts: Vec<PromptPartId>) {
+/// Tells the other gateways what is known of parts.
+async fn tell(
+    gateway: &Rc<Gateway>,
+    service: ServiceName,
+    parts: Vec<PromptPartId>,
+    known: PartsKnown,
+) {
     log::info!(
-        event = "prompt_parts_sound", service = service.as_str(), parts = ids_text(&parts);
+        event = "prompt_parts_sound", service = service.as_str(), parts = ids_text(&parts), known:%;
         "prompt parts that were suspected have been answered"
     );
-    let content = PeerContent::SoundParts { service, parts };
+    let content = match known {
+        PartsKnown::Sound => PeerContent::SoundParts { service, parts },
+        PartsKnown::FormerlySound => PeerContent::FormerlySoundParts { service, parts },
+    };
     peers::broadcast(gateway, content).await;
 }
 
