Refuse requests that arrive too late in a stop to be answered before its end

Here: a request whose head came before a stopping gateway refuses new ones, and whose body came after, was passed on to an endpoint however long it might run; one that an endpoint had turned away was sent again likewise. At the end of the grace its caller got 502, or nothing.

Cause: the check for a stop stood at the head of a request only.

Change: once requests are refused, one is passed on only if it is due before the process ends; else it gets 503 with Retry-After, which is true: it has not run.

--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use chicorystage_borders::http::ResettableStream;
+use chicorystage_platform::caller_request::CallerRequest;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Version};
 use hyper::body::Incoming;
@@ -83,8 +84,9 @@
     let answer = service_fn(move |request: Request<Incoming>| {
         let gateway = Rc::clone(&answering);
         is_http_1_0.set(request.version() == Version::HTTP_10);
+        let head = CallerRequest::decode(request.headers());
         async move {
-            let mut response = request::serve(Rc::clone(&gateway), request).await;
+            let mut response = request::serve(Rc::clone(&gateway), request, head).await;
             if gateway.is_stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -20,11 +20,14 @@
 use crate::gateway::serving::Serving;
 use crate::gateway::shared::Gateway;
 
-/// Serves one request and returns the response to the caller.
-pub async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+/// Serves one request with a decoded head and returns the response to the caller.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+    head: CallerRequest,
+) -> Response<AnswerBody> {
     let in_progress = InProgress::begin(&gateway);
     let arrived_ms = gateway.now_ms();
-    let head = CallerRequest::decode(request.headers());
     if *gateway.closing.borrow() {
         return refuse_at_gateway(&head, "stopping");
     }
@@ -56,6 +59,10 @@
             return text_response(StatusCode::REQUEST_TIMEOUT, "body not received in time");
         }
     };
+    // The body may have arrived so late in a stop that the answer would be cut.
+    if gateway.may_stop_before(ends_ms) {
+        return refuse_at_gateway(&head, "stopping");
+    }
     let work = CallerWork {
         method: parts.method,
         uri: parts.uri,
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -86,14 +86,15 @@
             self.record_refusal(endpoint, now_ms, refusal.is_misdirected);
             requirements.avoid.push(endpoint.clone());
         }
-        let has_attempts_left = self.attempts < ATTEMPTS_MAX;
+        let is_late_in_stop = self.gateway.may_stop_before(self.work.ends_ms);
+        let has_attempts_left = self.attempts < ATTEMPTS_MAX && !is_late_in_stop;
         let needs_budget = has_attempts_left && refusal.has_arrived;
         let service = &requirements.service;
         let (fields, permit) = self.gateway.take_retry(needs_budget, now_ms, service);
         let may_retry = has_attempts_left && (!refusal.has_arrived || permit.is_some());
         log::info!(
             event = "attempt_refused", request = self.work.head.attempt_id.as_str(),
-            reason = refusal.reason, endpoint = endpoint.as_str(),
+            reason = refusal.reason, endpoint = endpoint.as_str(), is_late_in_stop,
             service = service.as_str(), attempts = self.attempts, repeated = may_retry,
             budget = fields.outcome, retries = fields.usage.retries,
             retry_limit = fields.usage.limit, first_attempts = fields.usage.first_attempts,
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -53,6 +53,8 @@
     pub absences_changed: Notify,
     /// Whether the gateway has begun to stop.
     pub is_stopping: Cell<bool>,
+    /// Time at which the process ends at the latest, in milliseconds; `None` before the stop begins.
+    pub stop_end_ms: Cell<Option<u64>>,
     /// Whether this gateway has released the lease on orders for good.
     pub has_released_lease: Cell<bool>,
     /// Becomes true when callers' connections shut down and new requests are refused.
@@ -145,6 +147,7 @@
             capacity_changed: Notify::new(),
             demand_changed: Notify::new(),
             is_stopping: Cell::new(false),
+            stop_end_ms: Cell::new(None),
             clock,
             view: RefCell::new(View::new(retries, settings.heartbeat_ms)),
             settings,
@@ -218,6 +221,16 @@
         decide(&mut self.lease.borrow_mut())
     }
 
+    /// Returns whether the process may end before a request that is due at `ends_ms` is answered.
+    ///
+    /// Such a request had better go to another gateway than to an endpoint, once no request is taken
+    /// here any more.
+    #[must_use]
+    pub fn may_stop_before(&self, ends_ms: u64) -> bool {
+        let stop_end_ms = self.stop_end_ms.get();
+        *self.closing.borrow() && stop_end_ms.is_some_and(|stop_end_ms| stop_end_ms < ends_ms)
+    }
+
     /// Waits until callers' connections shut down.
     pub async fn closing(&self) {
         // The sender lives as long as the gateway.
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -79,9 +79,10 @@
     gateway.is_stopping.set(true);
     let begun_ms = gateway.now_ms();
     log::info!(event = "gateway_stopping"; "gateway is shutting down");
+    let end_ms = begun_ms + gateway.settings.stop_max_ms.saturating_sub(END_MARGIN_MS);
+    gateway.stop_end_ms.set(Some(end_ms));
     tokio::time::sleep(Duration::from_millis(BALANCER_REACTION_MS)).await;
     gateway.closing.send_replace(true);
-    let end_ms = begun_ms + gateway.settings.stop_max_ms.saturating_sub(END_MARGIN_MS);
     while gateway.now_ms() < end_ms && gateway.with(|view| view.in_progress) > 0 {
         if gateway.now_ms() + FINAL_ERROR_MARGIN_MS >= end_ms {
             gateway.aborting.send_replace(true);
