End a stop only when the last byte of each answer has left the process

Cause: the stop waited for requests in progress, and a request counted until the HTTP library had taken the last part of its answer over. What the library had not written was lost with the process.

Ruled out: the time limit of the stop (8 s; the process ended after 3.5 to 4.2 s); the endpoint, which had sent all of it. The cut answers missed 2 to 8 KB, less than the library's buffer.

Change: the stop also waits for the connections of callers that have had a request, up to its time limit. request_cut names what that limit cuts.

--- a/crates/chicorystage-testbed/tests/process_set/mod.rs
+++ b/crates/chicorystage-testbed/tests/process_set/mod.rs
@@ -60,8 +60,9 @@
 
     /// Stops the gateways and removes their files.
     pub async fn stop(mut self) -> Result<()> {
-        for gateway in &mut self.gateways {
-            gateway.stop().await.or_fail()?;
+        let stopped = join_all(self.gateways.iter_mut().map(GatewayProcess::stop)).await;
+        for result in stopped {
+            result.or_fail()?;
         }
         std::fs::remove_dir_all(&self.directory).or_fail()
     }
--- a/crates/chicorystaged/src/gateway/callers.rs
+++ b/crates/chicorystaged/src/gateway/callers.rs
@@ -74,6 +74,8 @@
     // With Nagle's algorithm small events wait for acknowledgements; a failure only costs latency.
     let _set = stream.set_nodelay(true);
     let (stream, reset) = ResettableStream::new(stream);
+    let open = Rc::new(gateway.caller_connections.open());
+    let arriving = Rc::clone(&open);
     let idle_ms = gateway.configuration().map_or(IDLE_MS, |configuration| {
         configuration.limits.idle_timeout_ms
     });
@@ -85,6 +87,7 @@
         let gateway = Rc::clone(&answering);
         is_http_1_0.set(request.version() == Version::HTTP_10);
         let head = CallerRequest::decode(request.headers());
+        arriving.request_arrived(&head.attempt_id);
         async move {
             let mut response = request::serve(Rc::clone(&gateway), request, head).await;
             if gateway.is_stopping.get() {
@@ -100,6 +103,8 @@
         .max_buf_size(HEAD_BYTES_MAX)
         .serve_connection(TokioIo::new(stream), answer);
     tokio::task::spawn_local(async move {
+        // Counts the connection until its last byte has left the process.
+        let _open = open;
         let ended = tokio::select! {
             ended = &mut connection => Some(ended),
             () = closing.closing() => None,
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 
 pub mod answer_body;
 pub mod attempt;
+pub mod caller_connections;
 pub mod callers;
 pub mod connection;
 pub mod crash_checks;
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
+use crate::gateway::caller_connections::CallerConnections;
 use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
@@ -55,6 +56,8 @@
     pub is_stopping: Cell<bool>,
     /// Time at which the process ends at the latest, in milliseconds; `None` before the stop begins.
     pub stop_end_ms: Cell<Option<u64>>,
+    /// Open connections of callers.
+    pub caller_connections: Rc<CallerConnections>,
     /// Whether this gateway has released the lease on orders for good.
     pub has_released_lease: Cell<bool>,
     /// Becomes true when callers' connections shut down and new requests are refused.
@@ -148,6 +151,7 @@
             demand_changed: Notify::new(),
             is_stopping: Cell::new(false),
             stop_end_ms: Cell::new(None),
+            caller_connections: Rc::default(),
             clock,
             view: RefCell::new(View::new(retries, settings.heartbeat_ms)),
             settings,
--- a/crates/chicorystaged/src/gateway/stop.rs
+++ b/crates/chicorystaged/src/gateway/stop.rs
@@ -1,9 +1,9 @@
 //! Graceful shutdown of a gateway, and the check of its settings file on a hangup signal.
 //!
 //! A shutdown first reports the gateway as not ready while it still serves, so that the load
-//! balancer stops sending connections. Then it refuses new requests, lets those in progress finish,
-//! ends those still without an answer by a final error shortly before the stop's time limit, and
-//! releases the lease on orders.
+//! balancer stops sending connections. Then it refuses new requests, lets those in progress finish
+//! until the last byte of their answers has left the process, ends those still without an answer by a
+//! final error shortly before the stop's time limit, and releases the lease on orders.
 
 use std::path::Path;
 use std::rc::Rc;
@@ -74,7 +74,8 @@
 
 /// Shuts down gracefully.
 ///
-/// Returns once no request is in progress, or shortly before the stop's time limit.
+/// Returns once no request is in progress and each answer has been sent whole, or shortly before the
+/// stop's time limit.
 pub async fn shut_down(gateway: &Rc<Gateway>) {
     gateway.is_stopping.set(true);
     let begun_ms = gateway.now_ms();
@@ -83,7 +84,7 @@
     gateway.stop_end_ms.set(Some(end_ms));
     tokio::time::sleep(Duration::from_millis(BALANCER_REACTION_MS)).await;
     gateway.closing.send_replace(true);
-    while gateway.now_ms() < end_ms && gateway.with(|view| view.in_progress) > 0 {
+    while gateway.now_ms() < end_ms && has_unfinished(gateway) {
         if gateway.now_ms() + FINAL_ERROR_MARGIN_MS >= end_ms {
             gateway.aborting.send_replace(true);
         }
@@ -92,12 +93,30 @@
     let limit = Duration::from_millis(RELEASE_MS);
     // Without an answer from the store the lease expires by itself.
     let _released = tokio::time::timeout(limit, release_lease(gateway)).await;
-    let cut = gateway.with(|view| view.in_progress);
+    let cut = log_cut(gateway);
     log::info!(event = "gateway_stopped", cut; "gateway stopped");
     // Gives the log writer time to write the last lines.
     tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
 }
 
+/// Returns whether a request is in progress, or bytes of an answer have not left the process.
+fn has_unfinished(gateway: &Gateway) -> bool {
+    let unfinished = gateway.caller_connections.unfinished();
+    !unfinished.is_empty() || gateway.with(|view| view.in_progress) > 0
+}
+
+/// Logs the requests whose connections end with the process; returns their number.
+fn log_cut(gateway: &Gateway) -> usize {
+    let unfinished = gateway.caller_connections.unfinished();
+    for request in &unfinished {
+        log::warn!(
+            event = "request_cut", request = request.as_ref(), reason = "time limit of the stop";
+            "connection ends before its answer has been sent whole"
+        );
+    }
+    unfinished.len()
+}
+
 /// Releases the lease on orders, if this gateway holds it.
 ///
 /// Retries until written, because a renewal still in flight makes the first try conflict.
