Keep a silent endpoint until another one can go on with its stream

What callers saw: the only endpoint with a model was slow and sent its first event 3.6 s after its head.

Cause: the silent answer was dropped, which cancels the request, before the retry budget was asked and another endpoint was looked for.

Ruled out: a limit that is too short; any limit is for some endpoint.

Answers that broke off are given up at once as before.

--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -4,7 +4,8 @@
 //! events are relayed, and one that ends within an event has broken off, however its end looks.
 //! On routes whose streams may be repeated, the request is then sent to another endpoint with the
 //! id of the last complete event, and the caller sees one uninterrupted stream. Resumes are limited
-//! by the route's number of runs, the remaining time and the shared retry budget. Any other broken
+//! by the route's number of runs, the remaining time and the shared retry budget. An endpoint that is
+//! only silent is given up once these are granted and another endpoint is reserved. Any other broken
 //! answer ends the caller's connection without the end of the body.
 
 pub mod event_timing;
@@ -13,6 +14,7 @@
 mod resume_failure;
 mod resumption;
 pub mod stream_origin;
+mod takeover;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,6 +37,7 @@
 use crate::gateway::relay::event_timing::EventTiming;
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::stream_origin::StreamOrigin;
+use crate::gateway::relay::takeover::Takeover;
 use crate::gateway::shared::Gateway;
 use crate::gateway::{stream_origins, stream_rows};
 
@@ -44,6 +47,8 @@
 const SILENCE_MIN_MS: u64 = 1_000;
 /// Number of events of an endpoint after which its answer is past its beginning.
 const BEGINNING_EVENTS: u32 = 4;
+/// Interval at which a silent stream that is kept is examined again, in milliseconds.
+const KEPT_CHECK_MS: u64 = 250;
 
 /// State of an answer that is being relayed.
 struct StreamRelay {
@@ -68,6 +73,10 @@
     framing: BodyFraming,
     /// Number of bytes of all endpoints' answers so far.
     received_bytes: usize,
+    /// What goes on with the stream once its silent endpoint is given up.
+    takeover: Option<Takeover>,
+    /// Whether the endpoint is silent and waited for, since nothing else could go on.
+    is_kept: bool,
     /// Whether the end of the answer has been logged.
     is_logged: bool,
     /// Counts the request as in progress until this value is dropped.
@@ -110,6 +119,8 @@
         origin,
         framing,
         received_bytes: 0,
+        takeover: None,
+        is_kept: false,
         is_logged: false,
         in_progress,
     };
@@ -136,6 +147,9 @@
             if end.may_be_crash() {
                 self.check_for_crash();
             }
+            if end == RelayEnd::Silent && !self.prepare_takeover() {
+                continue;
+            }
             if !self.resume(end).await {
                 self.log_end(end);
                 return Some((Err(AnswerBroken), None));
@@ -224,6 +238,9 @@
         if !self.may_resume() {
             return left_ms;
         }
+        if self.is_kept {
+            return left_ms.min(KEPT_CHECK_MS);
+        }
         let silence_ms =
             (PAUSES_TOLERATED * self.work.route.pause_objective_ms).max(SILENCE_MIN_MS);
         let first_ms = silence_ms.max(self.work.route.objective_ms);
@@ -273,6 +290,7 @@
     /// Records the time of an event, and the first one in the metrics.
     fn record_event(&mut self) {
         let now_ms = self.gateway.now_ms();
+        self.is_kept = false;
         if let Some(answered) = &self.answered {
             let software = answered.reservation.software.as_ref();
             self.origin.record_event(software);
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -12,6 +12,7 @@
 use crate::gateway::relay::relay_end::RelayEnd;
 use crate::gateway::relay::resume_failure::ResumeFailure;
 use crate::gateway::relay::stream_origin::StreamOrigin;
+use crate::gateway::reservation::Reservation;
 
 /// Longest wait for another endpoint to resume a stream, in milliseconds.
 const RESUME_WAIT_MS: u64 = 1_500;
@@ -52,7 +53,13 @@
             self.may_resume() && self.work.left_ms(now_ms) > 0 && self.has_endpoint_to_resume();
         let service = &self.requirements.service;
         // The permit counts the resumed request as in flight until its answer begins or it fails.
-        let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
+        let (fields, permit, reservation) = if let Some(takeover) = self.takeover.take() {
+            let (permit, reservation) = (takeover.permit, takeover.reservation);
+            (takeover.fields, Some(permit), Some(reservation))
+        } else {
+            let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
+            (fields, permit, None)
+        };
         let has_budget = permit.is_some();
         log::warn!(
             event = "answer_broken", request = self.work.head.attempt_id.as_str(), reason:%,
@@ -68,7 +75,7 @@
             return false;
         }
         self.requirements.avoid.push(endpoint);
-        if let Err(failure) = self.send_rest().await {
+        if let Err(failure) = self.send_rest(reservation).await {
             log::warn!(
                 event = "resume_failed", request = self.work.head.attempt_id.as_str(),
                 reason:% = failure, service = self.requirements.service.as_str();
@@ -80,7 +87,9 @@
     }
 
     /// Sends the request for the events after the last complete one and takes over its answer.
-    async fn send_rest(&mut self) -> Result<(), ResumeFailure> {
+    ///
+    /// Waits for an endpoint where none is reserved.
+    async fn send_rest(&mut self, reserved: Option<Reservation>) -> Result<(), ResumeFailure> {
         let Some(events) = &mut self.events else {
             return Err(ResumeFailure::NoStream);
         };
@@ -92,9 +101,15 @@
         let rank = self.work.route.priority;
         let now_ms = self.gateway.now_ms();
         let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
-        let granted = self
-            .gateway
-            .reserve_or_wait(&self.requirements, rank, until_ms);
+        let granted = async {
+            if reserved.is_some() {
+                return reserved;
+            }
+            let requirements = &self.requirements;
+            self.gateway
+                .reserve_or_wait(requirements, rank, until_ms)
+                .await
+        };
         let service = &self.requirements.service;
         let reservation = tokio::select! {
             biased;
