Bound the memory that the bodies of all requests take together

Cause: a body had a limit and all together had none, and one took up to three times its length while it was collected and copied.

Change: bodies draw on one budget (setting body_memory_mb, 64 by default). One that finds no room is refused before it is read, with Retry-After; the rest is read and dropped, so that the refusal arrives. Chunks count as they grow, bodies up to 64 KiB not at all. A body is copied into its own buffer part by part.

--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -58,6 +58,7 @@
             store_timeout_ms: 700,
             heartbeat_ms: 1_200,
             stop_max_ms: 8_000,
+            body_memory_bytes: 64 << 20,
             lease_ms: 3_000,
             endpoints_check_epoch: true,
             ceiling_window_ms: 5_000,
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -211,6 +211,7 @@
         uri: Uri::from_static("/pay/x"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
+        body_share: None,
         head: CallerRequest::default(),
         route: Arc::clone(route),
         arrived_ms: now_ms,
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
+use crate::gateway::body_budget::BodyShare;
 use crate::gateway::connection::Connection;
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::reservation::Reservation;
@@ -53,6 +54,8 @@
     pub headers: HeaderMap,
     /// Whole request body, kept so that the request can be sent again.
     pub body: Bytes,
+    /// Memory that the body takes; `None` if it is not counted.
+    pub body_share: Option<BodyShare>,
     /// Decoded request headers.
     pub head: CallerRequest,
     /// Route that matched host and path.
--- a/crates/chicorystaged/src/gateway/granting.rs
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -35,5 +35,7 @@
         gateway.pool.sweep(now_ms);
         let (waiting, in_progress) = gateway.with(|view| (view.waiters.len(), view.in_progress));
         gateway.metrics.set_gauges(waiting, in_progress);
+        let body_bytes = gateway.body_budget.used_bytes();
+        gateway.metrics.set_body_bytes(body_bytes);
     }
 }
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -28,6 +28,8 @@
 
 pub mod answer_body;
 pub mod attempt;
+pub mod body_budget;
+pub mod body_reading;
 pub mod caller_connections;
 pub mod callers;
 pub mod connection;
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -6,15 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use chicorystage_platform::caller_request::CallerRequest;
 use http::header::HOST;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::attempt::CallerWork;
+use crate::gateway::body_reading::{self, ReadBody, UnreadBody, read_body};
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::own_responses::{refuse_at_gateway, text_response};
 use crate::gateway::serving::Serving;
@@ -51,10 +50,23 @@
     let ends_ms = arrived_ms + allowed_ms.min(route.timeout_ms);
     let (parts, body) = request.into_parts();
     let limit = Duration::from_millis(ends_ms - arrived_ms);
-    let body = read_body(body, configuration.limits.body_bytes_max);
-    let body = match tokio::time::timeout(limit, body).await {
+    let reading = read_body(
+        body,
+        configuration.limits.body_bytes_max,
+        &gateway.body_budget,
+    );
+    let ReadBody { bytes: body, share } = match tokio::time::timeout(limit, reading).await {
         Ok(Ok(body)) => body,
-        Ok(Err(refused)) => return *refused,
+        Ok(Err(UnreadBody::NoMemory(body))) => {
+            body_reading::discard(body, ends_ms - arrived_ms);
+            return refuse_at_gateway(&head, "memory for bodies");
+        }
+        Ok(Err(UnreadBody::TooLarge)) => {
+            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+        }
+        Ok(Err(UnreadBody::BrokenOff)) => {
+            return text_response(StatusCode::BAD_REQUEST, "body broke off");
+        }
         Err(_elapsed) => {
             return text_response(StatusCode::REQUEST_TIMEOUT, "body not received in time");
         }
@@ -68,6 +80,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        body_share: Some(share),
         head,
         route,
         arrived_ms,
@@ -81,25 +94,3 @@
         .run(&configuration, in_progress)
         .await
 }
-
-/// Reads the whole body.
-///
-/// # Errors
-///
-/// Returns the refusal of a body that is longer than `bytes_max` or breaks off.
-async fn read_body(body: Incoming, bytes_max: usize) -> Result<Bytes, Box<Response<AnswerBody>>> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Box::new(text_response(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body too large",
-        ))),
-        Err(_broken) => Err(Box::new(text_response(
-            StatusCode::BAD_REQUEST,
-            "body broke off",
-        ))),
-    }
-}
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -18,6 +18,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
+use crate::gateway::body_budget::BodyBudget;
 use crate::gateway::caller_connections::CallerConnections;
 use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::pool::Pool;
@@ -56,6 +57,8 @@
     pub is_stopping: Cell<bool>,
     /// Time at which the process ends at the latest, in milliseconds; `None` before the stop begins.
     pub stop_end_ms: Cell<Option<u64>>,
+    /// Memory for the bodies of requests.
+    pub body_budget: Rc<BodyBudget>,
     /// Open connections of callers.
     pub caller_connections: Rc<CallerConnections>,
     /// Whether this gateway has released the lease on orders for good.
@@ -151,6 +154,7 @@
             demand_changed: Notify::new(),
             is_stopping: Cell::new(false),
             stop_end_ms: Cell::new(None),
+            body_budget: Rc::new(BodyBudget::new(settings.body_memory_bytes)),
             caller_connections: Rc::default(),
             clock,
             view: RefCell::new(View::new(retries, settings.heartbeat_ms)),
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -46,6 +46,7 @@
     store_restores: Counter,
     waiting: Gauge,
     in_progress: Gauge,
+    body_bytes: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -78,6 +79,7 @@
             store_restores: Counter::default(),
             waiting: Gauge::default(),
             in_progress: Gauge::default(),
+            body_bytes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -187,6 +189,12 @@
         self.store_restores.inc();
     }
 
+    /// Sets the gauge of the memory that counted bodies of requests take.
+    pub fn set_body_bytes(&self, bytes: usize) {
+        self.body_bytes
+            .set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges of waiting requests and requests in progress.
     pub fn set_gauges(&self, waiting: usize, in_progress: u32) {
         self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
@@ -224,6 +232,11 @@
             "Requests in progress",
             self.in_progress.clone(),
         );
+        registry.register(
+            "body_bytes",
+            "Memory that long bodies of requests take",
+            self.body_bytes.clone(),
+        );
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
         registry.register(
             "first_attempts",
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -40,6 +40,8 @@
     pub heartbeat_ms: u64,
     /// Longest duration of a graceful stop, in milliseconds.
     pub stop_max_ms: u64,
+    /// Memory that the bodies of all requests may take together, in bytes; short ones are not counted.
+    pub body_memory_bytes: usize,
     /// Duration of the lease whose holder alone sends orders to engines, in milliseconds.
     pub lease_ms: u64,
     /// Whether endpoints refuse orders whose lease epoch is out of date.
@@ -88,6 +90,7 @@
     let store_timeout_ms = reader.number("gateway", "store_timeout_ms", 1_500, 10, 60_000);
     let heartbeat_ms = reader.number("gateway", "heartbeat_ms", 1_200, 10, 600_000);
     let stop_max_ms = read_seconds(reader, "gateway", "stop_max_s", 8.0);
+    let body_memory_mb = reader.number("gateway", "body_memory_mb", 64, 1, 65_536);
     let lease_ms = reader.number("orders", "lease_ms", 3_000, 300, 600_000);
     let endpoints_check_epoch = read_flag(reader, "orders", "endpoints_check_epoch");
     let ceiling_window_ms = read_seconds(reader, "orders", "ceiling_window_s", 5.0);
@@ -107,6 +110,7 @@
         store_timeout_ms,
         heartbeat_ms,
         stop_max_ms,
+        body_memory_bytes: usize::try_from(body_memory_mb << 20).unwrap_or(usize::MAX),
         lease_ms,
         endpoints_check_epoch,
         ceiling_window_ms,
