--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -13,7 +13,7 @@
 /// All endpoints and the load on them, as known to this process.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
-    endpoints: BTreeMap<EndpointId, Endpoint>,
+    pub(super) endpoints: BTreeMap<EndpointId, Endpoint>,
     peers: HashMap<VmId, PeerLoad>,
     /// Requests in progress of the other routers, by endpoint.
     totals: HashMap<EndpointId, u32>,
@@ -24,7 +24,7 @@
     /// Time from which `uncached` no longer counts, in milliseconds.
     uncached_until_ms: u64,
     /// Recorded software versions of the services whose endpoints are used only at these.
-    recorded_software: HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
+    pub(super) recorded_software: HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
 }
 
 impl FleetView {
@@ -92,43 +92,6 @@
         self.endpoints.iter()
     }
 
-    /// Returns whether a ready endpoint of a service runs this software version.
-    #[must_use]
-    pub fn has_software(&self, service: &ServiceName, software: &SoftwareVersion) -> bool {
-        self.endpoints.values().any(|endpoint| {
-            endpoint.accepts_requests()
-                && endpoint.entry.service == *service
-                && endpoint.entry.software.as_ref() == Some(software)
-        })
-    }
-
-    /// Returns the software versions that registered endpoints of a service state.
-    #[must_use]
-    pub fn software_versions(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
-        let endpoints = self.endpoints.values();
-        let of_service = endpoints.filter(|endpoint| endpoint.entry.service == *service);
-        of_service
-            .filter_map(|endpoint| endpoint.entry.software.clone())
-            .collect()
-    }
-
-    /// Uses only the endpoints of a service that state one of these software versions, or none.
-    pub fn record_software(&mut self, service: ServiceName, versions: BTreeSet<SoftwareVersion>) {
-        if self.recorded_software.get(&service) == Some(&versions) {
-            return;
-        }
-        self.recorded_software.insert(service, versions);
-        let recorded = &self.recorded_software;
-        for endpoint in self.endpoints.values_mut() {
-            let is_recorded = is_software_recorded(recorded, &endpoint.entry);
-            endpoint.set_software_recorded(is_recorded);
-        }
-    }
-
-    fn is_software_recorded(&self, entry: &EndpointEntry) -> bool {
-        is_software_recorded(&self.recorded_software, entry)
-    }
-
     /// Replaces the requests in progress of another router.
     pub fn peer_load(&mut self, peer: VmId, load: PeerLoad) {
         self.forget_peer(&peer);
@@ -373,18 +336,6 @@
     }
 }
 
-/// Returns whether the software version of an entry is among those recorded for its service; a service
-/// without a record needs none.
-fn is_software_recorded(
-    recorded: &HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
-    entry: &EndpointEntry,
-) -> bool {
-    let (Some(versions), Some(software)) = (recorded.get(&entry.service), &entry.software) else {
-        return true;
-    };
-    versions.contains(software)
-}
-
 /// Subtracts from a count and removes the entry when it reaches 0.
 fn subtract<K: Eq + Hash>(table: &mut HashMap<K, u32>, key: &K, count: u32) {
     let Some(total) = table.get_mut(key) else {
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod prompt;
 mod prompt_pace;
 mod requirements;
+mod software;
 mod stale_load;
 mod standing;
 mod uncached_model;
