Hold up only resumable streams until a software version is recorded

A service that gets its first resumable route by a change of the configuration would have refused its other requests until a gateway had written the row: up to 0.3 s at gateways that leave this to the lease holder.

Change: the requirement is the request's: resumable streams only, which wait for the row instead of being refused. A gateway writes at once where a service has no recorded version at all.

--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -169,11 +169,16 @@
         self.is_software_recorded = is_recorded;
     }
 
+    /// Returns whether streams that may be resumed may begin at the endpoint.
+    #[must_use]
+    pub fn is_software_recorded(&self) -> bool {
+        self.is_software_recorded
+    }
+
     /// Returns whether new requests may go to the endpoint.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.accepts_requests()
-            && self.is_software_recorded
             && self.is_reachable(now_ms)
             && !self.misdirection.is_identity_refused(now_ms)
     }
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -23,7 +23,7 @@
     uncached: HashMap<ModelName, u64>,
     /// Time from which `uncached` no longer counts, in milliseconds.
     uncached_until_ms: u64,
-    /// Recorded software versions of the services whose endpoints are used only at these.
+    /// Recorded software versions of the services at which streams may be resumed.
     pub(super) recorded_software: HashMap<ServiceName, BTreeSet<SoftwareVersion>>,
 }
 
@@ -287,6 +287,11 @@
                 reason = better_reason(reason, missing);
                 continue;
             }
+            if requirements.is_resumable && !endpoint.is_software_recorded() {
+                // Another process or this one records the version within a moment.
+                reason = better_reason(reason, Choice::Full);
+                continue;
+            }
             let is_sound = !endpoint.breaks_connections(now_ms);
             has_sound |= is_sound;
             let occupancy = self.occupancy(id);
--- a/crates/chicorystage-core/src/fleet/limited.rs
+++ b/crates/chicorystage-core/src/fleet/limited.rs
@@ -84,6 +84,7 @@
     endpoint.entry.service == requirements.service
         && endpoint.is_usable(now_ms)
         && requirements.accepts_software(endpoint.entry.software.as_ref())
+        && (!requirements.is_resumable || endpoint.is_software_recorded())
         && missing_requirement(now_ms, endpoint, requirements).is_none()
 }
 
--- a/crates/chicorystage-core/src/fleet/requirements.rs
+++ b/crates/chicorystage-core/src/fleet/requirements.rs
@@ -14,6 +14,9 @@
     /// Software version that the endpoint must run, since it goes on with a stream that this
     /// version began; `None` accepts any.
     pub software: Option<SoftwareVersion>,
+    /// Whether the answer is a stream that may be resumed, which begins only at a recorded software
+    /// version.
+    pub is_resumable: bool,
     /// Prompt that the endpoint will process, which is subject to pacing.
     pub prompt: Prompt,
     /// Endpoints on which earlier attempts of this request failed; they are chosen only as a
@@ -35,6 +38,7 @@
             && self.model == other.model
             && self.adapter == other.adapter
             && self.software == other.software
+            && self.is_resumable == other.is_resumable
             && self.avoid == other.avoid
     }
 }
--- a/crates/chicorystage-core/src/fleet/software.rs
+++ b/crates/chicorystage-core/src/fleet/software.rs
@@ -1,7 +1,7 @@
 //! Software versions of endpoints: which ones serve, and which ones may be used.
 //!
-//! Where streams may be taken up again, an endpoint is used only once its version is recorded, so that
-//! the record names each version that can have begun a stream.
+//! A stream that may be taken up again begins only at an endpoint whose version is recorded, so that the
+//! record names each version that can have begun a stream.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -30,7 +30,8 @@
             .collect()
     }
 
-    /// Uses only the endpoints of a service that state one of these software versions, or none.
+    /// Lets streams that may be resumed begin only at the endpoints of a service that state one of these
+    /// software versions, or none.
     pub fn record_software(&mut self, service: ServiceName, versions: BTreeSet<SoftwareVersion>) {
         if self.recorded_software.get(&service) == Some(&versions) {
             return;
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -29,6 +29,7 @@
 
 fn requirements(model: &str) -> Requirements {
     Requirements {
+        is_resumable: false,
         service: ServiceName::from("llm"),
         software: None,
         model: Some(ModelName::from(model)),
--- a/crates/chicorystage-core/tests/order_schedules/uncached.rs
+++ b/crates/chicorystage-core/tests/order_schedules/uncached.rs
@@ -30,6 +30,7 @@
         model: Some(model.clone()),
         adapter: None,
         software: None,
+        is_resumable: false,
         prompt: Prompt::default(),
         avoid: Vec::new(),
     }
--- a/crates/chicorystage-core/tests/prompt_spacing.rs
+++ b/crates/chicorystage-core/tests/prompt_spacing.rs
@@ -67,6 +67,7 @@
 
 fn requirements(prompt: Prompt) -> Requirements {
     Requirements {
+        is_resumable: false,
         service: ServiceName::from("llm"),
         software: None,
         model: Some(ModelName::from("m")),
--- a/crates/chicorystage-core/tests/stale_choice.rs
+++ b/crates/chicorystage-core/tests/stale_choice.rs
@@ -82,6 +82,7 @@
         model: Some(model()),
         adapter: None,
         software: None,
+        is_resumable: false,
         prompt: Prompt::default(),
         avoid: Vec::new(),
     }
--- a/crates/chicorystaged/src/gateway/serving/demand.rs
+++ b/crates/chicorystaged/src/gateway/serving/demand.rs
@@ -34,6 +34,7 @@
             model,
             adapter,
             software: None,
+            is_resumable: self.work.route.kind.is_resumable(),
             prompt: Prompt {
                 tokens: head.prompt_tokens,
                 defer_until_ms: self.work.arrived_ms
--- a/crates/chicorystaged/src/gateway/software_rows.rs
+++ b/crates/chicorystaged/src/gateway/software_rows.rs
@@ -1,19 +1,20 @@
 //! Rows of the system's own table that keep which software versions of a service served lately.
 //!
 //! A gateway that takes up a stream which nobody knows must know which versions can have begun it. So
-//! no gateway uses an endpoint of a service with resumable streams before its version is in the row of
-//! the service, and a gateway that draws a conclusion from a row reads it anew first ([`read`]): its
+//! no gateway begins a resumable stream at an endpoint before its version is in the row of its service,
+//! and a gateway that draws a conclusion from a row reads it anew first ([`read`]): its
 //! view of the store may be old without its knowledge.
 //!
 //! The lease holder writes a row when the versions of its service change. Another gateway adds a
-//! version that is still missing after a moment, as the holder may be out of touch with the store.
+//! version that is still missing after a moment, as the holder may be out of touch with the store, and
+//! at once if no stream could begin until then.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_api::name::ServiceName;
+use chicorystage_api::name::{ServiceName, SoftwareVersion};
 use chicorystage_borders::BorderError;
 use chicorystage_borders::http::TransferProgress;
 use chicorystage_core::stream_origins::SoftwareSpan;
@@ -42,6 +43,29 @@
     read_ms: Mutex<Option<u64>>,
 }
 
+/// Which of the registered versions of a service are recorded; the greatest is the worst.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Recorded {
+    /// All of them, as far as is known.
+    All,
+    /// Not all, so that streams begin at some of the endpoints only.
+    SomeMissing,
+    /// None, so that no stream begins at the service.
+    AllMissing,
+}
+
+impl Recorded {
+    fn of(registered: &BTreeSet<SoftwareVersion>, recorded: &BTreeSet<SoftwareVersion>) -> Self {
+        if registered.is_subset(recorded) {
+            return Self::All;
+        }
+        if registered.is_disjoint(recorded) {
+            return Self::AllMissing;
+        }
+        Self::SomeMissing
+    }
+}
+
 /// Starts the task that has new versions recorded.
 pub fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
@@ -135,39 +159,46 @@
     let rows = &gateway.software_rows;
     loop {
         rows.changed.notified().await;
-        let mut waits_for_holder = gateway.order_epoch().is_none() && gateway.has_recent_holder();
-        while apply_recorded(gateway) {
+        let has_holder = gateway.order_epoch().is_none() && gateway.has_recent_holder();
+        let mut may_wait = true;
+        loop {
+            let recorded = apply_recorded(gateway);
+            if recorded == Recorded::All {
+                break;
+            }
+            let waits_for_holder = has_holder && may_wait && recorded == Recorded::SomeMissing;
             if !waits_for_holder {
                 extend(gateway).await;
-                if !apply_recorded(gateway) {
+                if apply_recorded(gateway) == Recorded::All {
                     break;
                 }
             }
-            waits_for_holder = false;
+            may_wait = false;
             tokio::time::sleep(Duration::from_millis(HOLDER_WRITES_MS)).await;
         }
     }
 }
 
-/// Tells the fleet which versions are recorded; returns whether a registered one is not.
-fn apply_recorded(gateway: &Gateway) -> bool {
+/// Tells the fleet which versions are recorded; returns which of the registered ones are.
+fn apply_recorded(gateway: &Gateway) -> Recorded {
     let Some(configuration) = gateway.configuration() else {
-        return false;
+        return Recorded::All;
     };
     let services = configuration.resumable_services();
-    let is_missing = gateway.with(|view| {
-        let mut is_missing = false;
+    let state = gateway.with(|view| {
+        let mut state = Recorded::All;
         for service in &services {
             let recorded = view.software.recorded(service);
             let registered = view.fleet.software_versions(service);
-            is_missing |= !registered.is_subset(&recorded);
+            state = state.max(Recorded::of(&registered, &recorded));
             view.fleet.record_software(service.clone(), recorded);
         }
-        is_missing && view.has_endpoints && view.has_peers
+        let is_read = view.has_endpoints && view.has_peers;
+        if is_read { state } else { Recorded::All }
     });
     gateway.capacity_changed.notify_one();
     stream_rows::versions_changed(gateway, &services);
-    is_missing
+    state
 }
 
 /// Adds registered versions that the rows lack.
