Tell that a part is sound also where another process has told that it was

Found by reading: a gateway that knew a suspected part to be sound did not tell so if another one had just told that it was sound some time ago, which clears nothing. Test: news_that_a_part_was_sound_does_not_hold_back_that_it_is, red with one time for both.

--- a/crates/chicorystage-core/src/suspects/prompt_parts/sound_parts.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/sound_parts.rs
@@ -30,8 +30,10 @@
 struct Soundness {
     /// Time of the last answer that got past its beginning; `None` if it is not known.
     answered_ms: Option<u64>,
-    /// Last time at which a process told all others; `None` if none did.
+    /// Last time at which a process told all others that the part is sound; `None` if none did.
     told_ms: Option<u64>,
+    /// The same, that it was sound some time ago, which says less.
+    told_former_ms: Option<u64>,
     /// Time of the last change of this record.
     changed_ms: u64,
 }
@@ -48,7 +50,7 @@
 
     /// Records that another process has told all others of an answer some time ago.
     pub fn was_answered(&mut self, now_ms: u64, part: ServicePart) {
-        self.soundness(now_ms, part).told_ms = Some(now_ms);
+        self.soundness(now_ms, part).told_former_ms = Some(now_ms);
     }
 
     /// Returns whether a part is known to be sound.
@@ -74,12 +76,20 @@
     ) -> Vec<PromptPartId> {
         let untold = parts.into_iter().filter(|part| {
             let key = ServicePart::new(service, part);
+            let is_sound = self.is_sound(now_ms, &key);
             let Some(soundness) = self.parts.get_mut(&key) else {
                 return false;
             };
-            let is_untold = soundness.told_ms.is_none_or(|told_ms| told_ms < since_ms);
-            if is_untold {
+            let told_ms = if is_sound {
+                soundness.told_ms
+            } else {
+                soundness.told_ms.max(soundness.told_former_ms)
+            };
+            let is_untold = told_ms.is_none_or(|told_ms| told_ms < since_ms);
+            if is_untold && is_sound {
                 soundness.told_ms = Some(now_ms);
+            } else if is_untold {
+                soundness.told_former_ms = Some(now_ms);
             }
             is_untold
         });
@@ -97,6 +107,7 @@
         let soundness = self.parts.entry(part).or_insert(Soundness {
             answered_ms: None,
             told_ms: None,
+            told_former_ms: None,
             changed_ms: now_ms,
         });
         soundness.changed_ms = now_ms;
--- a/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
@@ -2,7 +2,8 @@
 
 mod fleet_world;
 
-use chicorystage_core::suspects::prompt_parts::ServicePart;
+use chicorystage_api::name::{PromptPartId, ServiceName};
+use chicorystage_core::suspects::prompt_parts::{PartEvidence, ServicePart};
 use fleet_world::{FleetWorld, Poison, SETTLED_MS};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -122,3 +123,15 @@
         prop_assert!(world.quarantined().is_empty(), "{:?}", world.quarantined());
     }
 }
+
+// Another process may remember a part from long ago and tell so first; that it is sound now says more.
+#[test]
+fn news_that_a_part_was_sound_does_not_hold_back_that_it_is() {
+    let (service, part) = (ServiceName::from("llm"), PromptPartId::from("p"));
+    let parts = std::slice::from_ref(&part);
+    let mut evidence = PartEvidence::default();
+    evidence.record_sound(1_000, &service, parts);
+    evidence.merge_formerly_sound(1_120, &service, parts);
+    let untold = evidence.take_untold(1_180, 1_100, &service, vec![part.clone()]);
+    assert_eq!(untold, [part]);
+}
