Count short bodies in the memory for bodies too

Found by reading: bodies up to 64 KiB were counted nowhere, so that the connections of one process could hold more in them than it has. Long ones now leave a quarter of the memory to them instead. Test: gateway_bodies::short_bodies_together_are_bounded_too; with short ones uncounted none of five is refused.

--- a/crates/chicorystage-testbed/tests/gateway_bodies.rs
+++ b/crates/chicorystage-testbed/tests/gateway_bodies.rs
@@ -16,6 +16,10 @@
 const BODY_MEMORY_BYTES: usize = 150_000;
 /// Length of a long body, within the limit of the configuration, in bytes.
 const LONG_BYTES: usize = 90_000;
+/// Length of a short body, in bytes.
+const SHORT_BYTES: usize = 50_000;
+/// Number of callers that send short bodies at once.
+const SHORT_CALLERS: usize = 5;
 /// Time for which the first caller holds its body back, in milliseconds.
 const HELD_BACK_MS: u64 = 800;
 
@@ -53,7 +57,7 @@
     Ok(answer)
 }
 
-// Review/4: many callers with the longest bodies took a gateway over its memory.
+// Each body is within its limit; together they would exceed the memory of the process.
 #[gtest]
 fn body_without_memory_is_refused_and_a_short_one_beside_it_is_served() -> Result<()> {
     run_local(async {
@@ -130,3 +134,34 @@
         verify_that!(endpoint.received_requests().len(), eq(8))
     })
 }
+
+// A limit for each body alone would let many short ones take more than the process has.
+#[gtest]
+fn short_bodies_together_are_bounded_too() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        let (gateway, _endpoint) = start(&world).await?;
+        let address = gateway.settings.callers;
+        let callers = (0..SHORT_CALLERS).map(|_number| {
+            tokio::task::spawn_blocking(move || {
+                let mut stream = TcpStream::connect(address)?;
+                let head = format!(
+                    "POST /pay/x HTTP/1.1\r\nhost: h.example\r\nattempt-id: a\r\n\
+                     connection: close\r\ncontent-length: {SHORT_BYTES}\r\n\r\n"
+                );
+                stream.write_all(head.as_bytes())?;
+                std::thread::sleep(Duration::from_millis(HELD_BACK_MS));
+                stream.write_all(&vec![b'x'; SHORT_BYTES])?;
+                let mut answer = String::new();
+                stream.read_to_string(&mut answer)?;
+                Ok::<_, std::io::Error>(answer)
+            })
+        });
+        let mut refused = 0;
+        for caller in callers.collect::<Vec<_>>() {
+            let answer = caller.await.or_fail()?.or_fail()?;
+            refused += usize::from(answer.starts_with("HTTP/1.1 503"));
+        }
+        verify_that!(refused, eq(SHORT_CALLERS - BODY_MEMORY_BYTES / SHORT_BYTES))
+    })
+}
--- a/crates/chicorystaged/src/gateway/body_budget.rs
+++ b/crates/chicorystaged/src/gateway/body_budget.rs
@@ -2,13 +2,15 @@
 //!
 //! The configuration limits a single body. Many callers may send the longest ones at once, and a body
 //! stays until its request ends, as it may be sent again. A body that does not fit is refused before it
-//! is read; short ones always fit, so that they do not starve behind long ones.
+//! is read. Long ones leave a part of the memory to short ones, so that these do not starve behind them.
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Length up to which a body is not counted, in bytes.
+/// Length up to which a body is short, in bytes.
 const SHORT_BYTES: usize = 64 << 10;
+/// Divisor of the memory; the quotient is left to short bodies.
+const SHORT_DIVISOR: usize = 4;
 
 /// Memory for the bodies of requests in progress.
 #[derive(Debug)]
@@ -56,9 +58,12 @@
     /// The share stays as it is if there is not.
     #[must_use]
     pub fn resize(&mut self, bytes: usize) -> bool {
-        let bytes = if bytes <= SHORT_BYTES { 0 } else { bytes };
+        let mut limit_bytes = self.budget.limit_bytes;
+        if bytes > SHORT_BYTES {
+            limit_bytes -= limit_bytes / SHORT_DIVISOR;
+        }
         let others_bytes = self.budget.used_bytes.get() - self.bytes;
-        let is_left = others_bytes.saturating_add(bytes) <= self.budget.limit_bytes;
+        let is_left = others_bytes.saturating_add(bytes) <= limit_bytes;
         let may_resize = bytes <= self.bytes || is_left;
         if may_resize {
             self.budget.used_bytes.set(others_bytes + bytes);
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -189,7 +189,7 @@
         self.store_restores.inc();
     }
 
-    /// Sets the gauge of the memory that counted bodies of requests take.
+    /// Sets the gauge of the memory that the bodies of requests take.
     pub fn set_body_bytes(&self, bytes: usize) {
         self.body_bytes
             .set(i64::try_from(bytes).unwrap_or(i64::MAX));
@@ -234,7 +234,7 @@
         );
         registry.register(
             "body_bytes",
-            "Memory that long bodies of requests take",
+            "Memory that the bodies of requests take",
             self.body_bytes.clone(),
         );
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -40,7 +40,7 @@
     pub heartbeat_ms: u64,
     /// Longest duration of a graceful stop, in milliseconds.
     pub stop_max_ms: u64,
-    /// Memory that the bodies of all requests may take together, in bytes; short ones are not counted.
+    /// Memory that the bodies of all requests may take together, in bytes; a quarter is left to short ones.
     pub body_memory_bytes: usize,
     /// Duration of the lease whose holder alone sends orders to engines, in milliseconds.
     pub lease_ms: u64,
