Ask the retry budget before another endpoint is reserved for a silent stream

Found by reading: a stream that was kept reserved another endpoint four times a second and dropped it where the budget had nothing left; each reservation takes a token of a limited endpoint and counts in the pace of prompts.

--- a/crates/chicorystaged/src/gateway/relay/takeover.rs
+++ b/crates/chicorystaged/src/gateway/relay/takeover.rs
@@ -23,12 +23,16 @@
         let mut requirements = self.requirements.clone();
         requirements.software = self.origin.software().cloned();
         requirements.avoid.push(self.endpoint.clone());
+        let now_ms = self.gateway.now_ms();
+        // Asked first, since a reservation takes what other requests wait for.
+        if !self.gateway.has_retry(now_ms, &requirements.service) {
+            return self.keep("retry budget");
+        }
         let reservation = match self.gateway.reserve(&requirements) {
             Ok(reservation) if reservation.endpoint != self.endpoint => reservation,
             Ok(_silent_one) => return self.keep("other endpoint"),
             Err(missing) => return self.keep(&format!("{missing:?}")),
         };
-        let now_ms = self.gateway.now_ms();
         let service = &requirements.service;
         let (fields, permit) = self.gateway.take_retry(true, now_ms, service);
         let Some(permit) = permit else {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -192,21 +192,35 @@
     /// The others count this gateway only once it is registered, and it must know them.
     #[must_use]
     pub(super) fn decide_retry(&self, now_ms: u64, service: &ServiceName) -> RetryDecision {
+        let decision = self.with_retries(|retries, share| RetryDecision {
+            usage: retries.usage(now_ms, service, share),
+            is_granted: retries.try_take(now_ms, service, share),
+            share,
+        });
+        self.metrics.count_retry(service, decision.is_granted);
+        decision
+    }
+
+    /// Returns whether the budget of a service has a retry left now, without taking it.
+    #[must_use]
+    pub(super) fn has_retry(&self, now_ms: u64, service: &ServiceName) -> bool {
+        self.with_retries(|retries, share| retries.usage(now_ms, service, share).allows_retry())
+    }
+
+    /// Calls `decide` with the retry budgets and this gateway's share of them.
+    fn with_retries<T>(
+        &self,
+        decide: impl FnOnce(&mut ServiceRetryBudgets, Option<BudgetShare>) -> T,
+    ) -> T {
         let predecessor = self.predecessor.get();
-        let decision = self.with(|view| {
+        self.with(|view| {
             let predecessor = predecessor.filter(|_| view.has_peers);
             let share = predecessor.map(|predecessor| BudgetShare {
                 routers: view.gateways(),
                 predecessor,
             });
-            RetryDecision {
-                usage: view.retries.usage(now_ms, service, share),
-                is_granted: view.retries.try_take(now_ms, service, share),
-                share,
-            }
-        });
-        self.metrics.count_retry(service, decision.is_granted);
-        decision
+            decide(&mut view.retries, share)
+        })
     }
 
     /// Records an era of the store that was seen in an answer.
