Count a version that has left for as long as its endpoints may serve on

Found by a schedule: a gateway out of touch with the store begins streams at an endpoint that has lost its entry and serves on; their version stopped counting a minute after it had left, while they may be taken up for a minute after they began. It counts for half a minute more now.

Tests: core/software_schedules (2): 1,500 random schedules of late views, late writes and kills of all gateways, red where streams begin at versions that are in no row, or the row is not read anew; and the case above, red before. version_that_left_counts_... has the longer bound.

--- a/crates/chicorystage-core/src/stream_origins/mod.rs
+++ b/crates/chicorystage-core/src/stream_origins/mod.rs
@@ -21,5 +21,9 @@
 pub use software_history::SoftwareHistory;
 pub use software_span::SoftwareSpan;
 
+/// Longest time for which an endpoint serves after its entry is gone, in milliseconds.
+///
+/// A gateway out of touch with the store may begin streams there until then.
+pub const LINGER_MS: u64 = 30_000;
 /// Time after which no caller takes up a stream again, in milliseconds.
 pub const STREAM_LIFE_MS: u64 = 60_000;
--- a/crates/chicorystage-core/src/stream_origins/software_history.rs
+++ b/crates/chicorystage-core/src/stream_origins/software_history.rs
@@ -2,7 +2,7 @@
 
 use chicorystage_api::name::{ServiceName, SoftwareVersion};
 
-use crate::stream_origins::{ResumeTarget, STREAM_LIFE_MS, SoftwareSpan};
+use crate::stream_origins::{LINGER_MS, ResumeTarget, STREAM_LIFE_MS, SoftwareSpan};
 
 /// Time for which a version that is gone stays in the history, in milliseconds; longer than any
 /// stream, as the clocks of VMs differ and jump.
@@ -107,7 +107,7 @@
         let spans = self.services.get(service).into_iter().flatten();
         let recent = spans.filter(|span| {
             span.gone_unix_ms
-                .is_none_or(|gone_unix_ms| now_unix_ms < gone_unix_ms + STREAM_LIFE_MS)
+                .is_none_or(|gone_unix_ms| now_unix_ms < gone_unix_ms + LINGER_MS + STREAM_LIFE_MS)
         });
         versions.extend(recent.map(|span| span.version.clone()));
         let is_single = versions.len() <= 1;
