Test a quarantine that is in doubt by single requests, and end it if they are answered

Change: where other parts are no less likely but for their position, a request that tells them apart is let through, one a second of all gateways on average, to one endpoint. An answer ends the quarantine everywhere and the next likely part is quarantined at once; a crash clears the parts that the request lacks. The newest decision on a quarantine wins, in memory and in its row.

--- a/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
@@ -14,6 +14,11 @@
 //! one in fewest requests. That a part was answered long ago does not prove it sound, but on a route
 //! with few requests there may be nothing else that tells it from the cause.
 //!
+//! Where nothing but its position tells a part from others, the choice may be wrong, and sound requests
+//! would be refused for good. A request that has the part and not all of the others tells: one is let
+//! through at a time ([`PartEvidence::is_telling`]). If it is answered, the part is sound and the next
+//! likely one is the cause; if it crashes its endpoint, the parts that it lacks are not.
+//!
 //! Each process sees only its own requests, so processes tell each other what they see at a crash as a
 //! [`CrashReport`], and which of the reported parts they know to be sound or to have been.
 //!
--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
@@ -192,6 +192,44 @@
         })
     }
 
+    /// Returns whether parts other than this one could as well be the cause of its crashes.
+    #[must_use]
+    pub fn has_rivals(&self, part: &ServicePart) -> bool {
+        !self.rivals(part).is_empty()
+    }
+
+    /// Returns whether the outcome of a request would tell a part from others that could as well be the
+    /// cause of its crashes: the request has the part, and not all of the others.
+    #[must_use]
+    pub fn is_telling(&self, part: &ServicePart, request_parts: &[PromptPartId]) -> bool {
+        let rivals = self.rivals(part);
+        rivals.iter().any(|rival| !request_parts.contains(rival))
+    }
+
+    /// Returns the parts that are in each crash of this one and no less likely the cause but for their
+    /// position.
+    fn rivals(&self, part: &ServicePart) -> Vec<PromptPartId> {
+        let mut crashes = self
+            .crashes
+            .iter()
+            .filter(|crash| crash.service == part.service)
+            .filter(|crash| crash.suspects.contains_key(&part.part));
+        let Some(first) = crashes.next() else {
+            return Vec::new();
+        };
+        let others = first.suspects.keys().filter(|other| **other != part.part);
+        let mut rivals: Vec<PromptPartId> = others.cloned().collect();
+        for crash in crashes {
+            rivals.retain(|rival| crash.suspects.contains_key(rival));
+        }
+        let was_sound = self.sound.was_sound(part);
+        rivals.retain(|rival| {
+            let rival = ServicePart::new(&part.service, rival);
+            was_sound || !self.sound.was_sound(&rival)
+        });
+        rivals
+    }
+
     /// Forgets the crashes of the part with this digest, whose quarantine an operator has lifted.
     pub fn forget(&mut self, digest: &Digest) {
         for crash in &mut self.crashes {
--- a/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world.rs
@@ -32,6 +32,8 @@
 const DATAGRAM_LOSS: f64 = 0.02;
 /// Time in which a row written by one gateway reaches another, in milliseconds.
 const ROW_MS: std::ops::Range<u64> = 20..500;
+/// Average interval between two trials of all gateways, in milliseconds.
+const TRIAL_INTERVAL_MS: u64 = 1_000;
 /// Requests of a fan-out.
 const FAN_OUT: u32 = 40;
 const SERVICE: &str = "llm";
@@ -79,12 +81,24 @@
     },
     FormerlySound(Vec<PromptPartId>),
     Quarantine(ServicePart),
+    Lift(ServicePart),
 }
 
 #[derive(Debug, Default)]
 struct Gateway {
     evidence: PartEvidence,
     quarantined: HashSet<ServicePart>,
+    /// Time from which a request may test a quarantine.
+    trial_ms: u64,
+}
+
+impl Gateway {
+    /// Returns the quarantined parts of a prompt.
+    fn quarantined_parts(&self, parts: &[PromptPartId]) -> Vec<ServicePart> {
+        let quarantined = self.quarantined.iter();
+        let of_prompt = quarantined.filter(|other| parts.contains(&other.part));
+        of_prompt.cloned().collect()
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -109,8 +123,13 @@
     requests: Vec<Request>,
     /// Messages with the time of their arrival and their receiver.
     messages: Vec<(u64, usize, Message)>,
-    /// All parts that were ever quarantined, kept in the store.
+    /// All parts that were ever quarantined.
     rows: Vec<ServicePart>,
+    /// Parts whose quarantine the store keeps.
+    in_force: HashSet<ServicePart>,
+    /// Sound requests that were sent and refused.
+    pub sound_sent: usize,
+    pub sound_refused: usize,
     poison_sent_ms: Vec<u64>,
     poison_crashes_ms: Vec<u64>,
     killed_ms: Option<u64>,
@@ -131,6 +150,9 @@
             requests: Vec::new(),
             messages: Vec::new(),
             rows: Vec::new(),
+            in_force: HashSet::new(),
+            sound_sent: 0,
+            sound_refused: 0,
             poison_sent_ms: Vec::new(),
             poison_crashes_ms: Vec::new(),
             killed_ms: None,
@@ -153,6 +175,11 @@
         &self.rows
     }
 
+    /// Returns the parts whose quarantine has not ended.
+    pub fn quarantined_now(&self) -> Vec<ServicePart> {
+        self.in_force.iter().cloned().collect()
+    }
+
     /// Returns how many requests with the bad part were sent so late that they count.
     pub fn late_poison(&self) -> usize {
         let fifth_ms = self.poison_crashes_ms.get(CRASHES_BEFORE_SETTLING - 1);
@@ -166,7 +193,7 @@
 
     /// Kills all gateways at once; new ones know the rows of the store alone.
     pub fn kill_all_gateways(&mut self) {
-        let rows: HashSet<ServicePart> = self.rows.iter().cloned().collect();
+        let rows = self.in_force.clone();
         for gateway in &mut self.gateways {
             gateway.evidence = PartEvidence::default();
             gateway.quarantined.clone_from(&rows);
@@ -230,11 +257,12 @@
             return;
         }
         let gateway = self.random.random_range(0..self.entry_gateways);
-        let is_refused = |part: &PromptPartId| {
-            let quarantined = &self.gateways[gateway].quarantined;
-            quarantined.iter().any(|other| other.part == *part)
-        };
-        if parts.iter().any(is_refused) {
+        let is_let_through = self.let_through(gateway, &parts);
+        if !is_bad {
+            self.sound_sent += 1;
+            self.sound_refused += usize::from(!is_let_through);
+        }
+        if !is_let_through {
             return;
         }
         if is_bad {
@@ -252,6 +280,30 @@
         });
     }
 
+    /// Returns whether a gateway sends a prompt with these parts, which may test a quarantine.
+    fn let_through(&mut self, gateway: usize, parts: &[PromptPartId]) -> bool {
+        let known = &self.gateways[gateway];
+        let quarantined = known.quarantined_parts(parts);
+        if quarantined.is_empty() {
+            return true;
+        }
+        let mut doubtful = quarantined.iter();
+        let is_telling = doubtful.all(|part| known.evidence.is_telling(part, parts));
+        let is_trial = is_telling && self.now_ms >= known.trial_ms;
+        if is_trial {
+            self.defer_trial(gateway);
+        }
+        is_trial
+    }
+
+    fn defer_trial(&mut self, gateway: usize) {
+        let gateways = u64::try_from(self.gateways.len()).expect("a few");
+        let defer_ms = self
+            .random
+            .random_range(0..2 * TRIAL_INTERVAL_MS * gateways);
+        self.gateways[gateway].trial_ms = self.now_ms + defer_ms;
+    }
+
     /// Returns the shared parts of a random prompt.
     fn prompt(&mut self, is_bad: bool) -> Vec<PromptPartId> {
         let first = PromptPartId::from(format!("f{}", self.skewed(4)));
@@ -290,11 +342,27 @@
         self.requests
             .retain(|request| request.head_ms + EVENTS * EVENT_MS > now_ms);
         for (gateway, parts) in sound {
+            let known = &self.gateways[gateway];
+            let mut wrong = known.quarantined_parts(&parts);
+            wrong.retain(|part| known.evidence.has_rivals(part));
             let evidence = &mut self.gateways[gateway].evidence;
             let cleared = evidence.record_sound(now_ms, &service(), &parts);
             if !cleared.is_empty() {
                 self.broadcast(gateway, &Message::Sound(cleared));
             }
+            for part in wrong {
+                self.lift(gateway, &part);
+            }
+        }
+    }
+
+    /// Ends a quarantine; the row that says so reaches all gateways.
+    fn lift(&mut self, from: usize, part: &ServicePart) {
+        self.in_force.remove(part);
+        self.receive(from, Message::Lift(part.clone()));
+        self.broadcast(from, &Message::Lift(part.clone()));
+        for to in (0..self.gateways.len()).filter(|&to| to != from) {
+            self.deliver_in(ROW_MS, to, Message::Lift(part.clone()));
         }
     }
 
@@ -421,6 +489,13 @@
             Message::Decide => self.decide(gateway),
             Message::Quarantine(part) => {
                 self.gateways[gateway].quarantined.insert(part);
+                self.defer_trial(gateway);
+            }
+            Message::Lift(part) => {
+                let known = &mut self.gateways[gateway];
+                known.quarantined.remove(&part);
+                known.evidence.forget(&part.digest());
+                self.decide(gateway);
             }
         }
     }
@@ -443,6 +518,7 @@
         let Gateway {
             evidence,
             quarantined,
+            ..
         } = &mut self.gateways[gateway];
         let Some(culprit) = evidence.culprit(|part| quarantined.contains(part)) else {
             return;
@@ -450,6 +526,8 @@
         let part = culprit.part;
         quarantined.insert(part.clone());
         self.rows.push(part.clone());
+        self.in_force.insert(part.clone());
+        self.defer_trial(gateway);
         self.broadcast(gateway, &Message::Quarantine(part.clone()));
         for to in (0..self.gateways.len()).filter(|&to| to != gateway) {
             self.deliver_in(ROW_MS, to, Message::Quarantine(part.clone()));
--- a/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
@@ -105,6 +105,31 @@
         prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
     }
 
+    // After a kill of all gateways nothing tells the crashing part from those around it, until a sound request
+    // comes again.
+    #[test]
+    fn sound_part_that_was_taken_for_the_cause_is_served_again(
+        seed in any::<u64>(), gateways in 1_usize..9, share in 0.02_f64..0.1,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.has_tail = true;
+        world.run(4_000);
+        world.kill_all_gateways();
+        world.poison = Some(Poison { share, is_alone: true });
+        world.run(20_000);
+        world.poison = Some(Poison { share, is_alone: false });
+        world.run(30_000);
+        let in_force = world.quarantined_now();
+        prop_assert!(only_the_bad_part(&in_force) && !in_force.is_empty(), "{in_force:?}");
+        world.sound_sent = 0;
+        world.sound_refused = 0;
+        world.run(5_000);
+        prop_assert_eq!(world.sound_refused, 0);
+        prop_assert!(world.sound_sent > 0);
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
     #[test]
     fn engines_that_crash_for_another_reason_quarantine_no_part(
         seed in any::<u64>(), gateways in 1_usize..9,
--- a/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -19,6 +19,10 @@
 const CONTACT_MS: u64 = 3_000;
 /// Requests with the part that may still reach endpoints after that.
 const REACH_MAX: usize = 3;
+/// Pause between two sound requests that wait for a trial, in milliseconds.
+const TRIAL_PAUSE_MS: u64 = 200;
+/// Sound requests after which one must have been let through.
+const TRIAL_CALLS_MAX: usize = 60;
 /// Number of requests with the part, new ones each, that come after that.
 const LATER_REQUESTS: usize = 24;
 /// Requests with the part after which five endpoints must have crashed.
@@ -96,6 +100,35 @@
     })
 }
 
+// Gateways that have just started remember no answer, and take the deepest part for the cause.
+#[gtest]
+fn sound_prompt_part_that_was_quarantined_is_served_again_and_the_crashing_one_is_not() -> Result<()>
+{
+    run_local(async {
+        let mut world = World::start("trial").await?;
+        world.has_tail = true;
+        send_until_five_crashes(&world).await?;
+        tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+        let before = world.received_with_crashing_part();
+        let mut number = 0;
+        while !world.send_sound(number % GATEWAYS, "s1").await? {
+            number += 1;
+            verify_that!(number, lt(TRIAL_CALLS_MAX))?;
+            tokio::time::sleep(Duration::from_millis(TRIAL_PAUSE_MS)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(CONTACT_MS)).await;
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s2").await?, is_true())?;
+        }
+        for number in 0..LATER_REQUESTS {
+            world.send_crashing(number % GATEWAYS).await?;
+        }
+        let reached = world.received_with_crashing_part() - before;
+        verify_that!(reached, le(REACH_MAX))?;
+        world.stop().await
+    })
+}
+
 #[gtest]
 fn prompt_part_that_crashes_endpoints_is_refused_after_all_gateways_were_killed() -> Result<()> {
     run_local(async {
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -212,6 +212,7 @@
         uri: Uri::from_static("/pay/x"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
+        is_trial: Cell::new(false),
         body_share: None,
         head: CallerRequest::default(),
         route: Arc::clone(route),
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -54,6 +54,8 @@
     pub headers: HeaderMap,
     /// Whole request body, kept so that the request can be sent again.
     pub body: Bytes,
+    /// Whether the request is let through to test the quarantine of a part of its prompt.
+    pub is_trial: Cell<bool>,
     /// Memory that the body takes; `None` if it is not counted.
     pub body_share: Option<BodyShare>,
     /// Decoded request headers.
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 pub mod loss_reason;
 pub mod origin_evidence;
 pub mod own_responses;
+pub mod part_trials;
 pub mod peer_message;
 pub mod peers;
 pub mod placement_publisher;
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -63,9 +63,7 @@
         PeerContent::Load(update) => receive_load(gateway, now_ms, message.from, update),
         PeerContent::Placement(update) => receive_placement(gateway, now_ms, update),
         PeerContent::Sum(update) => receive_total_load(gateway, now_ms, message.from, update),
-        PeerContent::Suspect(entry) => {
-            poison::merge(gateway, entry);
-        }
+        PeerContent::Suspect(entry) => prompt_parts::merge_decision(gateway, entry),
         PeerContent::Cleared {
             digest,
             answered_unix_ms,
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -11,7 +11,8 @@
 //! without a body, and endpoints may crash for other reasons while they run it; so a crash counts
 //! only if its attempt began after the crash before.
 //!
-//! A part of prompts can be quarantined as well ([`ServicePart`]), whatever else its requests hold.
+//! A part of prompts can be quarantined as well ([`ServicePart`]), whatever else its requests hold. Where
+//! it may be the wrong one, single requests test it ([`begin_trial`]).
 
 use std::rc::Rc;
 
@@ -27,6 +28,7 @@
 use crate::gateway::peers;
 use crate::gateway::quarantine_rows;
 use crate::gateway::shared::Gateway;
+use crate::gateway::view::View;
 use crate::timer::unix_ms;
 
 /// Number of crashes of a request after which the next one quarantines it.
@@ -63,9 +65,9 @@
     }
 }
 
-/// Puts a quarantine into force here, tells the other gateways and keeps it in the store.
+/// Puts a quarantine, or its end, into force here, tells the other gateways and keeps it in the store.
 pub(super) async fn publish_quarantine(gateway: &Rc<Gateway>, entry: QuarantineEntry) {
-    gateway.quarantined.send_replace(());
+    note_decision(gateway);
     peers::broadcast(gateway, PeerContent::Suspect(entry.clone())).await;
     // The store may be away for long, and further crashes are to be counted meanwhile.
     let gateway = Rc::clone(gateway);
@@ -102,21 +104,64 @@
     });
 }
 
-/// Returns whether a request at a service, or a part of its prompt, is quarantined.
+/// Returns whether a request at a service, or a part of its prompt, is quarantined; a request that
+/// tests the quarantine of a part is let through.
 #[must_use]
 pub fn is_quarantined(gateway: &Gateway, work: &CallerWork, service: &ServiceName) -> bool {
     if gateway.with(|view| view.suspects.is_empty()) {
         return false;
     }
-    let parts = work.head.shared_parts.iter().cloned();
-    let parts = parts.map(|part| ServicePart {
-        service: service.clone(),
-        part,
+    let digest = digest(work);
+    let is_request = |view: &mut View| is_active(view, &digest);
+    gateway.with(is_request)
+        || !work.is_trial.get() && !quarantined_parts(gateway, work, service).is_empty()
+}
+
+/// Lets a quarantined request through if its outcome would tell whether the quarantine of a part of its
+/// prompt is right, and no other one is due before; returns whether it is.
+pub(super) fn begin_trial(gateway: &Gateway, work: &CallerWork, service: &ServiceName) -> bool {
+    let digest = digest(work);
+    let now_ms = gateway.now_ms();
+    if gateway.with(|view| is_active(view, &digest)) || !gateway.part_trials.is_due(now_ms) {
+        return false;
+    }
+    let parts = quarantined_parts(gateway, work, service);
+    let is_telling = gateway.with(|view| {
+        let evidence = &view.part_evidence;
+        let mut parts = parts.iter();
+        parts.all(|part| evidence.is_telling(part, &work.head.shared_parts))
     });
-    let parts = parts.map(|part| part.digest());
-    let mut digests = std::iter::once(digest(work)).chain(parts);
+    if !is_telling {
+        return false;
+    }
+    gateway
+        .part_trials
+        .defer(now_ms, gateway.with(|view| view.gateways()));
+    work.is_trial.set(true);
+    let parts: Vec<&str> = parts.iter().map(|part| part.part.as_str()).collect();
+    log::info!(
+        event = "prompt_part_trial", request = work.head.attempt_id.as_str(),
+        service = service.as_str(), parts = parts.join(",");
+        "request is let through to find out whether a quarantined part crashes endpoints"
+    );
+    true
+}
+
+fn is_active(view: &View, digest: &Digest) -> bool {
+    view.suspects.status(digest) == DigestStatus::Quarantined
+}
+
+/// Returns the quarantined parts of a request's prompt.
+fn quarantined_parts(
+    gateway: &Gateway,
+    work: &CallerWork,
+    service: &ServiceName,
+) -> Vec<ServicePart> {
+    let parts = work.head.shared_parts.iter();
+    let parts = parts.map(|part| ServicePart::new(service, part));
     gateway.with(|view| {
-        digests.any(|digest| view.suspects.status(&digest) == DigestStatus::Quarantined)
+        let quarantined = parts.filter(|part| is_active(view, &part.digest()));
+        quarantined.collect()
     })
 }
 
@@ -132,11 +177,18 @@
     let is_quarantine = entry.active;
     let is_new = gateway.with(|view| view.suspects.merge(entry));
     if is_new && is_quarantine {
-        gateway.quarantined.send_replace(());
+        note_decision(gateway);
     }
     is_new
 }
 
+/// Ends waits of quarantined requests, and puts off the next trial.
+fn note_decision(gateway: &Gateway) {
+    gateway.quarantined.send_replace(());
+    let gateways = gateway.with(|view| view.gateways());
+    gateway.part_trials.defer(gateway.now_ms(), gateways);
+}
+
 /// Clears a suspect that another gateway has seen answered.
 pub fn merge_answer(gateway: &Gateway, answered_unix_ms: u64, digest: &Digest) {
     gateway.with(|view| view.suspects.merge_completion(answered_unix_ms, digest));
--- a/crates/chicorystaged/src/gateway/prompt_parts.rs
+++ b/crates/chicorystaged/src/gateway/prompt_parts.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use chicorystage_api::name::{EndpointId, PromptPartId, ServiceName};
+use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
-use chicorystage_core::suspects::prompt_parts::{BrokenRequest, CrashReport, Culprit};
+use chicorystage_core::suspects::prompt_parts::{BrokenRequest, CrashReport, Culprit, ServicePart};
 use derive_more::Display;
 use rand::RngExt;
 
@@ -102,6 +103,7 @@
         return;
     }
     let now_ms = gateway.now_ms();
+    let wrong = wrongly_quarantined(gateway, service, parts);
     let cleared = gateway.with(|view| view.part_evidence.record_sound(now_ms, service, parts));
     if cleared.is_empty() {
         return;
@@ -109,9 +111,58 @@
     let (gateway, service) = (Rc::clone(gateway), service.clone());
     tokio::task::spawn_local(async move {
         tell(&gateway, service, cleared, PartsKnown::Sound).await;
+        for part in wrong {
+            lift(&gateway, &part).await;
+        }
     });
 }
 
+/// Returns the parts of an answered prompt whose quarantine is in doubt.
+///
+/// Where nothing else could be the cause, an answer does not end a quarantine: endpoints of another
+/// software version may answer what crashes those of one.
+fn wrongly_quarantined(
+    gateway: &Gateway,
+    service: &ServiceName,
+    parts: &[PromptPartId],
+) -> Vec<ServicePart> {
+    let parts = parts.iter().map(|part| ServicePart::new(service, part));
+    gateway.with(|view| {
+        let (suspects, evidence) = (&view.suspects, &view.part_evidence);
+        let quarantined =
+            parts.filter(|part| suspects.status(&part.digest()) == DigestStatus::Quarantined);
+        quarantined
+            .filter(|part| evidence.has_rivals(part))
+            .collect()
+    })
+}
+
+/// Ends the quarantine of a part that is sound, and looks for the cause among the others.
+async fn lift(gateway: &Rc<Gateway>, part: &ServicePart) {
+    let digest = part.digest();
+    let entry = gateway.with(|view| view.suspects.lift(unix_ms(), &digest));
+    gateway.metrics.count_quarantine("lifted_part");
+    log::warn!(
+        event = "prompt_part_sound_after_all", part = part.part.as_str(),
+        service = part.service.as_str(), digest = digest.as_str();
+        "quarantined prompt part has been answered; another one crashes endpoints"
+    );
+    poison::publish_quarantine(gateway, entry).await;
+    // No report is awaited, and requests with the cause get through until it is known.
+    decide(gateway).await;
+}
+
+/// Merges another gateway's decision on a quarantine; after the end of one the cause is looked for anew.
+pub(super) fn merge_decision(gateway: &Rc<Gateway>, entry: QuarantineEntry) {
+    let (digest, is_end) = (entry.digest.clone(), !entry.active && entry.crashes == 0);
+    let is_new = poison::merge(gateway, entry);
+    if is_new && is_end {
+        gateway.with(|view| view.part_evidence.forget(&digest));
+        let gateway = Rc::clone(gateway);
+        tokio::task::spawn_local(async move { decide(&gateway).await });
+    }
+}
+
 /// Tells the other gateways after a random delay which parts of a report were sound.
 fn tell_former_later(gateway: &Rc<Gateway>, report: &CrashReport) {
     let now_ms = gateway.now_ms();
--- a/crates/chicorystaged/src/gateway/quarantine_rows.rs
+++ b/crates/chicorystaged/src/gateway/quarantine_rows.rs
@@ -9,7 +9,8 @@
 
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
-use chicorystage_platform::store::{Row, StorePosition, WriteOutcome};
+use chicorystage_core::suspects::DigestStatus;
+use chicorystage_platform::store::{Row, WriteOutcome};
 
 use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
@@ -24,7 +25,7 @@
 /// Largest number of tries to write a row; together they outlast an outage of a minute.
 const WRITES_MAX: u32 = 120;
 
-/// Writes a quarantine to the store; tries again while the store is away.
+/// Writes a quarantine or its end to the store; tries again while the store is away.
 pub(super) async fn store(gateway: &Rc<Gateway>, entry: &QuarantineEntry) {
     let digest = entry.digest.as_str();
     let known = gateway.with(|view| view.suspects.quarantined().count());
@@ -40,36 +41,46 @@
         }
     };
     let key = format!("{QUARANTINE_KEY}{digest}");
+    let mut version = 0;
     for _ in 0..WRITES_MAX {
-        if write(gateway, &key, &value).await {
-            log::info!(event = "quarantine_stored", digest; "quarantine is in the store");
-            return;
+        match write(gateway, &key, &value, version).await {
+            WriteOutcome::Written(_) => {
+                log::info!(event = "quarantine_stored", digest, active = entry.active; "decision on a quarantine is in the store");
+                return;
+            }
+            WriteOutcome::Conflict(Some(row)) if is_older(&row, entry) => version = row.version,
+            WriteOutcome::Conflict(Some(_newer)) => return,
+            WriteOutcome::Conflict(None) => version = 0,
+            WriteOutcome::OtherEra(_) | WriteOutcome::Refused | WriteOutcome::Unknown => {
+                tokio::time::sleep(Duration::from_millis(WRITE_PAUSE_MS)).await;
+            }
         }
-        tokio::time::sleep(Duration::from_millis(WRITE_PAUSE_MS)).await;
     }
     log::warn!(event = "quarantine_not_stored", digest, tries = WRITES_MAX; "store did not answer");
 }
 
-/// Writes the row if there is none; returns whether there is one now.
-async fn write(gateway: &Gateway, key: &str, value: &[u8]) -> bool {
-    let absent = StorePosition {
-        version: 0,
-        ..gateway.position(0)
-    };
-    match gateway.store.write(key, value, absent).await {
-        WriteOutcome::Written(_) | WriteOutcome::Conflict(_) => {
-            gateway.metrics.count_store_call("quarantine", "ok");
-            true
-        }
+/// Returns whether the decision that a row keeps is older than another one on the same digest.
+fn is_older(row: &Row, entry: &QuarantineEntry) -> bool {
+    let value = row.value.as_deref().unwrap_or_default();
+    // What cannot be read decides nothing.
+    let stored = serde_json::from_slice::<QuarantineEntry>(value).ok();
+    stored.is_none_or(|stored| stored.decided_unix_ms < entry.decided_unix_ms)
+}
+
+/// Writes the row if it has this version; 0 expects none.
+async fn write(gateway: &Gateway, key: &str, value: &[u8], version: u64) -> WriteOutcome {
+    let expected = gateway.position(version);
+    let outcome = gateway.store.write(key, value, expected).await;
+    let name = match &outcome {
+        WriteOutcome::Written(_) | WriteOutcome::Conflict(_) => "ok",
         WriteOutcome::OtherEra(era) => {
-            gateway.observe_era(era);
-            false
-        }
-        WriteOutcome::Refused | WriteOutcome::Unknown => {
-            gateway.metrics.count_store_call("quarantine", "failed");
-            false
+            gateway.observe_era(*era);
+            "other era"
         }
-    }
+        WriteOutcome::Refused | WriteOutcome::Unknown => "failed",
+    };
+    gateway.metrics.count_store_call("quarantine", name);
+    outcome
 }
 
 /// Applies the row of a quarantine, or its removal.
@@ -90,8 +101,17 @@
                 log::info!(event = "quarantine_read", digest = digest.as_str(); "quarantine read from the store");
             }
         }
+        Ok(entry) if entry.digest == digest && entry.crashes == 0 => {
+            // Kept only where there is a quarantine: each kept digest costs requests a look.
+            let is_known =
+                gateway.with(|view| view.suspects.status(&digest) == DigestStatus::Quarantined);
+            if is_known && poison::merge(gateway, entry) {
+                gateway.with(|view| view.part_evidence.forget(&digest));
+                log::info!(event = "quarantine_lifted", digest = digest.as_str(); "store says that the quarantine has ended");
+            }
+        }
         Ok(_other) => {
-            log::warn!(event = "quarantine_unreadable", digest = digest.as_str(); "row is of another digest or of no quarantine; ignored");
+            log::warn!(event = "quarantine_unreadable", digest = digest.as_str(); "row is of another digest or of no decision; ignored");
         }
         Err(error) => {
             log::warn!(event = "quarantine_unreadable", digest = digest.as_str(), error:%; "row cannot be decoded; ignored");
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -24,6 +24,7 @@
         let is_version_known = self.origin != StreamOrigin::Unknown;
         self.events.is_some()
             && self.work.route.kind.is_resumable()
+            && !self.work.is_trial.get()
             && is_version_known
             && self.runs < self.work.route.endpoints_per_attempt_max
     }
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -80,6 +80,7 @@
         uri: parts.uri,
         headers: parts.headers,
         body,
+        is_trial: Cell::new(false),
         body_share: Some(share),
         head,
         route,
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -127,7 +127,9 @@
         }
         self.gateway.metrics.count_attempt("lost");
         requirements.avoid.push(endpoint.clone());
+        // A request that tests a quarantine crashes one endpoint at most.
         let may_run_again = self.work.route.kind.is_repeatable()
+            && !self.work.is_trial.get()
             && self.runs < self.work.route.endpoints_per_attempt_max
             && self.work.left_ms(now_ms) > 0
             && !*self.gateway.aborting.borrow();
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -85,7 +85,10 @@
         let Some(mut requirements) = self.requirements(configuration) else {
             return text_response(StatusCode::NOT_FOUND, "no such model");
         };
-        if poison::is_quarantined(&self.gateway, &self.work, &requirements.service) {
+        let service = &requirements.service;
+        if poison::is_quarantined(&self.gateway, &self.work, service)
+            && !poison::begin_trial(&self.gateway, &self.work, service)
+        {
             return self.quarantine_response();
         }
         if let Err(refused) = self.find_origin(&mut requirements).await {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::gateway::body_budget::BodyBudget;
 use crate::gateway::caller_connections::CallerConnections;
 use crate::gateway::crash_checks::CrashChecks;
+use crate::gateway::part_trials::PartTrials;
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::software_rows::SoftwareRows;
@@ -69,6 +70,8 @@
     pub aborting: watch::Sender<bool>,
     /// Notified when a request or a prompt part has been quarantined.
     pub quarantined: watch::Sender<()>,
+    /// Pace of the requests that test quarantines of prompt parts.
+    pub part_trials: PartTrials,
     /// Notified when requests want limited endpoints or a limit has changed.
     pub limits_changed: Notify,
     /// Divides the limits of endpoints among gateways while this gateway holds the lease.
@@ -137,6 +140,7 @@
             stream_told: Notify::new(),
             software_rows: SoftwareRows::default(),
             stream_rows: StreamRows::default(),
+            part_trials: PartTrials::default(),
             limits_changed: Notify::new(),
             limit_allocator: RefCell::default(),
             crash_checks: CrashChecks::default(),
