--- a/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/endpoint_emulator.rs
@@ -205,6 +205,10 @@
     let reply = scripted.unwrap_or_else(|| state.default_reply.borrow().clone());
     let response = match reply {
         Reply::Complete { status, body } => full_response(status, body),
+        Reply::Late { delay_ms, body } => {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            full_response(200, body)
+        }
         Reply::NotExecuted => {
             let mut response = full_response(503, "");
             response
--- a/crates/chicorystage-testbed/src/users_platform/reply.rs
+++ b/crates/chicorystage-testbed/src/users_platform/reply.rs
@@ -11,6 +11,13 @@
         /// Body of the response.
         body: String,
     },
+    /// Runs the request and sends a complete response with status 200 after a while.
+    Late {
+        /// Time from the request to the response, in milliseconds.
+        delay_ms: u64,
+        /// Body of the response.
+        body: String,
+    },
     /// Answers 503 with the header `not-executed: 1`, which states that the request did not run.
     NotExecuted,
     /// Runs the request and closes the connection without a response.
--- a/crates/chicorystage-testbed/tests/gateway_software_versions.rs
+++ b/crates/chicorystage-testbed/tests/gateway_software_versions.rs
@@ -200,29 +200,32 @@
     })
 }
 
-// No stream begins at it before its version is recorded, and the lease holder is another gateway.
+// Only resumable streams wait until a version is recorded, however long that takes.
 #[gtest]
-fn service_that_gets_its_first_resumable_route_is_served_on() -> Result<()> {
+fn service_that_gets_its_first_resumable_route_serves_other_requests_on() -> Result<()> {
     run_local(async {
         let world = PlatformFixture::start().await.or_fail()?;
         let only = endpoint("e1").await?;
         world.declare(1);
         register(&world, &only, "app", "v1");
-        let _holder = world.start_ready_gateway("g1").await.or_fail()?;
-        let gateway = world.start_ready_gateway("g2").await.or_fail()?;
-        wait_until("the gateways know each other and the holder", || {
-            gateway.has_recent_holder() && gateway.order_epoch().is_none()
-        })
-        .await;
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        world.store.set_mode(StoreMode::ReadOnly);
         world.declare_with(2, &routes_with_plain_stream());
         wait_until("the configuration is in force", || {
             gateway.configuration().is_some_and(|one| one.version == 2)
         })
         .await;
-        for path in ["/app/x", "/pay/x", "/plain/x"] {
-            let reply = send_request(&gateway, Method::POST, path, &[MODEL], "{}");
-            verify_that!(reply.await.or_fail()?.status, eq(StatusCode::OK))?;
+        tokio::time::sleep(Duration::from_millis(AWAY_MS)).await;
+        let headers = [MODEL, ("deadline-ms", "600")];
+        let send = |path| send_request(&gateway, Method::POST, path, &headers, "{}");
+        for path in ["/app/x", "/pay/x"] {
+            let status = send(path).await.or_fail()?.status;
+            verify_that!(status, eq(StatusCode::OK))?;
         }
-        Ok(())
+        let status = send("/plain/x").await.or_fail()?.status;
+        verify_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        world.store.set_mode(StoreMode::Serving);
+        wait_until_recorded(&world, "app", "v1").await;
+        verify_that!(send("/plain/x").await.or_fail()?.status, eq(StatusCode::OK))
     })
 }
--- a/crates/chicorystage-testbed/tests/gateway_streams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_streams.rs
@@ -4,7 +4,6 @@
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, EndpointEngine, PlatformFixture, Reply, run_local, send_request, wait_until,
 };
-use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
 use http::{Method, StatusCode};
 use serde_json::json;
@@ -302,66 +301,3 @@
         verify_that!(reply.status, eq(StatusCode::NOT_FOUND))
     })
 }
-
-/// Sends a stream whose engine brings its first event after 3.5 s, later than it is waited for; returns
-/// the identities of the events that arrive, and how many requests the engine got.
-async fn events_of_a_slow_engine(
-    world: &PlatformFixture,
-    gateway: &Gateway,
-) -> Result<(Vec<u32>, usize)> {
-    let slow = Reply::Events {
-        first: 1,
-        last: 1,
-        pause_ms: 3_500,
-    };
-    let engine = start_endpoint("e1", slow, &["m0"]).await.or_fail()?;
-    world.register(&engine, "llm");
-    wait_until("the engine is known", || {
-        gateway.with(|view| view.fleet.get(&"e1".into()).is_some_and(|e| e.is_usable(0)))
-    })
-    .await;
-    let headers = [MODEL, ("deadline-ms", "12000")];
-    let reply = send_request(gateway, Method::POST, "/long/x", &headers, "{}").await;
-    let events = event_ids(&reply.or_fail()?.text());
-    Ok((events, engine.received_requests().len()))
-}
-
-// Giving a slow answer up helps only if another engine can go on with it.
-#[gtest]
-fn slow_stream_of_the_only_engine_with_its_model_is_not_given_up() -> Result<()> {
-    run_local(async {
-        let world = PlatformFixture::start().await.or_fail()?;
-        let other = start_endpoint("e2", events_reply(1, 1), &["m1"])
-            .await
-            .or_fail()?;
-        world.declare(1);
-        world.register(&other, "llm");
-        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
-        let (events, requests) = events_of_a_slow_engine(&world, &gateway).await?;
-        verify_that!(events, elements_are![eq(&1)])?;
-        verify_that!(requests, eq(1))
-    })
-}
-
-#[gtest]
-fn slow_stream_is_not_given_up_without_a_retry_in_the_budget() -> Result<()> {
-    run_local(async {
-        let world = PlatformFixture::start().await.or_fail()?;
-        // In another availability zone, so that the slow one is chosen first.
-        let other = start_endpoint("e2", events_reply(1, 1), &["m0"])
-            .await
-            .or_fail()?;
-        world.declare(1);
-        let mut entry = other.registry_entry("llm", "ready", 1);
-        entry["zone"] = json!("z2");
-        let entry = entry.to_string();
-        world.store.put("servers", "e2", entry.as_bytes());
-        let mut settings = world.settings("g1");
-        (settings.retry_ratio, settings.retry_allowance) = (0.0, 0.0);
-        let gateway = chicorystaged::gateway::start(settings).await.or_fail()?;
-        wait_until("the gateway is ready", || gateway.is_ready()).await;
-        let (events, _requests) = events_of_a_slow_engine(&world, &gateway).await?;
-        verify_that!(events, elements_are![eq(&1)])?;
-        verify_that!(other.received_requests().len(), eq(0))
-    })
-}
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod callers;
 pub mod connection;
 pub mod crash_checks;
+pub mod elsewhere;
 pub mod engine_orders;
 pub mod event_stream;
 pub mod follow;
--- a/crates/chicorystaged/src/gateway/relay/takeover.rs
+++ b/crates/chicorystaged/src/gateway/relay/takeover.rs
@@ -1,5 +1,6 @@
 //! Keeps a silent endpoint until another one can go on with its stream.
 
+use crate::gateway::elsewhere::Lacking;
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_decision::BudgetFields;
@@ -22,21 +23,22 @@
     pub(super) fn prepare_takeover(&mut self) -> bool {
         let mut requirements = self.requirements.clone();
         requirements.software = self.origin.software().cloned();
-        requirements.avoid.push(self.endpoint.clone());
-        let now_ms = self.gateway.now_ms();
-        // Asked first, since a reservation takes what other requests wait for.
-        if !self.gateway.has_retry(now_ms, &requirements.service) {
-            return self.keep("retry budget");
+        let checked = self
+            .gateway
+            .could_send_elsewhere(&requirements, &self.endpoint);
+        if let Err(lacking) = checked {
+            return self.keep(lacking);
         }
+        requirements.avoid.push(self.endpoint.clone());
         let reservation = match self.gateway.reserve(&requirements) {
             Ok(reservation) if reservation.endpoint != self.endpoint => reservation,
-            Ok(_silent_one) => return self.keep("other endpoint"),
-            Err(missing) => return self.keep(&format!("{missing:?}")),
+            Ok(_) | Err(_) => return self.keep(Lacking::Endpoint),
         };
+        let now_ms = self.gateway.now_ms();
         let service = &requirements.service;
         let (fields, permit) = self.gateway.take_retry(true, now_ms, service);
         let Some(permit) = permit else {
-            return self.keep(fields.outcome);
+            return self.keep(Lacking::RetryBudget);
         };
         self.takeover = Some(Takeover {
             reservation,
@@ -47,11 +49,11 @@
     }
 
     /// Waits on for the silent endpoint; logs it once for each silence.
-    fn keep(&mut self, lacking: &str) -> bool {
+    fn keep(&mut self, lacking: Lacking) -> bool {
         if !self.is_kept {
             log::info!(
                 event = "silent_answer_kept", request = self.work.head.attempt_id.as_str(),
-                endpoint = self.endpoint.as_str(), lacking,
+                endpoint = self.endpoint.as_str(), lacking:%,
                 left_ms = self.work.left_ms(self.gateway.now_ms());
                 "endpoint fell silent and nothing else could go on with its stream"
             );
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -62,13 +62,14 @@
             return refuse_at_gateway(&head, "memory for bodies");
         }
         Ok(Err(UnreadBody::TooLarge)) => {
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+            return refuse_body(&head, StatusCode::PAYLOAD_TOO_LARGE, "body too large");
         }
         Ok(Err(UnreadBody::BrokenOff)) => {
-            return text_response(StatusCode::BAD_REQUEST, "body broke off");
+            return refuse_body(&head, StatusCode::BAD_REQUEST, "body broke off");
         }
         Err(_elapsed) => {
-            return text_response(StatusCode::REQUEST_TIMEOUT, "body not received in time");
+            let reason = "body not received in time";
+            return refuse_body(&head, StatusCode::REQUEST_TIMEOUT, reason);
         }
     };
     // The body may have arrived so late in a stop that the answer would be cut.
@@ -95,3 +96,17 @@
         .run(&configuration, in_progress)
         .await
 }
+
+/// Logs and refuses a request whose body cannot be taken.
+fn refuse_body(
+    head: &CallerRequest,
+    status: StatusCode,
+    reason: &'static str,
+) -> Response<AnswerBody> {
+    log::info!(
+        event = "request_refused", request = head.attempt_id.as_str(), lacking = reason,
+        status = status.as_u16();
+        "request refused"
+    );
+    text_response(status, reason)
+}
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -9,17 +9,17 @@
 mod failed_answer;
 mod failure;
 mod origin;
+mod run_limit;
 mod short_body;
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use chicorystage_api::name::EndpointId;
 use chicorystage_borders::http::BodyFraming;
 use chicorystage_core::admission::{limited_wait_ms, max_wait_ms};
-use chicorystage_core::deployment::{Configuration, RouteKind};
+use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{Choice, Requirements};
 use chicorystage_core::latency::{AnswerTimes, WaitReason};
 use chicorystage_platform::endpoint_answer;
@@ -44,9 +44,6 @@
 use crate::gateway::shared::Gateway;
 use crate::metrics::RequestOutcome;
 
-/// Fraction of the remaining time that a run may take while another run is still allowed.
-const RUN_TIME_FRACTION: f64 = 0.45;
-
 /// A caller's request together with its count of attempts and runs.
 #[derive(Debug)]
 pub struct Serving {
@@ -108,10 +105,10 @@
             };
             self.attempts += 1;
             let endpoint = reservation.endpoint.clone();
-            let limit = Duration::from_millis(self.run_limit_ms());
             let sent = attempt::send(&self.gateway, reservation, &self.work, None);
+            let sent = self.within_run_limit(&requirements, &endpoint, sent);
             let sent = tokio::select! {
-                sent = tokio::time::timeout(limit, sent) => sent.ok(),
+                sent = sent => sent,
                 () = self.gateway.aborting() => None,
                 // An endpoint that has not begun to run the request is spared.
                 () = self.quarantined(&requirements) => return self.quarantine_response(),
@@ -218,25 +215,6 @@
         self.gateway.reserve(requirements)
     }
 
-    /// Returns the longest time until the answer's head of this run must arrive, in milliseconds.
-    ///
-    /// While an idempotent request may run again, a run gets only a part of the remaining time.
-    fn run_limit_ms(&self) -> u64 {
-        let left_ms = self.work.left_ms(self.gateway.now_ms());
-        let is_last = self.runs + 1 >= self.work.route.endpoints_per_attempt_max;
-        if self.work.route.kind != RouteKind::Idempotent || is_last {
-            return left_ms;
-        }
-        #[expect(
-            clippy::cast_precision_loss,
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a part of a time left that is far below the mantissa"
-        )]
-        let run_ms = (left_ms as f64 * RUN_TIME_FRACTION) as u64;
-        run_ms
-    }
-
     /// Records at an endpoint whether it served the request well.
     fn record_outcome(&self, endpoint: &EndpointId, is_good: bool) {
         let now_ms = self.gateway.now_ms();
