Give a silent endpoint up for a queue where it answers nobody

Found by reading: a request whose endpoint answers nobody, while all others are full for a moment, kept waiting there and had no place in the queue for the others. No test tells the two apart yet: the request gets there a check later.

--- a/crates/chicorystaged/src/gateway/elsewhere.rs
+++ b/crates/chicorystaged/src/gateway/elsewhere.rs
@@ -6,6 +6,15 @@
 
 use crate::gateway::shared::Gateway;
 
+/// When a request could be sent to another endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Elsewhere {
+    /// At once.
+    Now,
+    /// When one of the others has room; its own endpoint answers nobody.
+    WhenFree,
+}
+
 /// What is lacking to send a request to another endpoint.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Lacking {
@@ -18,8 +27,8 @@
 }
 
 impl Gateway {
-    /// Checks whether a request could be sent to another endpoint than `endpoint` now; nothing is taken
-    /// or reserved for it.
+    /// Checks whether a request could be sent to another endpoint than `endpoint`; nothing is taken or
+    /// reserved for it.
     ///
     /// # Errors
     ///
@@ -28,7 +37,7 @@
         &self,
         requirements: &Requirements,
         endpoint: &EndpointId,
-    ) -> Result<(), Lacking> {
+    ) -> Result<Elsewhere, Lacking> {
         let now_ms = self.now_ms();
         if !self.has_retry(now_ms, &requirements.service) {
             return Err(Lacking::RetryBudget);
@@ -36,9 +45,16 @@
         let mut requirements = requirements.clone();
         requirements.avoid.push(endpoint.clone());
         let zone = &self.settings.zone;
-        let choice = self.with(|view| view.fleet.choose(now_ms, zone, &requirements));
+        let (choice, is_silent) = self.with(|view| {
+            let choice = view.fleet.choose(now_ms, zone, &requirements);
+            let own = view.fleet.get(endpoint);
+            (choice, own.is_none_or(|own| own.is_silent(now_ms)))
+        });
         match choice {
-            Choice::Endpoint(other) if other != *endpoint => Ok(()),
+            Choice::Endpoint(other) if other != *endpoint => Ok(Elsewhere::Now),
+            Choice::Full | Choice::Limited | Choice::Reading if is_silent => {
+                Ok(Elsewhere::WhenFree)
+            }
             _ => Err(Lacking::Endpoint),
         }
     }
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -56,7 +56,7 @@
         // The permit counts the resumed request as in flight until its answer begins or it fails.
         let (fields, permit, reservation) = if let Some(takeover) = self.takeover.take() {
             let (permit, reservation) = (takeover.permit, takeover.reservation);
-            (takeover.fields, Some(permit), Some(reservation))
+            (takeover.fields, Some(permit), reservation)
         } else {
             let (fields, permit) = self.gateway.take_retry(may_resume, now_ms, service);
             (fields, permit, None)
--- a/crates/chicorystaged/src/gateway/relay/takeover.rs
+++ b/crates/chicorystaged/src/gateway/relay/takeover.rs
@@ -1,6 +1,6 @@
 //! Keeps a silent endpoint until another one can go on with its stream.
 
-use crate::gateway::elsewhere::Lacking;
+use crate::gateway::elsewhere::{Elsewhere, Lacking};
 use crate::gateway::relay::StreamRelay;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::retry_decision::BudgetFields;
@@ -9,15 +9,16 @@
 /// What goes on with a stream in place of a silent endpoint.
 #[derive(Debug)]
 pub(super) struct Takeover {
-    pub reservation: Reservation,
+    /// The other endpoint; `None` if one is waited for.
+    pub reservation: Option<Reservation>,
     pub permit: RetryPermit,
     /// What the retry budget decided.
     pub fields: BudgetFields,
 }
 
 impl StreamRelay {
-    /// Reserves another endpoint and a retry for the rest of a silent stream; returns whether both could
-    /// be had.
+    /// Reserves another endpoint and a retry for the rest of a silent stream; returns whether the silent
+    /// endpoint is given up.
     ///
     /// Otherwise the silent endpoint is the best there is: it may only be slow.
     pub(super) fn prepare_takeover(&mut self) -> bool {
@@ -26,14 +27,16 @@
         let checked = self
             .gateway
             .could_send_elsewhere(&requirements, &self.endpoint);
-        if let Err(lacking) = checked {
-            return self.keep(lacking);
-        }
-        requirements.avoid.push(self.endpoint.clone());
-        let reservation = match self.gateway.reserve(&requirements) {
-            Ok(reservation) if reservation.endpoint != self.endpoint => reservation,
-            Ok(_) | Err(_) => return self.keep(Lacking::Endpoint),
+        let elsewhere = match checked {
+            Ok(elsewhere) => elsewhere,
+            Err(lacking) => return self.keep(lacking),
         };
+        requirements.avoid.push(self.endpoint.clone());
+        let reserved = self.gateway.reserve(&requirements).ok();
+        let reservation = reserved.filter(|reserved| reserved.endpoint != self.endpoint);
+        if reservation.is_none() && elsewhere == Elsewhere::Now {
+            return self.keep(Lacking::Endpoint);
+        }
         let now_ms = self.gateway.now_ms();
         let service = &requirements.service;
         let (fields, permit) = self.gateway.take_retry(true, now_ms, service);
