--- a/crates/chicorystage-api/src/name.rs
+++ b/crates/chicorystage-api/src/name.rs
@@ -60,6 +60,8 @@
     ServiceName
     /// Name of a calling application.
     CallerName
+    /// Name of a team that shares a deployment with others.
+    TeamName
     /// Name of an organisational unit that owns inventory items.
     OwnerName
     /// Name of an operator who changes the inventory.
--- a/crates/chicorystage-core/src/deployment/configuration.rs
+++ b/crates/chicorystage-core/src/deployment/configuration.rs
@@ -4,6 +4,7 @@
 use chicorystage_api::name::ServiceName;
 
 use crate::deployment::{EngineSpec, RequestLimits, Route, ServiceSpec};
+use crate::teams::{Access, KeyDigest, Rank, Team, TeamDirectory};
 
 /// One version of the deployment's configuration.
 #[derive(Clone, Debug, Default)]
@@ -12,6 +13,8 @@
     pub version: u64,
     /// Limits on the HTTP requests of callers.
     pub limits: RequestLimits,
+    /// Teams that share the deployment; empty if requests need no keys.
+    pub teams: TeamDirectory,
     services: HashMap<ServiceName, ServiceSpec>,
     /// Routes by host, longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
@@ -41,11 +44,54 @@
         Self {
             version,
             limits,
+            teams: TeamDirectory::default(),
             services,
             routes: by_host,
         }
     }
 
+    /// Sets the teams that share the deployment.
+    #[must_use]
+    pub fn with_teams(mut self, teams: TeamDirectory) -> Self {
+        self.teams = teams;
+        self
+    }
+
+    /// Returns which team a request on a route belongs to, if it may run at all.
+    ///
+    /// A key that no team holds is denied on a public route too.
+    #[must_use]
+    pub fn access(&self, route: &Route, key: Option<KeyDigest>) -> Access {
+        if self.teams.is_empty() {
+            return Access::Open;
+        }
+        match key {
+            None if route.is_public => Access::Open,
+            None => Access::Denied,
+            Some(key) => self
+                .teams
+                .team(&key)
+                .map_or(Access::Denied, |team| Access::Team(Arc::clone(team), key)),
+        }
+    }
+
+    /// Returns the rank of a team's request on a route.
+    #[must_use]
+    pub fn rank(&self, route: &Route, team: Option<&Team>) -> Rank {
+        Rank {
+            team: self.teams.level(team),
+            route: route.priority,
+        }
+    }
+
+    /// Returns the number of priorities that routes may have: one more than the largest.
+    #[must_use]
+    pub fn route_priorities(&self) -> u8 {
+        let routes = self.routes.values().flatten();
+        let largest = routes.map(|route| route.priority).max();
+        largest.map_or(1, |largest| largest.saturating_add(1))
+    }
+
     /// Returns the route with the longest matching prefix; a port in `host` is ignored.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/chicorystage-core/src/deployment/route.rs
+++ b/crates/chicorystage-core/src/deployment/route.rs
@@ -25,6 +25,8 @@
     pub priority: u8,
     /// Largest number of endpoints to which one attempt of a caller may be sent.
     pub endpoints_per_attempt_max: u32,
+    /// Whether requests need no key where the configuration lists teams.
+    pub is_public: bool,
     /// Services among which the requests are split by weight.
     pub services: Vec<WeightedService>,
 }
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -29,6 +29,7 @@
 //! * [`placement`]: which VMs may load a model, and how slots move between VMs.
 //! * [`planner`]: one placement decision, from the read of its row to the write.
 //! * [`queue`]: the queue of attempts, ordered by class, fairness and deadline.
+//! * [`quota`]: quotas of teams, held by all gateways together.
 //! * [`registry`]: when an endpoint that is missing from the registry counts as gone.
 //! * [`rendezvous`]: rendezvous hashing of keys to VMs.
 //! * [`replicas`]: loaded, loading and unloading replicas of one endpoint.
@@ -38,6 +39,7 @@
 //! * [`slots`]: the placement slots that a VM holds.
 //! * [`stream_origins`]: the software version that began a stream.
 //! * [`suspects`]: detection and quarantine of requests that crash endpoints.
+//! * [`teams`]: teams that share a deployment, and their keys.
 //! * [`token`]: SHA-256 digests of bearer tokens and of request contents.
 //!
 //! # Units of time
@@ -67,6 +69,7 @@
 pub mod placement;
 pub mod planner;
 pub mod queue;
+pub mod quota;
 pub mod registry;
 pub mod rendezvous;
 pub mod replicas;
@@ -76,4 +79,5 @@
 pub mod slots;
 pub mod stream_origins;
 pub mod suspects;
+pub mod teams;
 pub mod token;
--- /dev/null
+++ b/crates/chicorystage-core/src/quota/team_use.rs
@@ -0,0 +1,17 @@
+use chicorystage_api::name::TeamName;
+use serde::{Deserialize, Serialize};
+
+/// What a gateway has admitted for a team since its process started, as it tells the others.
+///
+/// Totals instead of increments: the next report makes up for one that is lost.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TeamUse {
+    /// The team.
+    pub team: TeamName,
+    /// Units admitted, less those that were given back.
+    pub used: f64,
+    /// Units asked for, admitted or not.
+    pub asked: f64,
+    /// Units of `used` that the last level which the gateway was told includes.
+    pub settled: f64,
+}
--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -63,6 +63,8 @@
             endpoints_check_epoch: true,
             ceiling_window_ms: 5_000,
             ceiling_factor: 1.1,
+            revoke_max_ms: Some(5_000),
+            quota_window_ms: 2_000,
             retry_ratio: 0.2,
             retry_allowance: 54.0,
             retry_window_ms: 10_000,
--- a/crates/chicorystaged/src/cli.rs
+++ b/crates/chicorystaged/src/cli.rs
@@ -9,7 +9,7 @@
 use log4rs::config::{Appender, Config, Root};
 
 use crate::logging::{BoundedAppender, LineEncoder};
-use crate::settings::{DaemonFile, LogSettings, Role};
+use crate::settings::{DaemonFile, LogSettings, Role, with_overrides};
 use crate::{agent, gateway, router};
 
 /// Exit status if the settings, the log target or the command line are invalid.
@@ -31,6 +31,9 @@
     /// Settings file (INI).
     #[options(meta = "FILE")]
     config: Option<PathBuf>,
+    /// Setting that the file does not have; may be given several times.
+    #[options(no_short, meta = "SECTION.KEY=VALUE")]
+    set: Vec<String>,
     /// Check the settings and stop.
     #[options(no_short)]
     check: bool,
@@ -48,7 +51,7 @@
     };
     if arguments.help {
         println!(
-            "Usage: chicorystaged --config FILE [--check]\n\n{}",
+            "Usage: chicorystaged --config FILE [--set SECTION.KEY=VALUE] [--check]\n\n{}",
             Arguments::usage()
         );
         return ExitCode::SUCCESS;
@@ -68,6 +71,13 @@
             return ExitCode::from(EXIT_BAD_SETTINGS);
         }
     };
+    let text = match with_overrides(&text, &arguments.set) {
+        Ok(text) => text,
+        Err(given) => {
+            eprintln!("chicorystaged: --set {given}: SECTION.KEY=VALUE is allowed");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    };
     let settings = match DaemonFile::parse(&path.display().to_string(), &text) {
         Ok(settings) => settings,
         Err(findings) => {
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -14,9 +14,10 @@
 use chicorystage_borders::http::InterimLimit;
 use chicorystage_core::deployment::Route;
 use chicorystage_core::latency::{WaitReason, WaitTimes};
+use chicorystage_core::teams::Rank;
 use chicorystage_platform::caller_request::CallerRequest;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution, NamedAttempt};
-use chicorystage_platform::endpoint_request::{self, EndpointTerms};
+use chicorystage_platform::endpoint_request::{self, EndpointTerms, Identity};
 use displaydoc::Display;
 use http::{HeaderMap, Method, Request, Response, Uri, response};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,15 +28,12 @@
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::shared::Gateway;
+use crate::gateway::teams::TeamRequest;
 
 /// Largest refusal body that is read to make its connection reusable, in bytes.
 const REFUSAL_BYTES_MAX: usize = 4 << 10;
 /// Longest wait for the whole body of a refusal, in milliseconds.
 const REFUSAL_READ_MS: u64 = 50;
-/// Urgency sent for streams of a route of priority 0.
-const URGENCY_FIRST: u8 = 3;
-/// Largest urgency number sent, for the least urgent streams.
-const URGENCY_LAST: u8 = 9;
 
 /// the endpoint's answer broke off
 #[derive(Clone, Copy, Debug, Display)]
@@ -58,6 +56,12 @@
     pub is_trial: Cell<bool>,
     /// Memory that the body takes; `None` if it is not counted.
     pub body_share: Option<BodyShare>,
+    /// Whom the request belongs to.
+    pub identity: CallerIdentity,
+    /// Place among waiting requests.
+    pub rank: Rank,
+    /// Urgency that engines are told for streams; 0 is the highest.
+    pub urgency: u8,
     /// Decoded request headers.
     pub head: CallerRequest,
     /// Route that matched host and path.
@@ -79,6 +83,43 @@
     pub attempt_began_ms: Cell<u64>,
 }
 
+/// Whom a request belongs to.
+#[derive(Debug)]
+pub enum CallerIdentity {
+    /// The configuration lists no teams.
+    NoTeams,
+    /// The request needs no key and belongs to no team.
+    Open,
+    /// A team, by its key.
+    Team(TeamRequest),
+}
+
+impl CallerIdentity {
+    /// Returns the team's request; `None` without a team.
+    #[must_use]
+    pub fn team(&self) -> Option<&TeamRequest> {
+        match self {
+            Self::Team(team) => Some(team),
+            Self::NoTeams | Self::Open => None,
+        }
+    }
+
+    /// Records whether an endpoint may have run the request.
+    pub fn sent(&self, may_have_run: bool) {
+        if let Some(team) = self.team() {
+            team.sent(may_have_run);
+        }
+    }
+
+    fn terms(&self) -> Identity<'_> {
+        match self {
+            Self::NoTeams => Identity::Unchecked,
+            Self::Open => Identity::Checked(None),
+            Self::Team(team) => Identity::Checked(Some(team.team.name.as_str())),
+        }
+    }
+}
+
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum Attempted {
@@ -158,6 +199,44 @@
 /// is resumed. An idle connection that turns out to be closed before anything was written is
 /// replaced by a new one.
 pub async fn send(
+    gateway: &Rc<Gateway>,
+    reservation: Reservation,
+    work: &CallerWork,
+    last_event_id: Option<&str>,
+) -> Attempted {
+    let sending = Sending::begin(&work.identity);
+    let attempted = send_once(gateway, reservation, work, last_event_id).await;
+    sending.ended(&attempted);
+    attempted
+}
+
+/// Records that a request may have run, unless its attempt ends and says otherwise.
+struct Sending<'a> {
+    identity: &'a CallerIdentity,
+    has_not_run: bool,
+}
+
+impl<'a> Sending<'a> {
+    fn begin(identity: &'a CallerIdentity) -> Self {
+        Self {
+            identity,
+            has_not_run: false,
+        }
+    }
+
+    fn ended(mut self, attempted: &Attempted) {
+        self.has_not_run = matches!(attempted, Attempted::NotRun { .. });
+    }
+}
+
+impl Drop for Sending<'_> {
+    fn drop(&mut self) {
+        // An attempt that is dropped before its end may have run.
+        self.identity.sent(!self.has_not_run);
+    }
+}
+
+async fn send_once(
     gateway: &Rc<Gateway>,
     mut reservation: Reservation,
     work: &CallerWork,
@@ -179,8 +258,9 @@
         let terms = EndpointTerms {
             endpoint: &reservation.endpoint,
             time_left_ms: work.left_ms(gateway.now_ms()),
-            urgency: urgency(&work.route),
+            urgency: work.route.kind.is_stream().then_some(work.urgency),
             last_event_id,
+            identity: work.identity.terms(),
         };
         match exchange(&mut connection, work.request(&terms)).await {
             Exchange::Response(response) => break response,
@@ -341,10 +421,3 @@
         has_arrived: true,
     }
 }
-
-/// Returns the urgency header's value: the route's priority shifted by [`URGENCY_FIRST`], for
-/// streams only.
-fn urgency(route: &Route) -> Option<u8> {
-    let urgency = URGENCY_FIRST.saturating_add(route.priority);
-    route.kind.is_stream().then_some(urgency.min(URGENCY_LAST))
-}
--- a/crates/chicorystaged/src/gateway/follow/configuration.rs
+++ b/crates/chicorystaged/src/gateway/follow/configuration.rs
@@ -13,14 +13,16 @@
     let Some(value) = &row.value else {
         return;
     };
-    match configuration::decode(value) {
+    match configuration::decode(value, &gateway.key_hasher) {
         Ok(configuration) => {
             let version = configuration.version;
             let routes = configuration.route_count();
+            let now_ms = gateway.now_ms();
             let is_newer = gateway.with(|view| {
                 let known = view.configuration.as_ref();
                 let is_newer = known.is_none_or(|known| known.version < version);
                 if is_newer {
+                    view.quotas.set_quotas(now_ms, &configuration.teams);
                     view.configuration = Some(Arc::new(configuration));
                 }
                 is_newer
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -67,14 +67,17 @@
         match answer {
             Ok(FeedAnswer::Changed(changes)) => {
                 apply(gateway, table, &changes, false);
+                confirm(gateway, &feed);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::Whole(rows)) => {
                 apply(gateway, table, &rows, true);
+                confirm(gateway, &feed);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::Restored(rows)) => {
                 apply_restored(gateway, table, rows);
+                confirm(gateway, &feed);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::HistoryLost) => {
@@ -87,6 +90,13 @@
     }
 }
 
+/// Records that the configuration in force is the newest, if `feed` follows it.
+fn confirm(gateway: &Gateway, feed: &TableFeed) {
+    if feed.table() == TableName::Operator {
+        gateway.confirm_configuration(feed.answered_began_boot_ms());
+    }
+}
+
 /// Applies the rows of a table that has returned from an older copy.
 fn apply_restored(gateway: &Rc<Gateway>, table: TableName, rows: Changes) {
     match table {
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -5,6 +5,7 @@
 //! is reason to expect an answer, and the first answer counts. A call whose response has begun to
 //! arrive is left alone: it transfers what another call would transfer again.
 
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use futures_util::stream::FuturesUnordered;
 
 use crate::gateway::shared::Gateway;
+use crate::timer::boot_ms;
 
 /// Longest time for which the store delays the reply to one poll for changes, in milliseconds.
 const POLL_WAIT_MAX_MS: u64 = 2_400;
@@ -88,6 +90,8 @@
     reread_ms: Option<u64>,
     /// Time of the first failed call since the last answer, in milliseconds.
     lost_ms: Option<u64>,
+    /// Start of the call that was answered last, on the VM's boot clock, in milliseconds.
+    answered_began_boot_ms: Cell<u64>,
 }
 
 impl TableFeed {
@@ -104,9 +108,20 @@
             era: None,
             reread_ms: None,
             lost_ms: None,
+            answered_began_boot_ms: Cell::new(0),
         }
     }
 
+    /// Returns the table that is followed.
+    pub(super) fn table(&self) -> TableName {
+        self.table
+    }
+
+    /// Returns when the call began that was answered last, on the VM's boot clock, in milliseconds.
+    pub(super) fn answered_began_boot_ms(&self) -> u64 {
+        self.answered_began_boot_ms.get()
+    }
+
     /// Returns whether the last call failed.
     pub(super) fn is_lost(&self) -> bool {
         self.lost_ms.is_some()
@@ -203,18 +218,22 @@
         let Some(known) = self.known else {
             return self.read(progress).await;
         };
+        let began_boot_ms = boot_ms();
         let changes = self
             .poll_client
             .changes(self.table, known, wait_ms, &progress);
         let changes = changes
             .await
             .inspect_err(|error| self.log_broken_transfer(&progress, error))?;
+        self.answered_began_boot_ms.set(began_boot_ms);
         Ok(changes.map_or(FeedAnswer::HistoryLost, FeedAnswer::Changed))
     }
 
     async fn read(&self, progress: Rc<TransferProgress>) -> Result<FeedAnswer, BorderError> {
+        let began_boot_ms = boot_ms();
         let rows = self.read_client.read(self.table, &progress).await;
         let rows = rows.inspect_err(|error| self.log_broken_transfer(&progress, error))?;
+        self.answered_began_boot_ms.set(began_boot_ms);
         Ok(FeedAnswer::Whole(rows))
     }
 
--- a/crates/chicorystaged/src/gateway/granting.rs
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -37,5 +37,7 @@
         gateway.metrics.set_gauges(waiting, in_progress);
         let body_bytes = gateway.body_budget.used_bytes();
         gateway.metrics.set_body_bytes(body_bytes);
+        let age_ms = gateway.configuration_age_ms();
+        gateway.metrics.teams.set_configuration_age_ms(age_ms);
     }
 }
--- a/crates/chicorystaged/src/gateway/own_responses.rs
+++ b/crates/chicorystaged/src/gateway/own_responses.rs
@@ -33,7 +33,19 @@
 /// `retry_after_ms` is sent as `Retry-After`, in seconds with three decimals.
 #[must_use]
 pub fn refusal(reason: &'static str, retry_after_ms: u64) -> Response<AnswerBody> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, reason);
+    refusal_with(StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_ms)
+}
+
+/// Returns the refusal of a request that has not run and will not, with a status that says so.
+///
+/// `retry_after_ms` is sent as `Retry-After`, in seconds with three decimals.
+#[must_use]
+pub fn refusal_with(
+    status: StatusCode,
+    reason: &'static str,
+    retry_after_ms: u64,
+) -> Response<AnswerBody> {
+    let mut response = text_response(status, reason);
     #[expect(
         clippy::cast_precision_loss,
         reason = "delays are far below the mantissa"
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -6,6 +6,7 @@
 };
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::fleet::UncachedModel;
+use chicorystage_core::quota::{TeamLevel, TeamUse};
 use chicorystage_core::request_limit::{KnownLimit, RequestGrant, TokenWish};
 use chicorystage_core::suspects::prompt_parts::CrashReport;
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,8 @@
     Placement(PlacementUpdate),
     /// Load of all gateways together, from the lease holder.
     Sum(TotalLoadUpdate),
+    /// What teams have used of their quotas at the sender, for all while no lease holder is heard.
+    TeamUse(Vec<TeamUse>),
     /// A request suspected to crash endpoints, after a crash.
     Suspect(QuarantineEntry),
     /// A request that was suspected to crash endpoints and has been answered.
@@ -98,7 +101,7 @@
 }
 
 /// Load and demand of one gateway.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadUpdate {
     /// Requests in progress by endpoint and model; no model for a plain application.
     pub in_progress: Vec<(EndpointId, Option<ModelName>, u32)>,
@@ -113,6 +116,9 @@
     /// Adapters requested since the last message, one entry for each request.
     #[serde(rename = "asked_adapters")]
     pub requested_adapters: Vec<(ModelName, AdapterName)>,
+    /// What teams have used of their quotas at the sender.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamUse>,
 }
 
 /// Models and adapters of several engines.
@@ -164,4 +170,7 @@
     /// Limits that endpoints name, and those that ended lately.
     #[serde(default)]
     pub limits: Vec<KnownLimit>,
+    /// What is left of the quotas of teams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub teams: Vec<TeamLevel>,
 }
--- a/crates/chicorystaged/src/gateway/peers/load_update.rs
+++ b/crates/chicorystaged/src/gateway/peers/load_update.rs
@@ -56,6 +56,7 @@
                 .map(|((model, adapter), count)| (model, adapter, count))
                 .collect(),
             requested_adapters: std::mem::take(&mut view.requested_adapters),
+            teams: view.quotas.own_use(now_ms),
         }
     })
 }
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -60,9 +60,15 @@
         gateway.newer_configuration.notify_one();
     }
     match message.content {
-        PeerContent::Load(update) => receive_load(gateway, now_ms, message.from, update),
+        PeerContent::Load(update) => {
+            receive_load(gateway, now_ms, message.from, message.incarnation, update);
+        }
         PeerContent::Placement(update) => receive_placement(gateway, now_ms, update),
         PeerContent::Sum(update) => receive_total_load(gateway, now_ms, message.from, update),
+        PeerContent::TeamUse(uses) => gateway.with(|view| {
+            view.quotas
+                .reported(now_ms, &message.from, message.incarnation, uses);
+        }),
         PeerContent::Suspect(entry) => prompt_parts::merge_decision(gateway, entry),
         PeerContent::Cleared {
             digest,
@@ -116,13 +122,20 @@
         };
         let valid_until_ms = load.valid_until_ms;
         view.fleet.replace_peer_loads(from, load);
+        view.quotas.told(now_ms, update.teams);
         view.fleet
             .uncached_reported(update.uncached, valid_until_ms);
     });
 }
 
 /// Records another gateway's load and demand; waiting requests trigger a planning pass.
-fn receive_load(gateway: &Rc<Gateway>, now_ms: u64, from: VmId, update: LoadUpdate) {
+fn receive_load(
+    gateway: &Rc<Gateway>,
+    now_ms: u64,
+    from: VmId,
+    incarnation: u64,
+    update: LoadUpdate,
+) {
     let has_waiting = !update.waiting.is_empty() || !update.waiting_adapters.is_empty();
     gateway.with(|view| {
         let in_progress = update
@@ -134,6 +147,8 @@
             in_progress: in_progress.collect(),
         };
         view.fleet.peer_load(from.clone(), load);
+        view.quotas
+            .reported(now_ms, &from, incarnation, update.teams);
         for (model, count, objective_ms) in &update.requested {
             view.demand
                 .record_requests(now_ms, model, *count, *objective_ms);
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -28,7 +28,11 @@
         let in_progress = update.in_progress.iter();
         let sent = in_progress.map(|(endpoint, _, count)| (endpoint.clone(), *count));
         gateway.with(|view| view.load_sent = sum_by_endpoint(sent));
+        let teams = update.teams.clone();
         send_load(gateway, update).await;
+        if !teams.is_empty() && !gateway.has_recent_holder() {
+            broadcast(gateway, PeerContent::TeamUse(teams)).await;
+        }
         tokio::time::sleep(Duration::from_millis(LOAD_INTERVAL_MIN_MS)).await;
     }
 }
@@ -112,6 +116,7 @@
         in_progress,
         uncached,
         limits: request_limits::known(gateway),
+        teams: gateway.with(|view| view.quotas.levels(now_ms)),
     };
     broadcast(gateway, PeerContent::Sum(update)).await;
 }
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -99,7 +99,7 @@
             .last_id()
             .map(str::to_owned)
             .or_else(|| self.work.head.last_event_id.clone());
-        let rank = self.work.route.priority;
+        let rank = self.work.rank;
         let now_ms = self.gateway.now_ms();
         let until_ms = now_ms + RESUME_WAIT_MS.min(self.work.left_ms(now_ms));
         let granted = async {
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -6,23 +6,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicorystage_core::deployment::Configuration;
+use chicorystage_core::teams::Rank;
 use chicorystage_platform::caller_request::CallerRequest;
 use http::header::HOST;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::gateway::answer_body::AnswerBody;
-use crate::gateway::attempt::CallerWork;
+use crate::gateway::attempt::{CallerIdentity, CallerWork};
 use crate::gateway::body_reading::{self, ReadBody, UnreadBody, read_body};
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::own_responses::{refuse_at_gateway, text_response};
 use crate::gateway::serving::Serving;
 use crate::gateway::shared::Gateway;
+use crate::gateway::teams::{self, TeamRequest};
+
+/// Urgency of the most urgent streams.
+const URGENCY_FIRST: u8 = 3;
+/// Largest urgency number, for the least urgent streams.
+const URGENCY_LAST: u8 = 9;
 
 /// Serves one request with a decoded head and returns the response to the caller.
 pub async fn serve(
     gateway: Rc<Gateway>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
     head: CallerRequest,
 ) -> Response<AnswerBody> {
     let in_progress = InProgress::begin(&gateway);
@@ -38,7 +46,8 @@
         .get(HOST)
         .and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.uri().host()).unwrap_or_default();
-    let Some(route) = configuration.route(host, request.uri().path()).cloned() else {
+    let route = configuration.route(host, request.uri().path()).cloned();
+    let Some(route) = route else {
         log::info!(
             event = "no_route", request = head.attempt_id.as_str(), host,
             path = request.uri().path(), version = configuration.version;
@@ -46,6 +55,11 @@
         );
         return text_response(StatusCode::NOT_FOUND, "no route");
     };
+    let headers = request.headers_mut();
+    let team = match teams::admit(&gateway, &configuration, &route, &head, headers) {
+        Ok(team) => team,
+        Err(refused) => return *refused,
+    };
     let allowed_ms = head.deadline_ms.unwrap_or(route.timeout_ms);
     let ends_ms = arrived_ms + allowed_ms.min(route.timeout_ms);
     let (parts, body) = request.into_parts();
@@ -76,6 +90,7 @@
     if gateway.may_stop_before(ends_ms) {
         return refuse_at_gateway(&head, "stopping");
     }
+    let rank = configuration.rank(&route, team.as_ref().map(|team| team.team.as_ref()));
     let work = CallerWork {
         method: parts.method,
         uri: parts.uri,
@@ -83,6 +98,9 @@
         body,
         is_trial: Cell::new(false),
         body_share: Some(share),
+        identity: team_identity(&configuration, team),
+        rank,
+        urgency: urgency(rank, configuration.route_priorities()),
         head,
         route,
         arrived_ms,
@@ -97,6 +115,24 @@
         .await
 }
 
+fn team_identity(configuration: &Configuration, team: Option<TeamRequest>) -> CallerIdentity {
+    match team {
+        Some(team) => CallerIdentity::Team(team),
+        None if configuration.teams.is_empty() => CallerIdentity::NoTeams,
+        None => CallerIdentity::Open,
+    }
+}
+
+/// Returns the urgency that engines are told for a rank, 0 the highest, where routes have
+/// `route_priorities` priorities.
+fn urgency(rank: Rank, route_priorities: u8) -> u8 {
+    let level = rank.team.saturating_mul(route_priorities);
+    let urgency = URGENCY_FIRST
+        .saturating_add(level)
+        .saturating_add(rank.route);
+    urgency.min(URGENCY_LAST)
+}
+
 /// Logs and refuses a request whose body cannot be taken.
 fn refuse_body(
     head: &CallerRequest,
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -153,7 +153,7 @@
     /// Returns the final error of a request that may have run and has no good answer.
     ///
     /// An endpoint's own server error reaches the caller as it is.
-    fn lost_response(&self, now_ms: u64) -> Response<AnswerBody> {
+    pub(super) fn lost_response(&self, now_ms: u64) -> Response<AnswerBody> {
         if let Some(failed) = self.failed.take() {
             return self.record_answer(failed.response, failed.framing, &failed.endpoint);
         }
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -42,6 +42,7 @@
 use crate::gateway::serving::failed_answer::FailedAnswer;
 use crate::gateway::serving::failure::AfterFailure;
 use crate::gateway::shared::Gateway;
+use crate::gateway::teams::{self, TeamRequest};
 use crate::metrics::RequestOutcome;
 
 /// A caller's request together with its count of attempts and runs.
@@ -103,6 +104,9 @@
                 Ok(reservation) => reservation,
                 Err(missing) => return self.final_refusal(&requirements, &missing),
             };
+            if self.is_withdrawn() {
+                return self.withdrawn_response(configuration.version);
+            }
             self.attempts += 1;
             let endpoint = reservation.endpoint.clone();
             let sent = attempt::send(&self.gateway, reservation, &self.work, None);
@@ -177,6 +181,23 @@
         )
     }
 
+    /// Returns whether the request's key was withdrawn while it waited.
+    fn is_withdrawn(&self) -> bool {
+        let team = self.work.identity.team();
+        team.is_some_and(TeamRequest::is_withdrawn)
+    }
+
+    /// Returns the final error of a request whose key was withdrawn.
+    fn withdrawn_response(&self, version: u64) -> Response<AnswerBody> {
+        if self.runs > 0 {
+            return self.lost_response(self.gateway.now_ms());
+        }
+        self.gateway
+            .metrics
+            .count_request(&self.work.route.name, RequestOutcome::Refused);
+        teams::refuse_key(&self.work.head, version)
+    }
+
     /// Reserves an endpoint, waiting at most until the caller is likely to abandon the request.
     ///
     /// # Errors
@@ -199,7 +220,7 @@
         }
         let granted =
             self.gateway
-                .wait_for_endpoint(requirements, &missing, route.priority, until_ms);
+                .wait_for_endpoint(requirements, &missing, self.work.rank, until_ms);
         let granted = tokio::select! {
             granted = granted => granted,
             () = self.gateway.closing() => None,
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -14,6 +14,7 @@
 use chicorystage_core::retry::{
     BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
 };
+use chicorystage_core::teams::{ConfirmedView, KeyHasher};
 use chicorystage_platform::store::{StoreClient, StorePosition};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
@@ -23,6 +24,7 @@
 use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::part_trials::PartTrials;
 use crate::gateway::pool::Pool;
+use crate::gateway::quota_rows::QuotaRows;
 use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::software_rows::SoftwareRows;
 use crate::gateway::stream_rows::StreamRows;
@@ -84,6 +86,12 @@
     pub software_rows: SoftwareRows,
     /// Streams that callers may take up again, and the row that keeps them.
     pub stream_rows: StreamRows,
+    /// What teams have used of their quotas, as stored.
+    pub quota_rows: QuotaRows,
+    /// Computes the digests under which API keys are kept.
+    pub key_hasher: KeyHasher,
+    /// When the configuration in force was confirmed as the newest, on the VM's boot clock.
+    pub(super) confirmed: Cell<ConfirmedView>,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
     /// Newest era of the store that was seen; 0 before the first or if the store states none.
@@ -114,6 +122,7 @@
             window_ms: settings.retry_window_ms,
         };
         let retries = ServiceRetryBudgets::new(budget, clock.now_ms());
+        let view = View::new(retries, settings.heartbeat_ms, settings.quota_window_ms);
         let incarnation = boot_ms();
         let lease = OrderLease::new(
             settings.vm.clone(),
@@ -144,6 +153,9 @@
             limits_changed: Notify::new(),
             limit_allocator: RefCell::default(),
             crash_checks: CrashChecks::default(),
+            quota_rows: QuotaRows::default(),
+            key_hasher: KeyHasher::new(rand::random()),
+            confirmed: Cell::default(),
             own_row_version: Cell::new(0),
             store_era: Cell::new(0),
             previous_incarnation: Cell::new(None),
@@ -161,7 +173,7 @@
             body_budget: Rc::new(BodyBudget::new(settings.body_memory_bytes)),
             caller_connections: Rc::default(),
             clock,
-            view: RefCell::new(View::new(retries, settings.heartbeat_ms)),
+            view: RefCell::new(view),
             settings,
         }
     }
@@ -291,6 +303,9 @@
     /// Returns whether the load balancer should send new connections to this gateway.
     #[must_use]
     pub fn is_ready(&self) -> bool {
+        if self.lacks_confirmation() {
+            return false;
+        }
         let view = self.view.borrow();
         let is_read = view.configuration.is_some() && view.has_endpoints && view.has_peers;
         is_read && !self.is_stopping.get()
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -7,6 +7,7 @@
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandTracker;
+use chicorystage_core::quota::QuotaLedger;
 use chicorystage_core::registry::{AbsenceTracker, Departures};
 use chicorystage_core::retry::ServiceRetryBudgets;
 use chicorystage_core::stream_origins::{BegunStreams, SoftwareHistory};
@@ -36,6 +37,8 @@
     pub demand: DemandTracker,
     /// This gateway's part of the retry budgets that all gateways share.
     pub retries: ServiceRetryBudgets,
+    /// What teams have used of their quotas.
+    pub quotas: QuotaLedger,
     /// Requests suspected or known to crash endpoints.
     pub suspects: SuspectList,
     /// Crashes of endpoints with the prompt parts that may have caused them.
@@ -91,15 +94,17 @@
 impl View {
     /// Creates an empty view, as before the first read of the store.
     ///
-    /// Endpoints renew their registry entries every `heartbeat_ms`.
+    /// Endpoints renew their registry entries every `heartbeat_ms`, and quotas of teams hold in every
+    /// window of `quota_window_ms`.
     #[must_use]
-    pub fn new(retries: ServiceRetryBudgets, heartbeat_ms: u64) -> Self {
+    pub fn new(retries: ServiceRetryBudgets, heartbeat_ms: u64, quota_window_ms: u64) -> Self {
         Self {
             configuration: None,
             has_endpoints: false,
             fleet: FleetView::default(),
             demand: DemandTracker::default(),
             retries,
+            quotas: QuotaLedger::new(quota_window_ms),
             suspects: SuspectList::default(),
             part_evidence: PartEvidence::default(),
             begun_streams: BegunStreams::default(),
--- a/crates/chicorystaged/src/gateway/wait_queue.rs
+++ b/crates/chicorystaged/src/gateway/wait_queue.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use chicorystage_core::fleet::{Choice, Requirements, StaleLoad, Standing, load_age_ms};
+use chicorystage_core::teams::Rank;
 use tokio::sync::oneshot;
 
 use crate::gateway::reservation::Reservation;
@@ -60,7 +61,7 @@
     pub async fn reserve_or_wait(
         self: &Rc<Self>,
         requirements: &Requirements,
-        rank: u8,
+        rank: Rank,
         until_ms: u64,
     ) -> Option<Reservation> {
         match self.reserve(requirements) {
@@ -80,7 +81,7 @@
         self: &Rc<Self>,
         requirements: &Requirements,
         missing: &Choice,
-        rank: u8,
+        rank: Rank,
         until_ms: u64,
     ) -> Option<Reservation> {
         let ready_ms = self.ready_ms(requirements, missing, Standing::New);
@@ -125,7 +126,7 @@
     fn enqueue(
         &self,
         requirements: Requirements,
-        rank: u8,
+        rank: Rank,
         until_ms: u64,
     ) -> oneshot::Receiver<Reservation> {
         let (grant, granted) = oneshot::channel();
--- a/crates/chicorystaged/src/gateway/waiter.rs
+++ b/crates/chicorystaged/src/gateway/waiter.rs
@@ -1,6 +1,7 @@
 //! Entry of the wait queue.
 
 use chicorystage_core::fleet::Requirements;
+use chicorystage_core::teams::Rank;
 use tokio::sync::oneshot;
 
 use crate::gateway::reservation::Reservation;
@@ -10,8 +11,8 @@
 pub struct Waiter {
     /// What the request needs of an endpoint.
     pub requirements: Requirements,
-    /// Priority of the route; lower is served first.
-    pub rank: u8,
+    /// Priority of team and route; lower is served first.
+    pub rank: Rank,
     /// Arrival number; among equal ranks the lower is served first.
     pub number: u64,
     /// End of the wait on the gateway's clock, in milliseconds.
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -6,11 +6,11 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::metrics::RequestOutcome;
 use crate::metrics::gateway_labels::{
     EventLabels, LateAnswerLabels, RequestLabels, RetryLabels, RouteLabels, ServiceLabels,
     StreamEndLabels,
 };
+use crate::metrics::{RequestOutcome, TeamMetrics};
 
 /// Prefix of every metric's name.
 const PREFIX: &str = "chicorystage_gateway";
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct GatewayMetrics {
     registry: Registry,
+    /// Requests of teams, and the age of the configuration.
+    pub teams: TeamMetrics,
     requests: Family<RequestLabels, Counter>,
     wait: HistogramFamily,
     first_byte: HistogramFamily,
@@ -61,6 +63,7 @@
     pub fn new() -> Self {
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
+            teams: TeamMetrics::default(),
             requests: Family::default(),
             wait: Family::new_with_constructor(histogram),
             first_byte: Family::new_with_constructor(histogram),
@@ -259,6 +262,7 @@
             self.limit_tokens.clone(),
         );
         registry.register("orders", "Orders to engines", self.orders.clone());
+        self.teams.register(registry);
     }
 
     fn register_store(&mut self) {
--- a/crates/chicorystaged/src/metrics/mod.rs
+++ b/crates/chicorystaged/src/metrics/mod.rs
@@ -13,6 +13,7 @@
 mod model_labels;
 mod refusal_labels;
 mod request_metrics;
+mod team_metrics;
 
 pub use class_labels::ClassLabels;
 pub use gateway_labels::RequestOutcome;
@@ -21,3 +22,4 @@
 pub use model_labels::ModelLabels;
 pub use refusal_labels::RefusalLabels;
 pub use request_metrics::RequestMetrics;
+pub use team_metrics::TeamMetrics;
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -15,7 +15,8 @@
     pub log: LogSettings,
 }
 
-/// Settings of a gateway: sections `[daemon]`, `[gateway]`, `[orders]` and `[retries]`.
+/// Settings of a gateway: sections `[daemon]`, `[gateway]`, `[orders]`, `[teams]` and
+/// `[retries]`.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
     /// Identity of the gateway's VM in the platform's list.
@@ -50,6 +51,11 @@
     pub ceiling_window_ms: u64,
     /// Factor applied to the weight store's nominal rate to get the limit of a window.
     pub ceiling_factor: f64,
+    /// Longest time for which a withdrawn API key may still be accepted, in milliseconds; `None` if keys
+    /// are accepted however old the configuration may be.
+    pub revoke_max_ms: Option<u64>,
+    /// Length of the windows in which quotas of teams hold, in milliseconds.
+    pub quota_window_ms: u64,
     /// Retries allowed per first attempt, over all gateways.
     pub retry_ratio: f64,
     /// Retries allowed in each window beyond `retry_ratio`, over all gateways.
@@ -95,6 +101,11 @@
     let endpoints_check_epoch = read_flag(reader, "orders", "endpoints_check_epoch");
     let ceiling_window_ms = read_seconds(reader, "orders", "ceiling_window_s", 5.0);
     let ceiling_factor = read_non_negative(reader, "orders", "ceiling_factor", 1.0);
+    let revoke_max_ms = reader.number("teams", "revoke_max_ms", 5_000, 500, 600_000);
+    let fails_closed = reader
+        .optional::<bool>("teams", "fail_closed", "true or false")
+        .unwrap_or(true);
+    let quota_window_ms = read_seconds(reader, "teams", "quota_window_s", 1.0);
     let retry_ratio = read_non_negative(reader, "retries", "ratio", 0.1);
     let retry_allowance = read_non_negative(reader, "retries", "allowance", 20.0);
     let retry_window_ms = read_seconds(reader, "retries", "window_s", 10.0);
@@ -115,6 +126,8 @@
         endpoints_check_epoch,
         ceiling_window_ms,
         ceiling_factor,
+        revoke_max_ms: fails_closed.then_some(revoke_max_ms),
+        quota_window_ms,
         retry_ratio,
         retry_allowance,
         retry_window_ms,
