--- a/crates/chicorystage-core/src/quota/mod.rs
+++ b/crates/chicorystage-core/src/quota/mod.rs
@@ -19,6 +19,7 @@
 mod peer_use;
 mod quota_decision;
 mod quota_ledger;
+mod quota_terms;
 mod rate_meter;
 mod sight;
 mod stored_use;
@@ -29,6 +30,7 @@
 
 pub use quota_decision::QuotaDecision;
 pub use quota_ledger::QuotaLedger;
+pub use quota_terms::QuotaTerms;
 pub use sight::Sight;
 pub use stored_use::StoredUse;
 pub use team_level::TeamLevel;
--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -5,7 +5,7 @@
 use crate::fleet::{holder_silence_ms, load_age_ms};
 use crate::quota::peer_use::PeerUse;
 use crate::quota::team_window::TeamWindow;
-use crate::quota::{QuotaDecision, Sight, StoredUse, TeamLevel, TeamUse, seconds};
+use crate::quota::{QuotaDecision, QuotaTerms, Sight, StoredUse, TeamLevel, TeamUse, seconds};
 use crate::teams::TeamDirectory;
 
 /// Time since the last request of a team after which its use is told no more, in milliseconds.
@@ -24,7 +24,7 @@
 /// One gateway's knowledge of what teams have used of their quotas.
 #[derive(Clone, Debug)]
 pub struct QuotaLedger {
-    window_ms: u64,
+    terms: QuotaTerms,
     windows: HashMap<TeamName, TeamWindow>,
     peers: HashMap<VmId, PeerUse>,
     /// Time of the last report of any other gateway; `None` before the first.
@@ -36,11 +36,11 @@
 }
 
 impl QuotaLedger {
-    /// Creates the ledger of quotas that hold in every window of `window_ms`.
+    /// Creates the ledger of quotas that hold on the given terms.
     #[must_use]
-    pub fn new(window_ms: u64) -> Self {
+    pub fn new(terms: QuotaTerms) -> Self {
         Self {
-            window_ms,
+            terms,
             windows: HashMap::new(),
             peers: HashMap::new(),
             heard_ms: None,
@@ -68,7 +68,7 @@
                 } else {
                     USED_PART_ASSUMED
                 };
-                TeamWindow::new(now_ms, self.window_ms, quota, used_part)
+                TeamWindow::new(now_ms, self.terms, quota, used_part)
             };
             self.windows.insert(team.name.clone(), window);
         }
--- a/crates/chicorystage-core/src/quota/team_window.rs
+++ b/crates/chicorystage-core/src/quota/team_window.rs
@@ -2,7 +2,7 @@
 
 use crate::quota::rate_meter::RateMeter;
 use crate::quota::use_window::UseWindow;
-use crate::quota::{MS_PER_S, QuotaDecision, Sight, TeamUse, seconds};
+use crate::quota::{MS_PER_S, QuotaDecision, QuotaTerms, Sight, TeamUse, seconds};
 use crate::teams::Quota;
 
 /// Number of slots of the window over which a difference between what is left and nothing is used up.
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct TeamWindow {
     quota: Quota,
-    window_s: f64,
+    terms: QuotaTerms,
     used: UseWindow,
     /// Units left when the others' use was last told; `None` before.
     told_level: Option<f64>,
@@ -50,14 +50,13 @@
 }
 
 impl TeamWindow {
-    /// Creates the window of a team of which `used` units were used, at times that are not known.
-    pub(super) fn new(now_ms: u64, window_ms: u64, quota: Quota, used_part: f64) -> Self {
-        let window_s = seconds(0, window_ms);
-        let mut used = UseWindow::new(now_ms, window_ms);
-        used.spread(limit(&quota, window_s) * used_part);
+    /// Creates the window of a team that has used a part of its quota, at times that are not known.
+    pub(super) fn new(now_ms: u64, terms: QuotaTerms, quota: Quota, used_part: f64) -> Self {
+        let mut used = UseWindow::new(now_ms, terms.window_ms);
+        used.spread(terms.units(&quota) * used_part);
         Self {
             quota,
-            window_s,
+            terms,
             used,
             told_level: None,
             told_asked_per_s: 0.0,
@@ -200,9 +199,9 @@
         self.limit() - self.used.total()
     }
 
-    /// Returns the units that any window may have.
+    /// Returns the units that gateways admit in a window.
     fn limit(&self) -> f64 {
-        limit(&self.quota, self.window_s)
+        self.terms.units(&self.quota)
     }
 
     /// Notes that what others use is known as of now.
@@ -278,7 +277,3 @@
         (wait_s * MS_PER_S).clamp(0.0, RETRY_MAX_MS) as u64
     }
 }
-
-fn limit(quota: &Quota, window_s: f64) -> f64 {
-    quota.per_s * window_s + quota.burst
-}
--- a/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
+++ b/crates/chicorystage-testbed/src/users_platform/platform_fixture.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use chicorystage_core::quota::QuotaTerms;
 use chicorystaged::gateway::shared::Gateway;
 use chicorystaged::settings::GatewaySettings;
 use http::Method;
@@ -64,7 +65,11 @@
             ceiling_window_ms: 5_000,
             ceiling_factor: 1.1,
             revoke_max_ms: Some(5_000),
-            quota_window_ms: 2_000,
+            quota_terms: QuotaTerms {
+                window_ms: 2_000,
+                tolerance: 0.1,
+                allowance: 0.0,
+            },
             retry_ratio: 0.2,
             retry_allowance: 54.0,
             retry_window_ms: 10_000,
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -36,6 +36,8 @@
 /// Time beyond the expiry of entries after which a table that was restored from an older copy is
 /// read once more, in milliseconds.
 const REREAD_MARGIN_MS: u64 = 500;
+/// Number of replies that confirm the configuration within the time that a withdrawal of a key may take.
+const CONFIRMATIONS: u64 = 5;
 /// Largest number of calls in flight on one table.
 const CALLS_MAX: usize = 6;
 
@@ -177,7 +179,7 @@
 
     /// Sends calls until one of them is answered or all have failed.
     async fn first_answer(&self) -> Result<FeedAnswer, BorderError> {
-        let wait_ms = if self.is_lost() { 0 } else { self.poll_wait_ms };
+        let wait_ms = if self.is_lost() { 0 } else { self.wait_ms() };
         let mut transfers = Transfers::default();
         let mut calls = Calls::new();
         calls.push(Box::pin(self.call(wait_ms, transfers.begin())));
@@ -249,12 +251,30 @@
         );
     }
 
+    /// Returns for how long the store should delay the reply to a poll, in milliseconds.
+    ///
+    /// Keys of teams are accepted only while the configuration is confirmed, which each reply does.
+    fn wait_ms(&self) -> u64 {
+        let confirms = self.table == TableName::Operator && self.gateway.needs_confirmation();
+        let revoke_max_ms = self.gateway.settings.revoke_max_ms.filter(|_| confirms);
+        revoke_max_ms.map_or(self.poll_wait_ms, |revoke_max_ms| {
+            self.poll_wait_ms.min(revoke_max_ms / CONFIRMATIONS)
+        })
+    }
+
     /// Waits until another call may be answered sooner than those in flight.
     ///
     /// The feed of the endpoints' table probes a store that does not answer; the other feeds wait
-    /// for its success.
+    /// for its success. A reply that would confirm the configuration is not waited for longer than the
+    /// store was asked to delay it.
     async fn probe_due(&self) {
         match self.table {
+            TableName::Operator if self.gateway.needs_confirmation() => {
+                let overdue = Duration::from_millis(self.wait_ms() + PROBE_INTERVAL_MS);
+                // Both the end of this time and a success of another feed call for a probe.
+                let regained = self.gateway.store_regained.notified();
+                let _elapsed = tokio::time::timeout(overdue, regained).await;
+            }
             TableName::Endpoints if self.is_lost() => {
                 tokio::time::sleep(Duration::from_millis(PROBE_INTERVAL_MS)).await;
             }
--- a/crates/chicorystaged/src/gateway/request_limits/mod.rs
+++ b/crates/chicorystaged/src/gateway/request_limits/mod.rs
@@ -18,11 +18,10 @@
 use crate::gateway::peers;
 use crate::gateway::request_limits::messages::known_limit;
 use crate::gateway::shared::Gateway;
+use crate::gateway::view::GATEWAYS_UNKNOWN;
 
 /// Longest interval between two passes while there are limits, in milliseconds.
 const PERIOD_MS: u64 = 50;
-/// Number of gateways that share a limit as long as the table of gateways has not been read.
-const GATEWAYS_UNKNOWN: usize = 64;
 
 /// Starts the task that asks for tokens, and grants them at the lease holder.
 pub fn start(gateway: &Rc<Gateway>) {
@@ -163,13 +162,7 @@
 fn grant_own(gateway: &Gateway, has_holder: bool) {
     let now_ms = gateway.now_ms();
     let mut has_granted = false;
-    let gateways = gateway.with(|view| {
-        if view.has_peers {
-            view.gateways()
-        } else {
-            GATEWAYS_UNKNOWN
-        }
-    });
+    let gateways = gateway.with(|view| view.gateways_or(GATEWAYS_UNKNOWN));
     for id in limited_endpoints(gateway) {
         let random = rand::random();
         let token = with_limit(gateway, &id, |limit| {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -122,7 +122,7 @@
             window_ms: settings.retry_window_ms,
         };
         let retries = ServiceRetryBudgets::new(budget, clock.now_ms());
-        let view = View::new(retries, settings.heartbeat_ms, settings.quota_window_ms);
+        let view = View::new(retries, settings.heartbeat_ms, settings.quota_terms);
         let incarnation = boot_ms();
         let lease = OrderLease::new(
             settings.vm.clone(),
--- a/crates/chicorystaged/src/gateway/teams.rs
+++ b/crates/chicorystaged/src/gateway/teams.rs
@@ -20,6 +20,7 @@
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::own_responses::{refusal_with, refuse_at_gateway, text_response};
 use crate::gateway::shared::Gateway;
+use crate::gateway::view::GATEWAYS_UNKNOWN;
 use crate::timer::boot_ms;
 
 /// A request's team, with the units that the request was charged.
@@ -108,7 +109,8 @@
     let cost = team.quota.map_or(0.0, |quota| quota.cost(head.tokens()));
     let random = rand::random();
     let decision = gateway.with(|view| {
-        let sight = view.quotas.sight(now_ms, view.gateways());
+        let gateways = view.gateways_or(GATEWAYS_UNKNOWN);
+        let sight = view.quotas.sight(now_ms, gateways);
         view.quotas.admit(now_ms, &team.name, cost, random, sight)
     });
     match decision {
@@ -193,16 +195,22 @@
         revoke_max_ms.is_none_or(|revoke_max_ms| confirmed.admits(boot_ms(), revoke_max_ms))
     }
 
+    /// Returns whether keys are accepted only while the configuration is confirmed.
+    #[must_use]
+    pub(super) fn needs_confirmation(&self) -> bool {
+        let configuration = self.configuration();
+        let has_teams = configuration.is_some_and(|known| !known.teams.is_empty());
+        has_teams && self.settings.revoke_max_ms.is_some()
+    }
+
     /// Returns whether requests with keys are refused here, or soon will be, because the configuration
     /// is not confirmed.
     #[must_use]
     pub(super) fn lacks_confirmation(&self) -> bool {
-        let Some(revoke_max_ms) = self.settings.revoke_max_ms else {
-            return false;
-        };
-        let has_teams = self
-            .configuration()
-            .is_some_and(|configuration| !configuration.teams.is_empty());
-        has_teams && self.confirmed.get().is_aging(boot_ms(), revoke_max_ms)
+        let confirmed = self.confirmed.get();
+        let revoke_max_ms = self.settings.revoke_max_ms;
+        let is_aging =
+            revoke_max_ms.is_some_and(|revoke_max_ms| confirmed.is_aging(boot_ms(), revoke_max_ms));
+        is_aging && self.needs_confirmation()
     }
 }
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -7,7 +7,7 @@
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::FleetView;
 use chicorystage_core::orders::DemandTracker;
-use chicorystage_core::quota::QuotaLedger;
+use chicorystage_core::quota::{QuotaLedger, QuotaTerms};
 use chicorystage_core::registry::{AbsenceTracker, Departures};
 use chicorystage_core::retry::ServiceRetryBudgets;
 use chicorystage_core::stream_origins::{BegunStreams, SoftwareHistory};
@@ -19,6 +19,9 @@
 /// Time since the last message after which a gateway no longer counts as live, in milliseconds.
 const PEER_ALIVE_MS: u64 = 3_000;
 
+/// Number of gateways that is assumed before their table has been read.
+pub const GATEWAYS_UNKNOWN: usize = 64;
+
 /// Number of gateways up to which shared periods keep their shortest length.
 const GATEWAYS_PER_PERIOD: usize = 8;
 
@@ -94,17 +97,17 @@
 impl View {
     /// Creates an empty view, as before the first read of the store.
     ///
-    /// Endpoints renew their registry entries every `heartbeat_ms`, and quotas of teams hold in every
-    /// window of `quota_window_ms`.
+    /// Endpoints renew their registry entries every `heartbeat_ms`, and quotas of teams hold on the
+    /// given terms.
     #[must_use]
-    pub fn new(retries: ServiceRetryBudgets, heartbeat_ms: u64, quota_window_ms: u64) -> Self {
+    pub fn new(retries: ServiceRetryBudgets, heartbeat_ms: u64, quota_terms: QuotaTerms) -> Self {
         Self {
             configuration: None,
             has_endpoints: false,
             fleet: FleetView::default(),
             demand: DemandTracker::default(),
             retries,
-            quotas: QuotaLedger::new(quota_window_ms),
+            quotas: QuotaLedger::new(quota_terms),
             suspects: SuspectList::default(),
             part_evidence: PartEvidence::default(),
             begun_streams: BegunStreams::default(),
@@ -129,6 +132,16 @@
         self.peers.len() + 1
     }
 
+    /// Returns the number of registered gateways, or `unknown` before their table has been read.
+    #[must_use]
+    pub fn gateways_or(&self, unknown: usize) -> usize {
+        if self.has_peers {
+            self.gateways()
+        } else {
+            unknown
+        }
+    }
+
     /// Returns the other gateways that have sent a message within the last three seconds.
     pub fn live_peers(&self, now_ms: u64) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(move |peer| {
--- a/crates/chicorystaged/src/settings/gateway_settings.rs
+++ b/crates/chicorystaged/src/settings/gateway_settings.rs
@@ -2,6 +2,7 @@
 
 use chicorystage_api::finding::Finding;
 use chicorystage_api::name::{VmId, ZoneName};
+use chicorystage_core::quota::QuotaTerms;
 
 use crate::settings::settings_file::{ADDRESS, read_log, read_name};
 use crate::settings::{IniReader, LogSettings};
@@ -54,8 +55,8 @@
     /// Longest time for which a withdrawn API key may still be accepted, in milliseconds; `None` if keys
     /// are accepted however old the configuration may be.
     pub revoke_max_ms: Option<u64>,
-    /// Length of the windows in which quotas of teams hold, in milliseconds.
-    pub quota_window_ms: u64,
+    /// When quotas of teams count as kept.
+    pub quota_terms: QuotaTerms,
     /// Retries allowed per first attempt, over all gateways.
     pub retry_ratio: f64,
     /// Retries allowed in each window beyond `retry_ratio`, over all gateways.
@@ -105,7 +106,11 @@
     let fails_closed = reader
         .optional::<bool>("teams", "fail_closed", "true or false")
         .unwrap_or(true);
-    let quota_window_ms = read_seconds(reader, "teams", "quota_window_s", 1.0);
+    let quota_terms = QuotaTerms {
+        window_ms: read_seconds(reader, "teams", "quota_window_s", 1.0),
+        tolerance: read_non_negative(reader, "teams", "quota_tolerance", 0.0),
+        allowance: read_non_negative(reader, "teams", "quota_allowance", 0.0),
+    };
     let retry_ratio = read_non_negative(reader, "retries", "ratio", 0.1);
     let retry_allowance = read_non_negative(reader, "retries", "allowance", 20.0);
     let retry_window_ms = read_seconds(reader, "retries", "window_s", 10.0);
@@ -127,7 +132,7 @@
         ceiling_window_ms,
         ceiling_factor,
         revoke_max_ms: fails_closed.then_some(revoke_max_ms),
-        quota_window_ms,
+        quota_terms,
         retry_ratio,
         retry_allowance,
         retry_window_ms,
