Quotas: token buckets with a rate within what is tolerated, instead of sliding windows

The stored row that made windows safe after a kill of all goes with them.

Change: a bucket of the team's burst at the quota's rate and 0.6 of what is tolerated; a bucket with anything left lets a request of any size through, so that large ones are not refused more often.

--- a/crates/chicorystage-core/src/quota/mod.rs
+++ b/crates/chicorystage-core/src/quota/mod.rs
@@ -2,16 +2,16 @@
 //!
 //! A team's requests may arrive at any gateway, all of them at one or some at each. No gateway sees the
 //! others' requests as they arrive; it learns of them from the load reports that gateways exchange
-//! anyway. So each gateway keeps a copy of what all have used in a sliding window ([`QuotaLedger`]):
+//! anyway. So each gateway keeps a copy of the team's one token bucket ([`QuotaLedger`]):
 //!
 //! * its own requests are charged at once, those of the others when a report tells of them;
-//! * what was admitted beyond the quota meanwhile is a debt, and nothing is admitted until it has left
-//!   the window: in the long run the quota is admitted, wherever the requests arrive;
+//! * what was admitted beyond the quota meanwhile is a debt, and nothing is admitted until it is paid:
+//!   in the long run the quota is admitted, wherever the requests arrive;
 //! * a team that has little left is admitted at random with the probability that makes all gateways
 //!   together admit what is left, so that debts stay small;
 //! * what a gateway used that has fallen silent is assumed to go on for a while, as it may be cut off;
 //! * a gateway that hears nobody keeps to its own part of what was asked before;
-//! * the lease holder stores the use of teams that have used much, for gateways that all start at once.
+//! * a gateway that starts has empty buckets, so that a kill of all gives no team its burst again.
 //!
 //! The load it answers: one team at several times its quota among many that stay below theirs, at
 //! gateways of unequal size, while gateways are lost, cut off and restarted.
@@ -22,17 +22,14 @@
 mod quota_terms;
 mod rate_meter;
 mod sight;
-mod stored_use;
+mod team_bucket;
 mod team_level;
 mod team_use;
-mod team_window;
-mod use_window;
 
 pub use quota_decision::QuotaDecision;
 pub use quota_ledger::QuotaLedger;
 pub use quota_terms::QuotaTerms;
 pub use sight::Sight;
-pub use stored_use::StoredUse;
 pub use team_level::TeamLevel;
 pub use team_use::TeamUse;
 
--- a/crates/chicorystage-core/src/quota/quota_terms.rs
+++ b/crates/chicorystage-core/src/quota/quota_terms.rs
@@ -5,12 +5,13 @@
 ///
 /// What a gateway knows of the others is late, so that they miss their aim to either side: too few
 /// units refuse what is within the quota, too many exceed what is tolerated.
-const AIMED_PART: f64 = 0.4;
+const AIMED_PART: f64 = 0.6;
 
-/// When a quota counts as kept.
+/// When a quota counts as kept: in any window, a team gets no more than the units that accrue in it, its
+/// burst, and what is tolerated.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaTerms {
-    /// Length of the windows in which quotas hold, in milliseconds.
+    /// Length of the windows, in milliseconds.
     pub window_ms: u64,
     /// Part of a window's units by which all gateways together may exceed it.
     pub tolerance: f64,
@@ -19,10 +20,19 @@
 }
 
 impl QuotaTerms {
-    /// Returns the units that gateways admit in a window.
+    /// Returns the units a second that gateways admit.
     #[must_use]
-    pub fn units(&self, quota: &Quota) -> f64 {
+    pub fn per_s(&self, quota: &Quota) -> f64 {
+        let window_s = seconds(0, self.window_ms);
+        let promised = quota.per_s * window_s + quota.burst;
+        let tolerated = promised * self.tolerance + self.allowance;
+        quota.per_s + AIMED_PART * tolerated / window_s
+    }
+
+    /// Returns the units that a team may get in any window.
+    #[must_use]
+    pub fn units_max(&self, quota: &Quota) -> f64 {
         let promised = quota.per_s * seconds(0, self.window_ms) + quota.burst;
-        promised + AIMED_PART * (promised * self.tolerance + self.allowance)
+        promised * (1.0 + self.tolerance) + self.allowance
     }
 }
--- a/crates/chicorystage-core/src/quota/team_window.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -1,13 +1,10 @@
 use chicorystage_api::name::TeamName;
 
 use crate::quota::rate_meter::RateMeter;
-use crate::quota::use_window::UseWindow;
 use crate::quota::{MS_PER_S, QuotaDecision, QuotaTerms, Sight, TeamUse, seconds};
 use crate::teams::Quota;
 
-/// Number of slots of the window over which a difference between what is left and nothing is used up.
-const SETTLE_SLOTS: usize = 2;
-/// Time of those slots, in seconds.
+/// Time in which what is left is used up by a team that asks for more than its quota, in seconds.
 const SETTLE_S: f64 = 0.5;
 /// Number of report ages whose demand must be left for requests to be admitted without thinning.
 const PLENTY_AGES: f64 = 3.0;
@@ -21,12 +18,15 @@
 /// Longest time to come back that is told, in milliseconds.
 const RETRY_MAX_MS: f64 = 3_000.0;
 
-/// One gateway's copy of what a team has used of its quota at all gateways.
+/// One gateway's copy of the token bucket that a team has at all gateways together.
 #[derive(Clone, Debug)]
-pub(super) struct TeamWindow {
-    quota: Quota,
-    terms: QuotaTerms,
-    used: UseWindow,
+pub(super) struct TeamBucket {
+    /// Units that accrue in a second.
+    per_s: f64,
+    burst: f64,
+    /// Units left, as far as this gateway knows; negative while there is a debt.
+    level: f64,
+    updated_ms: u64,
     /// Units left when the others' use was last told; `None` before.
     told_level: Option<f64>,
     /// Units asked of all gateways in a second, when the others' use was last told.
@@ -49,15 +49,14 @@
     asked_ms: Option<u64>,
 }
 
-impl TeamWindow {
-    /// Creates the window of a team that has used a part of its quota, at times that are not known.
-    pub(super) fn new(now_ms: u64, terms: QuotaTerms, quota: Quota, used_part: f64) -> Self {
-        let mut used = UseWindow::new(now_ms, terms.window_ms);
-        used.spread(terms.units(&quota) * used_part);
+impl TeamBucket {
+    /// Creates a bucket that holds `level` units.
+    pub(super) fn new(now_ms: u64, terms: QuotaTerms, quota: Quota, level: f64) -> Self {
         Self {
-            quota,
-            terms,
-            used,
+            per_s: terms.per_s(&quota),
+            burst: quota.burst,
+            level,
+            updated_ms: now_ms,
             told_level: None,
             told_asked_per_s: 0.0,
             told_own_part: None,
@@ -75,16 +74,12 @@
     }
 
     /// Changes the quota from now on.
-    ///
-    /// What was used under a larger one counts in proportion, so that a team keeps the same part.
-    pub(super) fn set_quota(&mut self, quota: Quota) {
-        let before = self.limit();
-        self.quota = quota;
-        let factor = self.limit() / before;
-        if factor < 1.0 {
-            self.used.scale(factor);
-            self.told_level = self.told_level.map(|level| level * factor);
-        }
+    pub(super) fn set_quota(&mut self, now_ms: u64, terms: QuotaTerms, quota: Quota) {
+        self.refill(now_ms);
+        self.per_s = terms.per_s(&quota);
+        self.burst = quota.burst;
+        self.level = self.level.min(self.burst);
+        self.told_level = self.told_level.map(|level| level.min(self.burst));
     }
 
     /// Decides on a request of `cost` units and charges it if it is admitted.
@@ -97,11 +92,13 @@
         random: f64,
         sight: Sight,
     ) -> QuotaDecision {
-        self.used.advance(now_ms);
+        self.refill(now_ms);
         self.own_asked += cost;
         self.own_meter.add(now_ms, cost);
         self.asked_ms = Some(now_ms);
-        let has_units = self.level() >= cost.min(self.limit());
+        // The last units let a request of any size through, so that large ones are not refused more
+        // often than small ones.
+        let has_units = self.level > 0.0;
         let is_admitted = match sight {
             Sight::Alone => has_units,
             Sight::Reports { age_ms } => has_units && random < self.admitted_part(now_ms, age_ms),
@@ -113,49 +110,43 @@
         if !is_admitted {
             return QuotaDecision::Refused {
                 retry_in_ms: self.retry_in_ms(now_ms, cost),
-                level: self.level(),
+                level: self.level,
                 asked_per_s: self.asked_per_s(now_ms),
             };
         }
         self.own_part -= cost;
-        self.used.add(cost);
+        self.level -= cost;
         self.own_used += cost;
         QuotaDecision::Admitted(cost)
     }
 
     /// Gives back the units of a request that was not run.
     pub(super) fn give_back(&mut self, cost: f64) {
-        self.used.add(-cost);
+        self.level += cost;
         self.own_used -= cost;
     }
 
     /// Charges what another gateway has used.
     pub(super) fn charge(&mut self, now_ms: u64, used: f64, asked: f64) {
-        self.used.advance(now_ms);
-        self.used.add(used);
+        self.refill(now_ms);
+        self.level = (self.level - used).min(self.burst);
         self.others_meter.add(now_ms, asked);
         self.now_known(now_ms);
     }
 
     /// Takes over the level that the lease holder tells, which includes what this gateway has reported.
     pub(super) fn told(&mut self, now_ms: u64, level: f64, asked_per_s: f64) {
-        self.used.advance(now_ms);
-        let level = level - (self.own_used - self.reported_used);
-        let unknown = self.level() - level;
-        if self.told_level.is_some() {
-            self.used.add(unknown);
-        } else {
-            self.used.spread(unknown);
-        }
-        self.others_known(now_ms, level, asked_per_s);
+        self.refill(now_ms);
+        self.level = level - (self.own_used - self.reported_used);
+        self.others_known(now_ms, asked_per_s);
         self.settled_used = self.reported_used;
     }
 
     /// Returns the level to tell the others, and what the team asks all gateways for in a second.
     pub(super) fn to_tell(&mut self, now_ms: u64) -> (f64, f64) {
-        self.used.advance(now_ms);
+        self.refill(now_ms);
         self.now_known(now_ms);
-        (self.level(), self.told_asked_per_s)
+        (self.level, self.told_asked_per_s)
     }
 
     /// Returns the own use and demand to report.
@@ -174,62 +165,37 @@
         self.asked_ms
     }
 
-    /// Returns the part of the quota that was used in the window.
-    pub(super) fn used_part(&mut self, now_ms: u64) -> f64 {
-        self.used.advance(now_ms);
-        self.used.total() / self.limit()
-    }
-
-    /// Returns the units used in each slot, the oldest first, and what is asked in a second.
-    pub(super) fn to_store(&self, now_ms: u64) -> (Vec<f64>, f64) {
-        (self.used.slots(), self.asked_per_s(now_ms))
-    }
-
-    /// Takes over what was stored before the start, and what may have been used since.
-    pub(super) fn restore(&mut self, slots: &[f64], since: f64) {
-        if self.told_level.is_some() {
-            return;
-        }
-        self.used.restore(slots);
-        self.used.add(since.min(self.level().max(0.0)));
-    }
-
-    /// Returns the units that are left; negative if more were admitted than the quota allows.
-    fn level(&self) -> f64 {
-        self.limit() - self.used.total()
-    }
-
-    /// Returns the units that gateways admit in a window.
-    fn limit(&self) -> f64 {
-        self.terms.units(&self.quota)
+    fn refill(&mut self, now_ms: u64) {
+        let accrued = self.per_s * seconds(self.updated_ms, now_ms);
+        self.level = (self.level + accrued).min(self.burst);
+        self.updated_ms = self.updated_ms.max(now_ms);
     }
 
     /// Notes that what others use is known as of now.
     fn now_known(&mut self, now_ms: u64) {
         let asked_per_s = self.own_meter.per_s(now_ms) + self.others_meter.per_s(now_ms);
-        self.others_known(now_ms, self.level(), asked_per_s);
+        self.others_known(now_ms, asked_per_s);
     }
 
-    fn others_known(&mut self, now_ms: u64, level: f64, asked_per_s: f64) {
+    fn others_known(&mut self, now_ms: u64, asked_per_s: f64) {
         self.told_ms = now_ms;
-        self.told_level = Some(level);
+        self.told_level = Some(self.level);
         self.told_asked_per_s = asked_per_s;
         if asked_per_s > 0.0 {
             self.told_own_part = Some((self.own_meter.per_s(now_ms) / asked_per_s).min(1.0));
         }
     }
 
-    /// Returns the part of the requests that may be admitted, so that all gateways together use up what
-    /// is left, and what leaves the window, within [`SETTLE_S`].
+    /// Returns the part of the requests that may be admitted, so that all gateways together use what
+    /// accrues, and use up what is left within [`SETTLE_S`].
     fn admitted_part(&self, now_ms: u64, age_ms: u64) -> f64 {
         let asked_per_s = self.asked_per_s(now_ms);
-        let expiring_per_s = self.used.expiring_per_s(SETTLE_SLOTS);
-        let level = self.level_unless_told(now_ms, age_ms, asked_per_s - expiring_per_s);
+        let level = self.level_unless_told(now_ms, age_ms, asked_per_s - self.per_s);
         let plenty = asked_per_s * seconds(0, age_ms) * PLENTY_AGES;
         if level >= plenty {
             return 1.0;
         }
-        (expiring_per_s + level / SETTLE_S) / asked_per_s
+        (self.per_s + level / SETTLE_S) / asked_per_s
     }
 
     /// Returns the level that was told, less what all gateways may have used since if the next report is
@@ -256,7 +222,7 @@
         let part = self
             .told_own_part
             .map_or(equal_part, |told| told.max(equal_part * NEW_DEMAND_PART));
-        let per_s = self.quota.per_s * part;
+        let per_s = self.per_s * part;
         // After a time with reports, the part begins anew.
         let elapsed_s = seconds(self.own_part_updated_ms, now_ms).min(ISOLATED_BURST_S);
         self.own_part = (self.own_part + per_s * elapsed_s).min(per_s * ISOLATED_BURST_S);
@@ -270,10 +236,10 @@
         reason = "clamped to a few seconds"
     )]
     fn retry_in_ms(&self, now_ms: u64, cost: f64) -> u64 {
-        let lacking = (cost.min(self.limit()) - self.level()).max(0.0);
-        let excess = (self.asked_per_s(now_ms) - self.quota.per_s).max(0.0);
+        let lacking = (cost.min(self.burst) - self.level).max(0.0);
+        let excess = (self.asked_per_s(now_ms) - self.per_s).max(0.0);
         // What is asked beyond the quota comes back as well, and takes its turn.
-        let wait_s = (lacking + excess * SETTLE_S) / self.quota.per_s;
+        let wait_s = (lacking + excess * SETTLE_S) / self.per_s;
         (wait_s * MS_PER_S).clamp(0.0, RETRY_MAX_MS) as u64
     }
 }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -10,7 +10,6 @@
 
 use crate::gateway::peers;
 use crate::gateway::quarantine_rows::{self, QUARANTINE_KEY};
-use crate::gateway::quota_rows::{self, QUOTAS_KEY};
 use crate::gateway::shared::Gateway;
 use crate::gateway::software_rows::{self, SOFTWARE_KEY};
 use crate::gateway::view::Peer;
@@ -45,8 +44,6 @@
             }
         } else if let Some(digest) = row.key.strip_prefix(QUARANTINE_KEY) {
             quarantine_rows::apply(gateway, digest, row);
-        } else if row.key == QUOTAS_KEY {
-            quota_rows::apply(gateway, row);
         }
     }
     if is_whole {
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -11,8 +11,7 @@
 //!   finds its route; [`serving`] reserves an endpoint and sends the request with [`attempt`];
 //!   [`relay`] passes a long answer on as it arrives.
 //! * [`follow`] polls the tables of the store for changes.
-//! * [`teams`] decides whether a request's key and its team's quota let it in;
-//!   [`quota_rows`] keeps in the store what teams have used.
+//! * [`teams`] decides whether a request's key and its team's quota let it in.
 //! * [`granting`] grants reservations to waiting requests when endpoints have capacity.
 //! * [`crash_checks`] finds out whether an endpoint crashed when a connection broke; [`poison`] refuses
 //!   requests that crash endpoints, `prompt_parts` finds parts of prompts that do, and
@@ -56,7 +55,6 @@
 pub mod probe_http;
 mod prompt_parts;
 mod quarantine_rows;
-pub mod quota_rows;
 pub mod relay;
 pub mod request;
 pub mod request_limits;
@@ -133,7 +131,6 @@
     peers::start(&gateway, socket);
     software_rows::start(&gateway);
     stream_rows::start(&gateway);
-    quota_rows::start(&gateway);
     engine_orders::start(&gateway);
     request_limits::start(&gateway);
     granting::start(&gateway);
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -7,6 +7,7 @@
 
 use chicorystage_api::name::{EndpointId, VmId};
 use chicorystage_core::fleet::{UncachedModel, load_period_ms, load_valid_ms};
+use chicorystage_core::quota::TeamLevel;
 
 use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
 use crate::gateway::peers::load_update::{collect_load_update, record_own_waiting};
@@ -116,11 +117,24 @@
         in_progress,
         uncached,
         limits: request_limits::known(gateway),
-        teams: gateway.with(|view| view.quotas.levels(now_ms)),
+        teams: quota_levels(gateway, now_ms),
     };
     broadcast(gateway, PeerContent::Sum(update)).await;
 }
 
+/// Returns what is left of the quotas of teams, and logs those of which little is.
+fn quota_levels(gateway: &Gateway, now_ms: u64) -> Vec<TeamLevel> {
+    let levels = gateway.with(|view| view.quotas.levels(now_ms));
+    for level in levels.iter().filter(|level| level.is_short()) {
+        log::info!(
+            event = "quota_short", team = level.team.as_str(), level = level.level,
+            asked_per_s = level.asked_per_s;
+            "a team has used nearly all of its quota"
+        );
+    }
+    levels
+}
+
 /// Returns the models that only the weight store can bring, and records them in the own view.
 fn uncached_models(gateway: &Gateway, now_ms: u64) -> Vec<UncachedModel> {
     let Some(configuration) = gateway.configuration() else {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -24,7 +24,6 @@
 use crate::gateway::crash_checks::CrashChecks;
 use crate::gateway::part_trials::PartTrials;
 use crate::gateway::pool::Pool;
-use crate::gateway::quota_rows::QuotaRows;
 use crate::gateway::retry_decision::RetryDecision;
 use crate::gateway::software_rows::SoftwareRows;
 use crate::gateway::stream_rows::StreamRows;
@@ -86,8 +85,6 @@
     pub software_rows: SoftwareRows,
     /// Streams that callers may take up again, and the row that keeps them.
     pub stream_rows: StreamRows,
-    /// What teams have used of their quotas, as stored.
-    pub quota_rows: QuotaRows,
     /// Computes the digests under which API keys are kept.
     pub key_hasher: KeyHasher,
     /// When the configuration in force was confirmed as the newest, on the VM's boot clock.
@@ -153,7 +150,6 @@
             limits_changed: Notify::new(),
             limit_allocator: RefCell::default(),
             crash_checks: CrashChecks::default(),
-            quota_rows: QuotaRows::default(),
             key_hasher: KeyHasher::new(rand::random()),
             confirmed: Cell::default(),
             own_row_version: Cell::new(0),
