Quotas: each gateway uses its part of what is left; endpoints' load by how long requests stay (operators' wish)

Reported requests at plain services, which stay for 60 ms, counted as if they stayed for a second.

Change: until the next report a gateway uses its part of what is left, by its part of what was asked; a new lease holder compares reports with the use that the last level included; gateways that are not heard keep their part of what accrues. Reported load is kept by how long requests stay, which is learned from those that end; the rest is expected to have been spread evenly.

--- a/crates/chicorystage-core/src/fleet/candidate.rs
+++ b/crates/chicorystage-core/src/fleet/candidate.rs
@@ -37,10 +37,10 @@
     now_ms: u64,
     zone: &ZoneName,
     endpoint: &Endpoint,
-    occupancy: u32,
+    occupancy: f64,
     failed_before: bool,
 ) -> f64 {
-    let mut cost = request_cost(endpoint) * f64::from(occupancy);
+    let mut cost = request_cost(endpoint) * occupancy;
     cost += DEFER_COST_PER_MS * endpoint.pace.defer_ms(now_ms);
     cost += FAILURE_COST * endpoint.failure_rate(now_ms);
     if endpoint.entry.zone != *zone {
--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -194,9 +194,10 @@
     ///
     /// The answer is an estimate: requests of other routers are known only with a delay.
     #[must_use]
-    pub fn has_capacity(&self, now_ms: u64, occupancy: u32) -> bool {
+    pub fn has_capacity(&self, now_ms: u64, occupancy: f64) -> bool {
         let is_held = self.held_until_ms(now_ms).is_some();
-        now_ms >= self.full_until_ms && !is_held && occupancy < self.entry.slots
+        let has_slot = occupancy + 1.0 <= f64::from(self.entry.slots);
+        now_ms >= self.full_until_ms && !is_held && has_slot
     }
 
     /// Returns whether no connection attempt to the endpoint failed recently.
@@ -356,6 +357,12 @@
             .map(|(model, count)| (model, *count))
     }
 
+    /// Returns the number of requests of this process in progress.
+    #[must_use]
+    pub fn own_requests(&self) -> u32 {
+        self.in_progress.values().sum()
+    }
+
     fn find_model(&self, now_ms: u64, model: &ModelName) -> Option<&LoadedModel> {
         self.models(now_ms)
             .iter()
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::candidate::{better_reason, cost, missing_requirement, request_cost};
 use crate::fleet::stale_load::Candidate;
+use crate::fleet::turnover::Turnover;
 use crate::fleet::{
     Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements, StaleLoad,
     Standing, UncachedModel,
@@ -19,6 +20,8 @@
     totals: HashMap<EndpointId, u32>,
     /// Requests in progress of the other routers, by endpoint and model.
     model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
+    /// How long requests stay at endpoints.
+    turnover: Turnover,
     /// Models that only the weight store can bring, with the time of such a load in milliseconds.
     uncached: HashMap<ModelName, u64>,
     /// Time from which `uncached` no longer counts, in milliseconds.
@@ -125,10 +128,7 @@
     /// Returns the number of requests that all routers have in progress at an endpoint.
     #[must_use]
     pub fn occupancy(&self, id: &EndpointId) -> u32 {
-        let own: u32 = self
-            .endpoints
-            .get(id)
-            .map_or(0, |endpoint| endpoint.in_progress().map(|(_, n)| n).sum());
+        let own = self.endpoints.get(id).map_or(0, Endpoint::own_requests);
         own + self.totals.get(id).copied().unwrap_or(0)
     }
 
@@ -235,7 +235,7 @@
     /// linear in the number of endpoints.
     #[must_use]
     pub fn choose(&self, now_ms: u64, zone: &ZoneName, requirements: &Requirements) -> Choice {
-        let candidates = match self.candidates(now_ms, zone, requirements) {
+        let candidates = match self.candidates(now_ms, zone, requirements, 0) {
             Ok(candidates) => candidates,
             Err(reason) => return reason,
         };
@@ -253,7 +253,8 @@
         requirements: &Requirements,
         stale_load: StaleLoad,
     ) -> Choice {
-        let mut candidates = match self.candidates(now_ms, zone, requirements) {
+        let age_ms = stale_load.age_ms;
+        let mut candidates = match self.candidates(now_ms, zone, requirements, age_ms) {
             Ok(candidates) => candidates,
             Err(reason) => return reason,
         };
@@ -261,7 +262,26 @@
         chosen.map_or(Choice::NoEndpoint, |id| Choice::Endpoint(id.clone()))
     }
 
-    /// Returns the endpoints that meet the requirements and have capacity, at least one.
+    /// Records that a request has ended that stayed at an endpoint of a service for `time_ms`.
+    pub fn request_ended(&mut self, service: &ServiceName, time_ms: u64) {
+        self.turnover.record(service, time_ms);
+    }
+
+    /// Returns the mean number of requests that the other routers have reported at the endpoints that
+    /// could take a request.
+    fn mean_others(&self, now_ms: u64, requirements: &Requirements) -> f64 {
+        let fitting = self.endpoints.iter().filter(|(_, endpoint)| {
+            endpoint.entry.service == requirements.service
+                && endpoint.is_usable(now_ms)
+                && missing_requirement(now_ms, endpoint, requirements).is_none()
+        });
+        let others = fitting.map(|(id, _)| self.totals.get(id).copied().unwrap_or(0));
+        let (sum, count) = others.fold((0, 0), |(sum, count), others| (sum + others, count + 1));
+        f64::from(sum) / f64::from(count.max(1))
+    }
+
+    /// Returns the endpoints that meet the requirements and have capacity, at least one, where the load
+    /// of the other routers was reported `age_ms` ago.
     ///
     /// # Errors
     ///
@@ -271,7 +291,10 @@
         now_ms: u64,
         zone: &ZoneName,
         requirements: &Requirements,
+        age_ms: u64,
     ) -> Result<Vec<Candidate<'_>>, Choice> {
+        let kept_part = self.turnover.kept_part(&requirements.service, age_ms);
+        let renewed = self.mean_others(now_ms, requirements) * (1.0 - kept_part);
         let mut reason = Choice::NoEndpoint;
         let mut candidates = Vec::new();
         let mut breaking = Vec::new();
@@ -294,8 +317,9 @@
             }
             let is_sound = !endpoint.breaks_connections(now_ms);
             has_sound |= is_sound;
-            let occupancy = self.occupancy(id);
-            if !endpoint.has_capacity(now_ms, occupancy) {
+            let others = f64::from(self.totals.get(id).copied().unwrap_or(0));
+            let kept = f64::from(endpoint.own_requests()) + others * kept_part;
+            if !endpoint.has_capacity(now_ms, kept + renewed) {
                 reason = better_reason(reason, Choice::Full);
                 continue;
             }
@@ -316,9 +340,9 @@
             };
             group.push(Candidate {
                 id,
-                cost: cost(now_ms, zone, endpoint, occupancy, has_failed),
+                cost: cost(now_ms, zone, endpoint, kept, has_failed),
                 request_cost: request_cost(endpoint),
-                others: self.totals.get(id).copied().unwrap_or(0),
+                ended: others * (1.0 - kept_part),
             });
         }
         if !has_sound {
--- a/crates/chicorystage-core/src/fleet/limited.rs
+++ b/crates/chicorystage-core/src/fleet/limited.rs
@@ -45,7 +45,13 @@
     ) -> Option<EndpointId> {
         let cost_of = |id: &EndpointId, endpoint: &Endpoint| {
             let has_failed = requirements.avoid.contains(id);
-            cost(now_ms, zone, endpoint, self.occupancy(id), has_failed)
+            cost(
+                now_ms,
+                zone,
+                endpoint,
+                f64::from(self.occupancy(id)),
+                has_failed,
+            )
         };
         let limited = self.limited(now_ms, requirements);
         let costs = limited.map(|(id, endpoint, _)| (id, cost_of(id, endpoint)));
@@ -65,7 +71,9 @@
             .filter(move |(_, endpoint)| endpoint.limit.is_reached(now_ms));
         let suitable = reached
             .filter(move |(_, endpoint)| is_suitable(now_ms, endpoint, requirements))
-            .filter(move |(id, endpoint)| endpoint.has_capacity(now_ms, self.occupancy(id)));
+            .filter(move |(id, endpoint)| {
+                endpoint.has_capacity(now_ms, f64::from(self.occupancy(id)))
+            });
         suitable.filter_map(|(id, endpoint)| Some((id, endpoint, endpoint.limit.get()?)))
     }
 
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -34,6 +34,7 @@
 mod software;
 mod stale_load;
 mod standing;
+mod turnover;
 mod uncached_model;
 
 pub use choice::Choice;
--- a/crates/chicorystage-core/src/fleet/stale_load.rs
+++ b/crates/chicorystage-core/src/fleet/stale_load.rs
@@ -2,17 +2,14 @@
 //!
 //! Every router that sends to the endpoint with the least reported load sends to the same one
 //! until the next report. The requests that other routers have sent since the last report are
-//! therefore estimated, and endpoints are chosen at random such that these requests and the
-//! present one together would even out the load: an endpoint is chosen in proportion to how far it
-//! lies below the common level that results. Fresh reports make this the least loaded endpoint, old
-//! ones a choice among many. The method is the basic load interpretation of M. Dahlin,
+//! therefore estimated: they have replaced those that have ended since. Endpoints are chosen at random
+//! such that these requests and the present one together would even out the load: an endpoint is chosen
+//! in proportion to how far it lies below the common level that results. Fresh reports make this the
+//! least loaded endpoint, old ones a choice among many. The method is the basic load interpretation of M. Dahlin,
 //! "Interpreting Stale Load Information", 2000.
 
 use chicorystage_api::name::EndpointId;
 
-/// Time in which about as many requests arrive as are in progress, in milliseconds.
-const TURNOVER_MS: f64 = 1_000.0;
-
 /// How old the reports of other routers are, and a random number for the choice.
 #[derive(Clone, Copy, Debug)]
 pub struct StaleLoad {
@@ -30,8 +27,8 @@
     pub cost: f64,
     /// Cost that one more request in progress adds.
     pub request_cost: f64,
-    /// Known requests in progress of the other routers.
-    pub others: u32,
+    /// Requests of the other routers that were reported and have ended since, as estimated.
+    pub ended: f64,
 }
 
 impl StaleLoad {
@@ -45,7 +42,7 @@
         if self.age_ms == 0 {
             return candidates.first().map(|candidate| candidate.id);
         }
-        let level = self.level(candidates)?;
+        let level = Self::level(candidates)?;
         let below = |candidate: &Candidate<'_>| (level - candidate.cost).max(0.0);
         let mut left = self.random * candidates.iter().map(below).sum::<f64>();
         for candidate in candidates.iter() {
@@ -59,9 +56,9 @@
 
     /// Returns the cost up to which the expected requests raise the cheapest candidates, which are
     /// in order of their cost.
-    fn level(&self, candidates: &[Candidate<'_>]) -> Option<f64> {
+    fn level(candidates: &[Candidate<'_>]) -> Option<f64> {
         let mean_cost = mean(candidates.iter().map(|candidate| candidate.request_cost))?;
-        let added_cost = self.expected_requests(candidates) * mean_cost;
+        let added_cost = Self::expected_requests(candidates) * mean_cost;
         let mut sum = added_cost;
         let mut level = f64::INFINITY;
         for (i, candidate) in candidates.iter().enumerate() {
@@ -75,12 +72,10 @@
     }
 
     /// Returns the number of requests to place: those that other routers have sent since their
-    /// reports, and the present one.
-    fn expected_requests(&self, candidates: &[Candidate<'_>]) -> f64 {
-        let others: u32 = candidates.iter().map(|candidate| candidate.others).sum();
-        #[expect(clippy::cast_precision_loss, reason = "ages are below a minute")]
-        let age_ms = self.age_ms as f64;
-        1.0 + f64::from(others) * (age_ms / TURNOVER_MS).min(1.0)
+    /// reports, about as many as have ended, and the present one.
+    fn expected_requests(candidates: &[Candidate<'_>]) -> f64 {
+        let ended: f64 = candidates.iter().map(|candidate| candidate.ended).sum();
+        1.0 + ended
     }
 }
 
--- a/crates/chicorystage-core/src/quota/mod.rs
+++ b/crates/chicorystage-core/src/quota/mod.rs
@@ -5,12 +5,10 @@
 //! anyway. So each gateway keeps a copy of the team's one token bucket ([`QuotaLedger`]):
 //!
 //! * its own requests are charged at once, those of the others when a report tells of them;
-//! * what was admitted beyond the quota meanwhile is a debt, and nothing is admitted until it is paid:
-//!   in the long run the quota is admitted, wherever the requests arrive;
-//! * a team that has little left is admitted at random with the probability that makes all gateways
-//!   together admit what is left, so that debts stay small;
+//! * until the next report it uses no more than its part of what is left, by its part of what was asked
+//!   of all gateways; one that hears nobody goes on with that part;
+//! * what was admitted beyond the quota all the same is a debt, and nothing is admitted until it is paid;
 //! * what a gateway used that has fallen silent is assumed to go on for a while, as it may be cut off;
-//! * a gateway that hears nobody keeps to its own part of what was asked before;
 //! * a gateway that starts has empty buckets, so that a kill of all gives no team its burst again.
 //!
 //! The load it answers: one team at several times its quota among many that stay below theirs, at
@@ -21,7 +19,6 @@
 mod quota_ledger;
 mod quota_terms;
 mod rate_meter;
-mod sight;
 mod team_bucket;
 mod team_level;
 mod team_use;
@@ -29,7 +26,6 @@
 pub use quota_decision::QuotaDecision;
 pub use quota_ledger::QuotaLedger;
 pub use quota_terms::QuotaTerms;
-pub use sight::Sight;
 pub use team_level::TeamLevel;
 pub use team_use::TeamUse;
 
--- a/crates/chicorystage-core/src/quota/peer_use.rs
+++ b/crates/chicorystage-core/src/quota/peer_use.rs
@@ -2,7 +2,6 @@
 
 use chicorystage_api::name::TeamName;
 
-use crate::quota::rate_meter::RateMeter;
 use crate::quota::{TeamUse, seconds};
 
 /// What another gateway has told of its use.
@@ -18,8 +17,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerTeam {
     used: f64,
-    asked: f64,
-    used_meter: RateMeter,
+    asked_per_s: f64,
     /// Units charged while the gateway was silent, which its next report replaces.
     assumed: f64,
 }
@@ -28,7 +26,18 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NewUse {
     pub(super) used: f64,
-    pub(super) asked: f64,
+    /// Change of what is asked of the gateway in a second.
+    pub(super) asked_per_s: f64,
+}
+
+impl NewUse {
+    /// Returns units that were used, with no change of what is asked.
+    pub(super) fn used(used: f64) -> Self {
+        Self {
+            used,
+            asked_per_s: 0.0,
+        }
+    }
 }
 
 impl PeerUse {
@@ -54,41 +63,61 @@
         if incarnation != self.incarnation {
             // A new process counts from 0; what was assumed of the one before stays charged.
             self.incarnation = incarnation;
-            self.teams.clear();
+            for known in self.teams.values_mut() {
+                known.used = 0.0;
+                known.assumed = 0.0;
+            }
         }
         self.heard_ms = now_ms;
         self.assumed_ms = now_ms;
+        let absent = self.teams.iter_mut().filter(|(team, known)| {
+            known.asked_per_s > 0.0 && uses.iter().all(|told| told.team != **team)
+        });
+        let mut new: Vec<(TeamName, NewUse)> = absent
+            .map(|(team, known)| {
+                let asked_per_s = -std::mem::take(&mut known.asked_per_s);
+                let used = 0.0;
+                (team.clone(), NewUse { used, asked_per_s })
+            })
+            .collect();
         let told = uses.into_iter().map(|told| {
             let known = self.teams.entry(told.team.clone());
             let known = known.or_insert_with(|| PeerTeam {
                 used: told.settled,
-                asked: told.asked,
                 ..PeerTeam::default()
             });
             let used = told.used - known.used;
-            let new = NewUse {
+            let added = NewUse {
                 used: used - known.assumed,
-                asked: (told.asked - known.asked).max(0.0),
+                asked_per_s: told.asked_per_s - known.asked_per_s,
             };
             known.used = told.used;
-            known.asked = told.asked;
+            known.asked_per_s = told.asked_per_s;
             known.assumed = 0.0;
-            known.used_meter.add(now_ms, used.max(0.0));
-            (told.team, new)
+            (told.team, added)
         });
-        told.collect()
+        new.extend(told);
+        new
     }
 
-    /// Returns what a silent gateway is assumed to have used since the last call, until `until_ms`.
-    pub(super) fn assume(&mut self, until_ms: u64) -> Vec<(TeamName, f64)> {
+    /// Returns what is asked of the gateway in a second, by team.
+    pub(super) fn asked_per_s(&self) -> impl Iterator<Item = (&TeamName, f64)> {
+        self.teams
+            .iter()
+            .map(|(team, known)| (team, known.asked_per_s))
+    }
+
+    /// Returns for how long a silent gateway may have used its part since the last call, in seconds.
+    pub(super) fn assume(&mut self, until_ms: u64) -> f64 {
         let elapsed_s = seconds(self.assumed_ms, until_ms);
         self.assumed_ms = self.assumed_ms.max(until_ms);
-        let heard_ms = self.heard_ms;
-        let assumed = self.teams.iter_mut().map(|(team, known)| {
-            let units = known.used_meter.per_s(heard_ms) * elapsed_s;
+        elapsed_s
+    }
+
+    /// Notes units of a team that were charged because the gateway may have used them.
+    pub(super) fn assumed(&mut self, team: &TeamName, units: f64) {
+        if let Some(known) = self.teams.get_mut(team) {
             known.assumed += units;
-            (team.clone(), units)
-        });
-        assumed.collect()
+        }
     }
 }
--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -2,18 +2,20 @@
 
 use chicorystage_api::name::{TeamName, VmId};
 
-use crate::fleet::{holder_silence_ms, load_age_ms};
-use crate::quota::peer_use::PeerUse;
+use crate::fleet::load_period_ms;
+use crate::quota::peer_use::{NewUse, PeerUse};
 use crate::quota::team_bucket::TeamBucket;
-use crate::quota::{QuotaDecision, QuotaTerms, Sight, TeamLevel, TeamUse};
+use crate::quota::{QuotaDecision, QuotaTerms, TeamLevel, TeamUse};
 use crate::teams::TeamDirectory;
 
 /// Time since the last request of a team after which its use is told no more, in milliseconds.
 const TOLD_MS: u64 = 3_000;
+/// Number of intervals between reports after which a new lease holder has heard all gateways.
+const COLLECTING_PERIODS: u64 = 2;
 /// Time since the last report of a gateway after which its use is assumed, in milliseconds.
 const SILENT_MS: u64 = 500;
 /// Longest time for which the use of a silent gateway is assumed, in milliseconds.
-const ASSUMED_MS: u64 = 6_000;
+const ASSUMED_MS: u64 = 5_000;
 /// Time since the last report of a gateway after which the next one begins anew, in milliseconds.
 const FORGOTTEN_MS: u64 = 60_000;
 
@@ -23,8 +25,8 @@
     terms: QuotaTerms,
     buckets: HashMap<TeamName, TeamBucket>,
     peers: HashMap<VmId, PeerUse>,
-    /// Time of the last report of any other gateway; `None` before the first.
-    heard_ms: Option<u64>,
+    /// Time of the first report since reports go to this gateway, in milliseconds.
+    first_report_ms: Option<u64>,
     /// Whether a configuration with teams was applied before.
     has_quotas: bool,
 }
@@ -37,7 +39,7 @@
             terms,
             buckets: HashMap::new(),
             peers: HashMap::new(),
-            heard_ms: None,
+            first_report_ms: None,
             has_quotas: false,
         }
     }
@@ -64,7 +66,7 @@
         self.has_quotas |= !teams.is_empty();
     }
 
-    /// Decides on a request of a team and charges it if it is admitted.
+    /// Decides on a request of a team at one of `gateways`, and charges it if it is admitted.
     ///
     /// `random` is drawn from 0 to 1. A team without a quota is admitted at no charge.
     pub fn admit(
@@ -72,11 +74,11 @@
         now_ms: u64,
         team: &TeamName,
         cost: f64,
+        gateways: usize,
         random: f64,
-        sight: Sight,
     ) -> QuotaDecision {
         match self.buckets.get_mut(team) {
-            Some(bucket) => bucket.admit(now_ms, cost, random, sight),
+            Some(bucket) => bucket.admit(now_ms, cost, gateways, random),
             None => QuotaDecision::Admitted(0.0),
         }
     }
@@ -88,23 +90,6 @@
         }
     }
 
-    /// Returns what is known of the requests at the other gateways.
-    #[must_use]
-    pub fn sight(&self, now_ms: u64, gateways: usize) -> Sight {
-        if gateways <= 1 {
-            return Sight::Alone;
-        }
-        let silence_ms = holder_silence_ms(gateways);
-        if self
-            .heard_ms
-            .is_some_and(|heard_ms| now_ms < heard_ms + silence_ms)
-        {
-            let age_ms = load_age_ms(gateways);
-            return Sight::Reports { age_ms };
-        }
-        Sight::Isolated { gateways }
-    }
-
     /// Returns the own use of teams that have asked lately, for the next report.
     pub fn own_use(&mut self, now_ms: u64) -> Vec<TeamUse> {
         let lately = |bucket: &TeamBucket| {
@@ -113,39 +98,50 @@
                 .is_some_and(|asked_ms| now_ms < asked_ms + TOLD_MS)
         };
         let buckets = self.buckets.iter_mut().filter(|(_, bucket)| lately(bucket));
-        buckets.map(|(team, bucket)| bucket.own_use(team)).collect()
+        buckets
+            .map(|(team, bucket)| bucket.own_use(now_ms, team))
+            .collect()
     }
 
-    /// Charges what another gateway reports.
-    pub fn reported(&mut self, now_ms: u64, vm: &VmId, incarnation: u64, uses: Vec<TeamUse>) {
+    /// Charges what another one of `gateways` reports.
+    pub fn reported(
+        &mut self,
+        now_ms: u64,
+        vm: &VmId,
+        incarnation: u64,
+        uses: Vec<TeamUse>,
+        gateways: usize,
+    ) {
         if self.buckets.is_empty() {
             return;
         }
-        self.heard_ms = Some(now_ms);
+        self.first_report_ms.get_or_insert(now_ms);
         let peer = self.peers.entry(vm.clone());
         let peer = peer.or_insert_with(|| PeerUse::new(now_ms, incarnation));
         for (team, new) in peer.told(now_ms, incarnation, uses) {
             if let Some(bucket) = self.buckets.get_mut(&team) {
-                bucket.charge(now_ms, new.used, new.asked);
+                bucket.charge(now_ms, new);
             }
         }
+        self.learn_heard_part(now_ms, gateways);
+        self.assume_silent(now_ms);
     }
 
     /// Returns the levels of all teams, which the lease holder tells the others.
     ///
     /// Gateways that have fallen silent are charged with what they used before, as they may be cut off
-    /// and go on.
-    pub fn levels(&mut self, now_ms: u64) -> Vec<TeamLevel> {
+    /// and go on. A holder that has not yet heard all of `gateways` tells nothing.
+    pub fn levels(&mut self, now_ms: u64, gateways: usize) -> Vec<TeamLevel> {
+        let all_heard_ms = COLLECTING_PERIODS * load_period_ms(gateways);
+        let first_ms = self.first_report_ms;
+        if first_ms.is_none_or(|first_ms| now_ms < first_ms + all_heard_ms) {
+            return Vec::new();
+        }
         self.assume_silent(now_ms);
-        let levels = self.buckets.iter_mut().map(|(team, bucket)| {
-            let (level, asked_per_s) = bucket.to_tell(now_ms);
-            TeamLevel {
-                team: team.clone(),
-                level,
-                asked_per_s,
-            }
-        });
-        levels.collect()
+        let buckets = self.buckets.iter_mut();
+        buckets
+            .map(|(team, bucket)| bucket.to_tell(now_ms, team))
+            .collect()
     }
 
     /// Takes over the levels that the lease holder tells.
@@ -155,11 +151,39 @@
         if self.buckets.is_empty() {
             return;
         }
-        self.heard_ms = Some(now_ms);
-        self.peers.clear();
+        self.forget_peers(|_| true);
+        self.first_report_ms = None;
         for level in levels {
             if let Some(bucket) = self.buckets.get_mut(&level.team) {
-                bucket.told(now_ms, level.level, level.asked_per_s);
+                bucket.told(now_ms, &level);
+            }
+        }
+    }
+
+    /// Sets the part of accruing units that is for gateways which are heard.
+    ///
+    /// Those that are not heard within the time for which a silent one is assumed are gone.
+    fn learn_heard_part(&mut self, now_ms: u64, gateways: usize) {
+        let first_ms = self.first_report_ms.unwrap_or(now_ms);
+        let heard = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let all = u32::try_from(gateways).unwrap_or(u32::MAX).max(1);
+        let heard_part = if now_ms < first_ms + ASSUMED_MS {
+            (f64::from(heard) / f64::from(all)).min(1.0)
+        } else {
+            1.0
+        };
+        for bucket in self.buckets.values_mut() {
+            bucket.set_heard_part(now_ms, heard_part);
+        }
+    }
+
+    /// Forgets gateways, and what they ask for.
+    fn forget_peers(&mut self, is_forgotten: impl Fn(&PeerUse) -> bool) {
+        for (_, peer) in self.peers.extract_if(|_, peer| is_forgotten(peer)) {
+            for (team, asked_per_s) in peer.asked_per_s() {
+                if let Some(bucket) = self.buckets.get_mut(team) {
+                    bucket.others_asked(-asked_per_s);
+                }
             }
         }
     }
@@ -172,9 +196,16 @@
                 continue;
             }
             let until_ms = now_ms.min(peer.heard_ms + ASSUMED_MS);
-            for (team, units) in peer.assume(until_ms) {
+            let elapsed_s = peer.assume(until_ms);
+            let asked: Vec<(TeamName, f64)> = peer
+                .asked_per_s()
+                .map(|(team, asked_per_s)| (team.clone(), asked_per_s))
+                .collect();
+            for (team, asked_per_s) in asked {
                 if let Some(bucket) = self.buckets.get_mut(&team) {
-                    bucket.charge(now_ms, units, 0.0);
+                    let units = bucket.part_per_s(asked_per_s) * elapsed_s;
+                    bucket.charge(now_ms, NewUse::used(units));
+                    peer.assumed(&team, units);
                 }
             }
         }
--- a/crates/chicorystage-core/src/quota/rate_meter.rs
+++ b/crates/chicorystage-core/src/quota/rate_meter.rs
@@ -1,7 +1,7 @@
 use crate::quota::seconds;
 
 /// Time in which the weight of an amount falls to a third, in seconds.
-const WINDOW_S: f64 = 1.0;
+const WINDOW_S: f64 = 2.0;
 
 /// Recent rate of amounts, in units a second.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/chicorystage-core/src/quota/team_use.rs
+++ b/crates/chicorystage-core/src/quota/team_use.rs
@@ -10,8 +10,8 @@
     pub team: TeamName,
     /// Units admitted, less those that were given back.
     pub used: f64,
-    /// Units asked for, admitted or not.
-    pub asked: f64,
     /// Units of `used` that the last level which the gateway was told includes.
     pub settled: f64,
+    /// Units that the team asks this gateway for in a second, admitted or not.
+    pub asked_per_s: f64,
 }
--- /dev/null
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -0,0 +1,176 @@
+//! Quotas that all gateways hold together, while they are lost, cut off and restarted.
+
+mod world;
+
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::world::{Schedule, TERMS, World, quota};
+
+/// Number of random schedules, unless `QUOTA_SEEDS` sets another.
+const SEEDS: u64 = 200;
+/// Smallest part of a quota that a team gets which always asks for more.
+const USED_PART: f64 = 0.95;
+/// The same with all demand at one gateway, or after a kill of all gateways.
+const USED_PART_UNEVEN: f64 = 0.8;
+/// Largest part that is refused of what a team asks below its quota.
+const REFUSED_PART: f64 = 0.01;
+const SMALL_PER_S: f64 = 9_200.0;
+const LARGE_PER_S: f64 = 256_000.0;
+
+/// A calm schedule with `demand` times the quota, asked of gateways in unequal parts.
+fn schedule(seed: u64, gateways: usize, per_s: f64, demand: f64) -> Schedule {
+    let mut random = StdRng::seed_from_u64(seed);
+    let parts: Vec<f64> = (0..gateways)
+        .map(|_| random.random_range(0.05..1.0))
+        .collect();
+    let sum: f64 = parts.iter().sum();
+    let demand_per_s = parts.iter().map(|part| per_s * demand * part / sum);
+    Schedule {
+        seed,
+        per_s,
+        demand_per_s: demand_per_s.collect(),
+        cost: 150..1_800,
+        loss: 0.01,
+        hot: Vec::new(),
+        holder_lost_ms: Vec::new(),
+        cut: Vec::new(),
+        restarts: Vec::new(),
+        reports: true,
+        length_ms: 24_000,
+    }
+}
+
+fn used_part(world: &World, per_s: f64, from_ms: u64, until_ms: u64) -> f64 {
+    let time_s = f64::from(u32::try_from(until_ms - from_ms).expect("short")) / 1_000.0;
+    World::units(&world.admitted, from_ms, until_ms) / (per_s * time_s)
+}
+
+fn limit(per_s: f64) -> f64 {
+    TERMS.units_max(&quota(per_s))
+}
+
+#[test]
+fn a_team_that_asks_for_more_gets_its_quota_and_no_more() {
+    for gateways in [1, 3, 27, 68] {
+        for per_s in [SMALL_PER_S, LARGE_PER_S] {
+            let world = World::new(schedule(1, gateways, per_s, 4.0)).run();
+            let used = used_part(&world, per_s, 4_000, 24_000);
+            assert_that!(used, ge(USED_PART), "{gateways} gateways, {per_s} a second");
+            assert_that!(
+                world.units_max(),
+                le(limit(per_s)),
+                "{gateways} gateways, {per_s} a second"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_team_that_asks_within_its_quota_is_not_refused() {
+    for gateways in [1, 3, 27, 68] {
+        for per_s in [SMALL_PER_S, LARGE_PER_S] {
+            let world = World::new(schedule(2, gateways, per_s, 0.8)).run();
+            let refused = World::units(&world.refused, 4_000, 24_000);
+            let asked = refused + World::units(&world.admitted, 4_000, 24_000);
+            let part = refused / asked;
+            assert_that!(
+                part,
+                lt(REFUSED_PART),
+                "{gateways} gateways, {per_s} a second"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_team_whose_callers_are_all_at_one_gateway_gets_its_quota() {
+    for per_s in [SMALL_PER_S, LARGE_PER_S] {
+        let mut uneven = schedule(3, 27, per_s, 3.0);
+        uneven.demand_per_s.fill(0.0);
+        uneven.demand_per_s[26] = per_s * 3.0;
+        let world = World::new(uneven).run();
+        let used = used_part(&world, per_s, 4_000, 24_000);
+        assert_that!(used, ge(USED_PART_UNEVEN), "{per_s} a second");
+    }
+}
+
+#[test]
+fn a_kill_of_all_gateways_gives_no_team_its_burst_again_and_its_quota_soon() {
+    for seed in 0..8 {
+        let per_s = SMALL_PER_S * 10.0;
+        let mut killed = schedule(seed, 27, per_s, 3.0);
+        killed.restarts = (0..27).map(|number| (number, 10_000)).collect();
+        killed.holder_lost_ms = vec![10_000];
+        let world = World::new(killed).run();
+        assert_that!(world.units_max(), le(limit(per_s)), "seed {seed}");
+        let used = used_part(&world, per_s, 11_000, 19_000);
+        assert_that!(used, ge(USED_PART_UNEVEN), "seed {seed}");
+    }
+}
+
+/// A schedule in which holders are lost, gateways cut off and restarted, and demand jumps.
+///
+/// The first of the gateways that are cut off has the number `first_cut`; number 0 holds the lease at
+/// first.
+fn rough_schedule(seed: u64, first_cut: usize) -> Schedule {
+    let mut random = StdRng::seed_from_u64(seed);
+    let gateways = [3, 27, 68][random.random_range(0..3)];
+    let per_s = random.random_range(SMALL_PER_S..LARGE_PER_S);
+    let demand = random.random_range(0.3..0.8);
+    let mut rough = schedule(seed, gateways, per_s, demand);
+    rough.loss = random.random_range(0.0..0.05);
+    for _ in 0..2 {
+        let from_ms = random.random_range(0..16_000);
+        let until_ms = from_ms + random.random_range(2_000..8_000);
+        rough
+            .hot
+            .push((from_ms, until_ms, random.random_range(2.0..7.5)));
+    }
+    rough.holder_lost_ms = vec![random.random_range(300..1_800) * 10];
+    let cut_ms = random.random_range(2_000..16_000);
+    for number in first_cut..first_cut + gateways / 3 {
+        rough.cut.push((number, cut_ms, cut_ms + 5_000));
+    }
+    for _ in 0..gateways / 4 {
+        let number = random.random_range(0..gateways);
+        rough
+            .restarts
+            .push((number, random.random_range(300..1_800) * 10));
+    }
+    rough
+}
+
+fn verify_windows(first_cut: usize) {
+    let seeds = std::env::var("QUOTA_SEEDS").ok();
+    let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
+    for seed in 0..seeds {
+        let rough = rough_schedule(seed, first_cut);
+        let per_s = rough.per_s;
+        let world = World::new(rough).run();
+        assert_that!(world.units_max(), le(limit(per_s)), "seed {seed}");
+    }
+}
+
+#[test]
+fn no_window_has_more_than_is_tolerated_whatever_is_lost_cut_or_restarted() {
+    verify_windows(1);
+}
+
+#[test]
+fn no_window_has_more_than_is_tolerated_where_the_lease_holder_is_cut_off_with_a_third() {
+    verify_windows(0);
+}
+
+// What the reports are for: without them each gateway admits as if it were alone with its part.
+#[test]
+fn without_reports_a_team_at_few_gateways_does_not_get_its_quota() {
+    let mut silent = schedule(4, 27, LARGE_PER_S, 3.0);
+    silent.demand_per_s.fill(0.0);
+    silent.demand_per_s[5] = LARGE_PER_S * 3.0;
+    silent.reports = false;
+    let world = World::new(silent).run();
+    let used = used_part(&world, LARGE_PER_S, 4_000, 24_000);
+    assert_that!(used, lt(USED_PART_UNEVEN));
+}
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -66,8 +66,9 @@
         PeerContent::Placement(update) => receive_placement(gateway, now_ms, update),
         PeerContent::Sum(update) => receive_total_load(gateway, now_ms, message.from, update),
         PeerContent::TeamUse(uses) => gateway.with(|view| {
+            let gateways = view.gateways();
             view.quotas
-                .reported(now_ms, &message.from, message.incarnation, uses);
+                .reported(now_ms, &message.from, message.incarnation, uses, gateways);
         }),
         PeerContent::Suspect(entry) => prompt_parts::merge_decision(gateway, entry),
         PeerContent::Cleared {
@@ -147,8 +148,9 @@
             in_progress: in_progress.collect(),
         };
         view.fleet.peer_load(from.clone(), load);
+        let gateways = view.gateways();
         view.quotas
-            .reported(now_ms, &from, incarnation, update.teams);
+            .reported(now_ms, &from, incarnation, update.teams, gateways);
         for (model, count, objective_ms) in &update.requested {
             view.demand
                 .record_requests(now_ms, model, *count, *objective_ms);
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -124,7 +124,10 @@
 
 /// Returns what is left of the quotas of teams, and logs those of which little is.
 fn quota_levels(gateway: &Gateway, now_ms: u64) -> Vec<TeamLevel> {
-    let levels = gateway.with(|view| view.quotas.levels(now_ms));
+    let levels = gateway.with(|view| {
+        let gateways = view.gateways();
+        view.quotas.levels(now_ms, gateways)
+    });
     for level in levels.iter().filter(|level| level.is_short()) {
         log::info!(
             event = "quota_short", team = level.team.as_str(), level = level.level,
--- a/crates/chicorystaged/src/gateway/reservation.rs
+++ b/crates/chicorystaged/src/gateway/reservation.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use chicorystage_api::name::{EndpointId, ModelName, SoftwareVersion};
+use chicorystage_api::name::{EndpointId, ModelName, ServiceName, SoftwareVersion};
 use chicorystage_core::fleet::{Endpoint, EndpointEntry};
 use chicorystage_core::request_limit::NamedLimit;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution};
@@ -23,6 +23,10 @@
     pub software: Option<SoftwareVersion>,
     model: Option<ModelName>,
     is_answered: bool,
+    service: ServiceName,
+    began_ms: u64,
+    /// Whether an answer of the endpoint has begun to arrive.
+    has_responded: bool,
 }
 
 impl Reservation {
@@ -30,12 +34,15 @@
     #[must_use]
     pub fn new(gateway: Rc<Gateway>, entry: &EndpointEntry, model: Option<ModelName>) -> Self {
         Self {
+            began_ms: gateway.now_ms(),
             gateway,
             endpoint: entry.id.clone(),
             address: entry.address,
             software: entry.software.clone(),
             model,
             is_answered: false,
+            service: entry.service.clone(),
+            has_responded: false,
         }
     }
 
@@ -68,6 +75,7 @@
     /// Records that an answer of the endpoint has begun to arrive.
     pub fn responded(&mut self) {
         self.answered();
+        self.has_responded = true;
         self.gateway
             .with_endpoint(&self.endpoint, Endpoint::responded);
     }
@@ -159,6 +167,11 @@
         self.gateway.with_endpoint(&self.endpoint, |endpoint| {
             endpoint.ended(self.model.as_ref());
         });
+        if self.has_responded {
+            let time_ms = self.gateway.now_ms() - self.began_ms;
+            self.gateway
+                .with(|view| view.fleet.request_ended(&self.service, time_ms));
+        }
         self.gateway.capacity_changed.notify_one();
     }
 }
--- a/crates/chicorystaged/src/gateway/teams.rs
+++ b/crates/chicorystaged/src/gateway/teams.rs
@@ -110,8 +110,8 @@
     let random = rand::random();
     let decision = gateway.with(|view| {
         let gateways = view.gateways_or(GATEWAYS_UNKNOWN);
-        let sight = view.quotas.sight(now_ms, gateways);
-        view.quotas.admit(now_ms, &team.name, cost, random, sight)
+        view.quotas
+            .admit(now_ms, &team.name, cost, gateways, random)
     });
     match decision {
         QuotaDecision::Admitted(units) => {
