--- a/crates/chicorystaged/tests/settings.rs
+++ b/crates/chicorystaged/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use chicorystaged::settings::Settings;
+use chicorystaged::settings::{GatewayFile, Settings, with_overrides};
 use googletest::prelude::*;
 
 const SAMPLES: [&str; 6] = [
@@ -115,3 +115,27 @@
     expect_that!(found, contains_substring("(hidden)"));
     expect_that!(found, not(contains_substring("plain")));
 }
+
+const GATEWAY: &str = "[daemon]\nrole = gateway\nvm = v1\nzone = z\n[gateway]\ncallers = 127.0.0.1:1\n\
+    readiness = 127.0.0.1:2\npeers = 127.0.0.1:3\nstore = 127.0.0.1:4\n";
+
+/// Returns the bound of withdrawals of a gateway with settings of the command line.
+fn revoke_max_ms(overrides: &[&str]) -> Option<u64> {
+    let overrides: Vec<String> = overrides.iter().map(|given| (*given).to_owned()).collect();
+    let text = with_overrides(GATEWAY, &overrides).expect("well formed");
+    let file = GatewayFile::parse("file.ini", &text).expect("valid settings");
+    file.gateway.revoke_max_ms
+}
+
+#[gtest]
+fn settings_of_the_command_line_are_added_and_those_without_a_value_left_out() {
+    expect_that!(revoke_max_ms(&[]), some(eq(5_000)));
+    expect_that!(revoke_max_ms(&["teams.revoke_max_ms="]), some(eq(5_000)));
+    expect_that!(revoke_max_ms(&["teams.revoke_max_ms=700"]), some(eq(700)));
+    let open = ["teams.revoke_max_ms=700", "teams.fail_closed=false"];
+    expect_that!(revoke_max_ms(&open), none());
+    for wrong in ["teams.revoke_max_ms", "revoke_max_ms=1"] {
+        let refused = with_overrides(GATEWAY, &[wrong.to_owned()]);
+        expect_that!(refused.err(), some(eq(wrong)));
+    }
+}
