Keep engines' reports as they were: only short requests count as renewed

One mean of short and long streams takes the long ones, which are most of those in progress, for gone.

Change: the rule holds where requests stay for less than two ages of a report, as calls of plain services do; for others reports stand as before.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -293,8 +293,13 @@
         requirements: &Requirements,
         age_ms: u64,
     ) -> Result<Vec<Candidate<'_>>, Choice> {
-        let kept_part = self.turnover.kept_part(&requirements.service, age_ms);
-        let renewed = self.mean_others(now_ms, requirements) * (1.0 - kept_part);
+        let renewal = self.turnover.renewal(&requirements.service, age_ms);
+        let replaced_part = 1.0 - renewal.kept_part;
+        let replaced = if replaced_part > 0.0 {
+            self.mean_others(now_ms, requirements) * replaced_part
+        } else {
+            0.0
+        };
         let mut reason = Choice::NoEndpoint;
         let mut candidates = Vec::new();
         let mut breaking = Vec::new();
@@ -318,8 +323,8 @@
             let is_sound = !endpoint.breaks_connections(now_ms);
             has_sound |= is_sound;
             let others = f64::from(self.totals.get(id).copied().unwrap_or(0));
-            let kept = f64::from(endpoint.own_requests()) + others * kept_part;
-            if !endpoint.has_capacity(now_ms, kept + renewed) {
+            let kept = f64::from(endpoint.own_requests()) + others * renewal.kept_part;
+            if !endpoint.has_capacity(now_ms, kept + replaced) {
                 reason = better_reason(reason, Choice::Full);
                 continue;
             }
@@ -342,7 +347,7 @@
                 id,
                 cost: cost(now_ms, zone, endpoint, kept, has_failed),
                 request_cost: request_cost(endpoint),
-                ended: others * (1.0 - kept_part),
+                arrived: others * renewal.new_part,
             });
         }
         if !has_sound {
--- a/crates/chicorystage-core/src/fleet/stale_load.rs
+++ b/crates/chicorystage-core/src/fleet/stale_load.rs
@@ -2,10 +2,10 @@
 //!
 //! Every router that sends to the endpoint with the least reported load sends to the same one
 //! until the next report. The requests that other routers have sent since the last report are
-//! therefore estimated: they have replaced those that have ended since. Endpoints are chosen at random
-//! such that these requests and the present one together would even out the load: an endpoint is chosen
-//! in proportion to how far it lies below the common level that results. Fresh reports make this the
-//! least loaded endpoint, old ones a choice among many. The method is the basic load interpretation of M. Dahlin,
+//! therefore estimated, and endpoints are chosen at random such that these requests and the
+//! present one together would even out the load: an endpoint is chosen in proportion to how far it
+//! lies below the common level that results. Fresh reports make this the least loaded endpoint, old
+//! ones a choice among many. The method is the basic load interpretation of M. Dahlin,
 //! "Interpreting Stale Load Information", 2000.
 
 use chicorystage_api::name::EndpointId;
@@ -27,8 +27,8 @@
     pub cost: f64,
     /// Cost that one more request in progress adds.
     pub request_cost: f64,
-    /// Requests of the other routers that were reported and have ended since, as estimated.
-    pub ended: f64,
+    /// Requests that other routers have sent since their reports, as estimated from those reported here.
+    pub arrived: f64,
 }
 
 impl StaleLoad {
@@ -72,10 +72,10 @@
     }
 
     /// Returns the number of requests to place: those that other routers have sent since their
-    /// reports, about as many as have ended, and the present one.
+    /// reports, and the present one.
     fn expected_requests(candidates: &[Candidate<'_>]) -> f64 {
-        let ended: f64 = candidates.iter().map(|candidate| candidate.ended).sum();
-        1.0 + ended
+        let arrived: f64 = candidates.iter().map(|candidate| candidate.arrived).sum();
+        1.0 + arrived
     }
 }
 
