--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -189,8 +189,7 @@
     }
 
     fn assume_silent(&mut self, now_ms: u64) {
-        self.peers
-            .retain(|_, peer| now_ms < peer.heard_ms + FORGOTTEN_MS);
+        self.forget_peers(|peer| now_ms >= peer.heard_ms + FORGOTTEN_MS);
         for peer in self.peers.values_mut() {
             if now_ms < peer.heard_ms + SILENT_MS {
                 continue;
--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -18,8 +18,8 @@
 /// One gateway's copy of the token bucket that a team has at all gateways together.
 ///
 /// Until the next report, the gateway uses no more than its part of what is left and accrues: the part
-/// that its requests had of all that were asked. All gateways together then stay within the bucket,
-/// however suddenly demand rises, but for the first request of those that had none before.
+/// that its requests had of all that were asked. So what all gateways together use beyond the bucket does
+/// not grow with a jump of demand; first requests at gateways that had none before come on top.
 #[derive(Clone, Debug)]
 pub(super) struct TeamBucket {
     /// Units that accrue in a second.
--- a/crates/chicorystage-core/tests/quota_schedules/main.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use chicorystage_api::name::{TeamName, VmId};
+use chicorystage_core::quota::{QuotaLedger, TeamUse};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -174,3 +176,18 @@
     let used = used_part(&world, LARGE_PER_S, 4_000, 24_000);
     assert_that!(used, lt(USED_PART_UNEVEN));
 }
+
+#[test]
+fn demand_of_a_gateway_that_is_gone_is_forgotten() {
+    let mut ledger = world::ledger(SMALL_PER_S);
+    let told = TeamUse {
+        team: TeamName::from("t"),
+        used: 0.0,
+        settled: 0.0,
+        asked_per_s: 500.0,
+    };
+    ledger.reported(1_000, &VmId::from("v"), 1, vec![told], 2);
+    let asked = |ledger: &mut QuotaLedger, now_ms| ledger.levels(now_ms, 2)[0].asked_per_s;
+    assert_that!(asked(&mut ledger, 2_000), gt(499.0));
+    assert_that!(asked(&mut ledger, 62_000), eq(0.0));
+}
--- a/crates/chicorystage-core/tests/quota_schedules/world.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/world.rs
@@ -89,7 +89,7 @@
     }
 }
 
-fn ledger(per_s: f64) -> QuotaLedger {
+pub fn ledger(per_s: f64) -> QuotaLedger {
     let declaration = TeamDeclaration {
         name: team().to_string(),
         keys: vec![Zeroizing::new("k".to_owned())],
