Quotas: parts of silent gateways are those they were left with; reports of a few are not all

Silent gateways were charged by what is asked now, which a jump of demand makes small, and gateways that hear each other shared by their number, not by what the others may go on with. A gateway that came back was given units that had long been lost beyond the burst.

Change: reports carry the part that a gateway goes on with; the parts of those heard add up; silent ones are charged their part of what was left and accrues; direct reports are ignored while a holder is heard.

--- a/crates/chicorystage-core/src/quota/peer_use.rs
+++ b/crates/chicorystage-core/src/quota/peer_use.rs
@@ -18,6 +18,7 @@
 struct PeerTeam {
     used: f64,
     asked_per_s: f64,
+    part: f64,
     /// Units charged while the gateway was silent, which its next report replaces.
     assumed: f64,
 }
@@ -26,18 +27,21 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NewUse {
     pub(super) used: f64,
+    /// Units that were charged because the gateway was silent, and that the report replaces.
+    pub(super) assumed: f64,
     /// Change of what is asked of the gateway in a second.
     pub(super) asked_per_s: f64,
+    /// Change of the part of the quota that is the gateway's own.
+    pub(super) part: f64,
 }
 
-impl NewUse {
-    /// Returns units that were used, with no change of what is asked.
-    pub(super) fn used(used: f64) -> Self {
-        Self {
-            used,
-            asked_per_s: 0.0,
-        }
-    }
+/// A time in which a silent gateway is assumed to use its part.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AssumedSpan {
+    pub(super) length_s: f64,
+    /// Whether it begins with the last report, so that the gateway may also use its part of what was
+    /// left then.
+    pub(super) is_first: bool,
 }
 
 impl PeerUse {
@@ -77,7 +81,9 @@
             .map(|(team, known)| {
                 let new = NewUse {
                     used: 0.0,
+                    assumed: 0.0,
                     asked_per_s: -std::mem::take(&mut known.asked_per_s),
+                    part: -std::mem::take(&mut known.part),
                 };
                 (team.clone(), new)
             })
@@ -89,11 +95,14 @@
                 ..PeerTeam::default()
             });
             let added = NewUse {
-                used: told.used - known.used - known.assumed,
+                used: told.used - known.used,
+                assumed: known.assumed,
                 asked_per_s: told.asked_per_s - known.asked_per_s,
+                part: told.part - known.part,
             };
             known.used = told.used;
             known.asked_per_s = told.asked_per_s;
+            known.part = told.part;
             known.assumed = 0.0;
             (told.team, added)
         });
@@ -108,11 +117,17 @@
             .map(|(team, known)| (team, known.asked_per_s))
     }
 
-    /// Returns for how long a silent gateway may have used its part since the last call, in seconds.
-    pub(super) fn assume(&mut self, until_ms: u64) -> f64 {
-        let elapsed_s = seconds(self.assumed_ms, until_ms);
+    /// Returns the gateway's own part of the quota, by team.
+    pub(super) fn parts(&self) -> impl Iterator<Item = (&TeamName, f64)> {
+        self.teams.iter().map(|(team, known)| (team, known.part))
+    }
+
+    /// Returns for how long a silent gateway may have used its part since the last call.
+    pub(super) fn assume(&mut self, until_ms: u64) -> AssumedSpan {
+        let is_first = self.assumed_ms == self.heard_ms;
+        let length_s = seconds(self.assumed_ms, until_ms);
         self.assumed_ms = self.assumed_ms.max(until_ms);
-        elapsed_s
+        AssumedSpan { length_s, is_first }
     }
 
     /// Notes units of a team that were charged because the gateway may have used them.
--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -2,8 +2,8 @@
 
 use chicorystage_api::name::{TeamName, VmId};
 
-use crate::fleet::load_period_ms;
-use crate::quota::peer_use::{NewUse, PeerUse};
+use crate::fleet::{holder_silence_ms, load_period_ms};
+use crate::quota::peer_use::PeerUse;
 use crate::quota::team_bucket::TeamBucket;
 use crate::quota::{QuotaDecision, QuotaTerms, TeamLevel, TeamUse};
 use crate::teams::TeamDirectory;
@@ -27,6 +27,8 @@
     peers: HashMap<VmId, PeerUse>,
     /// Time of the first report since reports go to this gateway, in milliseconds.
     first_report_ms: Option<u64>,
+    /// Time of the last levels of a lease holder, in milliseconds.
+    told_ms: Option<u64>,
     /// Whether a configuration with teams was applied before.
     has_quotas: bool,
 }
@@ -40,6 +42,7 @@
             buckets: HashMap::new(),
             peers: HashMap::new(),
             first_report_ms: None,
+            told_ms: None,
             has_quotas: false,
         }
     }
@@ -104,6 +107,9 @@
     }
 
     /// Charges what another one of `gateways` reports.
+    ///
+    /// While the lease holder tells levels, these include it: the few gateways that do not hear the
+    /// holder and report to all are not all there are.
     pub fn reported(
         &mut self,
         now_ms: u64,
@@ -112,7 +118,7 @@
         uses: Vec<TeamUse>,
         gateways: usize,
     ) {
-        if self.buckets.is_empty() {
+        if self.buckets.is_empty() || self.hears_holder(now_ms, gateways) {
             return;
         }
         self.first_report_ms.get_or_insert(now_ms);
@@ -146,13 +152,18 @@
 
     /// Takes over the levels that the lease holder tells.
     ///
-    /// Reports then go to the holder, so those that this gateway has got before are no base any more.
+    /// Reports then go to the holder, so those that this gateway has got before are no base any more. A
+    /// holder that still collects reports tells no levels; until it does, own parts stay as they are.
     pub fn told(&mut self, now_ms: u64, levels: Vec<TeamLevel>) {
         if self.buckets.is_empty() {
             return;
         }
         self.forget_peers(|_| true);
         self.first_report_ms = None;
+        self.told_ms = Some(now_ms);
+        for bucket in self.buckets.values_mut() {
+            bucket.forget_reports();
+        }
         for level in levels {
             if let Some(bucket) = self.buckets.get_mut(&level.team) {
                 bucket.told(now_ms, &level);
@@ -160,6 +171,12 @@
         }
     }
 
+    fn hears_holder(&self, now_ms: u64, gateways: usize) -> bool {
+        let silence_ms = holder_silence_ms(gateways);
+        self.told_ms
+            .is_some_and(|told_ms| now_ms < told_ms + silence_ms)
+    }
+
     /// Sets the part of accruing units that is for gateways which are heard.
     ///
     /// Those that are not heard within the time for which a silent one is assumed are gone.
@@ -167,13 +184,14 @@
         let first_ms = self.first_report_ms.unwrap_or(now_ms);
         let heard = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         let all = u32::try_from(gateways).unwrap_or(u32::MAX).max(1);
-        let heard_part = if now_ms < first_ms + ASSUMED_MS {
-            (f64::from(heard) / f64::from(all)).min(1.0)
-        } else {
-            1.0
-        };
+        let heard_count_part = (f64::from(heard) / f64::from(all)).min(1.0);
+        let all_heard = now_ms >= first_ms + ASSUMED_MS;
         for bucket in self.buckets.values_mut() {
-            bucket.set_heard_part(now_ms, heard_part);
+            if all_heard {
+                bucket.set_heard_part(now_ms, 1.0);
+            } else {
+                bucket.learn_heard_part(now_ms, heard_count_part);
+            }
         }
     }
 
@@ -185,6 +203,11 @@
                     bucket.others_asked(-asked_per_s);
                 }
             }
+            for (team, part) in peer.parts() {
+                if let Some(bucket) = self.buckets.get_mut(team) {
+                    bucket.others_have(-part);
+                }
+            }
         }
     }
 
@@ -195,15 +218,15 @@
                 continue;
             }
             let until_ms = now_ms.min(peer.heard_ms + ASSUMED_MS);
-            let elapsed_s = peer.assume(until_ms);
-            let asked: Vec<(TeamName, f64)> = peer
-                .asked_per_s()
-                .map(|(team, asked_per_s)| (team.clone(), asked_per_s))
+            let span = peer.assume(until_ms);
+            let parts: Vec<(TeamName, f64)> = peer
+                .parts()
+                .map(|(team, part)| (team.clone(), part))
                 .collect();
-            for (team, asked_per_s) in asked {
+            for (team, part) in parts {
                 if let Some(bucket) = self.buckets.get_mut(&team) {
-                    let units = bucket.part_per_s(asked_per_s) * elapsed_s;
-                    bucket.charge(now_ms, NewUse::used(units));
+                    let units = bucket.units_of_part(now_ms, part, span);
+                    bucket.assume(now_ms, units);
                     peer.assumed(&team, units);
                 }
             }
--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -1,6 +1,6 @@
 use chicorystage_api::name::TeamName;
 
-use crate::quota::peer_use::NewUse;
+use crate::quota::peer_use::{AssumedSpan, NewUse};
 use crate::quota::rate_meter::RateMeter;
 use crate::quota::{MS_PER_S, QuotaDecision, QuotaTerms, TeamLevel, TeamUse, seconds};
 use crate::teams::Quota;
@@ -28,10 +28,16 @@
     /// Units left as last known, less own use since; negative while there is a debt.
     level: f64,
     updated_ms: u64,
+    /// Units charged to silent gateways that would be left if these have used none.
+    assumed: f64,
     /// Part of the accruing units that is for gateways which are heard.
     heard_part: f64,
     /// Own part of what was asked of all gateways when the others' use was last known; `None` before.
     own_part: Option<f64>,
+    /// Own part when the use of all gateways was last known; `None` before.
+    settled_part: Option<f64>,
+    /// Settled parts of the others that are heard.
+    others_part: f64,
     /// Units asked of all gateways in a second, when the others' use was last known.
     known_asked_per_s: f64,
     /// Own use that `level` as last known includes.
@@ -59,8 +65,11 @@
             burst: quota.burst,
             level,
             updated_ms: now_ms,
+            assumed: 0.0,
             heard_part: 1.0,
             own_part: None,
+            settled_part: None,
+            others_part: 0.0,
             known_asked_per_s: 0.0,
             known_used: 0.0,
             own_used: 0.0,
@@ -121,19 +130,51 @@
         self.heard_part = heard_part;
     }
 
-    /// Charges what another gateway has used.
+    /// Charges what a silent gateway may have used.
+    pub(super) fn assume(&mut self, now_ms: u64, units: f64) {
+        self.refill(now_ms);
+        self.level -= units;
+        self.assumed += units;
+        self.has_reports = true;
+    }
+
+    /// Charges what another gateway has used, in place of what was assumed.
     pub(super) fn charge(&mut self, now_ms: u64, new: NewUse) {
         self.refill(now_ms);
-        self.level = (self.level - new.used).min(self.burst);
+        let returned = new.assumed.min(self.assumed);
+        self.assumed -= returned;
+        self.level = (self.level + returned - new.used).min(self.burst);
         self.others_asked(new.asked_per_s);
+        self.others_have(new.part);
         self.has_reports = true;
     }
 
-    /// Changes what the others ask for in a second.
+    /// Changes what the others are asked for in a second.
     pub(super) fn others_asked(&mut self, change_per_s: f64) {
         self.others_asked_per_s = (self.others_asked_per_s + change_per_s).max(0.0);
     }
 
+    /// Changes the part of the quota that the others have.
+    pub(super) fn others_have(&mut self, change: f64) {
+        self.others_part = (self.others_part + change).max(0.0);
+    }
+
+    /// Forgets that other gateways have reported since their use was last known.
+    pub(super) fn forget_reports(&mut self) {
+        self.has_reports = false;
+    }
+
+    /// Takes the settled parts of the gateways that are heard as their part of the accruing units.
+    ///
+    /// The others may go on with theirs. `count_part` stands in where no gateway knows a part.
+    pub(super) fn learn_heard_part(&mut self, now_ms: u64, count_part: f64) {
+        let heard_part = match self.settled_part {
+            Some(own_part) => (own_part + self.others_part).min(1.0),
+            None => count_part,
+        };
+        self.set_heard_part(now_ms, heard_part);
+    }
+
     /// Takes over the level that the lease holder tells, which includes what this gateway has reported.
     pub(super) fn told(&mut self, now_ms: u64, told: &TeamLevel) {
         self.refill(now_ms);
@@ -143,12 +184,14 @@
         self.known_used = self.reported_used;
         self.known_asked_per_s = told.asked_per_s;
         self.learn_own_part(now_ms);
+        self.settle_part();
     }
 
     /// Returns the level to tell the others.
     pub(super) fn tell(&mut self, now_ms: u64, team: &TeamName) -> TeamLevel {
         self.refill(now_ms);
         self.others_known(now_ms);
+        self.settle_part();
         TeamLevel {
             team: team.clone(),
             level: self.level,
@@ -171,6 +214,7 @@
             used: self.own_used,
             settled: self.settled_used,
             asked_per_s: self.own_meter.per_s(now_ms),
+            part: self.settled_part.unwrap_or(0.0),
         }
     }
 
@@ -205,14 +249,16 @@
         self.mean_cost += (cost - self.mean_cost) * NEWEST_WEIGHT;
     }
 
-    /// Returns the units a second that a gateway may use on its own which is asked for `asked_per_s`.
-    pub(super) fn part_per_s(&self, asked_per_s: f64) -> f64 {
-        let all_per_s = self.known_asked_per_s.max(asked_per_s);
-        if all_per_s > 0.0 {
-            self.per_s * asked_per_s / all_per_s
+    /// Returns the units that a gateway with a part of the quota may use in a time in which it hears
+    /// nobody.
+    pub(super) fn units_of_part(&mut self, now_ms: u64, part: f64, span: AssumedSpan) -> f64 {
+        self.refill(now_ms);
+        let left = if span.is_first {
+            self.level.max(0.0)
         } else {
             0.0
-        }
+        };
+        part * (self.per_s * span.length_s + left)
     }
 
     /// Notes that the others' use is known as of now.
@@ -225,6 +271,10 @@
         self.learn_own_part(now_ms);
     }
 
+    fn settle_part(&mut self) {
+        self.settled_part = self.own_part;
+    }
+
     fn learn_own_part(&mut self, now_ms: u64) {
         if self.known_asked_per_s > 0.0 {
             let part = self.own_meter.per_s(now_ms) / self.known_asked_per_s;
@@ -239,6 +289,8 @@
     fn refill(&mut self, now_ms: u64) {
         let accrued = self.per_s * self.heard_part * seconds(self.updated_ms, now_ms);
         self.level = (self.level + accrued).min(self.burst);
+        // Without the assumed use, what accrues beyond the burst would have been lost.
+        self.assumed = self.assumed.min((self.burst - self.level).max(0.0));
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 
--- a/crates/chicorystage-core/src/quota/team_use.rs
+++ b/crates/chicorystage-core/src/quota/team_use.rs
@@ -14,4 +14,7 @@
     pub settled: f64,
     /// Units that the team asks this gateway for in a second, admitted or not.
     pub asked_per_s: f64,
+    /// Part of the quota that the gateway may use when it hears nobody; 0 if it never knew the others.
+    #[serde(default)]
+    pub part: f64,
 }
--- a/crates/chicorystage-core/tests/quota_schedules/main.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -12,6 +12,8 @@
 
 /// Number of random schedules, unless `QUOTA_SEEDS` sets another.
 const SEEDS: u64 = 160;
+/// Schedules that exceeded a quota once, which are always played.
+const KEPT_SEEDS: [u64; 6] = [168, 294, 576, 607, 5349, 7071];
 /// Smallest part of a quota that a team gets which always asks for more.
 const USED_PART: f64 = 0.95;
 /// The same with all demand at one gateway, or after a kill of all gateways.
@@ -147,7 +149,7 @@
 fn verify_windows(first_cut: usize) {
     let seeds = std::env::var("QUOTA_SEEDS").ok();
     let seeds = seeds.and_then(|text| text.parse().ok()).unwrap_or(SEEDS);
-    for seed in 0..seeds {
+    for seed in (0..seeds).chain(KEPT_SEEDS) {
         let rough = rough_schedule(seed, first_cut);
         let per_s = rough.per_s;
         let world = World::new(rough).run();
@@ -185,6 +187,7 @@
         used: 0.0,
         settled: 0.0,
         asked_per_s: 500.0,
+        part: 0.0,
     };
     ledger.reported(1_000, &VmId::from("v"), 1, vec![told], 2);
     let asked = |ledger: &mut QuotaLedger, now_ms| ledger.levels(now_ms, 2)[0].asked_per_s;
