--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -7,6 +7,8 @@
 
 /// Part of the burst that must be left for a first request at a gateway that had none before.
 const PLENTY_PART: f64 = 0.25;
+/// Smallest part of the quota for gateways that are heard, where the others had all of it.
+const HEARD_PART_MIN: f64 = 0.01;
 /// Weight of the newest request in the mean cost.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Time in which a team that asks for more than its quota should come back, as a part of the time that
@@ -169,7 +171,7 @@
     /// The others may go on with theirs. `count_part` stands in where no gateway knows a part.
     pub(super) fn learn_heard_part(&mut self, now_ms: u64, count_part: f64) {
         let heard_part = match self.settled_part {
-            Some(own_part) => (own_part + self.others_part).min(1.0),
+            Some(own_part) => (own_part + self.others_part).clamp(HEARD_PART_MIN, 1.0),
             None => count_part,
         };
         self.set_heard_part(now_ms, heard_part);
@@ -191,7 +193,9 @@
     pub(super) fn tell(&mut self, now_ms: u64, team: &TeamName) -> TeamLevel {
         self.refill(now_ms);
         self.others_known(now_ms);
-        self.settle_part();
+        if self.heard_part >= 1.0 {
+            self.settle_part();
+        }
         TeamLevel {
             team: team.clone(),
             level: self.level,
--- a/crates/chicorystage-core/tests/quota_schedules/main.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use chicorystage_api::name::{TeamName, VmId};
-use chicorystage_core::quota::{QuotaLedger, TeamUse};
+use chicorystage_core::quota::{QuotaLedger, TeamLevel, TeamUse};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -114,6 +114,22 @@
     }
 }
 
+#[test]
+fn a_kill_of_all_gateways_leaves_a_team_its_quota_whose_callers_are_at_few() {
+    for seed in 0..8 {
+        let per_s = LARGE_PER_S;
+        let mut killed = schedule(seed, 27, per_s, 1.0);
+        killed.demand_per_s.fill(0.0);
+        killed.demand_per_s[5..8].fill(per_s);
+        killed.restarts = (0..27).map(|number| (number, 10_000)).collect();
+        killed.holder_lost_ms = vec![10_000];
+        let world = World::new(killed).run();
+        assert_that!(world.units_max(), le(limit(per_s)), "seed {seed}");
+        let used = used_part(&world, per_s, 11_000, 24_000);
+        assert_that!(used, ge(USED_PART_UNEVEN), "seed {seed}");
+    }
+}
+
 /// A schedule in which holders are lost, gateways cut off and restarted, and demand jumps.
 ///
 /// The first of the gateways that are cut off has the number `first_cut`; number 0 holds the lease at
@@ -194,3 +210,26 @@
     assert_that!(asked(&mut ledger, 2_000), gt(499.0));
     assert_that!(asked(&mut ledger, 62_000), eq(0.0));
 }
+
+#[test]
+fn gateways_of_which_none_had_a_part_know_a_finite_demand() {
+    let mut ledger = world::ledger(SMALL_PER_S);
+    let team = TeamName::from("t");
+    let level = TeamLevel {
+        team: team.clone(),
+        level: 100.0,
+        asked_per_s: 500.0,
+    };
+    // Others had all of the quota, and are not heard any more.
+    ledger.told(1_000, vec![level]);
+    let told = TeamUse {
+        team,
+        used: 0.0,
+        settled: 0.0,
+        asked_per_s: 500.0,
+        part: 0.0,
+    };
+    ledger.reported(3_000, &VmId::from("v"), 1, vec![told], 3);
+    let levels = ledger.levels(3_500, 3);
+    assert_that!(levels[0].asked_per_s.is_finite(), eq(true));
+}
