--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -3,6 +3,7 @@
 use chicorystage_api::name::{AdapterName, ModelName};
 
 use crate::fleet::misdirection::Misdirection;
+use crate::fleet::room_share::OwnShare;
 use crate::fleet::{EndpointEntry, EndpointState, LoadedModel, LoadingModel, PromptPace};
 use crate::request_limit::LimitRecord;
 
@@ -60,6 +61,8 @@
     pub pace: PromptPace,
     /// Whether the software version of the endpoint is recorded, or need not be.
     is_software_recorded: bool,
+    /// Own part of the room where more requests wait for the endpoint than it has room for.
+    own_share: Option<OwnShare>,
 }
 
 /// Models of an endpoint as last reported by the lease holder, the router that sends load and
@@ -93,6 +96,7 @@
             last_break_ms: 0,
             pace: PromptPace::default(),
             is_software_recorded: true,
+            own_share: None,
         }
     }
 
@@ -200,6 +204,23 @@
         now_ms >= self.full_until_ms && !is_held && has_slot
     }
 
+    /// Sets the own part of the room until the next report; `None` where the room is not divided.
+    pub(super) fn set_own_share(&mut self, own_share: Option<OwnShare>) {
+        self.own_share = own_share;
+    }
+
+    /// Returns whether the room was divided at the last report.
+    pub(super) fn has_own_share(&self) -> bool {
+        self.own_share.is_some()
+    }
+
+    /// Returns whether the own part of the room is used up.
+    #[must_use]
+    pub(super) fn has_used_share(&self, now_ms: u64) -> bool {
+        let share = self.own_share.filter(|share| now_ms < share.valid_until_ms);
+        share.is_some_and(|share| self.own_requests() >= share.requests_max)
+    }
+
     /// Returns whether no connection attempt to the endpoint failed recently.
     #[must_use]
     pub fn is_reachable(&self, now_ms: u64) -> bool {
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -21,7 +21,7 @@
     /// Requests in progress of the other routers, by endpoint and model.
     model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
     /// How long requests stay at endpoints.
-    turnover: Turnover,
+    pub(super) turnover: Turnover,
     /// Models that only the weight store can bring, with the time of such a load in milliseconds.
     uncached: HashMap<ModelName, u64>,
     /// Time from which `uncached` no longer counts, in milliseconds.
@@ -328,6 +328,10 @@
                 reason = better_reason(reason, Choice::Full);
                 continue;
             }
+            if !requirements.is_most_urgent && endpoint.has_used_share(now_ms) {
+                reason = better_reason(reason, Choice::Full);
+                continue;
+            }
             if endpoint.limit.is_reached(now_ms) {
                 reason = better_reason(reason, Choice::Limited);
                 continue;
--- a/crates/chicorystage-core/src/fleet/requirements.rs
+++ b/crates/chicorystage-core/src/fleet/requirements.rs
@@ -17,6 +17,9 @@
     /// Whether the answer is a stream that may be resumed, which begins only at a recorded software
     /// version.
     pub is_resumable: bool,
+    /// Whether engines admit the request before all others, so that it need not wait for its share of
+    /// the room.
+    pub is_most_urgent: bool,
     /// Prompt that the endpoint will process, which is subject to pacing.
     pub prompt: Prompt,
     /// Endpoints on which earlier attempts of this request failed; they are chosen only as a
@@ -39,6 +42,7 @@
             && self.adapter == other.adapter
             && self.software == other.software
             && self.is_resumable == other.is_resumable
+            && self.is_most_urgent == other.is_most_urgent
             && self.avoid == other.avoid
     }
 }
--- a/crates/chicorystage-core/src/fleet/turnover.rs
+++ b/crates/chicorystage-core/src/fleet/turnover.rs
@@ -41,6 +41,15 @@
         *mean_ms += (time_ms - *mean_ms) * NEWEST_WEIGHT;
     }
 
+    /// Returns the part of the requests in progress that end within a time; at most 1.
+    ///
+    /// Before it is known how long requests stay, it counts as long.
+    pub(super) fn ended_part(&self, service: &ServiceName, time_ms: u64) -> f64 {
+        let mean_ms = self.mean_ms.get(service).copied();
+        let mean_ms = mean_ms.unwrap_or(LONG_TURNOVER_MS).max(MEAN_MIN_MS);
+        (as_f64(time_ms) / mean_ms).min(1.0)
+    }
+
     /// Returns what has become of the requests reported `age_ms` ago.
     pub(super) fn renewal(&self, service: &ServiceName, age_ms: u64) -> Renewal {
         let age_ms = as_f64(age_ms);
--- a/crates/chicorystage-core/src/orders/demand_tracker.rs
+++ b/crates/chicorystage-core/src/orders/demand_tracker.rs
@@ -65,6 +65,20 @@
         recent.filter_map(|waiting| waiting.models.get(model)).sum()
     }
 
+    /// Returns the requests that wait for each model at all routers, or all but `except`.
+    #[must_use]
+    pub fn waiting_models(&self, now_ms: u64, except: Option<&VmId>) -> HashMap<ModelName, u32> {
+        let queues = self
+            .wait_queues
+            .iter()
+            .filter(|(router, waiting)| now_ms < waiting.valid_until_ms && Some(*router) != except);
+        let mut counts = HashMap::new();
+        for (model, count) in queues.flat_map(|(_, waiting)| &waiting.models) {
+            *counts.entry(model.clone()).or_default() += count;
+        }
+        counts
+    }
+
     /// Returns the adapters that requests wait for, with the number of requests, highest first.
     #[must_use]
     pub fn waiting_adapters(&self, now_ms: u64) -> Vec<(AdapterRef, u32)> {
--- a/crates/chicorystage-core/tests/fleet_choice.rs
+++ b/crates/chicorystage-core/tests/fleet_choice.rs
@@ -30,6 +30,7 @@
 fn requirements(model: &str) -> Requirements {
     Requirements {
         is_resumable: false,
+        is_most_urgent: false,
         service: ServiceName::from("llm"),
         software: None,
         model: Some(ModelName::from(model)),
--- a/crates/chicorystage-core/tests/order_schedules/uncached.rs
+++ b/crates/chicorystage-core/tests/order_schedules/uncached.rs
@@ -31,6 +31,7 @@
         adapter: None,
         software: None,
         is_resumable: false,
+        is_most_urgent: false,
         prompt: Prompt::default(),
         avoid: Vec::new(),
     }
--- a/crates/chicorystage-core/tests/prompt_spacing.rs
+++ b/crates/chicorystage-core/tests/prompt_spacing.rs
@@ -68,6 +68,7 @@
 fn requirements(prompt: Prompt) -> Requirements {
     Requirements {
         is_resumable: false,
+        is_most_urgent: false,
         service: ServiceName::from("llm"),
         software: None,
         model: Some(ModelName::from("m")),
--- /dev/null
+++ b/crates/chicorystage-core/tests/room_share.rs
@@ -0,0 +1,327 @@
+//! Many routers with requests that wait for the same few engines.
+//!
+//! In virtual time, requests arrive at 31 routers for a model that three engines hold, at more than these
+//! can serve. What does not fit waits at its router. The load that routers know is an interval or two old.
+//! Judged is how far engines are overrun, and whether slots stay free while requests wait.
+
+use std::collections::HashMap;
+
+use chicorystage_api::name::{EndpointId, ModelName, ServiceName, VmId, ZoneName};
+use chicorystage_core::fleet::{
+    Choice, EndpointEntry, EndpointState, FleetView, LoadedModel, PeerLoad, Prompt, Requirements,
+    RoomReport, StaleLoad, WaitingRequests, load_period_ms,
+};
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const ROUTERS: usize = 31;
+const ENGINES: usize = 3;
+const SLOTS: u32 = 24;
+const STEP_MS: u64 = 10;
+const RUN_MS: u64 = 20_000;
+const WARM_UP_MS: u64 = 3_000;
+/// Share of steps in which a request arrives, 70 a second: a quarter more than the engines serve.
+const ARRIVAL_SHARE: f64 = 0.7;
+/// Shortest and longest time of an answer, in milliseconds.
+const ANSWER_MS: std::ops::Range<u64> = 600..1_980;
+/// Time for which a request waits at most, in milliseconds.
+const WAIT_MS: u64 = 2_000;
+const SEEDS: u64 = 8;
+/// Slots that are used all the same, of 100.
+const USED_PERCENT_MIN: u64 = 90;
+
+struct Running {
+    router: usize,
+    engine: usize,
+    began_ms: u64,
+    ends_ms: u64,
+}
+
+struct World {
+    random: StdRng,
+    now_ms: u64,
+    divides: bool,
+    routers: Vec<FleetView>,
+    /// Arrival times of the requests that wait at each router.
+    waiting: Vec<Vec<u64>>,
+    /// Requests in progress and waiting by router, as the lease holder knows them.
+    reported: Vec<(HashMap<usize, u32>, u32)>,
+    running: Vec<Running>,
+    /// Sums over all steps of requests beyond the slots, and of slots in use.
+    overrun: u64,
+    used: u64,
+    steps: u64,
+}
+
+fn engine_id(engine: usize) -> EndpointId {
+    EndpointId::from(format!("e{engine}"))
+}
+
+fn model() -> ModelName {
+    ModelName::from("m")
+}
+
+fn requirements(is_most_urgent: bool) -> Requirements {
+    Requirements {
+        service: ServiceName::from("llm"),
+        model: Some(model()),
+        adapter: None,
+        software: None,
+        is_resumable: false,
+        is_most_urgent,
+        prompt: Prompt::default(),
+        avoid: Vec::new(),
+    }
+}
+
+fn view() -> FleetView {
+    let mut view = FleetView::default();
+    for engine in 0..ENGINES {
+        view.registered(EndpointEntry {
+            id: engine_id(engine),
+            service: ServiceName::from("llm"),
+            address: ([127, 0, 0, 1], 9_000).into(),
+            zone: ZoneName::from("z"),
+            slots: SLOTS,
+            state: EndpointState::Ready,
+            born_unix_ms: Some(1),
+            software: None,
+            models: vec![LoadedModel {
+                model: model(),
+                adapters: Vec::new(),
+            }],
+        });
+    }
+    view
+}
+
+impl World {
+    fn new(seed: u64, divides: bool) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 0,
+            divides,
+            routers: (0..ROUTERS).map(|_| view()).collect(),
+            waiting: vec![Vec::new(); ROUTERS],
+            reported: vec![(HashMap::new(), 0); ROUTERS],
+            running: Vec::new(),
+            overrun: 0,
+            used: 0,
+            steps: 0,
+        }
+    }
+
+    fn run(mut self) -> Self {
+        let period_ms = load_period_ms(ROUTERS);
+        while self.now_ms < RUN_MS {
+            self.now_ms += STEP_MS;
+            self.end_requests();
+            if self.now_ms.is_multiple_of(period_ms) {
+                self.report(period_ms);
+            }
+            if self.random.random_bool(ARRIVAL_SHARE) {
+                let router = self.random.random_range(0..ROUTERS);
+                self.waiting[router].push(self.now_ms);
+            }
+            for router in 0..ROUTERS {
+                self.send(router, period_ms);
+            }
+            if self.now_ms > WARM_UP_MS {
+                self.count();
+            }
+        }
+        self
+    }
+
+    fn end_requests(&mut self) {
+        let now_ms = self.now_ms;
+        for ended in self
+            .running
+            .extract_if(.., |running| running.ends_ms <= now_ms)
+        {
+            let router = &mut self.routers[ended.router];
+            let endpoint = router.get_mut(&engine_id(ended.engine));
+            endpoint.expect("a known engine").ended(Some(&model()));
+            router.request_ended(&ServiceName::from("llm"), now_ms - ended.began_ms);
+        }
+        for waiting in &mut self.waiting {
+            waiting.retain(|arrived_ms| now_ms < arrived_ms + WAIT_MS);
+        }
+    }
+
+    /// Tells each router what the lease holder knows of the others, and renews that.
+    fn report(&mut self, period_ms: u64) {
+        for router in 0..ROUTERS {
+            let others = |from: &usize| *from != router;
+            let mut in_progress = HashMap::new();
+            let mut waiting = 0;
+            for from in (0..ROUTERS).filter(others) {
+                let (counts, waits) = &self.reported[from];
+                for (engine, count) in counts {
+                    *in_progress.entry((engine_id(*engine), None)).or_default() += count;
+                }
+                waiting += waits;
+            }
+            let valid_until_ms = self.now_ms + 3 * period_ms;
+            let load = PeerLoad {
+                valid_until_ms,
+                in_progress,
+            };
+            let view = &mut self.routers[router];
+            view.replace_peer_loads(VmId::from("holder"), load);
+            if self.divides {
+                let own = u32::try_from(self.waiting[router].len()).expect("few");
+                let waiting = WaitingRequests {
+                    own: HashMap::from([(model(), own)]),
+                    others: HashMap::from([(model(), waiting)]),
+                };
+                let random = || self.random.random();
+                let report = RoomReport {
+                    routers: ROUTERS,
+                    interval_ms: period_ms,
+                    valid_until_ms,
+                };
+                view.share_room(self.now_ms, &waiting, report, random, |_| true);
+            }
+        }
+        for router in 0..ROUTERS {
+            let mut counts = HashMap::new();
+            for running in self.running.iter().filter(|sent| sent.router == router) {
+                *counts.entry(running.engine).or_default() += 1;
+            }
+            let waits = u32::try_from(self.waiting[router].len()).expect("few");
+            self.reported[router] = (counts, waits);
+        }
+    }
+
+    fn send(&mut self, router: usize, age_ms: u64) {
+        while !self.waiting[router].is_empty() {
+            let stale_load = StaleLoad {
+                age_ms,
+                random: self.random.random(),
+            };
+            let view = &mut self.routers[router];
+            let zone = ZoneName::from("z");
+            let needs = requirements(false);
+            let choice = view.choose_spread(self.now_ms, &zone, &needs, stale_load);
+            let Choice::Endpoint(id) = choice else {
+                return;
+            };
+            self.waiting[router].remove(0);
+            let endpoint = view.get_mut(&id).expect("a known engine");
+            endpoint.started(self.now_ms, Some(&model()));
+            let engine = (0..ENGINES).find(|engine| engine_id(*engine) == id);
+            self.running.push(Running {
+                router,
+                engine: engine.expect("a known engine"),
+                began_ms: self.now_ms,
+                ends_ms: self.now_ms + self.random.random_range(ANSWER_MS),
+            });
+        }
+    }
+
+    fn count(&mut self) {
+        self.steps += 1;
+        for engine in 0..ENGINES {
+            let running = self.running.iter().filter(|sent| sent.engine == engine);
+            let running = u64::try_from(running.count()).expect("few");
+            let slots = u64::from(SLOTS);
+            self.overrun += running.saturating_sub(slots);
+            self.used += running.min(slots);
+        }
+    }
+
+    /// Returns the slots that were used, of 100.
+    fn used_percent(&self) -> u64 {
+        let engines = u64::try_from(ENGINES).expect("few");
+        self.used * 100 / (self.steps * u64::from(SLOTS) * engines)
+    }
+}
+
+#[test]
+fn dividing_the_room_halves_what_engines_are_overrun_by_and_leaves_no_slots_unused() {
+    let (mut alone_overrun, mut divided_overrun) = (0, 0);
+    for seed in 0..SEEDS {
+        let alone = World::new(seed, false).run();
+        let divided = World::new(seed, true).run();
+        alone_overrun += alone.overrun;
+        divided_overrun += divided.overrun;
+        assert_that!(divided.used_percent(), ge(USED_PERCENT_MIN), "seed {seed}");
+    }
+    assert_that!(divided_overrun * 2, le(alone_overrun));
+}
+
+/// Returns the view of a router that knows `others` requests of the other routers at each engine.
+fn loaded(others: u32) -> FleetView {
+    let mut view = view();
+    let in_progress = (0..ENGINES).map(|engine| ((engine_id(engine), None), others));
+    let load = PeerLoad {
+        valid_until_ms: 1_000,
+        in_progress: in_progress.collect(),
+    };
+    view.replace_peer_loads(VmId::from("holder"), load);
+    view
+}
+
+fn share(view: &mut FleetView, routers: usize, own: u32, others: u32) {
+    let waiting = WaitingRequests {
+        own: HashMap::from([(model(), own)]),
+        others: HashMap::from([(model(), others)]),
+    };
+    let report = RoomReport {
+        routers,
+        interval_ms: 0,
+        valid_until_ms: 500,
+    };
+    view.share_room(0, &waiting, report, || 0.0, |_| true);
+}
+
+fn choose(view: &FleetView, now_ms: u64, is_most_urgent: bool) -> Choice {
+    view.choose(now_ms, &ZoneName::from("z"), &requirements(is_most_urgent))
+}
+
+#[test]
+fn a_router_without_waiting_requests_leaves_the_room_to_the_others_until_the_next_report() {
+    let mut view = loaded(SLOTS - 2);
+    share(&mut view, ROUTERS, 0, 40);
+    assert_that!(choose(&view, 100, false), eq(&Choice::Full));
+    assert_that!(choose(&view, 500, false), not(eq(&Choice::Full)));
+}
+
+#[test]
+fn requests_that_engines_admit_first_do_not_wait_for_a_share() {
+    let mut view = loaded(SLOTS - 2);
+    share(&mut view, ROUTERS, 0, 40);
+    assert_that!(choose(&view, 100, true), not(eq(&Choice::Full)));
+}
+
+#[test]
+fn a_slot_that_an_own_request_frees_is_used_again() {
+    let mut view = loaded(SLOTS - 2);
+    let endpoint = view.get_mut(&engine_id(0)).expect("a known engine");
+    endpoint.started(0, Some(&model()));
+    share(&mut view, ROUTERS, 0, 40);
+    assert_that!(choose(&view, 100, false), eq(&Choice::Full));
+    let endpoint = view.get_mut(&engine_id(0)).expect("a known engine");
+    endpoint.ended(Some(&model()));
+    assert_that!(
+        choose(&view, 100, false),
+        eq(&Choice::Endpoint(engine_id(0)))
+    );
+}
+
+#[test]
+fn room_for_all_that_wait_is_not_divided() {
+    let mut view = loaded(SLOTS / 2);
+    share(&mut view, ROUTERS, 0, 30);
+    assert_that!(choose(&view, 100, false), not(eq(&Choice::Full)));
+}
+
+#[test]
+fn few_routers_do_not_divide_the_room() {
+    let mut view = loaded(SLOTS - 2);
+    let slots = usize::try_from(SLOTS).expect("few");
+    share(&mut view, slots, 0, 40);
+    assert_that!(choose(&view, 100, false), not(eq(&Choice::Full)));
+}
--- a/crates/chicorystage-core/tests/short_requests.rs
+++ b/crates/chicorystage-core/tests/short_requests.rs
@@ -153,6 +153,7 @@
             adapter: None,
             software: None,
             is_resumable: false,
+            is_most_urgent: false,
             prompt: Prompt::default(),
             avoid: Vec::new(),
         };
--- a/crates/chicorystage-core/tests/stale_choice.rs
+++ b/crates/chicorystage-core/tests/stale_choice.rs
@@ -83,6 +83,7 @@
         adapter: None,
         software: None,
         is_resumable: false,
+        is_most_urgent: false,
         prompt: Prompt::default(),
         avoid: Vec::new(),
     }
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -192,6 +192,7 @@
 fn requirements() -> Requirements {
     Requirements {
         is_resumable: false,
+        is_most_urgent: false,
         service: "app".into(),
         software: None,
         model: None,
--- a/crates/chicorystaged/src/gateway/granting.rs
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -35,6 +35,8 @@
         gateway.pool.sweep(now_ms);
         let (waiting, in_progress) = gateway.with(|view| (view.waiters.len(), view.in_progress));
         gateway.metrics.set_gauges(waiting, in_progress);
+        let divided = gateway.with(|view| view.fleet.divided_endpoints());
+        gateway.metrics.set_divided_endpoints(divided);
         let body_bytes = gateway.body_budget.used_bytes();
         gateway.metrics.set_body_bytes(body_bytes);
         let age_ms = gateway.configuration_age_ms();
--- a/crates/chicorystaged/src/gateway/peer_message.rs
+++ b/crates/chicorystaged/src/gateway/peer_message.rs
@@ -164,6 +164,9 @@
     pub epoch: u64,
     /// Requests in progress by endpoint, over all gateways; endpoints without any are left out.
     pub in_progress: Vec<(EndpointId, u32)>,
+    /// Number of requests that wait for a model, by model, over all gateways.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub waiting: Vec<(ModelName, u32)>,
     /// Models that only the weight store can bring.
     #[serde(default)]
     pub uncached: Vec<UncachedModel>,
--- a/crates/chicorystaged/src/gateway/peers/mod.rs
+++ b/crates/chicorystaged/src/gateway/peers/mod.rs
@@ -13,6 +13,7 @@
 mod load_update;
 mod receiving;
 mod registration;
+mod room;
 mod sending;
 
 use std::net::SocketAddr;
--- a/crates/chicorystaged/src/gateway/peers/receiving.rs
+++ b/crates/chicorystaged/src/gateway/peers/receiving.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chicorystage_api::name::VmId;
+use chicorystage_api::name::{ModelName, VmId};
 use chicorystage_core::fleet::{
     LoadedModel, LoadingModel, PeerLoad, load_valid_ms, waiting_valid_ms,
 };
@@ -14,6 +14,7 @@
     EngineUpdate, LoadUpdate, PeerContent, PeerMessage, PlacementUpdate, TotalLoadUpdate,
 };
 use crate::gateway::peers::load_update::adapter_counts;
+use crate::gateway::peers::room;
 use crate::gateway::poison;
 use crate::gateway::prompt_parts;
 use crate::gateway::request_limits;
@@ -123,6 +124,7 @@
         };
         let valid_until_ms = load.valid_until_ms;
         view.fleet.replace_peer_loads(from, load);
+        room::share_by_total(now_ms, view, update.waiting);
         view.quotas.told(now_ms, update.teams);
         view.fleet
             .uncached_reported(update.uncached, valid_until_ms);
@@ -182,9 +184,17 @@
 /// Records what engines have loaded; ignores an update for another start of the engine than the
 /// registered one.
 pub fn apply_placement(gateway: &Gateway, now_ms: u64, engines: Vec<EngineUpdate>) {
+    let mut extended = Vec::new();
     for engine in engines {
         gateway.with_endpoint(&engine.endpoint, |endpoint| {
             if endpoint.entry.born_unix_ms == engine.born_unix_ms {
+                let is_new = |model: &ModelName| {
+                    let mut known = endpoint.models(now_ms).iter();
+                    known.all(|loaded| loaded.model != *model)
+                };
+                if engine.models.iter().any(|(model, _)| is_new(model)) {
+                    extended.push(engine.endpoint.clone());
+                }
                 let models = engine.models.into_iter();
                 let models = models.map(|(model, adapters)| LoadedModel { model, adapters });
                 let loading = engine.loading.map(|(model, due_in_ms)| LoadingModel {
@@ -195,5 +205,6 @@
             }
         });
     }
+    room::share_of(gateway, now_ms, &extended);
     gateway.capacity_changed.notify_one();
 }
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -11,6 +11,7 @@
 
 use crate::gateway::peer_message::{LoadUpdate, PeerContent, PeerMessage, TotalLoadUpdate};
 use crate::gateway::peers::load_update::{collect_load_update, record_own_waiting};
+use crate::gateway::peers::room;
 use crate::gateway::request_limits;
 use crate::gateway::shared::Gateway;
 
@@ -28,7 +29,14 @@
         gateway.plan_changed.notify_one();
         let in_progress = update.in_progress.iter();
         let sent = in_progress.map(|(endpoint, _, count)| (endpoint.clone(), *count));
-        gateway.with(|view| view.load_sent = sum_by_endpoint(sent));
+        let waiting = update.waiting.iter().cloned().collect();
+        gateway.with(|view| {
+            view.load_sent = sum_by_endpoint(sent);
+            view.waiting_sent = waiting;
+        });
+        if !gateway.has_recent_holder() {
+            room::share_by_reports(gateway);
+        }
         let teams = update.teams.clone();
         send_load(gateway, update).await;
         if !teams.is_empty() && !gateway.has_recent_holder() {
@@ -111,10 +119,13 @@
         let sums = ids.map(|id| (id.clone(), view.fleet.occupancy(id)));
         sums.filter(|(_, count)| *count > 0).collect()
     });
+    room::share_by_reports(gateway);
+    let waiting = gateway.with(|view| view.demand.waiting_models(now_ms, None));
     let uncached = uncached_models(gateway, now_ms);
     let update = TotalLoadUpdate {
         epoch,
         in_progress,
+        waiting: waiting.into_iter().collect(),
         uncached,
         limits: request_limits::known(gateway),
         teams: quota_levels(gateway, now_ms),
--- a/crates/chicorystaged/src/gateway/serving/demand.rs
+++ b/crates/chicorystaged/src/gateway/serving/demand.rs
@@ -3,6 +3,7 @@
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{Prompt, Requirements};
 use chicorystage_core::orders::AdapterRef;
+use chicorystage_core::teams::Rank;
 
 use crate::gateway::serving::Serving;
 
@@ -35,6 +36,7 @@
             adapter,
             software: None,
             is_resumable: self.work.route.kind.is_resumable(),
+            is_most_urgent: self.work.rank == Rank::default(),
             prompt: Prompt {
                 tokens: head.prompt_tokens,
                 defer_until_ms: self.work.arrived_ms
--- a/crates/chicorystaged/src/gateway/view.rs
+++ b/crates/chicorystaged/src/gateway/view.rs
@@ -59,6 +59,10 @@
     pub requested_adapters: Vec<(ModelName, AdapterName)>,
     /// Requests in progress by endpoint in this gateway's last load update.
     pub load_sent: HashMap<EndpointId, u32>,
+    /// Requests that wait for a model in this gateway's last load update, by model.
+    pub waiting_sent: HashMap<ModelName, u32>,
+    /// Requests that wait for a model at the other gateways, as last reported, by model.
+    pub others_waiting: HashMap<ModelName, u32>,
     /// Whether the table of gateways has been read at least once.
     pub has_peers: bool,
     /// Other registered gateways.
@@ -116,6 +120,8 @@
             requested: HashMap::new(),
             requested_adapters: Vec::new(),
             load_sent: HashMap::new(),
+            waiting_sent: HashMap::new(),
+            others_waiting: HashMap::new(),
             has_peers: false,
             peers: HashMap::new(),
             lease_holder: None,
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -49,6 +49,7 @@
     waiting: Gauge,
     in_progress: Gauge,
     body_bytes: Gauge,
+    divided_endpoints: Gauge,
 }
 
 impl Default for GatewayMetrics {
@@ -83,6 +84,7 @@
             waiting: Gauge::default(),
             in_progress: Gauge::default(),
             body_bytes: Gauge::default(),
+            divided_endpoints: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -198,6 +200,12 @@
             .set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauge of endpoints whose room is divided among gateways.
+    pub fn set_divided_endpoints(&self, endpoints: usize) {
+        self.divided_endpoints
+            .set(i64::try_from(endpoints).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges of waiting requests and requests in progress.
     pub fn set_gauges(&self, waiting: usize, in_progress: u32) {
         self.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
@@ -240,6 +248,11 @@
             "Memory that the bodies of requests take",
             self.body_bytes.clone(),
         );
+        registry.register(
+            "divided_endpoints",
+            "Endpoints that more requests wait for than they have room for",
+            self.divided_endpoints.clone(),
+        );
         registry.register("attempts", "Attempts at endpoints", self.attempts.clone());
         registry.register(
             "first_attempts",
