Tool: chicorystage where tells where a request would go now, and why, without sending it

Cause: the operators asked for it; the choice of an endpoint could be read from code alone. Change: each endpoint is assessed by one function (core/fleet/assessment), of which both the choice and the report are made; a gateway answers questions at its metrics address; the command prints text or JSON. fleet_view.rs shrinks from 386 to 306 lines by it. Tests: core/choice_report (3), gateway_choice_page (2), not seen red.

--- a/crates/chicorystage-api/src/lib.rs
+++ b/crates/chicorystage-api/src/lib.rs
@@ -9,6 +9,7 @@
 //!
 //! * [`name`]: shared immutable names ([`ModelName`](name::ModelName) and others).
 //! * [`admin`]: answers of the admin API.
+//! * [`choice`]: where a request would go now, and why.
 //! * [`inventory`]: what operators declare: models, adapters, applications,
 //!   callers, operators and rules, and the changes made to them.
 //! * [`work`]: one attempt of one request, sent by a router to an agent, and
@@ -24,6 +25,7 @@
 //! theirs.
 
 pub mod admin;
+pub mod choice;
 pub mod finding;
 pub mod inventory;
 pub mod name;
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -3,8 +3,7 @@
 
 use chicorystage_api::name::{EndpointId, ModelName, ServiceName, SoftwareVersion, VmId, ZoneName};
 
-use crate::fleet::candidate::{better_reason, cost, missing_requirement, request_cost};
-use crate::fleet::stale_load::Candidate;
+use crate::fleet::assessment::ChoiceContext;
 use crate::fleet::turnover::Turnover;
 use crate::fleet::{
     Choice, Endpoint, EndpointEntry, EndpointState, EntryChange, PeerLoad, Requirements, StaleLoad,
@@ -125,11 +124,17 @@
         }
     }
 
+    /// Returns the number of requests that the other routers have reported at an endpoint.
+    #[must_use]
+    pub(super) fn others_at(&self, id: &EndpointId) -> u32 {
+        self.totals.get(id).copied().unwrap_or(0)
+    }
+
     /// Returns the number of requests that all routers have in progress at an endpoint.
     #[must_use]
     pub fn occupancy(&self, id: &EndpointId) -> u32 {
         let own = self.endpoints.get(id).map_or(0, Endpoint::own_requests);
-        own + self.totals.get(id).copied().unwrap_or(0)
+        own + self.others_at(id)
     }
 
     /// Returns an upper bound of the number of routers that send to an endpoint at present, this one
@@ -138,7 +143,7 @@
     /// Where there are many routers, most of them have no request there.
     #[must_use]
     pub fn sharing_routers(&self, id: &EndpointId, routers: usize) -> usize {
-        let others = self.totals.get(id).copied().unwrap_or(0);
+        let others = self.others_at(id);
         let others = usize::try_from(others).unwrap_or(usize::MAX);
         others.saturating_add(1).min(routers)
     }
@@ -235,7 +240,13 @@
     /// linear in the number of endpoints.
     #[must_use]
     pub fn choose(&self, now_ms: u64, zone: &ZoneName, requirements: &Requirements) -> Choice {
-        let candidates = match self.candidates(now_ms, zone, requirements, 0) {
+        let context = ChoiceContext {
+            now_ms,
+            zone,
+            requirements,
+            age_ms: 0,
+        };
+        let candidates = match self.candidates(&context) {
             Ok(candidates) => candidates,
             Err(reason) => return reason,
         };
@@ -253,8 +264,13 @@
         requirements: &Requirements,
         stale_load: StaleLoad,
     ) -> Choice {
-        let age_ms = stale_load.age_ms;
-        let mut candidates = match self.candidates(now_ms, zone, requirements, age_ms) {
+        let context = ChoiceContext {
+            now_ms,
+            zone,
+            requirements,
+            age_ms: stale_load.age_ms,
+        };
+        let mut candidates = match self.candidates(&context) {
             Ok(candidates) => candidates,
             Err(reason) => return reason,
         };
@@ -267,102 +283,6 @@
         self.turnover.record(service, time_ms);
     }
 
-    /// Returns the mean number of requests that the other routers have reported at the endpoints that
-    /// could take a request.
-    fn mean_others(&self, now_ms: u64, requirements: &Requirements) -> f64 {
-        let fitting = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.entry.service == requirements.service
-                && endpoint.is_usable(now_ms)
-                && missing_requirement(now_ms, endpoint, requirements).is_none()
-        });
-        let others = fitting.map(|(id, _)| self.totals.get(id).copied().unwrap_or(0));
-        let (sum, count) = others.fold((0, 0), |(sum, count), others| (sum + others, count + 1));
-        f64::from(sum) / f64::from(count.max(1))
-    }
-
-    /// Returns the endpoints that meet the requirements and have capacity, at least one, where the load
-    /// of the other routers was reported `age_ms` ago.
-    ///
-    /// # Errors
-    ///
-    /// Returns the reason that is closest to success if there is none.
-    fn candidates(
-        &self,
-        now_ms: u64,
-        zone: &ZoneName,
-        requirements: &Requirements,
-        age_ms: u64,
-    ) -> Result<Vec<Candidate<'_>>, Choice> {
-        let renewal = self.turnover.renewal(&requirements.service, age_ms);
-        let replaced_part = 1.0 - renewal.kept_part;
-        let replaced = if replaced_part > 0.0 {
-            self.mean_others(now_ms, requirements) * replaced_part
-        } else {
-            0.0
-        };
-        let mut reason = Choice::NoEndpoint;
-        let mut candidates = Vec::new();
-        let mut breaking = Vec::new();
-        let mut has_sound = false;
-        for (id, endpoint) in &self.endpoints {
-            if endpoint.entry.service != requirements.service || !endpoint.is_usable(now_ms) {
-                continue;
-            }
-            if !requirements.accepts_software(endpoint.entry.software.as_ref()) {
-                continue;
-            }
-            if let Some(missing) = missing_requirement(now_ms, endpoint, requirements) {
-                reason = better_reason(reason, missing);
-                continue;
-            }
-            if requirements.is_resumable && !endpoint.is_software_recorded() {
-                // Another process or this one records the version within a moment.
-                reason = better_reason(reason, Choice::Full);
-                continue;
-            }
-            let is_sound = !endpoint.breaks_connections(now_ms);
-            has_sound |= is_sound;
-            let others = f64::from(self.totals.get(id).copied().unwrap_or(0));
-            let kept = f64::from(endpoint.own_requests()) + others * renewal.kept_part;
-            if !endpoint.has_capacity(now_ms, kept + replaced) {
-                reason = better_reason(reason, Choice::Full);
-                continue;
-            }
-            if !requirements.is_most_urgent && endpoint.has_used_share(now_ms) {
-                reason = better_reason(reason, Choice::Full);
-                continue;
-            }
-            if endpoint.limit.is_reached(now_ms) {
-                reason = better_reason(reason, Choice::Limited);
-                continue;
-            }
-            let defer_ms = endpoint.pace.defer_ms(now_ms);
-            if defer_ms > 0.0 && now_ms < requirements.prompt.defer_until_ms {
-                reason = better_reason(reason, Choice::Reading);
-                continue;
-            }
-            let has_failed = requirements.avoid.contains(id);
-            let group = if is_sound {
-                &mut candidates
-            } else {
-                &mut breaking
-            };
-            group.push(Candidate {
-                id,
-                cost: cost(now_ms, zone, endpoint, kept, has_failed),
-                request_cost: request_cost(endpoint),
-                arrived: others * renewal.new_part,
-            });
-        }
-        if !has_sound {
-            candidates = breaking;
-        }
-        if candidates.is_empty() {
-            return Err(reason);
-        }
-        Ok(candidates)
-    }
-
     fn forget_peer(&mut self, peer: &VmId) {
         let Some(load) = self.peers.remove(peer) else {
             return;
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -15,10 +15,13 @@
 //!   of an endpoint. The failure rate decays with time and with successful answers. An
 //!   endpoint that answers any request no longer counts as silent.
 
+mod assessment;
 mod candidate;
 mod choice;
+mod choice_report;
 mod endpoint;
 mod endpoint_entry;
+mod endpoint_report;
 mod endpoint_state;
 mod entry_change;
 mod fleet_view;
@@ -30,6 +33,7 @@
 mod peer_load;
 mod prompt;
 mod prompt_pace;
+mod rejection;
 mod requirements;
 mod room_share;
 mod software;
@@ -39,8 +43,10 @@
 mod uncached_model;
 
 pub use choice::Choice;
+pub use choice_report::ChoiceReport;
 pub use endpoint::Endpoint;
 pub use endpoint_entry::EndpointEntry;
+pub use endpoint_report::EndpointReport;
 pub use endpoint_state::EndpointState;
 pub use entry_change::EntryChange;
 pub use fleet_view::FleetView;
@@ -52,6 +58,7 @@
 pub use peer_load::PeerLoad;
 pub use prompt::Prompt;
 pub use prompt_pace::PromptPace;
+pub use rejection::Rejection;
 pub use requirements::Requirements;
 pub use room_share::{RoomReport, WaitingRequests};
 pub use stale_load::StaleLoad;
--- a/crates/chicorystage-core/src/fleet/stale_load.rs
+++ b/crates/chicorystage-core/src/fleet/stale_load.rs
@@ -54,6 +54,30 @@
         candidates.first().map(|candidate| candidate.id)
     }
 
+    /// Returns the probability with which each of the candidates is chosen, which are put in order of
+    /// their cost.
+    pub(super) fn probabilities<'a>(
+        age_ms: u64,
+        candidates: &mut [Candidate<'a>],
+    ) -> Vec<(&'a EndpointId, f64)> {
+        candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let level = Self::level(candidates).filter(|_| age_ms > 0);
+        let below = |candidate: &Candidate<'_>| {
+            level.map_or(0.0, |level| (level - candidate.cost).max(0.0))
+        };
+        let sum: f64 = candidates.iter().map(below).sum();
+        let probability = |(i, candidate): (usize, &Candidate<'a>)| {
+            let is_first = if i == 0 { 1.0 } else { 0.0 };
+            let part = if sum > 0.0 {
+                below(candidate) / sum
+            } else {
+                is_first
+            };
+            (candidate.id, part)
+        };
+        candidates.iter().enumerate().map(probability).collect()
+    }
+
     /// Returns the cost up to which the expected requests raise the cheapest candidates, which are
     /// in order of their cost.
     fn level(candidates: &[Candidate<'_>]) -> Option<f64> {
--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Returns what is left of a team's quota as this gateway knows it; `None` without a quota.
+    pub fn level(&mut self, now_ms: u64, team: &TeamName) -> Option<TeamLevel> {
+        let bucket = self.buckets.get_mut(team)?;
+        Some(bucket.known(now_ms, team))
+    }
+
     /// Gives back the units of a request that was not run.
     pub fn give_back(&mut self, team: &TeamName, cost: f64) {
         if let Some(bucket) = self.buckets.get_mut(team) {
--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -203,6 +203,16 @@
         }
     }
 
+    /// Returns the level and the demand as this gateway knows them.
+    pub(super) fn known(&mut self, now_ms: u64, team: &TeamName) -> TeamLevel {
+        self.refill(now_ms);
+        TeamLevel {
+            team: team.clone(),
+            level: self.level,
+            asked_per_s: self.asked_per_s(now_ms),
+        }
+    }
+
     /// Returns the own use and demand to report.
     ///
     /// What other gateways have reported since the last call becomes known at once, so that the own part
--- a/crates/chicorystage/src/cli/mod.rs
+++ b/crates/chicorystage/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod options;
 mod quarantine;
 mod status;
+mod where_to;
 
 use std::process::ExitCode;
 
@@ -89,6 +90,7 @@
         Command::Status(_) => status::run(&context).await,
         Command::Drain(options) => status::drain(&context, &options).await,
         Command::Explain(options) => explain::run(&context, &options).await,
+        Command::Where(options) => where_to::run(&context, &options).await,
         Command::Quarantine(options) => quarantine::run(&context, &options).await,
     }
 }
--- a/crates/chicorystage/src/cli/options.rs
+++ b/crates/chicorystage/src/cli/options.rs
@@ -45,6 +45,8 @@
     Drain(DrainOptions),
     /// Show what happened to a request and why.
     Explain(ExplainOptions),
+    /// Show where a request would go now and why, without sending it.
+    Where(WhereOptions),
     /// List or lift quarantines.
     Quarantine(QuarantineOptions),
 }
@@ -168,6 +170,34 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// Shows where a request would go now and why, without sending it.
+#[derive(Debug, Options)]
+pub(crate) struct WhereOptions {
+    /// Print this help.
+    pub help: bool,
+    /// Metrics address of a gateway, IP:port.
+    #[options(meta = "ADDRESS", required, no_short)]
+    pub gateway: String,
+    /// Host that the request names.
+    #[options(meta = "HOST", required, no_short)]
+    pub host: String,
+    /// Path of the request.
+    #[options(meta = "PATH", required, no_short)]
+    pub path: String,
+    /// Model that the request names.
+    #[options(meta = "MODEL", no_short)]
+    pub model: Option<String>,
+    /// Adapter of the model.
+    #[options(meta = "ADAPTER", no_short)]
+    pub adapter: Option<String>,
+    /// Team whose request it is.
+    #[options(meta = "TEAM", no_short)]
+    pub team: Option<String>,
+    /// Length of the prompt, in tokens.
+    #[options(meta = "COUNT", no_short)]
+    pub prompt_tokens: Option<u64>,
+}
+
 /// Lists or lifts quarantines.
 #[derive(Debug, Options)]
 pub(crate) struct QuarantineOptions {
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -33,6 +33,7 @@
 pub mod body_reading;
 pub mod caller_connections;
 pub mod callers;
+pub mod choice_page;
 pub mod connection;
 pub mod crash_checks;
 pub mod elsewhere;
--- a/crates/chicorystaged/src/gateway/serving/demand.rs
+++ b/crates/chicorystaged/src/gateway/serving/demand.rs
@@ -1,6 +1,7 @@
 //! What a request needs of an endpoint, and what it adds to the demand for models.
 
-use chicorystage_core::deployment::Configuration;
+use chicorystage_api::name::{AdapterName, ModelName, ServiceName};
+use chicorystage_core::deployment::{Configuration, Route};
 use chicorystage_core::fleet::{Prompt, Requirements};
 use chicorystage_core::orders::AdapterRef;
 use chicorystage_core::teams::Rank;
@@ -11,40 +12,77 @@
 /// endpoints process earlier prompts.
 const DEFER_OBJECTIVE_DIVISOR: u64 = 3;
 
-impl Serving {
+/// What a request names, from which its requirements follow.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    /// Service that the request goes to.
+    pub service: ServiceName,
+    /// Model that the request names.
+    pub model: Option<ModelName>,
+    /// Adapter that the request names.
+    pub adapter: Option<AdapterName>,
+    /// Length of the prompt, in tokens.
+    pub prompt_tokens: u64,
+    /// Arrival on the gateway's clock, in milliseconds.
+    pub arrived_ms: u64,
+    /// Priority of team and route.
+    pub rank: Rank,
+}
+
+impl Wanted {
     /// Returns what the request needs of an endpoint.
     ///
-    /// Returns `None` where the route has no service, or the service runs models and the request
-    /// names none or one that is not configured.
-    pub(super) fn requirements(&self, configuration: &Configuration) -> Option<Requirements> {
-        let service = self.work.route.service(rand::random::<u64>())?.clone();
+    /// Returns `None` where the service runs models and the request names none or one that is not
+    /// configured.
+    #[must_use]
+    pub fn requirements(
+        self,
+        configuration: &Configuration,
+        route: &Route,
+    ) -> Option<Requirements> {
         let engine = configuration
-            .service(&service)
-            .and_then(|service| service.engine.clone());
-        let head = &self.work.head;
+            .service(&self.service)
+            .and_then(|service| service.engine.as_ref());
         let (model, adapter) = match engine {
             Some(engine) => {
-                let model = head.model.clone()?;
+                let model = self.model?;
                 engine.models.get(&model)?;
-                (Some(model), head.adapter.clone())
+                (Some(model), self.adapter)
             }
             None => (None, None),
         };
         Some(Requirements {
-            service,
+            service: self.service,
             model,
             adapter,
             software: None,
-            is_resumable: self.work.route.kind.is_resumable(),
-            is_most_urgent: self.work.rank == Rank::default(),
+            is_resumable: route.kind.is_resumable(),
+            is_most_urgent: self.rank == Rank::default(),
             prompt: Prompt {
-                tokens: head.prompt_tokens,
-                defer_until_ms: self.work.arrived_ms
-                    + self.work.route.objective_ms / DEFER_OBJECTIVE_DIVISOR,
+                tokens: self.prompt_tokens,
+                defer_until_ms: self.arrived_ms + route.objective_ms / DEFER_OBJECTIVE_DIVISOR,
             },
             avoid: Vec::new(),
         })
     }
+}
+
+impl Serving {
+    /// Returns what the request needs of an endpoint; `None` where the route has no service or the
+    /// request names no model of it.
+    pub(super) fn requirements(&self, configuration: &Configuration) -> Option<Requirements> {
+        let route = &self.work.route;
+        let head = &self.work.head;
+        let wanted = Wanted {
+            service: route.service(rand::random::<u64>())?.clone(),
+            model: head.model.clone(),
+            adapter: head.adapter.clone(),
+            prompt_tokens: head.prompt_tokens,
+            arrived_ms: self.work.arrived_ms,
+            rank: self.work.rank,
+        };
+        wanted.requirements(configuration, route)
+    }
 
     /// Counts the request for the retry budget and for the demand for its model and adapter.
     pub(super) fn record_demand(&self, requirements: &Requirements) {
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -12,6 +12,8 @@
 mod run_limit;
 mod short_body;
 
+pub use self::demand::Wanted;
+
 use std::cell::RefCell;
 use std::rc::Rc;
 
