Quotas: a request of a team within its quota waits for the next report once instead of being refused

Change: such a refusal is momentary; the request waits for one interval and is decided again. Tests: quota_schedules::a_refusal_is_momentary_..., a_refusal_beyond_the_quota_... (new behaviour, not seen red).

--- a/crates/chicorystage-core/src/quota/quota_decision.rs
+++ b/crates/chicorystage-core/src/quota/quota_decision.rs
@@ -11,5 +11,8 @@
         level: f64,
         /// Units that the team asks all gateways for in a second.
         asked_per_s: f64,
+        /// Whether the team is within its quota and has units left, so that only this gateway's part of
+        /// them is used up until the next report.
+        is_momentary: bool,
     },
 }
--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -69,6 +69,13 @@
         self.has_quotas |= !teams.is_empty();
     }
 
+    /// Records that a request of a team has come, before the decision on it.
+    pub fn asked(&mut self, now_ms: u64, team: &TeamName, cost: f64) {
+        if let Some(bucket) = self.buckets.get_mut(team) {
+            bucket.asked(now_ms, cost);
+        }
+    }
+
     /// Decides on a request of a team at one of `gateways`, and charges it if it is admitted.
     ///
     /// `random` is drawn from 0 to 1. A team without a quota is admitted at no charge.
--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -93,6 +93,13 @@
         self.level = self.level.min(self.burst);
     }
 
+    /// Records that a request of `cost` units has come.
+    pub(super) fn asked(&mut self, now_ms: u64, cost: f64) {
+        self.learn_cost(cost);
+        self.own_meter.add(now_ms, cost);
+        self.asked_ms = Some(now_ms);
+    }
+
     /// Decides on a request of `cost` units and charges it if it is admitted.
     ///
     /// `random` is drawn from 0 to 1.
@@ -104,14 +111,13 @@
         random: f64,
     ) -> QuotaDecision {
         self.refill(now_ms);
-        self.learn_cost(cost);
-        self.own_meter.add(now_ms, cost);
-        self.asked_ms = Some(now_ms);
         if random >= self.admitted_part(gateways) {
+            let asked_per_s = self.asked_per_s(now_ms);
             return QuotaDecision::Refused {
                 retry_in_ms: self.retry_in_ms(now_ms, cost),
                 level: self.level,
-                asked_per_s: self.asked_per_s(now_ms),
+                asked_per_s,
+                is_momentary: self.level >= cost && asked_per_s < self.per_s,
             };
         }
         self.level -= cost;
--- a/crates/chicorystage-core/tests/quota_schedules/main.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use chicorystage_api::name::{TeamName, VmId};
-use chicorystage_core::quota::{QuotaLedger, TeamLevel, TeamUse};
+use chicorystage_core::quota::{QuotaDecision, QuotaLedger, TeamLevel, TeamUse};
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -233,3 +233,52 @@
     let levels = ledger.levels(3_500, 3);
     assert_that!(levels[0].asked_per_s.is_finite(), eq(true));
 }
+
+/// Asks for requests at one of 27 gateways until one is refused, and returns whether that is momentary.
+fn first_refusal(ledger: &mut QuotaLedger, now_ms: u64, asked_per_s: f64) -> bool {
+    let team = TeamName::from("t");
+    let level = TeamLevel {
+        team: team.clone(),
+        level: SMALL_PER_S,
+        asked_per_s,
+    };
+    ledger.told(now_ms, vec![level]);
+    for _ in 0..100 {
+        ledger.asked(now_ms, &team, 1_000.0);
+        if let QuotaDecision::Refused { is_momentary, .. } =
+            ledger.admit(now_ms, &team, 1_000.0, 27, 0.5)
+        {
+            return is_momentary;
+        }
+    }
+    false
+}
+
+#[test]
+fn a_refusal_is_momentary_where_the_team_is_within_its_quota_and_has_units_left() {
+    let mut ledger = world::ledger(SMALL_PER_S);
+    assert_that!(
+        first_refusal(&mut ledger, 1_000, SMALL_PER_S * 0.5),
+        eq(true)
+    );
+    // After the next report the gateway has its part again.
+    let team = TeamName::from("t");
+    let level = TeamLevel {
+        team: team.clone(),
+        level: SMALL_PER_S,
+        asked_per_s: SMALL_PER_S * 0.5,
+    };
+    ledger.own_use(1_100);
+    ledger.told(1_200, vec![level]);
+    let again = ledger.admit(1_200, &team, 1_000.0, 27, 0.5);
+    assert_that!(again, eq(QuotaDecision::Admitted(1_000.0)));
+}
+
+#[test]
+fn a_refusal_beyond_the_quota_is_not_momentary() {
+    let mut ledger = world::ledger(SMALL_PER_S);
+    assert_that!(
+        first_refusal(&mut ledger, 1_000, SMALL_PER_S * 5.0),
+        eq(false)
+    );
+}
--- a/crates/chicorystage-core/tests/quota_schedules/world.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/world.rs
@@ -291,6 +291,7 @@
             let gateways = self.gateways.len();
             let random = self.random.random();
             let ledger = &mut self.gateways[number].ledger;
+            ledger.asked(now_ms, &team(), cost);
             match ledger.admit(now_ms, &team(), cost, gateways, random) {
                 QuotaDecision::Admitted(_) => self.admitted.push((now_ms, cost)),
                 QuotaDecision::Refused { .. } => self.refused.push((now_ms, cost)),
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -56,7 +56,7 @@
         return text_response(StatusCode::NOT_FOUND, "no route");
     };
     let headers = request.headers_mut();
-    let team = match teams::admit(&gateway, &configuration, &route, &head, headers) {
+    let team = match teams::admit(&gateway, &configuration, &route, &head, headers).await {
         Ok(team) => team,
         Err(refused) => return *refused,
     };
--- a/crates/chicorystaged/src/gateway/teams.rs
+++ b/crates/chicorystaged/src/gateway/teams.rs
@@ -7,9 +7,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use chicorystage_core::admission::retry_delay_ms;
 use chicorystage_core::deployment::{Configuration, Route};
+use chicorystage_core::fleet::load_period_ms;
 use chicorystage_core::quota::QuotaDecision;
 use chicorystage_core::teams::{Access, KeyDigest, Team};
 use chicorystage_platform::caller_request::CallerRequest;
@@ -71,7 +73,7 @@
 /// # Errors
 ///
 /// Returns the refusal of a request that may not run.
-pub fn admit(
+pub async fn admit(
     gateway: &Rc<Gateway>,
     configuration: &Configuration,
     route: &Route,
@@ -94,25 +96,34 @@
             gateway.metrics.teams.count("", "denied");
             Err(Box::new(refuse_key(head, configuration.version)))
         }
-        Access::Team(team, key) => charge(gateway, head, team, key).map(Some),
+        Access::Team(team, key) => charge(gateway, head, team, key).await.map(Some),
     }
 }
 
 /// Charges a request to its team's quota.
-fn charge(
+///
+/// Where only this gateway's part of the quota is used up, the request waits for the next report once.
+async fn charge(
     gateway: &Rc<Gateway>,
     head: &CallerRequest,
     team: Arc<Team>,
     key: KeyDigest,
 ) -> Result<TeamRequest, Box<Response<AnswerBody>>> {
-    let now_ms = gateway.now_ms();
     let cost = team.quota.map_or(0.0, |quota| quota.cost(head.tokens()));
-    let random = rand::random();
-    let decision = gateway.with(|view| {
-        let gateways = view.gateways_or(GATEWAYS_UNKNOWN);
-        view.quotas
-            .admit(now_ms, &team.name, cost, gateways, random)
+    let now_ms = gateway.now_ms();
+    let report_ms = gateway.with(|view| {
+        view.quotas.asked(now_ms, &team.name, cost);
+        load_period_ms(view.gateways())
     });
+    let mut decision = decide(gateway, &team, cost);
+    if let QuotaDecision::Refused {
+        is_momentary: true, ..
+    } = decision
+    {
+        gateway.metrics.teams.count(team.name.as_str(), "waited");
+        tokio::time::sleep(Duration::from_millis(report_ms)).await;
+        decision = decide(gateway, &team, cost);
+    }
     match decision {
         QuotaDecision::Admitted(units) => {
             gateway.metrics.teams.count(team.name.as_str(), "admitted");
@@ -128,6 +139,7 @@
             retry_in_ms,
             level,
             asked_per_s,
+            ..
         } => {
             gateway.metrics.teams.count(team.name.as_str(), "quota");
             let back_ms = retry_delay_ms(retry_in_ms, head.deadline_ms.unwrap_or(0));
@@ -146,6 +158,17 @@
     }
 }
 
+/// Decides on a request by its team's quota, and charges it if it is admitted.
+fn decide(gateway: &Gateway, team: &Team, cost: f64) -> QuotaDecision {
+    let now_ms = gateway.now_ms();
+    let random = rand::random();
+    gateway.with(|view| {
+        let gateways = view.gateways_or(GATEWAYS_UNKNOWN);
+        view.quotas
+            .admit(now_ms, &team.name, cost, gateways, random)
+    })
+}
+
 /// Returns the error of a request without a key that a team holds.
 #[must_use]
 pub fn refuse_key(head: &CallerRequest, version: u64) -> Response<AnswerBody> {
