Even load: divide room only where something waits and a model has become available

Change: nothing is computed while no request waits or no engine has got another model; the count is kept. No decision changes.

--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -19,6 +19,8 @@
     totals: HashMap<EndpointId, u32>,
     /// Requests in progress of the other routers, by endpoint and model.
     model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
+    /// Number of endpoints whose room is divided.
+    pub(super) divided: usize,
     /// How long requests stay at endpoints.
     pub(super) turnover: Turnover,
     /// Models that only the weight store can bring, with the time of such a load in milliseconds.
--- a/crates/chicorystage-core/src/fleet/room_share.rs
+++ b/crates/chicorystage-core/src/fleet/room_share.rs
@@ -28,6 +28,14 @@
     pub others: HashMap<ModelName, u32>,
 }
 
+impl WaitingRequests {
+    /// Returns whether no request waits anywhere.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.own.is_empty() && self.others.is_empty()
+    }
+}
+
 /// When the load was reported, and for how long that counts.
 #[derive(Clone, Copy, Debug)]
 pub struct RoomReport {
@@ -69,6 +77,10 @@
         mut random: impl FnMut() -> f64,
         is_divided: impl Fn(&EndpointId) -> bool,
     ) {
+        if waiting.is_empty() {
+            self.end_shares();
+            return;
+        }
         let rooms = self.rooms(now_ms, report.interval_ms);
         let room_by_model = self.room_by_model(now_ms, &rooms);
         let room_of = |id: &EndpointId| rooms.get(id).copied().unwrap_or(0.0);
@@ -87,15 +99,25 @@
             });
             endpoint.set_own_share(share);
         }
+        let divided = self.endpoints.values();
+        self.divided = divided.filter(|endpoint| endpoint.has_own_share()).count();
     }
 
     /// Returns the number of endpoints whose room is divided.
     #[must_use]
     pub fn divided_endpoints(&self) -> usize {
-        let endpoints = self.endpoints();
-        endpoints
-            .filter(|(_, endpoint)| endpoint.has_own_share())
-            .count()
+        self.divided
+    }
+
+    /// Ends the division of room at all endpoints.
+    fn end_shares(&mut self) {
+        if self.divided == 0 {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.set_own_share(None);
+        }
+        self.divided = 0;
     }
 
     /// Returns the room of each endpoint that accepts requests: its free slots, and those that others free
--- a/crates/chicorystaged/src/gateway/peers/room.rs
+++ b/crates/chicorystaged/src/gateway/peers/room.rs
@@ -26,12 +26,15 @@
         let own = view.waiting_sent.get(&model).copied().unwrap_or(0);
         (model, count.saturating_sub(own))
     });
-    view.others_waiting = others.collect();
+    view.others_waiting = others.filter(|(_, count)| *count > 0).collect();
     share(now_ms, view, |_| true);
 }
 
 /// Divides the room at endpoints that have just got another model, which requests may wait for everywhere.
 pub(super) fn share_of(gateway: &Gateway, now_ms: u64, endpoints: &[EndpointId]) {
+    if endpoints.is_empty() {
+        return;
+    }
     gateway.with(|view| share(now_ms, view, |id| endpoints.contains(id)));
 }
 
