--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -311,6 +311,7 @@
         self.limit = LimitRecord::default();
         self.breaks = 0;
         self.pace = PromptPace::default();
+        self.own_share = None;
     }
 
     /// Records that a request was sent to the endpoint.
--- a/crates/chicorystage-core/src/fleet/fleet_view.rs
+++ b/crates/chicorystage-core/src/fleet/fleet_view.rs
@@ -21,6 +21,8 @@
     model_totals: HashMap<(EndpointId, Option<ModelName>), u32>,
     /// Number of endpoints whose room is divided.
     pub(super) divided: usize,
+    /// Time of the last division of room, in milliseconds; `None` where nothing waited since.
+    pub(super) divided_ms: Option<u64>,
     /// How long requests stay at endpoints.
     pub(super) turnover: Turnover,
     /// Models that only the weight store can bring, with the time of such a load in milliseconds.
--- a/crates/chicorystage-core/src/fleet/requirements.rs
+++ b/crates/chicorystage-core/src/fleet/requirements.rs
@@ -17,8 +17,8 @@
     /// Whether the answer is a stream that may be resumed, which begins only at a recorded software
     /// version.
     pub is_resumable: bool,
-    /// Whether engines admit the request before all others, so that it need not wait for its share of
-    /// the room.
+    /// Whether engines admit the request before all others, or it goes on with a stream whose caller waits
+    /// for the next event, so that it need not wait for a share of the room.
     pub is_most_urgent: bool,
     /// Prompt that the endpoint will process, which is subject to pacing.
     pub prompt: Prompt,
--- a/crates/chicorystage-core/src/fleet/room_share.rs
+++ b/crates/chicorystage-core/src/fleet/room_share.rs
@@ -65,22 +65,52 @@
 impl FleetView {
     /// Divides the room at each endpoint that more requests wait for than it has room for.
     ///
-    /// Called whenever the load of the other routers was reported anew, and for the endpoints at which a
-    /// model has become available. The shares hold until the next call. `random` returns numbers from 0 up
-    /// to 1, which decide about parts of a request. Takes time linear in the number of endpoints and their
-    /// models.
+    /// Called whenever the load of the other routers was reported anew. The shares hold until the next
+    /// call, and for half an interval at least: a share that is given again before others know of its use
+    /// would be used twice. `random` returns numbers from 0 up to 1, which decide about parts of a request.
+    /// Takes time linear in the number of endpoints and their models.
     pub fn share_room(
         &mut self,
         now_ms: u64,
         waiting: &WaitingRequests,
         report: RoomReport,
-        mut random: impl FnMut() -> f64,
-        is_divided: impl Fn(&EndpointId) -> bool,
+        random: impl FnMut() -> f64,
     ) {
         if waiting.is_empty() {
             self.end_shares();
             return;
         }
+        let holds_until_ms = self.divided_ms.map(|at_ms| at_ms + report.interval_ms / 2);
+        if holds_until_ms.is_some_and(|until_ms| now_ms < until_ms) {
+            return;
+        }
+        self.divided_ms = Some(now_ms);
+        self.divide(now_ms, waiting, report, random, |_| true);
+    }
+
+    /// Divides the room at endpoints that have just got another model, for which requests may wait at
+    /// every router.
+    pub fn share_room_at(
+        &mut self,
+        now_ms: u64,
+        endpoints: &[EndpointId],
+        waiting: &WaitingRequests,
+        report: RoomReport,
+        random: impl FnMut() -> f64,
+    ) {
+        if !endpoints.is_empty() && !waiting.is_empty() {
+            self.divide(now_ms, waiting, report, random, |id| endpoints.contains(id));
+        }
+    }
+
+    fn divide(
+        &mut self,
+        now_ms: u64,
+        waiting: &WaitingRequests,
+        report: RoomReport,
+        mut random: impl FnMut() -> f64,
+        is_divided: impl Fn(&EndpointId) -> bool,
+    ) {
         let rooms = self.rooms(now_ms, report.interval_ms);
         let room_by_model = self.room_by_model(now_ms, &rooms);
         let room_of = |id: &EndpointId| rooms.get(id).copied().unwrap_or(0.0);
@@ -111,6 +141,7 @@
 
     /// Ends the division of room at all endpoints.
     fn end_shares(&mut self) {
+        self.divided_ms = None;
         if self.divided == 0 {
             return;
         }
--- a/crates/chicorystage-core/tests/room_share.rs
+++ b/crates/chicorystage-core/tests/room_share.rs
@@ -28,6 +28,8 @@
 /// Time for which a request waits at most, in milliseconds.
 const WAIT_MS: u64 = 2_000;
 const SEEDS: u64 = 8;
+/// Interval between two reports where a test makes them, in milliseconds.
+const INTERVAL_MS: u64 = 140;
 /// Slots that are used all the same, of 100.
 const USED_PERCENT_MIN: u64 = 90;
 
@@ -182,7 +184,7 @@
                     interval_ms: period_ms,
                     valid_until_ms,
                 };
-                view.share_room(self.now_ms, &waiting, report, random, |_| true);
+                view.share_room(self.now_ms, &waiting, report, random);
             }
         }
         for router in 0..ROUTERS {
@@ -265,16 +267,20 @@
 }
 
 fn share(view: &mut FleetView, routers: usize, own: u32, others: u32) {
+    share_at(view, 0, routers, own, others);
+}
+
+fn share_at(view: &mut FleetView, now_ms: u64, routers: usize, own: u32, others: u32) {
     let waiting = WaitingRequests {
         own: HashMap::from([(model(), own)]),
         others: HashMap::from([(model(), others)]),
     };
     let report = RoomReport {
         routers,
-        interval_ms: 0,
-        valid_until_ms: 500,
+        interval_ms: INTERVAL_MS,
+        valid_until_ms: now_ms + 500,
     };
-    view.share_room(0, &waiting, report, || 0.0, |_| true);
+    view.share_room(now_ms, &waiting, report, || 0.0);
 }
 
 fn choose(view: &FleetView, now_ms: u64, is_most_urgent: bool) -> Choice {
@@ -325,3 +331,54 @@
     share(&mut view, slots, 0, 40);
     assert_that!(choose(&view, 100, false), not(eq(&Choice::Full)));
 }
+
+/// Returns how many requests a router begins until it finds no room.
+fn begin_all(view: &mut FleetView, now_ms: u64) -> u32 {
+    let mut begun = 0;
+    while let Choice::Endpoint(id) = choose(view, now_ms, false) {
+        let endpoint = view.get_mut(&id).expect("a known engine");
+        endpoint.started(now_ms, Some(&model()));
+        begun += 1;
+    }
+    begun
+}
+
+#[test]
+fn a_share_is_not_given_again_before_the_next_report() {
+    let mut view = loaded(SLOTS / 2);
+    share_at(&mut view, 0, ROUTERS, 40, 40);
+    let share = begin_all(&mut view, 0);
+    assert_that!(share, gt(0));
+    for now_ms in [1, 5, 20, 60] {
+        share_at(&mut view, now_ms, ROUTERS, 40, 40);
+        assert_that!(begin_all(&mut view, now_ms), eq(0), "after {now_ms} ms");
+    }
+    share_at(&mut view, INTERVAL_MS, ROUTERS, 40, 40);
+    assert_that!(begin_all(&mut view, INTERVAL_MS), gt(0));
+}
+
+#[test]
+fn shares_end_when_no_request_waits_any_more() {
+    let mut view = loaded(SLOTS - 2);
+    share(&mut view, ROUTERS, 0, 40);
+    assert_that!(view.divided_endpoints(), eq(ENGINES));
+    let report = RoomReport {
+        routers: ROUTERS,
+        interval_ms: INTERVAL_MS,
+        valid_until_ms: 500,
+    };
+    view.share_room(10, &WaitingRequests::default(), report, || 0.0);
+    assert_that!(view.divided_endpoints(), eq(0));
+    assert_that!(choose(&view, 10, false), not(eq(&Choice::Full)));
+}
+
+#[test]
+fn an_engine_that_has_restarted_is_not_bound_by_its_former_share() {
+    let mut view = loaded(SLOTS - 2);
+    share(&mut view, ROUTERS, 0, 40);
+    view.get_mut(&engine_id(1)).expect("known").restarted();
+    assert_that!(
+        choose(&view, 100, false),
+        eq(&Choice::Endpoint(engine_id(1)))
+    );
+}
--- a/crates/chicorystaged/src/gateway/peers/sending.rs
+++ b/crates/chicorystaged/src/gateway/peers/sending.rs
@@ -120,12 +120,12 @@
         sums.filter(|(_, count)| *count > 0).collect()
     });
     room::share_by_reports(gateway);
-    let waiting = gateway.with(|view| view.demand.waiting_models(now_ms, None));
+    let waiting = gateway.with(|view| room::waiting_total(now_ms, view));
     let uncached = uncached_models(gateway, now_ms);
     let update = TotalLoadUpdate {
         epoch,
         in_progress,
-        waiting: waiting.into_iter().collect(),
+        waiting,
         uncached,
         limits: request_limits::known(gateway),
         teams: quota_levels(gateway, now_ms),
--- a/crates/chicorystaged/src/gateway/relay/resumption.rs
+++ b/crates/chicorystaged/src/gateway/relay/resumption.rs
@@ -50,6 +50,7 @@
         // Closing the connection cancels the request at an endpoint that still runs it.
         drop(broken);
         self.requirements.software = self.origin.software().cloned();
+        self.requirements.is_most_urgent = true;
         let may_resume =
             self.may_resume() && self.work.left_ms(now_ms) > 0 && self.has_endpoint_to_resume();
         let service = &self.requirements.service;
--- a/crates/chicorystaged/src/gateway/relay/takeover.rs
+++ b/crates/chicorystaged/src/gateway/relay/takeover.rs
@@ -24,6 +24,7 @@
     pub(super) fn prepare_takeover(&mut self) -> bool {
         let mut requirements = self.requirements.clone();
         requirements.software = self.origin.software().cloned();
+        requirements.is_most_urgent = true;
         let checked = self
             .gateway
             .could_send_elsewhere(&requirements, &self.endpoint);
--- a/crates/chicorystaged/src/gateway/teams.rs
+++ b/crates/chicorystaged/src/gateway/teams.rs
@@ -25,6 +25,9 @@
 use crate::gateway::view::GATEWAYS_UNKNOWN;
 use crate::timer::boot_ms;
 
+/// Divisor of the latency objective; the quotient limits how long a request waits for its team's quota.
+const QUOTA_WAIT_DIVISOR: u64 = 2;
+
 /// A request's team, with the units that the request was charged.
 ///
 /// Dropping it gives the units back, unless an endpoint may have run the request.
@@ -96,15 +99,17 @@
             gateway.metrics.teams.count("", "denied");
             Err(Box::new(refuse_key(head, configuration.version)))
         }
-        Access::Team(team, key) => charge(gateway, head, team, key).await.map(Some),
+        Access::Team(team, key) => charge(gateway, route, head, team, key).await.map(Some),
     }
 }
 
 /// Charges a request to its team's quota.
 ///
-/// Where only this gateway's part of the quota is used up, the request waits for the next report once.
+/// Where only this gateway's part of the quota is used up, the request waits for the next report once, if
+/// it can still be answered in time then.
 async fn charge(
     gateway: &Rc<Gateway>,
+    route: &Route,
     head: &CallerRequest,
     team: Arc<Team>,
     key: KeyDigest,
@@ -117,10 +122,18 @@
     });
     let mut decision = decide(gateway, &team, cost);
     if let QuotaDecision::Refused {
-        is_momentary: true, ..
+        is_momentary: true,
+        level,
+        ..
     } = decision
+        && report_ms <= route.objective_ms / QUOTA_WAIT_DIVISOR
     {
         gateway.metrics.teams.count(team.name.as_str(), "waited");
+        log::info!(
+            event = "quota_waited", request = head.attempt_id.as_str(), team = team.name.as_str(),
+            cost, level, wait_ms = report_ms;
+            "this gateway's part of the quota is used up until the next report"
+        );
         tokio::time::sleep(Duration::from_millis(report_ms)).await;
         decision = decide(gateway, &team, cost);
     }
