--- a/crates/chicorystage-core/src/quota/quota_ledger.rs
+++ b/crates/chicorystage-core/src/quota/quota_ledger.rs
@@ -157,9 +157,10 @@
             return Vec::new();
         }
         self.assume_silent(now_ms);
+        let are_parts_told = first_ms.is_some_and(|first_ms| now_ms >= first_ms + ASSUMED_MS);
         let buckets = self.buckets.iter_mut();
         buckets
-            .map(|(team, bucket)| bucket.tell(now_ms, team))
+            .map(|(team, bucket)| bucket.tell(now_ms, team, are_parts_told))
             .collect()
     }
 
--- a/crates/chicorystage-core/src/quota/team_bucket.rs
+++ b/crates/chicorystage-core/src/quota/team_bucket.rs
@@ -196,10 +196,12 @@
     }
 
     /// Returns the level to tell the others.
-    pub(super) fn tell(&mut self, now_ms: u64, team: &TeamName) -> TeamLevel {
+    ///
+    /// `are_parts_told` is whether the others report the parts that follow from what they were told.
+    pub(super) fn tell(&mut self, now_ms: u64, team: &TeamName, are_parts_told: bool) -> TeamLevel {
         self.refill(now_ms);
         self.others_known(now_ms);
-        if self.heard_part >= 1.0 {
+        if are_parts_told {
             self.settle_part();
         }
         TeamLevel {
--- a/crates/chicorystage-core/tests/quota_schedules/main.rs
+++ b/crates/chicorystage-core/tests/quota_schedules/main.rs
@@ -282,3 +282,28 @@
         eq(false)
     );
 }
+
+#[test]
+fn a_new_holder_without_own_demand_tells_what_the_gateways_that_it_hears_are_asked() {
+    let mut holder = world::ledger(SMALL_PER_S);
+    let report = |holder: &mut QuotaLedger, now_ms| {
+        for vm in ["v", "w"] {
+            let told = TeamUse {
+                team: TeamName::from("t"),
+                used: 0.0,
+                settled: 0.0,
+                asked_per_s: 500.0,
+                part: 0.0,
+            };
+            holder.reported(now_ms, &VmId::from(vm), 1, vec![told], 3);
+        }
+    };
+    // All gateways have just started, so that none knows a part.
+    for now_ms in [1_000, 1_400, 1_520, 1_640] {
+        report(&mut holder, now_ms);
+        for level in holder.levels(now_ms, 3) {
+            assert_that!(level.asked_per_s, le(1_000.0), "at {now_ms} ms");
+        }
+    }
+    assert_that!(holder.levels(1_700, 3).is_empty(), eq(false));
+}
