--- a/crates/chicorystage-core/src/deployment/configuration.rs
+++ b/crates/chicorystage-core/src/deployment/configuration.rs
@@ -1,4 +1,5 @@
 use std::collections::{BTreeSet, HashMap};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use chicorystage_api::name::ServiceName;
@@ -16,6 +17,8 @@
     /// Teams that share the deployment; empty if requests need no keys.
     pub teams: TeamDirectory,
     services: HashMap<ServiceName, ServiceSpec>,
+    /// Highest and lowest priority of the routes to each service.
+    priorities: HashMap<ServiceName, RangeInclusive<u8>>,
     /// Routes by host, longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
 }
@@ -33,6 +36,7 @@
             .into_iter()
             .map(|service| (service.name.clone(), service))
             .collect();
+        let priorities = priorities_by_service(&routes);
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             let host_routes = by_host.entry(Arc::clone(&route.host)).or_default();
@@ -46,6 +50,7 @@
             limits,
             teams: TeamDirectory::default(),
             services,
+            priorities,
             routes: by_host,
         }
     }
@@ -84,6 +89,22 @@
         }
     }
 
+    /// Returns whether requests of a rank go before all others at a service, some of which come later.
+    ///
+    /// Where all requests have one rank, none goes first.
+    #[must_use]
+    pub fn goes_first(&self, service: &ServiceName, rank: Rank) -> bool {
+        let Some(priorities) = self.priorities.get(service) else {
+            return false;
+        };
+        let first = Rank {
+            team: 0,
+            route: *priorities.start(),
+        };
+        let has_later = priorities.start() < priorities.end() || self.teams.priorities() > 1;
+        rank <= first && has_later
+    }
+
     /// Returns the number of priorities that routes may have: one more than the largest.
     #[must_use]
     pub fn route_priorities(&self) -> u8 {
@@ -132,3 +153,17 @@
         self.routes.values().map(Vec::len).sum()
     }
 }
+
+/// Returns the highest and the lowest priority of the routes to each service.
+fn priorities_by_service(routes: &[Route]) -> HashMap<ServiceName, RangeInclusive<u8>> {
+    let mut priorities: HashMap<ServiceName, RangeInclusive<u8>> = HashMap::new();
+    for route in routes {
+        for weighted in &route.services {
+            let known = priorities
+                .entry(weighted.service.clone())
+                .or_insert(route.priority..=route.priority);
+            *known = route.priority.min(*known.start())..=route.priority.max(*known.end());
+        }
+    }
+    priorities
+}
--- a/crates/chicorystage-core/src/fleet/endpoint.rs
+++ b/crates/chicorystage-core/src/fleet/endpoint.rs
@@ -1,15 +1,13 @@
 use std::collections::HashMap;
 
-use chicorystage_api::name::{AdapterName, ModelName};
+use chicorystage_api::name::ModelName;
 
+use crate::fleet::endpoint_models::ModelReport;
 use crate::fleet::misdirection::Misdirection;
 use crate::fleet::room_share::OwnShare;
-use crate::fleet::{EndpointEntry, EndpointState, LoadedModel, LoadingModel, PromptPace};
+use crate::fleet::{EndpointEntry, EndpointState, PromptPace};
 use crate::request_limit::LimitRecord;
 
-/// Time for which models reported by the lease holder override those in the registry, in
-/// milliseconds.
-const REPORT_VALID_MS: u64 = 3_000;
 /// Time for which no request goes to an endpoint after a failed connection attempt, in
 /// milliseconds.
 const UNREACHABLE_MS: u64 = 800;
@@ -38,10 +36,10 @@
 pub struct Endpoint {
     /// Entry that the endpoint registered.
     pub entry: EndpointEntry,
-    report: Option<ModelReport>,
+    pub(super) report: Option<ModelReport>,
     /// Requests of this process in progress, by model; the key is `None` for a plain application.
     in_progress: HashMap<Option<ModelName>, u32>,
-    misdirection: Misdirection,
+    pub(super) misdirection: Misdirection,
     failure_rate: f64,
     failure_rate_ms: u64,
     unanswered: u32,
@@ -65,15 +63,6 @@
     own_share: Option<OwnShare>,
 }
 
-/// Models of an endpoint as last reported by the lease holder, the router that sends load and
-/// unload orders to engines.
-#[derive(Clone, Debug)]
-struct ModelReport {
-    models: Vec<LoadedModel>,
-    loading: Option<LoadingModel>,
-    received_ms: u64,
-}
-
 impl Endpoint {
     /// Creates the state of a newly registered endpoint, without any requests or failures.
     #[must_use]
@@ -227,76 +216,6 @@
         now_ms >= self.unreachable_until_ms
     }
 
-    /// Returns the models that are probably loaded on the endpoint.
-    ///
-    /// A report of the lease holder from the last 3 seconds takes precedence over the registry,
-    /// which lags behind.
-    #[must_use]
-    pub fn models(&self, now_ms: u64) -> &[LoadedModel] {
-        match &self.report {
-            Some(report) if now_ms < report.received_ms + REPORT_VALID_MS => &report.models,
-            _ => &self.entry.models,
-        }
-    }
-
-    /// Returns the model that the endpoint is probably loading; `None` without a recent report of
-    /// the lease holder.
-    #[must_use]
-    pub fn loading(&self, now_ms: u64) -> Option<&LoadingModel> {
-        let report = self.report.as_ref()?;
-        let is_recent = now_ms < report.received_ms + REPORT_VALID_MS;
-        report.loading.as_ref().filter(|_| is_recent)
-    }
-
-    /// Returns whether a model is probably loaded on the endpoint.
-    ///
-    /// The result is false for 0.6 seconds after the endpoint answered that the model is missing.
-    #[must_use]
-    pub fn holds(&self, now_ms: u64, model: &ModelName) -> bool {
-        self.find_model(now_ms, model).is_some()
-            && !self.misdirection.is_missing(now_ms, model, None)
-    }
-
-    /// Returns whether an adapter of a model is probably loaded on the endpoint.
-    ///
-    /// The result is false for 40 ms after the endpoint answered that the adapter is missing.
-    #[must_use]
-    pub fn holds_adapter(&self, now_ms: u64, model: &ModelName, adapter: &AdapterName) -> bool {
-        let Some(loaded) = self.find_model(now_ms, model) else {
-            return false;
-        };
-        loaded.adapters.contains(adapter)
-            && !self.misdirection.is_missing(now_ms, model, Some(adapter))
-    }
-
-    /// Stores the models that the lease holder reported, and clears all records of missing
-    /// models.
-    pub fn models_reported(
-        &mut self,
-        now_ms: u64,
-        models: Vec<LoadedModel>,
-        loading: Option<LoadingModel>,
-    ) {
-        self.report = Some(ModelReport {
-            models,
-            loading,
-            received_ms: now_ms,
-        });
-        self.misdirection.clear_missing();
-    }
-
-    /// Records that the endpoint answered that a model, or one adapter of it, is missing.
-    ///
-    /// After several such answers in a row the endpoint counts as another one.
-    pub fn missing_reported(
-        &mut self,
-        now_ms: u64,
-        model: ModelName,
-        adapter: Option<AdapterName>,
-    ) {
-        self.misdirection.missing_reported(now_ms, model, adapter);
-    }
-
     /// Resets everything that a restart of the endpoint invalidates.
     ///
     /// The registered entry and the count of requests in progress are kept.
@@ -384,10 +303,4 @@
     pub fn own_requests(&self) -> u32 {
         self.in_progress.values().sum()
     }
-
-    fn find_model(&self, now_ms: u64, model: &ModelName) -> Option<&LoadedModel> {
-        self.models(now_ms)
-            .iter()
-            .find(|loaded| loaded.model == *model)
-    }
 }
--- a/crates/chicorystage-core/src/fleet/mod.rs
+++ b/crates/chicorystage-core/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod choice_report;
 mod endpoint;
 mod endpoint_entry;
+mod endpoint_models;
 mod endpoint_report;
 mod endpoint_state;
 mod entry_change;
--- a/crates/chicorystage-core/src/quota/peer_use.rs
+++ b/crates/chicorystage-core/src/quota/peer_use.rs
@@ -75,7 +75,8 @@
         self.heard_ms = now_ms;
         self.assumed_ms = now_ms;
         let absent = self.teams.iter_mut().filter(|(team, known)| {
-            known.asked_per_s > 0.0 && uses.iter().all(|told| told.team != **team)
+            (known.asked_per_s > 0.0 || known.part > 0.0)
+                && uses.iter().all(|told| told.team != **team)
         });
         let mut new: Vec<(TeamName, NewUse)> = absent
             .map(|(team, known)| {
--- a/crates/chicorystage-core/src/teams/team_directory.rs
+++ b/crates/chicorystage-core/src/teams/team_directory.rs
@@ -92,6 +92,12 @@
         self.by_key.get(key)
     }
 
+    /// Returns the number of different priorities that teams have.
+    #[must_use]
+    pub fn priorities(&self) -> usize {
+        self.priorities.len()
+    }
+
     /// Returns the level of a team's priority among those of all teams; 0 is the most urgent.
     ///
     /// A request without a team comes after those of all teams.
--- a/crates/chicorystage-core/tests/room_share.rs
+++ b/crates/chicorystage-core/tests/room_share.rs
@@ -1,7 +1,8 @@
 //! Many routers with requests that wait for the same few engines.
 //!
 //! In virtual time, requests arrive at 31 routers for a model that three engines hold, at more than these
-//! can serve. What does not fit waits at its router. The load that routers know is an interval or two old.
+//! can serve. What does not fit waits at its router. The load that routers know is an interval or two old,
+//! some reports are lost, the lease holder is away for a second, and a third of the routers start anew.
 //! Judged is how far engines are overrun, and whether slots stay free while requests wait.
 
 use std::collections::HashMap;
@@ -9,7 +10,7 @@
 use chicorystage_api::name::{EndpointId, ModelName, ServiceName, VmId, ZoneName};
 use chicorystage_core::fleet::{
     Choice, EndpointEntry, EndpointState, FleetView, LoadedModel, PeerLoad, Prompt, Requirements,
-    RoomReport, StaleLoad, WaitingRequests, load_period_ms,
+    RoomReport, StaleLoad, WaitingRequests, load_period_ms, load_valid_ms,
 };
 use googletest::prelude::*;
 use rand::rngs::StdRng;
@@ -25,6 +26,12 @@
 const ARRIVAL_SHARE: f64 = 0.7;
 /// Shortest and longest time of an answer, in milliseconds.
 const ANSWER_MS: std::ops::Range<u64> = 600..1_980;
+/// Share of the reports that are lost.
+const LOST_SHARE: f64 = 0.03;
+/// Time in which there is no lease holder, and no report, in milliseconds.
+const SILENT_MS: std::ops::Range<u64> = 8_000..9_000;
+/// Time at which a third of the routers start anew, in milliseconds.
+const RESTART_MS: u64 = 14_000;
 /// Time for which a request waits at most, in milliseconds.
 const WAIT_MS: u64 = 2_000;
 const SEEDS: u64 = 8;
@@ -119,9 +126,10 @@
         while self.now_ms < RUN_MS {
             self.now_ms += STEP_MS;
             self.end_requests();
-            if self.now_ms.is_multiple_of(period_ms) {
-                self.report(period_ms);
+            if self.now_ms == RESTART_MS {
+                self.restart();
             }
+            self.report(period_ms);
             if self.random.random_bool(ARRIVAL_SHARE) {
                 let router = self.random.random_range(0..ROUTERS);
                 self.waiting[router].push(self.now_ms);
@@ -152,42 +160,16 @@
         }
     }
 
-    /// Tells each router what the lease holder knows of the others, and renews that.
+    /// Makes the reports that are due now: each router has its own moments, some reports are lost, and for
+    /// a time there is no lease holder.
     fn report(&mut self, period_ms: u64) {
         for router in 0..ROUTERS {
-            let others = |from: &usize| *from != router;
-            let mut in_progress = HashMap::new();
-            let mut waiting = 0;
-            for from in (0..ROUTERS).filter(others) {
-                let (counts, waits) = &self.reported[from];
-                for (engine, count) in counts {
-                    *in_progress.entry((engine_id(*engine), None)).or_default() += count;
-                }
-                waiting += waits;
+            let offset_ms = STEP_MS * u64::try_from(router).expect("few");
+            let is_due = (self.now_ms + offset_ms).is_multiple_of(period_ms);
+            if !is_due || SILENT_MS.contains(&self.now_ms) || self.random.random_bool(LOST_SHARE) {
+                continue;
             }
-            let valid_until_ms = self.now_ms + 3 * period_ms;
-            let load = PeerLoad {
-                valid_until_ms,
-                in_progress,
-            };
-            let view = &mut self.routers[router];
-            view.replace_peer_loads(VmId::from("holder"), load);
-            if self.divides {
-                let own = u32::try_from(self.waiting[router].len()).expect("few");
-                let waiting = WaitingRequests {
-                    own: HashMap::from([(model(), own)]),
-                    others: HashMap::from([(model(), waiting)]),
-                };
-                let random = || self.random.random();
-                let report = RoomReport {
-                    routers: ROUTERS,
-                    interval_ms: period_ms,
-                    valid_until_ms,
-                };
-                view.share_room(self.now_ms, &waiting, report, random);
-            }
-        }
-        for router in 0..ROUTERS {
+            self.tell(router, period_ms);
             let mut counts = HashMap::new();
             for running in self.running.iter().filter(|sent| sent.router == router) {
                 *counts.entry(running.engine).or_default() += 1;
@@ -197,6 +179,50 @@
         }
     }
 
+    /// Tells a router what the lease holder knows of the others.
+    fn tell(&mut self, router: usize, period_ms: u64) {
+        let mut in_progress = HashMap::new();
+        let mut others = 0;
+        let known = self.reported.iter().enumerate();
+        for (_, (counts, waits)) in known.filter(|(from, _)| *from != router) {
+            for (engine, count) in counts {
+                *in_progress.entry((engine_id(*engine), None)).or_default() += count;
+            }
+            others += waits;
+        }
+        let valid_until_ms = self.now_ms + load_valid_ms(ROUTERS);
+        let load = PeerLoad {
+            valid_until_ms,
+            in_progress,
+        };
+        let view = &mut self.routers[router];
+        view.replace_peer_loads(VmId::from("holder"), load);
+        if !self.divides {
+            return;
+        }
+        let own = u32::try_from(self.waiting[router].len()).expect("few");
+        let waiting = WaitingRequests {
+            own: HashMap::from([(model(), own)]),
+            others: HashMap::from([(model(), others)]),
+        };
+        let report = RoomReport {
+            routers: ROUTERS,
+            interval_ms: period_ms,
+            valid_until_ms,
+        };
+        let random = || self.random.random();
+        view.share_room(self.now_ms, &waiting, report, random);
+    }
+
+    /// Starts a third of the routers anew; what waited there and ran for them is gone.
+    fn restart(&mut self) {
+        for router in 0..ROUTERS / 3 {
+            self.routers[router] = view();
+            self.waiting[router].clear();
+            self.running.retain(|running| running.router != router);
+        }
+    }
+
     fn send(&mut self, router: usize, age_ms: u64) {
         while !self.waiting[router].is_empty() {
             let stale_load = StaleLoad {
--- a/crates/chicorystage-core/tests/teams.rs
+++ b/crates/chicorystage-core/tests/teams.rs
@@ -2,9 +2,13 @@
 
 use std::sync::Arc;
 
-use chicorystage_core::deployment::{Configuration, RequestLimits, Route, RouteKind};
+use chicorystage_api::name::ServiceName;
+use chicorystage_core::deployment::{
+    Configuration, RequestLimits, Route, RouteKind, WeightedService,
+};
 use chicorystage_core::teams::{
-    Access, ConfirmedView, KeyHasher, QuotaUnit, TeamDeclaration, TeamDirectory, TeamFaultKind,
+    Access, ConfirmedView, KeyHasher, QuotaUnit, Rank, TeamDeclaration, TeamDirectory,
+    TeamFaultKind,
 };
 use googletest::prelude::*;
 use zeroize::Zeroizing;
@@ -184,3 +188,70 @@
     assert_that!(view.is_aging(6_999, REVOKE_MAX_MS), eq(false));
     assert_that!(view.is_aging(7_000, REVOKE_MAX_MS), eq(true));
 }
+
+/// Returns a configuration whose routes lead to one service with the given priorities.
+fn prioritized(priorities: &[u8], teams: TeamDirectory) -> Configuration {
+    let routes = priorities.iter().map(|priority| Route {
+        priority: *priority,
+        services: vec![WeightedService {
+            service: ServiceName::from("llm"),
+            weight: 1,
+        }],
+        ..route(false)
+    });
+    let routes = routes.collect();
+    Configuration::new(1, RequestLimits::default(), Vec::new(), routes).with_teams(teams)
+}
+
+#[test]
+fn requests_go_first_only_where_others_of_the_service_come_later() {
+    let equal = || {
+        directory(vec![
+            declared("a", 3.0, &["ka"]),
+            declared("b", 3.0, &["kb"]),
+        ])
+    };
+    let unequal = || {
+        directory(vec![
+            declared("a", 0.0, &["ka"]),
+            declared("b", 3.0, &["kb"]),
+        ])
+    };
+    let rank = |team, route| Rank { team, route };
+    let service = ServiceName::from("llm");
+    let table = [
+        (
+            prioritized(&[0, 1], TeamDirectory::default()),
+            rank(0, 0),
+            true,
+        ),
+        (
+            prioritized(&[0, 1], TeamDirectory::default()),
+            rank(0, 1),
+            false,
+        ),
+        (
+            prioritized(&[1, 2], TeamDirectory::default()),
+            rank(0, 1),
+            true,
+        ),
+        (
+            prioritized(&[0, 0], TeamDirectory::default()),
+            rank(0, 0),
+            false,
+        ),
+        (
+            prioritized(&[1], TeamDirectory::default()),
+            rank(0, 1),
+            false,
+        ),
+        (prioritized(&[0], equal()), rank(0, 0), false),
+        (prioritized(&[0], unequal()), rank(0, 0), true),
+        (prioritized(&[0], unequal()), rank(1, 0), false),
+        (prioritized(&[0, 1], unequal()), rank(0, 1), false),
+    ];
+    for (i, (configuration, rank, expected)) in table.into_iter().enumerate() {
+        let goes_first = configuration.goes_first(&service, rank);
+        assert_that!(goes_first, eq(expected), "row {i}");
+    }
+}
--- a/crates/chicorystage-testbed/tests/gateway_choice_page.rs
+++ b/crates/chicorystage-testbed/tests/gateway_choice_page.rs
@@ -1,14 +1,21 @@
 //! Questions to a gateway about where a request would go now.
 
-use chicorystage_api::choice::ChoiceQuestion;
+use chicorystage_api::choice::{CHOICE_PATH, ChoiceAnswer, ChoiceQuestion};
 use chicorystage_api::name::{ModelName, TeamName};
+use chicorystage_borders::http::HttpClient;
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, EndpointEngine, PlatformFixture, Reply, default_routes, run_local, wait_until,
 };
 use chicorystaged::gateway::choice_page::{QuestionFault, answer};
 use googletest::prelude::*;
+use http::{Method, StatusCode};
 use serde_json::json;
 
+/// Timeout of a question, in milliseconds.
+const TIMEOUT_MS: u64 = 5_000;
+/// Largest question that is read, in bytes.
+const QUESTION_BYTES_MAX: usize = 16 * 1024;
+
 fn question(path: &str, model: Option<&str>) -> ChoiceQuestion {
     ChoiceQuestion {
         host: "h.example".to_owned(),
@@ -85,3 +92,43 @@
         Ok(())
     })
 }
+
+#[gtest]
+fn questions_and_metrics_are_answered_at_the_metrics_address() -> Result<()> {
+    run_local(async {
+        let world = PlatformFixture::start().await.or_fail()?;
+        world.declare(1);
+        let mut settings = world.settings("g1");
+        settings.metrics = Some(([127, 0, 0, 1], 0).into());
+        let gateway = chicorystaged::gateway::start(settings).await.or_fail()?;
+        wait_until("the configuration is read", || {
+            gateway.configuration().is_some()
+        })
+        .await;
+        let client = HttpClient::new(gateway.settings.metrics.or_fail()?, TIMEOUT_MS);
+        let ask = async |body: Vec<u8>| {
+            let request = client.request(Method::POST, CHOICE_PATH, body.into());
+            client.send(request).await.or_fail()
+        };
+
+        let asked = serde_json::to_vec(&question("/app/x", None)).or_fail()?;
+        let answered = ask(asked).await?;
+        expect_that!(answered.status(), eq(StatusCode::OK));
+        let told: ChoiceAnswer = serde_json::from_slice(answered.body()).or_fail()?;
+        expect_that!(told.route, eq("app"));
+        expect_that!(told.services[0].missing.as_deref(), some(eq("NoEndpoint")));
+
+        let unknown = serde_json::to_vec(&question("/none/x", None)).or_fail()?;
+        expect_that!(ask(unknown).await?.status(), eq(StatusCode::NOT_FOUND));
+        let malformed = b"{\"host\": 1}".to_vec();
+        expect_that!(ask(malformed).await?.status(), eq(StatusCode::BAD_REQUEST));
+        let long = vec![b' '; QUESTION_BYTES_MAX + 1];
+        expect_that!(ask(long).await?.status(), eq(StatusCode::PAYLOAD_TOO_LARGE));
+
+        let request = client.request(Method::GET, "/metrics", Vec::new().into());
+        let metrics = client.send(request).await.or_fail()?;
+        let text = String::from_utf8_lossy(metrics.body()).into_owned();
+        expect_that!(text, contains_substring("divided_endpoints"));
+        Ok(())
+    })
+}
--- a/crates/chicorystage-testbed/tests/gateway_registry.rs
+++ b/crates/chicorystage-testbed/tests/gateway_registry.rs
@@ -11,7 +11,9 @@
 use chicorystage_testbed::users_platform::{
     EndpointEmulator, PlatformFixture, Reply, StoreMode, run_local, send_request, wait_until,
 };
-use chicorystaged::gateway::attempt::{self, Attempted, CallerIdentity, CallerWork};
+use chicorystaged::gateway::attempt::{self, Attempted};
+use chicorystaged::gateway::caller_identity::CallerIdentity;
+use chicorystaged::gateway::caller_work::CallerWork;
 use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
 use http::{HeaderMap, Method, StatusCode, Uri};
--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -3,32 +3,24 @@
 //! The classification decides whether a retry is safe: an attempt either has an answer, certainly
 //! did not run, or may have run and lost its answer.
 
-use std::cell::{Cell, OnceCell, RefCell};
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use chicorystage_api::name::Digest;
 use chicorystage_borders::http::InterimLimit;
-use chicorystage_core::deployment::Route;
-use chicorystage_core::latency::{WaitReason, WaitTimes};
-use chicorystage_core::teams::Rank;
-use chicorystage_platform::caller_request::CallerRequest;
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution, NamedAttempt};
-use chicorystage_platform::endpoint_request::{self, EndpointTerms, Identity};
+use chicorystage_platform::endpoint_request::EndpointTerms;
 use displaydoc::Display;
-use http::{HeaderMap, Method, Request, Response, Uri, response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
-use crate::gateway::body_budget::BodyShare;
+use crate::gateway::caller_identity::CallerIdentity;
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::connection::Connection;
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::reservation::Reservation;
 use crate::gateway::shared::Gateway;
-use crate::gateway::teams::TeamRequest;
 
 /// Largest refusal body that is read to make its connection reusable, in bytes.
 const REFUSAL_BYTES_MAX: usize = 4 << 10;
@@ -41,85 +33,6 @@
 
 impl std::error::Error for AnswerBroken {}
 
-/// A caller's request with its route and time limits.
-#[derive(Debug)]
-pub struct CallerWork {
-    /// HTTP method, sent unchanged to the endpoint.
-    pub method: Method,
-    /// Path and query, sent unchanged to the endpoint.
-    pub uri: Uri,
-    /// Headers as the caller sent them.
-    pub headers: HeaderMap,
-    /// Whole request body, kept so that the request can be sent again.
-    pub body: Bytes,
-    /// Whether the request is let through to test the quarantine of a part of its prompt.
-    pub is_trial: Cell<bool>,
-    /// Memory that the body takes; `None` if it is not counted.
-    pub body_share: Option<BodyShare>,
-    /// Whom the request belongs to.
-    pub identity: CallerIdentity,
-    /// Place among waiting requests.
-    pub rank: Rank,
-    /// Urgency that engines are told for streams; 0 is the highest.
-    pub urgency: u8,
-    /// Decoded request headers.
-    pub head: CallerRequest,
-    /// Route that matched host and path.
-    pub route: Arc<Route>,
-    /// Time of arrival on the gateway's clock, in milliseconds.
-    pub arrived_ms: u64,
-    /// Latest time of the final answer on the gateway's clock, in milliseconds.
-    pub ends_ms: u64,
-    /// Time spent waiting for endpoints so far.
-    pub waits: Cell<WaitTimes>,
-    /// Digest under which the request is quarantined, once it was needed.
-    pub digest: OnceCell<Digest>,
-    /// Own addresses of the connections that have brought a refusal of the request.
-    ///
-    /// A faulty endpoint may write the refusal once more, which would look like the answer of another
-    /// attempt there.
-    pub refused_on: RefCell<Vec<SocketAddr>>,
-    /// Start of the last attempt on the gateway's clock, in milliseconds.
-    pub attempt_began_ms: Cell<u64>,
-}
-
-/// Whom a request belongs to.
-#[derive(Debug)]
-pub enum CallerIdentity {
-    /// The configuration lists no teams.
-    NoTeams,
-    /// The request needs no key and belongs to no team.
-    Open,
-    /// A team, by its key.
-    Team(TeamRequest),
-}
-
-impl CallerIdentity {
-    /// Returns the team's request; `None` without a team.
-    #[must_use]
-    pub fn team(&self) -> Option<&TeamRequest> {
-        match self {
-            Self::Team(team) => Some(team),
-            Self::NoTeams | Self::Open => None,
-        }
-    }
-
-    /// Records whether an endpoint may have run the request.
-    pub fn sent(&self, may_have_run: bool) {
-        if let Some(team) = self.team() {
-            team.sent(may_have_run);
-        }
-    }
-
-    fn terms(&self) -> Identity<'_> {
-        match self {
-            Self::NoTeams => Identity::Unchecked,
-            Self::Open => Identity::Checked(None),
-            Self::Team(team) => Identity::Checked(Some(team.team.name.as_str())),
-        }
-    }
-}
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum Attempted {
@@ -168,31 +81,6 @@
     }
 }
 
-impl CallerWork {
-    /// Returns the time from `now_ms` to [`Self::ends_ms`], in milliseconds; 0 once that has
-    /// passed.
-    #[must_use]
-    pub fn left_ms(&self, now_ms: u64) -> u64 {
-        self.ends_ms.saturating_sub(now_ms)
-    }
-
-    /// Records a wait for an endpoint.
-    pub fn record_wait(&self, reason: WaitReason, time_ms: u64) {
-        let mut waits = self.waits.get();
-        waits.add(reason, time_ms);
-        self.waits.set(waits);
-    }
-
-    /// Returns the request as it is sent to one endpoint.
-    fn request(&self, terms: &EndpointTerms<'_>) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = endpoint_request::encode(&self.headers, terms);
-        request
-    }
-}
-
 /// Sends a request to the reserved endpoint and waits for the head of its answer.
 ///
 /// `last_event_id` names the last event that the caller has received; it is `None` unless a stream
--- a/crates/chicorystaged/src/gateway/crash_checks.rs
+++ b/crates/chicorystaged/src/gateway/crash_checks.rs
@@ -13,7 +13,7 @@
 use chicorystage_api::name::{Digest, EndpointId, PromptPartId, ServiceName};
 use chicorystage_core::suspects::prompt_parts::BrokenRequest;
 
-use crate::gateway::attempt::CallerWork;
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::connection::Connection;
 use crate::gateway::shared::Gateway;
 use crate::gateway::{poison, prompt_parts};
--- a/crates/chicorystaged/src/gateway/mod.rs
+++ b/crates/chicorystaged/src/gateway/mod.rs
@@ -32,6 +32,8 @@
 pub mod body_budget;
 pub mod body_reading;
 pub mod caller_connections;
+pub mod caller_identity;
+pub mod caller_work;
 pub mod callers;
 pub mod choice_page;
 pub mod connection;
@@ -118,6 +120,7 @@
         Some(address) => Some(HttpServer::bind(address).await?),
         None => None,
     };
+    settings.metrics = metrics.as_ref().map(HttpServer::address);
     let gateway = Rc::new(Gateway::new(settings));
     log::info!(
         event = "gateway_started", vm = gateway.settings.vm.as_str(),
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -22,7 +22,7 @@
 use chicorystage_core::suspects::prompt_parts::ServicePart;
 use chicorystage_core::token::sha256_of_parts;
 
-use crate::gateway::attempt::CallerWork;
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::crash_checks::BrokenAttempt;
 use crate::gateway::peer_message::PeerContent;
 use crate::gateway::peers;
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -29,7 +29,8 @@
 use hyper::body::Frame;
 
 use crate::gateway::answer_body::FrameStream;
-use crate::gateway::attempt::{AnswerBroken, Answered, CallerWork};
+use crate::gateway::attempt::{AnswerBroken, Answered};
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::crash_checks::{self, AnswerProgress, BrokenAttempt};
 use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
--- a/crates/chicorystaged/src/gateway/request.rs
+++ b/crates/chicorystaged/src/gateway/request.rs
@@ -14,8 +14,9 @@
 use hyper::body::Incoming;
 
 use crate::gateway::answer_body::AnswerBody;
-use crate::gateway::attempt::{CallerIdentity, CallerWork};
 use crate::gateway::body_reading::{self, ReadBody, UnreadBody, read_body};
+use crate::gateway::caller_identity::CallerIdentity;
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::own_responses::{refuse_at_gateway, text_response};
 use crate::gateway::serving::Serving;
--- a/crates/chicorystaged/src/gateway/serving/demand.rs
+++ b/crates/chicorystaged/src/gateway/serving/demand.rs
@@ -51,13 +51,14 @@
             }
             None => (None, None),
         };
+        let is_most_urgent = configuration.goes_first(&self.service, self.rank);
         Some(Requirements {
             service: self.service,
             model,
             adapter,
             software: None,
             is_resumable: route.kind.is_resumable(),
-            is_most_urgent: self.rank == Rank::default(),
+            is_most_urgent,
             prompt: Prompt {
                 tokens: self.prompt_tokens,
                 defer_until_ms: self.arrived_ms + route.objective_ms / DEFER_OBJECTIVE_DIVISOR,
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -29,7 +29,8 @@
 use http::{Response, StatusCode};
 
 use crate::gateway::answer_body::{AnswerBody, relayed};
-use crate::gateway::attempt::{self, Answered, Attempted, CallerWork};
+use crate::gateway::attempt::{self, Answered, Attempted};
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::lateness::late_cause;
--- a/crates/chicorystaged/src/gateway/stream_rows.rs
+++ b/crates/chicorystaged/src/gateway/stream_rows.rs
@@ -15,7 +15,7 @@
 use chicorystage_platform::store::{Row, TableName, WriteOutcome};
 use tokio::sync::{Mutex, Notify};
 
-use crate::gateway::attempt::CallerWork;
+use crate::gateway::caller_work::CallerWork;
 use crate::gateway::shared::Gateway;
 use crate::timer::unix_ms;
 
