--- a/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
@@ -28,6 +28,7 @@
 //! that crashes one software version of a service only, as answers of the others prove it sound.
 
 mod broken_request;
+mod candidate;
 mod crash_report;
 mod culprit;
 mod part_at_crash;
@@ -38,6 +39,7 @@
 mod sound_parts;
 
 pub use broken_request::BrokenRequest;
+pub use candidate::Candidate;
 pub use crash_report::CrashReport;
 pub use culprit::Culprit;
 pub use part_at_crash::PartAtCrash;
--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
@@ -7,7 +7,7 @@
 use crate::suspects::prompt_parts::recorded_crash::RecordedCrash;
 use crate::suspects::prompt_parts::sound_parts::SoundParts;
 use crate::suspects::prompt_parts::{
-    BrokenRequest, CrashReport, Culprit, PartAtCrash, ServicePart,
+    BrokenRequest, Candidate, CrashReport, Culprit, PartAtCrash, ServicePart,
 };
 
 /// Number of crashes up to which equally likely parts wait for another crash.
@@ -166,15 +166,7 @@
     /// A part that is quarantined already explains the crashes up to the last one with it.
     #[must_use]
     pub fn culprit(&self, is_quarantined: impl Fn(&ServicePart) -> bool) -> Option<Culprit> {
-        let histories = self.histories(is_quarantined);
-        let mut ranked: Vec<(Likelihood, ServicePart, PartHistory)> = histories
-            .into_iter()
-            .map(|(part, history)| {
-                let was_sound = self.sound.was_sound(&part);
-                (history.likelihood(was_sound), part, history)
-            })
-            .collect();
-        ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        let ranked = self.ranked(is_quarantined);
         let (best, part, history) = ranked.first()?;
         let is_undecided = ranked.get(1).is_some_and(|(next, ..)| next == best);
         if !history.is_sufficient() || (is_undecided && best.crashes < UNDECIDED_CRASHES) {
@@ -192,6 +184,40 @@
         })
     }
 
+    /// Returns the likeliest causes of the crashes that no quarantined part explains, at most `len` of
+    /// them, the likeliest first.
+    #[must_use]
+    pub fn candidates(
+        &self,
+        is_quarantined: impl Fn(&ServicePart) -> bool,
+        len: usize,
+    ) -> Vec<Candidate> {
+        let ranked = self.ranked(is_quarantined).into_iter().take(len);
+        let candidates = ranked.map(|(likelihood, part, history)| Candidate {
+            part,
+            crashes: likelihood.crashes,
+            begun_crashes: likelihood.begun_crashes,
+            in_a_row: history.all_in_a_row(),
+            begun_in_a_row: history.begun_in_a_row(),
+        });
+        candidates.collect()
+    }
+
+    /// Returns the suspected parts, the likeliest cause first.
+    fn ranked(
+        &self,
+        is_quarantined: impl Fn(&ServicePart) -> bool,
+    ) -> Vec<(Likelihood, ServicePart, PartHistory)> {
+        let histories = self.histories(is_quarantined).into_iter();
+        let ranked = histories.map(|(part, history)| {
+            let was_sound = self.sound.was_sound(&part);
+            (history.likelihood(was_sound), part, history)
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        ranked
+    }
+
     /// Returns whether parts other than this one could as well be the cause of its crashes.
     #[must_use]
     pub fn has_rivals(&self, part: &ServicePart) -> bool {
--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_history.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_history.rs
@@ -28,8 +28,17 @@
 impl PartHistory {
     /// Returns whether the crashes suffice to take the part for their cause.
     pub fn is_sufficient(&self) -> bool {
-        self.in_a_row(|suspicion| suspicion.is_begun) >= BEGUN_CRASHES
-            || self.in_a_row(|_| true) >= CRASHES
+        self.begun_in_a_row() >= BEGUN_CRASHES || self.all_in_a_row() >= CRASHES
+    }
+
+    /// Returns the number of crashes in a row during answers that had begun.
+    pub fn begun_in_a_row(&self) -> u32 {
+        self.in_a_row(|suspicion| suspicion.is_begun)
+    }
+
+    /// Returns the number of crashes in a row.
+    pub fn all_in_a_row(&self) -> u32 {
+        self.in_a_row(|_| true)
     }
 
     /// Returns how likely the part is the cause; `was_sound` is whether it was ever answered.
--- a/crates/chicorystaged/src/gateway/prompt_parts.rs
+++ b/crates/chicorystaged/src/gateway/prompt_parts.rs
@@ -10,7 +10,9 @@
 use chicorystage_api::name::{EndpointId, PromptPartId, ServiceName};
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
-use chicorystage_core::suspects::prompt_parts::{BrokenRequest, CrashReport, Culprit, ServicePart};
+use chicorystage_core::suspects::prompt_parts::{
+    BrokenRequest, Candidate, CrashReport, Culprit, ServicePart,
+};
 use derive_more::Display;
 use rand::RngExt;
 
@@ -27,6 +29,9 @@
 /// of those that know it does.
 const TELL_DELAY_MAX_MS: u64 = 100;
 
+/// Number of suspected parts that the log names where none is taken for the cause.
+const LOGGED_CANDIDATES: usize = 4;
+
 /// What a gateway knows of prompt parts that are suspected.
 #[derive(Clone, Copy, Debug, Display)]
 enum PartsKnown {
@@ -61,7 +66,8 @@
     };
     log::info!(
         event = "prompt_parts_suspected", endpoint = endpoint.as_str(),
-        service = first.service.as_str(), broken = broken.len(), parts = parts_text(&report);
+        service = first.service.as_str(), broken = broken.len(), parts = parts_text(&report),
+        begun = begun_text(&report), attempts_ms = attempts_text(&report);
         "endpoint crashed before these prompt parts were known to be sound"
     );
     peers::broadcast(gateway, PeerContent::Crash(report.clone())).await;
@@ -226,12 +232,15 @@
 
 /// Quarantines the part of prompts that causes the crashes, if one is found.
 async fn decide(gateway: &Rc<Gateway>) {
-    let culprit = gateway.with(|view| {
-        let suspects = &view.suspects;
-        view.part_evidence
-            .culprit(|part| suspects.status(&part.digest()) == DigestStatus::Quarantined)
+    let (culprit, candidates) = gateway.with(|view| {
+        let (suspects, evidence) = (&view.suspects, &view.part_evidence);
+        let is_quarantined =
+            |part: &ServicePart| suspects.status(&part.digest()) == DigestStatus::Quarantined;
+        let candidates = evidence.candidates(is_quarantined, LOGGED_CANDIDATES);
+        (evidence.culprit(is_quarantined), candidates)
     });
     let Some(Culprit { part, crashes }) = culprit else {
+        log_undecided(&candidates);
         return;
     };
     let digest = part.digest();
@@ -249,11 +258,37 @@
     poison::publish_quarantine(gateway, entry).await;
 }
 
+/// Logs which parts are suspected where none is taken for the cause.
+fn log_undecided(candidates: &[Candidate]) {
+    let Some(likeliest) = candidates.first() else {
+        return;
+    };
+    let texts: Vec<String> = candidates.iter().map(Candidate::to_string).collect();
+    log::info!(
+        event = "prompt_parts_undecided", service = likeliest.part.service.as_str(),
+        candidates = texts.join(", ");
+        "no prompt part is known to crash endpoints yet"
+    );
+}
+
 fn parts_text(report: &CrashReport) -> String {
     let ids: Vec<PromptPartId> = report.parts.iter().map(|part| part.part.clone()).collect();
     ids_text(&ids)
 }
 
+/// Returns the parts of answers that had begun.
+fn begun_text(report: &CrashReport) -> String {
+    let begun = report.parts.iter().filter(|part| part.is_begun);
+    let ids: Vec<PromptPartId> = begun.map(|part| part.part.clone()).collect();
+    ids_text(&ids)
+}
+
+/// Returns the times from the start of attempts to the crash, in the order of the parts.
+fn attempts_text(report: &CrashReport) -> String {
+    let times = report.parts.iter().map(|part| part.attempt_ms.to_string());
+    times.collect::<Vec<_>>().join(",")
+}
+
 /// Returns identifiers separated by commas.
 fn ids_text(ids: &[PromptPartId]) -> String {
     let ids: Vec<&str> = ids.iter().map(PromptPartId::as_str).collect();
