Tests of a crashing part that other parts hide, red: gateways as processes, schedules and a table

Engines whose crash takes the head of the answer with it, beside answers that have begun: the crashing part is in each crash and never taken for the cause. All other tests write the head before the crash.

--- a/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world/mod.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/fleet_world/mod.rs
@@ -18,7 +18,7 @@
 const ENGINES: usize = 18;
 const ZONES: usize = 3;
 const REQUESTS_PER_S: f64 = 45.0;
-/// Second parts of sound prompts; the first are asked for far more often.
+/// Second parts of sound prompts where a schedule sets no other number.
 const SECOND_PARTS: u32 = 60;
 const HEAD_MS: std::ops::Range<u64> = 10..60;
 const EVENT_MS: u64 = 40;
@@ -40,6 +40,22 @@
     pub share: f64,
     /// Whether there are no other requests.
     pub is_alone: bool,
+    /// Longest time from the start of an attempt to the crash that it causes, in milliseconds.
+    pub wait_max_ms: u64,
+    /// Whether the crash takes the head of the answer with it.
+    pub is_head_lost: bool,
+}
+
+impl Poison {
+    /// Returns requests whose answers begin soon and show it.
+    pub fn new(share: f64, is_alone: bool) -> Self {
+        Self {
+            share,
+            is_alone,
+            wait_max_ms: POISON_MS.end,
+            is_head_lost: false,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -67,6 +83,8 @@
     pub requests_per_s: f64,
     /// Whether all prompts share a third part.
     pub has_tail: bool,
+    /// Second parts of sound prompts; the first are asked for far more often.
+    pub second_parts: u32,
     /// Number of gateways, from the first, at which requests arrive.
     pub entry_gateways: usize,
     random: StdRng,
@@ -95,6 +113,7 @@
             single_crashes_per_s: 0.0,
             requests_per_s: REQUESTS_PER_S,
             has_tail: false,
+            second_parts: SECOND_PARTS,
             entry_gateways: gateways,
             random: StdRng::seed_from_u64(seed),
             now_ms: 10_000,
@@ -221,12 +240,18 @@
         if is_bad {
             self.poison_sent_ms.push(self.now_ms);
         }
-        let crash_ms = is_bad.then(|| self.now_ms + self.random.random_range(POISON_MS));
+        let poison = self.poison.filter(|_| is_bad);
+        let crash_ms = poison.map(|poison| {
+            let wait_ms = POISON_MS.start..poison.wait_max_ms;
+            self.now_ms + self.random.random_range(wait_ms)
+        });
+        let head_ms = self.now_ms + self.random.random_range(HEAD_MS);
+        let lost_head_ms = crash_ms.filter(|_| poison.is_some_and(|poison| poison.is_head_lost));
         self.requests.push(Request {
             gateway,
             engine: up[self.random.random_range(0..up.len())],
             began_ms: self.now_ms,
-            head_ms: self.now_ms + self.random.random_range(HEAD_MS),
+            head_ms: lost_head_ms.map_or(head_ms, |crash_ms| crash_ms + STEP_MS),
             crash_ms,
             parts,
             is_past_beginning: false,
@@ -239,7 +264,7 @@
         let second = if is_bad {
             PromptPartId::from(BAD_PART)
         } else {
-            PromptPartId::from(format!("s{}", self.skewed(SECOND_PARTS)))
+            PromptPartId::from(format!("s{}", self.skewed(self.second_parts)))
         };
         let tail = self.has_tail.then(|| PromptPartId::from("tail"));
         [first, second].into_iter().chain(tail).collect()
--- a/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
+++ b/crates/chicorystage-core/tests/prompt_part_schedules/main.rs
@@ -32,7 +32,25 @@
     ) {
         let mut world = FleetWorld::new(seed, gateways);
         world.run(4_000);
-        world.poison = Some(Poison { share, is_alone: false });
+        world.poison = Some(Poison::new(share, false));
+        world.run(20_000);
+        prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
+        let late = world.late_poison();
+        prop_assert!(late <= LATE_REQUESTS_MAX, "{late} later than {SETTLED_MS} ms");
+    }
+
+    // Requests wait at the engines, the crash takes the head of the answer with it, and many parts beside it are
+    // not answered again.
+    #[test]
+    fn part_whose_answers_never_begin_is_stopped_beside_rare_parts_and_no_other_is_quarantined(
+        seed in any::<u64>(), share in 0.01_f64..0.3, gateways in 1_usize..9,
+        wait_max_ms in 160_u64..3_000, second_parts in 60_u32..100_000,
+    ) {
+        let mut world = FleetWorld::new(seed, gateways);
+        world.second_parts = second_parts;
+        world.run(4_000);
+        let poison = Poison { wait_max_ms, is_head_lost: true, ..Poison::new(share, false) };
+        world.poison = Some(poison);
         world.run(20_000);
         prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
         let late = world.late_poison();
@@ -45,7 +63,7 @@
         seed in any::<u64>(), share in 0.01_f64..0.3, gateways in 1_usize..9,
     ) {
         let mut world = FleetWorld::new(seed, gateways);
-        world.poison = Some(Poison { share, is_alone: false });
+        world.poison = Some(Poison::new(share, false));
         world.run(20_000);
         prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
         let late = world.late_poison();
@@ -59,7 +77,7 @@
     ) {
         let mut world = FleetWorld::new(seed, gateways);
         world.run(4_000);
-        world.poison = Some(Poison { share, is_alone: false });
+        world.poison = Some(Poison::new(share, false));
         world.run(killed_after_ms);
         world.kill_all_gateways();
         world.run(20_000);
@@ -75,7 +93,7 @@
         seed in any::<u64>(), gateways in 1_usize..9,
     ) {
         let mut world = FleetWorld::new(seed, gateways);
-        world.poison = Some(Poison { share: 0.05, is_alone: true });
+        world.poison = Some(Poison::new(0.05, true));
         world.run(30_000);
         prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
         prop_assert!(!world.quarantined().is_empty());
@@ -97,7 +115,7 @@
         world.run(idle_ms);
         world.entry_gateways = gateways;
         world.requests_per_s = 45.0;
-        world.poison = Some(Poison { share: 0.05, is_alone: true });
+        world.poison = Some(Poison::new(0.05, true));
         world.run(20_000);
         prop_assert!(only_the_bad_part(world.quarantined()), "{:?}", world.quarantined());
         prop_assert!(!world.quarantined().is_empty());
@@ -115,9 +133,9 @@
         world.has_tail = true;
         world.run(4_000);
         world.kill_all_gateways();
-        world.poison = Some(Poison { share, is_alone: true });
+        world.poison = Some(Poison::new(share, true));
         world.run(20_000);
-        world.poison = Some(Poison { share, is_alone: false });
+        world.poison = Some(Poison::new(share, false));
         world.run(30_000);
         let in_force = world.quarantined_now();
         prop_assert!(only_the_bad_part(&in_force) && !in_force.is_empty(), "{in_force:?}");
--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -41,6 +41,8 @@
     engine: RefCell<EndpointEngine>,
     /// Part of a prompt on which the endpoint crashes; `None` for none.
     crashing_part: RefCell<Option<String>>,
+    /// Whether such a crash comes before the head of the answer is written.
+    crashes_before_head: Cell<bool>,
     received_heads: RefCell<Vec<String>>,
     /// Whether a refusal is written once more in place of the next answer on its connection.
     repeats_refusals: Cell<bool>,
@@ -74,6 +76,7 @@
             report_reply: RefCell::default(),
             engine: RefCell::new(engine),
             crashing_part: RefCell::default(),
+            crashes_before_head: Cell::new(false),
             received_heads: RefCell::default(),
             repeats_refusals: Cell::new(false),
             runs: RefCell::default(),
@@ -110,6 +113,11 @@
         *self.state.crashing_part.borrow_mut() = Some(part.to_owned());
     }
 
+    /// Makes such a crash come before the head of the answer is written.
+    pub fn crash_before_head(&self) {
+        self.state.crashes_before_head.set(true);
+    }
+
     /// Returns whether the endpoint has crashed.
     #[must_use]
     pub fn has_crashed(&self) -> bool {
@@ -265,7 +273,7 @@
         _ => {
             state.received_heads.borrow_mut().push(head.to_owned());
             if has_crashing_part(state, head) {
-                return RawReply::close_delimited_events("", ConnectionEnd::Crash);
+                return crash(state.crashes_before_head.get());
             }
             let scripted = state.script.borrow_mut().pop_front();
             scripted.unwrap_or_else(|| state.default_reply.clone())
@@ -273,6 +281,15 @@
     }
 }
 
+/// Returns a reply that crashes the endpoint, before or after the head of an answer.
+fn crash(is_before_head: bool) -> RawReply {
+    let mut reply = RawReply::close_delimited_events("", ConnectionEnd::Crash);
+    if is_before_head {
+        reply.bytes.clear();
+    }
+    reply
+}
+
 /// Returns whether an answer says that the request was not run.
 fn is_refusal(answer: &str) -> bool {
     answer.starts_with("HTTP/1.1 421 ") || answer.contains("\r\nNot-Executed: 1\r\n")
--- a/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -129,6 +129,25 @@
     })
 }
 
+// The crash takes the head of the answer with it, while answers beside it have begun.
+#[gtest]
+fn prompt_part_whose_answers_never_begin_is_not_hidden_by_parts_of_answers_beside_it() -> Result<()>
+{
+    run_local(async {
+        let world = World::start("hidden").await?;
+        world.crash_before_heads();
+        world.begin_streams().await;
+        let load = world.start_sound_load();
+        send_until_five_crashes(&world).await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s1").await?, is_true())?;
+        }
+        load.abort();
+        world.stop().await
+    })
+}
+
 #[gtest]
 fn prompt_part_that_crashes_endpoints_is_refused_after_all_gateways_were_killed() -> Result<()> {
     run_local(async {
--- a/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
@@ -24,6 +24,8 @@
 const SOUND_INTERVAL_MS: u64 = 20;
 /// Number of second parts of sound requests.
 const SOUND_PARTS: u64 = 5;
+/// Pause after which a gateway knows that the stream before occupies its engine, in milliseconds.
+const STREAM_PAUSE_MS: u64 = 10;
 /// Events of an answer.
 const EVENTS: u32 = 6;
 
@@ -62,6 +64,30 @@
         })
     }
 
+    /// Makes crashes come before the head of an answer is written.
+    pub fn crash_before_heads(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.crash_before_head();
+        }
+    }
+
+    /// Begins a sound stream at each engine that stays at its first event; its second part is its own.
+    pub async fn begin_streams(&self) {
+        for endpoint in &self.endpoints {
+            endpoint.script(begun_stream());
+        }
+        for number in 0..ENGINES {
+            let sent = Rc::clone(&self.sent);
+            let address = self.gateways.callers(0);
+            let parts = self.parts(&format!("rare{number}"));
+            tokio::task::spawn_local(async move {
+                // It breaks with its engine.
+                let _reply = send(address, &sent, &parts).await;
+            });
+            tokio::time::sleep(Duration::from_millis(STREAM_PAUSE_MS)).await;
+        }
+    }
+
     /// Kills all gateways at the same moment and starts them again.
     pub async fn restart_gateways(&mut self) -> Result<()> {
         self.gateways.restart(GATEWAYS).await
@@ -150,6 +176,17 @@
     call(gateway, Method::POST, &path, &headers, &body).await
 }
 
+/// Returns an answer in chunks that stays at its first event.
+fn begun_stream() -> RawReply {
+    let headers = [
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    ];
+    let event = "id: 1\ndata: e1\n\n";
+    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+    RawReply::new("200 OK", &headers, &chunk, ConnectionEnd::Silence)
+}
+
 /// Returns a whole answer of a few events.
 fn answer() -> RawReply {
     let events = (1..=EVENTS).map(|number| format!("id: {number}\ndata: e{number}\n\n"));
