Count crashes of long attempts as separate ones where they are apart in time

Cause: a crash counted only if its attempt began after the crash counted before, so that endpoints which crash together for another reason count once. Attempts that wait three seconds at endpoints while one crashes each second nearly all began before, and five crashes in a row take many more than five.

Evidence: prompt_part_culprit with attempts of 3 s and crashes 0.6 s apart finds no part after five crashes, red before, green now.

Change: the count of five takes crashes a quarter of a second apart for separate ones. The count of three, of answers that had begun, stays as it is.

--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_history.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_history.rs
@@ -22,6 +22,8 @@
 /// Crashes that a part may be missing from and still be taken for present at all of them, since the
 /// report of a gateway may be lost.
 const MISSED_CRASHES: usize = 1;
+/// Time after which crashes are taken for separate ones, whenever their attempts began, in milliseconds.
+const SEPARATE_CRASHES_MS: u64 = 250;
 
 /// A part at one crash that it may have caused.
 #[derive(Clone, Copy, Debug)]
@@ -47,14 +49,22 @@
         self.begun_in_a_row() >= BEGUN_CRASHES || self.all_in_a_row() >= CRASHES
     }
 
-    /// Returns the number of crashes in a row during answers that had begun.
+    /// Returns the number of crashes in a row during answers that had begun, each of an attempt that
+    /// began after the crash before.
     pub fn begun_in_a_row(&self) -> u32 {
-        in_a_row(self.crashes.iter().filter(|at| at.suspicion.is_begun))
+        let begun = self.crashes.iter().filter(|at| at.suspicion.is_begun);
+        in_a_row(begun, |at, last_ms| {
+            at.suspicion.attempt_began_ms >= last_ms
+        })
     }
 
-    /// Returns the number of crashes in a row.
+    /// Returns the number of crashes in a row, each of an attempt that began after the crash before, or
+    /// long after that crash.
     pub fn all_in_a_row(&self) -> u32 {
-        in_a_row(self.crashes.iter())
+        in_a_row(self.crashes.iter(), |at, last_ms| {
+            at.suspicion.attempt_began_ms >= last_ms
+                || at.crashed_ms >= last_ms + SEPARATE_CRASHES_MS
+        })
     }
 
     /// Returns whether the part could have caused the crashes of another one, too.
@@ -79,12 +89,15 @@
     }
 }
 
-/// Counts the crashes whose attempt began after the one counted before.
-fn in_a_row<'a>(crashes: impl Iterator<Item = &'a CrashOfPart>) -> u32 {
+/// Counts the crashes that are later than the one counted before, whose time the condition is given.
+fn in_a_row<'a>(
+    crashes: impl Iterator<Item = &'a CrashOfPart>,
+    is_later: impl Fn(&CrashOfPart, u64) -> bool,
+) -> u32 {
     let mut count = 0;
     let mut last_ms = None;
     for at in crashes {
-        if last_ms.is_none_or(|last_ms| at.suspicion.attempt_began_ms >= last_ms) {
+        if last_ms.is_none_or(|last_ms| is_later(at, last_ms)) {
             count += 1;
             last_ms = Some(at.crashed_ms);
         }
