Answers that only their connection ends prove nothing where the endpoint ends with them

An endpoint that crashes after the first event of an answer with neither length nor chunks leaves a stream that looks whole.

Such an answer, before its fourth event, is evidence once the endpoint still accepts a connection 0.1 s later. Buffered answers likewise. One that ended well before a crash that shares its check stays whole.

--- a/crates/chicorystage-testbed/src/users_platform/mod.rs
+++ b/crates/chicorystage-testbed/src/users_platform/mod.rs
@@ -26,7 +26,7 @@
 pub use endpoint_emulator::EndpointEmulator;
 pub use endpoint_engine::EndpointEngine;
 pub use platform_fixture::{PlatformFixture, default_routes, run_local, send_request, wait_until};
-pub use raw_endpoint::RawEndpoint;
+pub use raw_endpoint::{BeforeCrash, RawEndpoint};
 pub use raw_reply::{ConnectionEnd, RawReply};
 pub use received_request::ReceivedRequest;
 pub use reply::Reply;
--- a/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
+++ b/crates/chicorystage-testbed/src/users_platform/raw_endpoint.rs
@@ -19,6 +19,18 @@
 /// Bytes that end a request's head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
+/// What an endpoint that crashes has written of the answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BeforeCrash {
+    /// Nothing.
+    Nothing,
+    /// Its head.
+    #[default]
+    Head,
+    /// Its head and its first event.
+    FirstEvent,
+}
+
 /// An emulator of an endpoint with a model engine that answers with bytes of the test's choice.
 ///
 /// Unlike [`EndpointEmulator`](super::EndpointEmulator), it can send what an HTTP library would
@@ -41,8 +53,8 @@
     engine: RefCell<EndpointEngine>,
     /// Part of a prompt on which the endpoint crashes; `None` for none.
     crashing_part: RefCell<Option<String>>,
-    /// Whether such a crash comes before the head of the answer is written.
-    crashes_before_head: Cell<bool>,
+    /// What is written before such a crash.
+    before_crash: RefCell<BeforeCrash>,
     received_heads: RefCell<Vec<String>>,
     /// Whether a refusal is written once more in place of the next answer on its connection.
     repeats_refusals: Cell<bool>,
@@ -76,7 +88,7 @@
             report_reply: RefCell::default(),
             engine: RefCell::new(engine),
             crashing_part: RefCell::default(),
-            crashes_before_head: Cell::new(false),
+            before_crash: RefCell::default(),
             received_heads: RefCell::default(),
             repeats_refusals: Cell::new(false),
             runs: RefCell::default(),
@@ -113,9 +125,9 @@
         *self.state.crashing_part.borrow_mut() = Some(part.to_owned());
     }
 
-    /// Makes such a crash come before the head of the answer is written.
-    pub fn crash_before_head(&self) {
-        self.state.crashes_before_head.set(true);
+    /// Sets what is written before such a crash; it is the head of an answer otherwise.
+    pub fn write_before_crash(&self, written: BeforeCrash) {
+        *self.state.before_crash.borrow_mut() = written;
     }
 
     /// Returns whether the endpoint has crashed.
@@ -273,7 +285,7 @@
         _ => {
             state.received_heads.borrow_mut().push(head.to_owned());
             if has_crashing_part(state, head) {
-                return crash(state.crashes_before_head.get());
+                return crash(*state.before_crash.borrow());
             }
             let scripted = state.script.borrow_mut().pop_front();
             scripted.unwrap_or_else(|| state.default_reply.clone())
@@ -281,13 +293,17 @@
     }
 }
 
-/// Returns a reply that crashes the endpoint, before or after the head of an answer.
-fn crash(is_before_head: bool) -> RawReply {
-    let mut reply = RawReply::close_delimited_events("", ConnectionEnd::Crash);
-    if is_before_head {
-        reply.bytes.clear();
+/// Returns a reply that crashes the endpoint.
+fn crash(written: BeforeCrash) -> RawReply {
+    let events = |body| RawReply::close_delimited_events(body, ConnectionEnd::Crash);
+    match written {
+        BeforeCrash::Nothing => RawReply {
+            bytes: String::new(),
+            end: ConnectionEnd::Crash,
+        },
+        BeforeCrash::Head => events(""),
+        BeforeCrash::FirstEvent => events("id: 1\ndata: e1\n\n"),
     }
-    reply
 }
 
 /// Returns whether an answer says that the request was not run.
--- a/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use chicorystage_testbed::users_platform::run_local;
+use chicorystage_testbed::users_platform::{BeforeCrash, run_local};
 use googletest::prelude::*;
 
 use crate::prompt_parts_world::{GATEWAYS, World};
@@ -135,7 +135,7 @@
 {
     run_local(async {
         let world = World::start("hidden").await?;
-        world.crash_before_heads();
+        world.write_before_crashes(BeforeCrash::Nothing);
         world.begin_streams().await;
         let load = world.start_sound_load();
         send_until_five_crashes(&world).await?;
@@ -148,6 +148,23 @@
     })
 }
 
+// An answer that ends with its connection after an event looks whole.
+#[gtest]
+fn answer_that_ends_with_its_endpoint_does_not_prove_its_prompt_parts_sound() -> Result<()> {
+    run_local(async {
+        let world = World::start("ended").await?;
+        world.write_before_crashes(BeforeCrash::FirstEvent);
+        let load = world.start_sound_load();
+        send_until_five_crashes(&world).await?;
+        verify_that!(reached_by_later_requests(&world).await?, le(REACH_MAX))?;
+        for gateway in 0..GATEWAYS {
+            verify_that!(world.send_sound(gateway, "s1").await?, is_true())?;
+        }
+        load.abort();
+        world.stop().await
+    })
+}
+
 #[gtest]
 fn prompt_part_that_crashes_endpoints_is_refused_after_all_gateways_were_killed() -> Result<()> {
     run_local(async {
--- a/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
+++ b/crates/chicorystage-testbed/tests/prompt_parts_world/mod.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use chicorystage_testbed::users_platform::{
-    CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint, RawReply, call,
+    BeforeCrash, CallerReply, ConnectionEnd, EndpointEngine, PlatformFixture, RawEndpoint,
+    RawReply, call,
 };
 use googletest::prelude::*;
 use http::Method;
@@ -64,10 +65,10 @@
         })
     }
 
-    /// Makes crashes come before the head of an answer is written.
-    pub fn crash_before_heads(&self) {
+    /// Sets what engines write of an answer before they crash on it.
+    pub fn write_before_crashes(&self, written: BeforeCrash) {
         for endpoint in &self.endpoints {
-            endpoint.crash_before_head();
+            endpoint.write_before_crash(written);
         }
     }
 
--- a/crates/chicorystaged/src/gateway/crash_checks.rs
+++ b/crates/chicorystaged/src/gateway/crash_checks.rs
@@ -1,7 +1,9 @@
 //! Finds out whether an endpoint crashed when connections broke during requests.
 //!
 //! A crash shows as connections that break during requests and an endpoint that accepts no connection
-//! a moment later. One that accepts a connection then has only reset the old ones.
+//! a moment later. One that accepts a connection then has only reset the old ones. An answer that only
+//! the end of its connection ends looks whole where its endpoint crashes, so that it proves its request
+//! sound only if the endpoint still accepts connections.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -21,6 +23,8 @@
 
 /// Delay after which a crashed endpoint no longer accepts connections, in milliseconds.
 const CRASH_CHECK_DELAY_MS: u64 = 100;
+/// Longest time within which the connections of a crashed endpoint end, in milliseconds.
+const CRASH_SPAN_MS: u64 = 20;
 
 /// Requests whose connections broke, by endpoint that is to be checked.
 #[derive(Debug, Default)]
@@ -35,6 +39,8 @@
     NotBegun,
     /// The answer was at its beginning.
     Beginning,
+    /// The answer ended with its connection, and may be whole.
+    Ended,
     /// The answer had got past its beginning.
     Advanced,
 }
@@ -56,6 +62,8 @@
     pub(super) broke_ms: u64,
     /// The prompt and how far the endpoint had got; `None` if the answer was past its beginning.
     pub(super) broken: Option<BrokenRequest>,
+    /// Whether the answer is whole unless the endpoint has crashed.
+    is_whole: bool,
     parts: Vec<PromptPartId>,
 }
 
@@ -72,7 +80,7 @@
         let parts = work.head.shared_parts.clone();
         let broken = (progress != AnswerProgress::Advanced).then(|| BrokenRequest {
             parts: parts.clone(),
-            is_begun: progress == AnswerProgress::Beginning,
+            is_begun: progress != AnswerProgress::NotBegun,
             attempt_began_ms,
         });
         Self {
@@ -83,6 +91,7 @@
             broke_unix_ms,
             broke_ms,
             broken,
+            is_whole: progress == AnswerProgress::Ended,
             parts,
         }
     }
@@ -114,7 +123,7 @@
         let attempts = gateway.crash_checks.pending.borrow_mut().remove(&endpoint);
         let attempts = attempts.unwrap_or_default();
         let has_crashed = Connection::open(address).await.is_err();
-        record(&gateway, &endpoint, &attempts, has_crashed).await;
+        record(&gateway, &endpoint, attempts, has_crashed).await;
     });
 }
 
@@ -122,18 +131,28 @@
 async fn record(
     gateway: &Rc<Gateway>,
     endpoint: &EndpointId,
-    attempts: &[BrokenAttempt],
+    attempts: Vec<BrokenAttempt>,
     has_crashed: bool,
 ) {
+    let last_ms = attempts.iter().map(|attempt| attempt.broke_ms).max();
+    let (whole, broken): (Vec<_>, Vec<_>) = attempts.into_iter().partition(|attempt| {
+        let ended_before = Some(attempt.broke_ms + CRASH_SPAN_MS) < last_ms;
+        attempt.is_whole && (!has_crashed || ended_before)
+    });
+    for attempt in &whole {
+        prompt_parts::record_sound(gateway, &attempt.service, &attempt.parts);
+        poison::clear_suspect(gateway, &attempt.request, &attempt.digest);
+    }
     if !has_crashed {
         log::info!(
-            event = "endpoint_not_crashed", endpoint = endpoint.as_str(), attempts = attempts.len();
-            "endpoint accepts connections after some broke during requests"
+            event = "endpoint_not_crashed", endpoint = endpoint.as_str(), attempts = broken.len(),
+            whole = whole.len();
+            "endpoint accepts connections after some ended during requests"
         );
         return;
     }
-    prompt_parts::record_crash(gateway, endpoint, attempts).await;
-    for attempt in attempts {
+    prompt_parts::record_crash(gateway, endpoint, &broken).await;
+    for attempt in &broken {
         poison::record_crash(gateway, attempt).await;
     }
 }
--- a/crates/chicorystaged/src/gateway/poison.rs
+++ b/crates/chicorystaged/src/gateway/poison.rs
@@ -82,19 +82,22 @@
     if gateway.with(|view| view.suspects.is_empty()) {
         return;
     }
-    let digest = digest(work);
+    clear_suspect(gateway, work.head.attempt_id.as_str(), &digest(work));
+}
+
+/// Clears a suspect at every gateway after an answer to `request`.
+pub(super) fn clear_suspect(gateway: &Rc<Gateway>, request: &str, digest: &Digest) {
     let answered_unix_ms = unix_ms();
     let was_suspect =
-        gateway.with(|view| view.suspects.record_completion(answered_unix_ms, &digest));
+        gateway.with(|view| view.suspects.record_completion(answered_unix_ms, digest));
     if !was_suspect {
         return;
     }
     log::info!(
-        event = "suspect_cleared", request = work.head.attempt_id.as_str(),
-        digest = digest.as_str();
+        event = "suspect_cleared", request, digest = digest.as_str();
         "a request that was suspected to crash endpoints has been answered"
     );
-    let gateway = Rc::clone(gateway);
+    let (gateway, digest) = (Rc::clone(gateway), digest.clone());
     tokio::task::spawn_local(async move {
         let content = PeerContent::Cleared {
             digest,
--- a/crates/chicorystaged/src/gateway/relay/mod.rs
+++ b/crates/chicorystaged/src/gateway/relay/mod.rs
@@ -146,7 +146,7 @@
                 return None;
             }
             if end.may_be_crash() {
-                self.check_for_crash();
+                self.check_for_crash(self.progress());
             }
             if end == RelayEnd::Silent && !self.prepare_takeover() {
                 continue;
@@ -273,21 +273,25 @@
     }
 
     /// Checks in the background whether the endpoint of the answer has crashed.
-    fn check_for_crash(&self) {
+    fn check_for_crash(&self, progress: AnswerProgress) {
         let Some(answered) = &self.answered else {
             return;
         };
         let service = &self.requirements.service;
-        let progress = if self.events_relayed < BEGINNING_EVENTS {
-            AnswerProgress::Beginning
-        } else {
-            AnswerProgress::Advanced
-        };
         let attempt = BrokenAttempt::ending_now(&self.gateway, &self.work, service, progress);
         let address = answered.reservation.address;
         crash_checks::check(&self.gateway, self.endpoint.clone(), address, attempt);
     }
 
+    /// Returns how far the endpoint has got with the answer.
+    fn progress(&self) -> AnswerProgress {
+        if self.events_relayed < BEGINNING_EVENTS {
+            AnswerProgress::Beginning
+        } else {
+            AnswerProgress::Advanced
+        }
+    }
+
     /// Records the time of an event, and the first one in the metrics.
     fn record_event(&mut self) {
         let now_ms = self.gateway.now_ms();
--- a/crates/chicorystaged/src/gateway/relay/report.rs
+++ b/crates/chicorystaged/src/gateway/relay/report.rs
@@ -2,6 +2,7 @@
 
 use chicorystage_core::latency::AnswerTimes;
 
+use crate::gateway::crash_checks::AnswerProgress;
 use crate::gateway::lateness::late_cause;
 use crate::gateway::poison;
 use crate::gateway::relay::relay_end::RelayEnd;
@@ -17,10 +18,7 @@
             .answer_ms(&self.work.route.name, answer_ms);
         self.log_end(RelayEnd::Whole);
         stream_rows::end(&self.gateway, &self.work);
-        poison::record_answer(&self.gateway, &self.work);
-        if self.events_relayed < BEGINNING_EVENTS {
-            self.record_sound_prompt();
-        }
+        self.record_proof();
         let Some(answered) = self.answered.take() else {
             return;
         };
@@ -28,6 +26,19 @@
         answered.recycle(&self.gateway);
     }
 
+    /// Records that a complete answer proves its request sound, if its endpoint has not ended with it.
+    fn record_proof(&self) {
+        let is_past_beginning = self.events_relayed >= BEGINNING_EVENTS;
+        if !self.framing.is_end_marked() && !is_past_beginning {
+            self.check_for_crash(AnswerProgress::Ended);
+            return;
+        }
+        poison::record_answer(&self.gateway, &self.work);
+        if !is_past_beginning {
+            self.record_sound_prompt();
+        }
+    }
+
     /// Logs and counts the end of the answer.
     pub(super) fn log_end(&mut self, end: RelayEnd) {
         self.is_logged = true;
--- a/crates/chicorystaged/src/gateway/serving/failure.rs
+++ b/crates/chicorystaged/src/gateway/serving/failure.rs
@@ -6,14 +6,14 @@
 
 use std::time::Duration;
 
-use chicorystage_api::name::EndpointId;
+use chicorystage_api::name::{EndpointId, ServiceName};
 use chicorystage_core::admission::retry_delay_ms;
 use chicorystage_core::fleet::{Choice, Requirements};
 use http::{Response, StatusCode};
 
 use crate::gateway::answer_body::AnswerBody;
 use crate::gateway::attempt::Attempted;
-use crate::gateway::crash_checks::{self, BrokenAttempt};
+use crate::gateway::crash_checks::{self, AnswerProgress, BrokenAttempt};
 use crate::gateway::loss_reason::LossReason;
 use crate::gateway::own_responses::{RETRY_AFTER_DEFAULT_MS, refusal, text_response};
 use crate::gateway::retry_permit::RetryPermit;
@@ -117,13 +117,9 @@
     ) -> AfterFailure {
         let now_ms = self.gateway.now_ms();
         self.runs += 1;
-        if reason.may_be_crash()
-            && let Some(address) = self.gateway.address_of(endpoint)
-        {
+        if reason.may_be_crash() {
             let service = &requirements.service;
-            let progress = reason.answer_progress();
-            let attempt = BrokenAttempt::ending_now(&self.gateway, &self.work, service, progress);
-            crash_checks::check(&self.gateway, endpoint.clone(), address, attempt);
+            self.check_for_crash(endpoint, service, reason.answer_progress());
         }
         self.gateway.metrics.count_attempt("lost");
         requirements.avoid.push(endpoint.clone());
@@ -150,6 +146,20 @@
         AfterFailure::End(self.lost_response(now_ms))
     }
 
+    /// Checks in the background whether an endpoint crashed during the last attempt.
+    pub(super) fn check_for_crash(
+        &self,
+        endpoint: &EndpointId,
+        service: &ServiceName,
+        progress: AnswerProgress,
+    ) {
+        let Some(address) = self.gateway.address_of(endpoint) else {
+            return;
+        };
+        let attempt = BrokenAttempt::ending_now(&self.gateway, &self.work, service, progress);
+        crash_checks::check(&self.gateway, endpoint.clone(), address, attempt);
+    }
+
     /// Returns the final error of a request that may have run and has no good answer.
     ///
     /// An endpoint's own server error reaches the caller as it is.
--- a/crates/chicorystaged/src/gateway/serving/mod.rs
+++ b/crates/chicorystaged/src/gateway/serving/mod.rs
@@ -18,7 +18,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use chicorystage_api::name::EndpointId;
+use chicorystage_api::name::{EndpointId, ServiceName};
 use chicorystage_borders::http::BodyFraming;
 use chicorystage_core::admission::{limited_wait_ms, max_wait_ms};
 use chicorystage_core::deployment::Configuration;
@@ -31,6 +31,7 @@
 use crate::gateway::answer_body::{AnswerBody, relayed};
 use crate::gateway::attempt::{self, Answered, Attempted};
 use crate::gateway::caller_work::CallerWork;
+use crate::gateway::crash_checks::AnswerProgress;
 use crate::gateway::event_stream::consists_of_events;
 use crate::gateway::in_progress::InProgress;
 use crate::gateway::lateness::late_cause;
@@ -126,16 +127,16 @@
             let attempted = match sent {
                 Some(Attempted::Answered(answered)) => match self.read_answer(answered).await {
                     ReadAnswer::Whole(response, framing) => {
-                        if response.status().is_success() {
-                            let parts = &self.work.head.shared_parts;
-                            prompt_parts::record_sound(&self.gateway, &requirements.service, parts);
-                        }
+                        let status = response.status();
+                        self.record_proof(status, framing, &endpoint, &requirements.service);
                         return self.record_answer(response, framing, &endpoint);
                     }
                     ReadAnswer::Stream(answered, read) => {
                         return self.relay_answer(answered, read, requirements, in_progress);
                     }
                     ReadAnswer::Failed(response, framing) => {
+                        let status = response.status();
+                        self.record_proof(status, framing, &endpoint, &requirements.service);
                         self.failed.replace(Some(FailedAnswer {
                             response,
                             framing,
@@ -283,6 +284,26 @@
         response
     }
 
+    /// Records that an answer proves its request sound, if its endpoint has not ended with it.
+    fn record_proof(
+        &self,
+        status: StatusCode,
+        framing: BodyFraming,
+        endpoint: &EndpointId,
+        service: &ServiceName,
+    ) {
+        let is_success = status.is_success();
+        if is_success && !framing.is_end_marked() {
+            self.check_for_crash(endpoint, service, AnswerProgress::Ended);
+            return;
+        }
+        poison::record_answer(&self.gateway, &self.work);
+        if is_success {
+            let parts = &self.work.head.shared_parts;
+            prompt_parts::record_sound(&self.gateway, service, parts);
+        }
+    }
+
     /// Records a buffered answer in metrics and log, and returns it.
     fn record_answer(
         &self,
@@ -302,7 +323,6 @@
             pause_max_ms: 0,
         };
         let late = late_cause(&self.gateway, &self.work.route, &times);
-        poison::record_answer(&self.gateway, &self.work);
         log::info!(
             event = "request_answered", request = self.work.head.attempt_id.as_str(),
             route = route.as_ref(), status = response.status().as_u16(),
