--- a/crates/chicorystage-testbed/src/deployment/child.rs
+++ b/crates/chicorystage-testbed/src/deployment/child.rs
@@ -66,6 +66,22 @@
         })
     }
 
+    /// Returns the largest amount of memory that the process has held, in KiB.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the process has ended or the system does not tell.
+    pub fn peak_memory_kib(&self) -> anyhow::Result<u64> {
+        let id = self.child.id().context("the process has ended")?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let mut peaks = status
+            .lines()
+            .filter_map(|line| line.strip_prefix("VmHWM:"));
+        let peak = peaks.next().context("no peak of memory")?;
+        let number = peak.split_whitespace().next().unwrap_or_default();
+        Ok(number.parse()?)
+    }
+
     /// Reads the address that an emulator prints once it listens.
     ///
     /// # Errors
--- a/crates/chicorystage-testbed/src/soak/gateway_process.rs
+++ b/crates/chicorystage-testbed/src/soak/gateway_process.rs
@@ -77,6 +77,15 @@
         bail!("{} does not become ready", self.name)
     }
 
+    /// Returns the largest amount of memory that the process has held, in KiB.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the process has ended or the system does not tell.
+    pub fn peak_memory_kib(&self) -> anyhow::Result<u64> {
+        self.child.peak_memory_kib()
+    }
+
     /// Kills the process and starts it again at once.
     ///
     /// # Errors
--- a/crates/chicorystage-testbed/tests/gateway_broken_heads.rs
+++ b/crates/chicorystage-testbed/tests/gateway_broken_heads.rs
@@ -171,3 +171,30 @@
     }
     Ok(())
 }
+
+// No status has fewer than three digits or begins with 0.
+#[gtest]
+fn answer_with_a_status_that_is_none_reaches_no_caller() -> Result<()> {
+    let headers = ["Content-Length: 2"];
+    for status in [
+        "000 OK", "000", "099 OK", "001 OK", "20 OK", "0200 OK", "-10 OK", "101 OK",
+    ] {
+        for (service, path) in [
+            ("app", "/pay/x"),
+            ("app", "/app/x"),
+            ("llm", "/chat/x"),
+            ("llm", "/long/x"),
+        ] {
+            let reply = RawReply::new(status, &headers, "ok", ConnectionEnd::Close);
+            run_local(async {
+                let world = World::start(service, vec![reply]).await?;
+                let reply = send(&world, path, "a1").await?;
+                let is_own_failure =
+                    reply.status.is_server_error() && reply.header("response-stamp").is_empty();
+                verify_that!(is_own_failure, is_true())
+                    .with_failure_message(|| format!("{status} on {path}: {reply:?}"))
+            })?;
+        }
+    }
+    Ok(())
+}
--- a/crates/chicorystage-testbed/tests/process_set/mod.rs
+++ b/crates/chicorystage-testbed/tests/process_set/mod.rs
@@ -49,6 +49,11 @@
         self.gateways[number].callers
     }
 
+    /// Returns the largest amount of memory that a gateway has held, in KiB.
+    pub fn peak_memory_kib(&self, number: usize) -> Result<u64> {
+        self.gateways[number].peak_memory_kib().or_fail()
+    }
+
     /// Kills the first `count` gateways at the same moment and starts them again.
     pub async fn restart(&mut self, count: usize) -> Result<()> {
         let gateways = self.gateways.iter_mut().take(count);
