Pass no answer on that switches protocols unasked

Callers got status 101 where an endpoint in trouble sent it, and with it a connection that no longer speaks HTTP. Such an attempt is lost now, as its request may have run. gateway_broken_heads: red before, green now.

--- a/crates/chicorystaged/src/gateway/attempt.rs
+++ b/crates/chicorystaged/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 use chicorystage_platform::endpoint_answer::{EndpointAnswer, Execution, NamedAttempt};
 use chicorystage_platform::endpoint_request::EndpointTerms;
 use displaydoc::Display;
-use http::{Request, Response, response};
+use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 
@@ -168,6 +168,10 @@
         };
     };
     reservation.responded();
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        reservation.outcome(false);
+        return Attempted::Lost(LossReason::ProtocolSwitch);
+    }
     let (parts, body) = response.into_parts();
     let head = EndpointAnswer::decode(parts.status, &parts.headers, &work.head.attempt_id);
     if !is_own_answer(&head, &connection) {
--- a/crates/chicorystaged/src/gateway/loss_reason.rs
+++ b/crates/chicorystaged/src/gateway/loss_reason.rs
@@ -9,6 +9,8 @@
 pub enum LossReason {
     /// connection broke before an answer
     ConnectionBroke,
+    /// switch of protocols that was not asked for
+    ProtocolSwitch,
     /// too many interim answers
     InterimAnswers,
     /// answer broke off
@@ -36,6 +38,7 @@
         match self {
             Self::AnswerBroke | Self::SlowAnswer | Self::ServerError => AnswerProgress::Beginning,
             Self::ConnectionBroke
+            | Self::ProtocolSwitch
             | Self::InterimAnswers
             | Self::ForeignAnswer
             | Self::NoAnswerInTime => AnswerProgress::NotBegun,
