--- a/crates/chicorystage-testbed/tests/gateway_endless_memory.rs
+++ b/crates/chicorystage-testbed/tests/gateway_endless_memory.rs
@@ -1,5 +1,6 @@
 //! What a gateway, as a process, keeps of bytes without end from all endpoints together.
 
+#[expect(dead_code, reason = "each test binary uses a part of the set")]
 mod process_set;
 
 use std::time::Duration;
@@ -23,7 +24,7 @@
 const DEADLINE_MS: u64 = 3_000;
 /// Time by which all requests have ended, in milliseconds; the emulators need most of it.
 const ENDED_MS: u64 = 30_000;
-/// Memory that the process may hold, of the 192 MB of the smallest machines, in KiB.
+/// Memory that the process may hold, of the 160 MB of the smallest machines, in KiB.
 const PEAK_KIB_MAX: u64 = 150 << 10;
 
 /// Sends a request for each slot at endpoints that all answer so; returns the gateway's peak of memory,
--- a/crates/chicorystage-testbed/tests/gateway_limits.rs
+++ b/crates/chicorystage-testbed/tests/gateway_limits.rs
@@ -1,6 +1,7 @@
 //! Endpoints that name how many requests a second they take from all gateways together.
 
 mod limit_world;
+#[expect(dead_code, reason = "each test binary uses a part of the set")]
 mod process_set;
 
 use std::time::Duration;
--- a/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
+++ b/crates/chicorystage-testbed/tests/gateway_prompt_parts.rs
@@ -1,6 +1,7 @@
 //! Requests that share a part of their prompt on which endpoints crash, at several gateways that are
 //! processes of their own.
 
+#[expect(dead_code, reason = "each test binary uses a part of the set")]
 mod process_set;
 mod prompt_parts_world;
 
--- a/crates/chicorystage-testbed/tests/gateway_rejoined.rs
+++ b/crates/chicorystage-testbed/tests/gateway_rejoined.rs
@@ -1,6 +1,7 @@
 //! Streams that callers take up again at engines of several software versions, after gateways that
 //! are processes of their own were killed.
 
+#[expect(dead_code, reason = "each test binary uses a part of the set")]
 mod process_set;
 mod rejoined_world;
 
--- a/crates/chicorystage-testbed/tests/gateway_stop.rs
+++ b/crates/chicorystage-testbed/tests/gateway_stop.rs
@@ -1,6 +1,6 @@
 //! Planned stops of a gateway: late requests, and answers to callers that read slowly.
 
-#[expect(dead_code, reason = "no process is restarted here")]
+#[expect(dead_code, reason = "each test binary uses a part of the set")]
 mod process_set;
 
 use std::io::{Read, Write};
--- a/crates/chicorystage-testbed/tests/process_set/mod.rs
+++ b/crates/chicorystage-testbed/tests/process_set/mod.rs
@@ -1,7 +1,5 @@
 //! Gateways as processes with files of their own.
 
-#![expect(dead_code, reason = "each test binary uses a part of the set")]
-
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
