One verdict on the crashes: parts are ranked once, also for the log

Found by reading the diff: each decision ranked all suspected parts twice, once for the line that no part is known; an equally likely part of other crashes still held back another one below five crashes; each answer that its connection ends left a line.

--- a/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/mod.rs
@@ -10,10 +10,9 @@
 //! Endpoints that crash together for another reason count once, however long it takes to notice: only
 //! attempts that began after the crash before are in a row. Where requests wait long at endpoints, few are.
 //! [`PartEvidence::culprit`] names a part after three crashes in a row during answers that had begun, or
-//! after three in a row among five at different times.
-//! Of several it takes the one in most crashes, then one that was
-//! never answered, then the one deepest in the prompt, as requests share the parts before it, then the
-//! one in fewest requests. That a part was answered long ago does not prove it sound, but on a route
+//! after three in a row among five at different times. Of several it takes the one in most crashes, then
+//! one that was never answered, then the one deepest in the prompt, as requests share the parts before it,
+//! then the one in fewest requests. That a part was answered long ago does not prove it sound, but on a route
 //! with few requests there may be nothing else that tells it from the cause.
 //!
 //! Likelihood decides only among parts that could be the cause of the same crashes: a part of one crash says
@@ -42,6 +41,7 @@
 mod recorded_crash;
 mod service_part;
 mod sound_parts;
+mod verdict;
 
 pub use broken_request::BrokenRequest;
 pub use candidate::Candidate;
@@ -50,3 +50,4 @@
 pub use part_at_crash::PartAtCrash;
 pub use part_evidence::PartEvidence;
 pub use service_part::ServicePart;
+pub use verdict::Verdict;
--- a/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
+++ b/crates/chicorystage-core/src/suspects/prompt_parts/part_evidence.rs
@@ -7,7 +7,7 @@
 use crate::suspects::prompt_parts::recorded_crash::RecordedCrash;
 use crate::suspects::prompt_parts::sound_parts::SoundParts;
 use crate::suspects::prompt_parts::{
-    BrokenRequest, Candidate, CrashReport, Culprit, PartAtCrash, ServicePart,
+    BrokenRequest, Candidate, CrashReport, Culprit, PartAtCrash, ServicePart, Verdict,
 };
 
 /// Number of crashes up to which equally likely parts wait for another crash.
@@ -164,51 +164,40 @@
         self.sound.take_untold(now_ms, since_ms, service, parts)
     }
 
-    /// Returns the part that causes the crashes, if they suffice to tell and this process had a
-    /// request with it.
+    /// Returns what the crashes tell of their cause, with at most `len` candidates.
     ///
     /// A part that is quarantined already explains the crashes up to the last one with it.
     #[must_use]
+    pub fn verdict(&self, is_quarantined: impl Fn(&ServicePart) -> bool, len: usize) -> Verdict {
+        let mut ranked = self.ranked(is_quarantined);
+        let cause = (0..ranked.len()).find(|&rank| is_cause(&ranked, rank));
+        if let Some(rank) = cause {
+            let (likelihood, part, _) = ranked.swap_remove(rank);
+            let crashes = likelihood.crashes;
+            return Verdict::Cause(Culprit { part, crashes });
+        }
+        ranked.sort_by_key(|(likelihood, ..)| Reverse(likelihood.crashes));
+        let candidates = ranked.into_iter().take(len);
+        Verdict::Undecided(candidates.map(candidate).collect())
+    }
+
+    /// Returns the part that causes the crashes, if they suffice to tell and this process had a
+    /// request with it.
+    #[must_use]
     pub fn culprit(&self, is_quarantined: impl Fn(&ServicePart) -> bool) -> Option<Culprit> {
-        let ranked = self.ranked(is_quarantined);
-        let (likelihood, part, _) = ranked
-            .iter()
-            .enumerate()
-            .find(|(rank, suspect)| is_cause(suspect, &ranked, *rank))
-            .map(|(_, suspect)| suspect)?;
-        let is_own = self
-            .crashes
-            .iter()
-            .filter(|crash| crash.service == part.service)
-            .filter_map(|crash| crash.suspects.get(&part.part))
-            .any(|suspicion| suspicion.is_own);
-        is_own.then(|| Culprit {
-            part: part.clone(),
-            crashes: likelihood.crashes,
-        })
+        match self.verdict(is_quarantined, 0) {
+            Verdict::Cause(culprit) if self.is_own(&culprit.part) => Some(culprit),
+            Verdict::Cause(_) | Verdict::Undecided(_) => None,
+        }
     }
 
-    /// Returns the parts in most crashes that no quarantined part explains, at most `len` of them, and of
-    /// parts in equally many the likeliest first.
+    /// Returns whether this process had a request with a part that broke in a crash.
     #[must_use]
-    pub fn candidates(
-        &self,
-        is_quarantined: impl Fn(&ServicePart) -> bool,
-        len: usize,
-    ) -> Vec<Candidate> {
-        let mut ranked = self.ranked(is_quarantined);
-        ranked.sort_by_key(|(likelihood, ..)| Reverse(likelihood.crashes));
-        let candidates = ranked
-            .into_iter()
-            .take(len)
-            .map(|(likelihood, part, history)| Candidate {
-                part,
-                crashes: likelihood.crashes,
-                begun_crashes: likelihood.begun_crashes,
-                in_a_row: history.in_a_row(),
-                begun_in_a_row: history.begun_in_a_row(),
-            });
-        candidates.collect()
+    pub fn is_own(&self, part: &ServicePart) -> bool {
+        let crashes = self.crashes.iter();
+        let of_service = crashes.filter(|crash| crash.service == part.service);
+        let mut suspicions = of_service.filter_map(|crash| crash.suspects.get(&part.part));
+        suspicions.any(|suspicion| suspicion.is_own)
     }
 
     /// Returns the suspected parts, the likeliest cause first.
@@ -346,11 +335,27 @@
 /// was present at them.
 ///
 /// A likelier part of other crashes says nothing of these.
-fn is_cause(suspect: &Suspect, ranked: &[Suspect], rank: usize) -> bool {
-    let (likelihood, _, history) = suspect;
-    let is_as_likely = |other: &Suspect| other.0 == *likelihood && other.1 != suspect.1;
-    let could_explain = |other: &&Suspect| other.2.could_explain(history);
-    let mut others = ranked.iter().take(rank).filter(could_explain);
-    let is_undecided = likelihood.crashes < UNDECIDED_CRASHES && ranked.iter().any(is_as_likely);
-    history.is_sufficient() && others.next().is_none() && !is_undecided
+fn is_cause(ranked: &[Suspect], rank: usize) -> bool {
+    let (likelihood, _, history) = &ranked[rank];
+    if !history.is_sufficient() {
+        return false;
+    }
+    let is_few = likelihood.crashes < UNDECIDED_CRASHES;
+    let mut others = ranked.iter().enumerate().filter(|(other, suspect)| {
+        let is_likelier = *other < rank;
+        let is_as_likely = is_few && *other != rank && suspect.0 == *likelihood;
+        is_likelier || is_as_likely
+    });
+    !others.any(|(_, suspect)| suspect.2.could_explain(history))
+}
+
+fn candidate(suspect: Suspect) -> Candidate {
+    let (likelihood, part, history) = suspect;
+    Candidate {
+        part,
+        crashes: likelihood.crashes,
+        begun_crashes: likelihood.begun_crashes,
+        in_a_row: history.in_a_row(),
+        begun_in_a_row: history.begun_in_a_row(),
+    }
 }
--- a/crates/chicorystaged/src/gateway/crash_checks.rs
+++ b/crates/chicorystaged/src/gateway/crash_checks.rs
@@ -143,11 +143,14 @@
         prompt_parts::record_sound(gateway, &attempt.service, &attempt.parts);
         poison::clear_suspect(gateway, &attempt.request, &attempt.digest);
     }
+    if broken.is_empty() {
+        return;
+    }
     if !has_crashed {
         log::info!(
             event = "endpoint_not_crashed", endpoint = endpoint.as_str(), attempts = broken.len(),
             whole = whole.len();
-            "endpoint accepts connections after some ended during requests"
+            "endpoint accepts connections after some broke during requests"
         );
         return;
     }
--- a/crates/chicorystaged/src/gateway/prompt_parts.rs
+++ b/crates/chicorystaged/src/gateway/prompt_parts.rs
@@ -11,7 +11,7 @@
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
 use chicorystage_core::suspects::prompt_parts::{
-    BrokenRequest, Candidate, CrashReport, Culprit, ServicePart,
+    BrokenRequest, Candidate, CrashReport, Culprit, ServicePart, Verdict,
 };
 use derive_more::Display;
 use rand::RngExt;
@@ -232,17 +232,19 @@
 
 /// Quarantines the part of prompts that causes the crashes, if one is found.
 async fn decide(gateway: &Rc<Gateway>) {
-    let (culprit, candidates) = gateway.with(|view| {
+    let verdict = gateway.with(|view| {
         let (suspects, evidence) = (&view.suspects, &view.part_evidence);
         let is_quarantined =
             |part: &ServicePart| suspects.status(&part.digest()) == DigestStatus::Quarantined;
-        let candidates = evidence.candidates(is_quarantined, LOGGED_CANDIDATES);
-        (evidence.culprit(is_quarantined), candidates)
+        evidence.verdict(is_quarantined, LOGGED_CANDIDATES)
     });
-    let Some(Culprit { part, crashes }) = culprit else {
-        log_undecided(&candidates);
-        return;
+    let Culprit { part, crashes } = match verdict {
+        Verdict::Cause(culprit) => culprit,
+        Verdict::Undecided(candidates) => return log_undecided(&candidates),
     };
+    if !gateway.with(|view| view.part_evidence.is_own(&part)) {
+        return;
+    }
     let digest = part.digest();
     let reason = part.to_string();
     let entry = gateway.with(|view| {
@@ -260,12 +262,12 @@
 
 /// Logs which parts are suspected where none is taken for the cause.
 fn log_undecided(candidates: &[Candidate]) {
-    let Some(likeliest) = candidates.first() else {
+    let Some(first) = candidates.first() else {
         return;
     };
     let texts: Vec<String> = candidates.iter().map(Candidate::to_string).collect();
     log::info!(
-        event = "prompt_parts_undecided", service = likeliest.part.service.as_str(),
+        event = "prompt_parts_undecided", service = first.part.service.as_str(),
         candidates = texts.join(", ");
         "no prompt part is known to crash endpoints yet"
     );
