--- a/review/standin-2/one_holder.rs
+++ b/review/standin-2/one_holder.rs
@@ -14,7 +14,7 @@
 /// `lease_ms` of the site.
 const LEASE_MS: u64 = 3_000;
 /// How long the store is away, in milliseconds.
-const AWAY_MS: u64 = 1_100;
+const AWAY_MS: u64 = 1_400;
 /// Time from the end of the stopped process to its next start, in milliseconds, at least.
 const RESTART_MS: u64 = 1_500;
 /// Time for which a holder gives engines no orders after they have started, in milliseconds: former
