--- a/review/standin-2/drill_order.rs
+++ b/review/standin-2/drill_order.rs
@@ -1,4 +1,4 @@
-//! Case 6: rule ORDER, the drill of the store at the moment when all processes are killed.
+//! Case 7: rule ORDER, the drill of the store at the moment when all processes are killed.
 
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -54,6 +54,9 @@
         adapter_slots: 8,
         checks_fence: true,
         models: vec!["m0".into()],
+        model_places: 2,
+        load_ms: 6_000,
+        disk_ms: 1_200,
         event_ms: 120,
     };
     let old = [Worker::start("i-old-1", kind("v1"), &store), Worker::start("i-old-2", kind("v1"), &store)];
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod util;
 mod callers;
+mod deadly;
 mod drill_order;
 mod gateway;
 mod one_holder;
@@ -41,10 +42,11 @@
 
 fn run(case: &str, folder: &Path, has_trouble: bool) -> i32 {
     match case {
-        "6" => drill_order::run(folder, has_trouble),
-        "7" => one_holder::run(folder, has_trouble),
-        "8" => silent_stream::run(folder, has_trouble),
-        "9" => revoked_key::run(folder, has_trouble),
+        "6" => deadly::run(folder, has_trouble),
+        "7" => drill_order::run(folder, has_trouble),
+        "8" => one_holder::run(folder, has_trouble),
+        "9" => silent_stream::run(folder, has_trouble),
+        "10" => revoked_key::run(folder, has_trouble),
         _ => 2,
     }
 }
--- a/review/standin-2/one_holder.rs
+++ b/review/standin-2/one_holder.rs
@@ -1,4 +1,4 @@
-//! Case 7: rule ONE, the drill of the store while the machine that held the lease starts again.
+//! Case 8: rule ONE, the drill of the store while the machine that held the lease starts again.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -64,6 +64,9 @@
         adapter_slots: 8,
         checks_fence: false,
         models: vec!["m0".into()],
+        model_places: 2,
+        load_ms: 6_000,
+        disk_ms: 1_200,
         event_ms: 20,
     };
     let workers = [
--- a/review/standin-2/revoked_key.rs
+++ b/review/standin-2/revoked_key.rs
@@ -1,4 +1,4 @@
-//! Case 9: rule CONFIG, a withdrawn key after the drill of the store, at a machine that starts again.
+//! Case 10: rule CONFIG, a withdrawn key after the drill of the store, at a machine that starts again.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -45,6 +45,9 @@
         adapter_slots: 8,
         checks_fence: false,
         models: vec!["m0".into()],
+        model_places: 2,
+        load_ms: 6_000,
+        disk_ms: 1_200,
         event_ms: 20,
     };
     let workers = [Worker::start("i-1", kind.clone(), &store), Worker::start("i-2", kind, &store)];
--- a/review/standin-2/silent_stream.rs
+++ b/review/standin-2/silent_stream.rs
@@ -1,4 +1,4 @@
-//! Case 8: rule LOST, a stream that pauses at its worker while its machine is stopped.
+//! Case 9: rule LOST, a stream that pauses at its worker while its machine is stopped.
 
 use std::path::Path;
 use std::sync::{Arc, Mutex};
@@ -42,6 +42,9 @@
         adapter_slots: 8,
         checks_fence: true,
         models: vec!["m0".into()],
+        model_places: 2,
+        load_ms: 6_000,
+        disk_ms: 1_200,
         event_ms: 50,
     };
     let near = Worker::start("i-near", kind("z1"), &store);
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -13,6 +14,12 @@
 pub const HEARTBEAT_MS: u64 = 1_200;
 /// Time that an adapter's load takes, in milliseconds.
 const ADAPTER_MS: u64 = 7;
+/// Time from the beginning of a request that crashes its worker to the crash, in milliseconds.
+const CRASH_MS: u64 = 40;
+/// Time until a worker that has crashed is back, in milliseconds.
+const DOWN_MS: u64 = 2_500;
+/// Path of requests that crash each worker that begins to run them.
+pub const DEADLY_PATH: &str = "/summary/deadly";
 
 /// What a worker is like.
 #[derive(Clone)]
@@ -26,6 +33,11 @@
     pub adapter_slots: usize,
     pub checks_fence: bool,
     pub models: Vec<String>,
+    /// Number of models that fit into the worker's memory.
+    pub model_places: usize,
+    /// Time that a load takes from the weight store and from the worker's own disk.
+    pub load_ms: u64,
+    pub disk_ms: u64,
     /// Time between two events of a stream.
     pub event_ms: u64,
 }
@@ -60,6 +72,15 @@
     fence_highest: u64,
     active: usize,
     queued: usize,
+    /// Models that were held before; a restart preserves the disk.
+    on_disk: BTreeSet<String>,
+    /// Load or unload of a model in progress, with its end.
+    change: Option<(bool, String, u64)>,
+    /// Channels to close at a crash.
+    channels: Vec<TcpStream>,
+    /// Times of crashes, with the request that ran.
+    crashes: Vec<(u64, String)>,
+    down_until_ms: u64,
     orders: Vec<SeenOrder>,
     runs: Vec<Run>,
     has_over_limit: bool,
@@ -72,7 +93,7 @@
     pub id: String,
     pub address: SocketAddr,
     pub kind: Kind,
-    born: u64,
+    born: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
 }
 
@@ -80,20 +101,16 @@
     pub fn start(id: &str, kind: Kind, store: &Store) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let models = kind.models.iter().map(|model| (model.clone(), BTreeSet::new())).collect();
+        let on_disk = kind.models.iter().cloned().collect();
         let worker = Self {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             kind,
-            born: unix_ms(),
-            state: Arc::new(Mutex::new(State { models, ..State::default() })),
+            born: Arc::new(AtomicU64::new(unix_ms())),
+            state: Arc::new(Mutex::new(State { models, on_disk, ..State::default() })),
         };
-        let serving = worker.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let worker = serving.clone();
-                std::thread::spawn(move || worker.serve(stream));
-            }
-        });
+        let (listening, entries) = (worker.clone(), store.clone());
+        std::thread::spawn(move || listening.listen(listener, &entries));
         worker.beat(store);
         let (beating, store) = (worker.clone(), store.clone());
         std::thread::spawn(move || {
@@ -106,15 +123,71 @@
         worker
     }
 
+    /// Accepts channels; after a crash none until the worker is back, which then writes its entry.
+    fn listen(&self, mut listener: TcpListener, store: &Store) {
+        loop {
+            let _ = listener.set_nonblocking(true);
+            while now_ms() >= self.state.lock().unwrap().down_until_ms {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        if let Ok(channel) = stream.try_clone() {
+                            self.state.lock().unwrap().channels.push(channel);
+                        }
+                        let worker = self.clone();
+                        std::thread::spawn(move || worker.serve(stream));
+                    }
+                    Err(_) => sleep_ms(1),
+                }
+            }
+            drop(listener);
+            let down_until_ms = self.state.lock().unwrap().down_until_ms;
+            sleep_ms(down_until_ms.saturating_sub(now_ms()));
+            listener = loop {
+                match TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => sleep_ms(5),
+                }
+            };
+            self.born.store(unix_ms(), Ordering::Relaxed);
+            self.beat(store);
+        }
+    }
+
+    /// Ends the process: all channels break, and what it held is gone.
+    fn crash(&self, attempt: &str, born: u64) {
+        let mut state = self.state.lock().unwrap();
+        if now_ms() < state.down_until_ms || self.born.load(Ordering::Relaxed) != born {
+            return;
+        }
+        state.down_until_ms = now_ms() + DOWN_MS;
+        state.crashes.push((now_ms(), attempt.to_owned()));
+        state.models.clear();
+        state.coming.clear();
+        state.change = None;
+        (state.seq, state.fence_highest) = (0, 0);
+        for channel in state.channels.drain(..) {
+            let _ = channel.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    /// Returns the times of the worker's crashes, with the request that ran.
+    pub fn crashes(&self) -> Vec<(u64, String)> {
+        self.state.lock().unwrap().crashes.clone()
+    }
+
     fn beat(&self, store: &Store) {
         let mut state = self.state.lock().unwrap();
+        if now_ms() < state.down_until_ms {
+            return;
+        }
         state.beats += 1;
         let entry = format!(
             "{{\"backend\":{},\"addr\":\"{}\",\"zone\":{},\"version\":{},\"slots\":{},\
              \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\",\"models\":{},\
              \"seq\":{},\"born\":{}}}",
             quote(&self.kind.service), self.address, quote(&self.kind.zone),
-            quote(&self.kind.software), self.kind.slots, models(&mut state), state.beats, self.born
+            quote(&self.kind.software), self.kind.slots, models(&mut state), state.beats, self.born.load(Ordering::Relaxed)
         );
         drop(state);
         store.put("servers", &self.id, Some(&entry));
@@ -168,11 +241,12 @@
         let listed = models(&mut state);
         let coming: Vec<String> =
             state.coming.iter().map(|(m, a, _)| quote(&format!("{m}/{a}@1"))).collect();
+        let on_disk: Vec<String> = state.on_disk.iter().map(|model| quote(model)).collect();
         format!(
-            "{{\"stage\":\"colocated\",\"models\":{listed},\"busy\":false,\"seq\":{},\"queued\":{},\
+            "{{\"stage\":\"colocated\",\"models\":{listed},\"busy\":{},\"seq\":{},\"queued\":{},\
              \"active\":{},\"kv_used\":0,\"kv_total\":74923,\"handles\":0,\"coming\":[{}],\
-             \"at_hand\":{{\"in_memory\":[],\"on_disk\":[]}},\"born\":{}}}",
-            state.seq, state.queued, state.active, coming.join(","), self.born
+             \"at_hand\":{{\"in_memory\":[],\"on_disk\":[{}]}},\"born\":{}}}",
+            state.change.is_some(), state.seq, state.queued, state.active, coming.join(","), on_disk.join(","), self.born.load(Ordering::Relaxed)
         )
     }
 
@@ -197,10 +271,27 @@
         status
     }
 
-    /// Adapters only: the models of these cases are loaded from the start and stay.
     fn carry_out(&self, state: &mut State, operation: &str, model: &str, adapter: &str) -> u16 {
         if adapter.is_empty() {
-            return if operation == "load" && state.models.contains_key(model) { 200 } else { 400 };
+            let is_load = operation == "load";
+            if is_load == state.models.contains_key(model) {
+                return 200;
+            }
+            if state.change.is_some() {
+                return 409;
+            }
+            state.seq += 1;
+            state.has_over_limit |= is_load && state.models.len() >= self.kind.model_places;
+            if !is_load {
+                state.models.remove(model);
+            }
+            let change_ms = match (is_load, state.on_disk.contains(model)) {
+                (true, true) => self.kind.disk_ms,
+                (true, false) => self.kind.load_ms,
+                (false, _) => 50,
+            };
+            state.change = Some((is_load, model.to_owned(), now_ms() + change_ms));
+            return 202;
         }
         let Some(adapters) = state.models.get_mut(model) else { return 421 };
         if operation == "unload" {
@@ -275,9 +366,14 @@
         };
         let counts = request.header("token-counts").and_then(|counts| counts.split_once(','));
         let events = counts.and_then(|(_, tokens)| tokens.parse().ok()).unwrap_or(1);
+        if request.path().starts_with(DEADLY_PATH) {
+            let born = self.born.load(Ordering::Relaxed);
+            sleep_ms(CRASH_MS);
+            self.crash(&attempt, born);
+        }
         let done = self.stream(out, &attempt, after, events);
         let mut state = self.state.lock().unwrap();
-        state.active -= 1;
+        state.active = state.active.saturating_sub(1);
         state.runs[index].ended = Some((now_ms(), done.is_ok()));
         done
     }
@@ -317,8 +413,14 @@
     }
 }
 
-/// Makes adapters usable whose load time has passed.
+/// Makes models and adapters usable whose load time has passed.
 fn arrive(state: &mut State) {
+    if state.change.as_ref().is_some_and(|(_, _, end_ms)| now_ms() >= *end_ms)
+        && let Some((true, model, _)) = state.change.take()
+    {
+        state.on_disk.insert(model.clone());
+        state.models.insert(model, BTreeSet::new());
+    }
     for (model, adapter, at_ms) in std::mem::take(&mut state.coming) {
         if now_ms() < at_ms {
             state.coming.push((model, adapter, at_ms));
