Lease: a former holder takes no turns with one that releases it soon

What endpoints saw: orders of one gateway, then of another, then of the first again, all within the duration of the lease. Where they do not check epochs, an order of the first that is still on its way could take effect after one of the other's (rule ONE).

Cause: a released lease was free at once for everyone. That is right for a gateway that has not sent orders lately. It is wrong for one that held the lease itself until just before: it lost it while the store was away, another gateway acquired it and was stopped soon after, and the first took the released row at once. The same holds for a process that starts, as an earlier one of its VM may have sent orders.

Change: a gateway does not acquire the lease after another one within the duration of the lease, and a margin, of its own last order; a process that starts counts from its first read. A row of the own VM, and a lease that is known not to have expired, are acquired as before.

The test of a released lease had its second gateway start at the moment of the release. It runs for four seconds now, since only then must it acquire the lease at once; the two new tests say what the other kinds do. The bound of 200 ms is as it was.

--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -37,6 +37,10 @@
     /// Time at which a write without a conclusive reply was sent.
     write_sent_ms: Option<u64>,
     ticked_ms: Option<u64>,
+    /// Whether orders could be sent at the last tick.
+    was_usable: bool,
+    /// Time by which this VM had sent its last order, in milliseconds; `None` before the first read.
+    used_until_ms: Option<u64>,
     /// Whether a successful write is required before the next order.
     needs_confirmation: bool,
     /// Highest epoch observed in the store, at an endpoint or at another router.
@@ -63,6 +67,8 @@
             renewed_ms: None,
             write_sent_ms: None,
             ticked_ms: None,
+            was_usable: false,
+            used_until_ms: None,
             needs_confirmation: false,
             highest_epoch: 0,
             claim: ClaimAfterRestore::Normal,
@@ -81,6 +87,8 @@
     pub fn apply_row(&mut self, now_ms: u64, row: Option<(LeaseRow, u64)>) {
         let is_first = !self.is_read;
         self.is_read = true;
+        // An earlier process of this VM may have sent orders until this one started.
+        self.used_until_ms.get_or_insert(now_ms);
         let Some((row, version)) = row else {
             if is_first {
                 self.changed_ms = now_ms;
@@ -149,6 +157,11 @@
             .is_some_and(|ticked_ms| now_ms.saturating_sub(ticked_ms) > TICK_INTERVAL_MAX_MS);
         self.ticked_ms = Some(now_ms);
         self.needs_confirmation |= paused;
+        let is_usable = self.epoch(now_ms).is_some();
+        if is_usable || self.was_usable {
+            self.used_until_ms = Some(now_ms);
+        }
+        self.was_usable = is_usable;
         let is_write_pending = self
             .write_sent_ms
             .is_some_and(|sent_ms| now_ms < sent_ms + self.renewal_ms());
@@ -266,7 +279,7 @@
     /// must not take effect after the first order of the next epoch.
     fn take_over_if_free(&self, now_ms: u64) -> Option<LeaseAction> {
         let unchanged_ms = now_ms.saturating_sub(self.changed_ms);
-        if unchanged_ms < self.wait_before_acquisition_ms(now_ms) {
+        if unchanged_ms < self.wait_before_acquisition_ms(now_ms) || self.would_alternate(now_ms) {
             return None;
         }
         let (epoch, version) = self
@@ -276,6 +289,20 @@
         Some(self.acquisition(epoch.max(self.highest_epoch) + 1, version))
     }
 
+    /// Returns whether this VM has sent orders within the duration of the lease and another one since.
+    ///
+    /// An order of this VM that is still on its way could take effect after one of the other's.
+    fn would_alternate(&self, now_ms: u64) -> bool {
+        let is_from_other = self
+            .known
+            .as_ref()
+            .is_some_and(|(row, _)| row.holder != self.vm);
+        let is_recent = self
+            .used_until_ms
+            .is_some_and(|used_until_ms| now_ms < used_until_ms + self.take_over_ms());
+        is_from_other && is_recent && !self.is_claim_kept(now_ms)
+    }
+
     /// Returns for how long the row must not have changed before this router acquires the lease.
     fn wait_before_acquisition_ms(&self, now_ms: u64) -> u64 {
         let row = self.known.as_ref().map(|(row, _)| row);
@@ -295,7 +322,12 @@
         if is_free || self.is_claim_kept(now_ms) {
             return delay_ms;
         }
-        self.lease_ms + TAKE_OVER_MARGIN_MS + delay_ms
+        self.take_over_ms() + delay_ms
+    }
+
+    /// Returns the time after which a lease that is not renewed has expired for all, in milliseconds.
+    fn take_over_ms(&self) -> u64 {
+        self.lease_ms + TAKE_OVER_MARGIN_MS
     }
 
     /// Returns whether the holder is an earlier process of this VM, which runs one at a time.
--- a/crates/chicorystage-core/tests/order_lease.rs
+++ b/crates/chicorystage-core/tests/order_lease.rs
@@ -138,14 +138,78 @@
     let (mut a, mut b) = (lease("a", true), lease("b", true));
     a.apply_row(0, None);
     run(&mut a, &mut store, 0, 1_000);
+    b.apply_row(1_000, store.row.clone());
+    run(&mut a, &mut store, 1_000, 5_000);
     let release = a.release().expect("the holder releases");
-    assert_that!(a.epoch(1_000), none());
+    assert_that!(a.epoch(5_000), none());
     let reply = store.write(&release);
-    a.apply_reply(1_000, 1_000, release, reply);
-    assert_that!(a.epoch(1_000), none());
+    a.apply_reply(5_000, 5_000, release, reply);
+    assert_that!(a.epoch(5_000), none());
+    b.apply_row(5_000, store.row.clone());
+    run(&mut b, &mut store, 5_000, 5_200);
+    assert_that!(b.epoch(5_200), some(eq(2)));
+}
+
+/// Returns when this gateway acquires the lease that another one has released, as it sees at `from_ms`.
+fn acquired_ms(lease: &mut OrderLease, store: &mut Store, from_ms: u64) -> Option<u64> {
+    lease.apply_row(from_ms, store.row.clone());
+    let mut ticks = (from_ms..from_ms + 3 * LEASE_MS).step_by(100);
+    ticks.find(|now_ms| {
+        run(lease, store, *now_ms, now_ms + 100);
+        lease.epoch(now_ms + 99).is_some()
+    })
+}
+
+/// Has `b` hold the lease from 5,000 ms, after `a`, and release it.
+fn pass_through(b: &mut OrderLease, store: &mut Store) {
+    run(b, store, 5_000, 5_500);
+    assert_that!(b.epoch(5_400), some(eq(2)));
+    let release = b.release().expect("the holder releases");
+    let reply = store.write(&release);
+    b.apply_reply(5_500, 5_500, release, reply);
+}
+
+// Rule ONE: holders must not take turns within the duration of the lease.
+#[test]
+fn former_holder_does_not_take_turns_with_one_that_releases_the_lease_soon() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a", false), lease("b", false));
+    a.apply_row(0, None);
+    run(&mut a, &mut store, 0, 1_000);
+    b.apply_row(1_000, store.row.clone());
+    run(&mut b, &mut store, 1_000, 1_100);
+    // The store is away for the holder, whose lease expires.
+    let mut last_order_ms = 0;
+    for now_ms in (1_000..5_000).step_by(100) {
+        if let Some(action) = a.tick(now_ms) {
+            a.apply_reply(now_ms, now_ms, action, StoreReply::Unknown);
+        }
+        if a.epoch(now_ms).is_some() {
+            last_order_ms = now_ms;
+        }
+    }
+    assert_that!(last_order_ms, all!(gt(2_800), lt(5_000)));
+    pass_through(&mut b, &mut store);
+    let again_ms = acquired_ms(&mut a, &mut store, 5_500).expect("the lease is free in the end");
+    assert_that!(again_ms, gt(last_order_ms + LEASE_MS));
+}
+
+// An earlier process of the VM may have held the lease until just before.
+#[test]
+fn process_that_starts_takes_no_turns_with_one_that_has_released_the_lease() {
+    let mut store = Store::default();
+    let (mut a, mut b) = (lease("a", false), lease("b", false));
+    a.apply_row(0, None);
+    run(&mut a, &mut store, 0, 4_900);
     b.apply_row(1_000, store.row.clone());
-    run(&mut b, &mut store, 1_000, 1_200);
-    assert_that!(b.epoch(1_200), some(eq(2)));
+    let release = a.release().expect("the holder releases");
+    store.write(&release);
+    b.apply_row(5_000, store.row.clone());
+    pass_through(&mut b, &mut store);
+    let mut again = OrderLease::new(VmId::from("a"), 2, LEASE_MS, false);
+    let again_ms =
+        acquired_ms(&mut again, &mut store, 5_500).expect("the lease is free in the end");
+    assert_that!(again_ms, gt(4_900 + LEASE_MS));
 }
 
 // A renewal in flight changed the version that the release expected.
