--- a/crates/chicorystage-core/src/lease/mod.rs
+++ b/crates/chicorystage-core/src/lease/mod.rs
@@ -15,9 +15,15 @@
 //! refuse old epochs, it may continue during an outage of the store, since the
 //! first order of a new holder fences it off. A holder whose process was paused
 //! must confirm the lease before its next order.
+//!
+//! A store that has returned from an older copy may lack the row of a holder
+//! that still sends orders, also for a process that starts afterwards. So a row
+//! that looks free counts only once the store has been in its
+//! [era](crate::store_era) for the duration of the lease.
 
 mod acquisition_delay;
 mod claim_after_restore;
+mod last_use;
 mod lease_action;
 mod lease_row;
 mod order_lease;
--- a/crates/chicorystage-core/src/lease/order_lease.rs
+++ b/crates/chicorystage-core/src/lease/order_lease.rs
@@ -1,7 +1,9 @@
 use chicorystage_api::name::VmId;
 
 use crate::lease::claim_after_restore::ClaimAfterRestore;
+use crate::lease::last_use::LastUse;
 use crate::lease::{LeaseAction, LeaseRow, StoreReply};
+use crate::store_era::StoreEra;
 
 /// Number of renewals within the duration of the lease.
 const RENEWALS_PER_LEASE: u64 = 3;
@@ -37,18 +39,15 @@
     /// Time at which a write without a conclusive reply was sent.
     write_sent_ms: Option<u64>,
     ticked_ms: Option<u64>,
-    /// Whether orders could be sent at the last tick.
-    was_usable: bool,
-    /// Time by which this VM had sent its last order, in milliseconds; `None` before the first read.
-    used_until_ms: Option<u64>,
+    last_use: LastUse,
     /// Whether a successful write is required before the next order.
     needs_confirmation: bool,
     /// Highest epoch observed in the store, at an endpoint or at another router.
     highest_epoch: u64,
     /// What this router may claim of a row that the store has restored.
     claim: ClaimAfterRestore,
-    /// Newest known era of the store; 0 if it states none.
-    store_era: u64,
+    /// Newest known era of the store.
+    era: StoreEra,
 }
 
 impl OrderLease {
@@ -67,12 +66,11 @@
             renewed_ms: None,
             write_sent_ms: None,
             ticked_ms: None,
-            was_usable: false,
-            used_until_ms: None,
+            last_use: LastUse::default(),
             needs_confirmation: false,
             highest_epoch: 0,
             claim: ClaimAfterRestore::Normal,
-            store_era: 0,
+            era: StoreEra::default(),
         }
     }
 
@@ -87,8 +85,7 @@
     pub fn apply_row(&mut self, now_ms: u64, row: Option<(LeaseRow, u64)>) {
         let is_first = !self.is_read;
         self.is_read = true;
-        // An earlier process of this VM may have sent orders until this one started.
-        self.used_until_ms.get_or_insert(now_ms);
+        self.last_use.lease_read(now_ms);
         let Some((row, version)) = row else {
             if is_first {
                 self.changed_ms = now_ms;
@@ -115,8 +112,10 @@
     }
 
     /// Records the store's era, before the first row of that era.
-    pub fn observe_era(&mut self, era: u64) {
-        self.store_era = self.store_era.max(era);
+    ///
+    /// Its times are on the clock of [`Self::tick`].
+    pub fn observe_era(&mut self, era: StoreEra) {
+        self.era.merge(era);
     }
 
     /// Records that the store has returned from an older copy.
@@ -157,11 +156,7 @@
             .is_some_and(|ticked_ms| now_ms.saturating_sub(ticked_ms) > TICK_INTERVAL_MAX_MS);
         self.ticked_ms = Some(now_ms);
         self.needs_confirmation |= paused;
-        let is_usable = self.epoch(now_ms).is_some();
-        if is_usable || self.was_usable {
-            self.used_until_ms = Some(now_ms);
-        }
-        self.was_usable = is_usable;
+        self.last_use.tick(now_ms, self.epoch(now_ms).is_some());
         let is_write_pending = self
             .write_sent_ms
             .is_some_and(|sent_ms| now_ms < sent_ms + self.renewal_ms());
@@ -297,9 +292,7 @@
             .known
             .as_ref()
             .is_some_and(|(row, _)| row.holder != self.vm);
-        let is_recent = self
-            .used_until_ms
-            .is_some_and(|used_until_ms| now_ms < used_until_ms + self.take_over_ms());
+        let is_recent = self.last_use.is_within(now_ms, self.take_over_ms());
         is_from_other && is_recent && !self.is_claim_kept(now_ms)
     }
 
@@ -309,6 +302,8 @@
         let is_own_vm = row.is_some_and(|row| self.is_from_earlier_process(row));
         let is_free = match self.claim {
             ClaimAfterRestore::Kept { .. } | ClaimAfterRestore::Suspended => false,
+            // A holder whose row the copy lacks may still send orders.
+            ClaimAfterRestore::Normal if !self.are_lost_leases_over(now_ms) => false,
             // Without a row, a holder whose row was lost may still send orders.
             ClaimAfterRestore::Normal => {
                 row.map_or(self.highest_epoch == 0, |row| row.released || is_own_vm)
@@ -325,6 +320,12 @@
         self.take_over_ms() + delay_ms
     }
 
+    /// Returns whether each lease that was written before the store's last return from an older copy has
+    /// expired.
+    fn are_lost_leases_over(&self, now_ms: u64) -> bool {
+        self.era.had_lasted(now_ms, self.take_over_ms())
+    }
+
     /// Returns the time after which a lease that is not renewed has expired for all, in milliseconds.
     fn take_over_ms(&self) -> u64 {
         self.lease_ms + TAKE_OVER_MARGIN_MS
@@ -355,10 +356,10 @@
     /// Once the store has returned from an older copy, nobody may remember the highest epoch. Each
     /// version is replaced once in an era, so epochs above it have not been used.
     fn least_epoch(&self, expected_version: u64) -> u64 {
-        if self.store_era == 0 {
+        if self.era.number() == 0 {
             return FIRST_EPOCH;
         }
-        self.store_era * EPOCHS_PER_ERA + expected_version + 1
+        self.era.number() * EPOCHS_PER_ERA + expected_version + 1
     }
 
     fn claim_after_restore(&self, now_ms: u64) -> ClaimAfterRestore {
--- a/crates/chicorystage-core/src/lib.rs
+++ b/crates/chicorystage-core/src/lib.rs
@@ -37,6 +37,7 @@
 //! * [`retry`]: retry budgets and backoff.
 //! * [`sequence`]: in-order delivery of an attempt's frames.
 //! * [`slots`]: the placement slots that a VM holds.
+//! * [`store_era`]: for how long the store has been in its era.
 //! * [`stream_origins`]: the software version that began a stream.
 //! * [`suspects`]: detection and quarantine of requests that crash endpoints.
 //! * [`teams`]: teams that share a deployment, and their keys.
@@ -77,6 +78,7 @@
 pub mod retry;
 pub mod sequence;
 pub mod slots;
+pub mod store_era;
 pub mod stream_origins;
 pub mod suspects;
 pub mod teams;
--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -2,7 +2,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base64::Engine as _;
 use base64::prelude::BASE64_STANDARD;
@@ -47,6 +47,8 @@
     history: RefCell<Vec<Change>>,
     history_from: Cell<u64>,
     era: Cell<u64>,
+    /// Zero of the store's clock.
+    started: Started,
     calls: Cell<u64>,
     version: watch::Sender<u64>,
     /// Number of reads of a whole table, by table.
@@ -58,6 +60,16 @@
     feed_faults: FeedFaults,
 }
 
+/// Time at which the store was started.
+#[derive(Debug)]
+struct Started(Instant);
+
+impl Default for Started {
+    fn default() -> Self {
+        Self(Instant::now())
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Change {
     version: u64,
@@ -123,6 +135,12 @@
             .insert(table.to_owned(), count);
     }
 
+    /// Returns the store's steady clock, in milliseconds.
+    #[must_use]
+    pub fn clock_ms(&self) -> u64 {
+        self.state.clock_ms()
+    }
+
     /// Returns a copy of all rows.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -173,6 +191,11 @@
 }
 
 impl State {
+    fn clock_ms(&self) -> u64 {
+        let elapsed = self.started.0.elapsed();
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
         let version = *self.version.borrow() + 1;
         let row_key = (table.to_owned(), key.to_owned());
@@ -207,7 +230,7 @@
                 row(table, key, Some(value.as_slice()), *version)
             })
             .collect();
-        json!({"rows": rows, "has_more": false, "ver": *self.version.borrow(), "now_ms": 0})
+        json!({"rows": rows, "has_more": false, "ver": *self.version.borrow(), "now_ms": self.clock_ms()})
     }
 
     /// Waits up to `wait_ms` for changes after a version.
@@ -231,7 +254,7 @@
         };
         let rows = tokio::time::timeout(Duration::from_millis(wait_ms), changed).await;
         let rows = rows.unwrap_or(Some(Vec::new()))?;
-        Some(json!({"rows": rows, "ver": *self.version.borrow(), "now_ms": 0}))
+        Some(json!({"rows": rows, "ver": *self.version.borrow(), "now_ms": self.clock_ms()}))
     }
 
     fn changes(&self, table: &str, after: u64) -> Vec<Value> {
@@ -298,7 +321,10 @@
             self.write(&table, &key, Some(value));
         }
         let version = *self.version.borrow();
-        full_response(200, json!({"ver": version, "now_ms": 0}).to_string())
+        full_response(
+            200,
+            json!({"ver": version, "now_ms": self.clock_ms()}).to_string(),
+        )
     }
 }
 
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -21,6 +21,7 @@
 use self::own_table::apply_own;
 pub(crate) use self::own_table::{GATEWAY_KEY, GatewayRow, LEASE_KEY};
 use self::table_feed::{FeedAnswer, TableFeed};
+use crate::gateway::era_row;
 use crate::gateway::shared::Gateway;
 use crate::gateway::view::shared_period_ms;
 
@@ -67,17 +68,18 @@
         match answer {
             Ok(FeedAnswer::Changed(changes)) => {
                 apply(gateway, table, &changes, false);
-                confirm(gateway, &feed);
+                confirm(gateway, &feed, changes.clock_ms);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::Whole(rows)) => {
                 apply(gateway, table, &rows, true);
-                confirm(gateway, &feed);
+                confirm(gateway, &feed, rows.clock_ms);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::Restored(rows)) => {
+                let clock_ms = rows.clock_ms;
                 apply_restored(gateway, table, rows);
-                confirm(gateway, &feed);
+                confirm(gateway, &feed, clock_ms);
                 pause(gateway, table).await;
             }
             Ok(FeedAnswer::HistoryLost) => {
@@ -90,10 +92,14 @@
     }
 }
 
-/// Records that the configuration in force is the newest, if `feed` follows it.
-fn confirm(gateway: &Gateway, feed: &TableFeed) {
-    if feed.table() == TableName::Operator {
-        gateway.confirm_configuration(feed.answered_began_boot_ms());
+/// Records how recent what was applied is, as that of the last answer of `feed`.
+fn confirm(gateway: &Rc<Gateway>, feed: &TableFeed, clock_ms: Option<u64>) {
+    let began_boot_ms = feed.answered_began_boot_ms();
+    match feed.table() {
+        TableName::Operator => gateway.confirm_configuration(began_boot_ms),
+        TableName::Endpoints => gateway.registry_read_boot_ms.set(began_boot_ms),
+        TableName::Own => era_row::update(gateway, clock_ms, began_boot_ms),
+        TableName::Streams => {}
     }
 }
 
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -8,6 +8,7 @@
 use chicorystage_platform::store::{Changes, Row};
 use serde::{Deserialize, Serialize};
 
+use crate::gateway::era_row::{self, ERA_KEY};
 use crate::gateway::peers;
 use crate::gateway::quarantine_rows::{self, QUARANTINE_KEY};
 use crate::gateway::shared::Gateway;
@@ -30,12 +31,13 @@
 
 /// Applies rows of the system's own table.
 pub(super) fn apply_own(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
-    gateway.lease(|lease| lease.observe_era(changes.position.era));
     let mut has_lease = false;
     for row in &changes.rows {
         if row.key == LEASE_KEY {
             has_lease = true;
             gateway.observe_lease(row);
+        } else if row.key == ERA_KEY && !is_whole {
+            era_row::apply(gateway, row, changes.clock_ms);
         } else if let Some(vm) = row.key.strip_prefix(GATEWAY_KEY) {
             apply_gateway(gateway, vm, row);
         } else if let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) {
@@ -47,6 +49,7 @@
         }
     }
     if is_whole {
+        era_row::apply_whole(gateway, changes);
         software_rows::apply_all(gateway, &changes.rows);
     }
     if is_whole && !has_lease {
@@ -59,8 +62,6 @@
 ///
 /// What this gateway wrote after the copy was taken is lost, so it registers again.
 pub(super) fn apply_restored(gateway: &Rc<Gateway>, rows: &Changes) {
-    gateway.observe_restore(rows.position.era);
-    gateway.own_row_version.set(0);
     apply_own(gateway, rows, true);
     peers::register_again(gateway);
 }
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -157,6 +157,11 @@
         let Some(era) = answer.position().map(|position| position.era) else {
             return answer;
         };
+        if era < self.gateway.era().number() {
+            // Sent before the store's return, which another call has seen.
+            self.known = None;
+            return FeedAnswer::HistoryLost;
+        }
         let previous = self.era.replace(era);
         self.gateway.observe_era(era);
         let FeedAnswer::Whole(rows) = answer else {
--- a/crates/chicorystaged/src/gateway/lease_writes.rs
+++ b/crates/chicorystaged/src/gateway/lease_writes.rs
@@ -44,7 +44,7 @@
             "conflict",
         ),
         WriteOutcome::OtherEra(era) => {
-            gateway.observe_restore(era);
+            gateway.observe_era(era);
             (StoreReply::Refused, "other era")
         }
         WriteOutcome::Refused => (StoreReply::Refused, "refused"),
@@ -91,18 +91,6 @@
         self.lease(|lease| lease.apply_row(boot_ms(), None));
     }
 
-    /// Records that the store has returned from an older copy and is in this era now.
-    ///
-    /// Every table is read again.
-    pub fn observe_restore(&self, era: u64) {
-        self.observe_era(era);
-        self.lease(|lease| {
-            lease.observe_era(era);
-            lease.store_restored(boot_ms());
-        });
-        self.store_regained.notify_waiters();
-    }
-
     /// Records an epoch seen in a message or reply; returns whether no higher one is known.
     pub fn observe_epoch(&self, epoch: u64) -> bool {
         self.lease(|lease| {
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -14,14 +14,16 @@
 use chicorystage_core::retry::{
     BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
 };
+use chicorystage_core::store_era::StoreEra;
 use chicorystage_core::teams::{ConfirmedView, KeyHasher};
-use chicorystage_platform::store::{StoreClient, StorePosition};
+use chicorystage_platform::store::StoreClient;
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, watch};
 
 use crate::gateway::body_budget::BodyBudget;
 use crate::gateway::caller_connections::CallerConnections;
 use crate::gateway::crash_checks::CrashChecks;
+use crate::gateway::era_row::EraRow;
 use crate::gateway::part_trials::PartTrials;
 use crate::gateway::pool::Pool;
 use crate::gateway::retry_decision::RetryDecision;
@@ -91,8 +93,12 @@
     pub(super) confirmed: Cell<ConfirmedView>,
     /// Last known version of this gateway's own row in the store; 0 where there is none.
     pub own_row_version: Cell<u64>,
-    /// Newest era of the store that was seen; 0 before the first or if the store states none.
-    pub store_era: Cell<u64>,
+    /// Newest era of the store that was seen, on the VM's boot clock; `None` before the first answer.
+    pub store_era: Cell<Option<StoreEra>>,
+    /// Row that states since when the store has been in its era.
+    pub(super) era_row: EraRow,
+    /// Start of the last answered read of the endpoints' table, on the VM's boot clock, in milliseconds.
+    pub(super) registry_read_boot_ms: Cell<u64>,
     /// Start of an earlier gateway process on this VM, on the VM's boot clock, in milliseconds;
     /// `None` if no row of one was seen.
     pub previous_incarnation: Cell<Option<u64>>,
@@ -153,7 +159,9 @@
             key_hasher: KeyHasher::new(rand::random()),
             confirmed: Cell::default(),
             own_row_version: Cell::new(0),
-            store_era: Cell::new(0),
+            store_era: Cell::new(None),
+            era_row: EraRow::default(),
+            registry_read_boot_ms: Cell::new(0),
             previous_incarnation: Cell::new(None),
             predecessor: Cell::new(None),
             store: StoreClient::new(settings.store, settings.store_timeout_ms),
@@ -235,21 +243,6 @@
         })
     }
 
-    /// Records an era of the store that was seen in an answer.
-    pub fn observe_era(&self, era: u64) {
-        self.store_era.set(self.store_era.get().max(era));
-        self.metrics.set_store_era(self.store_era.get());
-    }
-
-    /// Returns the position of a version in the newest known era of the store.
-    #[must_use]
-    pub fn position(&self, version: u64) -> StorePosition {
-        StorePosition {
-            era: self.store_era.get(),
-            version,
-        }
-    }
-
     /// Calls `decide` with exclusive access to the lease.
     pub fn lease<T>(&self, decide: impl FnOnce(&mut OrderLease) -> T) -> T {
         decide(&mut self.lease.borrow_mut())
--- a/crates/chicorystaged/src/gateway/software_rows.rs
+++ b/crates/chicorystaged/src/gateway/software_rows.rs
@@ -68,6 +68,13 @@
     }
 }
 
+impl SoftwareRows {
+    /// Records that the store has returned from an older copy, which makes versions of rows meaningless.
+    pub(super) fn store_restored(&self) {
+        self.versions.borrow_mut().clear();
+    }
+}
+
 /// Starts the task that has new versions recorded.
 pub fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
@@ -141,7 +148,7 @@
 /// Applies rows that were read, except for those that the feed has overtaken since.
 fn apply_newer(gateway: &Gateway, rows: &Changes) {
     // Versions of rows are only comparable within an era.
-    let is_same_era = rows.position.era == gateway.store_era.get();
+    let is_same_era = rows.position.era == gateway.era().number();
     gateway.observe_era(rows.position.era);
     for row in &rows.rows {
         let Some(service) = row.key.strip_prefix(SOFTWARE_KEY) else {
--- a/crates/chicorystaged/src/gateway/stream_rows.rs
+++ b/crates/chicorystaged/src/gateway/stream_rows.rs
@@ -39,6 +39,13 @@
     has_several_versions: Cell<bool>,
 }
 
+impl StreamRows {
+    /// Records that the store has returned from an older copy, which makes versions of rows meaningless.
+    pub(super) fn store_restored(&self) {
+        self.own_version.set(None);
+    }
+}
+
 /// Starts the task that writes the own row.
 pub fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
