--- a/crates/chicorystage-core/src/registry/absence_tracker.rs
+++ b/crates/chicorystage-core/src/registry/absence_tracker.rs
@@ -3,6 +3,7 @@
 use chicorystage_api::name::EndpointId;
 
 use crate::registry::{Absence, Contact};
+use crate::store_era::StoreEra;
 
 /// Number of heartbeat intervals without a heartbeat after which an entry expires.
 const EXPIRY_HEARTBEATS: u64 = 3;
@@ -119,6 +120,21 @@
     }
 }
 
+/// Returns whether a read of the registry that began at `read_ms` shows each endpoint that was live then.
+///
+/// A store that has returned from an older copy lacks those that have registered since the copy was taken,
+/// until they register again.
+#[must_use]
+pub fn shows_live_endpoints(era: &StoreEra, read_ms: u64) -> bool {
+    era.had_lasted(read_ms, REREGISTRATION_MS)
+}
+
+/// Returns for how long no read of the registry shows each live endpoint yet, in milliseconds.
+#[must_use]
+pub fn reregistration_left_ms(era: &StoreEra, now_ms: u64) -> u64 {
+    era.left_ms(now_ms, REREGISTRATION_MS)
+}
+
 /// Returns the time after which the entry of a dead endpoint has expired, in milliseconds.
 #[must_use]
 pub const fn expiry_ms(heartbeat_ms: u64) -> u64 {
--- a/crates/chicorystage-core/src/registry/mod.rs
+++ b/crates/chicorystage-core/src/registry/mod.rs
@@ -13,7 +13,8 @@
 //!
 //! A store that returns from an older copy is a third reason: the entry was written after the copy
 //! was taken, and will be written again. Such a copy may also bring back an endpoint that has left
-//! since, which [`Departures`] prevents.
+//! since, which [`Departures`] prevents. A process that starts after the return has not seen it, so
+//! [`shows_live_endpoints`] tells from the age of the store's era what a read is worth.
 
 mod absence;
 mod absence_tracker;
@@ -21,6 +22,8 @@
 mod departures;
 
 pub use absence::Absence;
-pub use absence_tracker::{AbsenceTracker, expiry_ms, outage_min_ms};
+pub use absence_tracker::{
+    AbsenceTracker, expiry_ms, outage_min_ms, reregistration_left_ms, shows_live_endpoints,
+};
 pub use contact::Contact;
 pub use departures::Departures;
--- a/crates/chicorystage-core/src/store_era.rs
+++ b/crates/chicorystage-core/src/store_era.rs
@@ -57,7 +57,13 @@
     /// True of a store that has never returned from an older copy.
     #[must_use]
     pub fn had_lasted(&self, at_ms: u64, duration_ms: u64) -> bool {
+        self.left_ms(at_ms, duration_ms) == 0
+    }
+
+    /// Returns how long after a time the era will have lasted for a duration, in milliseconds.
+    #[must_use]
+    pub fn left_ms(&self, at_ms: u64, duration_ms: u64) -> u64 {
         self.age_ms(at_ms)
-            .is_none_or(|age_ms| age_ms >= duration_ms)
+            .map_or(0, |age_ms| duration_ms.saturating_sub(age_ms))
     }
 }
--- a/crates/chicorystage-core/tests/software_schedules.rs
+++ b/crates/chicorystage-core/tests/software_schedules.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeSet, HashMap};
 
 use chicorystage_api::name::{ServiceName, SoftwareVersion};
+use chicorystage_core::registry::{reregistration_left_ms, shows_live_endpoints};
+use chicorystage_core::store_era::StoreEra;
 use chicorystage_core::stream_origins::{
     LINGER_MS, ResumeTarget, STREAM_LIFE_MS, SoftwareHistory, SoftwareSpan,
 };
@@ -11,12 +13,14 @@
 
 const GATEWAYS: usize = 2;
 const VERSIONS: usize = 2;
+/// Largest age of a copy from which the store returns, in milliseconds.
+const COPY_AGE_MAX_MS: u64 = 10_000;
 
 fn config() -> ProptestConfig {
     ProptestConfig {
         rng_seed: RngSeed::Fixed(54),
         failure_persistence: None,
-        ..ProptestConfig::with_cases(1_500)
+        ..ProptestConfig::with_cases(200_000)
     }
 }
 
@@ -39,6 +43,9 @@
     TakeUp(usize),
     /// All gateways are killed and start again with what the store has.
     KillAll,
+    /// The store returns from the copy of some steps before. A version that the copy lacks serves on
+    /// until it is in the row again.
+    Restore(usize),
     /// Time passes, in milliseconds.
     Wait(u64),
 }
@@ -54,7 +61,9 @@
         (gateway(), 0..VERSIONS).prop_map(|(gateway, version)| Step::Begin(gateway, version)),
         gateway().prop_map(Step::TakeUp),
         Just(Step::KillAll),
+        (1..20_usize).prop_map(Step::Restore),
         (1..STREAM_LIFE_MS / 2).prop_map(Step::Wait),
+        (1..1_500_u64).prop_map(Step::Wait),
     ]
 }
 
@@ -73,13 +82,29 @@
     history: SoftwareHistory,
     /// Version of the row as last seen.
     row_version: u64,
+    era: StoreEra,
+    /// Time of the last read of the registry, in milliseconds.
+    registry_read_ms: u64,
+}
+
+/// What a copy of the store has.
+#[derive(Clone, Debug, Default)]
+struct Tables {
+    registered: BTreeSet<SoftwareVersion>,
+    row: Vec<SoftwareSpan>,
 }
 
 #[derive(Debug, Default)]
 struct World {
     now_ms: u64,
-    registered: BTreeSet<SoftwareVersion>,
-    row: Vec<SoftwareSpan>,
+    /// Versions of the live endpoints, which register again after a return of the store.
+    live: BTreeSet<SoftwareVersion>,
+    /// Versions that a copy lacked and that are not in the row again yet.
+    lost: BTreeSet<SoftwareVersion>,
+    tables: Tables,
+    /// Tables before each step, with the time.
+    copies: Vec<(u64, Tables)>,
+    era: StoreEra,
     row_version: u64,
     gateways: Vec<Gateway>,
     /// Streams with the version and the time at which they began.
@@ -97,8 +122,46 @@
 
     fn see_row(&mut self, number: usize) {
         let gateway = &mut self.gateways[number];
-        gateway.history.replace(service(), self.row.clone());
+        gateway.history.replace(service(), self.tables.row.clone());
         gateway.row_version = self.row_version;
+        gateway.era.observe(self.era.number(), self.now_ms);
+    }
+
+    fn see_registry(&mut self, number: usize) {
+        let gateway = &mut self.gateways[number];
+        gateway.registered.clone_from(&self.tables.registered);
+        gateway.registry_read_ms = self.now_ms;
+        gateway.era.observe(self.era.number(), self.now_ms);
+    }
+
+    /// Returns to a copy of some steps before; versions of rows go on, as those of two eras are never
+    /// compared.
+    fn restore(&mut self, steps: usize) {
+        let i = self.copies.len().saturating_sub(steps);
+        let recent = self.copies[i..]
+            .iter()
+            .find(|(at_ms, _)| self.now_ms <= at_ms + COPY_AGE_MAX_MS);
+        let Some((_, tables)) = recent.cloned() else {
+            return;
+        };
+        let lost = self.tables.row.iter().filter(|span| {
+            let mut kept = tables.row.iter();
+            kept.all(|kept| kept.version != span.version)
+        });
+        self.lost.extend(lost.map(|span| span.version.clone()));
+        self.tables = tables;
+        self.row_version += 1;
+        self.era.observe(self.era.number() + 1, self.now_ms);
+    }
+
+    /// Has live endpoints register again once the time for it is over, and the entries of others expire.
+    fn reregister(&mut self) {
+        if reregistration_left_ms(&self.era, self.now_ms) == 0 {
+            let row = &self.tables.row;
+            self.lost
+                .retain(|version| !row.iter().any(|span| span.version == *version));
+            self.tables.registered = self.live.union(&self.lost).cloned().collect();
+        }
     }
 
     /// Writes the row if the gateway has seen its latest version; else it sees that.
@@ -107,7 +170,7 @@
             return;
         };
         if self.gateways[number].row_version == self.row_version {
-            self.row = spans;
+            self.tables.row = spans;
             self.row_version += 1;
         }
         self.see_row(number);
@@ -115,12 +178,11 @@
 
     /// Plays a step; returns the versions of streams that would be joined with others.
     fn play(&mut self, step: Step) -> Vec<SoftwareVersion> {
+        self.copies.push((self.now_ms, self.tables.clone()));
         match step {
-            Step::Register(versions) => self.registered = versions.into_iter().map(name).collect(),
-            Step::SeeRegistry(number) => {
-                let seen = &mut self.gateways[number].registered;
-                seen.clone_from(&self.registered);
-            }
+            Step::Register(versions) => self.live = versions.into_iter().map(name).collect(),
+            Step::SeeRegistry(number) => self.see_registry(number),
+            Step::Restore(steps) => self.restore(steps),
             Step::SeeRow(number) => self.see_row(number),
             Step::Extend(number) => {
                 let Gateway {
@@ -145,6 +207,7 @@
             Step::KillAll => self.gateways = vec![Gateway::default(); GATEWAYS],
             Step::Wait(time_ms) => self.now_ms += time_ms,
         }
+        self.reregister();
         Vec::new()
     }
 
@@ -153,7 +216,7 @@
         let gateway = &self.gateways[number];
         let is_recorded = gateway.history.recorded(&service()).contains(&version);
         // The gateway's view may be older; the endpoint itself ends some time after its entry.
-        let serves = self.row.iter().any(|span| {
+        let serves = self.tables.row.iter().any(|span| {
             let is_there = |gone_ms| self.now_ms < gone_ms + LINGER_MS;
             span.version == version && span.gone_unix_ms.is_none_or(is_there)
         });
@@ -167,6 +230,9 @@
     fn joined_by(&mut self, number: usize) -> Vec<SoftwareVersion> {
         self.see_row(number);
         let gateway = &self.gateways[number];
+        if !shows_live_endpoints(&gateway.era, gateway.registry_read_ms) {
+            return Vec::new();
+        }
         let target = gateway
             .history
             .resume_target(self.now_ms, &service(), &gateway.registered);
@@ -219,3 +285,36 @@
     }
     assert_eq!(world.begun.len(), 1);
 }
+
+// A gateway that starts after the return sees one era, and neither a row nor an entry of the version that
+// began the stream (review/7).
+#[test]
+fn stream_of_a_version_that_the_copy_lacks_is_not_joined_by_a_gateway_that_starts() {
+    let mut world = World::new();
+    let steps = [
+        Step::Register([0].into()),
+        Step::SeeRegistry(0),
+        Step::Extend(0),
+        Step::Register([0, 1].into()),
+        Step::SeeRegistry(0),
+        Step::Extend(0),
+        Step::Begin(0, 1),
+        Step::Wait(1_000),
+        Step::Restore(6),
+        Step::KillAll,
+        Step::SeeRegistry(1),
+        Step::TakeUp(1),
+        Step::Wait(1_000),
+        Step::SeeRegistry(1),
+        Step::TakeUp(1),
+        Step::Wait(1_500),
+        Step::TakeUp(1),
+        Step::SeeRegistry(1),
+        Step::TakeUp(1),
+    ];
+    for step in steps {
+        assert!(world.play(step.clone()).is_empty(), "{step:?}");
+    }
+    assert_eq!(world.begun.len(), 1);
+    assert!(world.gateways[1].registered.contains(&name(1)));
+}
--- a/crates/chicorystage-testbed/tests/gateway_software_versions.rs
+++ b/crates/chicorystage-testbed/tests/gateway_software_versions.rs
@@ -10,7 +10,7 @@
 };
 use chicorystaged::gateway::shared::Gateway;
 use googletest::prelude::*;
-use http::{Method, StatusCode};
+use http::{HeaderValue, Method, StatusCode};
 use serde_json::{Value, json};
 
 const MODEL: (&str, &str) = ("model", "m0");
@@ -229,3 +229,56 @@
         verify_that!(send("/plain/x").await.or_fail()?.status, eq(StatusCode::OK))
     })
 }
+
+/// Returns a world in which `old` serves at `v1`, whose store returns from a copy before a gateway starts.
+async fn world_of_a_copy(old: &EndpointEmulator) -> Result<PlatformFixture> {
+    let world = PlatformFixture::start().await.or_fail()?;
+    world.declare(1);
+    register(&world, old, "llm", "v1");
+    let spans = json!([{"version": "v1", "gone_unix_ms": null}]).to_string();
+    let table = "chicorystage";
+    world.store.put(table, "software/llm", spans.as_bytes());
+    world.store.restore(world.store.copy());
+    Ok(world)
+}
+
+// Row and registry lack a version that came after the copy was taken, and a gateway that starts does not
+// learn of the store's return (review/7).
+#[gtest]
+fn unknown_stream_does_not_go_on_by_a_copy_that_lacks_a_version() -> Result<()> {
+    run_local(async {
+        let (old, new) = (endpoint("e1").await?, endpoint("e2").await?);
+        let world = world_of_a_copy(&old).await?;
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        let reply = send_request(&gateway, Method::POST, "/long/x", &TAKEN_UP, "{}");
+        let reply = reply.await.or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        let back_s = reply.headers.get("retry-after").map(HeaderValue::to_str);
+        let back_s: f64 = back_s.or_fail()?.or_fail()?.parse().or_fail()?;
+        register(&world, &new, "llm", "v2");
+        tokio::time::sleep(Duration::from_secs_f64(back_s)).await;
+        let status = take_up(&gateway, "/long/x").await?;
+        verify_that!(status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(old.received_requests().len(), eq(0))?;
+        verify_that!(new.received_requests().len(), eq(0))
+    })
+}
+
+// The time to come back is that within which live endpoints register again, about two seconds.
+#[gtest]
+fn unknown_stream_goes_on_when_its_caller_comes_back_after_a_copy_that_lacks_no_version()
+-> Result<()> {
+    run_local(async {
+        let old = endpoint("e1").await?;
+        let world = world_of_a_copy(&old).await?;
+        let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+        let reply = send_request(&gateway, Method::POST, "/long/x", &TAKEN_UP, "{}");
+        let reply = reply.await.or_fail()?;
+        verify_that!(reply.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        let back_s = reply.headers.get("retry-after").map(HeaderValue::to_str);
+        let back_s: f64 = back_s.or_fail()?.or_fail()?.parse().or_fail()?;
+        verify_that!(back_s, lt(3.0))?;
+        tokio::time::sleep(Duration::from_secs_f64(back_s)).await;
+        verify_that!(take_up(&gateway, "/long/x").await?, eq(StatusCode::OK))
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use chicorystage_borders::BorderErrorKind;
+use chicorystage_core::registry::reregistration_left_ms;
 use chicorystage_platform::store::{Changes, TableName};
 
 use self::configuration::apply_configuration;
@@ -24,6 +25,7 @@
 use crate::gateway::era_row;
 use crate::gateway::shared::Gateway;
 use crate::gateway::view::shared_period_ms;
+use crate::timer::boot_ms;
 
 /// Pause after a failed call to the store, in milliseconds.
 const FAILURE_PAUSE_MS: u64 = 150;
@@ -126,6 +128,11 @@
             let (gateways, has_absent) =
                 gateway.with(|view| (view.gateways(), view.absences.has_absent()));
             let pause_ms = endpoints_pause_ms(gateways, has_holder_updates && !has_absent);
+            let pause_ms = if gateway.knows_live_endpoints() {
+                pause_ms
+            } else {
+                pause_ms.min(reregistration_left_ms(&gateway.era(), boot_ms()))
+            };
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
         TableName::Own => {
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -11,7 +11,7 @@
 
 use chicorystage_borders::BorderError;
 use chicorystage_borders::http::TransferProgress;
-use chicorystage_core::registry::{expiry_ms, outage_min_ms};
+use chicorystage_core::registry::{expiry_ms, outage_min_ms, reregistration_left_ms};
 use chicorystage_platform::store::{Changes, StoreClient, StorePosition, TableName};
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
@@ -259,7 +259,13 @@
     /// Returns for how long the store should delay the reply to a poll, in milliseconds.
     ///
     /// Keys of teams are accepted only while the configuration is confirmed, which each reply does.
+    ///
+    /// The registry is read at once when each live endpoint is back in it after the store's return.
     fn wait_ms(&self) -> u64 {
+        if self.table == TableName::Endpoints && !self.gateway.knows_live_endpoints() {
+            let left_ms = reregistration_left_ms(&self.gateway.era(), boot_ms());
+            return left_ms.min(self.poll_wait_ms);
+        }
         let confirms = self.table == TableName::Operator && self.gateway.needs_confirmation();
         let revoke_max_ms = self.gateway.settings.revoke_max_ms.filter(|_| confirms);
         revoke_max_ms.map_or(self.poll_wait_ms, |revoke_max_ms| {
--- a/crates/chicorystaged/src/gateway/origin_evidence.rs
+++ b/crates/chicorystaged/src/gateway/origin_evidence.rs
@@ -11,6 +11,10 @@
     /// The versions that served lately, read from the store after the request arrived.
     #[display("versions in the store")]
     Versions,
+    /// No gateway knows the stream, and the store has returned from an older copy so lately that it may lack
+    /// versions.
+    #[display("store has returned lately")]
+    StoreRestored,
     /// No gateway knows the stream and the store cannot be read.
     #[display("store cannot be read")]
     StoreAway,
--- a/crates/chicorystaged/src/gateway/serving/origin.rs
+++ b/crates/chicorystaged/src/gateway/serving/origin.rs
@@ -1,6 +1,7 @@
 //! Where a stream that a caller takes up again may go on.
 
 use chicorystage_core::fleet::Requirements;
+use chicorystage_core::registry::reregistration_left_ms;
 use chicorystage_core::stream_origins::ResumeTarget;
 use http::{Response, StatusCode};
 
@@ -10,6 +11,11 @@
 use crate::gateway::serving::Serving;
 use crate::gateway::stream_origins;
 use crate::metrics::RequestOutcome;
+use crate::timer::boot_ms;
+
+/// Time within which a gateway reads the registry once all live endpoints are back in it, in
+/// milliseconds.
+const REGISTRY_READ_MS: u64 = 200;
 
 impl Serving {
     /// Requires the software version that began the stream, if the caller takes one up again.
@@ -45,7 +51,8 @@
             self.gateway
                 .metrics
                 .count_request(&self.work.route.name, RequestOutcome::Refused);
-            return Err(Box::new(stream_refusal(evidence)));
+            let restored_left_ms = reregistration_left_ms(&self.gateway.era(), boot_ms());
+            return Err(Box::new(stream_refusal(evidence, restored_left_ms)));
         }
         if let ResumeTarget::Version(software) = target {
             requirements.software = Some(software);
@@ -56,11 +63,12 @@
 
 /// Returns the refusal of a stream that cannot go on.
 ///
-/// It states a time to come back only if the store could not be read: otherwise no other gateway and no
-/// later time would do.
-fn stream_refusal(evidence: OriginEvidence) -> Response<AnswerBody> {
+/// It states a time to come back only if the store could not be read, or may lack live endpoints for
+/// `restored_left_ms`: otherwise no other gateway and no later time would do.
+fn stream_refusal(evidence: OriginEvidence, restored_left_ms: u64) -> Response<AnswerBody> {
     let reason = "no endpoint can go on with this stream";
     match evidence {
+        OriginEvidence::StoreRestored => refusal(reason, restored_left_ms + REGISTRY_READ_MS),
         OriginEvidence::StoreAway => refusal(reason, RETRY_AFTER_DEFAULT_MS),
         OriginEvidence::Stream | OriginEvidence::Versions => {
             text_response(StatusCode::SERVICE_UNAVAILABLE, reason)
--- a/crates/chicorystaged/src/gateway/software_rows.rs
+++ b/crates/chicorystaged/src/gateway/software_rows.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use chicorystage_api::name::{ServiceName, SoftwareVersion};
-use chicorystage_borders::BorderError;
 use chicorystage_borders::http::TransferProgress;
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use chicorystage_core::stream_origins::SoftwareSpan;
 use chicorystage_platform::store::{Changes, Row, TableName, WriteOutcome};
 use rand::RngExt;
@@ -140,6 +140,11 @@
     let rows = rows.inspect_err(|error| {
         log::warn!(event = "software_unread", error:%; "software versions of services cannot be read");
     })?;
+    let (era, known_era) = (rows.position.era, gateway.era().number());
+    if era < known_era {
+        let detail = format!("software versions of services: era {era} after {known_era}");
+        return Err(BorderError::new(BorderErrorKind::Unknown, detail));
+    }
     apply_newer(gateway, &rows);
     *read_ms = Some(started_ms);
     Ok(())
--- a/crates/chicorystaged/src/gateway/store_era.rs
+++ b/crates/chicorystaged/src/gateway/store_era.rs
@@ -5,6 +5,7 @@
 //! sees only one era. So each conclusion that needs a recent row asks the [era](StoreEra) for how long it
 //! has lasted.
 
+use chicorystage_core::registry::shows_live_endpoints;
 use chicorystage_core::store_era::StoreEra;
 use chicorystage_platform::store::StorePosition;
 
@@ -43,6 +44,14 @@
         }
     }
 
+    /// Returns whether the endpoints that this gateway knows include each live one.
+    ///
+    /// They may not for a moment after the store has returned from an older copy.
+    #[must_use]
+    pub(super) fn knows_live_endpoints(&self) -> bool {
+        shows_live_endpoints(&self.era(), self.registry_read_boot_ms.get())
+    }
+
     /// Returns the position of a version in the newest known era of the store.
     #[must_use]
     pub fn position(&self, version: u64) -> StorePosition {
--- a/crates/chicorystaged/src/gateway/stream_origins.rs
+++ b/crates/chicorystaged/src/gateway/stream_origins.rs
@@ -4,7 +4,9 @@
 //! stream. A gateway that does not know a stream asks those, so that a stream survives the end of the
 //! gateway that began it, and reads the rows that gateways write ([`stream_rows`]), so that it survives
 //! the end of all. A stream that is found nowhere goes on only if a single version can have begun it by
-//! what the store tells then ([`software_rows`]).
+//! what the store tells then ([`software_rows`]). A store that has returned from an older copy may lack a
+//! version, in its rows and its registry, until the endpoints have registered again; so such a stream
+//! waits for that.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,10 +87,12 @@
         return (ResumeTarget::Version(software), OriginEvidence::Stream);
     }
     let is_read = software_rows::read(gateway, since_ms).await.is_ok();
-    let (target, evidence) = if is_read {
+    let (target, evidence) = if !is_read {
+        (ResumeTarget::Unknown, OriginEvidence::StoreAway)
+    } else if gateway.knows_live_endpoints() {
         (by_versions(gateway, service), OriginEvidence::Versions)
     } else {
-        (ResumeTarget::Unknown, OriginEvidence::StoreAway)
+        (ResumeTarget::Unknown, OriginEvidence::StoreRestored)
     };
     let (ResumeTarget::Unknown, Some(stream)) = (&target, stream) else {
         return (target, evidence);
