--- a/crates/chicorystage-core/src/teams/confirmed_view.rs
+++ b/crates/chicorystage-core/src/teams/confirmed_view.rs
@@ -1,3 +1,8 @@
+use crate::store_era::StoreEra;
+
+/// Time within which the operator writes the configuration again after the store has returned from an
+/// older copy, in milliseconds.
+const REWRITE_MS: u64 = 3_000;
 /// Part of the largest age beyond which new connections had better go elsewhere, in percent.
 const AGING_PERCENT: u64 = 80;
 
@@ -13,16 +18,31 @@
 }
 
 impl ConfirmedView {
-    /// Records that a read which began at `began_ms` was answered, and what it brought is in force.
+    /// Records that a read which began at `began_ms`, in this era of the store, was answered, and what it
+    /// brought is in force.
     ///
-    /// The store may have answered at any moment from then on.
-    pub fn confirm(&mut self, began_ms: u64) {
+    /// The store may have answered at any moment from then on. A read of a store that has returned from an
+    /// older copy lately confirms nothing: a withdrawal since the copy was taken may be missing.
+    pub fn confirm(&mut self, began_ms: u64, era: &StoreEra) {
+        if !era.had_lasted(began_ms, REWRITE_MS) {
+            return;
+        }
         self.confirmed_ms = Some(
             self.confirmed_ms
                 .map_or(began_ms, |known| known.max(began_ms)),
         );
     }
 
+    /// Returns for how long no read can confirm the configuration yet, in milliseconds; `None` if it was
+    /// confirmed in this era of the store.
+    #[must_use]
+    pub fn unconfirmed_left_ms(&self, now_ms: u64, era: &StoreEra) -> Option<u64> {
+        let is_confirmed = self
+            .confirmed_ms
+            .is_some_and(|confirmed_ms| era.had_lasted(confirmed_ms, REWRITE_MS));
+        (!is_confirmed).then(|| era.left_ms(now_ms, REWRITE_MS))
+    }
+
     /// Returns for how long the configuration may have been out of date, in milliseconds; `None` if it
     /// was never confirmed.
     #[must_use]
--- a/crates/chicorystage-testbed/tests/gateway_teams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_teams.rs
@@ -163,6 +163,34 @@
     })
 }
 
+// The copy is older than the withdrawal, and a gateway that starts does not learn of the store's return
+// (review/10).
+#[gtest]
+fn a_gateway_that_starts_on_a_copy_accepts_no_key_before_the_operator_has_written_again()
+-> Result<()> {
+    run_local(async {
+        let fixture = PlatformFixture::start().await.or_fail()?;
+        declare(&fixture, 1, &json!([team("red", &["key-red", "key-red2"])]));
+        let app = endpoint("copy-app").await.or_fail()?;
+        fixture.register(&app, "app");
+        fixture.store.restore(fixture.store.copy());
+        let gateway = fixture.start_gateway("copy").await.or_fail()?;
+        wait_until("the copy is in force", || gateway.configuration().is_some()).await;
+        let red2 = [("authorization", "Bearer key-red2")];
+        let early = ask(&gateway, "/pay/x", &red2).await?;
+        verify_that!(early.status, eq(StatusCode::SERVICE_UNAVAILABLE))?;
+        verify_that!(gateway.is_ready(), eq(false))?;
+        let open = ask(&gateway, "/open/x", &[]).await?;
+        verify_that!(open.status, eq(StatusCode::OK))?;
+        declare(&fixture, 2, &json!([team("red", &["key-red"])]));
+        wait_until("the gateway is ready", || gateway.is_ready()).await;
+        let late = ask(&gateway, "/pay/x", &red2).await?;
+        verify_that!(late.status, eq(StatusCode::UNAUTHORIZED))?;
+        let red = ask(&gateway, "/pay/x", &[("authorization", "Bearer key-red")]).await?;
+        verify_that!(red.status, eq(StatusCode::OK))
+    })
+}
+
 #[gtest]
 fn a_team_beyond_its_quota_is_refused_with_a_time_to_come_back_and_others_are_not() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -260,7 +260,8 @@
     ///
     /// Keys of teams are accepted only while the configuration is confirmed, which each reply does.
     ///
-    /// The registry is read at once when each live endpoint is back in it after the store's return.
+    /// After the store's return, the registry is read as soon as each live endpoint is back in it, and the
+    /// configuration as soon as the operator has written it again.
     fn wait_ms(&self) -> u64 {
         if self.table == TableName::Endpoints && !self.gateway.knows_live_endpoints() {
             let left_ms = reregistration_left_ms(&self.gateway.era(), boot_ms());
@@ -268,9 +269,12 @@
         }
         let confirms = self.table == TableName::Operator && self.gateway.needs_confirmation();
         let revoke_max_ms = self.gateway.settings.revoke_max_ms.filter(|_| confirms);
-        revoke_max_ms.map_or(self.poll_wait_ms, |revoke_max_ms| {
-            self.poll_wait_ms.min(revoke_max_ms / CONFIRMATIONS)
-        })
+        let Some(revoke_max_ms) = revoke_max_ms else {
+            return self.poll_wait_ms;
+        };
+        let interval_ms = self.poll_wait_ms.min(revoke_max_ms / CONFIRMATIONS);
+        let left_ms = self.gateway.unconfirmed_left_ms();
+        left_ms.map_or(interval_ms, |left_ms| interval_ms.min(left_ms))
     }
 
     /// Waits until another call may be answered sooner than those in flight.
--- a/crates/chicorystaged/src/gateway/teams.rs
+++ b/crates/chicorystaged/src/gateway/teams.rs
@@ -209,11 +209,18 @@
 }
 
 impl Gateway {
+    /// Returns for how long no read can confirm the configuration yet, in milliseconds; `None` if it was
+    /// confirmed in this era of the store.
+    pub(super) fn unconfirmed_left_ms(&self) -> Option<u64> {
+        let confirmed = self.confirmed.get();
+        confirmed.unconfirmed_left_ms(boot_ms(), &self.era())
+    }
+
     /// Records that a read of the operator's table, begun at `began_boot_ms` on the boot clock, was
     /// answered and applied.
     pub(super) fn confirm_configuration(&self, began_boot_ms: u64) {
         let mut confirmed = self.confirmed.get();
-        confirmed.confirm(began_boot_ms);
+        confirmed.confirm(began_boot_ms, &self.era());
         self.confirmed.set(confirmed);
     }
 
