Retry budget: a process that starts in a young era counts its predecessor as recent

A process has no part of the allowance in its first window if its VM's last process had started within a window. It learns that from its own row, which a store that has returned from an older copy may lack, or show as of an older process; so three processes of one VM could each spend a part in one window.

Change: where the era had not lasted for a window when the process started, its predecessor counts as recent. A copy that lacks other gateways, so that the own part is too large, is covered by it too.

Evidence: the new test fails without the check. Era 0 is as before.

--- a/crates/chicorystage-core/tests/shared_budget/rules.rs
+++ b/crates/chicorystage-core/tests/shared_budget/rules.rs
@@ -2,6 +2,7 @@
 
 use chicorystage_api::name::ServiceName;
 use chicorystage_core::retry::{Predecessor, RetryBudgetSettings, ServiceRetryBudgets};
+use chicorystage_core::store_era::StoreEra;
 use googletest::prelude::*;
 
 use crate::world::{RATIO, WINDOW_MS, breach, new_budget, one_of, take_and_settle};
@@ -89,9 +90,26 @@
 
 #[test]
 fn predecessor_from_before_a_reboot_counts_as_recent() {
-    let of = |previous_ms| Predecessor::of(previous_ms, 50_000, WINDOW_MS);
+    let era = StoreEra::default();
+    let of = |previous_ms| Predecessor::of(previous_ms, 50_000, WINDOW_MS, &era);
     assert_that!(of(Some(90_000)), eq(Predecessor::Recent));
     assert_that!(of(Some(40_001)), eq(Predecessor::Recent));
     assert_that!(of(Some(40_000)), eq(Predecessor::Settled));
     assert_that!(of(None), eq(Predecessor::Absent));
 }
+
+// The row of the last process is missing from the copy, which may show none or one before it.
+#[test]
+fn predecessor_counts_as_recent_where_the_store_has_returned_lately() {
+    let mut era = StoreEra::default();
+    era.observe(1, 45_000);
+    let of = |started_ms| {
+        [None, Some(10_000)]
+            .map(|previous_ms| Predecessor::of(previous_ms, started_ms, WINDOW_MS, &era))
+    };
+    assert_that!(of(50_000), eq([Predecessor::Recent; 2]));
+    assert_that!(
+        of(45_000 + WINDOW_MS),
+        eq([Predecessor::Absent, Predecessor::Settled])
+    );
+}
--- a/crates/chicorystage-core/tests/shared_budget/world.rs
+++ b/crates/chicorystage-core/tests/shared_budget/world.rs
@@ -1,6 +1,7 @@
 //! Processes of routers that share a budget, and the bound on their retries.
 
 use chicorystage_core::retry::{BudgetShare, Predecessor, RetryBudgetSettings, SharedRetryBudget};
+use chicorystage_core::store_era::StoreEra;
 
 pub const RATIO: f64 = 0.2;
 pub const ALLOWANCE: f64 = 54.0;
@@ -54,7 +55,12 @@
         *self = Self {
             budget: new_budget(now_ms),
             started_ms: now_ms,
-            predecessor: Predecessor::of(Some(self.started_ms), now_ms, WINDOW_MS),
+            predecessor: Predecessor::of(
+                Some(self.started_ms),
+                now_ms,
+                WINDOW_MS,
+                &StoreEra::default(),
+            ),
         };
     }
 }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -83,7 +83,7 @@
     pub(crate) fn observe_registration(&self) {
         let previous_ms = self.previous_incarnation.get();
         let window_ms = self.settings.retry_window_ms;
-        let predecessor = Predecessor::of(previous_ms, self.incarnation, window_ms);
+        let predecessor = Predecessor::of(previous_ms, self.incarnation, window_ms, &self.era());
         self.predecessor.set(Some(predecessor));
         log::info!(event = "registered", predecessor:? = predecessor; "gateway registered");
     }
