Quarantines: rows that a restored copy lacks are stored again

A quarantine's row was written once, by the gateway that decided it; the copy lacks it, and nobody wrote it again.

Change: on the first whole read of a new era, each gateway stores the quarantines that it knows and the copy lacks, spread over 0.3 s for each 8 gateways; the row's version lets one of them write. The system's own table is polled without its long pause until live endpoints have registered again.

Evidence: the new test times out without the change. Not covered: the end of a quarantine that the copy lacks; a gateway that starts then refuses its requests until a trial or an operator ends it anew.

--- a/crates/chicorystage-testbed/tests/gateway_quarantine.rs
+++ b/crates/chicorystage-testbed/tests/gateway_quarantine.rs
@@ -236,6 +236,28 @@
     })
 }
 
+// A gateway that starts after the store's return knows a quarantine by its row only.
+#[gtest]
+fn quarantine_that_a_copy_lacks_is_stored_again() -> Result<()> {
+    run_local(async {
+        let world = World::start().await?;
+        let gateways = world.start_gateways().await?;
+        let store = &world.platform.store;
+        let copy = store.copy();
+        crash_three_endpoints(&gateways, "{poison}").await?;
+        let key = quarantine_key(&gateways[0]).or_fail()?;
+        let is_stored = || store.get("chicorystage", &key).is_some();
+        wait_until("the quarantine is stored", is_stored).await;
+        store.restore(copy);
+        verify_that!(is_stored(), eq(false))?;
+        wait_until("the quarantine is stored again", is_stored).await;
+        let started = world.platform.start_ready_gateway("g3").await.or_fail()?;
+        let status = send(&started, "/pay/poison", "{poison}").await?;
+        verify_that!(status, eq(StatusCode::INTERNAL_SERVER_ERROR))?;
+        verify_that!(world.healthy.received_requests(), is_empty())
+    })
+}
+
 #[gtest]
 fn quarantine_whose_row_an_operator_removes_is_lifted_at_every_gateway() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/src/gateway/follow/mod.rs
+++ b/crates/chicorystaged/src/gateway/follow/mod.rs
@@ -138,7 +138,8 @@
         TableName::Own => {
             for _ in 0..OWN_PAUSE_MAX_MS / OWN_CHECK_INTERVAL_MS {
                 tokio::time::sleep(Duration::from_millis(OWN_CHECK_INTERVAL_MS)).await;
-                if !gateway.has_recent_holder() {
+                // After a return of the store, others write again what it lacks.
+                if !gateway.has_recent_holder() || !gateway.knows_live_endpoints() {
                     return;
                 }
             }
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -63,6 +63,7 @@
 /// What this gateway wrote after the copy was taken is lost, so it registers again.
 pub(super) fn apply_restored(gateway: &Rc<Gateway>, rows: &Changes) {
     apply_own(gateway, rows, true);
+    quarantine_rows::store_missing(gateway, rows);
     peers::register_again(gateway);
 }
 
--- a/crates/chicorystaged/src/gateway/quarantine_rows.rs
+++ b/crates/chicorystaged/src/gateway/quarantine_rows.rs
@@ -2,7 +2,8 @@
 //!
 //! Gateways tell each other of a quarantine by datagram, which may be lost, and one that starts
 //! later was not told at all. A row reaches every gateway that follows the table. An operator lifts
-//! a quarantine by removing its row.
+//! a quarantine by removing its row. After the store has returned from an older copy, the gateways that
+//! know a quarantine store it again.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,10 +11,12 @@
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
-use chicorystage_platform::store::{Row, WriteOutcome};
+use chicorystage_platform::store::{Changes, Row, WriteOutcome};
+use rand::RngExt;
 
 use crate::gateway::poison;
 use crate::gateway::shared::Gateway;
+use crate::gateway::view::shared_period_ms;
 use crate::timer::unix_ms;
 
 /// Prefix of the keys of quarantines; the digest follows.
@@ -22,6 +25,9 @@
 const STORED_MAX: usize = 1_000;
 /// Pause before the next try after the store failed, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 500;
+/// Longest time over which gateways spread writes after a return of the store, in milliseconds, for a few
+/// gateways.
+const RESTORE_SPREAD_MS: u64 = 300;
 /// Largest number of tries to write a row; together they outlast an outage of a minute.
 const WRITES_MAX: u32 = 120;
 
@@ -59,6 +65,30 @@
     log::warn!(event = "quarantine_not_stored", digest, tries = WRITES_MAX; "store did not answer");
 }
 
+/// Stores the known quarantines again that the rows of a store which has returned from an older copy lack.
+///
+/// Each gateway that knows them does so after a random time, so that the calls of all come at a bounded
+/// rate.
+pub(super) fn store_missing(gateway: &Rc<Gateway>, rows: &Changes) {
+    let missing: Vec<QuarantineEntry> = gateway.with(|view| {
+        let is_stored = |entry: &QuarantineEntry| {
+            let mut keys = rows.rows.iter();
+            keys.any(|row| row.key.strip_prefix(QUARANTINE_KEY) == Some(entry.digest.as_str()))
+        };
+        let known = view.suspects.quarantined();
+        known.filter(|entry| !is_stored(entry)).cloned().collect()
+    });
+    let longest_ms = shared_period_ms(RESTORE_SPREAD_MS, gateway.with(|view| view.gateways()));
+    for entry in missing {
+        let gateway = Rc::clone(gateway);
+        let delay_ms = rand::rng().random_range(0..=longest_ms);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            store(&gateway, &entry).await;
+        });
+    }
+}
+
 /// Returns whether the decision that a row keeps is older than another one on the same digest.
 fn is_older(row: &Row, entry: &QuarantineEntry) -> bool {
     let value = row.value.as_deref().unwrap_or_default();
