Streams: software versions that a restored copy lacks are remembered and stored again

What callers could get: a stream that goes on at another software version (rule ORDER). The first whole read of a new era replaced what a running gateway knew of versions by what the copy has. A version that was recorded after the copy was taken and has left since was forgotten, and a stream that it began, whose own gateways were gone, had a single version to go on at. `decisions/0038` listed this as not covered.

Change: what the store had in earlier eras counts until the store has it again, and the lease holder writes it again. Which versions may begin streams still follows from the store alone.

Evidence: the new test fails without the change (`Version(v1)` for `Unknown`, nothing to store). The schedules of software versions play it too. It stays open where all gateways are killed as well.

--- a/crates/chicorystage-core/src/stream_origins/software_history.rs
+++ b/crates/chicorystage-core/src/stream_origins/software_history.rs
@@ -12,14 +12,30 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareHistory {
     services: HashMap<ServiceName, Vec<SoftwareSpan>>,
+    /// What the store had in its earlier eras and does not have again yet.
+    lost: HashMap<ServiceName, Vec<SoftwareSpan>>,
 }
 
 impl SoftwareHistory {
     /// Replaces the history of a service by what the store has.
     pub fn replace(&mut self, service: ServiceName, spans: Vec<SoftwareSpan>) {
+        if let Some(lost) = self.lost.get_mut(&service) {
+            lost.retain(|known| !spans.iter().any(|span| span.version == known.version));
+        }
         self.services.insert(service, spans);
     }
 
+    /// Records that the store has returned from an older copy, which may lack versions.
+    ///
+    /// What it had counts on until it has that again, but for [`Self::recorded`].
+    pub fn store_restored(&mut self) {
+        for (service, spans) in &self.services {
+            let lost = self.lost.entry(service.clone()).or_default();
+            lost.retain(|known| !spans.iter().any(|span| span.version == known.version));
+            lost.extend(spans.iter().cloned());
+        }
+    }
+
     /// Forgets the histories of all services but these, as the store has none of the others.
     pub fn retain(&mut self, services: &[ServiceName]) {
         self.services
@@ -35,8 +51,10 @@
         service: &ServiceName,
         registered: &BTreeSet<SoftwareVersion>,
     ) -> Option<Vec<SoftwareSpan>> {
-        let known = self.services.get(service).map_or(&[][..], Vec::as_slice);
-        let mut spans: Vec<SoftwareSpan> = known.to_vec();
+        let known = self.stored(service);
+        let mut spans = known.to_vec();
+        let lost = self.lost(service).filter(|span| is_kept(now_unix_ms, span));
+        spans.extend(lost.cloned());
         for span in &mut spans {
             span.gone_unix_ms = if registered.contains(&span.version) {
                 None
@@ -56,17 +74,14 @@
             return None;
         }
         // Old versions leave the history with the next change of it.
-        spans.retain(|span| {
-            span.gone_unix_ms
-                .is_none_or(|gone_unix_ms| now_unix_ms < gone_unix_ms + KEPT_MS)
-        });
+        spans.retain(|span| is_kept(now_unix_ms, span));
         Some(spans)
     }
 
     /// Returns the versions of a service that the store lists as serving.
     #[must_use]
     pub fn recorded(&self, service: &ServiceName) -> BTreeSet<SoftwareVersion> {
-        let spans = self.services.get(service).into_iter().flatten();
+        let spans = self.stored(service).iter();
         spans
             .filter(|span| span.gone_unix_ms.is_none())
             .map(|span| span.version.clone())
@@ -104,7 +119,7 @@
         registered: &BTreeSet<SoftwareVersion>,
     ) -> ResumeTarget {
         let mut versions = registered.clone();
-        let spans = self.services.get(service).into_iter().flatten();
+        let spans = self.stored(service).iter().chain(self.lost(service));
         let recent = spans.filter(|span| {
             span.gone_unix_ms
                 .is_none_or(|gone_unix_ms| now_unix_ms < gone_unix_ms + LINGER_MS + STREAM_LIFE_MS)
@@ -117,4 +132,24 @@
             Some(_) => ResumeTarget::Unknown,
         }
     }
+
+    /// Returns what the store has of a service.
+    fn stored(&self, service: &ServiceName) -> &[SoftwareSpan] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns what the store had of a service in earlier eras and lacks now.
+    fn lost(&self, service: &ServiceName) -> impl Iterator<Item = &SoftwareSpan> {
+        let stored = self.stored(service);
+        let lost = self.lost.get(service).map_or(&[][..], Vec::as_slice);
+        let is_stored =
+            |version: &SoftwareVersion| stored.iter().any(|span| span.version == *version);
+        lost.iter().filter(move |span| !is_stored(&span.version))
+    }
+}
+
+/// Returns whether a version is in use or has left not long ago.
+fn is_kept(now_unix_ms: u64, span: &SoftwareSpan) -> bool {
+    span.gone_unix_ms
+        .is_none_or(|gone_unix_ms| now_unix_ms < gone_unix_ms + KEPT_MS)
 }
--- a/crates/chicorystage-core/tests/software_schedules.rs
+++ b/crates/chicorystage-core/tests/software_schedules.rs
@@ -121,17 +121,24 @@
     }
 
     fn see_row(&mut self, number: usize) {
+        self.see_era(number);
         let gateway = &mut self.gateways[number];
         gateway.history.replace(service(), self.tables.row.clone());
         gateway.row_version = self.row_version;
-        gateway.era.observe(self.era.number(), self.now_ms);
     }
 
     fn see_registry(&mut self, number: usize) {
+        self.see_era(number);
         let gateway = &mut self.gateways[number];
         gateway.registered.clone_from(&self.tables.registered);
         gateway.registry_read_ms = self.now_ms;
-        gateway.era.observe(self.era.number(), self.now_ms);
+    }
+
+    fn see_era(&mut self, number: usize) {
+        let gateway = &mut self.gateways[number];
+        if gateway.era.observe(self.era.number(), self.now_ms) {
+            gateway.history.store_restored();
+        }
     }
 
     /// Returns to a copy of some steps before; versions of rows go on, as those of two eras are never
--- a/crates/chicorystage-core/tests/stream_origins.rs
+++ b/crates/chicorystage-core/tests/stream_origins.rs
@@ -4,7 +4,8 @@
 
 use chicorystage_api::name::{ServiceName, SoftwareVersion, StreamId};
 use chicorystage_core::stream_origins::{
-    BegunStreams, LINGER_MS, LiveStream, LiveStreams, ResumeTarget, STREAM_LIFE_MS, SoftwareHistory,
+    BegunStreams, LINGER_MS, LiveStream, LiveStreams, ResumeTarget, STREAM_LIFE_MS,
+    SoftwareHistory, SoftwareSpan,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -156,3 +157,40 @@
         }
     }
 }
+
+fn span(number: usize, gone_unix_ms: Option<u64>) -> SoftwareSpan {
+    SoftwareSpan {
+        version: version(number),
+        gone_unix_ms,
+    }
+}
+
+// A version that came after the copy was taken and has left since began streams that callers still hold.
+#[gtest]
+fn version_that_a_restored_copy_lacks_is_remembered_and_stored_again() {
+    let mut history = SoftwareHistory::default();
+    history.replace(service(), vec![span(1, None), span(2, None)]);
+    history.store_restored();
+    history.replace(service(), vec![span(1, None)]);
+    let target = history.resume_target(NOW_UNIX_MS, &service(), &registered(&[1]));
+    expect_that!(target, eq(&ResumeTarget::Unknown));
+    // No stream begins at a version that is not in the store.
+    expect_that!(history.recorded(&service()), eq(&registered(&[1])));
+    let stored = vec![span(1, None), span(2, Some(NOW_UNIX_MS))];
+    let changed = history.changed(NOW_UNIX_MS, &service(), &registered(&[1]));
+    expect_that!(changed, some(eq(&stored)));
+    history.replace(service(), stored);
+    let changed = history.changed(NOW_UNIX_MS, &service(), &registered(&[1]));
+    expect_that!(changed, none());
+}
+
+#[gtest]
+fn version_that_left_long_before_a_copy_was_restored_is_not_stored_again() {
+    let mut history = SoftwareHistory::default();
+    let gone_unix_ms = NOW_UNIX_MS - 15 * STREAM_LIFE_MS;
+    history.replace(service(), vec![span(1, Some(gone_unix_ms))]);
+    history.store_restored();
+    history.replace(service(), Vec::new());
+    let changed = history.changed(NOW_UNIX_MS, &service(), &registered(&[]));
+    expect_that!(changed, none());
+}
--- a/crates/chicorystaged/src/gateway/store_era.rs
+++ b/crates/chicorystaged/src/gateway/store_era.rs
@@ -61,10 +61,11 @@
         }
     }
 
-    /// Forgets the versions of rows of the last era, which may be those of other rows now, and has the
-    /// tables read again.
+    /// Forgets the versions of rows of the last era, which may be those of other rows now, keeps what the
+    /// store may lack, and has the tables read again.
     fn forget_versions(&self) {
         self.lease(|lease| lease.store_restored(boot_ms()));
+        self.with(|view| view.software.store_restored());
         self.own_row_version.set(0);
         self.software_rows.store_restored();
         self.stream_rows.store_restored();
