Store era: its age in metrics and the lease's log; an answer of an older era is a failed call

A call that was sent before the store's return may be answered after another one has shown the new era. It was taken as lost history, which is followed by the next call without a pause; a store that stopped to state its era would have been read in a loop. It is a failed call now, with its log line and pause.

The age tells whether rows could be taken for the present: gauge `store_era_age_ms`, and `era_age_ms` in the line of an acquired or failed lease write.

--- a/crates/chicorystaged/src/gateway/follow/table_feed.rs
+++ b/crates/chicorystaged/src/gateway/follow/table_feed.rs
@@ -9,8 +9,8 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use chicorystage_borders::BorderError;
 use chicorystage_borders::http::TransferProgress;
+use chicorystage_borders::{BorderError, BorderErrorKind};
 use chicorystage_core::registry::{expiry_ms, outage_min_ms, reregistration_left_ms};
 use chicorystage_platform::store::{Changes, StoreClient, StorePosition, TableName};
 use futures_util::StreamExt;
@@ -139,7 +139,8 @@
         if self.reread_ms.take_if(|due_ms| now_ms >= *due_ms).is_some() {
             self.known = None;
         }
-        match self.first_answer().await {
+        let answer = self.first_answer().await;
+        match answer.and_then(|answer| self.check_era(answer)) {
             Ok(answer) => {
                 self.known = answer.position();
                 self.record_answer();
@@ -152,16 +153,25 @@
         }
     }
 
+    /// Rejects an answer of an older era than another call has seen: it was sent before the store's return.
+    fn check_era(&mut self, answer: FeedAnswer) -> Result<FeedAnswer, BorderError> {
+        let known_era = self.gateway.era().number();
+        let era = answer.position().map(|position| position.era);
+        match era {
+            Some(era) if era < known_era => {
+                self.known = None;
+                let detail = format!("answer of era {era} after one of era {known_era}");
+                Err(BorderError::new(BorderErrorKind::Unknown, detail))
+            }
+            _ => Ok(answer),
+        }
+    }
+
     /// Marks the rows of a new era as restored.
     fn mark_restored(&mut self, answer: FeedAnswer) -> FeedAnswer {
         let Some(era) = answer.position().map(|position| position.era) else {
             return answer;
         };
-        if era < self.gateway.era().number() {
-            // Sent before the store's return, which another call has seen.
-            self.known = None;
-            return FeedAnswer::HistoryLost;
-        }
         let previous = self.era.replace(era);
         self.gateway.observe_era(era);
         let FeedAnswer::Whole(rows) = answer else {
--- a/crates/chicorystaged/src/gateway/granting.rs
+++ b/crates/chicorystaged/src/gateway/granting.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::gateway::shared::Gateway;
+use crate::timer::boot_ms;
 
 /// Interval between two passes over the wait queue without a notification, in milliseconds.
 const GRANT_PERIOD_MS: u64 = 50;
@@ -39,6 +40,8 @@
         gateway.metrics.set_divided_endpoints(divided);
         let body_bytes = gateway.body_budget.used_bytes();
         gateway.metrics.set_body_bytes(body_bytes);
+        let era_age_ms = gateway.era().age_ms(boot_ms());
+        gateway.metrics.set_store_era_age_ms(era_age_ms);
         let age_ms = gateway.configuration_age_ms();
         gateway.metrics.teams.set_configuration_age_ms(age_ms);
     }
--- a/crates/chicorystaged/src/gateway/lease_writes.rs
+++ b/crates/chicorystaged/src/gateway/lease_writes.rs
@@ -55,7 +55,7 @@
     if is_first || name != "ok" {
         log::info!(
             event = "lease", epoch = action.row.epoch, renewals = action.row.renewals,
-            released = action.row.released, outcome = name;
+            released = action.row.released, era_age_ms:? = gateway.era().age_ms(sent_ms), outcome = name;
             "lease written"
         );
     }
--- a/crates/chicorystaged/src/gateway/serving/origin.rs
+++ b/crates/chicorystaged/src/gateway/serving/origin.rs
@@ -68,7 +68,10 @@
 fn stream_refusal(evidence: OriginEvidence, restored_left_ms: u64) -> Response<AnswerBody> {
     let reason = "no endpoint can go on with this stream";
     match evidence {
-        OriginEvidence::StoreRestored => refusal(reason, restored_left_ms + REGISTRY_READ_MS),
+        OriginEvidence::StoreRestored => {
+            let back_ms = restored_left_ms + REGISTRY_READ_MS;
+            refusal(reason, back_ms.max(RETRY_AFTER_DEFAULT_MS))
+        }
         OriginEvidence::StoreAway => refusal(reason, RETRY_AFTER_DEFAULT_MS),
         OriginEvidence::Stream | OriginEvidence::Versions => {
             text_response(StatusCode::SERVICE_UNAVAILABLE, reason)
--- a/crates/chicorystaged/src/metrics/gateway_metrics.rs
+++ b/crates/chicorystaged/src/metrics/gateway_metrics.rs
@@ -45,6 +45,7 @@
     quarantines: Family<EventLabels, Counter>,
     limit_tokens: Family<EventLabels, Counter>,
     store_era: Gauge,
+    store_era_age_ms: Gauge,
     store_restores: Counter,
     waiting: Gauge,
     in_progress: Gauge,
@@ -80,6 +81,7 @@
             quarantines: Family::default(),
             limit_tokens: Family::default(),
             store_era: Gauge::default(),
+            store_era_age_ms: Gauge::default(),
             store_restores: Counter::default(),
             waiting: Gauge::default(),
             in_progress: Gauge::default(),
@@ -189,6 +191,12 @@
         self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
     }
 
+    /// Sets the gauge of the least age of the store's era; `None` if the store has never returned.
+    pub fn set_store_era_age_ms(&self, age_ms: Option<u64>) {
+        let age_ms = age_ms.and_then(|age_ms| i64::try_from(age_ms).ok());
+        self.store_era_age_ms.set(age_ms.unwrap_or(-1));
+    }
+
     /// Counts a table that was read whole because the store has returned from an older copy.
     pub fn count_store_restore(&self) {
         self.store_restores.inc();
@@ -295,6 +303,12 @@
             "Newest era of the store that was seen",
             self.store_era.clone(),
         );
+        registry.register(
+            "store_era_age_ms",
+            "Least time for which the store has been in its era, in milliseconds; -1 if it has never \
+             returned from an older copy",
+            self.store_era_age_ms.clone(),
+        );
         registry.register(
             "store_restores",
             "Tables read whole since the store has returned from an older copy",
