Retry budget: what is known of the predecessor follows the age of the era, which may become known later

A gateway registers as soon as it starts, before it has read the age of the store's era. It then counted its predecessor as recent for a whole window, after each start in a store that had ever returned from a copy, and had no retry allowance for 10 s. It is computed when it is asked for now.

--- a/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
+++ b/crates/chicorystage-testbed/src/users_platform/store_emulator.rs
@@ -49,6 +49,7 @@
     era: Cell<u64>,
     /// Zero of the store's clock.
     started: Started,
+    clock_advance_ms: Cell<u64>,
     calls: Cell<u64>,
     version: watch::Sender<u64>,
     /// Number of reads of a whole table, by table.
@@ -141,6 +142,12 @@
         self.state.clock_ms()
     }
 
+    /// Advances the store's steady clock.
+    pub fn advance_clock(&self, time_ms: u64) {
+        let advance_ms = &self.state.clock_advance_ms;
+        advance_ms.set(advance_ms.get() + time_ms);
+    }
+
     /// Returns a copy of all rows.
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
@@ -193,7 +200,8 @@
 impl State {
     fn clock_ms(&self) -> u64 {
         let elapsed = self.started.0.elapsed();
-        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+        let elapsed_ms = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        elapsed_ms + self.clock_advance_ms.get()
     }
 
     fn write(&self, table: &str, key: &str, value: Option<Vec<u8>>) -> u64 {
--- a/crates/chicorystage-testbed/tests/gateway_starts_after_restore.rs
+++ b/crates/chicorystage-testbed/tests/gateway_starts_after_restore.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use chicorystage_core::retry::Predecessor;
 use chicorystage_testbed::users_platform::{PlatformFixture, run_local, wait_until};
 use chicorystaged::gateway::shared::Gateway;
 use chicorystaged::timer::boot_ms;
@@ -13,6 +14,8 @@
 
 /// Duration of the lease on orders in the fixture's settings, in milliseconds.
 const LEASE_MS: u64 = 3_000;
+/// Window of the retry budget in the fixture's settings, in milliseconds.
+const RETRY_WINDOW_MS: u64 = 10_000;
 /// Longest wait of a poll for changes at the fixture's heartbeat, in milliseconds.
 const POLL_WAIT_MAX_MS: u64 = 2_300;
 
@@ -116,3 +119,30 @@
         Ok(())
     })
 }
+
+// The row of the VM's last process may be missing, which may have spent retries within this window.
+#[gtest]
+fn predecessor_is_known_only_where_the_era_is_older_than_a_window_of_the_retry_budget() -> Result<()>
+{
+    run_local(async {
+        for (age_ms, expected) in [
+            (0, Predecessor::Recent),
+            (RETRY_WINDOW_MS + 1_000, Predecessor::Settled),
+        ] {
+            let world = restored_world().await?;
+            let own_row = json!({"address": "127.0.0.1:9", "incarnation": 1}).to_string();
+            let table = "chicorystage";
+            world.store.put(table, "gateway/g1", own_row.as_bytes());
+            world.store.advance_clock(age_ms);
+            put_era(&world, &json!({"era": 1, "begun_by_ms": 0}));
+            let gateway = world.start_ready_gateway("g1").await.or_fail()?;
+            wait_until("the gateway is registered", || gateway.is_registered.get()).await;
+            wait_until("the own table is read", || {
+                gateway.with(|view| view.has_peers)
+            })
+            .await;
+            verify_that!(gateway.predecessor(), eq(expected))?;
+        }
+        Ok(())
+    })
+}
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -82,11 +82,18 @@
 
     /// Records that this gateway's own row is written.
     pub(crate) fn observe_registration(&self) {
+        self.is_registered.set(true);
+        log::info!(event = "registered", predecessor:? = self.predecessor(); "gateway registered");
+    }
+
+    /// Returns what is known of the earlier process on this VM.
+    ///
+    /// The age of the store's era, which decides how much its row tells, may become known later.
+    #[must_use]
+    pub fn predecessor(&self) -> Predecessor {
         let previous_ms = self.previous_incarnation.get();
         let window_ms = self.settings.retry_window_ms;
-        let predecessor = Predecessor::of(previous_ms, self.incarnation, window_ms, &self.era());
-        self.predecessor.set(Some(predecessor));
-        log::info!(event = "registered", predecessor:? = predecessor; "gateway registered");
+        Predecessor::of(previous_ms, self.incarnation, window_ms, &self.era())
     }
 }
 
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -11,9 +11,7 @@
 use chicorystage_core::lease::{OrderLease, acquisition_delay_ms};
 use chicorystage_core::orders::{OrderTracker, OrderTrackerSettings};
 use chicorystage_core::request_limit::LimitAllocator;
-use chicorystage_core::retry::{
-    BudgetShare, Predecessor, RetryBudgetSettings, ServiceRetryBudgets,
-};
+use chicorystage_core::retry::{BudgetShare, RetryBudgetSettings, ServiceRetryBudgets};
 use chicorystage_core::store_era::StoreEra;
 use chicorystage_core::teams::{ConfirmedView, KeyHasher};
 use chicorystage_platform::store::StoreClient;
@@ -102,8 +100,8 @@
     /// Start of an earlier gateway process on this VM, on the VM's boot clock, in milliseconds;
     /// `None` if no row of one was seen.
     pub previous_incarnation: Cell<Option<u64>>,
-    /// Earlier gateway process on this VM; `None` until this process is registered.
-    pub predecessor: Cell<Option<Predecessor>>,
+    /// Whether this gateway's own row is written, so that the others count it.
+    pub is_registered: Cell<bool>,
     /// Client of the store for calls that do not wait for changes.
     pub store: StoreClient,
     /// State of engines and of the orders sent to them, used while this gateway holds the lease.
@@ -163,7 +161,7 @@
             era_row: EraRow::default(),
             registry_read_boot_ms: Cell::new(0),
             previous_incarnation: Cell::new(None),
-            predecessor: Cell::new(None),
+            is_registered: Cell::new(false),
             store: StoreClient::new(settings.store, settings.store_timeout_ms),
             engine_tracker: RefCell::new(engine_tracker),
             lease: RefCell::new(lease),
@@ -232,10 +230,10 @@
         &self,
         decide: impl FnOnce(&mut ServiceRetryBudgets, Option<BudgetShare>) -> T,
     ) -> T {
-        let predecessor = self.predecessor.get();
+        let predecessor = self.predecessor();
+        let is_registered = self.is_registered.get();
         self.with(|view| {
-            let predecessor = predecessor.filter(|_| view.has_peers);
-            let share = predecessor.map(|predecessor| BudgetShare {
+            let share = (is_registered && view.has_peers).then(|| BudgetShare {
                 routers: view.gateways(),
                 predecessor,
             });
