Keys: a gateway that starts in an old era accepts keys at once

A gateway reads its configuration before it knows the age of the store's era, so that the first read confirmed nothing and the gateway was not ready until its next poll, a second later: after each start in a store that had ever returned from a copy. Another read follows the age now. The new test fails without that.

--- a/crates/chicorystage-testbed/tests/gateway_teams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_teams.rs
@@ -191,6 +191,23 @@
     })
 }
 
+// The age of the era may be read after the configuration, whose next poll would take a second.
+#[gtest]
+fn a_gateway_that_starts_in_an_old_era_accepts_keys_at_once() -> Result<()> {
+    run_local(async {
+        let fixture = PlatformFixture::start().await.or_fail()?;
+        declare(&fixture, 1, &json!([team("red", &["key-red"])]));
+        fixture.store.restore(fixture.store.copy());
+        fixture.store.advance_clock(60_000);
+        let era = json!({"era": 1, "begun_by_ms": 0}).to_string();
+        let table = "chicorystage";
+        fixture.store.put(table, "store-era", era.as_bytes());
+        let gateway = fixture.start_gateway("old-era").await.or_fail()?;
+        sleep(Duration::from_millis(400)).await;
+        verify_that!(gateway.is_ready(), eq(true))
+    })
+}
+
 #[gtest]
 fn a_team_beyond_its_quota_is_refused_with_a_time_to_come_back_and_others_are_not() -> Result<()> {
     run_local(async {
--- a/crates/chicorystaged/src/gateway/era_row.rs
+++ b/crates/chicorystaged/src/gateway/era_row.rs
@@ -67,6 +67,10 @@
     let age_ms = clock_ms.saturating_sub(value.begun_by_ms);
     gateway.observe_era_at(value.era, boot_ms().saturating_sub(age_ms));
     log::info!(event = "store_era_age", era = value.era, age_ms; "age of the era is in the store");
+    if gateway.unconfirmed_left_ms() == Some(0) {
+        // The configuration was read before the era's age, and another read may confirm it.
+        gateway.newer_configuration.notify_one();
+    }
 }
 
 fn forget(gateway: &Gateway) {
