Schedules of the lease: the age of the era is stored, copied and lost as in the store

Ten returns within 40 s, and gateways that start waited for the lease after each, although the store had been in its era for long: the schedule had no row that tells them. It has now, so that it also checks that the row proves no more than it should. The bounds are as they were.

--- a/crates/chicorystage-core/tests/order_lease_restore.rs
+++ b/crates/chicorystage-core/tests/order_lease_restore.rs
@@ -110,33 +110,42 @@
 /// A store with the lease row that can return to what it was.
 #[derive(Debug, Default)]
 struct Store {
+    tables: Tables,
+    era: u64,
+    /// Tables at each tick.
+    past: Vec<Tables>,
+}
+
+/// What a copy of the store has.
+#[derive(Clone, Debug, Default)]
+struct Tables {
     row: Option<(LeaseRow, u64)>,
     counter: u64,
-    era: u64,
-    /// Row and counter at each tick.
-    past: Vec<(Option<(LeaseRow, u64)>, u64)>,
+    /// Since when the store has been in its era, as the lease holder has written it.
+    stored_era: StoreEra,
 }
 
 impl Store {
     fn write(&mut self, action: &LeaseAction) -> StoreReply {
-        let version = self.row.as_ref().map_or(0, |(_, version)| *version);
+        let tables = &mut self.tables;
+        let version = tables.row.as_ref().map_or(0, |(_, version)| *version);
         if version != action.expected_version {
-            return StoreReply::Conflict(self.row.clone());
+            return StoreReply::Conflict(tables.row.clone());
         }
-        self.counter += 1;
-        self.row = Some((action.row.clone(), self.counter));
-        StoreReply::Written(self.counter)
+        tables.counter += 1;
+        tables.row = Some((action.row.clone(), tables.counter));
+        StoreReply::Written(tables.counter)
     }
 
     fn keep_copy(&mut self) {
-        self.past.push((self.row.clone(), self.counter));
+        self.past.push(self.tables.clone());
     }
 
     fn restore(&mut self, age_ticks: usize) {
         let kept = self.past.len().saturating_sub(age_ticks).max(1);
         self.past.truncate(kept);
-        if let Some((row, counter)) = self.past.last().cloned() {
-            (self.row, self.counter) = (row, counter);
+        if let Some(tables) = self.past.last().cloned() {
+            self.tables = tables;
             self.era += 1;
         }
     }
@@ -148,6 +157,7 @@
     lease: OrderLease,
     /// Era of the last answer; `None` before the first.
     seen_era: Option<u64>,
+    era: StoreEra,
     paused_until_ms: u64,
     disconnected_until_ms: u64,
 }
@@ -159,6 +169,7 @@
         Self {
             lease: OrderLease::new(vm, now_ms + 1, LEASE_MS, endpoints_check_epoch),
             seen_era: None,
+            era: StoreEra::default(),
             paused_until_ms: 0,
             disconnected_until_ms: 0,
         }
@@ -166,7 +177,8 @@
 
     /// Records the era of an answer; only a process that has seen another one learns of a return.
     fn see_era(&mut self, now_ms: u64, number: u64) {
-        self.lease.observe_era(era(number, now_ms));
+        self.era.observe(number, now_ms);
+        self.lease.observe_era(self.era);
         let previous = self.seen_era.replace(number);
         if previous.is_some_and(|previous| previous != number) {
             self.lease.store_restored(now_ms);
@@ -255,7 +267,13 @@
             let reads = !is_disconnected && random.random_range(0..10) < 7;
             if reads {
                 gateway.see_era(now_ms, store.era);
-                gateway.lease.apply_row(now_ms, store.row.clone());
+                let stored_era = &mut store.tables.stored_era;
+                if stored_era.number() == store.era {
+                    gateway.lease.observe_era(*stored_era);
+                } else if gateway.lease.epoch(now_ms).is_some() {
+                    *stored_era = gateway.era;
+                }
+                gateway.lease.apply_row(now_ms, store.tables.row.clone());
             }
             if let Some(action) = gateway.lease.tick(now_ms) {
                 let is_other_era = gateway.seen_era != Some(store.era);
