Quarantines after a return of the store: one gateway writes each; the era's row has a name of its own

Found on reading the change. Each gateway wrote each quarantine that a copy lacked, within a time that grew with the gateways alone: with 300 of them and 100 quarantines, 30,000 calls within some 11 s, beside the lease's renewals. A gateway passes over those that another one has stored meanwhile, and the time grows with their number too.

The key of the era's row was the platform's word for it; it is `era` now.

--- a/crates/chicorystage-testbed/tests/gateway_starts_after_restore.rs
+++ b/crates/chicorystage-testbed/tests/gateway_starts_after_restore.rs
@@ -42,7 +42,7 @@
 fn put_era(world: &PlatformFixture, row: &Value) {
     let row = row.to_string();
     let table = "chicorystage";
-    world.store.put(table, "store-era", row.as_bytes());
+    world.store.put(table, "era", row.as_bytes());
 }
 
 fn age_ms(gateway: &Rc<Gateway>) -> Option<u64> {
@@ -88,7 +88,7 @@
         let world = restored_world().await?;
         let first = world.start_ready_gateway("g1").await.or_fail()?;
         wait_until("the lease is acquired", || first.order_epoch().is_some()).await;
-        let is_stored = || world.store.get("chicorystage", "store-era").is_some();
+        let is_stored = || world.store.get("chicorystage", "era").is_some();
         wait_until("the age is stored", is_stored).await;
         let second = world.start_ready_gateway("g2").await.or_fail()?;
         // The holder may have learned of the era by a poll that began this long before its answer.
--- a/crates/chicorystage-testbed/tests/gateway_teams.rs
+++ b/crates/chicorystage-testbed/tests/gateway_teams.rs
@@ -201,7 +201,7 @@
         fixture.store.advance_clock(60_000);
         let era = json!({"era": 1, "begun_by_ms": 0}).to_string();
         let table = "chicorystage";
-        fixture.store.put(table, "store-era", era.as_bytes());
+        fixture.store.put(table, "era", era.as_bytes());
         let gateway = fixture.start_gateway("old-era").await.or_fail()?;
         sleep(Duration::from_millis(400)).await;
         verify_that!(gateway.is_ready(), eq(true))
--- a/crates/chicorystaged/src/gateway/era_row.rs
+++ b/crates/chicorystaged/src/gateway/era_row.rs
@@ -14,7 +14,7 @@
 use crate::timer::boot_ms;
 
 /// Key in the system's own table.
-pub(super) const ERA_KEY: &str = "store-era";
+pub(super) const ERA_KEY: &str = "era";
 
 /// Value of the row.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
--- a/crates/chicorystaged/src/gateway/follow/own_table.rs
+++ b/crates/chicorystaged/src/gateway/follow/own_table.rs
@@ -32,6 +32,9 @@
 /// Applies rows of the system's own table.
 pub(super) fn apply_own(gateway: &Rc<Gateway>, changes: &Changes, is_whole: bool) {
     let mut has_lease = false;
+    if is_whole {
+        quarantine_rows::forget_stored(gateway);
+    }
     for row in &changes.rows {
         if row.key == LEASE_KEY {
             has_lease = true;
@@ -63,7 +66,7 @@
 /// What this gateway wrote after the copy was taken is lost, so it registers again.
 pub(super) fn apply_restored(gateway: &Rc<Gateway>, rows: &Changes) {
     apply_own(gateway, rows, true);
-    quarantine_rows::store_missing(gateway, rows);
+    quarantine_rows::store_missing(gateway);
     peers::register_again(gateway);
 }
 
--- a/crates/chicorystaged/src/gateway/quarantine_rows.rs
+++ b/crates/chicorystaged/src/gateway/quarantine_rows.rs
@@ -11,7 +11,7 @@
 use chicorystage_api::name::Digest;
 use chicorystage_api::peer::QuarantineEntry;
 use chicorystage_core::suspects::DigestStatus;
-use chicorystage_platform::store::{Changes, Row, WriteOutcome};
+use chicorystage_platform::store::{Row, WriteOutcome};
 use rand::RngExt;
 
 use crate::gateway::poison;
@@ -25,8 +25,8 @@
 const STORED_MAX: usize = 1_000;
 /// Pause before the next try after the store failed, in milliseconds.
 const WRITE_PAUSE_MS: u64 = 500;
-/// Longest time over which gateways spread writes after a return of the store, in milliseconds, for a few
-/// gateways.
+/// Longest time over which a few gateways spread the writes of one quarantine after a return of the store,
+/// in milliseconds.
 const RESTORE_SPREAD_MS: u64 = 300;
 /// Largest number of tries to write a row; together they outlast an outage of a minute.
 const WRITES_MAX: u32 = 120;
@@ -67,28 +67,38 @@
 
 /// Stores the known quarantines again that the rows of a store which has returned from an older copy lack.
 ///
-/// Each gateway that knows them does so after a random time, so that the calls of all come at a bounded
-/// rate.
-pub(super) fn store_missing(gateway: &Rc<Gateway>, rows: &Changes) {
+/// Each gateway that knows one does so after a random time unless another has done so. That time grows with
+/// the number of gateways and of quarantines, so that the calls of all come at a bounded rate.
+pub(super) fn store_missing(gateway: &Rc<Gateway>) {
     let missing: Vec<QuarantineEntry> = gateway.with(|view| {
-        let is_stored = |entry: &QuarantineEntry| {
-            let mut keys = rows.rows.iter();
-            keys.any(|row| row.key.strip_prefix(QUARANTINE_KEY) == Some(entry.digest.as_str()))
-        };
         let known = view.suspects.quarantined();
-        known.filter(|entry| !is_stored(entry)).cloned().collect()
+        let missing = known.filter(|entry| !is_stored(gateway, &entry.digest));
+        missing.cloned().collect()
     });
-    let longest_ms = shared_period_ms(RESTORE_SPREAD_MS, gateway.with(|view| view.gateways()));
+    let each_ms = shared_period_ms(RESTORE_SPREAD_MS, gateway.with(|view| view.gateways()));
+    let longest_ms = each_ms * u64::try_from(missing.len()).unwrap_or(u64::MAX);
     for entry in missing {
         let gateway = Rc::clone(gateway);
         let delay_ms = rand::rng().random_range(0..=longest_ms);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-            store(&gateway, &entry).await;
+            if !is_stored(&gateway, &entry.digest) {
+                store(&gateway, &entry).await;
+            }
         });
     }
 }
 
+/// Returns whether the store has a row of a digest, as far as this gateway has read it.
+fn is_stored(gateway: &Gateway, digest: &Digest) -> bool {
+    gateway.stored_quarantines.borrow().contains(digest)
+}
+
+/// Notes that the store has no rows of quarantines, as far as is known, before they are read whole.
+pub(super) fn forget_stored(gateway: &Gateway) {
+    gateway.stored_quarantines.borrow_mut().clear();
+}
+
 /// Returns whether the decision that a row keeps is older than another one on the same digest.
 fn is_older(row: &Row, entry: &QuarantineEntry) -> bool {
     let value = row.value.as_deref().unwrap_or_default();
@@ -117,6 +127,7 @@
 pub(super) fn apply(gateway: &Gateway, digest: &str, row: &Row) {
     let digest = Digest::from(digest);
     let Some(value) = &row.value else {
+        gateway.stored_quarantines.borrow_mut().remove(&digest);
         gateway.with(|view| {
             view.suspects.lift(unix_ms(), &digest);
             view.part_evidence.forget(&digest);
@@ -124,6 +135,10 @@
         log::info!(event = "quarantine_lifted", digest = digest.as_str(); "an operator has removed the row");
         return;
     };
+    gateway
+        .stored_quarantines
+        .borrow_mut()
+        .insert(digest.clone());
     match serde_json::from_slice::<QuarantineEntry>(value) {
         Ok(entry) if entry.digest == digest && entry.active => {
             let is_new = poison::merge(gateway, entry);
--- a/crates/chicorystaged/src/gateway/shared.rs
+++ b/crates/chicorystaged/src/gateway/shared.rs
@@ -1,11 +1,12 @@
 //! State that the tasks of a gateway share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
 
-use chicorystage_api::name::{EndpointId, ServiceName};
+use chicorystage_api::name::{Digest, EndpointId, ServiceName};
 use chicorystage_core::deployment::Configuration;
 use chicorystage_core::fleet::{Endpoint, holder_silence_ms};
 use chicorystage_core::lease::{OrderLease, acquisition_delay_ms};
@@ -71,6 +72,8 @@
     pub aborting: watch::Sender<bool>,
     /// Notified when a request or a prompt part has been quarantined.
     pub quarantined: watch::Sender<()>,
+    /// Digests of the quarantines that the store has, as last read.
+    pub(super) stored_quarantines: RefCell<HashSet<Digest>>,
     /// Pace of the requests that test quarantines of prompt parts.
     pub part_trials: PartTrials,
     /// Notified when requests want limited endpoints or a limit has changed.
@@ -150,6 +153,7 @@
             stream_told: Notify::new(),
             software_rows: SoftwareRows::default(),
             stream_rows: StreamRows::default(),
+            stored_quarantines: RefCell::default(),
             part_trials: PartTrials::default(),
             limits_changed: Notify::new(),
             limit_allocator: RefCell::default(),
